--- /dev/null
+++ b/crates/benchlink/src/batch.rs
@@ -0,0 +1,295 @@
+//! Reads a batch and tells a scheduler's lines of it straight to its round.
+
+use crate::Bad;
+use crate::settings::Reporting;
+use mulleinhub::interface::*;
+use mulleinhub::{Round, Time};
+use std::io::BufRead;
+use std::ops::Range;
+use std::rc::Rc;
+use std::str::FromStr;
+
+/// The numbered lists of the process; a new one takes the place of the last of its number.
+#[derive(Default)]
+pub struct Rosters([Option<Rc<[Entry]>>; 16]);
+
+/// The text of a batch, and where in it each scheduler's lines stand.
+#[derive(Default)]
+pub struct Batch {
+    pub clock: u64,
+    text: String,
+    lines: Vec<Line>,
+}
+
+pub struct Line {
+    instance: u64,
+    at: Range<usize>,
+    /// The list that a `TARGETS` line named when it was read.
+    roster: Option<Rc<[Entry]>>,
+}
+
+/// The values of a line behind its name, in order.
+pub struct Values<'a> {
+    name: &'a str,
+    rest: Option<&'a str>,
+}
+
+impl<'a> Values<'a> {
+    fn of(text: &'a str) -> Self {
+        match text.split_once('\t') {
+            Some((name, rest)) => Self { name, rest: Some(rest) },
+            None => Self { name: text, rest: None },
+        }
+    }
+
+    /// All that is left of the line, tabs too.
+    pub fn rest(&mut self, what: &str) -> Result<&'a str, Bad> {
+        self.rest.take().ok_or_else(|| format!("{} lacks {what}", self.name))
+    }
+
+    fn text(&mut self, what: &str) -> Result<&'a str, Bad> {
+        let rest = self.rest(what)?;
+        let (value, rest) = rest.split_once('\t').map_or((rest, None), |(value, rest)| (value, Some(rest)));
+        self.rest = rest;
+        Ok(value)
+    }
+
+    fn parsed<T>(&mut self, what: &str, parse: impl Fn(&str) -> Option<T>) -> Result<Option<T>, Bad> {
+        match self.text(what)? {
+            "-" => Ok(None),
+            text => parse(text).map(Some).ok_or_else(|| format!("{}: {what} can't be {text:?}", self.name)),
+        }
+    }
+
+    fn maybe<T: FromStr>(&mut self, what: &str) -> Result<Option<T>, Bad> {
+        self.parsed(what, |text| text.parse().ok())
+    }
+
+    fn must<T: FromStr>(&mut self, what: &str) -> Result<T, Bad> {
+        self.maybe(what)?.ok_or_else(|| format!("{}: {what} is absent", self.name))
+    }
+
+    pub fn whole(&mut self, what: &str) -> Result<u64, Bad> {
+        self.must(what)
+    }
+
+    fn amount(&mut self, what: &str) -> Result<f64, Bad> {
+        let amount: f64 = self.must(what)?;
+        if amount.is_finite() { Ok(amount) } else { Err(format!("{}: {what} is no amount", self.name)) }
+    }
+
+    fn hex(&mut self, what: &str) -> Result<u64, Bad> {
+        Ok(self.parsed(what, |text| u64::from_str_radix(text, 16).ok())?.unwrap_or(0))
+    }
+}
+
+impl Batch {
+    /// Reads the next batch; false at the end of the input.
+    pub fn read(&mut self, input: &mut impl BufRead, rosters: &mut Rosters) -> Result<bool, Bad> {
+        self.text.clear();
+        self.lines.clear();
+        let Some(first) = self.read_line(input)? else { return Ok(false) };
+        let mut values = Values::of(&self.text[first]);
+        if values.name != "BATCH" {
+            return Err(format!("expected BATCH, got {:?}", values.name));
+        }
+        self.clock = values.whole("the clock")?;
+        loop {
+            let at = self.read_line(input)?.ok_or("the input ended inside a batch")?;
+            let mut values = Values::of(&self.text[at.clone()]);
+            match values.name {
+                "OVER_TO_YOU" => break,
+                "REGISTER" => {
+                    let (number, items) = (values.must::<usize>("rosterId")?, values.must::<usize>("items")?);
+                    let entries: Result<Rc<[Entry]>, Bad> = (0..items)
+                        .map(|_| {
+                            let at = self.read_line(input)?.ok_or("the input ended inside a list")?;
+                            entry(&mut Values::of(&self.text[at]))
+                        })
+                        .collect();
+                    let slot = rosters.0.get_mut(number).ok_or(format!("REGISTER: no list {number}"))?;
+                    *slot = Some(entries?);
+                }
+                _ => {
+                    let instance = values.whole("schedulerId")?;
+                    let mut roster = None;
+                    if values.name == "TARGETS" && values.text("kind")? != "FAILED" {
+                        values.text("index")?;
+                        let number: usize = values.must("rosterId")?;
+                        let known = rosters.0.get(number).and_then(Option::as_ref);
+                        roster = Some(Rc::clone(known.ok_or(format!("TARGETS: no list {number}"))?));
+                    }
+                    self.lines.push(Line { instance, at, roster });
+                }
+            }
+        }
+        self.lines.sort_by_key(|line| line.instance);
+        Ok(true)
+    }
+
+    fn read_line(&mut self, input: &mut impl BufRead) -> Result<Option<Range<usize>>, Bad> {
+        let start = self.text.len();
+        let read = input.read_line(&mut self.text).map_err(|e| format!("cannot read the wire: {e}"))?;
+        let end = self.text.trim_end_matches(['\n', '\r']).len().max(start);
+        Ok((read > 0).then_some(start..end))
+    }
+
+    /// Each scheduler that has events, with its lines in their order.
+    pub fn schedulers(&self) -> impl Iterator<Item = (u64, &[Line])> {
+        self.lines.chunk_by(|a, b| a.instance == b.instance).map(|lines| (lines[0].instance, lines))
+    }
+
+    /// The line's values behind its name and its scheduler.
+    pub fn values(&self, line: &Line) -> Values<'_> {
+        let mut values = Values::of(&self.text[line.at.clone()]);
+        values.text("schedulerId").expect("was read before");
+        values
+    }
+
+    pub fn name(&self, line: &Line) -> &str {
+        self.values(line).name
+    }
+
+    /// Tells one line to the round of its scheduler.
+    pub fn tell<W: Writer>(
+        &self,
+        line: &Line,
+        round: &mut Round<'_, W>,
+        reporting: &Reporting,
+    ) -> Result<(), Bad> {
+        let mut v = self.values(line);
+        match v.name {
+            "TARGETS" => {
+                let kind = match v.text("kind")? {
+                    "INCREMENTAL" => ListKind::Changes,
+                    "FULL" => ListKind::Whole,
+                    "SAVED" => ListKind::Saved,
+                    "FAILED" => {
+                        round.list_failed();
+                        return Ok(());
+                    }
+                    other => return Err(format!("TARGETS: unknown kind {other:?}")),
+                };
+                round.list(kind, line.roster.as_ref().ok_or("TARGETS without a list")?);
+            }
+            "NEW_TASK" => {
+                let (id, class) = (TaskId(v.must("rid")?), reporting.use_case(v.must("category")?)?);
+                v.text("party")?;
+                let key = TaskKey(v.hex("taskName")?);
+                let deadline = Time::from_nanos(v.must("deadline")?);
+                v.text("runsFor")?;
+                let service = ServiceId(v.hex("app")?);
+                let ask = Room::new(v.amount("cpus")?, v.amount("mem")?);
+                let bits: u64 = v.maybe("stateBits")?.unwrap_or(0);
+                round.new_task(Order {
+                    id,
+                    key,
+                    use_case: class,
+                    service,
+                    ask,
+                    deadline,
+                    again: bits & 16 != 0,
+                });
+            }
+            "RUNNING" => {
+                let id = TaskId(v.must("rid")?);
+                let bits: u64 = v.maybe("stateBits")?.unwrap_or(0);
+                let class = reporting.use_case(v.must("category")?)?;
+                let machine = MachineId(v.must("node")?);
+                v.text("runsFor")?;
+                let deadline = Time::from_nanos(v.maybe("deadline")?.unwrap_or(u64::MAX));
+                let memory = v.amount("mem")?;
+                let ask = Room::new(v.amount("cpus")?, memory);
+                v.text("party")?;
+                let service = ServiceId(v.hex("app")?);
+                let key = TaskKey(v.hex("taskName")?);
+                let again = bits & 16 != 0;
+                round.running(Order { id, key, use_case: class, service, ask, deadline, again }, machine);
+            }
+            "ACCEPTED" => round.accepted(TaskId(v.must("rid")?)),
+            "NOTE" => {
+                let id = TaskId(v.must("rid")?);
+                let topic = v.whole("topic")?;
+                let x: Option<f64> = v.maybe("x")?;
+                match (topic, x.filter(|x| x.is_finite())) {
+                    (1, _) => round.runs(id),
+                    (2, Some(x)) => round.uses_cores(id, x),
+                    (3, Some(x)) => round.uses_memory(id, x),
+                    (4, Some(x)) => round.served(id, x),
+                    (5, Some(x)) => round.machine_memory(id, x),
+                    _ => {}
+                }
+            }
+            "CLOSED_ATTEMPT" => {
+                let id = TaskId(v.must("rid")?);
+                v.text("hop")?;
+                let reason = v.text("reason")?;
+                let over = v.maybe::<u8>("over")?.unwrap_or(0) != 0;
+                v.text("node")?;
+                let detail: u64 = v.maybe("detail")?.unwrap_or(0);
+                v.text("duration")?;
+                round.closed(id, ending(reason, detail)?, over, reporting.read(v.text("feedback")?)?);
+            }
+            "ABANDONED" => round.abandoned(TaskId(v.must("rid")?)),
+            "FIRED" => round.woken(v.whole("token")?),
+            "PONG" => {
+                let _ended = v.text("reason")?;
+                v.text("duration")?;
+                let machine = MachineId(v.must("node")?);
+                round.probed(machine, reporting.read(v.text("feedback")?)?);
+            }
+            // Schedulers share nothing: what another one tells is passed over.
+            "NOTE_FROM" => {}
+            other => return Err(format!("unknown event {other:?}")),
+        }
+        Ok(())
+    }
+}
+
+fn ending(reason: &str, detail: u64) -> Result<Ending, Bad> {
+    Ok(match reason {
+        "Ok" => Ending::Ok,
+        "Failed" => Ending::Errored,
+        "QueueFull" => Ending::Nacked(match detail {
+            1 => Nack::NoCores,
+            2 => Nack::NoMemory,
+            3 => Nack::QueueFull,
+            4 => Nack::NotHere,
+            _ => Nack::Untold,
+        }),
+        "TimedOut" => Ending::TimedOut,
+        "ConnectError" => Ending::NoConnection,
+        "ResetByPeer" => Ending::Broken(match detail {
+            5 => Loss::Evicted,
+            6 => Loss::PushedOut,
+            7 => Loss::SentAway,
+            _ => Loss::Untold,
+        }),
+        "Canceled" => Ending::Recalled,
+        "Ignored" => Ending::NotSent,
+        other => return Err(format!("CLOSED_ATTEMPT: unknown reason {other:?}")),
+    })
+}
+
+fn entry(v: &mut Values<'_>) -> Result<Entry, Bad> {
+    if v.name != "ROW" {
+        return Err(format!("expected ROW, got {:?}", v.name));
+    }
+    let memory: Option<f64> = v.maybe("memLeft")?;
+    let cell = CellId(v.must("stripe")?);
+    v.text("nominal")?;
+    let kind = KindId(v.must("hw")?);
+    let since: Option<u64> = v.maybe("since")?;
+    let mode = match v.text("mode")? {
+        "active" => Mode::Active,
+        "leaving" => Mode::Leaving,
+        "left" => Mode::Left,
+        other => return Err(format!("ROW: unknown mode {other:?}")),
+    };
+    let id = MachineId(v.must("node")?);
+    let cores: Option<f64> = v.maybe("cpuLeft")?;
+    let zone = ZoneId(v.must("site")?);
+    let left = cores.zip(memory).map(|(cores, memory)| Room::new(cores, memory));
+    let since = since.filter(|since| *since > 0).map(Time::from_nanos);
+    Ok(Entry { id, kind, cell, zone, mode, since, left })
+}
--- /dev/null
+++ b/crates/benchlink/src/settings.rs
@@ -0,0 +1,144 @@
+//! Reads the settings of `HELLO` into the types of the interface. Unknown keys are passed over.
+
+use crate::Bad;
+use crate::batch::Values;
+use mulleinhub::interface::*;
+use mulleinhub::{Brain, Span};
+use serde_json::Value;
+
+/// What it takes to read a scheduler's events: the names of a load report's values, whether x0 and x1 tell
+/// room not in use (else room not asked for), and how many use cases there are.
+#[derive(Debug, Default)]
+pub struct Reporting {
+    names: Vec<String>,
+    of_use: bool,
+    use_cases: usize,
+}
+
+impl Reporting {
+    pub fn use_case(&self, number: usize) -> Result<UseCaseId, Bad> {
+        if number < self.use_cases { Ok(UseCaseId(number)) } else { Err(format!("no class {number}")) }
+    }
+
+    pub fn read(&self, row: &str) -> Result<Report, Bad> {
+        let mut report = Report::default();
+        if row == "-" {
+            return Ok(report);
+        }
+        let (mut cores, mut memory) = (None, None);
+        for (name, value) in self.names.iter().zip(row.split(',')) {
+            let value: f64 = value.parse().map_err(|_| format!("a load report holds {value:?}"))?;
+            match name.as_str() {
+                "x0" => cores = Some(value),
+                "x1" => memory = Some(value),
+                "queue" => report.queue = Some(value),
+                _ => {}
+            }
+        }
+        let room = cores.zip(memory).map(|(cores, memory)| Room::new(cores, memory));
+        if self.of_use {
+            report.unused = room;
+        } else {
+            report.unasked = room;
+        }
+        Ok(report)
+    }
+}
+
+pub fn hello(values: &mut Values<'_>) -> Result<(Brain, Reporting), Bad> {
+    let seed = values.whole("salt")?;
+    let config: Value =
+        serde_json::from_str(values.rest("config")?).map_err(|e| format!("HELLO: config is no JSON: {e}"))?;
+    let facts = part(&config, "specifics")?;
+    let rules = part(&config, "rules")?;
+    let zone = ZoneId(number(&config, "myZone")? as u32);
+    let names = config.get("feedback").and_then(|f| f.get("names")).and_then(Value::as_array);
+    let reporting = Reporting {
+        names: names.into_iter().flatten().filter_map(|n| n.as_str().map(String::from)).collect(),
+        of_use: facts.get("measuredBy").and_then(Value::as_str) == Some("used"),
+        use_cases: use_cases(&config, facts)?.len(),
+    };
+    let brain = Brain::new(
+        seed,
+        use_cases(&config, facts)?,
+        kinds(facts)?,
+        Taking {
+            cores: number(facts, "acceptsCores")?,
+            memory: number(facts, "acceptsMemory")?,
+            yes_when_running: facts.get("yesAt").and_then(Value::as_str) == Some("running"),
+            max_sends: number(part(&config, "limits")?, "maxAttempts")? as u32,
+        },
+        ColdRule {
+            warm_after: span(rules, "warmAfter")?,
+            fall: span(rules, "fall")?,
+            young_limit: number(facts, "youngLimit")?,
+            schedulers: number(&config, "balancers")? as u32,
+        },
+        Listing {
+            asked: config.get("discovery").and_then(Value::as_str) == Some("ask"),
+            ask_within: span(rules, "askWithin")?,
+        },
+        Home { zone, cross_zone_price: number(part(&config, "tariffs")?, "crossZone").unwrap_or(0.0) },
+    );
+    Ok((brain, reporting))
+}
+
+fn part<'a>(of: &'a Value, key: &str) -> Result<&'a Value, Bad> {
+    of.get(key).ok_or_else(|| format!("HELLO: config lacks {key}"))
+}
+
+fn number(of: &Value, key: &str) -> Result<f64, Bad> {
+    part(of, key)?.as_f64().ok_or_else(|| format!("HELLO: {key} is no number"))
+}
+
+fn span(of: &Value, key: &str) -> Result<Span, Bad> {
+    let nanos = part(of, key)?.as_u64().ok_or_else(|| format!("HELLO: {key} is no span of time"))?;
+    Ok(Span::from_nanos(nanos))
+}
+
+fn list<'a>(of: &'a Value, key: &str) -> Result<&'a [Value], Bad> {
+    part(of, key)?.as_array().map(Vec::as_slice).ok_or_else(|| format!("HELLO: {key} is no list"))
+}
+
+fn kinds(facts: &Value) -> Result<Vec<Room>, Bad> {
+    let (cores, memory) = (list(facts, "kindCores")?, list(facts, "memoryByKind")?);
+    let size = |(c, m): (&Value, &Value)| Some(Room::new(c.as_f64()?, m.as_f64()?));
+    let sizes: Option<Vec<Room>> = cores.iter().zip(memory).map(size).collect();
+    sizes.ok_or_else(|| "HELLO: kindCores and memoryByKind must be numbers".into())
+}
+
+fn use_cases(config: &Value, facts: &Value) -> Result<Vec<UseCase>, Bad> {
+    let at = |key: &str, n: usize| facts.get(key).and_then(|values| values.get(n));
+    let figure = |key: &str, n: usize| at(key, n).and_then(Value::as_f64);
+    let read = |(n, class): (usize, &Value)| {
+        let group = match class.get("group").and_then(Value::as_str) {
+            Some("all") => Reach::All,
+            Some("zone") => Reach::Zone,
+            _ => Reach::Cell,
+        };
+        let effect = match class.get("effect").and_then(Value::as_str) {
+            Some("repeatable") => Effect::Replayable,
+            Some("by_key") => Effect::Referenced { group, window: span(class, "window")? },
+            _ => Effect::SingleUse,
+        };
+        let reach = match at("spreadOver", n).and_then(Value::as_str) {
+            Some("machine") => Some(Reach::Machine),
+            Some("cell") => Some(Reach::Cell),
+            Some("zone") => Some(Reach::Zone),
+            _ => None,
+        };
+        Ok(UseCase {
+            soft_limit: span(class, "target")?,
+            client_timeout: span(class, "deadline")?,
+            effect,
+            earnings: number(class, "gain")?,
+            start_seconds: figure("classStartS", n).unwrap_or(0.0),
+            priority: figure("precedence", n).unwrap_or(0.0) as u8,
+            kind: figure("kindByClass", n).filter(|kind| *kind >= 0.0).map(|kind| KindId(kind as usize)),
+            spread: reach.zip(figure("togetherMax", n).map(|most| most as usize)),
+            full_up_to: figure("fullUpTo", n).unwrap_or(1.0),
+            fade: figure("classFade", n).unwrap_or(0.0),
+        })
+    };
+    list(config, "classes")?.iter().enumerate().map(read).collect()
+}
--- /dev/null
+++ b/crates/benchlink/src/writer.rs
@@ -0,0 +1,54 @@
+//! Writes the decisions as actions of the wire.
+
+use mulleinhub::interface::{MachineId, TaskId, Writer};
+use mulleinhub::{Span, Time};
+use std::fmt::{Arguments, Write};
+
+pub struct WireWriter<'a> {
+    pub instance: u64,
+    pub reply: &'a mut String,
+}
+
+impl WireWriter<'_> {
+    fn line(&mut self, name: &str, values: Arguments<'_>) {
+        writeln!(self.reply, "{name}\t{}{values}", self.instance).expect("a string takes all");
+    }
+}
+
+impl Writer for WireWriter<'_> {
+    fn send(&mut self, task: TaskId, machine: MachineId, time_out: Span) {
+        self.line("BIND", format_args!("\t{}\t{}\t{}", task.0, machine.0, time_out.nanos()));
+    }
+
+    fn recall(&mut self, task: TaskId, send: u32) {
+        self.line("RECALL", format_args!("\t{}\t{send}", task.0));
+    }
+
+    fn nack(&mut self, task: TaskId, stay_away: Span) {
+        self.line("REJECT", format_args!("\t{}\t{}", task.0, stay_away.nanos()));
+    }
+
+    fn error(&mut self, task: TaskId) {
+        self.line("REPORT_FAILURE", format_args!("\t{}", task.0));
+    }
+
+    fn move_off(&mut self, task: TaskId) {
+        self.line("UNSEAT", format_args!("\t{}", task.0));
+    }
+
+    fn wake_at(&mut self, token: u64, at: Time) {
+        self.line("SET_TIMER", format_args!("\t{token}\t{}", at.nanos()));
+    }
+
+    fn probe(&mut self, machine: MachineId) {
+        self.line("INSPECT", format_args!("\t{}", machine.0));
+    }
+
+    fn watch_list(&mut self) {
+        self.line("KEEP_INFORMED", format_args!("\t1"));
+    }
+
+    fn remark(&mut self, words: &str) {
+        self.line("REMARK", format_args!("\t{words}"));
+    }
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,694 @@
+//! All decisions of mulleinhub, with every table and tuned value.
+//!
+//! Called once a round with all that came in: `brain.round(now, &mut writer, |r| { r.new_task(..); .. })`; the
+//! round ends with the placing. The types and the writer trait stand in `interface.rs`; docs/design.md tells the
+//! design. Beside the design stand these mechanisms, six at most:
+//! 1. trust: a cap on unanswered sends per machine, grown by answers, cut by trouble (fresh machines start low)
+//! 2. late views: our own sends and ends count until a view can show them; a nack for room corrects the view
+//! 3. stretch: a task that waited in vain may use the slack of all tasks, by the use seen per ask
+//! 4. tie-break: among equally good machines, first those that hold the service's program, then our own zone
+
+use crate::interface::*;
+use crate::pcg::Pcg;
+use crate::peak::Peak;
+use crate::slab::Slab;
+use crate::units::{Span, Time};
+use std::collections::VecDeque;
+
+// The design's figures.
+const PEAK_WINDOW: Span = Span::from_secs(30);
+const CORES_WEIGHT: f64 = 0.38;
+const MEMORY_WEIGHT: f64 = 0.62;
+const TIE: f64 = 0.05;
+const HOT: f64 = 0.8;
+
+/// A first answer is awaited for this part of the client timeout, so that two more sends still fit into it.
+const SEND_SHARE: f64 = 0.3;
+/// Pending tasks are looked at again after this part of the shortest soft limit, if nothing comes in before.
+const RETRY_SHARE: f64 = 0.05;
+/// A task that still waits so near its client timeout (as a part of it) gets its final answer.
+const GIVE_UP_SHARE: f64 = 0.03;
+/// A referenced task is sent again only within this part of its window, so that the send arrives inside it.
+const WINDOW_SHARE: f64 = 0.9;
+/// The cold budget is counted over this many times the rule's window: sends may bunch up on their way.
+const FALL_STRETCH: f64 = 1.5;
+/// Unanswered sends that a machine bears: at first when fresh, at first when known, and at most.
+const FRESH_CAP: f64 = 2.0;
+const KNOWN_CAP: f64 = 8.0;
+const MOST_CAP: f64 = 24.0;
+/// A machine in trouble rests for this part of the client timeout, doubled by each trouble, at most so often.
+const REST_SHARE: f64 = 0.125;
+const MOST_DOUBLINGS: u32 = 5;
+/// How old a view may be when it comes: our sends younger than this are not in it.
+const VIEW_AGE: Span = Span::from_secs(2);
+/// Room asked for may be stretched after this part of the soft limit.
+const STRETCH_SHARE: f64 = 0.1;
+/// One note moves the use seen per ask by this part.
+const RATIO_STEP: f64 = 1.0 / 64.0;
+
+const TICK: u64 = 0;
+const WATCH: u64 = 1;
+
+#[derive(Clone, Copy, PartialEq)]
+enum State {
+    Pending,
+    Sent,
+    Placed,
+    /// Over for its owner; only the end of its last send is still to come.
+    Over,
+}
+
+struct Task {
+    order: Order,
+    state: State,
+    came: Time,
+    /// What it is sized at: its ask, or its peak use where we moved it off.
+    size: Room,
+    sends: u32,
+    /// Where its open send went, and when.
+    machine: usize,
+    sent_at: Time,
+    /// The first send that may have run: when, and to which machine's places.
+    may_run: Option<(Time, MachineId, CellId, ZoneId)>,
+    turned_down: Option<usize>,
+    cores: Peak,
+    memory: Peak,
+    last_use: Room,
+    slack: Room,
+}
+
+struct Machine {
+    id: MachineId,
+    kind: KindId,
+    cell: CellId,
+    zone: ZoneId,
+    size: Room,
+    open: bool,
+    since: Option<Time>,
+    left: Room,
+    /// Our own asks (below nought) and ends (above) that the view may not show yet.
+    unseen: VecDeque<(Time, Room)>,
+    /// Places of our tasks whose last send has not ended, oldest first.
+    tasks: Vec<usize>,
+    slack: Room,
+    use_cores: Peak,
+    use_memory: Peak,
+    unanswered: usize,
+    cap: f64,
+    troubles: u32,
+    rests_until: Time,
+    cold_sends: VecDeque<Time>,
+}
+
+impl Machine {
+    fn free(&self) -> Room {
+        self.unseen.iter().fold(self.left, |left, (_, change)| left + *change)
+    }
+
+    fn good(&mut self) {
+        self.cap = (self.cap + 1.0).min(MOST_CAP);
+        self.troubles = self.troubles.saturating_sub(1);
+    }
+
+    /// Errors, silence, lost machines and full queues alike: send it less, and let it rest, longer each time.
+    fn trouble(&mut self, now: Time, rest: Span) {
+        self.cap = (self.cap / 2.0).max(1.0);
+        self.rests_until = now + rest * f64::from(1u32 << self.troubles);
+        self.troubles = (self.troubles + 1).min(MOST_DOUBLINGS);
+    }
+}
+
+pub struct Brain {
+    use_cases: Vec<UseCase>,
+    kinds: Vec<Room>,
+    taking: Taking,
+    cold: ColdRule,
+    listing: Listing,
+    home: Home,
+    low: u8,
+    chance: Pcg,
+    tasks: Slab<TaskId, Task>,
+    machines: Slab<MachineId, Machine>,
+    pending: Vec<usize>,
+    moved: VecDeque<(TaskKey, Room)>,
+    ratio: Room,
+    fits: Vec<(usize, f64)>,
+    tick_set: bool,
+    watch_failures: u32,
+}
+
+/// One round: what came in is told to it, and it ends with the placing.
+pub struct Round<'a, W: Writer> {
+    b: &'a mut Brain,
+    now: Time,
+    out: &'a mut W,
+}
+
+impl Brain {
+    pub fn new(
+        seed: u64,
+        use_cases: Vec<UseCase>,
+        kinds: Vec<Room>,
+        taking: Taking,
+        cold: ColdRule,
+        listing: Listing,
+        home: Home,
+    ) -> Self {
+        let low = use_cases.iter().map(|u| u.priority).min().unwrap_or(0);
+        Self {
+            use_cases,
+            kinds,
+            taking,
+            cold,
+            listing,
+            home,
+            low,
+            chance: Pcg::new(seed),
+            tasks: Slab::with_capacity(4096),
+            machines: Slab::with_capacity(64),
+            pending: Vec::with_capacity(1024),
+            moved: VecDeque::with_capacity(64),
+            ratio: Room::new(1.0, 1.0),
+            fits: Vec::with_capacity(64),
+            tick_set: false,
+            watch_failures: 0,
+        }
+    }
+
+    pub fn round<W: Writer, T>(
+        &mut self,
+        now: Time,
+        out: &mut W,
+        tell: impl FnOnce(&mut Round<'_, W>) -> T,
+    ) -> T {
+        let mut round = Round { b: self, now, out };
+        let told = tell(&mut round);
+        round.place_pending();
+        told
+    }
+
+    fn use_case(&self, place: usize) -> &UseCase {
+        &self.use_cases[self.tasks[place].order.use_case.0]
+    }
+
+    fn is_low(&self, place: usize) -> bool {
+        self.use_case(place).priority == self.low
+    }
+
+    fn rest(&self, place: usize) -> Span {
+        self.use_case(place).client_timeout * REST_SHARE
+    }
+
+    /// The shortest wait that makes sense: a small part of the tightest soft limit.
+    fn retry_after(&self) -> Span {
+        let tightest = self.use_cases.iter().map(|u| u.soft_limit).min().unwrap_or(Span::from_secs(1));
+        tightest * RETRY_SHARE + Span::from_nanos(1)
+    }
+
+    fn is_cold(&self, m: &Machine, now: Time) -> bool {
+        m.since.is_some_and(|since| now - since < self.cold.warm_after)
+    }
+}
+
+impl<W: Writer> Round<'_, W> {
+    // What came in.
+
+    pub fn start(&mut self) {
+        if self.b.listing.asked {
+            self.out.watch_list();
+        }
+    }
+
+    pub fn new_task(&mut self, order: Order) {
+        let mut task = self.task(order, State::Pending);
+        if let Some(at) = self.b.moved.iter().position(|(key, _)| *key == order.key) {
+            task.size = self.b.moved.remove(at).map_or(order.ask, |(_, peak)| peak);
+        }
+        let place = self.b.tasks.insert(order.id, task);
+        self.b.pending.push(place);
+    }
+
+    pub fn running(&mut self, order: Order, machine: MachineId) {
+        let at = self.machine(machine);
+        let mut task = self.task(order, State::Placed);
+        task.machine = at;
+        task.sends = 1;
+        let place = self.b.tasks.insert(order.id, task);
+        self.b.machines[at].tasks.push(place);
+    }
+
+    pub fn accepted(&mut self, id: TaskId) {
+        let Some(place) = self.b.tasks.place(id) else { return };
+        let task = &mut self.b.tasks[place];
+        if task.state == State::Sent {
+            task.state = State::Placed;
+            let m = &mut self.b.machines[task.machine];
+            m.unanswered -= 1;
+            m.good();
+        }
+    }
+
+    /// Where the yes comes before the start: the start is done.
+    pub fn runs(&mut self, _id: TaskId) {}
+
+    pub fn uses_cores(&mut self, id: TaskId, cores: f64) {
+        self.uses(id, Some(cores), None);
+    }
+
+    pub fn uses_memory(&mut self, id: TaskId, memory: f64) {
+        self.uses(id, None, Some(memory));
+    }
+
+    /// The use of a task; of high-priority ones, ask minus peak use becomes slack of their machine.
+    fn uses(&mut self, id: TaskId, cores: Option<f64>, memory: Option<f64>) {
+        let now = self.now;
+        let Some(place) = self.b.tasks.place(id) else { return };
+        let high = !self.b.is_low(place);
+        let task = &mut self.b.tasks[place];
+        let ask = task.order.ask;
+        if let Some(cores) = cores {
+            task.cores.note(now, cores);
+            task.last_use.cores = cores;
+            self.b.ratio.cores += (cores / ask.cores.max(1e-9) - self.b.ratio.cores) * RATIO_STEP;
+        }
+        if let Some(memory) = memory {
+            task.memory.note(now, memory);
+            task.last_use.memory = memory;
+            self.b.ratio.memory += (memory / ask.memory.max(1e-9) - self.b.ratio.memory) * RATIO_STEP;
+        }
+        if high && task.state == State::Placed {
+            let peak = Room::new(
+                task.cores.peak(now).unwrap_or(f64::INFINITY),
+                task.memory.peak(now).unwrap_or(f64::INFINITY),
+            );
+            let slack = (ask - peak).at_least(Room::NONE);
+            self.b.machines[task.machine].slack += slack - task.slack;
+            task.slack = slack;
+        }
+    }
+
+    /// Poor service tells how busy the cores are, by the use case's own curve.
+    pub fn served(&mut self, id: TaskId, share: f64) {
+        let Some(place) = self.b.tasks.place(id) else { return };
+        let use_case = self.b.use_case(place);
+        let busy = use_case.full_up_to + (1.0 - share) * use_case.fade;
+        let at = self.b.tasks[place].machine;
+        if self.b.tasks[place].state == State::Placed {
+            self.b.machines[at].use_cores.note(self.now, busy);
+            self.shed(at);
+        }
+    }
+
+    pub fn machine_memory(&mut self, id: TaskId, share: f64) {
+        let Some(place) = self.b.tasks.place(id) else { return };
+        if self.b.tasks[place].state == State::Placed {
+            let at = self.b.tasks[place].machine;
+            self.b.machines[at].use_memory.note(self.now, share);
+            self.shed(at);
+        }
+    }
+
+    pub fn probed(&mut self, machine: MachineId, report: Report) {
+        let Some(at) = self.b.machines.place(machine) else { return };
+        let m = &mut self.b.machines[at];
+        if let Some(unused) = report.unused {
+            m.use_cores.note(self.now, 1.0 - unused.cores / m.size.cores.max(1e-9));
+            m.use_memory.note(self.now, 1.0 - unused.memory / m.size.memory.max(1e-9));
+            self.shed(at);
+        }
+    }
+
+    /// The end of a send. Where `over` is not set, the final answer is still ours to give.
+    pub fn closed(&mut self, id: TaskId, ending: Ending, over: bool, report: Report) {
+        let Some(place) = self.b.tasks.place(id) else { return };
+        let (now, rest) = (self.now, self.b.rest(place));
+        let task = &mut self.b.tasks[place];
+        let (at, state, ask) = (task.machine, task.state, task.order.ask);
+        if task.sends == 0 || state == State::Pending {
+            return;
+        }
+        let m = &mut self.b.machines[at];
+        m.tasks.retain(|t| *t != place);
+        m.slack -= task.slack;
+        m.unseen.push_back((now, ask));
+        if state == State::Sent {
+            m.unanswered -= 1;
+        }
+        match ending {
+            Ending::Errored | Ending::TimedOut | Ending::NoConnection | Ending::Broken(Loss::Untold) => {
+                m.trouble(now, rest);
+            }
+            Ending::Nacked(Nack::QueueFull) => m.cap = (m.cap / 2.0).max(1.0),
+            // The machine knows its room: until the next view, ours is less than this ask (a stale view).
+            Ending::Nacked(Nack::NoCores | Nack::NoMemory) => {
+                let held = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
+                let free = m.free();
+                let most = ask - held;
+                if matches!(ending, Ending::Nacked(Nack::NoCores)) {
+                    m.left.cores += (most.cores - free.cores).min(0.0);
+                } else {
+                    m.left.memory += (most.memory - free.memory).min(0.0);
+                }
+            }
+            _ => {}
+        }
+        let never_ran = matches!(ending, Ending::Nacked(_) | Ending::NoConnection | Ending::NotSent);
+        if !never_ran && state == State::Sent && task.may_run.is_none() {
+            task.may_run = Some((task.sent_at, m.id, m.cell, m.zone));
+        }
+        task.slack = Room::NONE;
+        task.turned_down = Some(at);
+        let id = m.id;
+        if over || state != State::Sent {
+            self.b.tasks.remove(place);
+        } else {
+            task.state = State::Pending;
+            self.b.pending.push(place);
+        }
+        self.probed(id, report);
+    }
+
+    pub fn abandoned(&mut self, id: TaskId) {
+        let Some(place) = self.b.tasks.place(id) else { return };
+        if self.b.tasks[place].state == State::Pending {
+            self.forget(place);
+        } else if self.b.tasks[place].state == State::Sent {
+            let at = self.b.tasks[place].machine;
+            self.b.machines[at].unanswered -= 1;
+            self.b.tasks[place].state = State::Over;
+        }
+    }
+
+    pub fn woken(&mut self, token: u64) {
+        match token {
+            TICK => self.b.tick_set = false,
+            _ if self.b.listing.asked => self.out.watch_list(),
+            _ => {}
+        }
+    }
+
+    /// A call for the list failed, or the watch broke: ask again, less often each time, well within the rule.
+    pub fn list_failed(&mut self) {
+        let wait = self.b.retry_after() * f64::from(8u32 << self.b.watch_failures.min(4));
+        self.b.watch_failures += 1;
+        self.out.wake_at(WATCH, self.now + wait.min(self.b.listing.ask_within * 0.25));
+    }
+
+    pub fn list(&mut self, kind: ListKind, entries: &[Entry]) {
+        let (now, first) = (self.now, kind == ListKind::Saved);
+        if !first {
+            self.b.watch_failures = 0;
+        }
+        if kind != ListKind::Changes {
+            self.b.machines.iter_mut().for_each(|(_, m)| m.open = false);
+        }
+        for entry in entries {
+            let at = self.machine(entry.id);
+            let size = self.b.kinds.get(entry.kind.0).copied().unwrap_or(Room::NONE);
+            let cold = entry.since.is_some_and(|since| now - since < self.b.cold.warm_after);
+            let m = &mut self.b.machines[at];
+            (m.kind, m.cell, m.zone, m.size) = (entry.kind, entry.cell, entry.zone, size);
+            m.open = entry.mode == Mode::Active;
+            m.left = entry.left.unwrap_or(m.left);
+            if cold && (m.since != entry.since) {
+                m.cap = FRESH_CAP;
+                (m.troubles, m.rests_until) = (0, now);
+            }
+            m.since = entry.since;
+        }
+        // Whoever is not named has not changed: its view is as fresh as the named ones'.
+        for (_, m) in self.b.machines.iter_mut() {
+            while m.unseen.front().is_some_and(|(at, _)| now - *at > VIEW_AGE) {
+                m.unseen.pop_front();
+            }
+        }
+    }
+
+    // What follows.
+
+    fn task(&self, order: Order, state: State) -> Task {
+        Task {
+            order,
+            state,
+            came: self.now,
+            size: order.ask,
+            sends: 0,
+            machine: usize::MAX,
+            sent_at: self.now,
+            may_run: None,
+            turned_down: None,
+            cores: Peak::new(PEAK_WINDOW),
+            memory: Peak::new(PEAK_WINDOW),
+            last_use: Room::NONE,
+            slack: Room::NONE,
+        }
+    }
+
+    /// The machine's place; one that no list has named yet is never sent to.
+    fn machine(&mut self, id: MachineId) -> usize {
+        if let Some(at) = self.b.machines.place(id) {
+            return at;
+        }
+        let m = Machine {
+            id,
+            kind: KindId(usize::MAX),
+            cell: CellId(u32::MAX),
+            zone: ZoneId(u32::MAX),
+            size: Room::NONE,
+            open: false,
+            since: None,
+            left: Room::NONE,
+            unseen: VecDeque::with_capacity(64),
+            tasks: Vec::with_capacity(256),
+            slack: Room::NONE,
+            use_cores: Peak::new(PEAK_WINDOW),
+            use_memory: Peak::new(PEAK_WINDOW),
+            unanswered: 0,
+            cap: KNOWN_CAP,
+            troubles: 0,
+            rests_until: self.now,
+            cold_sends: VecDeque::with_capacity(64),
+        };
+        self.b.machines.insert(id, m)
+    }
+
+    /// A hot machine sheds our low-priority tasks, newest first, until what is left would be under the mark;
+    /// its peak is then forgotten, so that a fresh report must come before more go.
+    fn shed(&mut self, at: usize) {
+        let now = self.now;
+        let m = &mut self.b.machines[at];
+        let peak = Room::new(m.use_cores.peak(now).unwrap_or(0.0), m.use_memory.peak(now).unwrap_or(0.0));
+        let mut over = peak.times(m.size.cores, m.size.memory) - m.size.times(HOT, HOT);
+        if over.cores <= 0.0 && over.memory <= 0.0 {
+            return;
+        }
+        m.use_cores.forget();
+        m.use_memory.forget();
+        for n in (0..self.b.machines[at].tasks.len()).rev() {
+            if over.cores <= 0.0 && over.memory <= 0.0 {
+                break;
+            }
+            let place = self.b.machines[at].tasks[n];
+            let low = self.b.is_low(place);
+            let task = &mut self.b.tasks[place];
+            if !low || task.state != State::Placed || task.last_use == Room::NONE {
+                continue;
+            }
+            over -= task.last_use;
+            let peak = Room::new(
+                task.cores.peak(now).unwrap_or(task.order.ask.cores),
+                task.memory.peak(now).unwrap_or(task.order.ask.memory),
+            );
+            task.state = State::Over;
+            self.out.move_off(task.order.id);
+            if self.b.moved.len() == self.b.moved.capacity() {
+                self.b.moved.pop_front();
+            }
+            self.b.moved.push_back((task.order.key, peak));
+        }
+    }
+
+    fn forget(&mut self, place: usize) {
+        self.b.pending.retain(|p| *p != place);
+        self.b.tasks.remove(place);
+    }
+
+    /// The final answer of a task without an open send: no, where that is allowed, else failure.
+    fn give_up(&mut self, place: usize) {
+        let use_case = self.b.use_case(place);
+        let task = &self.b.tasks[place];
+        let harmless = match use_case.effect {
+            Effect::Replayable => true,
+            Effect::Referenced { group: Reach::All, .. } => true,
+            _ => task.may_run.is_none(),
+        };
+        if harmless {
+            self.out.nack(task.order.id, Span::ZERO);
+        } else {
+            self.out.error(task.order.id);
+        }
+        self.b.tasks.remove(place);
+    }
+
+    /// Pending tasks, best earnings first, then oldest: each is sent, waits on, or is given up.
+    fn place_pending(&mut self) {
+        let mut pending = std::mem::take(&mut self.b.pending);
+        pending.sort_unstable_by(|a, b| {
+            let (one, two) = (self.b.use_case(*a).earnings, self.b.use_case(*b).earnings);
+            let ids = (self.b.tasks[*a].order.id, self.b.tasks[*b].order.id);
+            two.total_cmp(&one)
+                .then(self.b.tasks[*a].came.cmp(&self.b.tasks[*b].came))
+                .then(ids.0.cmp(&ids.1))
+        });
+        pending.retain(|place| !self.settle(*place));
+        self.b.pending = pending;
+        if !self.b.pending.is_empty() && !self.b.tick_set {
+            self.b.tick_set = true;
+            let wake = self.now + self.b.retry_after();
+            self.out.wake_at(TICK, wake);
+        }
+    }
+
+    /// Sends a pending task or gives it up; false where it waits on.
+    fn settle(&mut self, place: usize) -> bool {
+        let now = self.now;
+        let use_case = self.b.use_case(place);
+        let task = &self.b.tasks[place];
+        let time_left = task.order.deadline - now;
+        let resend_barred = match (use_case.effect, task.may_run) {
+            (_, None) | (Effect::Replayable, _) => false,
+            (Effect::SingleUse, _) => true,
+            (Effect::Referenced { window, .. }, Some((first, ..))) => now - first >= window * WINDOW_SHARE,
+        };
+        if resend_barred
+            || task.sends >= self.b.taking.max_sends
+            || time_left <= use_case.client_timeout * GIVE_UP_SHARE
+        {
+            self.give_up(place);
+            return true;
+        }
+        let stretch = now - task.came >= use_case.soft_limit * STRETCH_SHARE;
+        let time_out = (use_case.client_timeout * SEND_SHARE).min(time_left);
+        let mut pick = self.pick(place, false);
+        if pick.is_none() && stretch {
+            pick = self.pick(place, true);
+        }
+        let Some(at) = pick else { return false };
+        let cold = self.b.is_cold(&self.b.machines[at], now);
+        let forget = self.b.cold.fall * FALL_STRETCH;
+        let task = &mut self.b.tasks[place];
+        task.state = State::Sent;
+        (task.machine, task.sent_at) = (at, now);
+        task.sends += 1;
+        let m = &mut self.b.machines[at];
+        m.tasks.push(place);
+        m.unanswered += 1;
+        m.unseen.push_back((now, Room::NONE - task.order.ask));
+        if cold {
+            while m.cold_sends.front().is_some_and(|sent| now - *sent > forget) {
+                m.cold_sends.pop_front();
+            }
+            m.cold_sends.push_back(now);
+        }
+        self.out.send(task.order.id, m.id, time_out);
+        true
+    }
+
+    /// The design's choice: filters, room, least requested, random within the tie.
+    fn pick(&mut self, place: usize, stretched: bool) -> Option<usize> {
+        let mut fits = std::mem::take(&mut self.b.fits);
+        fits.clear();
+        let ask = self.b.tasks[place].order.ask;
+        for at in self.b.machines.iter().map(|(at, _)| at) {
+            if self.may_go(place, at) && self.has_room(place, at, stretched) {
+                let m = &self.b.machines[at];
+                let asked = m.size - m.free() + ask;
+                let share =
+                    CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
+                fits.push((at, share));
+            }
+        }
+        let best = fits.iter().map(|(_, share)| *share).fold(f64::INFINITY, f64::min);
+        fits.retain(|(_, share)| *share <= best + TIE);
+        // A start without the program takes many times the work and misses the soft limit.
+        let prefer = |fits: &mut Vec<(usize, f64)>, good: &dyn Fn(&Machine) -> bool| {
+            if fits.iter().any(|(at, _)| good(&self.b.machines[*at])) {
+                fits.retain(|(at, _)| good(&self.b.machines[*at]));
+            }
+        };
+        let service = self.b.tasks[place].order.service;
+        prefer(&mut fits, &|m| m.tasks.iter().any(|t| self.b.tasks[*t].order.service == service));
+        if self.b.home.cross_zone_price > 0.0 {
+            prefer(&mut fits, &|m| m.zone == self.b.home.zone);
+        }
+        let pick = fits.get(self.b.chance.below(fits.len())).map(|(at, _)| *at);
+        self.b.fits = fits;
+        pick
+    }
+
+    /// Rules and trust: may this task go to this machine at all?
+    fn may_go(&self, place: usize, at: usize) -> bool {
+        let now = self.now;
+        let use_case = self.b.use_case(place);
+        let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
+        if !m.open || now < m.rests_until || m.unanswered as f64 >= m.cap || task.turned_down == Some(at) {
+            return false;
+        }
+        if use_case.kind.is_some_and(|kind| kind != m.kind) || m.size.cores <= 0.0 || m.size.memory <= 0.0 {
+            return false;
+        }
+        if let (Effect::Referenced { group, .. }, Some((_, id, cell, zone))) = (use_case.effect, task.may_run)
+        {
+            let inside = match group {
+                Reach::All => true,
+                Reach::Zone => m.zone == zone,
+                Reach::Cell => m.cell == cell,
+                Reach::Machine => m.id == id,
+            };
+            if !inside {
+                return false;
+            }
+        }
+        if let Some((reach, most)) = use_case.spread {
+            let near = |other: &Machine| match reach {
+                Reach::All => true,
+                Reach::Zone => other.zone == m.zone,
+                Reach::Cell => other.cell == m.cell,
+                Reach::Machine => other.id == m.id,
+            };
+            let service = task.order.service;
+            let same = |t: &&usize| self.b.tasks[**t].order.service == service;
+            let held: usize = (self.b.machines.iter())
+                .filter(|(_, other)| near(other))
+                .map(|(_, other)| other.tasks.iter().filter(same).count())
+                .sum();
+            if held >= most {
+                return false;
+            }
+        }
+        if self.b.is_cold(m, now) {
+            let share = (self.b.cold.young_limit / f64::from(self.b.cold.schedulers.max(1))) as usize;
+            let window = self.b.cold.fall * FALL_STRETCH;
+            return m.cold_sends.iter().filter(|sent| now - **sent <= window).count() < share;
+        }
+        true
+    }
+
+    /// Room asked, plus predicted slack for low-priority tasks. Stretched, any task may use the idle part of all
+    /// asks, by the use seen per ask, up to the hot mark.
+    fn has_room(&self, place: usize, at: usize, stretched: bool) -> bool {
+        let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
+        let free = m.free();
+        let accepts = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
+        if !(free + accepts).fits(task.order.ask) {
+            return false;
+        }
+        if stretched {
+            let ratio = self.b.ratio;
+            let asked = m.size - free + task.order.ask;
+            return m.size.times(HOT, HOT).fits(asked.times(ratio.cores, ratio.memory));
+        }
+        let slack = if self.b.is_low(place) { m.slack } else { Room::NONE };
+        (free + slack).fits(task.size)
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,243 @@
+//! What the decisions are called with: ids as the wire gives them, settings as types, and the writer that takes
+//! the answers. Nothing here decides anything.
+
+use crate::units::{Span, Time};
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId(pub u64);
+/// Names a task; the same each time that it comes again, under whatever id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskKey(pub u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MachineId(pub u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceId(pub u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneId(pub u32);
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CellId(pub u32);
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KindId(pub usize);
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UseCaseId(pub usize);
+
+/// Cores and memory: a size, an ask, a use or what is left.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    pub cores: f64,
+    pub memory: f64,
+}
+
+impl Room {
+    pub const NONE: Self = Self { cores: 0.0, memory: 0.0 };
+
+    pub const fn new(cores: f64, memory: f64) -> Self {
+        Self { cores, memory }
+    }
+
+    pub fn times(self, cores: f64, memory: f64) -> Self {
+        Self::new(self.cores * cores, self.memory * memory)
+    }
+
+    pub fn at_least(self, other: Self) -> Self {
+        Self::new(self.cores.max(other.cores), self.memory.max(other.memory))
+    }
+
+    pub fn at_most(self, other: Self) -> Self {
+        Self::new(self.cores.min(other.cores), self.memory.min(other.memory))
+    }
+
+    pub fn fits(self, other: Self) -> bool {
+        other.cores <= self.cores && other.memory <= self.memory
+    }
+}
+
+impl Add for Room {
+    type Output = Self;
+    fn add(self, other: Self) -> Self {
+        Self::new(self.cores + other.cores, self.memory + other.memory)
+    }
+}
+
+impl Sub for Room {
+    type Output = Self;
+    fn sub(self, other: Self) -> Self {
+        Self::new(self.cores - other.cores, self.memory - other.memory)
+    }
+}
+
+impl AddAssign for Room {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl SubAssign for Room {
+    fn sub_assign(&mut self, other: Self) {
+        *self = *self - other;
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    Machine,
+    Cell,
+    Zone,
+    All,
+}
+
+/// What a second run of a task would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Replayable,
+    /// Repeats are dropped by the machines of one `group`, for `window` after the send that may have run.
+    Referenced {
+        group: Reach,
+        window: Span,
+    },
+    SingleUse,
+}
+
+#[derive(Clone, Debug)]
+pub struct UseCase {
+    pub soft_limit: Span,
+    pub client_timeout: Span,
+    pub effect: Effect,
+    /// For a second of full service of a task of mean size.
+    pub earnings: f64,
+    /// Seconds of service that a first start within the soft limit is worth.
+    pub start_seconds: f64,
+    pub priority: u8,
+    pub kind: Option<KindId>,
+    /// Where one service may have at most so many tasks of this scheduler.
+    pub spread: Option<(Reach, usize)>,
+    /// Service is full while cores are busy up to this part, and nothing at `full_up_to + fade`.
+    pub full_up_to: f64,
+    pub fade: f64,
+}
+
+/// How far machines take tasks, as multiples of their size, and what their yes means.
+#[derive(Clone, Copy, Debug)]
+pub struct Taking {
+    pub cores: f64,
+    pub memory: f64,
+    pub yes_when_running: bool,
+    pub max_sends: u32,
+}
+
+/// The fourth rule's figures, and among how many schedulers its budget is shared.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdRule {
+    pub warm_after: Span,
+    pub fall: Span,
+    pub young_limit: f64,
+    pub schedulers: u32,
+}
+
+/// Whether the list must be asked for, and the silence after which its news counts as told.
+#[derive(Clone, Copy, Debug)]
+pub struct Listing {
+    pub asked: bool,
+    pub ask_within: Span,
+}
+
+/// Where this scheduler stands, and the price of tasks that run in another zone.
+#[derive(Clone, Copy, Debug)]
+pub struct Home {
+    pub zone: ZoneId,
+    pub cross_zone_price: f64,
+}
+
+/// A task as it comes, to be placed or already running.
+#[derive(Clone, Copy, Debug)]
+pub struct Order {
+    pub id: TaskId,
+    pub key: TaskKey,
+    pub use_case: UseCaseId,
+    pub service: ServiceId,
+    pub ask: Room,
+    pub deadline: Time,
+    /// It came before and was refused, failed, moved or lost.
+    pub again: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    Active,
+    Leaving,
+    Left,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub id: MachineId,
+    pub kind: KindId,
+    pub cell: CellId,
+    pub zone: ZoneId,
+    pub mode: Mode,
+    /// Its last start; nothing where that is long ago.
+    pub since: Option<Time>,
+    /// What nobody has asked for, where lists tell it.
+    pub left: Option<Room>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    Changes,
+    Whole,
+    /// As an earlier life of this scheduler held it; possibly outdated.
+    Saved,
+}
+
+/// How a send ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Ok,
+    Errored,
+    Nacked(Nack),
+    TimedOut,
+    NoConnection,
+    Broken(Loss),
+    Recalled,
+    NotSent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Nack {
+    Untold,
+    NoCores,
+    NoMemory,
+    QueueFull,
+    NotHere,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    Untold,
+    Evicted,
+    PushedOut,
+    SentAway,
+}
+
+/// What a machine tells of itself; a part that it does not tell is absent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    pub unused: Option<Room>,
+    pub unasked: Option<Room>,
+    pub queue: Option<f64>,
+}
+
+/// Takes the answers, in the order in which they are given.
+pub trait Writer {
+    fn send(&mut self, task: TaskId, machine: MachineId, time_out: Span);
+    fn recall(&mut self, task: TaskId, send: u32);
+    fn nack(&mut self, task: TaskId, stay_away: Span);
+    fn error(&mut self, task: TaskId);
+    /// Stops a placed task, so that its owner asks again.
+    fn move_off(&mut self, task: TaskId);
+    fn wake_at(&mut self, token: u64, at: Time);
+    fn probe(&mut self, machine: MachineId);
+    fn watch_list(&mut self);
+    fn remark(&mut self, words: &str);
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,12 @@
+//! mulleinhub decides which machine of a cluster runs which task. Many copies run side by side, each seeing
+//! only its own traffic. All decisions stand in [`brain`]; the rest is what it is called with and built from.
+
+pub mod brain;
+pub mod interface;
+mod pcg;
+mod peak;
+mod slab;
+mod units;
+
+pub use brain::{Brain, Round};
+pub use units::{Span, Time};
--- /dev/null
+++ b/src/pcg.rs
@@ -0,0 +1,26 @@
+//! Chance: a permuted congruential generator (PCG-XSH-RR 64/32), started from the seed that the caller hands in.
+
+#[derive(Clone, Debug)]
+pub struct Pcg(u64);
+
+impl Pcg {
+    const STEP: u64 = 6_364_136_223_846_793_005;
+    const ODD: u64 = 1_442_695_040_888_963_407;
+
+    pub fn new(seed: u64) -> Self {
+        let mut pcg = Self(seed.wrapping_add(Self::ODD));
+        pcg.next();
+        pcg
+    }
+
+    fn next(&mut self) -> u32 {
+        let old = self.0;
+        self.0 = old.wrapping_mul(Self::STEP).wrapping_add(Self::ODD);
+        ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
+    }
+
+    /// A whole number from 0 to `below` - 1; 0 where `below` is 0.
+    pub fn below(&mut self, below: usize) -> usize {
+        ((u64::from(self.next()) * below as u64) >> 32) as usize
+    }
+}
--- /dev/null
+++ b/src/peak.rs
@@ -0,0 +1,45 @@
+//! The highest value noted within a sliding window, in a few fixed steps, so that noting allocates nothing.
+
+use crate::units::{Span, Time};
+
+const STEPS: usize = 6;
+
+/// A value is kept for at least the window and for at most one step (a fifth of the window) longer.
+#[derive(Clone, Debug)]
+pub struct Peak {
+    step: Span,
+    newest: u64,
+    highest: [f64; STEPS],
+}
+
+impl Peak {
+    pub fn new(window: Span) -> Self {
+        let step = Span::from_nanos((window.nanos() / (STEPS as u64 - 1)).max(1));
+        Self { step, newest: 0, highest: [f64::NEG_INFINITY; STEPS] }
+    }
+
+    fn turn(&mut self, now: Time) {
+        let step = now.nanos() / self.step.nanos();
+        for passed in 0..step.saturating_sub(self.newest).min(STEPS as u64) {
+            self.highest[((step - passed) % STEPS as u64) as usize] = f64::NEG_INFINITY;
+        }
+        self.newest = self.newest.max(step);
+    }
+
+    pub fn note(&mut self, now: Time, value: f64) {
+        self.turn(now);
+        let slot = &mut self.highest[(self.newest % STEPS as u64) as usize];
+        *slot = slot.max(value);
+    }
+
+    /// The peak, or nothing where nothing was noted within the window.
+    pub fn peak(&mut self, now: Time) -> Option<f64> {
+        self.turn(now);
+        let highest = self.highest.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        highest.is_finite().then_some(highest)
+    }
+
+    pub fn forget(&mut self) {
+        self.highest = [f64::NEG_INFINITY; STEPS];
+    }
+}
--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,94 @@
+//! A point in time and a span between two of them: two types, so that one can't stand in for the other.
+
+use std::ops::{Add, Mul, Sub};
+
+/// A point in time, in nanoseconds of the caller's clock.
+///
+/// ```
+/// use mulleinhub::{Span, Time};
+/// let start = Time::from_nanos(5_000);
+/// assert_eq!(start + Span::from_nanos(10) - start, Span::from_nanos(10));
+/// assert_eq!(start - (start + Span::from_nanos(10)), Span::ZERO, "a clock that jumps back gives no span");
+/// ```
+/// ```compile_fail
+/// let wrong = mulleinhub::Time::from_nanos(1) + mulleinhub::Time::from_nanos(1);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time(u64);
+
+/// A span of time, in nanoseconds, never negative.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(u64);
+
+impl Time {
+    pub const fn from_nanos(nanos: u64) -> Self {
+        Self(nanos)
+    }
+
+    pub const fn nanos(self) -> u64 {
+        self.0
+    }
+}
+
+impl Span {
+    pub const ZERO: Self = Self(0);
+
+    pub const fn from_nanos(nanos: u64) -> Self {
+        Self(nanos)
+    }
+
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs.saturating_mul(1_000_000_000))
+    }
+
+    pub const fn nanos(self) -> u64 {
+        self.0
+    }
+
+    /// How many times `other` goes into this span; 0 where `other` is no time at all.
+    pub fn over(self, other: Self) -> f64 {
+        if other.0 == 0 { 0.0 } else { self.0 as f64 / other.0 as f64 }
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Time;
+    fn add(self, span: Span) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Time;
+    fn sub(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Sub for Time {
+    type Output = Span;
+    fn sub(self, earlier: Time) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Mul<f64> for Span {
+    type Output = Span;
+    fn mul(self, factor: f64) -> Span {
+        Span((self.0 as f64 * factor) as u64)
+    }
+}
