--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,6 +41,9 @@
 const MOST_DOUBLINGS: u32 = 5;
 /// How old a view may be when it comes: our sends younger than this are not in it.
 const VIEW_AGE: Span = Span::from_secs(2);
+/// Service under this is poor; a machine noted so counts as pressed for so long unless a better note comes.
+const SERVED_WELL: f64 = 0.95;
+const PRESSED: Span = Span::from_secs(3);
 /// Room asked for may be stretched after this part of the soft limit.
 const STRETCH_SHARE: f64 = 0.1;
 /// One note moves the use seen per ask by this part.
@@ -93,6 +96,8 @@
     slack: Room,
     use_cores: Peak,
     use_memory: Peak,
+    /// Bad service or short memory was noted, with no better note since; trusted until then.
+    pressed_until: Time,
     unanswered: usize,
     cap: f64,
     troubles: u32,
@@ -295,6 +300,7 @@
         let at = self.b.tasks[place].machine;
         if self.b.tasks[place].state == State::Placed {
             self.b.machines[at].use_cores.note(self.now, busy);
+            self.press(at, share < SERVED_WELL);
             self.shed(at);
         }
     }
@@ -304,10 +310,16 @@
         if self.b.tasks[place].state == State::Placed {
             let at = self.b.tasks[place].machine;
             self.b.machines[at].use_memory.note(self.now, share);
+            self.press(at, share > HOT);
             self.shed(at);
         }
     }
 
+    /// While a machine is pressed nothing new goes there, whoever causes it: neighbours, surges, our own guess.
+    fn press(&mut self, at: usize, pressed: bool) {
+        self.b.machines[at].pressed_until = if pressed { self.now + PRESSED } else { self.now };
+    }
+
     pub fn probed(&mut self, machine: MachineId, report: Report) {
         let Some(at) = self.b.machines.place(machine) else { return };
         let m = &mut self.b.machines[at];
@@ -463,6 +475,7 @@
             slack: Room::NONE,
             use_cores: Peak::new(PEAK_WINDOW),
             use_memory: Peak::new(PEAK_WINDOW),
+            pressed_until: self.now,
             unanswered: 0,
             cap: KNOWN_CAP,
             troubles: 0,
@@ -631,7 +644,11 @@
         let now = self.now;
         let use_case = self.b.use_case(place);
         let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
-        if !m.open || now < m.rests_until || m.unanswered as f64 >= m.cap || task.turned_down == Some(at) {
+        if !m.open
+            || now < m.rests_until.max(m.pressed_until)
+            || m.unanswered as f64 >= m.cap
+            || task.turned_down == Some(at)
+        {
             return false;
         }
         if use_case.kind.is_some_and(|kind| kind != m.kind) || m.size.cores <= 0.0 || m.size.memory <= 0.0 {
