--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,7 +40,7 @@
 const REST_SHARE: f64 = 0.125;
 const MOST_DOUBLINGS: u32 = 5;
 /// How old a view may be when it comes: our sends younger than this are not in it.
-const VIEW_AGE: Span = Span::from_secs(2);
+const VIEW_AGE: Span = Span::from_nanos(800_000_000);
 /// Service under this is poor; a machine noted so counts as pressed for so long unless a better note comes.
 const SERVED_WELL: f64 = 0.95;
 const PRESSED: Span = Span::from_secs(3);
@@ -351,16 +351,16 @@
                 m.trouble(now, rest);
             }
             Ending::Nacked(Nack::QueueFull) => m.cap = (m.cap / 2.0).max(1.0),
-            // The machine knows its room: until the next view, ours is less than this ask (a stale view).
+            // The machine knows its room: for as long as a view may be stale, there is less than this ask.
             Ending::Nacked(Nack::NoCores | Nack::NoMemory) => {
                 let held = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
-                let free = m.free();
-                let most = ask - held;
+                let mut less = (ask - held - m.free()).at_most(Room::NONE);
                 if matches!(ending, Ending::Nacked(Nack::NoCores)) {
-                    m.left.cores += (most.cores - free.cores).min(0.0);
+                    less.memory = 0.0;
                 } else {
-                    m.left.memory += (most.memory - free.memory).min(0.0);
+                    less.cores = 0.0;
                 }
+                m.unseen.push_back((now, less));
             }
             _ => {}
         }
