--- a/src/brain.rs
+++ b/src/brain.rs
@@ -504,7 +504,8 @@
             let place = self.b.machines[at].tasks[n];
             let low = self.b.is_low(place);
             let task = &mut self.b.tasks[place];
-            if !low || task.state != State::Placed || task.last_use == Room::NONE {
+            // One that came again stays: moving it on would only pass the heat around.
+            if !low || task.order.again || task.state != State::Placed || task.last_use == Room::NONE {
                 continue;
             }
             over -= task.last_use;
