--- a/src/brain.rs
+++ b/src/brain.rs
@@ -583,9 +583,9 @@
         }
         let stretch = now - task.came >= use_case.soft_limit * STRETCH_SHARE;
         let time_out = (use_case.client_timeout * SEND_SHARE).min(time_left);
-        let mut pick = self.pick(place, false);
+        let mut pick = self.pick(place, false, false);
         if pick.is_none() && stretch {
-            pick = self.pick(place, true);
+            pick = self.pick(place, true, false).or_else(|| self.pick(place, false, true));
         }
         let Some(at) = pick else { return false };
         let cold = self.b.is_cold(&self.b.machines[at], now);
@@ -609,12 +609,13 @@
     }
 
     /// The design's choice: filters, room, least requested, random within the tie.
-    fn pick(&mut self, place: usize, stretched: bool) -> Option<usize> {
+    fn pick(&mut self, place: usize, stretched: bool, pressed: bool) -> Option<usize> {
         let mut fits = std::mem::take(&mut self.b.fits);
         fits.clear();
         let ask = self.b.tasks[place].order.ask;
         for at in self.b.machines.iter().map(|(at, _)| at) {
-            if self.may_go(place, at) && self.has_room(place, at, stretched) {
+            let calm = pressed || self.b.machines[at].pressed_until <= self.now;
+            if calm && self.may_go(place, at) && self.has_room(place, at, stretched) {
                 let m = &self.b.machines[at];
                 let asked = m.size - m.free() + ask;
                 let share =
