--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,6 +44,8 @@
 /// Service under this is poor; a machine noted so counts as pressed for so long unless a better note comes.
 const SERVED_WELL: f64 = 0.95;
 const PRESSED: Span = Span::from_secs(3);
+/// What a machine without the service's program must be emptier by, as a share of its size.
+const BARE: f64 = 3.0 * TIE;
 /// Room asked for may be stretched after this part of the soft limit.
 const STRETCH_SHARE: f64 = 0.1;
 /// One note moves the use seen per ask by this part.
@@ -612,7 +614,7 @@
     fn pick(&mut self, place: usize, stretched: bool, pressed: bool) -> Option<usize> {
         let mut fits = std::mem::take(&mut self.b.fits);
         fits.clear();
-        let ask = self.b.tasks[place].order.ask;
+        let Order { ask, service, .. } = self.b.tasks[place].order;
         for at in self.b.machines.iter().map(|(at, _)| at) {
             let calm = pressed || self.b.machines[at].pressed_until <= self.now;
             if calm && self.may_go(place, at) && self.has_room(place, at, stretched) {
@@ -620,22 +622,14 @@
                 let asked = m.size - m.free() + ask;
                 let share =
                     CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
-                fits.push((at, share));
+                // A start without the program takes many times the work and misses the soft limit.
+                let bare = !m.tasks.iter().any(|t| self.b.tasks[*t].order.service == service);
+                let away = if m.zone == self.b.home.zone { 0.0 } else { self.b.home.cross_zone_price };
+                fits.push((at, share + away + if bare { BARE } else { 0.0 }));
             }
         }
         let best = fits.iter().map(|(_, share)| *share).fold(f64::INFINITY, f64::min);
         fits.retain(|(_, share)| *share <= best + TIE);
-        // A start without the program takes many times the work and misses the soft limit.
-        let prefer = |fits: &mut Vec<(usize, f64)>, good: &dyn Fn(&Machine) -> bool| {
-            if fits.iter().any(|(at, _)| good(&self.b.machines[*at])) {
-                fits.retain(|(at, _)| good(&self.b.machines[*at]));
-            }
-        };
-        let service = self.b.tasks[place].order.service;
-        prefer(&mut fits, &|m| m.tasks.iter().any(|t| self.b.tasks[*t].order.service == service));
-        if self.b.home.cross_zone_price > 0.0 {
-            prefer(&mut fits, &|m| m.zone == self.b.home.zone);
-        }
         let pick = fits.get(self.b.chance.below(fits.len())).map(|(at, _)| *at);
         self.b.fits = fits;
         pick
