--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,8 +44,10 @@
 /// Service under this is poor; a machine noted so counts as pressed for so long unless a better note comes.
 const SERVED_WELL: f64 = 0.95;
 const PRESSED: Span = Span::from_secs(3);
+/// So many points of asked share weigh as a point of price for another zone.
+const ZONE: f64 = 2.0;
 /// What a machine without the service's program must be emptier by, as a share of its size.
-const BARE: f64 = 3.0 * TIE;
+const BARE: f64 = 6.0 * TIE;
 /// Room asked for may be stretched after this part of the soft limit.
 const STRETCH_SHARE: f64 = 0.1;
 /// One note moves the use seen per ask by this part.
@@ -624,7 +626,7 @@
                     CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
                 // A start without the program takes many times the work and misses the soft limit.
                 let bare = !m.tasks.iter().any(|t| self.b.tasks[*t].order.service == service);
-                let away = if m.zone == self.b.home.zone { 0.0 } else { self.b.home.cross_zone_price };
+                let away = if m.zone == self.b.home.zone { 0.0 } else { ZONE * self.b.home.cross_zone_price };
                 fits.push((at, share + away + if bare { BARE } else { 0.0 }));
             }
         }
