--- a/src/brain.rs
+++ b/src/brain.rs
@@ -71,6 +71,7 @@
     came: Time,
     /// What it is sized at: its ask, or its peak use where we moved it off.
     size: Room,
+    waited: bool,
     sends: u32,
     /// Where its open send went, and when.
     machine: usize,
@@ -378,7 +379,8 @@
         if over || state != State::Sent {
             self.b.tasks.remove(place);
         } else {
-            task.state = State::Pending;
+            // Looked at in this very round: a time-out at the deadline leaves no time to wait for a tick.
+            (task.state, task.waited) = (State::Pending, false);
             self.b.pending.push(place);
         }
         self.probed(id, report);
@@ -448,6 +450,7 @@
             state,
             came: self.now,
             size: order.ask,
+            waited: false,
             sends: 0,
             machine: usize::MAX,
             sent_at: self.now,
@@ -558,7 +561,9 @@
                 .then(self.b.tasks[*a].came.cmp(&self.b.tasks[*b].came))
                 .then(ids.0.cmp(&ids.1))
         });
-        pending.retain(|place| !self.settle(*place));
+        // The whole line is walked at ticks only, which keeps the cost of a long line down.
+        let between = self.b.tick_set;
+        pending.retain(|place| (between && self.b.tasks[*place].waited) || !self.settle(*place));
         self.b.pending = pending;
         if !self.b.pending.is_empty() && !self.b.tick_set {
             self.b.tick_set = true;
@@ -591,7 +596,10 @@
         if pick.is_none() && stretch {
             pick = self.pick(place, true, false).or_else(|| self.pick(place, false, true));
         }
-        let Some(at) = pick else { return false };
+        let Some(at) = pick else {
+            self.b.tasks[place].waited = true;
+            return false;
+        };
         let cold = self.b.is_cold(&self.b.machines[at], now);
         let forget = self.b.cold.fall * FALL_STRETCH;
         let task = &mut self.b.tasks[place];
