--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,6 +50,8 @@
 const BARE: f64 = 6.0 * TIE;
 /// Room asked for may be stretched after this part of the soft limit.
 const STRETCH_SHARE: f64 = 0.1;
+/// Memory does no harm until it is nearly used up: stretched asks may fill half of what lies past the hot mark.
+const STRETCH_MEMORY: f64 = (1.0 + HOT) / 2.0;
 /// One note moves the use seen per ask by this part.
 const RATIO_STEP: f64 = 1.0 / 64.0;
 
@@ -709,7 +711,7 @@
         if stretched {
             let ratio = self.b.ratio;
             let asked = m.size - free + task.order.ask;
-            return m.size.times(HOT, HOT).fits(asked.times(ratio.cores, ratio.memory));
+            return m.size.times(HOT, STRETCH_MEMORY).fits(asked.times(ratio.cores, ratio.memory));
         }
         let slack = if self.b.is_low(place) { m.slack } else { Room::NONE };
         (free + slack).fits(task.size)
