--- a/src/brain.rs
+++ b/src/brain.rs
@@ -106,6 +106,7 @@
     /// Bad service or short memory was noted, with no better note since; trusted until then.
     pressed_until: Time,
     unanswered: usize,
+    answered_at: Time,
     cap: f64,
     troubles: u32,
     rests_until: Time,
@@ -251,12 +252,19 @@
 
     pub fn accepted(&mut self, id: TaskId) {
         let Some(place) = self.b.tasks.place(id) else { return };
+        let (now, soft_limit) = (self.now, self.b.use_case(place).soft_limit);
         let task = &mut self.b.tasks[place];
         if task.state == State::Sent {
             task.state = State::Placed;
             let m = &mut self.b.machines[task.machine];
             m.unanswered -= 1;
-            m.good();
+            m.answered_at = now;
+            // A yes that came late says that its line is long enough.
+            if now - task.sent_at < soft_limit {
+                m.good();
+            } else {
+                m.cap = (m.cap - 1.0).max(1.0);
+            }
         }
     }
 
@@ -354,6 +362,8 @@
             m.unanswered -= 1;
         }
         match ending {
+            // Others were answered since this was sent: a long line, no dead machine.
+            Ending::TimedOut if m.answered_at > task.sent_at => m.cap = (m.cap / 2.0).max(1.0),
             Ending::Errored | Ending::TimedOut | Ending::NoConnection | Ending::Broken(Loss::Untold) => {
                 m.trouble(now, rest);
             }
@@ -486,6 +496,7 @@
             use_memory: Peak::new(PEAK_WINDOW),
             pressed_until: self.now,
             unanswered: 0,
+            answered_at: self.now,
             cap: KNOWN_CAP,
             troubles: 0,
             rests_until: self.now,
