--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,8 +10,8 @@
 
 use crate::interface::*;
 use crate::pcg::Pcg;
-use crate::peak::Peak;
 use crate::slab::Slab;
+use crate::state::{Machine, State, Task};
 use crate::units::{Span, Time};
 use std::collections::VecDeque;
 
@@ -58,66 +58,7 @@
 const TICK: u64 = 0;
 const WATCH: u64 = 1;
 
-#[derive(Clone, Copy, PartialEq)]
-enum State {
-    Pending,
-    Sent,
-    Placed,
-    /// Over for its owner; only the end of its last send is still to come.
-    Over,
-}
-
-struct Task {
-    order: Order,
-    state: State,
-    came: Time,
-    /// What it is sized at: its ask, or its peak use where we moved it off.
-    size: Room,
-    waited: bool,
-    sends: u32,
-    /// Where its open send went, and when.
-    machine: usize,
-    sent_at: Time,
-    /// The first send that may have run: when, and to which machine's places.
-    may_run: Option<(Time, MachineId, CellId, ZoneId)>,
-    turned_down: Option<usize>,
-    cores: Peak,
-    memory: Peak,
-    last_use: Room,
-    slack: Room,
-}
-
-struct Machine {
-    id: MachineId,
-    kind: KindId,
-    cell: CellId,
-    zone: ZoneId,
-    size: Room,
-    open: bool,
-    since: Option<Time>,
-    left: Room,
-    /// Our own asks (below nought) and ends (above) that the view may not show yet.
-    unseen: VecDeque<(Time, Room)>,
-    /// Places of our tasks whose last send has not ended, oldest first.
-    tasks: Vec<usize>,
-    slack: Room,
-    use_cores: Peak,
-    use_memory: Peak,
-    /// Bad service or short memory was noted, with no better note since; trusted until then.
-    pressed_until: Time,
-    unanswered: usize,
-    answered_at: Time,
-    cap: f64,
-    troubles: u32,
-    rests_until: Time,
-    cold_sends: VecDeque<Time>,
-}
-
 impl Machine {
-    fn free(&self) -> Room {
-        self.unseen.iter().fold(self.left, |left, (_, change)| left + *change)
-    }
-
     fn good(&mut self) {
         self.cap = (self.cap + 1.0).min(MOST_CAP);
         self.troubles = self.troubles.saturating_sub(1);
@@ -233,7 +174,7 @@
     }
 
     pub fn new_task(&mut self, order: Order) {
-        let mut task = self.task(order, State::Pending);
+        let mut task = Task::new(order, State::Pending, PEAK_WINDOW, self.now);
         if let Some(at) = self.b.moved.iter().position(|(key, _)| *key == order.key) {
             task.size = self.b.moved.remove(at).map_or(order.ask, |(_, peak)| peak);
         }
@@ -243,7 +184,7 @@
 
     pub fn running(&mut self, order: Order, machine: MachineId) {
         let at = self.machine(machine);
-        let mut task = self.task(order, State::Placed);
+        let mut task = Task::new(order, State::Placed, PEAK_WINDOW, self.now);
         task.machine = at;
         task.sends = 1;
         let place = self.b.tasks.insert(order.id, task);
@@ -297,10 +238,7 @@
             self.b.ratio.memory += (memory / ask.memory.max(1e-9) - self.b.ratio.memory) * RATIO_STEP;
         }
         if high && task.state == State::Placed {
-            let peak = Room::new(
-                task.cores.peak(now).unwrap_or(f64::INFINITY),
-                task.memory.peak(now).unwrap_or(f64::INFINITY),
-            );
+            let peak = task.peak(now);
             let slack = (ask - peak).at_least(Room::NONE);
             self.b.machines[task.machine].slack += slack - task.slack;
             task.slack = slack;
@@ -456,53 +394,11 @@
 
     // What follows.
 
-    fn task(&self, order: Order, state: State) -> Task {
-        Task {
-            order,
-            state,
-            came: self.now,
-            size: order.ask,
-            waited: false,
-            sends: 0,
-            machine: usize::MAX,
-            sent_at: self.now,
-            may_run: None,
-            turned_down: None,
-            cores: Peak::new(PEAK_WINDOW),
-            memory: Peak::new(PEAK_WINDOW),
-            last_use: Room::NONE,
-            slack: Room::NONE,
-        }
-    }
-
     /// The machine's place; one that no list has named yet is never sent to.
     fn machine(&mut self, id: MachineId) -> usize {
-        if let Some(at) = self.b.machines.place(id) {
-            return at;
-        }
-        let m = Machine {
-            id,
-            kind: KindId(usize::MAX),
-            cell: CellId(u32::MAX),
-            zone: ZoneId(u32::MAX),
-            size: Room::NONE,
-            open: false,
-            since: None,
-            left: Room::NONE,
-            unseen: VecDeque::with_capacity(64),
-            tasks: Vec::with_capacity(256),
-            slack: Room::NONE,
-            use_cores: Peak::new(PEAK_WINDOW),
-            use_memory: Peak::new(PEAK_WINDOW),
-            pressed_until: self.now,
-            unanswered: 0,
-            answered_at: self.now,
-            cap: KNOWN_CAP,
-            troubles: 0,
-            rests_until: self.now,
-            cold_sends: VecDeque::with_capacity(64),
-        };
-        self.b.machines.insert(id, m)
+        let known = self.b.machines.place(id);
+        known
+            .unwrap_or_else(|| self.b.machines.insert(id, Machine::new(id, PEAK_WINDOW, KNOWN_CAP, self.now)))
     }
 
     /// A hot machine sheds our low-priority tasks, newest first, until what is left would be under the mark;
@@ -529,10 +425,7 @@
                 continue;
             }
             over -= task.last_use;
-            let peak = Room::new(
-                task.cores.peak(now).unwrap_or(task.order.ask.cores),
-                task.memory.peak(now).unwrap_or(task.order.ask.memory),
-            );
+            let peak = task.peak(now);
             task.state = State::Over;
             self.out.move_off(task.order.id);
             if self.b.moved.len() == self.b.moved.capacity() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod pcg;
 mod peak;
 mod slab;
+mod state;
 mod units;
 
 pub use brain::{Brain, Round};
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,120 @@
+//! What is held of each task and each machine. Nothing here decides anything.
+
+use crate::interface::*;
+use crate::peak::Peak;
+use crate::units::{Span, Time};
+use std::collections::VecDeque;
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum State {
+    Pending,
+    Sent,
+    Placed,
+    /// Over for its owner; only the end of its last send is still to come.
+    Over,
+}
+
+pub struct Task {
+    pub order: Order,
+    pub state: State,
+    pub came: Time,
+    /// What it is sized at: its ask, or its peak use where we moved it off.
+    pub size: Room,
+    pub waited: bool,
+    pub sends: u32,
+    /// Where its open send went, and when.
+    pub machine: usize,
+    pub sent_at: Time,
+    /// The first send that may have run: when, and to which machine's places.
+    pub may_run: Option<(Time, MachineId, CellId, ZoneId)>,
+    pub turned_down: Option<usize>,
+    pub cores: Peak,
+    pub memory: Peak,
+    pub last_use: Room,
+    pub slack: Room,
+}
+
+pub struct Machine {
+    pub id: MachineId,
+    pub kind: KindId,
+    pub cell: CellId,
+    pub zone: ZoneId,
+    pub size: Room,
+    pub open: bool,
+    pub since: Option<Time>,
+    pub left: Room,
+    /// Our own asks (below nought) and ends (above) that the view may not show yet.
+    pub unseen: VecDeque<(Time, Room)>,
+    /// Places of our tasks whose last send has not ended, oldest first.
+    pub tasks: Vec<usize>,
+    pub slack: Room,
+    pub use_cores: Peak,
+    pub use_memory: Peak,
+    /// Bad service or short memory was noted, with no better note since; trusted until then.
+    pub pressed_until: Time,
+    pub unanswered: usize,
+    pub answered_at: Time,
+    pub cap: f64,
+    pub troubles: u32,
+    pub rests_until: Time,
+    pub cold_sends: VecDeque<Time>,
+}
+
+impl Task {
+    pub fn new(order: Order, state: State, window: Span, now: Time) -> Self {
+        Self {
+            order,
+            state,
+            came: now,
+            size: order.ask,
+            waited: false,
+            sends: 0,
+            machine: usize::MAX,
+            sent_at: now,
+            may_run: None,
+            turned_down: None,
+            cores: Peak::new(window),
+            memory: Peak::new(window),
+            last_use: Room::NONE,
+            slack: Room::NONE,
+        }
+    }
+
+    /// The most it used within the window; its ask where nothing was noted.
+    pub fn peak(&mut self, now: Time) -> Room {
+        let ask = self.order.ask;
+        Room::new(self.cores.peak(now).unwrap_or(ask.cores), self.memory.peak(now).unwrap_or(ask.memory))
+    }
+}
+
+impl Machine {
+    pub fn new(id: MachineId, window: Span, cap: f64, now: Time) -> Self {
+        Self {
+            id,
+            kind: KindId(usize::MAX),
+            cell: CellId(u32::MAX),
+            zone: ZoneId(u32::MAX),
+            size: Room::NONE,
+            open: false,
+            since: None,
+            left: Room::NONE,
+            unseen: VecDeque::with_capacity(64),
+            tasks: Vec::with_capacity(256),
+            slack: Room::NONE,
+            use_cores: Peak::new(window),
+            use_memory: Peak::new(window),
+            pressed_until: now,
+            unanswered: 0,
+            answered_at: now,
+            cap,
+            troubles: 0,
+            rests_until: now,
+            cold_sends: VecDeque::with_capacity(64),
+        }
+    }
+
+    /// What the view shows as left, less our own asks and plus our own ends that it can't show yet.
+    pub fn free(&self) -> Room {
+        self.unseen.iter().fold(self.left, |left, (_, change)| left + *change)
+    }
+}
