--- /dev/null
+++ b/tests/host/mod.rs
@@ -0,0 +1,153 @@
+//! A tiny fake host: it takes down what one brain answers, and tells it what the story says.
+
+use mulleinhub::interface::*;
+use mulleinhub::{Brain, Round, Span, Time};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Said {
+    Send(u64, u64),
+    Nack(u64),
+    Error(u64),
+    Move(u64),
+    Watch,
+}
+
+#[derive(Default)]
+pub struct Notebook(pub Vec<Said>);
+
+impl Writer for Notebook {
+    fn send(&mut self, task: TaskId, machine: MachineId, _: Span) {
+        self.0.push(Said::Send(task.0, machine.0));
+    }
+    fn recall(&mut self, _: TaskId, _: u32) {}
+    fn nack(&mut self, task: TaskId, _: Span) {
+        self.0.push(Said::Nack(task.0));
+    }
+    fn error(&mut self, task: TaskId) {
+        self.0.push(Said::Error(task.0));
+    }
+    fn move_off(&mut self, task: TaskId) {
+        self.0.push(Said::Move(task.0));
+    }
+    fn wake_at(&mut self, _: u64, _: Time) {}
+    fn probe(&mut self, _: MachineId) {}
+    fn watch_list(&mut self) {
+        self.0.push(Said::Watch);
+    }
+    fn remark(&mut self, _: &str) {}
+}
+
+/// Use case 0 is high-priority, 1 is low; both replayable unless the story changes that before `up`.
+pub struct Host {
+    pub use_cases: Vec<UseCase>,
+    pub asked: bool,
+    pub young_limit: f64,
+    pub millis: u64,
+    brain: Option<Brain>,
+}
+
+pub const HIGH: usize = 0;
+pub const LOW: usize = 1;
+
+pub fn secs(n: u64) -> Span {
+    Span::from_secs(n)
+}
+
+impl Host {
+    pub fn new() -> Self {
+        let use_case = |priority| UseCase {
+            soft_limit: secs(1),
+            client_timeout: secs(8),
+            effect: Effect::Replayable,
+            earnings: f64::from(priority) + 1.0,
+            start_seconds: 10.0,
+            priority,
+            kind: None,
+            spread: None,
+            full_up_to: 0.8,
+            fade: 0.2,
+        };
+        let use_cases = vec![use_case(1), use_case(0)];
+        Self { use_cases, asked: false, young_limit: 12.0, millis: 100_000, brain: None }
+    }
+
+    pub fn up(mut self, machines: &[Entry]) -> Self {
+        self.restart();
+        self.tell(|r| r.list(ListKind::Saved, machines));
+        self
+    }
+
+    /// A new life: all that the last one knew is gone.
+    pub fn restart(&mut self) {
+        self.brain = Some(Brain::new(
+            7,
+            self.use_cases.clone(),
+            vec![Room::new(10.0, 10.0), Room::new(20.0, 20.0)],
+            Taking { cores: 2.0, memory: 1.5, yes_when_running: false, max_sends: 3 },
+            ColdRule { warm_after: secs(10), fall: secs(1), young_limit: self.young_limit, schedulers: 3 },
+            Listing { asked: self.asked, ask_within: secs(10) },
+            Home { zone: ZoneId(0), cross_zone_price: 0.1 },
+        ));
+    }
+
+    pub fn now(&self) -> Time {
+        Time::from_nanos(self.millis * 1_000_000)
+    }
+
+    /// One round; gives back what was said in it.
+    pub fn tell<T>(&mut self, story: impl FnOnce(&mut Round<'_, Notebook>) -> T) -> Vec<Said> {
+        let mut notebook = Notebook::default();
+        let now = self.now();
+        self.brain.as_mut().expect("is up").round(now, &mut notebook, story);
+        notebook.0
+    }
+
+    /// Lets time pass, with the tick that the brain waits for.
+    pub fn after(&mut self, millis: u64) -> Vec<Said> {
+        self.millis += millis;
+        self.tell(|r| r.woken(0))
+    }
+
+    pub fn order(&self, id: u64, use_case: usize, ask: f64) -> Order {
+        Order {
+            id: TaskId(id),
+            key: TaskKey(id),
+            use_case: UseCaseId(use_case),
+            service: ServiceId(id),
+            ask: Room::new(ask, ask),
+            deadline: self.now() + self.use_cases[use_case].client_timeout,
+            again: false,
+        }
+    }
+
+    pub fn ask(&mut self, id: u64, use_case: usize, ask: f64) -> Vec<Said> {
+        let order = self.order(id, use_case, ask);
+        self.tell(|r| r.new_task(order))
+    }
+
+    pub fn runs_on(&mut self, id: u64, use_case: usize, ask: f64, machine: u64) {
+        let order = self.order(id, use_case, ask);
+        self.tell(|r| r.running(order, MachineId(machine)));
+    }
+
+    pub fn ends(&mut self, id: u64, ending: Ending) -> Vec<Said> {
+        self.tell(|r| r.closed(TaskId(id), ending, false, Report::default()))
+    }
+}
+
+/// A machine of ten cores and ten of memory, with so much of both left, in cell and zone 0.
+pub fn machine(id: u64, left: f64) -> Entry {
+    Entry {
+        id: MachineId(id),
+        kind: KindId(0),
+        cell: CellId(0),
+        zone: ZoneId(0),
+        mode: Mode::Active,
+        since: None,
+        left: Some(Room::new(left, left)),
+    }
+}
+
+pub fn sent_to(said: &[Said]) -> Option<u64> {
+    said.iter().find_map(|s| if let Said::Send(_, machine) = s { Some(*machine) } else { None })
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,383 @@
+//! The ordinary path, the five rules' hard cases, and each failure met, as short stories.
+
+mod host;
+
+use host::*;
+use mulleinhub::interface::*;
+use mulleinhub::{Span, Time};
+
+// The ordinary path.
+
+#[test]
+fn the_least_asked_machine_gets_the_task() {
+    let mut host = Host::new().up(&[machine(1, 3.0), machine(2, 9.0), machine(3, 5.0)]);
+    assert_eq!(host.ask(1, HIGH, 1.0), [Said::Send(1, 2)]);
+}
+
+#[test]
+fn memory_weighs_more_than_cores_in_the_ranking() {
+    let mut roomy_cores = machine(1, 9.0);
+    roomy_cores.left = Some(Room::new(9.0, 5.0));
+    let mut roomy_memory = machine(2, 9.0);
+    roomy_memory.left = Some(Room::new(5.0, 9.0));
+    let mut host = Host::new().up(&[roomy_cores, roomy_memory]);
+    assert_eq!(host.ask(1, HIGH, 1.0), [Said::Send(1, 2)]);
+}
+
+#[test]
+fn our_own_sends_count_until_a_view_can_show_them() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 7.0)]);
+    assert_eq!(host.ask(1, HIGH, 5.0), [Said::Send(1, 1)]);
+    host.tell(|r| r.list(ListKind::Changes, &[machine(1, 9.0)]));
+    assert_eq!(host.ask(2, HIGH, 5.0), [Said::Send(2, 2)], "the list is as old as the send");
+}
+
+#[test]
+fn low_priority_uses_our_predicted_slack_and_high_priority_does_not() {
+    let mut host = Host::new().up(&[machine(1, 1.0)]);
+    host.runs_on(1, HIGH, 8.0, 1);
+    assert_eq!(host.ask(2, LOW, 3.0), [], "a task that nothing was heard of gives no slack");
+    host.tell(|r| (r.uses_cores(TaskId(1), 4.0), r.uses_memory(TaskId(1), 4.0)));
+    assert_eq!(host.ask(3, HIGH, 3.0), []);
+    let said = host.ask(4, LOW, 3.0);
+    assert_eq!(said, [Said::Send(4, 1)]);
+}
+
+#[test]
+fn slack_follows_the_peak_and_not_the_last_use() {
+    let mut host = Host::new().up(&[machine(1, 1.0)]);
+    host.runs_on(1, HIGH, 8.0, 1);
+    for used in [7.5, 2.0] {
+        host.tell(|r| (r.uses_cores(TaskId(1), used), r.uses_memory(TaskId(1), used)));
+    }
+    assert_eq!(host.ask(2, LOW, 3.0), []);
+}
+
+#[test]
+fn what_fits_nowhere_waits_and_goes_when_room_comes() {
+    let mut host = Host::new().up(&[machine(1, 0.5)]);
+    assert_eq!(host.ask(1, HIGH, 1.0), []);
+    host.tell(|r| r.list(ListKind::Changes, &[machine(1, 5.0)]));
+    assert_eq!(host.after(60), [Said::Send(1, 1)]);
+}
+
+#[test]
+fn the_pending_task_that_earns_most_goes_first() {
+    let mut host = Host::new().up(&[machine(1, 0.5)]);
+    host.ask(1, LOW, 1.0);
+    host.ask(2, HIGH, 1.0);
+    host.tell(|r| r.list(ListKind::Changes, &[machine(1, 1.0)]));
+    assert_eq!(host.after(60), [Said::Send(2, 1)]);
+}
+
+#[test]
+fn a_task_goes_only_to_its_kind_of_machine() {
+    let mut host = Host::new();
+    host.use_cases[HIGH].kind = Some(KindId(1));
+    let mut big = machine(2, 2.0);
+    big.kind = KindId(1);
+    let mut host = host.up(&[machine(1, 9.0), big]);
+    assert_eq!(host.ask(1, HIGH, 1.0), [Said::Send(1, 2)]);
+}
+
+#[test]
+fn a_hot_machine_sheds_the_newest_low_task_and_waits_for_a_fresh_report() {
+    let mut host = Host::new().up(&[machine(1, 9.0)]);
+    for (id, use_case) in [(1, LOW), (2, LOW), (3, HIGH), (4, LOW)] {
+        host.runs_on(id, use_case, 1.0, 1);
+        host.tell(|r| (r.uses_cores(TaskId(id), 0.7), r.uses_memory(TaskId(id), 0.7)));
+    }
+    assert_eq!(host.tell(|r| r.machine_memory(TaskId(3), 0.86)), [Said::Move(4)], "0.6 too much: one goes");
+    assert_eq!(host.after(100), [], "no more before the next report");
+    assert_eq!(host.tell(|r| r.machine_memory(TaskId(3), 0.9)), [Said::Move(2), Said::Move(1)]);
+}
+
+#[test]
+fn a_moved_task_that_comes_back_is_sized_at_its_peak_and_never_moved_again() {
+    let mut host = Host::new().up(&[machine(1, 9.0)]);
+    host.runs_on(1, LOW, 4.0, 1);
+    host.tell(|r| (r.uses_cores(TaskId(1), 2.0), r.uses_memory(TaskId(1), 2.0)));
+    assert_eq!(host.tell(|r| r.machine_memory(TaskId(1), 0.9)), [Said::Move(1)]);
+    host.tell(|r| r.closed(TaskId(1), Ending::Recalled, true, Report::default()));
+    host.tell(|r| r.list(ListKind::Changes, &[machine(1, 0.0), machine(2, 3.0)]));
+    let back = Order { id: TaskId(2), key: TaskKey(1), again: true, ..host.order(2, LOW, 4.0) };
+    assert_eq!(host.tell(|r| r.new_task(back)), [Said::Send(2, 2)], "three are enough for its peak of two");
+    host.tell(|r| (r.accepted(TaskId(2)), r.uses_cores(TaskId(2), 2.0), r.uses_memory(TaskId(2), 2.0)));
+    assert_eq!(host.tell(|r| r.machine_memory(TaskId(2), 0.9)), []);
+}
+
+// Rule 1: every task gets its one answer.
+
+#[test]
+fn a_task_that_no_machine_takes_is_nacked_before_its_client_gives_up() {
+    let mut host = Host::new().up(&[]);
+    let deadline = host.now() + secs(8);
+    assert_eq!(host.ask(1, HIGH, 1.0), []);
+    let mut said = vec![];
+    while said.is_empty() {
+        assert!(host.now() < deadline);
+        said = host.after(50);
+    }
+    assert_eq!(said, [Said::Nack(1)]);
+    assert_eq!(host.after(50), []);
+}
+
+#[test]
+fn a_time_out_at_the_deadline_is_answered_in_the_same_round() {
+    let mut host = Host::new().up(&[machine(1, 0.5)]);
+    host.ask(1, HIGH, 1.0);
+    host.millis += 7_000;
+    host.tell(|r| r.list(ListKind::Changes, &[machine(1, 5.0)]));
+    assert_eq!(host.after(60), [Said::Send(1, 1)]);
+    host.ask(2, HIGH, 9.0);
+    host.millis += 940;
+    assert_eq!(host.ends(1, Ending::TimedOut), [Said::Nack(1)], "no tick came in between");
+}
+
+#[test]
+fn a_task_out_of_sends_is_answered_at_once() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 8.0), machine(3, 7.0), machine(4, 6.0)]);
+    host.ask(1, HIGH, 1.0);
+    assert!(sent_to(&host.ends(1, Ending::Errored)).is_some());
+    assert!(sent_to(&host.ends(1, Ending::Errored)).is_some());
+    assert_eq!(host.ends(1, Ending::Errored), [Said::Nack(1)], "three sends are all that it has");
+}
+
+#[test]
+fn nothing_is_said_of_a_task_that_its_owner_dropped() {
+    let mut host = Host::new().up(&[machine(1, 9.0)]);
+    host.ask(1, HIGH, 1.0);
+    assert_eq!(host.tell(|r| r.abandoned(TaskId(1))), []);
+    assert_eq!(host.ends(1, Ending::TimedOut), []);
+    assert_eq!(host.tell(|r| (r.abandoned(TaskId(1)), r.accepted(TaskId(99)))), []);
+}
+
+// Rule 2: no effect twice.
+
+fn with_effect(effect: Effect) -> Host {
+    let mut host = Host::new();
+    host.use_cases[HIGH].effect = effect;
+    let mut far = machine(2, 9.0);
+    (far.cell, far.zone) = (CellId(1), ZoneId(0));
+    let mut host = host.up(&[machine(1, 9.5), far]);
+    let said = host.tell(|r| {
+        let order = Order { deadline: Time::from_nanos(u64::MAX), ..order() };
+        r.new_task(order);
+    });
+    assert_eq!(sent_to(&said), Some(1));
+    host
+}
+
+fn order() -> Order {
+    Host::new().order(1, HIGH, 1.0)
+}
+
+#[test]
+fn a_single_use_task_that_may_have_run_is_errored_and_one_that_did_not_goes_on() {
+    assert_eq!(with_effect(Effect::SingleUse).ends(1, Ending::TimedOut), [Said::Error(1)]);
+    assert_eq!(with_effect(Effect::SingleUse).ends(1, Ending::Errored), [Said::Error(1)]);
+    assert_eq!(with_effect(Effect::SingleUse).ends(1, Ending::Nacked(Nack::QueueFull)), [Said::Send(1, 2)]);
+    assert_eq!(with_effect(Effect::SingleUse).ends(1, Ending::NoConnection), [Said::Send(1, 2)]);
+}
+
+#[test]
+fn a_referenced_task_that_may_have_run_stays_in_its_group() {
+    let cell = Effect::Referenced { group: Reach::Cell, window: secs(5) };
+    let mut host = with_effect(cell);
+    assert_eq!(host.ends(1, Ending::TimedOut), [], "the other machine is of another cell");
+    let mut near = machine(3, 1.5);
+    near.cell = CellId(0);
+    host.tell(|r| r.list(ListKind::Changes, &[near]));
+    assert_eq!(host.after(100), [Said::Send(1, 3)]);
+    let zone = Effect::Referenced { group: Reach::Zone, window: secs(5) };
+    assert_eq!(with_effect(zone).ends(1, Ending::TimedOut), [Said::Send(1, 2)]);
+}
+
+#[test]
+fn after_the_window_a_referenced_task_is_nacked_only_where_all_machines_drop_repeats() {
+    for (group, answer) in [(Reach::Cell, Said::Error(1)), (Reach::All, Said::Nack(1))] {
+        let mut host = with_effect(Effect::Referenced { group, window: secs(5) });
+        host.millis += 4_600;
+        assert_eq!(host.ends(1, Ending::TimedOut), [answer], "a send now might arrive too late");
+    }
+}
+
+#[test]
+fn an_early_send_that_may_have_run_binds_the_later_ones() {
+    let mut host = with_effect(Effect::Referenced { group: Reach::All, window: secs(5) });
+    host.millis += 1_000;
+    assert_eq!(host.ends(1, Ending::TimedOut), [Said::Send(1, 2)]);
+    host.millis += 3_700;
+    let said = host.ends(1, Ending::Nacked(Nack::QueueFull));
+    assert_eq!(said, [Said::Nack(1)], "the window runs from the first send that may have run");
+}
+
+// Rule 3: drains.
+
+#[test]
+fn nothing_goes_to_a_machine_that_drains_or_is_gone() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 5.0), machine(3, 2.0)]);
+    let leaving = Entry { mode: Mode::Leaving, ..machine(1, 9.0) };
+    host.tell(|r| r.list(ListKind::Changes, &[leaving]));
+    assert_eq!(host.ask(1, HIGH, 1.0), [Said::Send(1, 2)]);
+    host.tell(|r| r.list(ListKind::Whole, &[machine(3, 2.0)]));
+    assert_eq!(host.ask(2, HIGH, 1.0), [Said::Send(2, 3)]);
+}
+
+#[test]
+fn a_machine_known_only_from_a_running_task_is_not_sent_to() {
+    let mut host = Host::new().up(&[]);
+    host.runs_on(1, HIGH, 1.0, 5);
+    assert_eq!(host.ask(2, LOW, 1.0), []);
+}
+
+#[test]
+fn a_list_that_must_be_asked_for_is_watched_from_the_start_and_again_after_a_failure() {
+    let mut host = Host::new();
+    host.asked = true;
+    let mut host = host.up(&[machine(1, 9.0)]);
+    assert_eq!(host.tell(|r| r.start()), [Said::Watch]);
+    assert_eq!(host.tell(|r| r.list_failed()), [], "not in the same breath");
+    assert_eq!(host.tell(|r| r.woken(1)), [Said::Watch]);
+}
+
+// Rule 4: cold machines.
+
+#[test]
+fn a_cold_machine_gets_no_more_than_our_share_however_the_offers_end() {
+    let mut host = Host::new();
+    host.young_limit = 12.0;
+    let mut host = host.up(&[]);
+    let cold = Entry { since: Some(host.now()), ..machine(1, 9.0) };
+    host.tell(|r| r.list(ListKind::Changes, &[cold]));
+    let mut sent = 0;
+    for id in 0..40 {
+        sent += host.ask(id, LOW, 0.1).len();
+        host.ends(id, Ending::Nacked(Nack::NotHere));
+        host.millis += 10;
+    }
+    assert_eq!(sent, 4, "a third of twelve within the window, refused ones too");
+}
+
+#[test]
+fn a_known_machine_that_restarts_is_cold_again_and_warms_by_its_answers() {
+    let mut host = Host::new();
+    host.young_limit = 300.0;
+    let mut host = host.up(&[machine(1, 9.0)]);
+    let cold = Entry { since: Some(host.now()), ..machine(1, 9.0) };
+    host.tell(|r| r.list(ListKind::Changes, &[cold]));
+    let sent: usize = (0..8).map(|id| host.ask(id, LOW, 0.1).len()).sum();
+    assert_eq!(sent, 2, "few are in flight at first");
+    host.tell(|r| (r.accepted(TaskId(0)), r.accepted(TaskId(1))));
+    assert_eq!(host.after(60).len(), 4, "each answer adds one");
+}
+
+// Rule 5: spread.
+
+#[test]
+fn spread_counts_running_tasks_and_sends_without_an_outcome() {
+    for (reach, cell, zone) in [(Reach::Machine, 0, 0), (Reach::Cell, 1, 0), (Reach::Zone, 1, 1)] {
+        let mut host = Host::new();
+        host.use_cases[HIGH].spread = Some((reach, 2));
+        let mut host = host.up(&[machine(1, 9.0)]);
+        let of_service = |host: &Host, id| Order { service: ServiceId(77), ..host.order(id, HIGH, 1.0) };
+        let (one, two, three) = (of_service(&host, 1), of_service(&host, 2), of_service(&host, 3));
+        host.tell(|r| r.running(one, MachineId(1)));
+        assert_eq!(host.tell(|r| r.new_task(two)), [Said::Send(2, 1)]);
+        host.tell(|r| r.abandoned(TaskId(2)));
+        assert_eq!(host.tell(|r| r.new_task(three)), [], "the dropped send has no outcome yet");
+        let elsewhere = Entry { cell: CellId(cell), zone: ZoneId(zone), ..machine(2, 1.5) };
+        host.tell(|r| r.list(ListKind::Changes, &[elsewhere]));
+        assert_eq!(host.after(60), [Said::Send(3, 2)]);
+    }
+}
+
+// Failures met.
+
+#[test]
+fn a_machine_that_errs_rests_longer_each_time() {
+    let mut host = Host::new().up(&[machine(1, 9.0)]);
+    let mut sends = 0;
+    for id in 0..100 {
+        sends += host.ask(id, LOW, 0.1).len();
+        host.tell(|r| r.closed(TaskId(id), Ending::Errored, true, Report::default()));
+        host.tell(|r| r.abandoned(TaskId(id)));
+        host.millis += 300;
+    }
+    assert!((3..=6).contains(&sends), "{sends} sends in half a minute");
+}
+
+#[test]
+fn a_slow_line_is_not_taken_for_a_dead_machine() {
+    let mut host = Host::new().up(&[machine(1, 9.0)]);
+    host.ask(1, LOW, 0.1);
+    host.ask(2, LOW, 0.1);
+    host.millis += 2_400;
+    host.tell(|r| r.accepted(TaskId(2)));
+    host.ends(1, Ending::TimedOut);
+    assert_eq!(host.ask(3, LOW, 0.1), [Said::Send(3, 1)]);
+}
+
+#[test]
+fn a_pressed_machine_takes_tasks_only_when_no_calm_one_does() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 2.0)]);
+    host.runs_on(1, HIGH, 1.0, 1);
+    host.tell(|r| r.served(TaskId(1), 0.5));
+    assert_eq!(host.ask(2, HIGH, 1.0), [Said::Send(2, 2)]);
+    assert_eq!(host.ask(3, HIGH, 5.0), []);
+    assert_eq!(host.after(200), [Said::Send(3, 1)], "better crowded than not at all");
+    host.tell(|r| r.served(TaskId(1), 1.0));
+    assert_eq!(host.ask(4, HIGH, 0.5), [Said::Send(4, 1)], "a good note ends it");
+}
+
+#[test]
+fn a_nack_for_room_outlives_the_next_stale_view() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 3.0)]);
+    host.ask(1, HIGH, 2.0);
+    assert_eq!(host.ends(1, Ending::Nacked(Nack::NoMemory)), [Said::Send(1, 2)]);
+    host.tell(|r| r.list(ListKind::Changes, &[machine(1, 9.0)]));
+    assert_ne!(sent_to(&host.ask(2, HIGH, 2.0)), Some(1));
+}
+
+#[test]
+fn after_a_wait_a_high_task_may_use_the_idle_part_of_all_asks() {
+    let mut host = Host::new().up(&[machine(1, 0.5)]);
+    host.runs_on(1, HIGH, 4.0, 1);
+    for _ in 0..400 {
+        host.tell(|r| (r.uses_cores(TaskId(1), 2.0), r.uses_memory(TaskId(1), 2.0)));
+    }
+    assert_eq!(host.ask(2, HIGH, 1.0), [], "the design's room first");
+    assert_eq!(host.after(150), [Said::Send(2, 1)]);
+}
+
+#[test]
+fn a_machine_with_the_program_and_one_at_home_are_preferred_while_nearly_as_empty() {
+    let away = Entry { zone: ZoneId(1), ..machine(1, 9.0) };
+    let mut host = Host::new().up(&[away, machine(2, 8.5), machine(3, 8.0)]);
+    assert_eq!(host.ask(1, HIGH, 0.1), [Said::Send(1, 2)]);
+    let order = Order { service: ServiceId(50), ..host.order(2, HIGH, 0.1) };
+    host.tell(|r| r.running(order, MachineId(3)));
+    let next = Order { service: ServiceId(50), ..host.order(3, HIGH, 0.1) };
+    assert_eq!(host.tell(|r| r.new_task(next)), [Said::Send(3, 3)]);
+}
+
+// Odd input.
+
+#[test]
+fn odd_input_neither_panics_nor_sends_astray() {
+    let mut host = Host::new().up(&[machine(1, 9.0)]);
+    let sizeless = Entry { kind: KindId(9), left: None, ..machine(2, 99.0) };
+    host.tell(|r| r.list(ListKind::Changes, &[sizeless]));
+    assert_eq!(host.ask(1, HIGH, 99.0), [], "larger than any machine");
+    assert_eq!(host.ask(2, LOW, 0.0), [Said::Send(2, 1)]);
+    host.tell(|r| (r.uses_cores(TaskId(2), f64::MAX), r.uses_memory(TaskId(2), -1.0)));
+    host.tell(|r| (r.served(TaskId(2), -5.0), r.machine_memory(TaskId(77), 2.0)));
+    host.tell(|r| r.closed(TaskId(1), Ending::Ok, true, Report::default()));
+    host.millis -= 50_000;
+    host.after(0);
+    host.tell(|r| r.list(ListKind::Whole, &[]));
+    assert_eq!(host.ask(3, LOW, 0.1), [], "the empty list leaves no machine");
+    host.millis += 3_600_000;
+    assert!(host.after(0).contains(&Said::Nack(3)));
+    assert_eq!(secs(1) - secs(2), Span::ZERO);
+}
