--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! Called once a round with all that came in: `brain.round(now, &mut writer, |r| { r.new_task(..); .. })`; the
 //! round ends with the placing. The types and the writer trait stand in `interface.rs`; docs/design.md tells the
 //! design. Beside the design stand these mechanisms, six at most:
-//! 1. trust: a cap on unanswered sends per machine, grown by answers, cut by trouble (fresh machines start low)
+//! 1. trust: a cap on starts under way per machine, grown by answers, cut by trouble (fresh machines start low)
 //! 2. late views: our own sends and ends count until a view can show them; a nack for room corrects the view
 //! 3. stretch: a task that waited in vain may use the slack of all tasks, by the use seen per ask
 //! 4. tie-break: among equally good machines, first those that hold the service's program, then our own zone
@@ -193,14 +193,24 @@
 
     pub fn accepted(&mut self, id: TaskId) {
         let Some(place) = self.b.tasks.place(id) else { return };
-        let (now, soft_limit) = (self.now, self.b.use_case(place).soft_limit);
         let task = &mut self.b.tasks[place];
         if task.state == State::Sent {
             task.state = State::Placed;
+            self.b.machines[task.machine].answered_at = self.now;
+            if self.b.taking.yes_when_running {
+                self.runs(id);
+            }
+        }
+    }
+
+    /// A start is done: in good time, it lets more starts be under way on its machine; late, fewer.
+    pub fn runs(&mut self, id: TaskId) {
+        let Some(place) = self.b.tasks.place(id) else { return };
+        let (now, soft_limit) = (self.now, self.b.use_case(place).soft_limit);
+        let task = &mut self.b.tasks[place];
+        if std::mem::take(&mut task.starting) {
             let m = &mut self.b.machines[task.machine];
-            m.unanswered -= 1;
-            m.answered_at = now;
-            // A yes that came late says that its line is long enough.
+            m.starting -= 1;
             if now - task.sent_at < soft_limit {
                 m.good();
             } else {
@@ -209,9 +219,6 @@
         }
     }
 
-    /// Where the yes comes before the start: the start is done.
-    pub fn runs(&mut self, _id: TaskId) {}
-
     pub fn uses_cores(&mut self, id: TaskId, cores: f64) {
         self.uses(id, Some(cores), None);
     }
@@ -296,9 +303,8 @@
         m.tasks.retain(|t| *t != place);
         m.slack -= task.slack;
         m.unseen.push_back((now, ask));
-        if state == State::Sent {
-            m.unanswered -= 1;
-        }
+        m.starting -= usize::from(task.starting);
+        task.starting = false;
         match ending {
             // Others were answered since this was sent: a long line, no dead machine.
             Ending::TimedOut if m.answered_at > task.sent_at => m.cap = (m.cap / 2.0).max(1.0),
@@ -341,8 +347,6 @@
         if self.b.tasks[place].state == State::Pending {
             self.forget(place);
         } else if self.b.tasks[place].state == State::Sent {
-            let at = self.b.tasks[place].machine;
-            self.b.machines[at].unanswered -= 1;
             self.b.tasks[place].state = State::Over;
         }
     }
@@ -509,12 +513,12 @@
         let cold = self.b.is_cold(&self.b.machines[at], now);
         let forget = self.b.cold.fall * FALL_STRETCH;
         let task = &mut self.b.tasks[place];
-        task.state = State::Sent;
+        (task.state, task.starting) = (State::Sent, true);
         (task.machine, task.sent_at) = (at, now);
         task.sends += 1;
         let m = &mut self.b.machines[at];
         m.tasks.push(place);
-        m.unanswered += 1;
+        m.starting += 1;
         m.unseen.push_back((now, Room::NONE - task.order.ask));
         if cold {
             while m.cold_sends.front().is_some_and(|sent| now - *sent > forget) {
@@ -558,7 +562,7 @@
         let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
         if !m.open
             || now < m.rests_until.max(m.pressed_until)
-            || m.unanswered as f64 >= m.cap
+            || m.starting as f64 >= m.cap
             || task.turned_down == Some(at)
         {
             return false;
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,7 +20,10 @@
     pub came: Time,
     /// What it is sized at: its ask, or its peak use where we moved it off.
     pub size: Room,
+    /// Found no machine the last time that it was looked at.
     pub waited: bool,
+    /// Sent, and not known to run yet.
+    pub starting: bool,
     pub sends: u32,
     /// Where its open send went, and when.
     pub machine: usize,
@@ -52,7 +55,7 @@
     pub use_memory: Peak,
     /// Bad service or short memory was noted, with no better note since; trusted until then.
     pub pressed_until: Time,
-    pub unanswered: usize,
+    pub starting: usize,
     pub answered_at: Time,
     pub cap: f64,
     pub troubles: u32,
@@ -68,6 +71,7 @@
             came: now,
             size: order.ask,
             waited: false,
+            starting: false,
             sends: 0,
             machine: usize::MAX,
             sent_at: now,
@@ -104,7 +108,7 @@
             use_cores: Peak::new(window),
             use_memory: Peak::new(window),
             pressed_until: now,
-            unanswered: 0,
+            starting: 0,
             answered_at: now,
             cap,
             troubles: 0,
