--- a/src/brain.rs
+++ b/src/brain.rs
@@ -613,7 +613,9 @@
         let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
         let free = m.free();
         let accepts = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
-        if !(free + accepts).fits(task.order.ask) {
+        // The last room before a machine nacks is shared: the others see the same view and send as we do.
+        let mine = 1.0 / f64::from(self.b.cold.schedulers.max(1));
+        if !free.fits(task.order.ask) && !(free + accepts).times(mine, mine).fits(task.order.ask) {
             return false;
         }
         if stretched {
