--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,6 +52,8 @@
 const STRETCH_SHARE: f64 = 0.1;
 /// Memory does no harm until it is nearly used up: stretched asks may fill half of what lies past the hot mark.
 const STRETCH_MEMORY: f64 = (1.0 + HOT) / 2.0;
+/// The use seen per ask over all machines weighs like asks of this part of a machine's size.
+const PRIOR: f64 = 0.1;
 /// One note moves the use seen per ask by this part.
 const RATIO_STEP: f64 = 1.0 / 64.0;
 
@@ -613,13 +615,20 @@
         let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
         let free = m.free();
         let accepts = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
-        // The last room before a machine nacks is shared: the others see the same view and send as we do.
-        let mine = 1.0 / f64::from(self.b.cold.schedulers.max(1));
-        if !free.fits(task.order.ask) && !(free + accepts).times(mine, mine).fits(task.order.ask) {
+        // Stretched, the last room before a machine nacks is shared: the others see the same view and send too.
+        let mine = if stretched { 1.0 / f64::from(self.b.cold.schedulers.max(1)) } else { 1.0 };
+        if !(free + accepts).times(mine, mine).fits(task.order.ask) {
             return false;
         }
         if stretched {
-            let ratio = self.b.ratio;
+            // The use seen per ask of our tasks there, and of all our tasks as far as there are few.
+            let mut asks = m.size.times(PRIOR, PRIOR);
+            let mut used = asks.times(self.b.ratio.cores, self.b.ratio.memory);
+            for task in m.tasks.iter().map(|t| &self.b.tasks[*t]).filter(|t| t.last_use != Room::NONE) {
+                asks += task.order.ask;
+                used += task.last_use;
+            }
+            let ratio = Room::new(used.cores / asks.cores, used.memory / asks.memory);
             let asked = m.size - free + task.order.ask;
             return m.size.times(HOT, STRETCH_MEMORY).fits(asked.times(ratio.cores, ratio.memory));
         }
