--- a/src/brain.rs
+++ b/src/brain.rs
@@ -562,11 +562,7 @@
         let now = self.now;
         let use_case = self.b.use_case(place);
         let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
-        if !m.open
-            || now < m.rests_until.max(m.pressed_until)
-            || m.starting as f64 >= m.cap
-            || task.turned_down == Some(at)
-        {
+        if !m.open || now < m.rests_until || m.starting as f64 >= m.cap || task.turned_down == Some(at) {
             return false;
         }
         if use_case.kind.is_some_and(|kind| kind != m.kind) || m.size.cores <= 0.0 || m.size.memory <= 0.0 {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -269,7 +269,9 @@
     let sent: usize = (0..8).map(|id| host.ask(id, LOW, 0.1).len()).sum();
     assert_eq!(sent, 2, "few are in flight at first");
     host.tell(|r| (r.accepted(TaskId(0)), r.accepted(TaskId(1))));
-    assert_eq!(host.after(60).len(), 4, "each answer adds one");
+    assert_eq!(host.after(60), [], "accepted is not started");
+    host.tell(|r| (r.runs(TaskId(0)), r.runs(TaskId(1))));
+    assert_eq!(host.after(60).len(), 4, "each start in good time adds one");
 }
 
 // Rule 5: spread.
