Open empty machines last where machines in use have a price

May hurt when a surge comes while few machines are open: their programs are not on the empty ones yet.

--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -51,6 +51,7 @@
         serde_json::from_str(values.rest("config")?).map_err(|e| format!("HELLO: config is no JSON: {e}"))?;
     let facts = part(&config, "specifics")?;
     let rules = part(&config, "rules")?;
+    let tariffs = part(&config, "tariffs")?;
     let zone = ZoneId(number(&config, "myZone")? as u32);
     let names = config.get("feedback").and_then(|f| f.get("names")).and_then(Value::as_array);
     let reporting = Reporting {
@@ -78,7 +79,11 @@
             asked: config.get("discovery").and_then(Value::as_str) == Some("ask"),
             ask_within: span(rules, "askWithin")?,
         },
-        Home { zone, cross_zone_price: number(part(&config, "tariffs")?, "crossZone").unwrap_or(0.0) },
+        Home {
+            zone,
+            cross_zone_price: number(tariffs, "crossZone").unwrap_or(0.0),
+            machine_price: number(tariffs, "fleet").unwrap_or(0.0),
+        },
     );
     Ok((brain, reporting))
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,6 +48,8 @@
 const ZONE: f64 = 2.0;
 /// What a machine without the service's program must be emptier by, as a share of its size.
 const BARE: f64 = 6.0 * TIE;
+/// Where machines in use have a price, an empty one ranks as if it were full: it is opened last.
+const OPENING: f64 = 1.0;
 /// Room asked for may be stretched after this part of the soft limit.
 const STRETCH_SHARE: f64 = 0.1;
 /// Memory does no harm until it is nearly used up: stretched asks may fill half of what lies past the hot mark.
@@ -547,7 +549,10 @@
                 // A start without the program takes many times the work and misses the soft limit.
                 let bare = !m.tasks.iter().any(|t| self.b.tasks[*t].order.service == service);
                 let away = if m.zone == self.b.home.zone { 0.0 } else { ZONE * self.b.home.cross_zone_price };
-                fits.push((at, share + away + if bare { BARE } else { 0.0 }));
+                let shut =
+                    self.b.home.machine_price > 0.0 && (m.size.times(0.02, 0.02)).fits(m.size - m.free());
+                let opening = if shut { OPENING } else { 0.0 };
+                fits.push((at, share + opening + away + if bare { BARE } else { 0.0 }));
             }
         }
         let best = fits.iter().map(|(_, share)| *share).fold(f64::INFINITY, f64::min);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -142,11 +142,12 @@
     pub ask_within: Span,
 }
 
-/// Where this scheduler stands, and the price of tasks that run in another zone.
+/// Where this scheduler stands, the price of tasks that run in another zone, and that of machines in use.
 #[derive(Clone, Copy, Debug)]
 pub struct Home {
     pub zone: ZoneId,
     pub cross_zone_price: f64,
+    pub machine_price: f64,
 }
 
 /// A task as it comes, to be placed or already running.
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -41,6 +41,7 @@
 pub struct Host {
     pub use_cases: Vec<UseCase>,
     pub asked: bool,
+    pub machine_price: f64,
     pub young_limit: f64,
     pub millis: u64,
     brain: Option<Brain>,
@@ -68,7 +69,7 @@
             fade: 0.2,
         };
         let use_cases = vec![use_case(1), use_case(0)];
-        Self { use_cases, asked: false, young_limit: 12.0, millis: 100_000, brain: None }
+        Self { use_cases, asked: false, machine_price: 0.0, young_limit: 12.0, millis: 100_000, brain: None }
     }
 
     pub fn up(mut self, machines: &[Entry]) -> Self {
@@ -86,7 +87,7 @@
             Taking { cores: 2.0, memory: 1.5, yes_when_running: false, max_sends: 3 },
             ColdRule { warm_after: secs(10), fall: secs(1), young_limit: self.young_limit, schedulers: 3 },
             Listing { asked: self.asked, ask_within: secs(10) },
-            Home { zone: ZoneId(0), cross_zone_price: 0.1 },
+            Home { zone: ZoneId(0), cross_zone_price: 0.1, machine_price: self.machine_price },
         ));
     }
 
