--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,7 +35,7 @@
 /// Unanswered sends that a machine bears: at first when fresh, at first when known, and at most.
 const FRESH_CAP: f64 = 2.0;
 const KNOWN_CAP: f64 = 8.0;
-const MOST_CAP: f64 = 24.0;
+const MOST_CAP: f64 = 12.0;
 /// A machine in trouble rests for this part of the client timeout, doubled by each trouble, at most so often.
 const REST_SHARE: f64 = 0.125;
 const MOST_DOUBLINGS: u32 = 5;
