Call sends back from silent machines, be patient with the others

Covers hung and unreachable machines alike; may hurt where the only send out is to a machine that is slow but alive.

--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -51,6 +51,7 @@
         serde_json::from_str(values.rest("config")?).map_err(|e| format!("HELLO: config is no JSON: {e}"))?;
     let facts = part(&config, "specifics")?;
     let rules = part(&config, "rules")?;
+    let limits = part(&config, "limits")?;
     let tariffs = part(&config, "tariffs")?;
     let zone = ZoneId(number(&config, "myZone")? as u32);
     let names = config.get("feedback").and_then(|f| f.get("names")).and_then(Value::as_array);
@@ -67,7 +68,8 @@
             cores: number(facts, "acceptsCores")?,
             memory: number(facts, "acceptsMemory")?,
             yes_when_running: facts.get("yesAt").and_then(Value::as_str) == Some("running"),
-            max_sends: number(part(&config, "limits")?, "maxAttempts")? as u32,
+            max_sends: number(limits, "maxAttempts")? as u32,
+            recalls: limits.get("cancel").and_then(Value::as_bool) == Some(true),
         },
         ColdRule {
             warm_after: span(rules, "warmAfter")?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,8 +22,10 @@
 const TIE: f64 = 0.05;
 const HOT: f64 = 0.8;
 
-/// A first answer is awaited for this part of the client timeout, so that two more sends still fit into it.
-const SEND_SHARE: f64 = 0.3;
+/// A machine that answers nothing at all is waited for this part of the client timeout; two more sends then fit.
+const SILENCE_SHARE: f64 = 0.3;
+/// One that answers others is waited for this part, where silent ones can be told apart by recalling.
+const PATIENCE_SHARE: f64 = 0.75;
 /// Pending tasks are looked at again after this part of the shortest soft limit, if nothing comes in before.
 const RETRY_SHARE: f64 = 0.05;
 /// A task that still waits so near its client timeout (as a part of it) gets its final answer.
@@ -312,7 +314,12 @@
         match ending {
             // Others were answered since this was sent: a long line, no dead machine.
             Ending::TimedOut if m.answered_at > task.sent_at => m.cap = (m.cap / 2.0).max(1.0),
-            Ending::Errored | Ending::TimedOut | Ending::NoConnection | Ending::Broken(Loss::Untold) => {
+            Ending::Recalled if state != State::Sent => {}
+            Ending::Errored
+            | Ending::TimedOut
+            | Ending::Recalled
+            | Ending::NoConnection
+            | Ending::Broken(Loss::Untold) => {
                 m.trouble(now, rest);
             }
             Ending::Nacked(Nack::QueueFull) => m.cap = (m.cap / 2.0).max(1.0),
@@ -443,6 +450,22 @@
         }
     }
 
+    /// Sends to a machine that has answered nothing since are called back while others can still be tried.
+    fn recall_from_silent(&mut self) {
+        let waits = |t: &Task, m: &Machine, after: Span| {
+            t.state == State::Sent && m.answered_at <= t.sent_at && self.now - t.sent_at >= after
+        };
+        for (_, m) in self.b.machines.iter().filter(|(_, m)| m.starting > 0) {
+            for place in &m.tasks {
+                let after = self.b.use_case(*place).client_timeout * SILENCE_SHARE;
+                let task = &self.b.tasks[*place];
+                if waits(task, m, after) {
+                    self.out.recall(task.order.id, task.sends - 1);
+                }
+            }
+        }
+    }
+
     fn forget(&mut self, place: usize) {
         self.b.pending.retain(|p| *p != place);
         self.b.tasks.remove(place);
@@ -479,7 +502,11 @@
         let between = self.b.tick_set;
         pending.retain(|place| (between && self.b.tasks[*place].waited) || !self.settle(*place));
         self.b.pending = pending;
-        if !self.b.pending.is_empty() && !self.b.tick_set {
+        if !between && self.b.taking.recalls {
+            self.recall_from_silent();
+        }
+        let waiting = !self.b.pending.is_empty() || self.b.machines.iter().any(|(_, m)| m.starting > 0);
+        if waiting && !self.b.tick_set {
             self.b.tick_set = true;
             let wake = self.now + self.b.retry_after();
             self.out.wake_at(TICK, wake);
@@ -505,7 +532,8 @@
             return true;
         }
         let stretch = now - task.came >= use_case.soft_limit * STRETCH_SHARE;
-        let time_out = (use_case.client_timeout * SEND_SHARE).min(time_left);
+        let share = if self.b.taking.recalls { PATIENCE_SHARE } else { SILENCE_SHARE };
+        let time_out = (use_case.client_timeout * share).min(time_left);
         let mut pick = self.pick(place, false, false);
         if pick.is_none() && stretch {
             pick = self.pick(place, true, false).or_else(|| self.pick(place, false, true));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,6 +124,8 @@
     pub memory: f64,
     pub yes_when_running: bool,
     pub max_sends: u32,
+    /// Sends may be called back.
+    pub recalls: bool,
 }
 
 /// The fourth rule's figures, and among how many schedulers its budget is shared.
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -9,6 +9,7 @@
     Nack(u64),
     Error(u64),
     Move(u64),
+    Recall(u64, u32),
     Watch,
 }
 
@@ -19,7 +20,9 @@
     fn send(&mut self, task: TaskId, machine: MachineId, _: Span) {
         self.0.push(Said::Send(task.0, machine.0));
     }
-    fn recall(&mut self, _: TaskId, _: u32) {}
+    fn recall(&mut self, task: TaskId, send: u32) {
+        self.0.push(Said::Recall(task.0, send));
+    }
     fn nack(&mut self, task: TaskId, _: Span) {
         self.0.push(Said::Nack(task.0));
     }
@@ -84,7 +87,7 @@
             7,
             self.use_cases.clone(),
             vec![Room::new(10.0, 10.0), Room::new(20.0, 20.0)],
-            Taking { cores: 2.0, memory: 1.5, yes_when_running: false, max_sends: 3 },
+            Taking { cores: 2.0, memory: 1.5, yes_when_running: false, max_sends: 3, recalls: true },
             ColdRule { warm_after: secs(10), fall: secs(1), young_limit: self.young_limit, schedulers: 3 },
             Listing { asked: self.asked, ask_within: secs(10) },
             Home { zone: ZoneId(0), cross_zone_price: 0.1, machine_price: self.machine_price },
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -383,3 +383,28 @@
     assert!(host.after(0).contains(&Said::Nack(3)));
     assert_eq!(secs(1) - secs(2), Span::ZERO);
 }
+
+#[test]
+fn sends_to_a_silent_machine_are_called_back_and_those_in_a_slow_line_are_not() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 3.0)]);
+    host.ask(1, LOW, 0.1);
+    host.ask(2, LOW, 0.1);
+    host.millis += 1_000;
+    host.tell(|r| r.accepted(TaskId(1)));
+    host.ask(3, LOW, 0.1);
+    assert_eq!(host.after(2_300), [], "the machine answered one since");
+    assert_eq!(host.after(200), [Said::Recall(3, 0)]);
+    assert_eq!(sent_to(&host.ends(3, Ending::Recalled)), Some(2));
+}
+
+#[test]
+fn moving_a_task_off_is_no_trouble_of_its_machine() {
+    let mut host = Host::new().up(&[machine(1, 9.0)]);
+    host.runs_on(1, LOW, 1.0, 1);
+    host.tell(|r| (r.uses_cores(TaskId(1), 0.7), r.uses_memory(TaskId(1), 0.7)));
+    assert_eq!(host.tell(|r| r.machine_memory(TaskId(1), 0.81)), [Said::Move(1)]);
+    host.tell(|r| r.closed(TaskId(1), Ending::Recalled, true, Report::default()));
+    host.millis += 100;
+    assert_eq!(host.ask(2, HIGH, 1.0), [], "pressed");
+    assert_eq!(host.after(150), [Said::Send(2, 1)], "but not at rest");
+}
