--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,8 +54,8 @@
 const OPENING: f64 = 1.0;
 /// Room asked for may be stretched after this part of the soft limit.
 const STRETCH_SHARE: f64 = 0.1;
-/// Memory does no harm until it is nearly used up: stretched asks may fill half of what lies past the hot mark.
-const STRETCH_MEMORY: f64 = (1.0 + HOT) / 2.0;
+/// Stretched asks may fill half of what lies past the hot mark: a pending task earns nothing at all.
+const STRETCH: f64 = (1.0 + HOT) / 2.0;
 /// The use seen per ask over all machines weighs like asks of this part of a machine's size.
 const PRIOR: f64 = 0.1;
 /// One note moves the use seen per ask by this part.
@@ -659,7 +659,7 @@
             }
             let ratio = Room::new(used.cores / asks.cores, used.memory / asks.memory);
             let asked = m.size - free + task.order.ask;
-            return m.size.times(HOT, STRETCH_MEMORY).fits(asked.times(ratio.cores, ratio.memory));
+            return m.size.times(STRETCH, STRETCH).fits(asked.times(ratio.cores, ratio.memory));
         }
         let slack = if self.b.is_low(place) { m.slack } else { Room::NONE };
         (free + slack).fits(task.size)
