--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,6 +21,8 @@
 const MEMORY_WEIGHT: f64 = 0.62;
 const TIE: f64 = 0.05;
 const HOT: f64 = 0.8;
+/// Memory does no harm until it is nearly used up, and a move costs a start: a quarter of the way is left.
+const HOT_MEMORY: f64 = HOT + (1.0 - HOT) * 0.75;
 
 /// A machine that answers nothing at all is waited for this part of the client timeout; two more sends then fit.
 const SILENCE_SHARE: f64 = 0.3;
@@ -276,7 +278,7 @@
         if self.b.tasks[place].state == State::Placed {
             let at = self.b.tasks[place].machine;
             self.b.machines[at].use_memory.note(self.now, share);
-            self.press(at, share > HOT);
+            self.press(at, share > HOT_MEMORY);
             self.shed(at);
         }
     }
@@ -422,7 +424,7 @@
         let now = self.now;
         let m = &mut self.b.machines[at];
         let peak = Room::new(m.use_cores.peak(now).unwrap_or(0.0), m.use_memory.peak(now).unwrap_or(0.0));
-        let mut over = peak.times(m.size.cores, m.size.memory) - m.size.times(HOT, HOT);
+        let mut over = peak.times(m.size.cores, m.size.memory) - m.size.times(HOT, HOT_MEMORY);
         if over.cores <= 0.0 && over.memory <= 0.0 {
             return;
         }
