--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,7 +55,7 @@
 /// Where machines in use have a price, an empty one ranks as if it were full: it is opened last.
 const OPENING: f64 = 1.0;
 /// Room asked for may be stretched after this part of the soft limit.
-const STRETCH_SHARE: f64 = 0.1;
+const STRETCH_SHARE: f64 = 0.02;
 /// Stretched asks may fill half of what lies past the hot mark: a pending task earns nothing at all.
 const STRETCH: f64 = (1.0 + HOT) / 2.0;
 /// The use seen per ask over all machines weighs like asks of this part of a machine's size.
