Rest machines that nack without a reason

Covers any machine that turns offers away for reasons of its own; may hurt where machines give no reasons at all.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -321,6 +321,7 @@
             | Ending::TimedOut
             | Ending::Recalled
             | Ending::NoConnection
+            | Ending::Nacked(Nack::Untold)
             | Ending::Broken(Loss::Untold) => {
                 m.trouble(now, rest);
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -408,3 +408,13 @@
     assert_eq!(host.ask(2, HIGH, 1.0), [], "pressed");
     assert_eq!(host.after(150), [Said::Send(2, 1)], "but not at rest");
 }
+
+#[test]
+fn a_machine_that_nacks_without_a_reason_rests_though_its_view_shows_room() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 4.0)]);
+    host.ask(1, LOW, 0.1);
+    host.ends(1, Ending::Nacked(Nack::Untold));
+    host.millis += 200;
+    host.tell(|r| r.list(ListKind::Changes, &[machine(1, 9.0)]));
+    assert_eq!(host.ask(2, LOW, 0.1), [Said::Send(2, 2)]);
+}
