--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,10 +36,10 @@
 const WINDOW_SHARE: f64 = 0.9;
 /// The cold budget is counted over this many times the rule's window: sends may bunch up on their way.
 const FALL_STRETCH: f64 = 1.5;
-/// Unanswered sends that a machine bears: at first when fresh, at first when known, and at most.
-const FRESH_CAP: f64 = 2.0;
-const KNOWN_CAP: f64 = 8.0;
-const MOST_CAP: f64 = 12.0;
+/// Starts under way that a machine bears from all schedulers: at first when fresh, when known, and at most.
+const FRESH_CAP: f64 = 6.0;
+const KNOWN_CAP: f64 = 24.0;
+const MOST_CAP: f64 = 36.0;
 /// A machine in trouble rests for this part of the client timeout, doubled by each trouble, at most so often.
 const REST_SHARE: f64 = 0.125;
 const MOST_DOUBLINGS: u32 = 5;
@@ -67,8 +67,8 @@
 const WATCH: u64 = 1;
 
 impl Machine {
-    fn good(&mut self) {
-        self.cap = (self.cap + 1.0).min(MOST_CAP);
+    fn good(&mut self, most: f64) {
+        self.cap = (self.cap + 1.0).min(most);
         self.troubles = self.troubles.saturating_sub(1);
     }
 
@@ -167,6 +167,11 @@
         tightest * RETRY_SHARE + Span::from_nanos(1)
     }
 
+    /// Our share of what a machine bears from all schedulers together.
+    fn cap(&self, of_all: f64) -> f64 {
+        (of_all / f64::from(self.cold.schedulers.max(1))).max(1.0)
+    }
+
     fn is_cold(&self, m: &Machine, now: Time) -> bool {
         m.since.is_some_and(|since| now - since < self.cold.warm_after)
     }
@@ -215,12 +220,13 @@
     pub fn runs(&mut self, id: TaskId) {
         let Some(place) = self.b.tasks.place(id) else { return };
         let (now, soft_limit) = (self.now, self.b.use_case(place).soft_limit);
+        let most = self.b.cap(MOST_CAP);
         let task = &mut self.b.tasks[place];
         if std::mem::take(&mut task.starting) {
             let m = &mut self.b.machines[task.machine];
             m.starting -= 1;
             if now - task.sent_at < soft_limit {
-                m.good();
+                m.good(most);
             } else {
                 m.cap = (m.cap - 1.0).max(1.0);
             }
@@ -381,7 +387,7 @@
     }
 
     pub fn list(&mut self, kind: ListKind, entries: &[Entry]) {
-        let (now, first) = (self.now, kind == ListKind::Saved);
+        let (now, first, fresh) = (self.now, kind == ListKind::Saved, self.b.cap(FRESH_CAP));
         if !first {
             self.b.watch_failures = 0;
         }
@@ -397,7 +403,7 @@
             m.open = entry.mode == Mode::Active;
             m.left = entry.left.unwrap_or(m.left);
             if cold && (m.since != entry.since) {
-                m.cap = FRESH_CAP;
+                m.cap = fresh;
                 (m.troubles, m.rests_until) = (0, now);
             }
             m.since = entry.since;
@@ -414,9 +420,8 @@
 
     /// The machine's place; one that no list has named yet is never sent to.
     fn machine(&mut self, id: MachineId) -> usize {
-        let known = self.b.machines.place(id);
-        known
-            .unwrap_or_else(|| self.b.machines.insert(id, Machine::new(id, PEAK_WINDOW, KNOWN_CAP, self.now)))
+        let (known, cap) = (self.b.machines.place(id), self.b.cap(KNOWN_CAP));
+        known.unwrap_or_else(|| self.b.machines.insert(id, Machine::new(id, PEAK_WINDOW, cap, self.now)))
     }
 
     /// A hot machine sheds our low-priority tasks, newest first, until what is left would be under the mark;
