--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,6 +26,9 @@
 
 /// A machine that answers nothing at all is waited for this part of the client timeout; two more sends then fit.
 const SILENCE_SHARE: f64 = 0.3;
+/// Silence must last this many times a usual answer too, which one answer moves by the step.
+const SLOW: f64 = 3.0;
+const USUAL_STEP: f64 = 1.0 / 16.0;
 /// One that answers others is waited for this part, where silent ones can be told apart by recalling.
 const PATIENCE_SHARE: f64 = 0.75;
 /// Pending tasks are looked at again after this part of the shortest soft limit, if nothing comes in before.
@@ -94,6 +97,8 @@
     pending: Vec<usize>,
     moved: VecDeque<(TaskKey, Room)>,
     ratio: Room,
+    /// How long a yes usually takes.
+    usual: Span,
     fits: Vec<(usize, f64)>,
     tick_set: bool,
     watch_failures: u32,
@@ -131,6 +136,7 @@
             pending: Vec::with_capacity(1024),
             moved: VecDeque::with_capacity(64),
             ratio: Room::new(1.0, 1.0),
+            usual: Span::ZERO,
             fits: Vec::with_capacity(64),
             tick_set: false,
             watch_failures: 0,
@@ -210,6 +216,7 @@
         if task.state == State::Sent {
             task.state = State::Placed;
             self.b.machines[task.machine].answered_at = self.now;
+            self.b.usual = self.b.usual * (1.0 - USUAL_STEP) + (self.now - task.sent_at) * USUAL_STEP;
             if self.b.taking.yes_when_running {
                 self.runs(id);
             }
@@ -465,7 +472,7 @@
         };
         for (_, m) in self.b.machines.iter().filter(|(_, m)| m.starting > 0) {
             for place in &m.tasks {
-                let after = self.b.use_case(*place).client_timeout * SILENCE_SHARE;
+                let after = (self.b.use_case(*place).client_timeout * SILENCE_SHARE).max(self.b.usual * SLOW);
                 let task = &self.b.tasks[*place];
                 if waits(task, m, after) {
                     self.out.recall(task.order.id, task.sends - 1);
