Take starts three times slower than usual for pressure where no notes tell of it

main tells neither use of machines nor pressure, so slow and crowded machines went on getting tasks.

--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -69,6 +69,7 @@
             memory: number(facts, "acceptsMemory")?,
             yes_when_running: facts.get("yesAt").and_then(Value::as_str) == Some("running"),
             max_sends: number(limits, "maxAttempts")? as u32,
+            tells_pressure: facts.get("tellsPressure").and_then(Value::as_bool) == Some(true),
             recalls: limits.get("cancel").and_then(Value::as_bool) == Some(true),
         },
         ColdRule {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -99,6 +99,8 @@
     ratio: Room,
     /// How long a yes usually takes.
     usual: Span,
+    /// And a start, on a machine with and without the program.
+    usual_start: [Span; 2],
     fits: Vec<(usize, f64)>,
     tick_set: bool,
     watch_failures: u32,
@@ -137,6 +139,7 @@
             moved: VecDeque::with_capacity(64),
             ratio: Room::new(1.0, 1.0),
             usual: Span::ZERO,
+            usual_start: [Span::ZERO; 2],
             fits: Vec::with_capacity(64),
             tick_set: false,
             watch_failures: 0,
@@ -232,7 +235,15 @@
         if std::mem::take(&mut task.starting) {
             let m = &mut self.b.machines[task.machine];
             m.starting -= 1;
-            if now - task.sent_at < soft_limit {
+            let took = now - task.sent_at;
+            // Far slower than usual: a slow or crowded machine, also where nothing else tells of pressure.
+            let usual = &mut self.b.usual_start[usize::from(task.bare)];
+            if !self.b.taking.tells_pressure && took > *usual * SLOW && *usual > Span::ZERO {
+                m.pressed_until = now + PRESSED;
+            }
+            *usual =
+                if *usual == Span::ZERO { took } else { *usual * (1.0 - USUAL_STEP) + took * USUAL_STEP };
+            if took < soft_limit {
                 m.good(most);
             } else {
                 m.cap = (m.cap - 1.0).max(1.0);
@@ -559,9 +570,10 @@
         };
         let cold = self.b.is_cold(&self.b.machines[at], now);
         let forget = self.b.cold.fall * FALL_STRETCH;
+        let bare = self.is_bare(at, self.b.tasks[place].order.service);
         let task = &mut self.b.tasks[place];
         (task.state, task.starting) = (State::Sent, true);
-        (task.machine, task.sent_at) = (at, now);
+        (task.machine, task.sent_at, task.bare) = (at, now, bare);
         task.sends += 1;
         let m = &mut self.b.machines[at];
         m.tasks.push(place);
@@ -577,6 +589,10 @@
         true
     }
 
+    fn is_bare(&self, at: usize, service: ServiceId) -> bool {
+        !self.b.machines[at].tasks.iter().any(|t| self.b.tasks[*t].order.service == service)
+    }
+
     /// The design's choice: filters, room, least requested, random within the tie.
     fn pick(&mut self, place: usize, stretched: bool, pressed: bool) -> Option<usize> {
         let mut fits = std::mem::take(&mut self.b.fits);
@@ -590,7 +606,7 @@
                 let share =
                     CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
                 // A start without the program takes many times the work and misses the soft limit.
-                let bare = !m.tasks.iter().any(|t| self.b.tasks[*t].order.service == service);
+                let bare = self.is_bare(at, service);
                 let away = if m.zone == self.b.home.zone { 0.0 } else { ZONE * self.b.home.cross_zone_price };
                 let shut =
                     self.b.home.machine_price > 0.0 && (m.size.times(0.02, 0.02)).fits(m.size - m.free());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,6 +124,8 @@
     pub memory: f64,
     pub yes_when_running: bool,
     pub max_sends: u32,
+    /// Notes tell how well tasks are served and how short memory is.
+    pub tells_pressure: bool,
     /// Sends may be called back.
     pub recalls: bool,
 }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -44,6 +44,7 @@
 pub struct Host {
     pub use_cases: Vec<UseCase>,
     pub asked: bool,
+    pub tells_pressure: bool,
     pub machine_price: f64,
     pub young_limit: f64,
     pub millis: u64,
@@ -72,7 +73,15 @@
             fade: 0.2,
         };
         let use_cases = vec![use_case(1), use_case(0)];
-        Self { use_cases, asked: false, machine_price: 0.0, young_limit: 12.0, millis: 100_000, brain: None }
+        Self {
+            use_cases,
+            asked: false,
+            tells_pressure: true,
+            machine_price: 0.0,
+            young_limit: 12.0,
+            millis: 100_000,
+            brain: None,
+        }
     }
 
     pub fn up(mut self, machines: &[Entry]) -> Self {
@@ -87,7 +96,14 @@
             7,
             self.use_cases.clone(),
             vec![Room::new(10.0, 10.0), Room::new(20.0, 20.0)],
-            Taking { cores: 2.0, memory: 1.5, yes_when_running: false, max_sends: 3, recalls: true },
+            Taking {
+                cores: 2.0,
+                memory: 1.5,
+                yes_when_running: false,
+                max_sends: 3,
+                tells_pressure: self.tells_pressure,
+                recalls: true,
+            },
             ColdRule { warm_after: secs(10), fall: secs(1), young_limit: self.young_limit, schedulers: 3 },
             Listing { asked: self.asked, ask_within: secs(10) },
             Home { zone: ZoneId(0), cross_zone_price: 0.1, machine_price: self.machine_price },
