Rank machines that served poorly within the window as fuller

Covers slow machines, neighbours and hot services alike; may hurt where one bad moment keeps a good machine emptier for half a minute.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,6 +55,9 @@
 const ZONE: f64 = 2.0;
 /// What a machine without the service's program must be emptier by, as a share of its size.
 const BARE: f64 = 6.0 * TIE;
+/// A machine ranks as fuller by this part of the service that it missed at worst within the peak window: what
+/// was hot lately (a slow machine, a neighbour, a hot service) soon is again.
+const POOR: f64 = 0.3;
 /// Where machines in use have a price, an empty one ranks as if it were full: it is opened last.
 const OPENING: f64 = 1.0;
 /// Room asked for may be stretched after this part of the soft limit.
@@ -292,6 +295,7 @@
         let at = self.b.tasks[place].machine;
         if self.b.tasks[place].state == State::Placed {
             self.b.machines[at].use_cores.note(self.now, busy);
+            self.b.machines[at].poor.note(self.now, 1.0 - share);
             self.press(at, share < SERVED_WELL);
             self.shed(at);
         }
@@ -611,7 +615,8 @@
                 let shut =
                     self.b.home.machine_price > 0.0 && (m.size.times(0.02, 0.02)).fits(m.size - m.free());
                 let opening = if shut { OPENING } else { 0.0 };
-                fits.push((at, share + opening + away + if bare { BARE } else { 0.0 }));
+                let poor = m.poor.clone().peak(self.now).unwrap_or(0.0) * POOR;
+                fits.push((at, share + poor + opening + away + if bare { BARE } else { 0.0 }));
             }
         }
         let best = fits.iter().map(|(_, share)| *share).fold(f64::INFINITY, f64::min);
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,6 +55,8 @@
     pub slack: Room,
     pub use_cores: Peak,
     pub use_memory: Peak,
+    /// The worst share of service missed within the window.
+    pub poor: Peak,
     /// Bad service or short memory was noted, with no better note since; trusted until then.
     pub pressed_until: Time,
     pub starting: usize,
@@ -110,6 +112,7 @@
             slack: Room::NONE,
             use_cores: Peak::new(window),
             use_memory: Peak::new(window),
+            poor: Peak::new(window),
             pressed_until: now,
             starting: 0,
             answered_at: now,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -434,3 +434,15 @@
         assert_eq!(sent_to(&host.ask(3, LOW, 0.1)), Some(to));
     }
 }
+
+#[test]
+fn a_machine_that_served_poorly_lately_ranks_as_fuller_after_it_calmed() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 8.0)]);
+    host.runs_on(1, HIGH, 1.0, 1);
+    host.tell(|r| r.served(TaskId(1), 0.2));
+    host.tell(|r| r.served(TaskId(1), 1.0));
+    assert_eq!(host.ask(2, HIGH, 0.5), [Said::Send(2, 2)]);
+    host.millis += 40_000;
+    host.tell(|r| r.list(ListKind::Changes, &[]));
+    assert_eq!(host.ask(3, HIGH, 0.5), [Said::Send(3, 1)], "the window has passed");
+}
