--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,9 +20,8 @@
 const CORES_WEIGHT: f64 = 0.38;
 const MEMORY_WEIGHT: f64 = 0.62;
 const TIE: f64 = 0.05;
-const HOT: f64 = 0.8;
-/// Memory does no harm until it is nearly used up, and a move costs a start: a quarter of the way is left.
-const HOT_MEMORY: f64 = HOT + (1.0 - HOT) * 0.75;
+/// The page has 0.8 (ours). A move costs a start, and until it is nearly used up a machine does little harm.
+const HOT: f64 = 0.95;
 
 /// A machine that answers nothing at all is waited for this part of the client timeout; two more sends then fit.
 const SILENCE_SHARE: f64 = 0.3;
@@ -62,8 +61,8 @@
 const OPENING: f64 = 1.0;
 /// Room asked for may be stretched after this part of the soft limit.
 const STRETCH_SHARE: f64 = 0.02;
-/// Stretched asks may fill half of what lies past the hot mark: a pending task earns nothing at all.
-const STRETCH: f64 = (1.0 + HOT) / 2.0;
+/// Stretched asks may bring a machine's expected use up to here: some way under the hot mark.
+const STRETCH: f64 = 0.9;
 /// The use seen per ask over all machines weighs like asks of this part of a machine's size.
 const PRIOR: f64 = 0.1;
 /// One note moves the use seen per ask by this part.
@@ -306,7 +305,7 @@
         if self.b.tasks[place].state == State::Placed {
             let at = self.b.tasks[place].machine;
             self.b.machines[at].use_memory.note(self.now, share);
-            self.press(at, share > HOT_MEMORY);
+            self.press(at, share > HOT);
             self.shed(at);
         }
     }
@@ -452,7 +451,7 @@
         let now = self.now;
         let m = &mut self.b.machines[at];
         let peak = Room::new(m.use_cores.peak(now).unwrap_or(0.0), m.use_memory.peak(now).unwrap_or(0.0));
-        let mut over = peak.times(m.size.cores, m.size.memory) - m.size.times(HOT, HOT_MEMORY);
+        let mut over = peak.times(m.size.cores, m.size.memory) - m.size.times(HOT, HOT);
         if over.cores <= 0.0 && over.memory <= 0.0 {
             return;
         }
@@ -464,9 +463,12 @@
             }
             let place = self.b.machines[at].tasks[n];
             let low = self.b.is_low(place);
+            if !low || !self.has_calm_room(place) {
+                continue;
+            }
             let task = &mut self.b.tasks[place];
             // One that came again stays: moving it on would only pass the heat around.
-            if !low || task.order.again || task.state != State::Placed || task.last_use == Room::NONE {
+            if task.order.again || task.state != State::Placed || task.last_use == Room::NONE {
                 continue;
             }
             over -= task.last_use;
@@ -496,6 +498,13 @@
         }
     }
 
+    /// Where would a moved task go? Only room on a calm machine makes a move worth its price.
+    fn has_calm_room(&self, place: usize) -> bool {
+        self.b.machines.iter().any(|(at, m)| {
+            m.pressed_until <= self.now && self.may_go(place, at) && self.has_room(place, at, false)
+        })
+    }
+
     fn forget(&mut self, place: usize) {
         self.b.pending.retain(|p| *p != place);
         self.b.tasks.remove(place);
