--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,6 +52,8 @@
 const PRESSED: Span = Span::from_secs(3);
 /// So many points of asked share weigh as a point of price for another zone.
 const ZONE: f64 = 2.0;
+/// Machines keep programs for a while; so many services whose tasks of ours ended last are taken to be kept.
+const KEPT: usize = 8;
 /// What a machine without the service's program must be emptier by, as a share of its size.
 const BARE: f64 = 6.0 * TIE;
 /// A machine ranks as fuller by this part of the service that it missed at worst within the peak window: what
@@ -336,6 +338,13 @@
         }
         let m = &mut self.b.machines[at];
         m.tasks.retain(|t| *t != place);
+        if state == State::Placed {
+            m.lately.retain(|service| *service != task.order.service);
+            m.lately.push_back(task.order.service);
+            if m.lately.len() > KEPT {
+                m.lately.pop_front();
+            }
+        }
         m.slack -= task.slack;
         m.unseen.push_back((now, ask));
         m.starting -= usize::from(task.starting);
@@ -603,7 +612,8 @@
     }
 
     fn is_bare(&self, at: usize, service: ServiceId) -> bool {
-        !self.b.machines[at].tasks.iter().any(|t| self.b.tasks[*t].order.service == service)
+        let m = &self.b.machines[at];
+        !m.lately.contains(&service) && !m.tasks.iter().any(|t| self.b.tasks[*t].order.service == service)
     }
 
     /// The design's choice: filters, room, least requested, random within the tie.
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,6 +52,8 @@
     pub unseen: VecDeque<(Time, Room)>,
     /// Places of our tasks whose last send has not ended, oldest first.
     pub tasks: Vec<usize>,
+    /// Services of our tasks that ended here last, oldest first.
+    pub lately: VecDeque<ServiceId>,
     pub slack: Room,
     pub use_cores: Peak,
     pub use_memory: Peak,
@@ -109,6 +111,7 @@
             left: Room::NONE,
             unseen: VecDeque::with_capacity(64),
             tasks: Vec::with_capacity(256),
+            lately: VecDeque::with_capacity(32),
             slack: Room::NONE,
             use_cores: Peak::new(window),
             use_memory: Peak::new(window),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -458,3 +458,15 @@
     host.tell(|r| r.list(ListKind::Changes, &[machine(2, 3.0)]));
     assert_eq!(host.tell(|r| r.machine_memory(TaskId(1), 0.99)), [Said::Move(1)]);
 }
+
+#[test]
+fn a_program_that_a_machine_may_still_keep_counts_as_held() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 8.0)]);
+    host.runs_on(50, HIGH, 1.0, 2);
+    host.tell(|r| r.closed(TaskId(50), Ending::Ok, true, Report::default()));
+    let of_service =
+        |host: &Host, id, service| Order { service: ServiceId(service), ..host.order(id, HIGH, 0.1) };
+    let (same, other) = (of_service(&host, 1, 50), of_service(&host, 2, 60));
+    assert_eq!(host.tell(|r| r.new_task(same)), [Said::Send(1, 2)]);
+    assert_eq!(host.tell(|r| r.new_task(other)), [Said::Send(2, 1)]);
+}
