--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -464,6 +464,8 @@
     let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 8.0)]);
     host.runs_on(50, HIGH, 1.0, 2);
     host.tell(|r| r.closed(TaskId(50), Ending::Ok, true, Report::default()));
+    host.millis += 1_000;
+    host.tell(|r| r.list(ListKind::Changes, &[]));
     let of_service =
         |host: &Host, id, service| Order { service: ServiceId(service), ..host.order(id, HIGH, 0.1) };
     let (same, other) = (of_service(&host, 1, 50), of_service(&host, 2, 60));
