--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,7 +51,7 @@
 const SERVED_WELL: f64 = 0.95;
 const PRESSED: Span = Span::from_secs(3);
 /// So many points of asked share weigh as a point of price for another zone.
-const ZONE: f64 = 2.0;
+const ZONE: f64 = 4.0;
 /// Machines keep programs for a while; so many services whose tasks of ours ended last are taken to be kept.
 const KEPT: usize = 8;
 /// What a machine without the service's program must be emptier by, as a share of its size.
