Let pending tasks that are in time for their first start go before late ones

A late start has lost most of the worth of starting, a task that came again all of it. May hurt a use case whose late tasks always find newer ones before them.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -536,15 +536,21 @@
         self.b.tasks.remove(place);
     }
 
+    /// What placing a task now would earn; a first start within the soft limit counts once more.
+    fn gain(&self, place: usize) -> f64 {
+        let (task, use_case) = (&self.b.tasks[place], self.b.use_case(place));
+        let in_time = !task.order.again && self.now - task.came < use_case.soft_limit;
+        use_case.earnings * if in_time { 2.0 } else { 1.0 }
+    }
+
     /// Pending tasks, best earnings first, then oldest: each is sent, waits on, or is given up.
     fn place_pending(&mut self) {
         let mut pending = std::mem::take(&mut self.b.pending);
         pending.sort_unstable_by(|a, b| {
-            let (one, two) = (self.b.use_case(*a).earnings, self.b.use_case(*b).earnings);
-            let ids = (self.b.tasks[*a].order.id, self.b.tasks[*b].order.id);
-            two.total_cmp(&one)
-                .then(self.b.tasks[*a].came.cmp(&self.b.tasks[*b].came))
-                .then(ids.0.cmp(&ids.1))
+            let (one, two) = (&self.b.tasks[*a], &self.b.tasks[*b]);
+            (self.gain(*b).total_cmp(&self.gain(*a)))
+                .then(one.came.cmp(&two.came))
+                .then(one.order.id.cmp(&two.order.id))
         });
         // The whole line is walked at ticks only, which keeps the cost of a long line down.
         let between = self.b.tick_set;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -472,3 +472,13 @@
     assert_eq!(host.tell(|r| r.new_task(same)), [Said::Send(1, 2)]);
     assert_eq!(host.tell(|r| r.new_task(other)), [Said::Send(2, 1)]);
 }
+
+#[test]
+fn pending_tasks_still_in_time_go_before_late_ones_of_the_same_use_case() {
+    let mut host = Host::new().up(&[machine(1, 0.5)]);
+    host.ask(1, HIGH, 1.0);
+    host.millis += 1_500;
+    host.ask(2, HIGH, 1.0);
+    host.tell(|r| r.list(ListKind::Changes, &[machine(1, 1.0)]));
+    assert_eq!(host.after(60), [Said::Send(2, 1)]);
+}
