--- a/src/brain.rs
+++ b/src/brain.rs
@@ -223,7 +223,7 @@
         if task.state == State::Sent {
             task.state = State::Placed;
             self.b.machines[task.machine].answered_at = self.now;
-            self.b.usual = self.b.usual * (1.0 - USUAL_STEP) + (self.now - task.sent_at) * USUAL_STEP;
+            self.b.usual = self.b.usual.toward(self.now - task.sent_at, USUAL_STEP);
             if self.b.taking.yes_when_running {
                 self.runs(id);
             }
@@ -245,8 +245,7 @@
             if !self.b.taking.tells_pressure && took > *usual * SLOW && *usual > Span::ZERO {
                 m.pressed_until = now + PRESSED;
             }
-            *usual =
-                if *usual == Span::ZERO { took } else { *usual * (1.0 - USUAL_STEP) + took * USUAL_STEP };
+            *usual = usual.toward(took, USUAL_STEP);
             if took < soft_limit {
                 m.good(most);
             } else {
@@ -281,8 +280,7 @@
             self.b.ratio.memory += (memory / ask.memory.max(1e-9) - self.b.ratio.memory) * RATIO_STEP;
         }
         if high && task.state == State::Placed {
-            let peak = task.peak(now);
-            let slack = (ask - peak).at_least(Room::NONE);
+            let slack = (ask - task.peak(now)).at_least(Room::NONE);
             self.b.machines[task.machine].slack += slack - task.slack;
             task.slack = slack;
         }
@@ -339,14 +337,10 @@
         let m = &mut self.b.machines[at];
         m.tasks.retain(|t| *t != place);
         if state == State::Placed {
-            m.lately.retain(|service| *service != task.order.service);
-            m.lately.push_back(task.order.service);
-            if m.lately.len() > KEPT {
-                m.lately.pop_front();
-            }
+            m.keeps(task.order.service, KEPT);
         }
         m.slack -= task.slack;
-        m.unseen.push_back((now, ask));
+        m.changes(now, ask);
         m.starting -= usize::from(task.starting);
         task.starting = false;
         match ending {
@@ -358,20 +352,18 @@
             | Ending::Recalled
             | Ending::NoConnection
             | Ending::Nacked(Nack::Untold)
-            | Ending::Broken(Loss::Untold) => {
-                m.trouble(now, rest);
-            }
+            | Ending::Broken(Loss::Untold) => m.trouble(now, rest),
             Ending::Nacked(Nack::QueueFull) => m.cap = (m.cap / 2.0).max(1.0),
             // The machine knows its room: for as long as a view may be stale, there is less than this ask.
             Ending::Nacked(Nack::NoCores | Nack::NoMemory) => {
                 let held = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
-                let mut less = (ask - held - m.free()).at_most(Room::NONE);
+                let mut less = (ask.times(0.99, 0.99) - held - m.free()).at_most(Room::NONE);
                 if matches!(ending, Ending::Nacked(Nack::NoCores)) {
                     less.memory = 0.0;
                 } else {
                     less.cores = 0.0;
                 }
-                m.unseen.push_back((now, less));
+                m.changes(now, less);
             }
             _ => {}
         }
@@ -438,6 +430,8 @@
             }
             m.since = entry.since;
         }
+        let gone = self.b.machines.iter().find(|(_, m)| !m.open && m.tasks.is_empty()).map(|(at, _)| at);
+        gone.and_then(|at| self.b.machines.remove(at));
         // Whoever is not named has not changed: its view is as fresh as the named ones'.
         for (_, m) in self.b.machines.iter_mut() {
             while m.unseen.front().is_some_and(|(at, _)| now - *at > VIEW_AGE) {
@@ -606,7 +600,7 @@
         let m = &mut self.b.machines[at];
         m.tasks.push(place);
         m.starting += 1;
-        m.unseen.push_back((now, Room::NONE - task.order.ask));
+        m.changes(now, Room::NONE - task.order.ask);
         if cold {
             while m.cold_sends.front().is_some_and(|sent| now - *sent > forget) {
                 m.cold_sends.pop_front();
--- a/src/state.rs
+++ b/src/state.rs
@@ -126,6 +126,24 @@
         }
     }
 
+    /// Notes a change of our own asks that views can't show yet. A long list without a new view is drawn together.
+    pub fn changes(&mut self, now: Time, change: Room) {
+        if self.unseen.len() >= 64 {
+            let (_, oldest) = self.unseen.pop_front().expect("is long");
+            self.unseen.front_mut().expect("is long").1 += oldest;
+        }
+        self.unseen.push_back((now, change));
+    }
+
+    /// Notes that a task of the service ended here; of so many services its program is taken to be kept.
+    pub fn keeps(&mut self, service: ServiceId, most: usize) {
+        self.lately.retain(|kept| *kept != service);
+        self.lately.push_back(service);
+        if self.lately.len() > most {
+            self.lately.pop_front();
+        }
+    }
+
     /// What the view shows as left, less our own asks and plus our own ends that it can't show yet.
     pub fn free(&self) -> Room {
         self.unseen.iter().fold(self.left, |left, (_, change)| left + *change)
--- a/src/units.rs
+++ b/src/units.rs
@@ -45,9 +45,9 @@
         self.0
     }
 
-    /// How many times `other` goes into this span; 0 where `other` is no time at all.
-    pub fn over(self, other: Self) -> f64 {
-        if other.0 == 0 { 0.0 } else { self.0 as f64 / other.0 as f64 }
+    /// This span moved toward `other` by a part of the way; all of it where there was no span yet.
+    pub fn toward(self, other: Self, part: f64) -> Self {
+        if self == Self::ZERO { other } else { self * (1.0 - part) + other * part }
     }
 }
 
