--- a/src/brain.rs
+++ b/src/brain.rs
@@ -76,7 +76,7 @@
 impl Machine {
     fn good(&mut self, most: f64) {
         self.cap = (self.cap + 1.0).min(most);
-        self.troubles = self.troubles.saturating_sub(1);
+        self.troubles = 0;
     }
 
     /// Errors, silence, lost machines and full queues alike: send it less, and let it rest, longer each time.
