--- a/src/brain.rs
+++ b/src/brain.rs
@@ -347,8 +347,13 @@
             // Others were answered since this was sent: a long line, no dead machine.
             Ending::TimedOut if m.answered_at > task.sent_at => m.cap = (m.cap / 2.0).max(1.0),
             Ending::Recalled if state != State::Sent => {}
-            Ending::Errored
-            | Ending::TimedOut
+            // It answers, so it may serve others: past a short rest it takes what no calm machine takes.
+            Ending::Errored => {
+                m.trouble(now, rest);
+                m.pressed_until = m.pressed_until.max(m.rests_until);
+                m.rests_until = now + rest;
+            }
+            Ending::TimedOut
             | Ending::Recalled
             | Ending::NoConnection
             | Ending::Nacked(Nack::Untold)
