--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,12 +1,14 @@
 //! All decisions of mulleinhub, with every table and tuned value.
 //!
 //! Called once a round with all that came in: `brain.round(now, &mut writer, |r| { r.new_task(..); .. })`; the
-//! round ends with the placing. The types and the writer trait stand in `interface.rs`; docs/design.md tells the
-//! design. Beside the design stand these mechanisms, six at most:
-//! 1. trust: a cap on starts under way per machine, grown by answers, cut by trouble (fresh machines start low)
-//! 2. late views: our own sends and ends count until a view can show them; a nack for room corrects the view
-//! 3. stretch: a task that waited in vain may use the slack of all tasks, by the use seen per ask
-//! 4. tie-break: among equally good machines, first those that hold the service's program, then our own zone
+//! round ends with the placing. Types and the writer trait: `interface.rs`; the design: docs/design.md. Beside it
+//! stand these mechanisms, six at most:
+//! 1. trust: a cap on starts under way per machine, grown by starts in time, cut by trouble; rests; recalls
+//! 2. late views: a nack for room counts until a view can show it
+//! 3. stretch: a task that found no room may use the idle part of all asks
+//! 4. pressure: machines that serve poorly, or start or err far more than usual, come last, and rank as fuller
+//! 5. surcharges of rank: no program of the service there, another zone, an empty machine
+//! 6. order of pending tasks: earnings, those in time for their first start before late ones
 
 use crate::interface::*;
 use crate::pcg::Pcg;
@@ -44,6 +46,8 @@
 const MOST_CAP: f64 = 36.0;
 /// A machine in trouble rests for this part of the client timeout, doubled by each trouble, at most so often.
 const REST_SHARE: f64 = 0.125;
+/// One that errs answers at least: of its rest, only this part is without exception.
+const ERRED_REST: f64 = 0.25;
 const MOST_DOUBLINGS: u32 = 5;
 /// How old a view may be when it comes: our sends younger than this are not in it.
 const VIEW_AGE: Span = Span::from_nanos(800_000_000);
@@ -170,10 +174,6 @@
         self.use_case(place).priority == self.low
     }
 
-    fn rest(&self, place: usize) -> Span {
-        self.use_case(place).client_timeout * REST_SHARE
-    }
-
     /// The shortest wait that makes sense: a small part of the tightest soft limit.
     fn retry_after(&self) -> Span {
         let tightest = self.use_cases.iter().map(|u| u.soft_limit).min().unwrap_or(Span::from_secs(1));
@@ -194,9 +194,7 @@
     // What came in.
 
     pub fn start(&mut self) {
-        if self.b.listing.asked {
-            self.out.watch_list();
-        }
+        self.woken(WATCH);
     }
 
     pub fn new_task(&mut self, order: Order) {
@@ -328,7 +326,7 @@
     /// The end of a send. Where `over` is not set, the final answer is still ours to give.
     pub fn closed(&mut self, id: TaskId, ending: Ending, over: bool, report: Report) {
         let Some(place) = self.b.tasks.place(id) else { return };
-        let (now, rest) = (self.now, self.b.rest(place));
+        let (now, rest) = (self.now, self.b.use_case(place).client_timeout * REST_SHARE);
         let task = &mut self.b.tasks[place];
         let (at, state, ask) = (task.machine, task.state, task.order.ask);
         if task.sends == 0 || state == State::Pending {
@@ -351,7 +349,7 @@
             Ending::Errored => {
                 m.trouble(now, rest);
                 m.pressed_until = m.pressed_until.max(m.rests_until);
-                m.rests_until = now + rest;
+                m.rests_until = now + rest * ERRED_REST;
             }
             Ending::TimedOut
             | Ending::Recalled
@@ -607,10 +605,7 @@
         m.starting += 1;
         m.changes(now, Room::NONE - task.order.ask);
         if cold {
-            while m.cold_sends.front().is_some_and(|sent| now - *sent > forget) {
-                m.cold_sends.pop_front();
-            }
-            m.cold_sends.push_back(now);
+            m.sent_cold(now, forget);
         }
         self.out.send(task.order.id, m.id, time_out);
         true
--- a/src/state.rs
+++ b/src/state.rs
@@ -135,6 +135,12 @@
         self.unseen.push_back((now, change));
     }
 
+    /// Notes a send to this cold machine, and forgets those of long ago.
+    pub fn sent_cold(&mut self, now: Time, forget: Span) {
+        self.cold_sends.retain(|sent| now - *sent <= forget);
+        self.cold_sends.push_back(now);
+    }
+
     /// Notes that a task of the service ended here; of so many services its program is taken to be kept.
     pub fn keeps(&mut self, service: ServiceId, most: usize) {
         self.lately.retain(|kept| *kept != service);
