--- a/src/brain.rs
+++ b/src/brain.rs
@@ -65,6 +65,8 @@
 const POOR: f64 = 0.3;
 /// Where machines in use have a price, an empty one ranks as if it were full: it is opened last.
 const OPENING: f64 = 1.0;
+/// Asks under this part of a machine's size are rounding.
+const EMPTY: f64 = 0.02;
 /// Room asked for may be stretched after this part of the soft limit.
 const STRETCH_SHARE: f64 = 0.02;
 /// Stretched asks may bring a machine's expected use up to here: some way under the hot mark.
@@ -632,7 +634,7 @@
                 let bare = self.is_bare(at, service);
                 let away = if m.zone == self.b.home.zone { 0.0 } else { ZONE * self.b.home.cross_zone_price };
                 let shut =
-                    self.b.home.machine_price > 0.0 && (m.size.times(0.02, 0.02)).fits(m.size - m.free());
+                    self.b.home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - m.free());
                 let opening = if shut { OPENING } else { 0.0 };
                 let poor = m.poor.clone().peak(self.now).unwrap_or(0.0) * POOR;
                 fits.push((at, share + poor + opening + away + if bare { BARE } else { 0.0 }));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -495,3 +495,21 @@
     host.ask(10, LOW, 4.0);
     assert_eq!(host.after(100), [Said::Send(10, 1)]);
 }
+
+#[test]
+fn an_empty_machine_is_opened_last_where_machines_in_use_have_a_price() {
+    for (price, to) in [(0.0, 1), (0.2, 2)] {
+        let mut host = Host::new();
+        host.machine_price = price;
+        let mut host = host.up(&[machine(1, 10.0), machine(2, 2.0)]);
+        assert_eq!(sent_to(&host.ask(1, HIGH, 1.0)), Some(to));
+        assert_eq!(sent_to(&host.ask(2, HIGH, 4.0)), Some(1), "it is opened when nothing else has room");
+    }
+}
+
+#[test]
+fn caps_on_starts_are_our_share_of_what_a_machine_bears() {
+    let mut host = Host::new().up(&[machine(1, 9.0)]);
+    let sent: usize = (0..20).map(|id| host.ask(id, LOW, 0.1).len()).sum();
+    assert_eq!(sent, 8, "a third of 24, with three schedulers");
+}
