Bar a machine that nacks without a reason for that use case alone

Covers machines that turn away a kind of task; may hurt where use cases share the cause: each learns it alone.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -63,9 +63,8 @@
 /// A machine ranks as fuller by this part of the service that it missed at worst within the peak window: what
 /// was hot lately (a slow machine, a neighbour, a hot service) soon is again.
 const POOR: f64 = 0.3;
-/// Where machines in use have a price, an empty one ranks as if it were full: it is opened last.
+/// Where machines in use have a price, one with hardly an ask ranks as if it were full: it is opened last.
 const OPENING: f64 = 1.0;
-/// Asks under this part of a machine's size are rounding.
 const EMPTY: f64 = 0.02;
 /// Room asked for may be stretched after this part of the soft limit.
 const STRETCH_SHARE: f64 = 0.02;
@@ -193,8 +192,6 @@
 }
 
 impl<W: Writer> Round<'_, W> {
-    // What came in.
-
     pub fn start(&mut self) {
         self.woken(WATCH);
     }
@@ -240,6 +237,7 @@
             let m = &mut self.b.machines[task.machine];
             m.starting -= 1;
             let took = now - task.sent_at;
+            m.refuses[task.order.use_case.0] = (now, 0);
             // Far slower than usual: a slow or crowded machine, also where nothing else tells of pressure.
             let usual = &mut self.b.usual_start[usize::from(task.bare)];
             if !self.b.taking.tells_pressure && took > *usual * SLOW && *usual > Span::ZERO {
@@ -353,11 +351,15 @@
                 m.pressed_until = m.pressed_until.max(m.rests_until);
                 m.rests_until = now + rest * ERRED_REST;
             }
-            Ending::TimedOut
-            | Ending::Recalled
-            | Ending::NoConnection
-            | Ending::Nacked(Nack::Untold)
-            | Ending::Broken(Loss::Untold) => m.trouble(now, rest),
+            Ending::TimedOut | Ending::Recalled | Ending::NoConnection | Ending::Broken(Loss::Untold) => {
+                m.trouble(now, rest)
+            }
+            // Without a reason: it may be this use case alone that the machine turns away.
+            Ending::Nacked(Nack::Untold) => {
+                let (until, times) = &mut m.refuses[task.order.use_case.0];
+                *until = now + rest * f64::from(1u32 << *times);
+                *times = (*times + 1).min(MOST_DOUBLINGS);
+            }
             Ending::Nacked(Nack::QueueFull) => m.cap = (m.cap / 2.0).max(1.0),
             // The machine knows its room: for as long as a view may be stale, there is less than this ask.
             Ending::Nacked(Nack::NoCores | Nack::NoMemory) => {
@@ -445,12 +447,12 @@
         }
     }
 
-    // What follows.
-
     /// The machine's place; one that no list has named yet is never sent to.
     fn machine(&mut self, id: MachineId) -> usize {
-        let (known, cap) = (self.b.machines.place(id), self.b.cap(KNOWN_CAP));
-        known.unwrap_or_else(|| self.b.machines.insert(id, Machine::new(id, PEAK_WINDOW, cap, self.now)))
+        let (known, cap, cases) = (self.b.machines.place(id), self.b.cap(KNOWN_CAP), self.b.use_cases.len());
+        known.unwrap_or_else(|| {
+            self.b.machines.insert(id, Machine::new(id, PEAK_WINDOW, cap, cases, self.now))
+        })
     }
 
     /// A hot machine sheds our low-priority tasks, newest first, until what is left would be under the mark;
@@ -470,8 +472,7 @@
                 break;
             }
             let place = self.b.machines[at].tasks[n];
-            let low = self.b.is_low(place);
-            if !low || !self.has_calm_room(place) {
+            if !self.b.is_low(place) || !self.has_calm_room(place) {
                 continue;
             }
             let task = &mut self.b.tasks[place];
@@ -596,7 +597,6 @@
             return false;
         };
         let cold = self.b.is_cold(&self.b.machines[at], now);
-        let forget = self.b.cold.fall * FALL_STRETCH;
         let bare = self.is_bare(at, self.b.tasks[place].order.service);
         let task = &mut self.b.tasks[place];
         (task.state, task.starting) = (State::Sent, true);
@@ -607,7 +607,7 @@
         m.starting += 1;
         m.changes(now, Room::NONE - task.order.ask);
         if cold {
-            m.sent_cold(now, forget);
+            m.sent_cold(now, self.b.cold.fall * FALL_STRETCH);
         }
         self.out.send(task.order.id, m.id, time_out);
         true
@@ -652,7 +652,8 @@
         let now = self.now;
         let use_case = self.b.use_case(place);
         let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
-        if !m.open || now < m.rests_until || m.starting as f64 >= m.cap || task.turned_down == Some(at) {
+        let barred_until = m.rests_until.max(m.refuses[task.order.use_case.0].0);
+        if !m.open || now < barred_until || m.starting as f64 >= m.cap || task.turned_down == Some(at) {
             return false;
         }
         if use_case.kind.is_some_and(|kind| kind != m.kind) || m.size.cores <= 0.0 || m.size.memory <= 0.0 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -66,6 +66,8 @@
     pub cap: f64,
     pub troubles: u32,
     pub rests_until: Time,
+    /// For each use case, until when the machine is taken to turn it away, and how often it did in a row.
+    pub refuses: Vec<(Time, u32)>,
     pub cold_sends: VecDeque<Time>,
 }
 
@@ -99,7 +101,7 @@
 }
 
 impl Machine {
-    pub fn new(id: MachineId, window: Span, cap: f64, now: Time) -> Self {
+    pub fn new(id: MachineId, window: Span, cap: f64, use_cases: usize, now: Time) -> Self {
         Self {
             id,
             kind: KindId(usize::MAX),
@@ -122,6 +124,7 @@
             cap,
             troubles: 0,
             rests_until: now,
+            refuses: vec![(now, 0); use_cases],
             cold_sends: VecDeque::with_capacity(64),
         }
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -513,3 +513,13 @@
     let sent: usize = (0..20).map(|id| host.ask(id, LOW, 0.1).len()).sum();
     assert_eq!(sent, 8, "a third of 24, with three schedulers");
 }
+
+#[test]
+fn a_machine_that_turns_one_use_case_away_still_takes_the_other() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 4.0)]);
+    host.ask(1, HIGH, 0.1);
+    host.ends(1, Ending::Nacked(Nack::Untold));
+    host.millis += 200;
+    assert_eq!(sent_to(&host.ask(2, HIGH, 0.1)), Some(2));
+    assert_eq!(sent_to(&host.ask(3, LOW, 0.1)), Some(1));
+}
