--- a/crates/benchlink/src/batch.rs
+++ b/crates/benchlink/src/batch.rs
@@ -255,6 +255,7 @@
             2 => Nack::NoMemory,
             3 => Nack::QueueFull,
             4 => Nack::NotHere,
+            5..=7 => Nack::HandedBack,
             _ => Nack::Untold,
         }),
         "TimedOut" => Ending::TimedOut,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -211,6 +211,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Nack {
     Untold,
+    /// Accepted, and given back before it ran.
+    HandedBack,
     NoCores,
     NoMemory,
     QueueFull,
