--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,12 +1,12 @@
 //! All decisions of mulleinhub, with every table and tuned value.
 //!
-//! Called once a round with all that came in: `brain.round(now, &mut writer, |r| { r.new_task(..); .. })`; the
-//! round ends with the placing. Types and the writer trait: `interface.rs`; the design: docs/design.md. Beside it
-//! stand these mechanisms, six at most:
+//! Called once a round with all that came in: `brain.round(now, &mut writer, |r| { r.new_task(..); .. })`;
+//! the round ends with the placing. Types and writer trait: `interface.rs`; the design: docs/design.md.
+//! Beside it stand these mechanisms, six at most:
 //! 1. trust: a cap on starts under way per machine, grown by starts in time, cut by trouble; rests; recalls
 //! 2. late views: a nack for room counts until a view can show it
 //! 3. stretch: a task that found no room may use the idle part of all asks
-//! 4. pressure: machines that serve poorly, or start or err far more than usual, come last, and rank as fuller
+//! 4. pressure: machines that serve poorly, start slowly or err come last, and rank as fuller
 //! 5. surcharges of rank: no program of the service there, another zone, an empty machine
 //! 6. order of pending tasks: earnings, those in time for their first start before late ones
 
@@ -25,7 +25,7 @@
 /// The page has 0.8 (ours). A move costs a start, and until it is nearly used up a machine does little harm.
 const HOT: f64 = 0.95;
 
-/// A machine that answers nothing at all is waited for this part of the client timeout; two more sends then fit.
+/// A machine that answers nothing is waited for this part of the client timeout; two more sends then fit.
 const SILENCE_SHARE: f64 = 0.3;
 /// Silence must last this many times a usual answer too, which one answer moves by the step.
 const SLOW: f64 = 3.0;
@@ -308,7 +308,7 @@
         }
     }
 
-    /// While a machine is pressed nothing new goes there, whoever causes it: neighbours, surges, our own guess.
+    /// A pressed machine comes last, whoever causes it: neighbours, surges, our own guess.
     fn press(&mut self, at: usize, pressed: bool) {
         self.b.machines[at].pressed_until = if pressed { self.now + PRESSED } else { self.now };
     }
@@ -696,13 +696,13 @@
         true
     }
 
-    /// Room asked, plus predicted slack for low-priority tasks. Stretched, any task may use the idle part of all
-    /// asks, by the use seen per ask, up to the hot mark.
+    /// Room asked, plus predicted slack for low-priority tasks. Stretched, any task may use the idle part of
+    /// all asks, by the use seen per ask, up to the hot mark.
     fn has_room(&self, place: usize, at: usize, stretched: bool) -> bool {
         let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
         let free = m.free();
         let accepts = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
-        // Stretched, the last room before a machine nacks is shared: the others see the same view and send too.
+        // Stretched, the last room before a machine nacks is shared: the others see the same view.
         let mine = if stretched { 1.0 / f64::from(self.b.cold.schedulers.max(1)) } else { 1.0 };
         if !(free + accepts).times(mine, mine).fits(task.order.ask) {
             return false;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,5 @@
-//! What the decisions are called with: ids as the wire gives them, settings as types, and the writer that takes
-//! the answers. Nothing here decides anything.
+//! What the decisions are called with: ids as the wire gives them, settings as types, and the writer that
+//! takes the answers. Nothing here decides anything.
 
 use crate::units::{Span, Time};
 use std::ops::{Add, AddAssign, Sub, SubAssign};
--- a/src/pcg.rs
+++ b/src/pcg.rs
@@ -1,4 +1,4 @@
-//! Chance: a permuted congruential generator (PCG-XSH-RR 64/32), started from the seed that the caller hands in.
+//! Chance: a permuted congruential generator (PCG-XSH-RR 64/32), started from the caller's seed.
 
 #[derive(Clone, Debug)]
 pub struct Pcg(u64);
--- a/src/state.rs
+++ b/src/state.rs
@@ -129,7 +129,7 @@
         }
     }
 
-    /// Notes a change of our own asks that views can't show yet. A long list without a new view is drawn together.
+    /// Notes a change of our own asks that views can't show yet. A long list without a new view is merged.
     pub fn changes(&mut self, now: Time, change: Room) {
         if self.unseen.len() >= 64 {
             let (_, oldest) = self.unseen.pop_front().expect("is long");
