--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -103,6 +103,7 @@
     let back = Order { id: TaskId(2), key: TaskKey(1), again: true, ..host.order(2, LOW, 4.0) };
     assert_eq!(host.tell(|r| r.new_task(back)), [Said::Send(2, 2)], "three are enough for its peak of two");
     host.tell(|r| (r.accepted(TaskId(2)), r.uses_cores(TaskId(2), 2.0), r.uses_memory(TaskId(2), 2.0)));
+    host.tell(|r| r.list(ListKind::Changes, &[machine(3, 9.0)]));
     assert_eq!(host.tell(|r| r.machine_memory(TaskId(2), 0.96)), []);
 }
 
