--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -11,6 +11,8 @@
     Move(u64),
     Recall(u64, u32),
     Watch,
+    /// When the list is asked for again, in milliseconds.
+    WatchAt(u64),
 }
 
 #[derive(Default)]
@@ -32,7 +34,11 @@
     fn move_off(&mut self, task: TaskId) {
         self.0.push(Said::Move(task.0));
     }
-    fn wake_at(&mut self, _: u64, _: Time) {}
+    fn wake_at(&mut self, token: u64, at: Time) {
+        if token == 1 {
+            self.0.push(Said::WatchAt(at.nanos() / 1_000_000));
+        }
+    }
     fn probe(&mut self, _: MachineId) {}
     fn watch_list(&mut self) {
         self.0.push(Said::Watch);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -238,7 +238,14 @@
     host.asked = true;
     let mut host = host.up(&[machine(1, 9.0)]);
     assert_eq!(host.tell(|r| r.start()), [Said::Watch]);
-    assert_eq!(host.tell(|r| r.list_failed()), [], "not in the same breath");
+    let mut waits = vec![];
+    for _ in 0..20 {
+        if let [Said::WatchAt(at)] = host.tell(|r| r.list_failed())[..] {
+            waits.push(at - host.millis);
+        }
+    }
+    assert!(waits.len() == 20 && waits.is_sorted() && waits[0] > 0 && waits[0] < waits[19], "{waits:?}");
+    assert!(waits[19] <= 2_500, "well within the ten seconds that the rule allows");
     assert_eq!(host.tell(|r| r.woken(1)), [Said::Watch]);
 }
 
