Draw repeated pieces together: rests that double, our share, cold starts, reach, settings read once

The doubling of a rest stood twice, our share of a figure three times, the test for a cold machine twice, and the comparison of places for group and spread twice; each is one piece now. Use cases are read once at HELLO, a closure called once is gone, and two comments say what the code does.

--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -55,14 +55,15 @@
     let tariffs = part(&config, "tariffs")?;
     let zone = ZoneId(number(&config, "myZone")? as u32);
     let names = config.get("feedback").and_then(|f| f.get("names")).and_then(Value::as_array);
+    let use_cases = use_cases(&config, facts)?;
     let reporting = Reporting {
         names: names.into_iter().flatten().filter_map(|n| n.as_str().map(String::from)).collect(),
         of_use: facts.get("measuredBy").and_then(Value::as_str) == Some("used"),
-        use_cases: use_cases(&config, facts)?.len(),
+        use_cases: use_cases.len(),
     };
     let brain = Brain::new(
         seed,
-        use_cases(&config, facts)?,
+        use_cases,
         kinds(facts)?,
         Taking {
             cores: number(facts, "acceptsCores")?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -84,12 +84,22 @@
         self.troubles = 0;
     }
 
-    /// Errors, silence, lost machines and full queues alike: send it less, and let it rest, longer each time.
-    fn trouble(&mut self, now: Time, rest: Span) {
+    fn halve(&mut self) {
         self.cap = (self.cap / 2.0).max(1.0);
-        self.rests_until = now + rest * f64::from(1u32 << self.troubles);
-        self.troubles = (self.troubles + 1).min(MOST_DOUBLINGS);
     }
+
+    /// Errors, silence and lost machines alike: send it less, and let it rest, longer each time.
+    fn trouble(&mut self, now: Time, rest: Span) {
+        self.halve();
+        self.rests_until = now + longer(rest, &mut self.troubles);
+    }
+}
+
+/// The rest after so many in a row: twice as long each time, up to a bound.
+fn longer(rest: Span, times: &mut u32) -> Span {
+    let span = rest * f64::from(1u32 << *times);
+    *times = (*times + 1).min(MOST_DOUBLINGS);
+    span
 }
 
 pub struct Brain {
@@ -182,12 +192,16 @@
     }
 
     /// Our share of what a machine bears from all schedulers together.
+    fn share(&self, of_all: f64) -> f64 {
+        of_all / f64::from(self.cold.schedulers.max(1))
+    }
+
     fn cap(&self, of_all: f64) -> f64 {
-        (of_all / f64::from(self.cold.schedulers.max(1))).max(1.0)
+        self.share(of_all).max(1.0)
     }
 
-    fn is_cold(&self, m: &Machine, now: Time) -> bool {
-        m.since.is_some_and(|since| now - since < self.cold.warm_after)
+    fn is_cold(&self, since: Option<Time>, now: Time) -> bool {
+        since.is_some_and(|since| now - since < self.cold.warm_after)
     }
 }
 
@@ -343,7 +357,7 @@
         task.starting = false;
         match ending {
             // Others were answered since this was sent: a long line, no dead machine.
-            Ending::TimedOut if m.answered_at > task.sent_at => m.cap = (m.cap / 2.0).max(1.0),
+            Ending::TimedOut if m.answered_at > task.sent_at => m.halve(),
             Ending::Recalled if state != State::Sent => {}
             // It answers, so it may serve others: past a short rest it takes what no calm machine takes.
             Ending::Errored => {
@@ -357,10 +371,9 @@
             // Without a reason: it may be this use case alone that the machine turns away.
             Ending::Nacked(Nack::Untold) => {
                 let (until, times) = &mut m.refuses[task.order.use_case.0];
-                *until = now + rest * f64::from(1u32 << *times);
-                *times = (*times + 1).min(MOST_DOUBLINGS);
+                *until = now + longer(rest, times);
             }
-            Ending::Nacked(Nack::QueueFull) => m.cap = (m.cap / 2.0).max(1.0),
+            Ending::Nacked(Nack::QueueFull) => m.halve(),
             // The machine knows its room: for as long as a view may be stale, there is less than this ask.
             Ending::Nacked(Nack::NoCores | Nack::NoMemory) => {
                 let held = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
@@ -376,7 +389,7 @@
         }
         let never_ran = matches!(ending, Ending::Nacked(_) | Ending::NoConnection | Ending::NotSent);
         if !never_ran && state == State::Sent && task.may_run.is_none() {
-            task.may_run = Some((task.sent_at, m.id, m.cell, m.zone));
+            task.may_run = Some((task.sent_at, m.spot()));
         }
         task.slack = Room::NONE;
         task.turned_down = Some(at);
@@ -426,7 +439,7 @@
         for entry in entries {
             let at = self.machine(entry.id);
             let size = self.b.kinds.get(entry.kind.0).copied().unwrap_or(Room::NONE);
-            let cold = entry.since.is_some_and(|since| now - since < self.b.cold.warm_after);
+            let cold = self.b.is_cold(entry.since, now);
             let m = &mut self.b.machines[at];
             (m.kind, m.cell, m.zone, m.size) = (entry.kind, entry.cell, entry.zone, size);
             m.open = entry.mode == Mode::Active;
@@ -493,14 +506,12 @@
 
     /// Sends to a machine that has answered nothing since are called back while others can still be tried.
     fn recall_from_silent(&mut self) {
-        let waits = |t: &Task, m: &Machine, after: Span| {
-            t.state == State::Sent && m.answered_at <= t.sent_at && self.now - t.sent_at >= after
-        };
         for (_, m) in self.b.machines.iter().filter(|(_, m)| m.starting > 0) {
             for place in &m.tasks {
                 let after = (self.b.use_case(*place).client_timeout * SILENCE_SHARE).max(self.b.usual * SLOW);
                 let task = &self.b.tasks[*place];
-                if waits(task, m, after) {
+                let silent = m.answered_at <= task.sent_at && self.now - task.sent_at >= after;
+                if task.state == State::Sent && silent {
                     self.out.recall(task.order.id, task.sends - 1);
                 }
             }
@@ -576,7 +587,7 @@
         let resend_barred = match (use_case.effect, task.may_run) {
             (_, None) | (Effect::Replayable, _) => false,
             (Effect::SingleUse, _) => true,
-            (Effect::Referenced { window, .. }, Some((first, ..))) => now - first >= window * WINDOW_SHARE,
+            (Effect::Referenced { window, .. }, Some((first, _))) => now - first >= window * WINDOW_SHARE,
         };
         if resend_barred
             || task.sends >= self.b.taking.max_sends
@@ -596,7 +607,7 @@
             self.b.tasks[place].waited = true;
             return false;
         };
-        let cold = self.b.is_cold(&self.b.machines[at], now);
+        let cold = self.b.is_cold(self.b.machines[at].since, now);
         let bare = self.is_bare(at, self.b.tasks[place].order.service);
         let task = &mut self.b.tasks[place];
         (task.state, task.starting) = (State::Sent, true);
@@ -659,37 +670,24 @@
         if use_case.kind.is_some_and(|kind| kind != m.kind) || m.size.cores <= 0.0 || m.size.memory <= 0.0 {
             return false;
         }
-        if let (Effect::Referenced { group, .. }, Some((_, id, cell, zone))) = (use_case.effect, task.may_run)
+        if let (Effect::Referenced { group, .. }, Some((_, first))) = (use_case.effect, task.may_run)
+            && !m.is_within(group, first)
         {
-            let inside = match group {
-                Reach::All => true,
-                Reach::Zone => m.zone == zone,
-                Reach::Cell => m.cell == cell,
-                Reach::Machine => m.id == id,
-            };
-            if !inside {
-                return false;
-            }
+            return false;
         }
         if let Some((reach, most)) = use_case.spread {
-            let near = |other: &Machine| match reach {
-                Reach::All => true,
-                Reach::Zone => other.zone == m.zone,
-                Reach::Cell => other.cell == m.cell,
-                Reach::Machine => other.id == m.id,
-            };
             let service = task.order.service;
             let same = |t: &&usize| self.b.tasks[**t].order.service == service;
             let held: usize = (self.b.machines.iter())
-                .filter(|(_, other)| near(other))
+                .filter(|(_, other)| other.is_within(reach, m.spot()))
                 .map(|(_, other)| other.tasks.iter().filter(same).count())
                 .sum();
             if held >= most {
                 return false;
             }
         }
-        if self.b.is_cold(m, now) {
-            let share = (self.b.cold.young_limit / f64::from(self.b.cold.schedulers.max(1))) as usize;
+        if self.b.is_cold(m.since, now) {
+            let share = self.b.share(self.b.cold.young_limit) as usize;
             let window = self.b.cold.fall * FALL_STRETCH;
             return m.cold_sends.iter().filter(|sent| now - **sent <= window).count() < share;
         }
@@ -697,13 +695,13 @@
     }
 
     /// Room asked, plus predicted slack for low-priority tasks. Stretched, any task may use the idle part of
-    /// all asks, by the use seen per ask, up to the hot mark.
+    /// all asks, by the use seen per ask, up to the mark for stretching.
     fn has_room(&self, place: usize, at: usize, stretched: bool) -> bool {
         let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
         let free = m.free();
         let accepts = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
         // Stretched, the last room before a machine nacks is shared: the others see the same view.
-        let mine = if stretched { 1.0 / f64::from(self.b.cold.schedulers.max(1)) } else { 1.0 };
+        let mine = if stretched { self.b.share(1.0) } else { 1.0 };
         if !(free + accepts).times(mine, mine).fits(task.order.ask) {
             return false;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,6 +14,9 @@
     Over,
 }
 
+/// The places that a machine is in.
+pub type Spot = (MachineId, CellId, ZoneId);
+
 pub struct Task {
     pub order: Order,
     pub state: State,
@@ -31,7 +34,7 @@
     pub machine: usize,
     pub sent_at: Time,
     /// The first send that may have run: when, and to which machine's places.
-    pub may_run: Option<(Time, MachineId, CellId, ZoneId)>,
+    pub may_run: Option<(Time, Spot)>,
     pub turned_down: Option<usize>,
     pub cores: Peak,
     pub memory: Peak,
@@ -129,6 +132,19 @@
         }
     }
 
+    pub fn spot(&self) -> Spot {
+        (self.id, self.cell, self.zone)
+    }
+
+    pub fn is_within(&self, reach: Reach, of: Spot) -> bool {
+        match reach {
+            Reach::All => true,
+            Reach::Zone => self.zone == of.2,
+            Reach::Cell => self.cell == of.1,
+            Reach::Machine => self.id == of.0,
+        }
+    }
+
     /// Notes a change of our own asks that views can't show yet. A long list without a new view is merged.
     pub fn changes(&mut self, now: Time, change: Room) {
         if self.unseen.len() >= 64 {
