--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,7 +11,7 @@
 //! 6. order of pending tasks: earnings, those in time for their first start before late ones
 
 use crate::interface::*;
-use crate::pcg::Pcg;
+use crate::pcg::{Pcg, mix};
 use crate::slab::Slab;
 use crate::state::{Machine, State, Task};
 use crate::units::{Span, Time};
@@ -60,6 +60,9 @@
 const KEPT: usize = 8;
 /// What a machine without the service's program must be emptier by, as a share of its size.
 const BARE: f64 = 6.0 * TIE;
+/// So many machines, first in an order of each service's own that all schedulers share, are taken to hold its
+/// program: with many schedulers none sees where the others started it, and all see the same least asked machine.
+const HOMES: usize = 4;
 /// A machine ranks as fuller by this part of the service that it missed at worst within the peak window: what
 /// was hot lately (a slow machine, a neighbour, a hot service) soon is again.
 const POOR: f64 = 0.3;
@@ -102,6 +105,9 @@
     span
 }
 
+/// A machine that fits: its place, its rank, where the service's own order has it, and if it lacks the program.
+type Fit = (usize, f64, u64, bool);
+
 pub struct Brain {
     use_cases: Vec<UseCase>,
     kinds: Vec<Room>,
@@ -120,7 +126,7 @@
     usual: Span,
     /// And a start, on a machine with and without the program.
     usual_start: [Span; 2],
-    fits: Vec<(usize, f64)>,
+    fits: Vec<Fit>,
     tick_set: bool,
     watch_failures: u32,
 }
@@ -643,17 +649,25 @@
                     CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
                 // A start without the program takes many times the work and misses the soft limit.
                 let bare = self.is_bare(at, service);
-                let away = if m.zone == self.b.home.zone { 0.0 } else { ZONE * self.b.home.cross_zone_price };
+                let away = m.zone != self.b.home.zone && self.b.home.cross_zone_price > 0.0;
                 let shut =
                     self.b.home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - m.free());
-                let opening = if shut { OPENING } else { 0.0 };
-                let poor = m.poor.clone().peak(self.now).unwrap_or(0.0) * POOR;
-                fits.push((at, share + poor + opening + away + if bare { BARE } else { 0.0 }));
+                let mut rank = share + m.poor.clone().peak(self.now).unwrap_or(0.0) * POOR;
+                rank += if shut { OPENING } else { 0.0 };
+                rank += if away { ZONE * self.b.home.cross_zone_price } else { 0.0 };
+                let order = mix(service.0, m.id.0) >> 1 | u64::from(away) << 63;
+                fits.push((at, rank, order, bare));
+            }
+        }
+        if fits.len() > HOMES {
+            fits.select_nth_unstable_by_key(HOMES, |(_, _, order, _)| *order);
+            for (_, rank, _, bare) in &mut fits[HOMES..] {
+                *rank += if *bare { BARE } else { 0.0 };
             }
         }
-        let best = fits.iter().map(|(_, share)| *share).fold(f64::INFINITY, f64::min);
-        fits.retain(|(_, share)| *share <= best + TIE);
-        let pick = fits.get(self.b.chance.below(fits.len())).map(|(at, _)| *at);
+        let best = fits.iter().map(|(_, rank, ..)| *rank).fold(f64::INFINITY, f64::min);
+        fits.retain(|(_, rank, ..)| *rank <= best + TIE);
+        let pick = fits.get(self.b.chance.below(fits.len())).map(|(at, ..)| *at);
         self.b.fits = fits;
         pick
     }
--- a/src/pcg.rs
+++ b/src/pcg.rs
@@ -24,3 +24,9 @@
         ((u64::from(self.next()) * below as u64) >> 32) as usize
     }
 }
+
+/// Two ids stirred into one number: the same for everybody, and without order.
+pub fn mix(one: u64, two: u64) -> u64 {
+    let stirred = (one ^ two.wrapping_mul(Pcg::ODD)).wrapping_mul(Pcg::STEP);
+    (stirred ^ (stirred >> 29)).wrapping_mul(Pcg::ODD) ^ (stirred >> 32)
+}
