Stretch the last room without sharing it by the number of schedulers

Shared by 16 to 300 schedulers it was smaller than any ask, so the stretch never acted. Covers any size; may cost nacks.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -714,9 +714,7 @@
         let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
         let free = m.free();
         let accepts = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
-        // Stretched, the last room before a machine nacks is shared: the others see the same view.
-        let mine = if stretched { self.b.share(1.0) } else { 1.0 };
-        if !(free + accepts).times(mine, mine).fits(task.order.ask) {
+        if !(free + accepts).fits(task.order.ask) {
             return false;
         }
         if stretched {
