--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -78,6 +78,7 @@
             fall: span(rules, "fall")?,
             young_limit: number(facts, "youngLimit")?,
             schedulers: number(&config, "balancers")? as u32,
+            number: number(&config, "index")? as u32,
         },
         Listing {
             asked: config.get("discovery").and_then(Value::as_str) == Some("ask"),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -701,13 +701,22 @@
             }
         }
         if self.b.is_cold(m.since, now) {
-            let share = self.b.share(self.b.cold.young_limit) as usize;
             let window = self.b.cold.fall * FALL_STRETCH;
-            return m.cold_sends.iter().filter(|sent| now - **sent <= window).count() < share;
+            return m.cold_sends.iter().filter(|sent| now - **sent <= window).count() < self.dealt(m);
         }
         true
     }
 
+    /// What a cold machine always bears is dealt out in turn over all schedulers, from a start that its id and
+    /// its last start give: the sum holds whoever stalls or dies, and some may send where a share is under one.
+    fn dealt(&self, m: &Machine) -> usize {
+        let ColdRule { young_limit, schedulers, number, .. } = self.b.cold;
+        let (limit, all) = (young_limit as u64, u64::from(schedulers.max(1)));
+        let first = mix(m.id.0, m.since.map_or(0, Time::nanos)) % all;
+        let seat = (u64::from(number) + all - first) % all;
+        ((limit + all - 1 - seat) / all) as usize
+    }
+
     /// Room asked, plus predicted slack for low-priority tasks. Stretched, any task may use the idle part of
     /// all asks, by the use seen per ask, up to the mark for stretching.
     fn has_room(&self, place: usize, at: usize, stretched: bool) -> bool {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -137,6 +137,8 @@
     pub fall: Span,
     pub young_limit: f64,
     pub schedulers: u32,
+    /// Which of them this one is, from 0.
+    pub number: u32,
 }
 
 /// Whether the list must be asked for, and the silence after which its news counts as told.
