--- a/src/brain.rs
+++ b/src/brain.rs
@@ -62,7 +62,7 @@
 const BARE: f64 = 6.0 * TIE;
 /// So many machines, first in an order of each service's own that all schedulers share, are taken to hold its
 /// program: with many schedulers none sees where the others started it, and all see the same least asked machine.
-const HOMES: usize = 4;
+const HOMES: f64 = 8.0;
 /// A machine ranks as fuller by this part of the service that it missed at worst within the peak window: what
 /// was hot lately (a slow machine, a neighbour, a hot service) soon is again.
 const POOR: f64 = 0.3;
@@ -659,11 +659,9 @@
                 fits.push((at, rank, order, bare));
             }
         }
-        if fits.len() > HOMES {
-            fits.select_nth_unstable_by_key(HOMES, |(_, _, order, _)| *order);
-            for (_, rank, _, bare) in &mut fits[HOMES..] {
-                *rank += if *bare { BARE } else { 0.0 };
-            }
+        fits.sort_unstable_by_key(|(_, _, order, _)| *order);
+        for (n, (_, rank, _, bare)) in fits.iter_mut().enumerate() {
+            *rank += if *bare { BARE * (n as f64 / HOMES).min(1.0) } else { 0.0 };
         }
         let best = fits.iter().map(|(_, rank, ..)| *rank).fold(f64::INFINITY, f64::min);
         fits.retain(|(_, rank, ..)| *rank <= best + TIE);
