Rest a machine whose queue is full, as after other trouble

Covers any machine that turns work away at the door; may hurt where a short burst fills a queue on few machines.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -371,15 +371,16 @@
                 m.pressed_until = m.pressed_until.max(m.rests_until);
                 m.rests_until = now + rest * ERRED_REST;
             }
-            Ending::TimedOut | Ending::Recalled | Ending::NoConnection | Ending::Broken(Loss::Untold) => {
-                m.trouble(now, rest)
-            }
+            Ending::TimedOut
+            | Ending::Recalled
+            | Ending::NoConnection
+            | Ending::Broken(Loss::Untold)
+            | Ending::Nacked(Nack::QueueFull) => m.trouble(now, rest),
             // Without a reason: it may be this use case alone that the machine turns away.
             Ending::Nacked(Nack::Untold) => {
                 let (until, times) = &mut m.refuses[task.order.use_case.0];
                 *until = now + longer(rest, times);
             }
-            Ending::Nacked(Nack::QueueFull) => m.halve(),
             // The machine knows its room: for as long as a view may be stale, there is less than this ask.
             Ending::Nacked(Nack::NoCores | Nack::NoMemory) => {
                 let held = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
