Judge silence by machine and use case

A machine that leaves one use case unanswered and serves the other never counted as silent. Covers silence of any cause; a machine that is silent to all is learnt once by each use case, which costs a few more sends there.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -239,7 +239,7 @@
         let task = &mut self.b.tasks[place];
         if task.state == State::Sent {
             task.state = State::Placed;
-            self.b.machines[task.machine].answered_at = self.now;
+            self.b.machines[task.machine].dealings[task.order.use_case.0].answered_at = self.now;
             self.b.usual = self.b.usual.toward(self.now - task.sent_at, USUAL_STEP);
             if self.b.taking.yes_when_running {
                 self.runs(id);
@@ -257,7 +257,8 @@
             let m = &mut self.b.machines[task.machine];
             m.starting -= 1;
             let took = now - task.sent_at;
-            m.refuses[task.order.use_case.0] = (now, 0);
+            let dealing = &mut m.dealings[task.order.use_case.0];
+            (dealing.barred_until, dealing.times) = (now, 0);
             // Far slower than usual: a slow or crowded machine, also where nothing else tells of pressure.
             let usual = &mut self.b.usual_start[usize::from(task.bare)];
             if !self.b.taking.tells_pressure && took > *usual * SLOW && *usual > Span::ZERO {
@@ -348,7 +349,7 @@
         let Some(place) = self.b.tasks.place(id) else { return };
         let (now, rest) = (self.now, self.b.use_case(place).client_timeout * REST_SHARE);
         let task = &mut self.b.tasks[place];
-        let (at, state, ask) = (task.machine, task.state, task.order.ask);
+        let (at, state, ask, case) = (task.machine, task.state, task.order.ask, task.order.use_case.0);
         if task.sends == 0 || state == State::Pending {
             return;
         }
@@ -363,7 +364,7 @@
         task.starting = false;
         match ending {
             // Others were answered since this was sent: a long line, no dead machine.
-            Ending::TimedOut if m.answered_at > task.sent_at => m.halve(),
+            Ending::TimedOut if m.dealings[case].answered_at > task.sent_at => m.halve(),
             Ending::Recalled if state != State::Sent => {}
             // It answers, so it may serve others: past a short rest it takes what no calm machine takes.
             Ending::Errored => {
@@ -371,15 +372,13 @@
                 m.pressed_until = m.pressed_until.max(m.rests_until);
                 m.rests_until = now + rest * ERRED_REST;
             }
-            Ending::TimedOut
-            | Ending::Recalled
-            | Ending::NoConnection
-            | Ending::Broken(Loss::Untold)
-            | Ending::Nacked(Nack::QueueFull) => m.trouble(now, rest),
-            // Without a reason: it may be this use case alone that the machine turns away.
-            Ending::Nacked(Nack::Untold) => {
-                let (until, times) = &mut m.refuses[task.order.use_case.0];
-                *until = now + longer(rest, times);
+            Ending::NoConnection | Ending::Broken(Loss::Untold) | Ending::Nacked(Nack::QueueFull) => {
+                m.trouble(now, rest)
+            }
+            // Silence, or a nack without a reason: it may be this use case alone that the machine leaves out.
+            Ending::TimedOut | Ending::Recalled | Ending::Nacked(Nack::Untold) => {
+                let dealing = &mut m.dealings[case];
+                dealing.barred_until = now + longer(rest, &mut dealing.times);
             }
             // The machine knows its room: for as long as a view may be stale, there is less than this ask.
             Ending::Nacked(Nack::NoCores | Nack::NoMemory) => {
@@ -517,7 +516,8 @@
             for place in &m.tasks {
                 let after = (self.b.use_case(*place).client_timeout * SILENCE_SHARE).max(self.b.usual * SLOW);
                 let task = &self.b.tasks[*place];
-                let silent = m.answered_at <= task.sent_at && self.now - task.sent_at >= after;
+                let silent = m.dealings[task.order.use_case.0].answered_at <= task.sent_at
+                    && self.now - task.sent_at >= after;
                 if task.state == State::Sent && silent {
                     self.out.recall(task.order.id, task.sends - 1);
                 }
@@ -676,7 +676,7 @@
         let now = self.now;
         let use_case = self.b.use_case(place);
         let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
-        let barred_until = m.rests_until.max(m.refuses[task.order.use_case.0].0);
+        let barred_until = m.rests_until.max(m.dealings[task.order.use_case.0].barred_until);
         if !m.open || now < barred_until || m.starting as f64 >= m.cap || task.turned_down == Some(at) {
             return false;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -42,6 +42,14 @@
     pub slack: Room,
 }
 
+/// When a machine last answered a use case, until when it is taken not to, and how often that was so in a row.
+#[derive(Clone, Copy)]
+pub struct Dealing {
+    pub answered_at: Time,
+    pub barred_until: Time,
+    pub times: u32,
+}
+
 pub struct Machine {
     pub id: MachineId,
     pub kind: KindId,
@@ -65,12 +73,11 @@
     /// Bad service or short memory was noted, with no better note since; trusted until then.
     pub pressed_until: Time,
     pub starting: usize,
-    pub answered_at: Time,
     pub cap: f64,
     pub troubles: u32,
     pub rests_until: Time,
-    /// For each use case, until when the machine is taken to turn it away, and how often it did in a row.
-    pub refuses: Vec<(Time, u32)>,
+    /// By use case, as it may be one alone that the machine leaves unanswered or turns away.
+    pub dealings: Vec<Dealing>,
     pub cold_sends: VecDeque<Time>,
 }
 
@@ -123,11 +130,10 @@
             poor: Peak::new(window),
             pressed_until: now,
             starting: 0,
-            answered_at: now,
             cap,
             troubles: 0,
             rests_until: now,
-            refuses: vec![(now, 0); use_cases],
+            dealings: vec![Dealing { answered_at: now, barred_until: now, times: 0 }; use_cases],
             cold_sends: VecDeque::with_capacity(64),
         }
     }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -110,7 +110,13 @@
                 tells_pressure: self.tells_pressure,
                 recalls: true,
             },
-            ColdRule { warm_after: secs(10), fall: secs(1), young_limit: self.young_limit, schedulers: 3, number: 0 },
+            ColdRule {
+                warm_after: secs(10),
+                fall: secs(1),
+                young_limit: self.young_limit,
+                schedulers: 3,
+                number: 0,
+            },
             Listing { asked: self.asked, ask_within: secs(10) },
             Home { zone: ZoneId(0), cross_zone_price: 0.1, machine_price: self.machine_price },
         ));
