--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,8 +25,9 @@
 /// The page has 0.8 (ours). A move costs a start, and until it is nearly used up a machine does little harm.
 const HOT: f64 = 0.95;
 
-/// A machine that answers nothing is waited for this part of the client timeout; two more sends then fit.
-const SILENCE_SHARE: f64 = 0.3;
+/// A machine that answers nothing is waited for this part of the client timeout, and `SLOW` times as long where
+/// yes comes only when the task runs; two more sends then fit.
+const SILENCE_SHARE: f64 = 0.1;
 /// Silence must last this many times a usual answer too, which one answer moves by the step.
 const SLOW: f64 = 3.0;
 const USUAL_STEP: f64 = 1.0 / 16.0;
@@ -191,6 +192,11 @@
         self.use_case(place).priority == self.low
     }
 
+    /// How long an answer may take, as a part of the client timeout, before it counts as silence.
+    fn silence_share(&self) -> f64 {
+        SILENCE_SHARE * if self.taking.yes_when_running { SLOW } else { 1.0 }
+    }
+
     /// The shortest wait that makes sense: a small part of the tightest soft limit.
     fn retry_after(&self) -> Span {
         let tightest = self.use_cases.iter().map(|u| u.soft_limit).min().unwrap_or(Span::from_secs(1));
@@ -514,7 +520,8 @@
     fn recall_from_silent(&mut self) {
         for (_, m) in self.b.machines.iter().filter(|(_, m)| m.starting > 0) {
             for place in &m.tasks {
-                let after = (self.b.use_case(*place).client_timeout * SILENCE_SHARE).max(self.b.usual * SLOW);
+                let after = (self.b.use_case(*place).client_timeout * self.b.silence_share())
+                    .max(self.b.usual * SLOW);
                 let task = &self.b.tasks[*place];
                 let silent = m.dealings[task.order.use_case.0].answered_at <= task.sent_at
                     && self.now - task.sent_at >= after;
@@ -604,7 +611,7 @@
             return true;
         }
         let stretch = now - task.came >= use_case.soft_limit * STRETCH_SHARE;
-        let share = if self.b.taking.recalls { PATIENCE_SHARE } else { SILENCE_SHARE };
+        let share = if self.b.taking.recalls { PATIENCE_SHARE } else { self.b.silence_share() };
         let time_out = (use_case.client_timeout * share).min(time_left);
         let mut pick = self.pick(place, false, false);
         if pick.is_none() && stretch {
