Let a view without news fade to the mean of all machines

At 259 schedulers the list service tells a third of them nothing for long; each of these went on filling the machines that looked empty once, up to what they accept. Covers lists that fail, stand still or come rarely; hurts where a list is rightly silent for long because nothing changes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,6 +52,8 @@
 const MOST_DOUBLINGS: u32 = 5;
 /// How old a view may be when it comes: our sends younger than this are not in it.
 const VIEW_AGE: Span = Span::from_nanos(800_000_000);
+/// A list that tells nothing is trusted for this part of the longest silence that the rules allow, then fades.
+const NEWS_SHARE: f64 = 0.25;
 /// Service under this is poor; a machine noted so counts as pressed for so long unless a better note comes.
 const SERVED_WELL: f64 = 0.95;
 const PRESSED: Span = Span::from_secs(3);
@@ -130,6 +132,9 @@
     fits: Vec<Fit>,
     tick_set: bool,
     watch_failures: u32,
+    /// When the list last told anything, and the mean share that it showed as left.
+    news_at: Time,
+    mean_left: Room,
 }
 
 /// One round: what came in is told to it, and it ends with the placing.
@@ -169,6 +174,8 @@
             fits: Vec::with_capacity(64),
             tick_set: false,
             watch_failures: 0,
+            news_at: Time::default(),
+            mean_left: Room::NONE,
         }
     }
 
@@ -212,6 +219,16 @@
         self.share(of_all).max(1.0)
     }
 
+    /// What is left of a machine, as the view has it; a view without news fades to the mean of all machines, or
+    /// whoever gets no news fills the machines that looked empty once.
+    fn free(&self, m: &Machine, now: Time) -> Room {
+        let trusted = self.listing.ask_within * NEWS_SHARE;
+        let fade = (now - self.news_at).over(trusted);
+        let fade = if fade > 1.0 { 1.0 - 1.0 / fade } else { 0.0 };
+        let mean = m.size.times(self.mean_left.cores, self.mean_left.memory);
+        m.free() + (mean - m.left).times(fade, fade)
+    }
+
     fn is_cold(&self, since: Option<Time>, now: Time) -> bool {
         since.is_some_and(|since| now - since < self.cold.warm_after)
     }
@@ -437,7 +454,7 @@
     pub fn list_failed(&mut self) {
         let wait = self.b.retry_after() * f64::from(8u32 << self.b.watch_failures.min(4));
         self.b.watch_failures += 1;
-        self.out.wake_at(WATCH, self.now + wait.min(self.b.listing.ask_within * 0.25));
+        self.out.wake_at(WATCH, self.now + wait.min(self.b.listing.ask_within * NEWS_SHARE));
     }
 
     pub fn list(&mut self, kind: ListKind, entries: &[Entry]) {
@@ -464,7 +481,11 @@
         }
         let gone = self.b.machines.iter().find(|(_, m)| !m.open && m.tasks.is_empty()).map(|(at, _)| at);
         gone.and_then(|at| self.b.machines.remove(at));
+        let open = self.b.machines.iter().filter(|(_, m)| m.open);
+        let sum = open.fold((Room::NONE, Room::NONE), |(left, size), (_, m)| (left + m.left, size + m.size));
+        self.b.mean_left = sum.0.times(1.0 / sum.1.cores.max(1e-9), 1.0 / sum.1.memory.max(1e-9));
         // Whoever is not named has not changed: its view is as fresh as the named ones'.
+        self.b.news_at = now;
         for (_, m) in self.b.machines.iter_mut() {
             while m.unseen.front().is_some_and(|(at, _)| now - *at > VIEW_AGE) {
                 m.unseen.pop_front();
@@ -652,14 +673,14 @@
             let calm = pressed || self.b.machines[at].pressed_until <= self.now;
             if calm && self.may_go(place, at) && self.has_room(place, at, stretched) {
                 let m = &self.b.machines[at];
-                let asked = m.size - m.free() + ask;
+                let free = self.b.free(m, self.now);
+                let asked = m.size - free + ask;
                 let share =
                     CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
                 // A start without the program takes many times the work and misses the soft limit.
                 let bare = self.is_bare(at, service);
                 let away = m.zone != self.b.home.zone && self.b.home.cross_zone_price > 0.0;
-                let shut =
-                    self.b.home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - m.free());
+                let shut = self.b.home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - free);
                 let mut rank = share + m.poor.clone().peak(self.now).unwrap_or(0.0) * POOR;
                 rank += if shut { OPENING } else { 0.0 };
                 rank += if away { ZONE * self.b.home.cross_zone_price } else { 0.0 };
@@ -727,7 +748,7 @@
     /// all asks, by the use seen per ask, up to the mark for stretching.
     fn has_room(&self, place: usize, at: usize, stretched: bool) -> bool {
         let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
-        let free = m.free();
+        let free = self.b.free(m, self.now);
         let accepts = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
         if !(free + accepts).fits(task.order.ask) {
             return false;
--- a/src/units.rs
+++ b/src/units.rs
@@ -45,6 +45,11 @@
         self.0
     }
 
+    /// How many times the other span this one is.
+    pub fn over(self, other: Self) -> f64 {
+        self.0 as f64 / other.0.max(1) as f64
+    }
+
     /// This span moved toward `other` by a part of the way; all of it where there was no span yet.
     pub fn toward(self, other: Self, part: f64) -> Self {
         if self == Self::ZERO { other } else { self * (1.0 - part) + other * part }
