Take machines of a priced zone only after a wait, together with the stretch

A task went to another zone as soon as its own was asked for in full, though the stretch had room at home, and to a machine without its program.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -671,15 +671,19 @@
         let Order { ask, service, .. } = self.b.tasks[place].order;
         for at in self.b.machines.iter().map(|(at, _)| at) {
             let calm = pressed || self.b.machines[at].pressed_until <= self.now;
-            if calm && self.may_go(place, at) && self.has_room(place, at, stretched) {
-                let m = &self.b.machines[at];
+            let m = &self.b.machines[at];
+            let away = m.zone != self.b.home.zone && self.b.home.cross_zone_price > 0.0;
+            if calm
+                && (stretched || pressed || !away)
+                && self.may_go(place, at)
+                && self.has_room(place, at, stretched)
+            {
                 let free = self.b.free(m, self.now);
                 let asked = m.size - free + ask;
                 let share =
                     CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
                 // A start without the program takes many times the work and misses the soft limit.
                 let bare = self.is_bare(at, service);
-                let away = m.zone != self.b.home.zone && self.b.home.cross_zone_price > 0.0;
                 let shut = self.b.home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - free);
                 let mut rank = share + m.poor.clone().peak(self.now).unwrap_or(0.0) * POOR;
                 rank += if shut { OPENING } else { 0.0 };
@@ -753,6 +757,10 @@
         if !(free + accepts).fits(task.order.ask) {
             return false;
         }
+        let slack = if self.b.is_low(place) { m.slack } else { Room::NONE };
+        if (free + slack).fits(task.size) {
+            return true;
+        }
         if stretched {
             // The use seen per ask of our tasks there, and of all our tasks as far as there are few.
             let mut asks = m.size.times(PRIOR, PRIOR);
@@ -765,7 +773,6 @@
             let asked = m.size - free + task.order.ask;
             return m.size.times(STRETCH, STRETCH).fits(asked.times(ratio.cores, ratio.memory));
         }
-        let slack = if self.b.is_low(place) { m.slack } else { Room::NONE };
-        (free + slack).fits(task.size)
+        false
     }
 }
