--- a/src/brain.rs
+++ b/src/brain.rs
@@ -62,10 +62,10 @@
 /// Machines keep programs for a while; so many services whose tasks of ours ended last are taken to be kept.
 const KEPT: usize = 8;
 /// What a machine without the service's program must be emptier by, as a share of its size.
-const BARE: f64 = 12.0 * TIE;
+const BARE: f64 = 24.0 * TIE;
 /// So many machines, first in an order of each service's own that all schedulers share, are taken to hold its
 /// program: with many schedulers none sees where the others started it, and all see the same least asked machine.
-const HOMES: f64 = 3.0;
+const HOMES: f64 = 6.0;
 /// A machine ranks as fuller by this part of the service that it missed at worst within the peak window: what
 /// was hot lately (a slow machine, a neighbour, a hot service) soon is again.
 const POOR: f64 = 0.3;
