--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,6 +35,8 @@
 const PATIENCE_SHARE: f64 = 0.75;
 /// Pending tasks are looked at again after this part of the shortest soft limit, if nothing comes in before.
 const RETRY_SHARE: f64 = 0.05;
+/// So many pending tasks are tried at a look: a long line costs no more than a short one.
+const WALK: usize = 64;
 /// A task that still waits so near its client timeout (as a part of it) gets its final answer.
 const GIVE_UP_SHARE: f64 = 0.03;
 /// A referenced task is sent again only within this part of its window, so that the send arrives inside it.
@@ -254,7 +256,7 @@
         task.machine = at;
         task.sends = 1;
         let place = self.b.tasks.insert(order.id, task);
-        self.b.machines[at].tasks.push(place);
+        self.b.machines[at].tasks.push((place, order.service));
     }
 
     pub fn accepted(&mut self, id: TaskId) {
@@ -310,7 +312,10 @@
         let Some(place) = self.b.tasks.place(id) else { return };
         let high = !self.b.is_low(place);
         let task = &mut self.b.tasks[place];
-        let ask = task.order.ask;
+        if task.state != State::Placed {
+            return;
+        }
+        let (ask, before) = (task.order.ask, task.last_use);
         if let Some(cores) = cores {
             task.cores.note(now, cores);
             task.last_use.cores = cores;
@@ -321,9 +326,12 @@
             task.last_use.memory = memory;
             self.b.ratio.memory += (memory / ask.memory.max(1e-9) - self.b.ratio.memory) * RATIO_STEP;
         }
-        if high && task.state == State::Placed {
+        let m = &mut self.b.machines[task.machine];
+        m.used += task.last_use - before;
+        m.heard += if before == Room::NONE { ask } else { Room::NONE };
+        if high {
             let slack = (ask - task.peak(now)).at_least(Room::NONE);
-            self.b.machines[task.machine].slack += slack - task.slack;
+            m.slack += slack - task.slack;
             task.slack = slack;
         }
     }
@@ -377,11 +385,13 @@
             return;
         }
         let m = &mut self.b.machines[at];
-        m.tasks.retain(|t| *t != place);
+        m.tasks.retain(|(t, _)| *t != place);
         if state == State::Placed {
             m.keeps(task.order.service, KEPT);
         }
         m.slack -= task.slack;
+        m.used -= task.last_use;
+        m.heard -= if task.last_use == Room::NONE { Room::NONE } else { ask };
         m.changes(now, ask);
         m.starting -= usize::from(task.starting);
         task.starting = false;
@@ -517,7 +527,7 @@
             if over.cores <= 0.0 && over.memory <= 0.0 {
                 break;
             }
-            let place = self.b.machines[at].tasks[n];
+            let (place, _) = self.b.machines[at].tasks[n];
             if !self.b.is_low(place) || !self.has_calm_room(place) {
                 continue;
             }
@@ -540,7 +550,7 @@
     /// Sends to a machine that has answered nothing since are called back while others can still be tried.
     fn recall_from_silent(&mut self) {
         for (_, m) in self.b.machines.iter().filter(|(_, m)| m.starting > 0) {
-            for place in &m.tasks {
+            for (place, _) in &m.tasks {
                 let after = (self.b.use_case(*place).client_timeout * self.b.silence_share())
                     .max(self.b.usual * SLOW);
                 let task = &self.b.tasks[*place];
@@ -600,7 +610,11 @@
         });
         // The whole line is walked at ticks only, which keeps the cost of a long line down.
         let between = self.b.tick_set;
-        pending.retain(|place| (between && self.b.tasks[*place].waited) || !self.settle(*place));
+        let line = pending.len();
+        pending.retain(|place| {
+            let due = !self.b.tasks[*place].waited || !between;
+            !due || !self.settle(*place, line)
+        });
         self.b.pending = pending;
         if !between && self.b.taking.recalls {
             self.recall_from_silent();
@@ -614,7 +628,7 @@
     }
 
     /// Sends a pending task or gives it up; false where it waits on.
-    fn settle(&mut self, place: usize) -> bool {
+    fn settle(&mut self, place: usize, line: usize) -> bool {
         let now = self.now;
         let use_case = self.b.use_case(place);
         let task = &self.b.tasks[place];
@@ -634,6 +648,10 @@
         let stretch = now - task.came >= use_case.soft_limit * STRETCH_SHARE;
         let share = if self.b.taking.recalls { PATIENCE_SHARE } else { self.b.silence_share() };
         let time_out = (use_case.client_timeout * share).min(time_left);
+        // Of a long line a part is tried, by chance.
+        if task.waited && self.b.chance.below(line) >= WALK {
+            return false;
+        }
         let mut pick = self.pick(place, false, false);
         if pick.is_none() && stretch {
             pick = self.pick(place, true, false).or_else(|| self.pick(place, false, true));
@@ -649,7 +667,7 @@
         (task.machine, task.sent_at, task.bare) = (at, now, bare);
         task.sends += 1;
         let m = &mut self.b.machines[at];
-        m.tasks.push(place);
+        m.tasks.push((place, task.order.service));
         m.starting += 1;
         m.changes(now, Room::NONE - task.order.ask);
         if cold {
@@ -661,7 +679,7 @@
 
     fn is_bare(&self, at: usize, service: ServiceId) -> bool {
         let m = &self.b.machines[at];
-        !m.lately.contains(&service) && !m.tasks.iter().any(|t| self.b.tasks[*t].order.service == service)
+        !m.lately.contains(&service) && m.tasks_of(service) == 0
     }
 
     /// The design's choice: filters, room, least requested, random within the tie.
@@ -685,7 +703,7 @@
                 // A start without the program takes many times the work and misses the soft limit.
                 let bare = self.is_bare(at, service);
                 let shut = self.b.home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - free);
-                let mut rank = share + m.poor.clone().peak(self.now).unwrap_or(0.0) * POOR;
+                let mut rank = share + m.poor.peak(self.now).unwrap_or(0.0) * POOR;
                 rank += if shut { OPENING } else { 0.0 };
                 rank += if away { ZONE * self.b.home.cross_zone_price } else { 0.0 };
                 let order = mix(service.0, m.id.0) >> 1 | u64::from(away) << 63;
@@ -722,11 +740,12 @@
         }
         if let Some((reach, most)) = use_case.spread {
             let service = task.order.service;
-            let same = |t: &&usize| self.b.tasks[**t].order.service == service;
-            let held: usize = (self.b.machines.iter())
-                .filter(|(_, other)| other.is_within(reach, m.spot()))
-                .map(|(_, other)| other.tasks.iter().filter(same).count())
-                .sum();
+            let held: usize = if reach == Reach::Machine {
+                m.tasks_of(service)
+            } else {
+                let there = self.b.machines.iter().filter(|(_, other)| other.is_within(reach, m.spot()));
+                there.map(|(_, other)| other.tasks_of(service)).sum()
+            };
             if held >= most {
                 return false;
             }
@@ -763,12 +782,9 @@
         }
         if stretched {
             // The use seen per ask of our tasks there, and of all our tasks as far as there are few.
-            let mut asks = m.size.times(PRIOR, PRIOR);
-            let mut used = asks.times(self.b.ratio.cores, self.b.ratio.memory);
-            for task in m.tasks.iter().map(|t| &self.b.tasks[*t]).filter(|t| t.last_use != Room::NONE) {
-                asks += task.order.ask;
-                used += task.last_use;
-            }
+            let prior = m.size.times(PRIOR, PRIOR);
+            let asks = prior + m.heard;
+            let used = prior.times(self.b.ratio.cores, self.b.ratio.memory) + m.used;
             let ratio = Room::new(used.cores / asks.cores, used.memory / asks.memory);
             let asked = m.size - free + task.order.ask;
             return m.size.times(STRETCH, STRETCH).fits(asked.times(ratio.cores, ratio.memory));
--- a/src/peak.rs
+++ b/src/peak.rs
@@ -33,9 +33,11 @@
     }
 
     /// The peak, or nothing where nothing was noted within the window.
-    pub fn peak(&mut self, now: Time) -> Option<f64> {
-        self.turn(now);
-        let highest = self.highest.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    pub fn peak(&self, now: Time) -> Option<f64> {
+        let step = now.nanos() / self.step.nanos();
+        let kept = (STEPS as u64).saturating_sub(step.saturating_sub(self.newest)).min(self.newest + 1);
+        let slots = (0..kept).map(|age| self.highest[((self.newest - age) % STEPS as u64) as usize]);
+        let highest = slots.fold(f64::NEG_INFINITY, f64::max);
         highest.is_finite().then_some(highest)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,8 +61,11 @@
     pub left: Room,
     /// Our own asks (below nought) and ends (above) that the view may not show yet.
     pub unseen: VecDeque<(Time, Room)>,
-    /// Places of our tasks whose last send has not ended, oldest first.
-    pub tasks: Vec<usize>,
+    /// Places of our tasks whose last send has not ended, oldest first, and their services.
+    pub tasks: Vec<(usize, ServiceId)>,
+    /// What those of them ask for that a use was noted of, and that use.
+    pub heard: Room,
+    pub used: Room,
     /// Services of our tasks that ended here last, oldest first.
     pub lately: VecDeque<ServiceId>,
     pub slack: Room,
@@ -104,7 +107,7 @@
     }
 
     /// The most it used within the window; its ask where nothing was noted.
-    pub fn peak(&mut self, now: Time) -> Room {
+    pub fn peak(&self, now: Time) -> Room {
         let ask = self.order.ask;
         Room::new(self.cores.peak(now).unwrap_or(ask.cores), self.memory.peak(now).unwrap_or(ask.memory))
     }
@@ -121,9 +124,11 @@
             open: false,
             since: None,
             left: Room::NONE,
-            unseen: VecDeque::with_capacity(64),
-            tasks: Vec::with_capacity(256),
-            lately: VecDeque::with_capacity(32),
+            unseen: VecDeque::with_capacity(16),
+            tasks: Vec::with_capacity(32),
+            heard: Room::NONE,
+            used: Room::NONE,
+            lately: VecDeque::with_capacity(16),
             slack: Room::NONE,
             use_cores: Peak::new(window),
             use_memory: Peak::new(window),
@@ -134,7 +139,7 @@
             troubles: 0,
             rests_until: now,
             dealings: vec![Dealing { answered_at: now, barred_until: now, times: 0 }; use_cases],
-            cold_sends: VecDeque::with_capacity(64),
+            cold_sends: VecDeque::new(),
         }
     }
 
@@ -151,6 +156,10 @@
         }
     }
 
+    pub fn tasks_of(&self, service: ServiceId) -> usize {
+        self.tasks.iter().filter(|(_, of)| *of == service).count()
+    }
+
     /// Notes a change of our own asks that views can't show yet. A long list without a new view is merged.
     pub fn changes(&mut self, now: Time, change: Room) {
         if self.unseen.len() >= 64 {
