--- a/src/brain.rs
+++ b/src/brain.rs
@@ -63,11 +63,12 @@
 const ZONE: f64 = 4.0;
 /// Machines keep programs for a while; so many services whose tasks of ours ended last are taken to be kept.
 const KEPT: usize = 8;
-/// What a machine without the service's program must be emptier by, as a share of its size.
-const BARE: f64 = 24.0 * TIE;
-/// So many machines, first in an order of each service's own that all schedulers share, are taken to hold its
-/// program: with many schedulers none sees where the others started it, and all see the same least asked machine.
-const HOMES: f64 = 6.0;
+/// What a machine without the service's program must be emptier by, as a share of its size, for each place that
+/// it is further down in an order of the service's own, the same for all schedulers: no scheduler of many sees
+/// where the others started a program, and all see the same least asked machine.
+const BARE: f64 = 4.0 * TIE;
+/// So many places count.
+const HOMES: usize = 6;
 /// A machine ranks as fuller by this part of the service that it missed at worst within the peak window: what
 /// was hot lately (a slow machine, a neighbour, a hot service) soon is again.
 const POOR: f64 = 0.3;
@@ -221,16 +222,23 @@
         self.share(of_all).max(1.0)
     }
 
-    /// What is left of a machine, as the view has it; a view without news fades to the mean of all machines, or
-    /// whoever gets no news fills the machines that looked empty once.
-    fn free(&self, m: &Machine, now: Time) -> Room {
-        let trusted = self.listing.ask_within * NEWS_SHARE;
-        let fade = (now - self.news_at).over(trusted);
-        let fade = if fade > 1.0 { 1.0 - 1.0 / fade } else { 0.0 };
+    /// A view without news fades to the mean of all machines, or whoever gets none fills those once empty.
+    fn fade(&self, now: Time) -> f64 {
+        let silence = (now - self.news_at).over(self.listing.ask_within * NEWS_SHARE);
+        1.0 - 1.0 / silence.max(1.0)
+    }
+
+    /// What nobody asked for of a machine.
+    fn free(&self, m: &Machine, fade: f64) -> Room {
         let mean = m.size.times(self.mean_left.cores, self.mean_left.memory);
         m.free() + (mean - m.left).times(fade, fade)
     }
 
+    /// What a machine takes on beyond its size.
+    fn accepts(&self, m: &Machine) -> Room {
+        m.size.times(self.taking.cores - 1.0, self.taking.memory - 1.0)
+    }
+
     fn is_cold(&self, since: Option<Time>, now: Time) -> bool {
         since.is_some_and(|since| now - since < self.cold.warm_after)
     }
@@ -497,9 +505,7 @@
         // Whoever is not named has not changed: its view is as fresh as the named ones'.
         self.b.news_at = now;
         for (_, m) in self.b.machines.iter_mut() {
-            while m.unseen.front().is_some_and(|(at, _)| now - *at > VIEW_AGE) {
-                m.unseen.pop_front();
-            }
+            m.seen(now, VIEW_AGE);
         }
     }
 
@@ -565,8 +571,11 @@
 
     /// Where would a moved task go? Only room on a calm machine makes a move worth its price.
     fn has_calm_room(&self, place: usize) -> bool {
+        let (task, use_case, fade) = (&self.b.tasks[place], self.b.use_case(place), self.b.fade(self.now));
         self.b.machines.iter().any(|(at, m)| {
-            m.pressed_until <= self.now && self.may_go(place, at) && self.has_room(place, at, false)
+            m.pressed_until <= self.now
+                && self.may_go(task, use_case, at, m)
+                && self.has_room(task, true, m, self.b.free(m, fade))
         })
     }
 
@@ -652,16 +661,12 @@
         if task.waited && self.b.chance.below(line) >= WALK {
             return false;
         }
-        let mut pick = self.pick(place, false, false);
-        if pick.is_none() && stretch {
-            pick = self.pick(place, true, false).or_else(|| self.pick(place, false, true));
-        }
-        let Some(at) = pick else {
+        let Some(at) = self.pick(place, stretch) else {
             self.b.tasks[place].waited = true;
             return false;
         };
         let cold = self.b.is_cold(self.b.machines[at].since, now);
-        let bare = self.is_bare(at, self.b.tasks[place].order.service);
+        let bare = self.b.machines[at].is_bare(self.b.tasks[place].order.service);
         let task = &mut self.b.tasks[place];
         (task.state, task.starting) = (State::Sent, true);
         (task.machine, task.sent_at, task.bare) = (at, now, bare);
@@ -677,42 +682,52 @@
         true
     }
 
-    fn is_bare(&self, at: usize, service: ServiceId) -> bool {
-        let m = &self.b.machines[at];
-        !m.lately.contains(&service) && m.tasks_of(service) == 0
-    }
-
-    /// The design's choice: filters, room, least requested, random within the tie.
-    fn pick(&mut self, place: usize, stretched: bool, pressed: bool) -> Option<usize> {
+    /// The design's choice: filters, room, least requested, random within the tie. What has waited is content
+    /// with less: with a priced zone and stretched room, or else with pressed machines.
+    fn pick(&mut self, place: usize, waited: bool) -> Option<usize> {
         let mut fits = std::mem::take(&mut self.b.fits);
         fits.clear();
-        let Order { ask, service, .. } = self.b.tasks[place].order;
-        for at in self.b.machines.iter().map(|(at, _)| at) {
-            let calm = pressed || self.b.machines[at].pressed_until <= self.now;
-            let m = &self.b.machines[at];
-            let away = m.zone != self.b.home.zone && self.b.home.cross_zone_price > 0.0;
-            if calm
-                && (stretched || pressed || !away)
-                && self.may_go(place, at)
-                && self.has_room(place, at, stretched)
-            {
-                let free = self.b.free(m, self.now);
-                let asked = m.size - free + ask;
-                let share =
-                    CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
-                // A start without the program takes many times the work and misses the soft limit.
-                let bare = self.is_bare(at, service);
-                let shut = self.b.home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - free);
-                let mut rank = share + m.poor.peak(self.now).unwrap_or(0.0) * POOR;
-                rank += if shut { OPENING } else { 0.0 };
-                rank += if away { ZONE * self.b.home.cross_zone_price } else { 0.0 };
-                let order = mix(service.0, m.id.0) >> 1 | u64::from(away) << 63;
-                fits.push((at, rank, order, bare));
+        let (task, use_case, home) = (&self.b.tasks[place], self.b.use_case(place), self.b.home);
+        let Order { ask, service, .. } = task.order;
+        let (low, fade) = (use_case.priority == self.b.low, self.b.fade(self.now));
+        let mut least = if waited { 2 } else { 0 };
+        for (at, m) in self.b.machines.iter() {
+            if !self.may_go(task, use_case, at, m) {
+                continue;
             }
-        }
-        fits.sort_unstable_by_key(|(_, _, order, _)| *order);
+            let free = self.b.free(m, fade);
+            let away = m.zone != home.zone && home.cross_zone_price > 0.0;
+            let calm = m.pressed_until <= self.now;
+            let departs = match self.has_room(task, low, m, free) {
+                true if calm => u32::from(away),
+                true => 2,
+                false if calm && least > 0 && self.has_stretched_room(ask, m, free) => 1,
+                false => continue,
+            };
+            if departs > least {
+                continue;
+            }
+            if departs < least {
+                least = departs;
+                fits.clear();
+            }
+            let asked = m.size - free + ask;
+            let mut rank =
+                CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
+            rank += m.poor.peak(self.now).unwrap_or(0.0) * POOR;
+            let shut = home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - free);
+            rank += if shut { OPENING } else { 0.0 } + if away { ZONE * home.cross_zone_price } else { 0.0 };
+            let order = mix(service.0, m.id.0) >> 1 | u64::from(away) << 63;
+            fits.push((at, rank, order, m.is_bare(service)));
+        }
+        // A start without the program takes many times the work and misses the soft limit.
+        let homes = HOMES.min(fits.len());
+        if homes < fits.len() {
+            fits.select_nth_unstable_by_key(homes, |(_, _, order, _)| *order);
+        }
+        fits[..homes].sort_unstable_by_key(|(_, _, order, _)| *order);
         for (n, (_, rank, _, bare)) in fits.iter_mut().enumerate() {
-            *rank += if *bare { BARE * (n as f64 / HOMES).min(1.0) } else { 0.0 };
+            *rank += if *bare { BARE * n.min(HOMES) as f64 } else { 0.0 };
         }
         let best = fits.iter().map(|(_, rank, ..)| *rank).fold(f64::INFINITY, f64::min);
         fits.retain(|(_, rank, ..)| *rank <= best + TIE);
@@ -722,10 +737,8 @@
     }
 
     /// Rules and trust: may this task go to this machine at all?
-    fn may_go(&self, place: usize, at: usize) -> bool {
+    fn may_go(&self, task: &Task, use_case: &UseCase, at: usize, m: &Machine) -> bool {
         let now = self.now;
-        let use_case = self.b.use_case(place);
-        let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
         let barred_until = m.rests_until.max(m.dealings[task.order.use_case.0].barred_until);
         if !m.open || now < barred_until || m.starting as f64 >= m.cap || task.turned_down == Some(at) {
             return false;
@@ -767,28 +780,19 @@
         ((limit + all - 1 - seat) / all) as usize
     }
 
-    /// Room asked, plus predicted slack for low-priority tasks. Stretched, any task may use the idle part of
-    /// all asks, by the use seen per ask, up to the mark for stretching.
-    fn has_room(&self, place: usize, at: usize, stretched: bool) -> bool {
-        let (task, m) = (&self.b.tasks[place], &self.b.machines[at]);
-        let free = self.b.free(m, self.now);
-        let accepts = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
-        if !(free + accepts).fits(task.order.ask) {
-            return false;
-        }
-        let slack = if self.b.is_low(place) { m.slack } else { Room::NONE };
-        if (free + slack).fits(task.size) {
-            return true;
-        }
-        if stretched {
-            // The use seen per ask of our tasks there, and of all our tasks as far as there are few.
-            let prior = m.size.times(PRIOR, PRIOR);
-            let asks = prior + m.heard;
-            let used = prior.times(self.b.ratio.cores, self.b.ratio.memory) + m.used;
-            let ratio = Room::new(used.cores / asks.cores, used.memory / asks.memory);
-            let asked = m.size - free + task.order.ask;
-            return m.size.times(STRETCH, STRETCH).fits(asked.times(ratio.cores, ratio.memory));
-        }
-        false
+    /// Room asked, plus predicted slack for low-priority tasks, as far as the machine accepts.
+    fn has_room(&self, task: &Task, low: bool, m: &Machine, free: Room) -> bool {
+        let slack = if low { m.slack } else { Room::NONE };
+        (free + slack).fits(task.size) && (free + self.b.accepts(m)).fits(task.order.ask)
+    }
+
+    /// Stretched, any task may use the idle part of all asks, by the use seen per ask of our tasks there, and of
+    /// all our tasks as far as there are few, up to the mark for stretching.
+    fn has_stretched_room(&self, ask: Room, m: &Machine, free: Room) -> bool {
+        let prior = m.size.times(PRIOR, PRIOR);
+        let asks = prior + m.heard;
+        let used = prior.times(self.b.ratio.cores, self.b.ratio.memory) + m.used;
+        let use_then = (m.size - free + ask).times(used.cores / asks.cores, used.memory / asks.memory);
+        (free + self.b.accepts(m)).fits(ask) && m.size.times(STRETCH, STRETCH).fits(use_then)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,7 +60,8 @@
     pub since: Option<Time>,
     pub left: Room,
     /// Our own asks (below nought) and ends (above) that the view may not show yet.
-    pub unseen: VecDeque<(Time, Room)>,
+    unseen: VecDeque<(Time, Room)>,
+    unseen_sum: Room,
     /// Places of our tasks whose last send has not ended, oldest first, and their services.
     pub tasks: Vec<(usize, ServiceId)>,
     /// What those of them ask for that a use was noted of, and that use.
@@ -125,6 +126,7 @@
             since: None,
             left: Room::NONE,
             unseen: VecDeque::with_capacity(16),
+            unseen_sum: Room::NONE,
             tasks: Vec::with_capacity(32),
             heard: Room::NONE,
             used: Room::NONE,
@@ -160,6 +162,11 @@
         self.tasks.iter().filter(|(_, of)| *of == service).count()
     }
 
+    /// Neither holds a task of the service nor is taken to keep its program.
+    pub fn is_bare(&self, service: ServiceId) -> bool {
+        !self.lately.contains(&service) && self.tasks_of(service) == 0
+    }
+
     /// Notes a change of our own asks that views can't show yet. A long list without a new view is merged.
     pub fn changes(&mut self, now: Time, change: Room) {
         if self.unseen.len() >= 64 {
@@ -167,6 +174,15 @@
             self.unseen.front_mut().expect("is long").1 += oldest;
         }
         self.unseen.push_back((now, change));
+        self.unseen_sum += change;
+    }
+
+    /// Forgets the changes that are older than a view.
+    pub fn seen(&mut self, now: Time, view_age: Span) {
+        while self.unseen.front().is_some_and(|(at, _)| now - *at > view_age) {
+            self.unseen.pop_front();
+        }
+        self.unseen_sum = self.unseen.iter().fold(Room::NONE, |sum, (_, change)| sum + *change);
     }
 
     /// Notes a send to this cold machine, and forgets those of long ago.
@@ -186,6 +202,6 @@
 
     /// What the view shows as left, less our own asks and plus our own ends that it can't show yet.
     pub fn free(&self) -> Room {
-        self.unseen.iter().fold(self.left, |left, (_, change)| left + *change)
+        self.left + self.unseen_sum
     }
 }
