--- a/src/brain.rs
+++ b/src/brain.rs
@@ -130,8 +130,6 @@
     ratio: Room,
     /// How long a yes usually takes.
     usual: Span,
-    /// And a start, on a machine with and without the program.
-    usual_start: [Span; 2],
     fits: Vec<Fit>,
     tick_set: bool,
     watch_failures: u32,
@@ -173,7 +171,6 @@
             moved: VecDeque::with_capacity(64),
             ratio: Room::new(1.0, 1.0),
             usual: Span::ZERO,
-            usual_start: [Span::ZERO; 2],
             fits: Vec::with_capacity(64),
             tick_set: false,
             watch_failures: 0,
@@ -292,12 +289,6 @@
             let took = now - task.sent_at;
             let dealing = &mut m.dealings[task.order.use_case.0];
             (dealing.barred_until, dealing.times) = (now, 0);
-            // Far slower than usual: a slow or crowded machine, also where nothing else tells of pressure.
-            let usual = &mut self.b.usual_start[usize::from(task.bare)];
-            if !self.b.taking.tells_pressure && took > *usual * SLOW && *usual > Span::ZERO {
-                m.pressed_until = now + PRESSED;
-            }
-            *usual = usual.toward(took, USUAL_STEP);
             if took < soft_limit {
                 m.good(most);
             } else {
@@ -666,10 +657,9 @@
             return false;
         };
         let cold = self.b.is_cold(self.b.machines[at].since, now);
-        let bare = self.b.machines[at].is_bare(self.b.tasks[place].order.service);
         let task = &mut self.b.tasks[place];
         (task.state, task.starting) = (State::Sent, true);
-        (task.machine, task.sent_at, task.bare) = (at, now, bare);
+        (task.machine, task.sent_at) = (at, now);
         task.sends += 1;
         let m = &mut self.b.machines[at];
         m.tasks.push((place, task.order.service));
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,8 +28,6 @@
     /// Sent, and not known to run yet.
     pub starting: bool,
     pub sends: u32,
-    /// Sent to a machine that held no task of its service.
-    pub bare: bool,
     /// Where its open send went, and when.
     pub machine: usize,
     pub sent_at: Time,
@@ -94,7 +92,6 @@
             size: order.ask,
             waited: false,
             starting: false,
-            bare: false,
             sends: 0,
             machine: usize::MAX,
             sent_at: now,
