--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,8 +49,6 @@
 const MOST_CAP: f64 = 36.0;
 /// A machine in trouble rests for this part of the client timeout, doubled by each trouble, at most so often.
 const REST_SHARE: f64 = 0.125;
-/// One that errs answers at least: of its rest, only this part is without exception.
-const ERRED_REST: f64 = 0.25;
 const MOST_DOUBLINGS: u32 = 5;
 /// How old a view may be when it comes: our sends younger than this are not in it.
 const VIEW_AGE: Span = Span::from_nanos(800_000_000);
@@ -398,17 +396,11 @@
             // Others were answered since this was sent: a long line, no dead machine.
             Ending::TimedOut if m.dealings[case].answered_at > task.sent_at => m.halve(),
             Ending::Recalled if state != State::Sent => {}
-            // It answers, so it may serve others: past a short rest it takes what no calm machine takes.
-            Ending::Errored => {
-                m.trouble(now, rest);
-                m.pressed_until = m.pressed_until.max(m.rests_until);
-                m.rests_until = now + rest * ERRED_REST;
-            }
             Ending::NoConnection | Ending::Broken(Loss::Untold) | Ending::Nacked(Nack::QueueFull) => {
                 m.trouble(now, rest)
             }
-            // Silence, or a nack without a reason: it may be this use case alone that the machine leaves out.
-            Ending::TimedOut | Ending::Recalled | Ending::Nacked(Nack::Untold) => {
+            // Errors, silence, or a nack without a reason: it may be this use case alone that suffers.
+            Ending::Errored | Ending::TimedOut | Ending::Recalled | Ending::Nacked(Nack::Untold) => {
                 let dealing = &mut m.dealings[case];
                 dealing.barred_until = now + longer(rest, &mut dealing.times);
             }
