--- a/src/brain.rs
+++ b/src/brain.rs
@@ -76,7 +76,7 @@
 const OPENING: f64 = 1.0;
 const EMPTY: f64 = 0.02;
 /// Room asked for may be stretched after this part of the soft limit.
-const STRETCH_SHARE: f64 = 0.02;
+const STRETCH_SHARE: f64 = 0.0;
 /// Stretched asks may bring a machine's expected use up to here: some way under the hot mark.
 const STRETCH: f64 = 0.9;
 /// The use seen per ask over all machines weighs like asks of this part of a machine's size.
@@ -683,7 +683,7 @@
             let away = m.zone != home.zone && home.cross_zone_price > 0.0;
             let calm = m.pressed_until <= self.now;
             let departs = match self.has_room(task, low, m, free) {
-                true if calm => u32::from(away),
+                true if calm => u32::from(away || waited),
                 true => 2,
                 false if calm && least > 0 && self.has_stretched_room(ask, m, free) => 1,
                 false => continue,
