--- a/src/brain.rs
+++ b/src/brain.rs
@@ -75,8 +75,6 @@
 /// Where machines in use have a price, one with hardly an ask ranks as if it were full: it is opened last.
 const OPENING: f64 = 1.0;
 const EMPTY: f64 = 0.02;
-/// Room asked for may be stretched after this part of the soft limit.
-const STRETCH_SHARE: f64 = 0.0;
 /// Stretched asks may bring a machine's expected use up to here: some way under the hot mark.
 const STRETCH: f64 = 0.9;
 /// The use seen per ask over all machines weighs like asks of this part of a machine's size.
@@ -112,7 +110,7 @@
 }
 
 /// A machine that fits: its place, its rank, where the service's own order has it, and if it lacks the program.
-type Fit = (usize, f64, u64, bool);
+type Fit = (usize, f64, u64, bool, usize);
 
 pub struct Brain {
     use_cases: Vec<UseCase>,
@@ -639,14 +637,13 @@
             self.give_up(place);
             return true;
         }
-        let stretch = now - task.came >= use_case.soft_limit * STRETCH_SHARE;
         let share = if self.b.taking.recalls { PATIENCE_SHARE } else { self.b.silence_share() };
         let time_out = (use_case.client_timeout * share).min(time_left);
         // Of a long line a part is tried, by chance.
         if task.waited && self.b.chance.below(line) >= WALK {
             return false;
         }
-        let Some(at) = self.pick(place, stretch) else {
+        let Some(at) = self.pick(place) else {
             self.b.tasks[place].waited = true;
             return false;
         };
@@ -666,35 +663,30 @@
         true
     }
 
-    /// The design's choice: filters, room, least requested, random within the tie. What has waited is content
-    /// with less: with a priced zone and stretched room, or else with pressed machines.
-    fn pick(&mut self, place: usize, waited: bool) -> Option<usize> {
+    /// The design's choice: filters, room, least requested, random within the tie. Where less than half of the
+    /// machines have the room asked for, all schedulers would pile on these few: stretched room counts too.
+    fn pick(&mut self, place: usize) -> Option<usize> {
         let mut fits = std::mem::take(&mut self.b.fits);
         fits.clear();
         let (task, use_case, home) = (&self.b.tasks[place], self.b.use_case(place), self.b.home);
         let Order { ask, service, .. } = task.order;
         let (low, fade) = (use_case.priority == self.b.low, self.b.fade(self.now));
-        let mut least = if waited { 2 } else { 0 };
+        let (mut open, mut fit) = (0, [0; 3]);
         for (at, m) in self.b.machines.iter() {
             if !self.may_go(task, use_case, at, m) {
                 continue;
             }
             let free = self.b.free(m, fade);
-            let away = m.zone != home.zone && home.cross_zone_price > 0.0;
             let calm = m.pressed_until <= self.now;
+            open += usize::from(calm);
             let departs = match self.has_room(task, low, m, free) {
-                true if calm => u32::from(away || waited),
+                true if calm => 0,
                 true => 2,
-                false if calm && least > 0 && self.has_stretched_room(ask, m, free) => 1,
+                false if calm && self.has_stretched_room(ask, m, free) => 1,
                 false => continue,
             };
-            if departs > least {
-                continue;
-            }
-            if departs < least {
-                least = departs;
-                fits.clear();
-            }
+            fit[departs] += 1;
+            let away = m.zone != home.zone && home.cross_zone_price > 0.0;
             let asked = m.size - free + ask;
             let mut rank =
                 CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
@@ -702,15 +694,17 @@
             let shut = home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - free);
             rank += if shut { OPENING } else { 0.0 } + if away { ZONE * home.cross_zone_price } else { 0.0 };
             let order = mix(service.0, m.id.0) >> 1 | u64::from(away) << 63;
-            fits.push((at, rank, order, m.is_bare(service)));
+            fits.push((at, rank, order, m.is_bare(service), departs));
         }
+        let most = if 2 * fit[0] >= open.max(1) { 0 } else { 2 - usize::from(fit[0] + fit[1] > 0) };
+        fits.retain(|(.., departs)| *departs <= most);
         // A start without the program takes many times the work and misses the soft limit.
         let homes = HOMES.min(fits.len());
         if homes < fits.len() {
-            fits.select_nth_unstable_by_key(homes, |(_, _, order, _)| *order);
+            fits.select_nth_unstable_by_key(homes, |(_, _, order, ..)| *order);
         }
-        fits[..homes].sort_unstable_by_key(|(_, _, order, _)| *order);
-        for (n, (_, rank, _, bare)) in fits.iter_mut().enumerate() {
+        fits[..homes].sort_unstable_by_key(|(_, _, order, ..)| *order);
+        for (n, (_, rank, _, bare, _)) in fits.iter_mut().enumerate() {
             *rank += if *bare { BARE * n.min(HOMES) as f64 } else { 0.0 };
         }
         let best = fits.iter().map(|(_, rank, ..)| *rank).fold(f64::INFINITY, f64::min);
