--- a/src/brain.rs
+++ b/src/brain.rs
@@ -678,15 +678,15 @@
             }
             let free = self.b.free(m, fade);
             let calm = m.pressed_until <= self.now;
-            open += usize::from(calm);
+            let away = m.zone != home.zone && home.cross_zone_price > 0.0;
+            open += usize::from(calm && !away);
             let departs = match self.has_room(task, low, m, free) {
-                true if calm => 0,
+                true if calm => usize::from(away),
                 true => 2,
                 false if calm && self.has_stretched_room(ask, m, free) => 1,
                 false => continue,
             };
             fit[departs] += 1;
-            let away = m.zone != home.zone && home.cross_zone_price > 0.0;
             let asked = m.size - free + ask;
             let mut rank =
                 CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
