Rest the cells of machines that are lost together

Covers racks, rooms that lose power, and anything else that the list shows in common by cell; hurts where two machines of two cells are lost by chance.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -417,6 +417,8 @@
             }
             _ => {}
         }
+        let lost = matches!(ending, Ending::NoConnection | Ending::Broken(Loss::Untold));
+        m.lost_at = if lost { Some(now) } else { m.lost_at };
         let never_ran = matches!(ending, Ending::Nacked(_) | Ending::NoConnection | Ending::NotSent);
         if !never_ran && state == State::Sent && task.may_run.is_none() {
             task.may_run = Some((task.sent_at, m.spot()));
@@ -431,9 +433,24 @@
             (task.state, task.waited) = (State::Pending, false);
             self.b.pending.push(place);
         }
+        if lost {
+            self.rest_cells(rest);
+        }
         self.probed(id, report);
     }
 
+    /// Machines lost together have something in common: whatever shares a cell with them rests too. Met when a
+    /// rack restarted: each scheduler learnt each machine by a failed send. Hurts where losses are by chance.
+    fn rest_cells(&mut self, rest: Span) {
+        let now = self.now;
+        let is_lost = |m: &Machine| m.lost_at.is_some_and(|at| now - at < rest);
+        let cells: Vec<CellId> =
+            self.b.machines.iter().filter(|(_, m)| is_lost(m)).map(|(_, m)| m.cell).collect();
+        for (_, m) in self.b.machines.iter_mut().filter(|(_, m)| cells.len() > 1 && cells.contains(&m.cell)) {
+            m.rests_until = m.rests_until.max(now + rest);
+        }
+    }
+
     pub fn abandoned(&mut self, id: TaskId) {
         let Some(place) = self.b.tasks.place(id) else { return };
         if self.b.tasks[place].state == State::Pending {
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,6 +78,8 @@
     pub cap: f64,
     pub troubles: u32,
     pub rests_until: Time,
+    /// When a send or a task was last lost with it.
+    pub lost_at: Option<Time>,
     /// By use case, as it may be one alone that the machine leaves unanswered or turns away.
     pub dealings: Vec<Dealing>,
     pub cold_sends: VecDeque<Time>,
@@ -137,6 +139,7 @@
             cap,
             troubles: 0,
             rests_until: now,
+            lost_at: None,
             dealings: vec![Dealing { answered_at: now, barred_until: now, times: 0 }; use_cases],
             cold_sends: VecDeque::new(),
         }
