--- a/src/brain.rs
+++ b/src/brain.rs
@@ -523,16 +523,17 @@
         let now = self.now;
         let m = &mut self.b.machines[at];
         let peak = Room::new(m.use_cores.peak(now).unwrap_or(0.0), m.use_memory.peak(now).unwrap_or(0.0));
-        let mut over = peak.times(m.size.cores, m.size.memory) - m.size.times(HOT, HOT);
+        let total = peak.times(m.size.cores, m.size.memory);
+        let over = total - m.size.times(HOT, HOT);
         if over.cores <= 0.0 && over.memory <= 0.0 {
             return;
         }
+        // Others see the heat too: ours to shed is our part of the use.
+        let ours = Room::new(m.used.cores / total.cores.max(1e-9), m.used.memory / total.memory.max(1e-9));
+        let mut over = over.times(ours.cores.min(1.0), ours.memory.min(1.0));
         m.use_cores.forget();
         m.use_memory.forget();
         for n in (0..self.b.machines[at].tasks.len()).rev() {
-            if over.cores <= 0.0 && over.memory <= 0.0 {
-                break;
-            }
             let (place, _) = self.b.machines[at].tasks[n];
             if !self.b.is_low(place) || !self.has_calm_room(place) {
                 continue;
@@ -542,6 +543,11 @@
             if task.order.again || task.state != State::Placed || task.last_use == Room::NONE {
                 continue;
             }
+            // Less than a whole task is shed by chance.
+            let part = (over.cores / task.last_use.cores).max(over.memory / task.last_use.memory);
+            if part < self.b.chance.below(1000) as f64 / 1000.0 {
+                break;
+            }
             over -= task.last_use;
             let peak = task.peak(now);
             task.state = State::Over;
@@ -699,9 +705,9 @@
             open += usize::from(calm && !away);
             let departs = match self.has_room(task, low, m, free) {
                 true if calm => usize::from(away),
-                true => 2,
+                true if task.waited => 2,
                 false if calm && self.has_stretched_room(ask, m, free) => 1,
-                false => continue,
+                _ => continue,
             };
             fit[departs] += 1;
             let asked = m.size - free + ask;
