--- a/crates/benchlink/src/batch.rs
+++ b/crates/benchlink/src/batch.rs
@@ -213,8 +213,8 @@
                 let x: Option<f64> = v.maybe("x")?;
                 match (topic, x.filter(|x| x.is_finite())) {
                     (1, _) => round.runs(id),
-                    (2, Some(x)) => round.uses_cores(id, x),
-                    (3, Some(x)) => round.uses_memory(id, x),
+                    (2, Some(x)) => round.uses(id, Some(x), None),
+                    (3, Some(x)) => round.uses(id, None, Some(x)),
                     (4, Some(x)) => round.served(id, x),
                     (5, Some(x)) => round.machine_memory(id, x),
                     _ => {}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -289,22 +289,12 @@
             (dealing.barred_until, dealing.times) = (now, 0);
             if took < soft_limit {
                 m.good(most);
-            } else {
-                m.cap = (m.cap - 1.0).max(1.0);
             }
         }
     }
 
-    pub fn uses_cores(&mut self, id: TaskId, cores: f64) {
-        self.uses(id, Some(cores), None);
-    }
-
-    pub fn uses_memory(&mut self, id: TaskId, memory: f64) {
-        self.uses(id, None, Some(memory));
-    }
-
     /// The use of a task; of high-priority ones, ask minus peak use becomes slack of their machine.
-    fn uses(&mut self, id: TaskId, cores: Option<f64>, memory: Option<f64>) {
+    pub fn uses(&mut self, id: TaskId, cores: Option<f64>, memory: Option<f64>) {
         let now = self.now;
         let Some(place) = self.b.tasks.place(id) else { return };
         let high = !self.b.is_low(place);
@@ -405,15 +395,11 @@
                 dealing.barred_until = now + longer(rest * SILENT, &mut dealing.times);
             }
             // The machine knows its room: for as long as a view may be stale, there is less than this ask.
-            Ending::Nacked(Nack::NoCores | Nack::NoMemory) => {
-                let held = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
-                let mut less = (ask.times(0.99, 0.99) - held - m.free()).at_most(Room::NONE);
-                if matches!(ending, Ending::Nacked(Nack::NoCores)) {
-                    less.memory = 0.0;
-                } else {
-                    less.cores = 0.0;
-                }
-                m.changes(now, less);
+            Ending::Nacked(nack @ (Nack::NoCores | Nack::NoMemory)) => {
+                let accepts = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
+                let less = (ask.times(0.99, 0.99) - accepts - m.free()).at_most(Room::NONE);
+                let cores = nack == Nack::NoCores;
+                m.changes(now, less.times(f64::from(cores), f64::from(!cores)));
             }
             _ => {}
         }
@@ -453,10 +439,13 @@
 
     pub fn abandoned(&mut self, id: TaskId) {
         let Some(place) = self.b.tasks.place(id) else { return };
-        if self.b.tasks[place].state == State::Pending {
-            self.forget(place);
-        } else if self.b.tasks[place].state == State::Sent {
-            self.b.tasks[place].state = State::Over;
+        match self.b.tasks[place].state {
+            State::Pending => {
+                self.b.pending.retain(|p| *p != place);
+                self.b.tasks.remove(place);
+            }
+            State::Sent => self.b.tasks[place].state = State::Over,
+            _ => {}
         }
     }
 
@@ -585,20 +574,13 @@
         })
     }
 
-    fn forget(&mut self, place: usize) {
-        self.b.pending.retain(|p| *p != place);
-        self.b.tasks.remove(place);
-    }
-
     /// The final answer of a task without an open send: no, where that is allowed, else failure.
     fn give_up(&mut self, place: usize) {
         let use_case = self.b.use_case(place);
         let task = &self.b.tasks[place];
-        let harmless = match use_case.effect {
-            Effect::Replayable => true,
-            Effect::Referenced { group: Reach::All, .. } => true,
-            _ => task.may_run.is_none(),
-        };
+        let anywhere =
+            matches!(use_case.effect, Effect::Replayable | Effect::Referenced { group: Reach::All, .. });
+        let harmless = anywhere || task.may_run.is_none();
         if harmless {
             self.out.nack(task.order.id, Span::ZERO);
         } else {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -38,7 +38,7 @@
     crowd(&mut host);
     host.runs_on(1, HIGH, 8.0, 1);
     assert_eq!(host.ask(2, LOW, 3.0), [], "a task that nothing was heard of gives no slack");
-    host.tell(|r| (r.uses_cores(TaskId(1), 4.0), r.uses_memory(TaskId(1), 4.0)));
+    host.tell(|r| (r.uses(TaskId(1), Some(4.0), None), r.uses(TaskId(1), None, Some(4.0))));
     assert_eq!(host.ask(3, HIGH, 3.0), []);
     let said = host.ask(4, LOW, 3.0);
     assert_eq!(said, [Said::Send(4, 1)]);
@@ -50,7 +50,7 @@
     crowd(&mut host);
     host.runs_on(1, HIGH, 8.0, 1);
     for used in [7.5, 2.0] {
-        host.tell(|r| (r.uses_cores(TaskId(1), used), r.uses_memory(TaskId(1), used)));
+        host.tell(|r| (r.uses(TaskId(1), Some(used), None), r.uses(TaskId(1), None, Some(used))));
     }
     assert_eq!(host.ask(2, LOW, 3.0), []);
 }
@@ -88,7 +88,7 @@
     for (id, use_case) in [(1, LOW), (2, LOW), (3, HIGH), (4, LOW)] {
         host.runs_on(id, use_case, 1.0, 1);
         let used = if use_case == LOW { 2.5 } else { 4.5 };
-        host.tell(|r| (r.uses_cores(TaskId(id), used), r.uses_memory(TaskId(id), used)));
+        host.tell(|r| (r.uses(TaskId(id), Some(used), None), r.uses(TaskId(id), None, Some(used))));
     }
     assert_eq!(host.tell(|r| r.machine_memory(TaskId(3), 1.2)), [Said::Move(4)], "2.5 too much: one goes");
     assert_eq!(host.after(100), [], "no more before the next report");
@@ -98,7 +98,7 @@
 /// A high-priority task that uses all of machine 1, with two units more; what comes on top is ours to shed.
 fn crowd(host: &mut Host) {
     host.runs_on(900, HIGH, 1.0, 1);
-    host.tell(|r| (r.uses_cores(TaskId(900), 10.0), r.uses_memory(TaskId(900), 10.0)));
+    host.tell(|r| (r.uses(TaskId(900), Some(10.0), None), r.uses(TaskId(900), None, Some(10.0))));
 }
 
 #[test]
@@ -106,7 +106,7 @@
     let moved = |seed| {
         let mut host = Host { seed, ..Host::new() }.up(&[machine(1, 9.0), machine(2, 9.0)]);
         host.runs_on(1, LOW, 1.0, 1);
-        host.tell(|r| (r.uses_cores(TaskId(1), 1.2), r.uses_memory(TaskId(1), 1.2)));
+        host.tell(|r| (r.uses(TaskId(1), Some(1.2), None), r.uses(TaskId(1), None, Some(1.2))));
         host.tell(|r| r.machine_memory(TaskId(1), 1.2)).len()
     };
     let all: usize = (0..400).map(moved).sum();
@@ -118,13 +118,15 @@
     let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 5.0)]);
     crowd(&mut host);
     host.runs_on(1, LOW, 4.0, 1);
-    host.tell(|r| (r.uses_cores(TaskId(1), 2.0), r.uses_memory(TaskId(1), 2.0)));
+    host.tell(|r| (r.uses(TaskId(1), Some(2.0), None), r.uses(TaskId(1), None, Some(2.0))));
     assert_eq!(host.tell(|r| r.machine_memory(TaskId(1), 1.2)), [Said::Move(1)]);
     host.tell(|r| r.closed(TaskId(1), Ending::Recalled, true, Report::default()));
     host.tell(|r| r.list(ListKind::Changes, &[machine(1, 0.0), machine(2, 3.0)]));
     let back = Order { id: TaskId(2), key: TaskKey(1), again: true, ..host.order(2, LOW, 4.0) };
     assert_eq!(host.tell(|r| r.new_task(back)), [Said::Send(2, 2)], "three are enough for its peak of two");
-    host.tell(|r| (r.accepted(TaskId(2)), r.uses_cores(TaskId(2), 2.0), r.uses_memory(TaskId(2), 2.0)));
+    host.tell(|r| {
+        (r.accepted(TaskId(2)), r.uses(TaskId(2), Some(2.0), None), r.uses(TaskId(2), None, Some(2.0)))
+    });
     host.tell(|r| r.list(ListKind::Changes, &[machine(3, 9.0)]));
     assert_eq!(host.tell(|r| r.machine_memory(TaskId(2), 0.96)), []);
 }
@@ -376,7 +378,7 @@
     let mut host = Host::new().up(&[machine(1, 0.5)]);
     host.runs_on(1, HIGH, 4.0, 1);
     for _ in 0..400 {
-        host.tell(|r| (r.uses_cores(TaskId(1), 2.0), r.uses_memory(TaskId(1), 2.0)));
+        host.tell(|r| (r.uses(TaskId(1), Some(2.0), None), r.uses(TaskId(1), None, Some(2.0))));
     }
     assert_eq!(host.ask(2, HIGH, 1.0), [Said::Send(2, 1)]);
     host.tell(|r| r.list(ListKind::Changes, &[machine(2, 1.0), machine(3, 1.0)]));
@@ -436,7 +438,7 @@
     host.tell(|r| r.list(ListKind::Changes, &[sizeless]));
     assert_eq!(host.ask(1, HIGH, 99.0), [], "larger than any machine");
     assert_eq!(host.ask(2, LOW, 0.0), [Said::Send(2, 1)]);
-    host.tell(|r| (r.uses_cores(TaskId(2), f64::MAX), r.uses_memory(TaskId(2), -1.0)));
+    host.tell(|r| (r.uses(TaskId(2), Some(f64::MAX), None), r.uses(TaskId(2), None, Some(-1.0))));
     host.tell(|r| (r.served(TaskId(2), -5.0), r.machine_memory(TaskId(77), 2.0)));
     host.tell(|r| r.closed(TaskId(1), Ending::Ok, true, Report::default()));
     host.millis -= 50_000;
@@ -466,7 +468,7 @@
     let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 1.0)]);
     crowd(&mut host);
     host.runs_on(1, LOW, 1.0, 1);
-    host.tell(|r| (r.uses_cores(TaskId(1), 0.7), r.uses_memory(TaskId(1), 0.7)));
+    host.tell(|r| (r.uses(TaskId(1), Some(0.7), None), r.uses(TaskId(1), None, Some(0.7))));
     assert_eq!(host.tell(|r| r.machine_memory(TaskId(1), 1.2)), [Said::Move(1)]);
     host.tell(|r| r.closed(TaskId(1), Ending::Recalled, true, Report::default()));
     let gone = Entry { mode: Mode::Left, ..machine(2, 1.0) };
@@ -503,7 +505,7 @@
     let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 0.5)]);
     crowd(&mut host);
     host.runs_on(1, LOW, 1.0, 1);
-    host.tell(|r| (r.uses_cores(TaskId(1), 0.9), r.uses_memory(TaskId(1), 0.9)));
+    host.tell(|r| (r.uses(TaskId(1), Some(0.9), None), r.uses(TaskId(1), None, Some(0.9))));
     assert_eq!(host.tell(|r| r.machine_memory(TaskId(1), 1.2)), []);
     host.tell(|r| r.list(ListKind::Changes, &[machine(2, 3.0)]));
     assert_eq!(host.tell(|r| r.machine_memory(TaskId(1), 1.2)), [Said::Move(1)]);
