--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,18 +35,14 @@
 const PATIENCE_SHARE: f64 = 0.75;
 /// Pending tasks are looked at again after this part of the shortest soft limit, if nothing comes in before.
 const RETRY_SHARE: f64 = 0.05;
-/// So many pending tasks are tried at a look: a long line costs no more than a short one.
-const WALK: usize = 64;
 /// A task that still waits so near its client timeout (as a part of it) gets its final answer.
 const GIVE_UP_SHARE: f64 = 0.03;
 /// A referenced task is sent again only within this part of its window, so that the send arrives inside it.
 const WINDOW_SHARE: f64 = 0.9;
 /// The cold budget is counted over this many times the rule's window: sends may bunch up on their way.
 const FALL_STRETCH: f64 = 1.5;
-/// Starts under way that a machine bears from all schedulers: at first when fresh, when known, and at most.
+/// Starts under way that a fresh machine bears from all schedulers; each start in time adds one of ours.
 const FRESH_CAP: f64 = 6.0;
-const KNOWN_CAP: f64 = 24.0;
-const MOST_CAP: f64 = 36.0;
 /// A machine in trouble rests for this part of the client timeout, doubled by each trouble, at most so often.
 const REST_SHARE: f64 = 0.125;
 /// One that leaves a use case unanswered or errs rests longer for it: nothing tells when that is over.
@@ -86,18 +82,9 @@
 const WATCH: u64 = 1;
 
 impl Machine {
-    fn good(&mut self, most: f64) {
-        self.cap = (self.cap + 1.0).min(most);
-        self.troubles = 0;
-    }
-
-    fn halve(&mut self) {
-        self.cap = (self.cap / 2.0).max(1.0);
-    }
-
     /// Errors, silence and lost machines alike: send it less, and let it rest, longer each time.
     fn trouble(&mut self, now: Time, rest: Span) {
-        self.halve();
+        self.cap = (self.cap / 2.0).max(1.0);
         self.rests_until = now + longer(rest, &mut self.troubles);
     }
 }
@@ -208,15 +195,6 @@
         tightest * RETRY_SHARE + Span::from_nanos(1)
     }
 
-    /// Our share of what a machine bears from all schedulers together.
-    fn share(&self, of_all: f64) -> f64 {
-        of_all / f64::from(self.cold.schedulers.max(1))
-    }
-
-    fn cap(&self, of_all: f64) -> f64 {
-        self.share(of_all).max(1.0)
-    }
-
     /// A view without news fades to the mean of all machines, or whoever gets none fills those once empty.
     fn fade(&self, now: Time) -> f64 {
         let silence = (now - self.news_at).over(self.listing.ask_within * NEWS_SHARE);
@@ -279,7 +257,6 @@
     pub fn runs(&mut self, id: TaskId) {
         let Some(place) = self.b.tasks.place(id) else { return };
         let (now, soft_limit) = (self.now, self.b.use_case(place).soft_limit);
-        let most = self.b.cap(MOST_CAP);
         let task = &mut self.b.tasks[place];
         if std::mem::take(&mut task.starting) {
             let m = &mut self.b.machines[task.machine];
@@ -288,7 +265,8 @@
             let dealing = &mut m.dealings[task.order.use_case.0];
             (dealing.barred_until, dealing.times) = (now, 0);
             if took < soft_limit {
-                m.good(most);
+                m.cap += 1.0;
+                m.troubles = 0;
             }
         }
     }
@@ -384,7 +362,7 @@
         task.starting = false;
         match ending {
             // Others were answered since this was sent: a long line, no dead machine.
-            Ending::TimedOut if m.dealings[case].answered_at > task.sent_at => m.halve(),
+            Ending::TimedOut if m.dealings[case].answered_at > task.sent_at => {}
             Ending::Recalled if state != State::Sent => {}
             Ending::NoConnection | Ending::Broken(Loss::Untold) | Ending::Nacked(Nack::QueueFull) => {
                 m.trouble(now, rest)
@@ -465,7 +443,8 @@
     }
 
     pub fn list(&mut self, kind: ListKind, entries: &[Entry]) {
-        let (now, first, fresh) = (self.now, kind == ListKind::Saved, self.b.cap(FRESH_CAP));
+        let (now, first) = (self.now, kind == ListKind::Saved);
+        let fresh = (FRESH_CAP / f64::from(self.b.cold.schedulers.max(1))).max(1.0);
         if !first {
             self.b.watch_failures = 0;
         }
@@ -500,9 +479,9 @@
 
     /// The machine's place; one that no list has named yet is never sent to.
     fn machine(&mut self, id: MachineId) -> usize {
-        let (known, cap, cases) = (self.b.machines.place(id), self.b.cap(KNOWN_CAP), self.b.use_cases.len());
+        let (known, cases) = (self.b.machines.place(id), self.b.use_cases.len());
         known.unwrap_or_else(|| {
-            self.b.machines.insert(id, Machine::new(id, PEAK_WINDOW, cap, cases, self.now))
+            self.b.machines.insert(id, Machine::new(id, PEAK_WINDOW, f64::INFINITY, cases, self.now))
         })
     }
 
@@ -601,17 +580,11 @@
         let mut pending = std::mem::take(&mut self.b.pending);
         pending.sort_unstable_by(|a, b| {
             let (one, two) = (&self.b.tasks[*a], &self.b.tasks[*b]);
-            (self.gain(*b).total_cmp(&self.gain(*a)))
-                .then(one.came.cmp(&two.came))
-                .then(one.order.id.cmp(&two.order.id))
+            self.gain(*b).total_cmp(&self.gain(*a)).then(one.came.cmp(&two.came))
         });
         // The whole line is walked at ticks only, which keeps the cost of a long line down.
         let between = self.b.tick_set;
-        let line = pending.len();
-        pending.retain(|place| {
-            let due = !self.b.tasks[*place].waited || !between;
-            !due || !self.settle(*place, line)
-        });
+        pending.retain(|place| (between && self.b.tasks[*place].waited) || !self.settle(*place));
         self.b.pending = pending;
         if !between && self.b.taking.recalls {
             self.recall_from_silent();
@@ -625,7 +598,7 @@
     }
 
     /// Sends a pending task or gives it up; false where it waits on.
-    fn settle(&mut self, place: usize, line: usize) -> bool {
+    fn settle(&mut self, place: usize) -> bool {
         let now = self.now;
         let use_case = self.b.use_case(place);
         let task = &self.b.tasks[place];
@@ -644,10 +617,6 @@
         }
         let share = if self.b.taking.recalls { PATIENCE_SHARE } else { self.b.silence_share() };
         let time_out = (use_case.client_timeout * share).min(time_left);
-        // Of a long line a part is tried, by chance.
-        if task.waited && self.b.chance.below(line) >= WALK {
-            return false;
-        }
         let Some(at) = self.pick(place) else {
             self.b.tasks[place].waited = true;
             return false;
