One bar by machine and use case for all kinds of trouble

The rest of the whole machine and its own count of troubles are gone; what strikes all use cases bars each.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -81,14 +81,6 @@
 const TICK: u64 = 0;
 const WATCH: u64 = 1;
 
-impl Machine {
-    /// Errors, silence and lost machines alike: send it less, and let it rest, longer each time.
-    fn trouble(&mut self, now: Time, rest: Span) {
-        self.cap = (self.cap / 2.0).max(1.0);
-        self.rests_until = now + longer(rest, &mut self.troubles);
-    }
-}
-
 /// The rest after so many in a row: twice as long each time, up to a bound.
 fn longer(rest: Span, times: &mut u32) -> Span {
     let span = rest * f64::from(1u32 << *times);
@@ -266,7 +258,6 @@
             (dealing.barred_until, dealing.times) = (now, 0);
             if took < soft_limit {
                 m.cap += 1.0;
-                m.troubles = 0;
             }
         }
     }
@@ -274,12 +265,9 @@
     /// The use of a task; of high-priority ones, ask minus peak use becomes slack of their machine.
     pub fn uses(&mut self, id: TaskId, cores: Option<f64>, memory: Option<f64>) {
         let now = self.now;
-        let Some(place) = self.b.tasks.place(id) else { return };
+        let Some((place, at)) = self.placed(id) else { return };
         let high = !self.b.is_low(place);
         let task = &mut self.b.tasks[place];
-        if task.state != State::Placed {
-            return;
-        }
         let (ask, before) = (task.order.ask, task.last_use);
         if let Some(cores) = cores {
             task.cores.note(now, cores);
@@ -291,7 +279,7 @@
             task.last_use.memory = memory;
             self.b.ratio.memory += (memory / ask.memory.max(1e-9) - self.b.ratio.memory) * RATIO_STEP;
         }
-        let m = &mut self.b.machines[task.machine];
+        let m = &mut self.b.machines[at];
         m.used += task.last_use - before;
         m.heard += if before == Room::NONE { ask } else { Room::NONE };
         if high {
@@ -303,41 +291,37 @@
 
     /// Poor service tells how busy the cores are, by the use case's own curve.
     pub fn served(&mut self, id: TaskId, share: f64) {
-        let Some(place) = self.b.tasks.place(id) else { return };
-        let use_case = self.b.use_case(place);
-        let busy = use_case.full_up_to + (1.0 - share) * use_case.fade;
-        let at = self.b.tasks[place].machine;
-        if self.b.tasks[place].state == State::Placed {
-            self.b.machines[at].use_cores.note(self.now, busy);
-            self.b.machines[at].poor.note(self.now, 1.0 - share);
-            self.press(at, share < SERVED_WELL);
-            self.shed(at);
-        }
+        let Some((place, at)) = self.placed(id) else { return };
+        let busy = self.b.use_case(place).full_up_to + (1.0 - share) * self.b.use_case(place).fade;
+        self.b.machines[at].poor.note(self.now, 1.0 - share);
+        self.noted(at, Some(busy), None, share < SERVED_WELL);
     }
 
     pub fn machine_memory(&mut self, id: TaskId, share: f64) {
-        let Some(place) = self.b.tasks.place(id) else { return };
-        if self.b.tasks[place].state == State::Placed {
-            let at = self.b.tasks[place].machine;
-            self.b.machines[at].use_memory.note(self.now, share);
-            self.press(at, share > HOT);
-            self.shed(at);
-        }
+        let Some((_, at)) = self.placed(id) else { return };
+        self.noted(at, None, Some(share), share > HOT);
     }
 
-    /// A pressed machine comes last, whoever causes it: neighbours, surges, our own guess.
-    fn press(&mut self, at: usize, pressed: bool) {
-        self.b.machines[at].pressed_until = if pressed { self.now + PRESSED } else { self.now };
+    pub fn probed(&mut self, machine: MachineId, report: Report) {
+        let (Some(at), Some(unused)) = (self.b.machines.place(machine), report.unused) else { return };
+        let size = self.b.machines[at].size;
+        let (cores, memory) = (1.0 - unused.cores / size.cores, 1.0 - unused.memory / size.memory);
+        self.noted(at, Some(cores), Some(memory), cores > HOT || memory > HOT);
     }
 
-    pub fn probed(&mut self, machine: MachineId, report: Report) {
-        let Some(at) = self.b.machines.place(machine) else { return };
+    /// Use of a machine. A pressed one comes last, whoever causes it: neighbours, surges, our own guess.
+    fn noted(&mut self, at: usize, cores: Option<f64>, memory: Option<f64>, pressed: bool) {
         let m = &mut self.b.machines[at];
-        if let Some(unused) = report.unused {
-            m.use_cores.note(self.now, 1.0 - unused.cores / m.size.cores.max(1e-9));
-            m.use_memory.note(self.now, 1.0 - unused.memory / m.size.memory.max(1e-9));
-            self.shed(at);
-        }
+        m.pressed_until = if pressed { self.now + PRESSED } else { self.now };
+        cores.into_iter().for_each(|cores| m.use_cores.note(self.now, cores));
+        memory.into_iter().for_each(|memory| m.use_memory.note(self.now, memory));
+        self.shed(at);
+    }
+
+    fn placed(&self, id: TaskId) -> Option<(usize, usize)> {
+        let place = self.b.tasks.place(id)?;
+        let task = &self.b.tasks[place];
+        (task.state == State::Placed).then_some((place, task.machine))
     }
 
     /// The end of a send. Where `over` is not set, the final answer is still ours to give.
@@ -361,11 +345,15 @@
         m.starting -= usize::from(task.starting);
         task.starting = false;
         match ending {
-            // Others were answered since this was sent: a long line, no dead machine.
-            Ending::TimedOut if m.dealings[case].answered_at > task.sent_at => {}
-            Ending::Recalled if state != State::Sent => {}
+            // Others were answered since this was sent, or it was moved: a long line, no dead machine.
+            Ending::TimedOut | Ending::Recalled
+                if state != State::Sent || m.dealings[case].answered_at > task.sent_at => {}
+            // Send it less, and let it rest, longer each time.
             Ending::NoConnection | Ending::Broken(Loss::Untold) | Ending::Nacked(Nack::QueueFull) => {
-                m.trouble(now, rest)
+                m.cap = (m.cap / 2.0).max(1.0);
+                for dealing in &mut m.dealings {
+                    dealing.barred_until = now + longer(rest, &mut dealing.times);
+                }
             }
             // Errors, silence, or a nack without a reason: it may be this use case alone that suffers.
             Ending::Errored | Ending::TimedOut | Ending::Recalled | Ending::Nacked(Nack::Untold) => {
@@ -389,7 +377,7 @@
         }
         task.slack = Room::NONE;
         task.turned_down = Some(at);
-        let id = m.id;
+        let machine = m.id;
         if over || state != State::Sent {
             self.b.tasks.remove(place);
         } else {
@@ -400,7 +388,7 @@
         if lost {
             self.rest_cells(rest);
         }
-        self.probed(id, report);
+        self.probed(machine, report);
     }
 
     /// Machines lost together have something in common: whatever shares a cell with them rests too. Met when a
@@ -411,7 +399,7 @@
         let cells: Vec<CellId> =
             self.b.machines.iter().filter(|(_, m)| is_lost(m)).map(|(_, m)| m.cell).collect();
         for (_, m) in self.b.machines.iter_mut().filter(|(_, m)| cells.len() > 1 && cells.contains(&m.cell)) {
-            m.rests_until = m.rests_until.max(now + rest);
+            m.dealings.iter_mut().for_each(|d| d.barred_until = d.barred_until.max(now + rest));
         }
     }
 
@@ -443,9 +431,9 @@
     }
 
     pub fn list(&mut self, kind: ListKind, entries: &[Entry]) {
-        let (now, first) = (self.now, kind == ListKind::Saved);
+        let now = self.now;
         let fresh = (FRESH_CAP / f64::from(self.b.cold.schedulers.max(1))).max(1.0);
-        if !first {
+        if kind != ListKind::Saved {
             self.b.watch_failures = 0;
         }
         if kind != ListKind::Changes {
@@ -461,7 +449,7 @@
             m.left = entry.left.unwrap_or(m.left);
             if cold && (m.since != entry.since) {
                 m.cap = fresh;
-                (m.troubles, m.rests_until) = (0, now);
+                m.dealings.iter_mut().for_each(|d| (d.barred_until, d.times) = (now, 0));
             }
             m.since = entry.since;
         }
@@ -559,8 +547,7 @@
         let task = &self.b.tasks[place];
         let anywhere =
             matches!(use_case.effect, Effect::Replayable | Effect::Referenced { group: Reach::All, .. });
-        let harmless = anywhere || task.may_run.is_none();
-        if harmless {
+        if anywhere || task.may_run.is_none() {
             self.out.nack(task.order.id, Span::ZERO);
         } else {
             self.out.error(task.order.id);
@@ -691,8 +678,8 @@
     /// Rules and trust: may this task go to this machine at all?
     fn may_go(&self, task: &Task, use_case: &UseCase, at: usize, m: &Machine) -> bool {
         let now = self.now;
-        let barred_until = m.rests_until.max(m.dealings[task.order.use_case.0].barred_until);
-        if !m.open || now < barred_until || m.starting as f64 >= m.cap || task.turned_down == Some(at) {
+        let barred = now < m.dealings[task.order.use_case.0].barred_until || task.turned_down == Some(at);
+        if !m.open || barred || m.starting as f64 >= m.cap {
             return false;
         }
         if use_case.kind.is_some_and(|kind| kind != m.kind) || m.size.cores <= 0.0 || m.size.memory <= 0.0 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -76,8 +76,6 @@
     pub pressed_until: Time,
     pub starting: usize,
     pub cap: f64,
-    pub troubles: u32,
-    pub rests_until: Time,
     /// When a send or a task was last lost with it.
     pub lost_at: Option<Time>,
     /// By use case, as it may be one alone that the machine leaves unanswered or turns away.
@@ -137,8 +135,6 @@
             pressed_until: now,
             starting: 0,
             cap,
-            troubles: 0,
-            rests_until: now,
             lost_at: None,
             dealings: vec![Dealing { answered_at: now, barred_until: now, times: 0 }; use_cases],
             cold_sends: VecDeque::new(),
