--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,11 +3,11 @@
 //! Called once a round with all that came in: `brain.round(now, &mut writer, |r| { r.new_task(..); .. })`;
 //! the round ends with the placing. Types and writer trait: `interface.rs`; the design: docs/design.md.
 //! Beside it stand these mechanisms, six at most:
-//! 1. trust: a cap on starts under way per machine, grown by starts in time, cut by trouble; rests; recalls
-//! 2. late views: a nack for room counts until a view can show it
-//! 3. stretch: a task that found no room may use the idle part of all asks
-//! 4. pressure: machines that serve poorly, start slowly or err come last, and rank as fuller
-//! 5. surcharges of rank: no program of the service there, another zone, an empty machine
+//! 1. bars: machines rest by use case after trouble, longer each time; cells rest; fresh machines have a cap
+//! 2. late views: a nack for room counts until a view can show it; a list without news fades
+//! 3. stretch: where few machines have the room asked for, the idle part of all asks counts too
+//! 4. pressure: machines that serve poorly come last, and rank as fuller
+//! 5. surcharges of rank: the service's own order, another zone, an empty machine
 //! 6. order of pending tasks: earnings, those in time for their first start before late ones
 
 use crate::interface::*;
@@ -25,12 +25,9 @@
 /// The page has 0.8 (ours). A move costs a start, and until it is nearly used up a machine does little harm.
 const HOT: f64 = 0.95;
 
-/// A machine that answers nothing is waited for this part of the client timeout, and `SLOW` times as long where
-/// yes comes only when the task runs; two more sends then fit.
-const SILENCE_SHARE: f64 = 0.1;
-/// Silence must last this many times a usual answer too, which one answer moves by the step.
-const SLOW: f64 = 3.0;
-const USUAL_STEP: f64 = 1.0 / 16.0;
+/// A machine that answers nothing is waited for this part of the client timeout, or for the second where yes comes
+/// only when the task runs; two more sends then fit.
+const SILENCE_SHARES: [f64; 2] = [0.1, 0.3];
 /// One that answers others is waited for this part, where silent ones can be told apart by recalling.
 const PATIENCE_SHARE: f64 = 0.75;
 /// Pending tasks are looked at again after this part of the shortest soft limit, if nothing comes in before.
@@ -61,9 +58,8 @@
 const KEPT: usize = 8;
 /// What a machine without the service's program must be emptier by, as a share of its size, for each place that
 /// it is further down in an order of the service's own, the same for all schedulers: no scheduler of many sees
-/// where the others started a program, and all see the same least asked machine.
+/// where the others started a program, and all see the same least asked machine. So many places count.
 const BARE: f64 = 4.0 * TIE;
-/// So many places count.
 const HOMES: usize = 6;
 /// A machine ranks as fuller by this part of the service that it missed at worst within the peak window: what
 /// was hot lately (a slow machine, a neighbour, a hot service) soon is again.
@@ -81,7 +77,7 @@
 const TICK: u64 = 0;
 const WATCH: u64 = 1;
 
-/// The rest after so many in a row: twice as long each time, up to a bound.
+/// Twice as long each time, up to a bound.
 fn longer(rest: Span, times: &mut u32) -> Span {
     let span = rest * f64::from(1u32 << *times);
     *times = (*times + 1).min(MOST_DOUBLINGS);
@@ -105,8 +101,6 @@
     pending: Vec<usize>,
     moved: VecDeque<(TaskKey, Room)>,
     ratio: Room,
-    /// How long a yes usually takes.
-    usual: Span,
     fits: Vec<Fit>,
     tick_set: bool,
     watch_failures: u32,
@@ -147,7 +141,6 @@
             pending: Vec::with_capacity(1024),
             moved: VecDeque::with_capacity(64),
             ratio: Room::new(1.0, 1.0),
-            usual: Span::ZERO,
             fits: Vec::with_capacity(64),
             tick_set: false,
             watch_failures: 0,
@@ -178,7 +171,7 @@
 
     /// How long an answer may take, as a part of the client timeout, before it counts as silence.
     fn silence_share(&self) -> f64 {
-        SILENCE_SHARE * if self.taking.yes_when_running { SLOW } else { 1.0 }
+        SILENCE_SHARES[usize::from(self.taking.yes_when_running)]
     }
 
     /// The shortest wait that makes sense: a small part of the tightest soft limit.
@@ -238,7 +231,6 @@
         if task.state == State::Sent {
             task.state = State::Placed;
             self.b.machines[task.machine].dealings[task.order.use_case.0].answered_at = self.now;
-            self.b.usual = self.b.usual.toward(self.now - task.sent_at, USUAL_STEP);
             if self.b.taking.yes_when_running {
                 self.runs(id);
             }
@@ -519,8 +511,7 @@
     fn recall_from_silent(&mut self) {
         for (_, m) in self.b.machines.iter().filter(|(_, m)| m.starting > 0) {
             for (place, _) in &m.tasks {
-                let after = (self.b.use_case(*place).client_timeout * self.b.silence_share())
-                    .max(self.b.usual * SLOW);
+                let after = self.b.use_case(*place).client_timeout * self.b.silence_share();
                 let task = &self.b.tasks[*place];
                 let silent = m.dealings[task.order.use_case.0].answered_at <= task.sent_at
                     && self.now - task.sent_at >= after;
