--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,8 +25,8 @@
 /// The page has 0.8 (ours). A move costs a start, and until it is nearly used up a machine does little harm.
 const HOT: f64 = 0.95;
 
-/// A machine that answers nothing is waited for this part of the client timeout, or for the second where yes comes
-/// only when the task runs; two more sends then fit.
+/// A machine that answers nothing is waited for this part of the client timeout, for the second one where yes
+/// comes only when the task runs; two more sends then fit.
 const SILENCE_SHARES: [f64; 2] = [0.1, 0.3];
 /// One that answers others is waited for this part, where silent ones can be told apart by recalling.
 const PATIENCE_SHARE: f64 = 0.75;
@@ -47,7 +47,7 @@
 const MOST_DOUBLINGS: u32 = 5;
 /// How old a view may be when it comes: our sends younger than this are not in it.
 const VIEW_AGE: Span = Span::from_nanos(800_000_000);
-/// A list that tells nothing is trusted for this part of the longest silence that the rules allow, then fades.
+/// A list that tells nothing is trusted for this part of the longest silence that the rules allow.
 const NEWS_SHARE: f64 = 0.25;
 /// Service under this is poor; a machine noted so counts as pressed for so long unless a better note comes.
 const SERVED_WELL: f64 = 0.95;
@@ -56,15 +56,15 @@
 const ZONE: f64 = 4.0;
 /// Machines keep programs for a while; so many services whose tasks of ours ended last are taken to be kept.
 const KEPT: usize = 8;
-/// What a machine without the service's program must be emptier by, as a share of its size, for each place that
-/// it is further down in an order of the service's own, the same for all schedulers: no scheduler of many sees
+/// What a machine without the service's program must be emptier by, as a share of its size, for each place it
+/// is further down in an order of the service's own, the same for all schedulers: none of many schedulers sees
 /// where the others started a program, and all see the same least asked machine. So many places count.
 const BARE: f64 = 4.0 * TIE;
 const HOMES: usize = 6;
 /// A machine ranks as fuller by this part of the service that it missed at worst within the peak window: what
 /// was hot lately (a slow machine, a neighbour, a hot service) soon is again.
 const POOR: f64 = 0.3;
-/// Where machines in use have a price, one with hardly an ask ranks as if it were full: it is opened last.
+/// Where machines in use have a price, one with hardly an ask ranks as if full: it is opened last.
 const OPENING: f64 = 1.0;
 const EMPTY: f64 = 0.02;
 /// Stretched asks may bring a machine's expected use up to here: some way under the hot mark.
@@ -84,7 +84,8 @@
     span
 }
 
-/// A machine that fits: its place, its rank, where the service's own order has it, and if it lacks the program.
+/// What fits: the machine's place, its rank and its key in the service's order, whether it lacks the program,
+/// and how it departs from the ordinary path.
 type Fit = (usize, f64, u64, bool, usize);
 
 pub struct Brain {
@@ -383,8 +384,8 @@
         self.probed(machine, report);
     }
 
-    /// Machines lost together have something in common: whatever shares a cell with them rests too. Met when a
-    /// rack restarted: each scheduler learnt each machine by a failed send. Hurts where losses are by chance.
+    /// Machines lost together have something in common: what shares a cell with them rests too. Met when racks
+    /// restarted: each scheduler learnt each machine by a failed send. Hurts where losses are by chance.
     fn rest_cells(&mut self, rest: Span) {
         let now = self.now;
         let is_lost = |m: &Machine| m.lost_at.is_some_and(|at| now - at < rest);
@@ -615,7 +616,7 @@
         true
     }
 
-    /// The design's choice: filters, room, least requested, random within the tie. Where less than half of the
+    /// The design's choice: filters, room, least requested, random within the tie. Where less than half of all
     /// machines have the room asked for, all schedulers would pile on these few: stretched room counts too.
     fn pick(&mut self, place: usize) -> Option<usize> {
         let mut fits = std::mem::take(&mut self.b.fits);
@@ -700,8 +701,8 @@
         true
     }
 
-    /// What a cold machine always bears is dealt out in turn over all schedulers, from a start that its id and
-    /// its last start give: the sum holds whoever stalls or dies, and some may send where a share is under one.
+    /// What a cold machine always bears is dealt out one by one over all schedulers, from a seat that its id and
+    /// its start give: the sum holds whoever stalls or dies, and some may send where a share is under one.
     fn dealt(&self, m: &Machine) -> usize {
         let ColdRule { young_limit, schedulers, number, .. } = self.b.cold;
         let (limit, all) = (young_limit as u64, u64::from(schedulers.max(1)));
@@ -716,8 +717,8 @@
         (free + slack).fits(task.size) && (free + self.b.accepts(m)).fits(task.order.ask)
     }
 
-    /// Stretched, any task may use the idle part of all asks, by the use seen per ask of our tasks there, and of
-    /// all our tasks as far as there are few, up to the mark for stretching.
+    /// Stretched, any task may use the idle part of all asks, by the use seen per ask of our tasks there (and of
+    /// all our tasks, as far as there are few), up to the mark for stretching.
     fn has_stretched_room(&self, ask: Room, m: &Machine, free: Room) -> bool {
         let prior = m.size.times(PRIOR, PRIOR);
         let asks = prior + m.heard;
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,7 +40,7 @@
     pub slack: Room,
 }
 
-/// When a machine last answered a use case, until when it is taken not to, and how often that was so in a row.
+/// When a machine last answered a use case, until when it is taken not to, and how often in a row.
 #[derive(Clone, Copy)]
 pub struct Dealing {
     pub answered_at: Time,
