--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,7 +27,7 @@
 
 /// A machine that answers nothing is waited for this part of the client timeout, for the second one where yes
 /// comes only when the task runs; two more sends then fit.
-const SILENCE_SHARES: [f64; 2] = [0.1, 0.3];
+const SILENCE_SHARES: [f64; 2] = [0.1, 0.5];
 /// One that answers others is waited for this part, where silent ones can be told apart by recalling.
 const PATIENCE_SHARE: f64 = 0.75;
 /// Pending tasks are looked at again after this part of the shortest soft limit, if nothing comes in before.
