--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,10 +25,10 @@
 /// The page has 0.8 (ours). A move costs a start, and until it is nearly used up a machine does little harm.
 const HOT: f64 = 0.95;
 
-/// A machine that answers nothing is waited for this part of the client timeout, for the second one where yes
-/// comes only when the task runs; two more sends then fit.
-const SILENCE_SHARES: [f64; 2] = [0.1, 0.5];
-/// One that answers others is waited for this part, where silent ones can be told apart by recalling.
+/// Where yes comes before the start, a silent machine is waited for this part of the client timeout.
+const SILENCE_SHARE: f64 = 0.1;
+/// One that answers others, or may only be slow in starting, is waited for this part: a send called back goes
+/// on as a copy that nobody waits for, and lines grow by it.
 const PATIENCE_SHARE: f64 = 0.75;
 /// Pending tasks are looked at again after this part of the shortest soft limit, if nothing comes in before.
 const RETRY_SHARE: f64 = 0.05;
@@ -170,11 +170,6 @@
         self.use_case(place).priority == self.low
     }
 
-    /// How long an answer may take, as a part of the client timeout, before it counts as silence.
-    fn silence_share(&self) -> f64 {
-        SILENCE_SHARES[usize::from(self.taking.yes_when_running)]
-    }
-
     /// The shortest wait that makes sense: a small part of the tightest soft limit.
     fn retry_after(&self) -> Span {
         let tightest = self.use_cases.iter().map(|u| u.soft_limit).min().unwrap_or(Span::from_secs(1));
@@ -512,7 +507,7 @@
     fn recall_from_silent(&mut self) {
         for (_, m) in self.b.machines.iter().filter(|(_, m)| m.starting > 0) {
             for (place, _) in &m.tasks {
-                let after = self.b.use_case(*place).client_timeout * self.b.silence_share();
+                let after = self.b.use_case(*place).client_timeout * SILENCE_SHARE;
                 let task = &self.b.tasks[*place];
                 let silent = m.dealings[task.order.use_case.0].answered_at <= task.sent_at
                     && self.now - task.sent_at >= after;
@@ -565,7 +560,7 @@
         let between = self.b.tick_set;
         pending.retain(|place| (between && self.b.tasks[*place].waited) || !self.settle(*place));
         self.b.pending = pending;
-        if !between && self.b.taking.recalls {
+        if !between && self.b.taking.recalls && !self.b.taking.yes_when_running {
             self.recall_from_silent();
         }
         let waiting = !self.b.pending.is_empty() || self.b.machines.iter().any(|(_, m)| m.starting > 0);
@@ -594,7 +589,8 @@
             self.give_up(place);
             return true;
         }
-        let share = if self.b.taking.recalls { PATIENCE_SHARE } else { self.b.silence_share() };
+        let patient = self.b.taking.recalls || self.b.taking.yes_when_running;
+        let share = if patient { PATIENCE_SHARE } else { SILENCE_SHARE };
         let time_out = (use_case.client_timeout * share).min(time_left);
         let Some(at) = self.pick(place) else {
             self.b.tasks[place].waited = true;
