Count a lost machine as cold before the list tells of its start

Covers any restart that the list tells late; hurts where a connection fails for another reason: the machine gets few sends for its time to warm.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -193,8 +193,9 @@
         m.size.times(self.taking.cores - 1.0, self.taking.memory - 1.0)
     }
 
-    fn is_cold(&self, since: Option<Time>, now: Time) -> bool {
-        since.is_some_and(|since| now - since < self.cold.warm_after)
+    /// Started lately, or lost: what was lost comes back cold, long before the list tells of its start.
+    fn is_cold(&self, m: &Machine, now: Time) -> bool {
+        [m.since, m.lost_at].into_iter().flatten().any(|at| now - at < self.cold.warm_after)
     }
 }
 
@@ -430,12 +431,12 @@
         for entry in entries {
             let at = self.machine(entry.id);
             let size = self.b.kinds.get(entry.kind.0).copied().unwrap_or(Room::NONE);
-            let cold = self.b.is_cold(entry.since, now);
             let m = &mut self.b.machines[at];
+            let fresh_start = entry.since.is_some_and(|at| now - at < self.b.cold.warm_after);
             (m.kind, m.cell, m.zone, m.size) = (entry.kind, entry.cell, entry.zone, size);
             m.open = entry.mode == Mode::Active;
             m.left = entry.left.unwrap_or(m.left);
-            if cold && (m.since != entry.since) {
+            if fresh_start && m.since != entry.since {
                 m.cap = fresh;
                 m.dealings.iter_mut().for_each(|d| (d.barred_until, d.times) = (now, 0));
             }
@@ -596,7 +597,7 @@
             self.b.tasks[place].waited = true;
             return false;
         };
-        let cold = self.b.is_cold(self.b.machines[at].since, now);
+        let cold = self.b.is_cold(&self.b.machines[at], now);
         let task = &mut self.b.tasks[place];
         (task.state, task.starting) = (State::Sent, true);
         (task.machine, task.sent_at) = (at, now);
@@ -690,19 +691,19 @@
                 return false;
             }
         }
-        if self.b.is_cold(m.since, now) {
+        if self.b.is_cold(m, now) {
             let window = self.b.cold.fall * FALL_STRETCH;
             return m.cold_sends.iter().filter(|sent| now - **sent <= window).count() < self.dealt(m);
         }
         true
     }
 
-    /// What a cold machine always bears is dealt out one by one over all schedulers, from a seat that its id and
-    /// its start give: the sum holds whoever stalls or dies, and some may send where a share is under one.
+    /// What a cold machine always bears is dealt out one by one over all schedulers, from a seat that its id
+    /// gives: the sum holds whoever stalls or dies, and some may send where a share is under one.
     fn dealt(&self, m: &Machine) -> usize {
         let ColdRule { young_limit, schedulers, number, .. } = self.b.cold;
         let (limit, all) = (young_limit as u64, u64::from(schedulers.max(1)));
-        let first = mix(m.id.0, m.since.map_or(0, Time::nanos)) % all;
+        let first = mix(m.id.0, limit) % all;
         let seat = (u64::from(number) + all - first) % all;
         ((limit + all - 1 - seat) / all) as usize
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -612,3 +612,13 @@
     host.millis += 2_500;
     assert_ne!(sent_to(&host.ask(3, LOW, 0.1)), Some(4));
 }
+
+#[test]
+fn a_machine_that_was_lost_counts_as_cold_before_the_list_tells_of_its_start() {
+    let mut host = Host::new().up(&[machine(1, 9.0)]);
+    host.runs_on(100, HIGH, 0.1, 1);
+    host.ends(100, Ending::Broken(Loss::Untold));
+    host.millis += 2_000;
+    let sent: usize = (0..20).map(|id| host.ask(id, LOW, 0.1).len()).sum();
+    assert_eq!(sent, 4, "a third of twelve");
+}
