--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,8 +64,8 @@
 /// A machine ranks as fuller by this part of the service that it missed at worst within the peak window: what
 /// was hot lately (a slow machine, a neighbour, a hot service) soon is again.
 const POOR: f64 = 0.3;
-/// Where machines in use have a price, one with hardly an ask ranks as if full: it is opened last.
-const OPENING: f64 = 1.0;
+/// Where machines in use have a price, one with hardly an ask is opened last, whatever else it has.
+const OPENING: f64 = 1.0 + BARE * HOMES as f64;
 const EMPTY: f64 = 0.02;
 /// Stretched asks may bring a machine's expected use up to here: some way under the hot mark.
 const STRETCH: f64 = 0.9;
