--- a/src/brain.rs
+++ b/src/brain.rs
@@ -68,7 +68,7 @@
 const OPENING: f64 = 1.0 + BARE * HOMES as f64;
 const EMPTY: f64 = 0.02;
 /// Stretched asks may bring a machine's expected use up to here: some way under the hot mark.
-const STRETCH: f64 = 0.9;
+const STRETCH: f64 = 1.1;
 /// The use seen per ask over all machines weighs like asks of this part of a machine's size.
 const PRIOR: f64 = 0.1;
 /// One note moves the use seen per ask by this part.
