Take out the model of stretched use: where few machines have room, what machines accept counts

Any mark on expected use left few machines over, the same for all. Hurts where use comes close to asks: evictions then.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,7 +5,7 @@
 //! Beside it stand these mechanisms, six at most:
 //! 1. bars: machines rest by use case after trouble, longer each time; cells rest; fresh machines have a cap
 //! 2. late views: a nack for room counts until a view can show it; a list without news fades
-//! 3. stretch: where few machines have the room asked for, the idle part of all asks counts too
+//! 3. stretch: where few machines have the room asked for, what machines accept beyond it counts too
 //! 4. pressure: machines that serve poorly come last, and rank as fuller
 //! 5. surcharges of rank: the service's own order, another zone, an empty machine
 //! 6. order of pending tasks: earnings, those in time for their first start before late ones
@@ -67,12 +67,6 @@
 /// Where machines in use have a price, one with hardly an ask is opened last, whatever else it has.
 const OPENING: f64 = 1.0 + BARE * HOMES as f64;
 const EMPTY: f64 = 0.02;
-/// Stretched asks may bring a machine's expected use up to here: some way under the hot mark.
-const STRETCH: f64 = 1.1;
-/// The use seen per ask over all machines weighs like asks of this part of a machine's size.
-const PRIOR: f64 = 0.1;
-/// One note moves the use seen per ask by this part.
-const RATIO_STEP: f64 = 1.0 / 64.0;
 
 const TICK: u64 = 0;
 const WATCH: u64 = 1;
@@ -101,7 +95,6 @@
     machines: Slab<MachineId, Machine>,
     pending: Vec<usize>,
     moved: VecDeque<(TaskKey, Room)>,
-    ratio: Room,
     fits: Vec<Fit>,
     tick_set: bool,
     watch_failures: u32,
@@ -141,7 +134,6 @@
             machines: Slab::with_capacity(64),
             pending: Vec::with_capacity(1024),
             moved: VecDeque::with_capacity(64),
-            ratio: Room::new(1.0, 1.0),
             fits: Vec::with_capacity(64),
             tick_set: false,
             watch_failures: 0,
@@ -261,16 +253,13 @@
         if let Some(cores) = cores {
             task.cores.note(now, cores);
             task.last_use.cores = cores;
-            self.b.ratio.cores += (cores / ask.cores.max(1e-9) - self.b.ratio.cores) * RATIO_STEP;
         }
         if let Some(memory) = memory {
             task.memory.note(now, memory);
             task.last_use.memory = memory;
-            self.b.ratio.memory += (memory / ask.memory.max(1e-9) - self.b.ratio.memory) * RATIO_STEP;
         }
         let m = &mut self.b.machines[at];
         m.used += task.last_use - before;
-        m.heard += if before == Room::NONE { ask } else { Room::NONE };
         if high {
             let slack = (ask - task.peak(now)).at_least(Room::NONE);
             m.slack += slack - task.slack;
@@ -329,7 +318,6 @@
         }
         m.slack -= task.slack;
         m.used -= task.last_use;
-        m.heard -= if task.last_use == Room::NONE { Room::NONE } else { ask };
         m.changes(now, ask);
         m.starting -= usize::from(task.starting);
         task.starting = false;
@@ -633,7 +621,7 @@
             let departs = match self.has_room(task, low, m, free) {
                 true if calm => usize::from(away),
                 true if task.waited => 2,
-                false if calm && self.has_stretched_room(ask, m, free) => 1,
+                false if calm && (free + self.b.accepts(m)).fits(ask) => 1,
                 _ => continue,
             };
             fit[departs] += 1;
@@ -713,14 +701,4 @@
         let slack = if low { m.slack } else { Room::NONE };
         (free + slack).fits(task.size) && (free + self.b.accepts(m)).fits(task.order.ask)
     }
-
-    /// Stretched, any task may use the idle part of all asks, by the use seen per ask of our tasks there (and of
-    /// all our tasks, as far as there are few), up to the mark for stretching.
-    fn has_stretched_room(&self, ask: Room, m: &Machine, free: Room) -> bool {
-        let prior = m.size.times(PRIOR, PRIOR);
-        let asks = prior + m.heard;
-        let used = prior.times(self.b.ratio.cores, self.b.ratio.memory) + m.used;
-        let use_then = (m.size - free + ask).times(used.cores / asks.cores, used.memory / asks.memory);
-        (free + self.b.accepts(m)).fits(ask) && m.size.times(STRETCH, STRETCH).fits(use_then)
-    }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,8 +62,7 @@
     unseen_sum: Room,
     /// Places of our tasks whose last send has not ended, oldest first, and their services.
     pub tasks: Vec<(usize, ServiceId)>,
-    /// What those of them ask for that a use was noted of, and that use.
-    pub heard: Room,
+    /// What those of them use that a use was noted of.
     pub used: Room,
     /// Services of our tasks that ended here last, oldest first.
     pub lately: VecDeque<ServiceId>,
@@ -125,7 +124,6 @@
             unseen: VecDeque::with_capacity(16),
             unseen_sum: Room::NONE,
             tasks: Vec::with_capacity(32),
-            heard: Room::NONE,
             used: Room::NONE,
             lately: VecDeque::with_capacity(16),
             slack: Room::NONE,
