--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -389,6 +389,7 @@
     let full = [machine(1, 0.5), machine(2, 0.5), machine(3, 0.5)];
     let mut host = Host { accepts: 1.5, ..Host::new() }.up(&full);
     assert!(sent_to(&host.ask(1, HIGH, 1.0)).is_some(), "none has the room asked for");
+    host.millis += 2_000;
     host.tell(|r| r.list(ListKind::Changes, &[machine(2, 1.2), machine(3, 1.2)]));
     assert_ne!(sent_to(&host.ask(3, HIGH, 1.0)), Some(1), "the design's room first, where most have it");
     let mut host = Host::new().up(&full);
