--- a/src/brain.rs
+++ b/src/brain.rs
@@ -609,7 +609,7 @@
         let (task, use_case, home) = (&self.b.tasks[place], self.b.use_case(place), self.b.home);
         let Order { ask, service, .. } = task.order;
         let (low, fade) = (use_case.priority == self.b.low, self.b.fade(self.now));
-        let (mut open, mut fit, mut openable) = (0, [0; 3], false);
+        let (mut open, mut fit) = (0, [0; 3]);
         for (at, m) in self.b.machines.iter() {
             if !self.may_go(task, use_case, at, m) {
                 continue;
@@ -630,7 +630,6 @@
                 CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
             rank += m.poor.peak(self.now).unwrap_or(0.0) * POOR;
             let shut = home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - free);
-            openable |= shut;
             rank += if shut { OPENING } else { 0.0 } + if away { ZONE * home.cross_zone_price } else { 0.0 };
             let order = mix(service.0, m.id.0) >> 1 | u64::from(away) << 63;
             fits.push((at, rank, order, m.is_bare(service), departs));
@@ -643,8 +642,7 @@
             fits.select_nth_unstable_by_key(homes, |(_, _, order, ..)| *order);
         }
         fits[..homes].sort_unstable_by_key(|(_, _, order, ..)| *order);
-        for (n, (_, rank, _, bare, departs)) in fits.iter_mut().enumerate() {
-            *rank += if openable && *departs == 1 { OPENING } else { 0.0 };
+        for (n, (_, rank, _, bare, _)) in fits.iter_mut().enumerate() {
             *rank += if *bare { BARE * n.min(HOMES) as f64 } else { 0.0 };
         }
         let best = fits.iter().map(|(_, rank, ..)| *rank).fold(f64::INFINITY, f64::min);
