--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,7 +6,7 @@
 //! 1. bars: machines rest by use case after trouble, longer each time; cells rest; fresh machines have a cap
 //! 2. late views: a nack for room counts until a view can show it; a list without news fades
 //! 3. stretch: where few machines have the room asked for, what machines accept beyond it counts too
-//! 4. pressure: machines that serve poorly come last, and rank as fuller
+//! 4. pressure: machines that serve poorly, or start slowly, come last and rank as fuller
 //! 5. surcharges of rank: the service's own order, another zone, an empty machine
 //! 6. order of pending tasks: earnings, those in time for their first start before late ones
 
@@ -30,6 +30,9 @@
 /// One that answers others, or may only be slow in starting, is waited for this part: a send called back goes
 /// on as a copy that nobody waits for, and lines grow by it.
 const PATIENCE_SHARE: f64 = 0.75;
+/// Where nothing tells of pressure, a start so many times slower than usual does; each moves usual by the step.
+const SLOW: f64 = 3.0;
+const USUAL_STEP: f64 = 1.0 / 16.0;
 /// Pending tasks are looked at again after this part of the shortest soft limit, if nothing comes in before.
 const RETRY_SHARE: f64 = 0.05;
 /// A task that still waits so near its client timeout (as a part of it) gets its final answer.
@@ -90,6 +93,8 @@
     listing: Listing,
     home: Home,
     low: u8,
+    /// How long a start usually takes, on a machine with and without the program.
+    usual_start: [Span; 2],
     chance: Pcg,
     tasks: Slab<TaskId, Task>,
     machines: Slab<MachineId, Machine>,
@@ -129,6 +134,7 @@
             listing,
             home,
             low,
+            usual_start: [Span::ZERO; 2],
             chance: Pcg::new(seed),
             tasks: Slab::with_capacity(4096),
             machines: Slab::with_capacity(64),
@@ -237,6 +243,12 @@
             let took = now - task.sent_at;
             let dealing = &mut m.dealings[task.order.use_case.0];
             (dealing.barred_until, dealing.times) = (now, 0);
+            // Far slower than usual: a slow or crowded machine, also where nothing else tells of pressure.
+            let usual = &mut self.b.usual_start[usize::from(task.bare)];
+            if !self.b.taking.tells_pressure && took > *usual * SLOW && *usual > Span::ZERO {
+                m.pressed_until = now + PRESSED;
+            }
+            *usual = usual.toward(took, USUAL_STEP);
             if took < soft_limit {
                 m.cap += 1.0;
             }
@@ -586,7 +598,9 @@
             return false;
         };
         let cold = self.b.is_cold(&self.b.machines[at], now);
+        let bare = self.b.machines[at].is_bare(self.b.tasks[place].order.service);
         let task = &mut self.b.tasks[place];
+        task.bare = bare;
         (task.state, task.starting) = (State::Sent, true);
         (task.machine, task.sent_at) = (at, now);
         task.sends += 1;
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,6 +28,8 @@
     /// Sent, and not known to run yet.
     pub starting: bool,
     pub sends: u32,
+    /// Sent to a machine that held no task of its service.
+    pub bare: bool,
     /// Where its open send went, and when.
     pub machine: usize,
     pub sent_at: Time,
@@ -92,6 +94,7 @@
             waited: false,
             starting: false,
             sends: 0,
+            bare: false,
             machine: usize::MAX,
             sent_at: now,
             may_run: None,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -623,3 +623,16 @@
     let sent: usize = (0..20).map(|id| host.ask(id, LOW, 0.1).len()).sum();
     assert_eq!(sent, 4, "a third of twelve");
 }
+
+#[test]
+fn starts_far_slower_than_usual_press_a_machine_where_no_notes_tell_of_pressure() {
+    for (tells_pressure, to) in [(true, 1), (false, 2)] {
+        let mut host = Host { tells_pressure, ..Host::new() }.up(&[machine(1, 9.0), machine(2, 2.0)]);
+        for (id, took) in [(1, 100), (2, 400)] {
+            assert_eq!(host.ask(id, LOW, 0.1), [Said::Send(id, 1)]);
+            host.millis += took;
+            host.tell(|r| (r.accepted(TaskId(id)), r.runs(TaskId(id))));
+        }
+        assert_eq!(sent_to(&host.ask(3, LOW, 0.1)), Some(to));
+    }
+}
