--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,7 +30,7 @@
 /// One that answers others, or may only be slow in starting, is waited for this part: a send called back goes
 /// on as a copy that nobody waits for, and lines grow by it.
 const PATIENCE_SHARE: f64 = 0.75;
-/// Where nothing tells of pressure, a start so many times slower than usual does; each moves usual by the step.
+/// Where nothing tells of pressure, a start so much slower than usual does; each moves usual by the step.
 const SLOW: f64 = 3.0;
 const USUAL_STEP: f64 = 1.0 / 16.0;
 /// Pending tasks are looked at again after this part of the shortest soft limit, if nothing comes in before.
@@ -60,7 +60,7 @@
 /// Machines keep programs for a while; so many services whose tasks of ours ended last are taken to be kept.
 const KEPT: usize = 8;
 /// What a machine without the service's program must be emptier by, as a share of its size, for each place it
-/// is further down in an order of the service's own, the same for all schedulers: none of many schedulers sees
+/// is further down in an order of the service's own, the same for all schedulers: none of many sees
 /// where the others started a program, and all see the same least asked machine. So many places count.
 const BARE: f64 = 8.0 * TIE;
 const HOMES: usize = 6;
@@ -380,8 +380,8 @@
         self.probed(machine, report);
     }
 
-    /// Machines lost together have something in common: what shares a cell with them rests too. Met when racks
-    /// restarted: each scheduler learnt each machine by a failed send. Hurts where losses are by chance.
+    /// Machines lost together have something in common: what shares a cell with them rests too. Met when
+    /// racks restarted: each scheduler learnt each machine by a failed send. Hurts where losses are by chance.
     fn rest_cells(&mut self, rest: Span) {
         let now = self.now;
         let is_lost = |m: &Machine| m.lost_at.is_some_and(|at| now - at < rest);
@@ -615,8 +615,8 @@
         true
     }
 
-    /// The design's choice: filters, room, least requested, random within the tie. Where less than half of all
-    /// machines have the room asked for, all schedulers would pile on these few: stretched room counts too.
+    /// The design's choice: filters, room, least requested, random within the tie. Where less than half of
+    /// all machines have the room asked for, all schedulers would pile on these few: stretched room counts too.
     fn pick(&mut self, place: usize) -> Option<usize> {
         let mut fits = std::mem::take(&mut self.b.fits);
         fits.clear();
