--- a/src/brain.rs
+++ b/src/brain.rs
@@ -356,6 +356,11 @@
                 let cores = nack == Nack::NoCores;
                 m.changes(now, less.times(f64::from(cores), f64::from(!cores)));
             }
+            // Out of memory, whoever used it up.
+            Ending::Broken(Loss::Evicted) | Ending::Nacked(Nack::HandedBack) => {
+                m.pressed_until = now + PRESSED;
+                m.poor.note(now, 1.0);
+            }
             _ => {}
         }
         let lost = matches!(ending, Ending::NoConnection | Ending::Broken(Loss::Untold));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -636,3 +636,13 @@
         assert_eq!(sent_to(&host.ask(3, LOW, 0.1)), Some(to));
     }
 }
+
+#[test]
+fn an_eviction_presses_the_machine_that_ran_out_of_memory() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 2.0)]);
+    host.runs_on(1, LOW, 0.1, 1);
+    host.ends(1, Ending::Broken(Loss::Evicted));
+    assert_eq!(sent_to(&host.ask(2, LOW, 0.1)), Some(2));
+    host.millis += 3_500;
+    assert_eq!(sent_to(&host.ask(3, LOW, 0.1)), Some(1));
+}
