--- a/src/brain.rs
+++ b/src/brain.rs
@@ -62,7 +62,7 @@
 /// What a machine without the service's program must be emptier by, as a share of its size, for each place it
 /// is further down in an order of the service's own, the same for all schedulers: none of many sees
 /// where the others started a program, and all see the same least asked machine. So many places count.
-const BARE: f64 = 8.0 * TIE;
+const BARE: f64 = 6.0 * TIE;
 const HOMES: usize = 6;
 /// A machine ranks as fuller by this part of the service that it missed at worst within the peak window: what
 /// was hot lately (a slow machine, a neighbour, a hot service) soon is again.
