--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,9 +44,7 @@
 /// Starts under way that a fresh machine bears from all schedulers; each start in time adds one of ours.
 const FRESH_CAP: f64 = 6.0;
 /// A machine in trouble rests for this part of the client timeout, doubled by each trouble, at most so often.
-const REST_SHARE: f64 = 0.125;
-/// One that leaves a use case unanswered or errs rests longer for it: nothing tells when that is over.
-const SILENT: f64 = 4.0;
+const REST_SHARE: f64 = 0.35;
 const MOST_DOUBLINGS: u32 = 5;
 /// How old a view may be when it comes: our sends younger than this are not in it.
 const VIEW_AGE: Span = Span::from_nanos(800_000_000);
@@ -347,7 +345,7 @@
             // Errors, silence, or a nack without a reason: it may be this use case alone that suffers.
             Ending::Errored | Ending::TimedOut | Ending::Recalled | Ending::Nacked(Nack::Untold) => {
                 let dealing = &mut m.dealings[case];
-                dealing.barred_until = now + longer(rest * SILENT, &mut dealing.times);
+                dealing.barred_until = now + longer(rest, &mut dealing.times);
             }
             // The machine knows its room: for as long as a view may be stale, there is less than this ask.
             Ending::Nacked(nack @ (Nack::NoCores | Nack::NoMemory)) => {
