Draw repeated pieces together: bars, what machines accept, fresh starts, losses, presses

A bar's doubling stood in two arms, what a machine takes beyond its size in two places, the test for a fresh start twice; a machine's loss was noted apart from the rest of its cell; the list was walked twice after each change; a hot machine's tasks were looked for room elsewhere before the cheap checks.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,7 +13,7 @@
 use crate::interface::*;
 use crate::pcg::{Pcg, mix};
 use crate::slab::Slab;
-use crate::state::{Machine, State, Task};
+use crate::state::{Dealing, Machine, State, Task};
 use crate::units::{Span, Time};
 use std::collections::VecDeque;
 
@@ -72,11 +72,12 @@
 const TICK: u64 = 0;
 const WATCH: u64 = 1;
 
-/// Twice as long each time, up to a bound.
-fn longer(rest: Span, times: &mut u32) -> Span {
-    let span = rest * f64::from(1u32 << *times);
-    *times = (*times + 1).min(MOST_DOUBLINGS);
-    span
+impl Dealing {
+    /// Twice as long each time, up to a bound.
+    fn bar(&mut self, now: Time, rest: Span) {
+        self.barred_until = now + rest * f64::from(1u32 << self.times);
+        self.times = (self.times + 1).min(MOST_DOUBLINGS);
+    }
 }
 
 /// What fits: the machine's place, its rank and its key in the service's order, whether it lacks the program,
@@ -184,14 +185,14 @@
         m.free() + (mean - m.left).times(fade, fade)
     }
 
-    /// What a machine takes on beyond its size.
-    fn accepts(&self, m: &Machine) -> Room {
-        m.size.times(self.taking.cores - 1.0, self.taking.memory - 1.0)
+    /// Not warm yet, if it started then.
+    fn is_fresh(&self, start: Option<Time>, now: Time) -> bool {
+        start.is_some_and(|at| now - at < self.cold.warm_after)
     }
 
     /// Started lately, or lost: what was lost comes back cold, long before the list tells of its start.
     fn is_cold(&self, m: &Machine, now: Time) -> bool {
-        [m.since, m.lost_at].into_iter().flatten().any(|at| now - at < self.cold.warm_after)
+        self.is_fresh(m.since, now) || self.is_fresh(m.lost_at, now)
     }
 }
 
@@ -230,7 +231,7 @@
         }
     }
 
-    /// A start is done: in good time, it lets more starts be under way on its machine; late, fewer.
+    /// A start is done: in good time, it lets more starts be under way on its machine.
     pub fn runs(&mut self, id: TaskId) {
         let Some(place) = self.b.tasks.place(id) else { return };
         let (now, soft_limit) = (self.now, self.b.use_case(place).soft_limit);
@@ -281,28 +282,30 @@
     pub fn served(&mut self, id: TaskId, share: f64) {
         let Some((place, at)) = self.placed(id) else { return };
         let busy = self.b.use_case(place).full_up_to + (1.0 - share) * self.b.use_case(place).fade;
-        self.b.machines[at].poor.note(self.now, 1.0 - share);
-        self.noted(at, Some(busy), None, share < SERVED_WELL);
+        let m = &mut self.b.machines[at];
+        m.poor.note(self.now, 1.0 - share);
+        m.use_cores.note(self.now, busy);
+        self.press(at, share < SERVED_WELL);
     }
 
     pub fn machine_memory(&mut self, id: TaskId, share: f64) {
         let Some((_, at)) = self.placed(id) else { return };
-        self.noted(at, None, Some(share), share > HOT);
+        self.b.machines[at].use_memory.note(self.now, share);
+        self.press(at, share > HOT);
     }
 
     pub fn probed(&mut self, machine: MachineId, report: Report) {
         let (Some(at), Some(unused)) = (self.b.machines.place(machine), report.unused) else { return };
-        let size = self.b.machines[at].size;
-        let (cores, memory) = (1.0 - unused.cores / size.cores, 1.0 - unused.memory / size.memory);
-        self.noted(at, Some(cores), Some(memory), cores > HOT || memory > HOT);
+        let m = &mut self.b.machines[at];
+        let (cores, memory) = (1.0 - unused.cores / m.size.cores, 1.0 - unused.memory / m.size.memory);
+        m.use_cores.note(self.now, cores);
+        m.use_memory.note(self.now, memory);
+        self.press(at, cores > HOT || memory > HOT);
     }
 
-    /// Use of a machine. A pressed one comes last, whoever causes it: neighbours, surges, our own guess.
-    fn noted(&mut self, at: usize, cores: Option<f64>, memory: Option<f64>, pressed: bool) {
-        let m = &mut self.b.machines[at];
-        m.pressed_until = if pressed { self.now + PRESSED } else { self.now };
-        cores.into_iter().for_each(|cores| m.use_cores.note(self.now, cores));
-        memory.into_iter().for_each(|memory| m.use_memory.note(self.now, memory));
+    /// After a note of use. A pressed machine comes last, whoever causes it: neighbours, surges, our guess.
+    fn press(&mut self, at: usize, pressed: bool) {
+        self.b.machines[at].pressed_until = if pressed { self.now + PRESSED } else { self.now };
         self.shed(at);
     }
 
@@ -338,19 +341,16 @@
             // Send it less, and let it rest, longer each time.
             Ending::NoConnection | Ending::Broken(Loss::Untold) | Ending::Nacked(Nack::QueueFull) => {
                 m.cap = (m.cap / 2.0).max(1.0);
-                for dealing in &mut m.dealings {
-                    dealing.barred_until = now + longer(rest, &mut dealing.times);
-                }
+                m.dealings.iter_mut().for_each(|dealing| dealing.bar(now, rest));
             }
             // Errors, silence, or a nack without a reason: it may be this use case alone that suffers.
             Ending::Errored | Ending::TimedOut | Ending::Recalled | Ending::Nacked(Nack::Untold) => {
-                let dealing = &mut m.dealings[case];
-                dealing.barred_until = now + longer(rest, &mut dealing.times);
+                m.dealings[case].bar(now, rest);
             }
             // The machine knows its room: for as long as a view may be stale, there is less than this ask.
             Ending::Nacked(nack @ (Nack::NoCores | Nack::NoMemory)) => {
-                let accepts = m.size.times(self.b.taking.cores - 1.0, self.b.taking.memory - 1.0);
-                let less = (ask.times(0.99, 0.99) - accepts - m.free()).at_most(Room::NONE);
+                let beyond = self.b.taking.beyond(m.size);
+                let less = (ask.times(0.99, 0.99) - beyond - m.free()).at_most(Room::NONE);
                 let cores = nack == Nack::NoCores;
                 m.changes(now, less.times(f64::from(cores), f64::from(!cores)));
             }
@@ -361,8 +361,6 @@
             }
             _ => {}
         }
-        let lost = matches!(ending, Ending::NoConnection | Ending::Broken(Loss::Untold));
-        m.lost_at = if lost { Some(now) } else { m.lost_at };
         let never_ran = matches!(ending, Ending::Nacked(_) | Ending::NoConnection | Ending::NotSent);
         if !never_ran && state == State::Sent && task.may_run.is_none() {
             task.may_run = Some((task.sent_at, m.spot()));
@@ -377,16 +375,17 @@
             (task.state, task.waited) = (State::Pending, false);
             self.b.pending.push(place);
         }
-        if lost {
-            self.rest_cells(rest);
+        if matches!(ending, Ending::NoConnection | Ending::Broken(Loss::Untold)) {
+            self.lost(at, rest);
         }
         self.probed(machine, report);
     }
 
     /// Machines lost together have something in common: what shares a cell with them rests too. Met when
-    /// racks restarted: each scheduler learnt each machine by a failed send. Hurts where losses are by chance.
-    fn rest_cells(&mut self, rest: Span) {
+    /// racks restarted: each scheduler learnt each machine by a failed send. Hurts where losses are chance.
+    fn lost(&mut self, at: usize, rest: Span) {
         let now = self.now;
+        self.b.machines[at].lost_at = Some(now);
         let is_lost = |m: &Machine| m.lost_at.is_some_and(|at| now - at < rest);
         let cells: Vec<CellId> =
             self.b.machines.iter().filter(|(_, m)| is_lost(m)).map(|(_, m)| m.cell).collect();
@@ -434,8 +433,8 @@
         for entry in entries {
             let at = self.machine(entry.id);
             let size = self.b.kinds.get(entry.kind.0).copied().unwrap_or(Room::NONE);
+            let fresh_start = self.b.is_fresh(entry.since, now);
             let m = &mut self.b.machines[at];
-            let fresh_start = entry.since.is_some_and(|at| now - at < self.b.cold.warm_after);
             (m.kind, m.cell, m.zone, m.size) = (entry.kind, entry.cell, entry.zone, size);
             m.open = entry.mode == Mode::Active;
             m.left = entry.left.unwrap_or(m.left);
@@ -447,14 +446,17 @@
         }
         let gone = self.b.machines.iter().find(|(_, m)| !m.open && m.tasks.is_empty()).map(|(at, _)| at);
         gone.and_then(|at| self.b.machines.remove(at));
-        let open = self.b.machines.iter().filter(|(_, m)| m.open);
-        let sum = open.fold((Room::NONE, Room::NONE), |(left, size), (_, m)| (left + m.left, size + m.size));
-        self.b.mean_left = sum.0.times(1.0 / sum.1.cores.max(1e-9), 1.0 / sum.1.memory.max(1e-9));
         // Whoever is not named has not changed: its view is as fresh as the named ones'.
         self.b.news_at = now;
+        let (mut left, mut size) = (Room::NONE, Room::NONE);
         for (_, m) in self.b.machines.iter_mut() {
             m.seen(now, VIEW_AGE);
+            if m.open {
+                left += m.left;
+                size += m.size;
+            }
         }
+        self.b.mean_left = left.times(1.0 / size.cores.max(1e-9), 1.0 / size.memory.max(1e-9));
     }
 
     /// The machine's place; one that no list has named yet is never sent to.
@@ -483,14 +485,13 @@
         m.use_memory.forget();
         for n in (0..self.b.machines[at].tasks.len()).rev() {
             let (place, _) = self.b.machines[at].tasks[n];
-            if !self.b.is_low(place) || !self.has_calm_room(place) {
-                continue;
-            }
-            let task = &mut self.b.tasks[place];
+            let task = &self.b.tasks[place];
             // One that came again stays: moving it on would only pass the heat around.
-            if task.order.again || task.state != State::Placed || task.last_use == Room::NONE {
+            let stays = task.order.again || task.state != State::Placed || task.last_use == Room::NONE;
+            if stays || !self.b.is_low(place) || !self.has_calm_room(place) {
                 continue;
             }
+            let task = &mut self.b.tasks[place];
             // Less than a whole task is shed by chance.
             let part = (over.cores / task.last_use.cores).max(over.memory / task.last_use.memory);
             if part < self.b.chance.below(1000) as f64 / 1000.0 {
@@ -619,7 +620,7 @@
     }
 
     /// The design's choice: filters, room, least requested, random within the tie. Where less than half of
-    /// all machines have the room asked for, all schedulers would pile on these few: stretched room counts too.
+    /// all machines have the room asked for, all schedulers would pile on these few: what they accept counts.
     fn pick(&mut self, place: usize) -> Option<usize> {
         let mut fits = std::mem::take(&mut self.b.fits);
         fits.clear();
@@ -638,7 +639,7 @@
             let departs = match self.has_room(task, low, m, free) {
                 true if calm => usize::from(away),
                 true if task.waited => 2,
-                false if calm && (free + self.b.accepts(m)).fits(ask) => 1,
+                false if calm && (free + self.b.taking.beyond(m.size)).fits(ask) => 1,
                 _ => continue,
             };
             fit[departs] += 1;
@@ -716,6 +717,6 @@
     /// Room asked, plus predicted slack for low-priority tasks, as far as the machine accepts.
     fn has_room(&self, task: &Task, low: bool, m: &Machine, free: Room) -> bool {
         let slack = if low { m.slack } else { Room::NONE };
-        (free + slack).fits(task.size) && (free + self.b.accepts(m)).fits(task.order.ask)
+        (free + slack).fits(task.size) && (free + self.b.taking.beyond(m.size)).fits(task.order.ask)
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -130,6 +130,13 @@
     pub recalls: bool,
 }
 
+impl Taking {
+    /// What a machine of this size takes on beyond it.
+    pub fn beyond(&self, size: Room) -> Room {
+        size.times(self.cores - 1.0, self.memory - 1.0)
+    }
+}
+
 /// The fourth rule's figures, and among how many schedulers its budget is shared.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdRule {
