--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,61 @@
+//! `mulleinhub`: plays days, judges captures, checks settings, asks planners.
+
+mod capture;
+mod day;
+mod report;
+mod stage_host;
+mod status;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "mulleinhub", version, about = "A cluster scheduler of which many copies run side by side")]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Checks a planner's settings or a day's script, and tells all faults at once
+    Check { file: PathBuf },
+    /// Plays a day of trouble and judges it
+    #[command(subcommand)]
+    Day(day::DayCommand),
+    /// Judges the five rules from a capture
+    Verdict { capture: PathBuf },
+    /// Looks into a capture
+    #[command(subcommand)]
+    Capture(capture::CaptureCommand),
+    /// Asks a running planner how it is
+    Status {
+        /// Where it hears clients, as 127.0.0.1:7000
+        address: std::net::SocketAddr,
+    },
+    /// Prints completions for a shell
+    Completions { shell: clap_complete::Shell },
+    /// A planner that a day starts; operators run mulleinhub-planner
+    #[command(hide = true)]
+    Planner { settings: PathBuf },
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Check { file } => day::check(&file),
+        Command::Day(command) => day::run(command),
+        Command::Verdict { capture } => capture::verdict(&capture),
+        Command::Capture(command) => capture::run(command),
+        Command::Status { address } => status::ask(address),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Cli::command(), "mulleinhub", &mut std::io::stdout());
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Planner { settings } => mulleinhub_planner::run(&settings).map(|()| ExitCode::SUCCESS),
+    };
+    done.unwrap_or_else(|words| {
+        eprint!("{}", if words.ends_with('\n') { words } else { format!("error: {words}\n") });
+        ExitCode::from(2)
+    })
+}
--- /dev/null
+++ b/crates/cli/src/report.rs
@@ -0,0 +1,98 @@
+//! Tables and verdict lines.
+
+use comfy_table::{Table, presets::UTF8_HORIZONTAL_ONLY};
+use mulleinhub_day::Score;
+use mulleinhub_verdict::Verdict;
+
+fn table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_style(UTF8_HORIZONTAL_ONLY).set_header(header.to_vec());
+    table
+}
+
+fn ms(histogram: &hdrhistogram::Histogram<u64>) -> String {
+    if histogram.is_empty() {
+        return "none".to_owned();
+    }
+    let at = |part: f64| format!("{:.1}", histogram.value_at_quantile(part) as f64 / 1000.0);
+    format!("{} / {} / {} ms", at(0.5), at(0.99), at(0.999))
+}
+
+/// What the traffic shows.
+pub fn traffic(verdict: &Verdict) -> String {
+    let figures = &verdict.figures;
+    let name = |case: u32| {
+        let terms = verdict.terms.as_ref();
+        terms.and_then(|t| t.cases.get(case as usize)).map_or(format!("use case {case}"), |c| c.name.clone())
+    };
+    let mut cases = table(&["tasks by final answer", "taken", "placed", "nacked", "errored", "withdrawn"]);
+    for (case, counts) in &figures.cases {
+        let mut row = vec![name(*case)];
+        row.extend(counts.iter().map(u64::to_string));
+        cases.add_row(row);
+    }
+    let mut rest = table(&["of the traffic", ""]);
+    let sends = figures.offers as f64 / figures.tasks_offered.max(1) as f64;
+    rest.add_row(["sends a task", &format!("{sends:.3}")]);
+    let nacks: Vec<String> = figures.nacks.iter().map(|(reason, n)| format!("{reason} {n}")).collect();
+    rest.add_row(["nacks of machines", &if nacks.is_empty() { "none".to_owned() } else { nacks.join(", ") }]);
+    rest.add_row(["machines lost", &verdict.machines_lost.to_string()]);
+    rest.add_row(["take to send, p50 / p99 / p99.9", &ms(&figures.take_to_send)]);
+    rest.add_row(["take to answer, p50 / p99 / p99.9", &ms(&figures.take_to_answer)]);
+    rest.add_row(["frames", &format!("{} ({} KiB)", figures.frames, figures.frame_bytes / 1024)]);
+    format!("{cases}\n{rest}\n")
+}
+
+/// What service came to, as the stand-ins saw it.
+pub fn service(score: &Score) -> String {
+    let mut service = table(&["service", "earned", "asked", "earned/asked", "starts in time"]);
+    let of = |counts: &[u64], n: usize| counts.get(n).copied().unwrap_or(0);
+    for (n, name) in score.cases.iter().enumerate() {
+        let (earned, asked) = (score.earned.of(n), score.asked.of(n));
+        service.add_row([
+            name.clone(),
+            format!("{earned:.0}"),
+            format!("{asked:.0}"),
+            format!("{:.3}", earned / asked.max(1e-9)),
+            format!("{} of {}", of(&score.starts_in_time, n), of(&score.first_starts, n)),
+        ]);
+    }
+    service.add_row([
+        "all".to_owned(),
+        format!("{:.0}", score.earned.sum()),
+        format!("{:.0}", score.asked.sum()),
+        format!("{:.3}", score.earned.sum() / score.asked.sum().max(1e-9)),
+        format!("{} of {}", score.starts_in_time.iter().sum::<u64>(), score.first_starts.iter().sum::<u64>()),
+    ]);
+    format!("{service}\n")
+}
+
+/// A line for each rule, and its breaches.
+pub fn rules(verdict: &Verdict) -> String {
+    let mut text = String::new();
+    for (n, (rule, name)) in verdict.rules.iter().zip(Verdict::NAMES).enumerate() {
+        let state = match (rule.breaches.len(), rule.cases) {
+            (0, 0) => "not met today".to_owned(),
+            (0, cases) => format!("kept ({cases} cases)"),
+            (broken, cases) => format!("BROKEN {broken} times ({cases} cases)"),
+        };
+        text += &format!("rule {} {name}: {state}\n", n + 1);
+        for (why, count) in &rule.excused {
+            text += &format!("    not judged: {count} {why}\n");
+        }
+        for breach in rule.breaches.iter().take(10) {
+            let task = breach.task.map_or(String::new(), |task| format!(", task {task}"));
+            let machine = breach.machine.map_or(String::new(), |machine| format!(", machine {machine}"));
+            let planner = if breach.planner.is_empty() { "all planners" } else { &breach.planner };
+            text += &format!(
+                "    at {:.3} s, {planner}{task}{machine}: {}\n",
+                breach.at as f64 / 1e9,
+                breach.words
+            );
+        }
+        if rule.breaches.len() > 10 {
+            text += &format!("    and {} more\n", rule.breaches.len() - 10);
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/cli/src/stage_host.rs
@@ -0,0 +1,138 @@
+//! A day with real sockets: the stage in this process, each planner in one of its own.
+
+use mulleinhub::Time;
+use mulleinhub_day::{Day, PlannerDeed, Progress, Score, Stage};
+use mulleinhub_runner::planner_text;
+use mulleinhub_shell::Shell;
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// One planner of the day.
+struct Planner {
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Planner {
+    fn start(&mut self) -> Result<(), String> {
+        if self.child.is_some() {
+            return Ok(());
+        }
+        let words = |what: &Path, e: std::io::Error| format!("{}: {e}", what.display());
+        let log =
+            File::options().create(true).append(true).open(&self.log).map_err(|e| words(&self.log, e))?;
+        let ourselves = std::env::current_exe().map_err(|e| format!("this program: {e}"))?;
+        let child = Command::new(&ourselves)
+            .arg("planner")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(|e| words(&ourselves, e))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // Gone already is as good.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Planner {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A port that was free a moment ago.
+fn free_port() -> Result<SocketAddr, String> {
+    let probe = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(|e| format!("a free port: {e}"))?;
+    probe.local_addr().map_err(|e| format!("a free port: {e}"))
+}
+
+/// Plays a day to its end; settings, logs and kept lists of the planners go to `folder`.
+///
+/// # Errors
+/// What the system refuses, and a planner that ends by itself, in words.
+pub fn play(
+    day: Day,
+    folder: &Path,
+    capture: &Path,
+    mut watch: impl FnMut(Time, &Progress),
+) -> Result<(Score, Time), String> {
+    let words = |what: &Path, e: std::io::Error| format!("{}: {e}", what.display());
+    std::fs::create_dir_all(folder).map_err(|e| words(folder, e))?;
+    let out = BufWriter::new(File::create(capture).map_err(|e| words(capture, e))?);
+    let mut shell = Shell::new(Stage::new(day.clone(), out)).map_err(|e| format!("poll: {e}"))?;
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let mut lists = vec![String::new(); day.planners];
+    for (door, planner, machine) in shell.party.doors() {
+        let at = shell.listen(any, door).map_err(|e| format!("listening for planner {planner}: {e}"))?;
+        match machine {
+            Some(_) => shell.party.set_address(door, at.to_string()),
+            None => lists[planner] = at.to_string(),
+        }
+    }
+    let mut planners = Vec::new();
+    for (n, list) in lists.into_iter().enumerate() {
+        let listen = free_port()?;
+        let name = format!("planner-{}", n + 1);
+        shell.name(name.clone(), listen);
+        let state = folder.join(format!("{name}.state"));
+        let settings = folder.join(format!("{name}.conf"));
+        let text = planner_text(&day, n, Some(listen), list, Some(&state)).show();
+        std::fs::write(&settings, text).map_err(|e| words(&settings, e))?;
+        planners.push(Planner { settings, log: folder.join(format!("{name}.log")), child: None });
+    }
+    let mut looked = 0;
+    loop {
+        shell.step(Duration::from_millis(20)).map_err(|e| format!("poll: {e}"))?;
+        let now = shell.now();
+        while let Some(deed) = shell.party.next_deed() {
+            match deed {
+                PlannerDeed::Start(n) => planners[n].start()?,
+                PlannerDeed::Kill(n) => planners[n].kill(),
+                PlannerDeed::Stop(n) => planners[n].signal(Signal::STOP),
+                PlannerDeed::Continue(n) => planners[n].signal(Signal::CONT),
+            }
+            let now = shell.now();
+            shell.party.did(now, deed);
+        }
+        for (n, planner) in planners.iter_mut().enumerate() {
+            let ended = planner.child.as_mut().and_then(|child| child.try_wait().ok()).flatten();
+            if let Some(status) = ended {
+                let log = planner.log.display();
+                return Err(format!("planner {} ended by itself ({status}); its log: {log}", n + 1));
+            }
+        }
+        if now.nanos() / 200_000_000 > looked {
+            looked = now.nanos() / 200_000_000;
+            watch(now, &shell.party.progress());
+        }
+        if shell.party.is_over(now) {
+            break;
+        }
+    }
+    // The planners end after the record: what they would still say belongs to no day.
+    let end = shell.now();
+    let (score, mut out) = shell.party.finish(end).map_err(|e| words(capture, e))?;
+    out.flush().map_err(|e| words(capture, e))?;
+    Ok((score, end))
+}
--- /dev/null
+++ b/crates/day/src/lib.rs
@@ -0,0 +1,15 @@
+//! Days: the script of one, and the stage on which it is played.
+//!
+//! For: reading day scripts, saying in words what they do, drawing random troubles, and the stage: all stand-ins of
+//! a day behind taps, which record every frame and do the network's troubles. The stage has no I/O of its own:
+//! planners reach it through its doors, by sockets or in virtual time.
+//! May not touch: planners' insides, sockets, clocks, how a day is judged.
+
+mod script;
+mod stage;
+mod tap;
+mod trouble;
+
+pub use script::{Day, ListModel, MachineModel, OwnerModel, parse_day};
+pub use stage::{PlannerDeed, Progress, Score, Stage};
+pub use trouble::{Target, Trouble, What};
--- /dev/null
+++ b/crates/day/src/script.rs
@@ -0,0 +1,326 @@
+//! The script of a day.
+
+use crate::trouble::Trouble;
+use garde::Validate;
+use mulleinhub::Span;
+use mulleinhub::interface::Effect;
+use mulleinhub_settings::{Args, Directive, Faults, Place, Range, Scope, Value};
+use mulleinhub_terms::{Case, Kind, Rules, check, places, range_or, read_case, read_kind, read_rules};
+
+/// What a use case's tasks are like on this day.
+#[derive(Clone, Debug)]
+pub struct CaseDay {
+    pub case: Case,
+    pub share: f64,
+    pub asks: Vec<(f64, f64)>,
+    pub lives: Range<Span>,
+    pub batch: Range<usize>,
+    pub work: Range<Span>,
+    pub cores_use: Range<f64>,
+    pub memory_use: Range<f64>,
+}
+
+/// How machines behave; each machine draws its own from the ranges.
+#[derive(Clone, Debug)]
+pub struct MachineModel {
+    pub accepts_cores: f64,
+    pub accepts_memory: f64,
+    pub look: Range<Span>,
+    pub line: Range<usize>,
+    pub starts: Range<usize>,
+    pub setup: Range<f64>,
+    pub keeps: Range<usize>,
+    pub speed: Range<f64>,
+    pub cold_from: Range<f64>,
+    pub tip: f64,
+    pub yes_when_running: bool,
+    pub displaces: bool,
+    pub tells_use: bool,
+    pub tells_pressure: bool,
+    pub note_every: Span,
+    /// Where draining machines send tasks away: how long apart.
+    pub sends_away: Option<Span>,
+}
+
+#[derive(Clone, Debug)]
+pub struct ListModel {
+    pub late: Span,
+    pub period: Span,
+    pub silent_notice: Span,
+    pub lines_a_second: f64,
+    pub asked: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct OwnerModel {
+    pub again: Range<Span>,
+    pub settle: Span,
+    pub reconnect: Span,
+}
+
+#[derive(Clone, Debug, Validate)]
+#[garde(allow_unvalidated)]
+pub struct Day {
+    pub name: String,
+    pub seed: u64,
+    #[garde(custom(a_day))]
+    pub length: Span,
+    #[garde(range(min = 1, max = 999))]
+    pub planners: usize,
+    #[garde(range(min = 1, max = 999))]
+    pub owners: usize,
+    #[garde(range(min = 1, max = 16))]
+    pub halls: u32,
+    #[garde(range(min = 1, max = 200))]
+    pub racks: u32,
+    #[garde(range(min = 1, max = 900))]
+    pub machines: usize,
+    #[garde(range(max = 900))]
+    pub spare_machines: usize,
+    /// New tasks a second, of all owners together.
+    #[garde(range(min = 0.0, max = 100_000.0))]
+    pub rate: f64,
+    pub rules: Rules,
+    pub kinds: Vec<Kind>,
+    pub cases: Vec<CaseDay>,
+    pub machine: MachineModel,
+    pub list: ListModel,
+    pub owner: OwnerModel,
+    pub delay: Range<Span>,
+    pub cross_delay: Range<Span>,
+    pub machine_price: f64,
+    pub cross_hall_price: f64,
+    pub troubles: Vec<Trouble>,
+    /// So many random troubles are added, drawn from the seed.
+    pub random_troubles: Range<usize>,
+}
+
+fn a_day(span: &Span, (): &()) -> garde::Result {
+    let fine = *span >= Span::from_secs(1) && *span <= Span::from_secs(24 * 3600);
+    if fine { Ok(()) } else { Err(garde::Error::new("a second to a day is wanted")) }
+}
+
+/// `0.5/1`: cores and GiB of memory.
+#[derive(Clone, Copy)]
+struct AskFor(f64, f64);
+
+impl Value for AskFor {
+    const WANTED: &'static str = "cores and GiB of memory, as 0.5/1";
+
+    fn read(text: &str) -> Result<Self, String> {
+        let wanted = || format!("{} is wanted", Self::WANTED);
+        let (cores, memory) = text.split_once('/').ok_or_else(wanted)?;
+        let (cores, memory) = (f64::read(cores)?, f64::read(memory)?);
+        if cores > 0.0 && memory > 0.0 { Ok(Self(cores, memory)) } else { Err(wanted()) }
+    }
+}
+
+fn ms(low: u64, high: u64) -> (Span, Span) {
+    (Span::from_nanos(low * 1_000_000), Span::from_nanos(high * 1_000_000))
+}
+
+fn read_case_day(directive: &Directive, faults: &mut Faults) -> Option<CaseDay> {
+    let mut scope = Scope::of(directive);
+    let case = read_case(directive, &mut scope, faults);
+    let share = scope.or("share", 1.0, faults);
+    let mut asks = Vec::new();
+    if let Some(line) = scope.once("asks", faults) {
+        let mut args = Args::of(line);
+        while args.peek().is_some() {
+            asks.extend(args.next::<AskFor>(faults).map(|ask| (ask.0, ask.1)));
+        }
+    }
+    if asks.is_empty() {
+        asks.push((1.0, 1.0));
+    }
+    let (low, high) = ms(10_000, 20_000);
+    let lives = range_or(&mut scope, "lives", low, high, faults);
+    let batch = range_or(&mut scope, "batch", 1, 4, faults);
+    let (low, high) = ms(150, 250);
+    let work = range_or(&mut scope, "work", low, high, faults);
+    let cores_use = range_or(&mut scope, "cores-use", 0.3, 0.7, faults);
+    let memory_use = range_or(&mut scope, "memory-use", 0.5, 0.8, faults);
+    scope.finish(faults);
+    Some(CaseDay { case: case?, share, asks, lives, batch, work, cores_use, memory_use })
+}
+
+fn read_machine(directive: Option<&Directive>, place: &Place, faults: &mut Faults) -> MachineModel {
+    let mut scope = directive.map_or_else(|| Scope::new(&[], place.clone()), Scope::of);
+    let (look_low, look_high) = ms(5, 30);
+    let model = MachineModel {
+        accepts_cores: scope.or("accepts-cores", 2.0, faults),
+        accepts_memory: scope.or("accepts-memory", 1.5, faults),
+        look: range_or(&mut scope, "look", look_low, look_high, faults),
+        line: range_or(&mut scope, "line", 15, 30, faults),
+        starts: range_or(&mut scope, "starts", 2, 4, faults),
+        setup: range_or(&mut scope, "setup", 4.0, 8.0, faults),
+        keeps: range_or(&mut scope, "keeps", 4, 10, faults),
+        speed: range_or(&mut scope, "speed", 0.85, 1.15, faults),
+        cold_from: range_or(&mut scope, "cold-from", 0.17, 0.5, faults),
+        tip: scope.or("tip", 2.0, faults),
+        yes_when_running: scope.or("yes-when-running", false, faults),
+        displaces: scope.or("displaces", true, faults),
+        tells_use: scope.or("tells-use", true, faults),
+        tells_pressure: scope.or("tells-pressure", true, faults),
+        note_every: scope.or("note-every", Span::from_secs(1), faults),
+        sends_away: scope.maybe("sends-away", faults),
+    };
+    scope.finish(faults);
+    model
+}
+
+fn read_list(directive: Option<&Directive>, place: &Place, faults: &mut Faults) -> ListModel {
+    let mut scope = directive.map_or_else(|| Scope::new(&[], place.clone()), Scope::of);
+    let model = ListModel {
+        late: scope.or("late", Span::from_secs(1), faults),
+        period: scope.or("period", Span::from_nanos(500_000_000), faults),
+        silent_notice: scope.or("silent-notice", Span::from_secs(8), faults),
+        lines_a_second: scope.or("lines-a-second", 20_000.0, faults),
+        asked: scope.or("asked", false, faults),
+    };
+    scope.finish(faults);
+    model
+}
+
+fn read_owner(directive: Option<&Directive>, place: &Place, faults: &mut Faults) -> OwnerModel {
+    let mut scope = directive.map_or_else(|| Scope::new(&[], place.clone()), Scope::of);
+    let (low, high) = ms(1_000, 3_000);
+    let model = OwnerModel {
+        again: range_or(&mut scope, "again", low, high, faults),
+        settle: scope.or("settle", Span::from_secs(3), faults),
+        reconnect: scope.or("reconnect", Span::from_nanos(300_000_000), faults),
+    };
+    scope.finish(faults);
+    model
+}
+
+/// Reads a script's directives; nothing where a part that must stand is missing.
+pub fn parse_day(directives: &[Directive], faults: &mut Faults) -> Option<Day> {
+    let place = Place { file: 0, bytes: 0..0 };
+    let mut scope = Scope::new(directives, place.clone());
+    let name = scope.or("name", "a day".to_owned(), faults);
+    let seed = scope.or("seed", 1u64, faults);
+    let length = scope.must::<Span>("length", faults);
+    let planners = scope.or("planners", 3, faults);
+    let owners = scope.or("owners", 4, faults);
+    let halls = scope.or("halls", 2, faults);
+    let racks = scope.or("racks", 4, faults);
+    let machines = scope.or("machines", 12, faults);
+    let spare_machines = scope.or("spare-machines", 0, faults);
+    let rate = scope.or("rate", 20.0, faults);
+    let rules = read_rules(scope.once("rules", faults), faults);
+    let kinds: Vec<Kind> = scope.each("kind").into_iter().filter_map(|d| read_kind(d, faults)).collect();
+    let case_directives = scope.each("use-case");
+    let cases: Vec<CaseDay> = case_directives.iter().filter_map(|d| read_case_day(d, faults)).collect();
+    let machine = read_machine(scope.once("machine", faults), &place, faults);
+    let list = read_list(scope.once("list", faults), &place, faults);
+    let owner = read_owner(scope.once("owner", faults), &place, faults);
+    let delay = range_or(&mut scope, "delay", Span::from_nanos(100_000), Span::from_nanos(400_000), faults);
+    let (low, high) = ms(1, 3);
+    let cross_delay = range_or(&mut scope, "cross-delay", low, high, faults);
+    let machine_price = scope.or("machine-price", 0.0, faults);
+    let cross_hall_price = scope.or("cross-hall-price", 0.0, faults);
+    let random_troubles = range_or(&mut scope, "random-troubles", 0, 0, faults);
+    let mut troubles = Vec::new();
+    for line in scope.each("at") {
+        let Some(trouble) = Trouble::read(line, faults) else { continue };
+        if let Some(case) = trouble.case()
+            && !cases.iter().any(|c| c.case.name == case)
+        {
+            faults.add(&line.place, format!("there is no use case {case}"));
+        }
+        troubles.push(trouble);
+    }
+    scope.finish(faults);
+    if kinds.is_empty() {
+        faults.add(&place, "a kind of machine is missing: kind NAME { cores N; memory N }");
+    }
+    if cases.is_empty() {
+        faults.add(&place, "a use case is missing: use-case NAME { ... }");
+    }
+    for (case, directive) in cases.iter().zip(&case_directives) {
+        if case.case.for_module(&kinds).is_none() {
+            faults.add(&directive.place, "its kind of machine is not among the kinds");
+        }
+    }
+    let day = Day {
+        name,
+        seed,
+        length: length?,
+        planners,
+        owners,
+        halls,
+        racks,
+        machines,
+        spare_machines,
+        rate,
+        rules,
+        kinds,
+        cases,
+        machine,
+        list,
+        owner,
+        delay,
+        cross_delay,
+        machine_price,
+        cross_hall_price,
+        troubles,
+        random_troubles,
+    };
+    check(&day, &places(directives), &place, faults);
+    faults.is_empty().then_some(day)
+}
+
+impl Day {
+    /// The widest group in which one copy of a task stands: machines of different racks must know of each other
+    /// where it is wider than a rack.
+    pub(crate) fn groups_are_wide(&self) -> bool {
+        use mulleinhub::interface::Reach;
+        let wide = |case: &CaseDay| match case.case.effect {
+            Effect::Referenced { group, .. } => matches!(group, Reach::Zone | Reach::All),
+            _ => false,
+        };
+        self.cases.iter().any(wide)
+    }
+
+    /// What the day does, in words, a line each.
+    pub fn explain(&self) -> Vec<String> {
+        let span = mulleinhub_terms::show_span;
+        let mut lines = vec![format!(
+            "{}: {} long, {} planners, {} machines ({} spare) in {} racks and {} halls, {} owners, {} new tasks a second",
+            self.name,
+            span(self.length),
+            self.planners,
+            self.machines,
+            self.spare_machines,
+            self.racks,
+            self.halls,
+            self.owners,
+            self.rate
+        )];
+        for case in &self.cases {
+            let effect = match case.case.effect {
+                Effect::Replayable => "may run again".to_owned(),
+                Effect::SingleUse => "must never run twice".to_owned(),
+                Effect::Referenced { window, .. } => {
+                    format!(
+                        "one copy stands in its group, and it may be sent there again for {}",
+                        span(window)
+                    )
+                }
+            };
+            lines.push(format!(
+                "{}: start wanted within {}, given up after {}; {effect}",
+                case.case.name,
+                span(case.case.soft_limit),
+                span(case.case.client_timeout)
+            ));
+        }
+        lines.extend(self.troubles.iter().map(Trouble::words));
+        if self.random_troubles.high > 0 {
+            let Range { low, high } = self.random_troubles;
+            lines.push(format!("and {low} to {high} random troubles, drawn from the seed"));
+        }
+        lines
+    }
+}
--- /dev/null
+++ b/crates/engine/src/desk.rs
@@ -0,0 +1,586 @@
+//! All that a planner holds beside the module, and the pen that carries out the module's choices.
+
+use crate::machines::{Reach, Spot};
+use crate::settings::Settings;
+use mulleinhub::interface::{Effect, Ending, MachineId, Order, Reach as Group, TaskId, Writer};
+use mulleinhub::{Span, Time};
+use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Mode, Shape};
+use mulleinhub_seam::{End, Link, Links, Timers, Unwritten};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Figures for logs, status and metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub placed: u64,
+    pub nacked: u64,
+    pub errored: u64,
+    pub sends: u64,
+    pub late_yes: u64,
+    pub bad_frames: u64,
+    pub pending: usize,
+    pub sent: usize,
+    pub running: usize,
+    pub machines_ready: usize,
+    pub machines: usize,
+}
+
+#[derive(Debug)]
+pub enum Who {
+    /// Somebody opened a connection and has not said who it is.
+    Stranger,
+    Client(String),
+    Machine(MachineId),
+    List,
+}
+
+#[derive(Debug)]
+pub struct Peer {
+    pub who: Who,
+    pub frames: Frames,
+    pub greeted: bool,
+    pub end: Option<End>,
+    pub queued: bool,
+}
+
+/// The open send of a task.
+#[derive(Clone, Copy, Debug)]
+pub struct Open {
+    pub number: u32,
+    pub machine: MachineId,
+    /// The connection that carried the offer, and its mark there. None while it waits for one.
+    pub link: Option<Link>,
+    pub mark: u64,
+    /// When the wait for an answer ends.
+    pub due: Time,
+    pub placed: bool,
+    pub runs: bool,
+    /// Moved or withdrawn: its end is no news for the owner's timer.
+    pub stopping: bool,
+}
+
+/// A task in hand.
+#[derive(Debug)]
+pub struct Job {
+    pub order: Order,
+    pub shape: Shape,
+    pub owner: String,
+    pub owner_link: Option<Link>,
+    pub sends: u32,
+    pub open: Option<Open>,
+    pub may_have_run: bool,
+    pub withdrawn: bool,
+    /// Handed over by its owner; the machine has not yet said that it holds it.
+    pub claiming: bool,
+    /// Its owner has had the final answer, or none is owed.
+    pub answered: bool,
+}
+
+/// What its owner is told of a task, also when it asks again later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Nacked(u64),
+    Errored,
+    Ended(protocol::Ending),
+    Withdrawn,
+}
+
+/// A send that was closed without proof that it never ran.
+#[derive(Debug)]
+pub struct Late {
+    pub shape: Shape,
+    pub owner: String,
+    /// Its owner wants the task, as far as is known.
+    pub wanted: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    Token(u64),
+    Send(TaskId, u32),
+    Reconnect(MachineId),
+    Lost(MachineId),
+    Ping(MachineId),
+    List,
+    Start,
+    Forget,
+    Claim(TaskId),
+}
+
+pub struct Desk {
+    pub settings: Settings,
+    pub life: u64,
+    pub now: Time,
+    pub links: Links,
+    pub peers: BTreeMap<Link, Peer>,
+    arrivals: VecDeque<Link>,
+    pub machines: BTreeMap<MachineId, Spot>,
+    pub list_link: Option<Link>,
+    pub list_version: u64,
+    pub list_wanted: bool,
+    pub list_known: bool,
+    list_changed: bool,
+    pub jobs: BTreeMap<TaskId, Job>,
+    pub late: BTreeMap<(TaskId, u32), Late>,
+    pub answered: BTreeMap<TaskId, (Answer, String)>,
+    /// When to forget answers and closed sends, oldest first.
+    pub to_forget: VecDeque<(Time, TaskId, Option<u32>)>,
+    /// Ends that this side made, to be told at the next chance.
+    pub closings: VecDeque<(TaskId, u32, Ending)>,
+    pub timers: Timers<Due>,
+    marks: BTreeMap<u64, (TaskId, u32)>,
+    next_mark: u64,
+    /// Final answers owed.
+    pub owed: usize,
+    /// The newest connection of each client, by its name.
+    pub clients: BTreeMap<String, Link>,
+    stuck: Vec<Link>,
+    pub hears_clients: bool,
+    pub winding_down: bool,
+    pub counts: Counts,
+    scratch: Vec<u8>,
+}
+
+impl Desk {
+    pub fn new(settings: Settings, life: u64) -> Self {
+        Self {
+            settings,
+            life,
+            now: Time::default(),
+            links: Links::default(),
+            peers: BTreeMap::new(),
+            arrivals: VecDeque::new(),
+            machines: BTreeMap::new(),
+            list_link: None,
+            list_version: 0,
+            list_wanted: true,
+            list_known: false,
+            list_changed: false,
+            jobs: BTreeMap::new(),
+            late: BTreeMap::new(),
+            answered: BTreeMap::new(),
+            to_forget: VecDeque::new(),
+            closings: VecDeque::new(),
+            timers: Timers::default(),
+            marks: BTreeMap::new(),
+            next_mark: 0,
+            owed: 0,
+            clients: BTreeMap::new(),
+            stuck: Vec::new(),
+            hears_clients: false,
+            winding_down: false,
+            counts: Counts::default(),
+            scratch: Vec::with_capacity(1024),
+        }
+    }
+
+    pub fn counts(&self) -> Counts {
+        let placed = |job: &&Job| job.open.is_some_and(|open| open.placed);
+        let running = self.jobs.values().filter(placed).count();
+        let sent = self.jobs.values().filter(|job| job.open.is_some()).count() - running;
+        Counts {
+            pending: self.jobs.len() - running - sent,
+            sent,
+            running,
+            machines: self.machines.len(),
+            machines_ready: self.machines.values().filter(|m| m.ready().is_some()).count(),
+            ..self.counts
+        }
+    }
+
+    // What whoever feeds the planner tells.
+
+    fn add_peer(&mut self, link: Link, who: Who) {
+        self.peers
+            .insert(link, Peer { who, frames: Frames::default(), greeted: false, end: None, queued: false });
+    }
+
+    pub fn client_came(&mut self, link: Link) {
+        self.add_peer(link, Who::Stranger);
+    }
+
+    pub fn is_up(&mut self, now: Time, link: Link) {
+        self.now = now;
+        let conversation = match self.peers.get(&link).map(|peer| &peer.who) {
+            Some(Who::Machine(_)) => Conversation::PlannerMachine,
+            Some(Who::List) => Conversation::PlannerList,
+            _ => return,
+        };
+        let (name, life) = (self.settings.name.clone(), self.life);
+        self.write(
+            link,
+            &Message::Hello {
+                conversation,
+                version: protocol::VERSION,
+                least_version: protocol::LEAST_VERSION,
+                features: 0,
+                name: &name,
+                life,
+            },
+        );
+        if matches!(conversation, Conversation::PlannerList) && self.list_wanted {
+            self.write(link, &Message::Watch {});
+        }
+    }
+
+    pub fn came_in(&mut self, now: Time, link: Link, bytes: &[u8]) {
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        peer.frames.take(bytes);
+        if let Who::Machine(id) = peer.who
+            && let Some(spot) = self.machines.get_mut(&id)
+        {
+            (spot.heard_at, spot.pinged_at) = (now, None);
+        }
+        self.queue(link);
+    }
+
+    pub fn has_ended(&mut self, link: Link, end: End) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.end = Some(end);
+            self.queue(link);
+        }
+    }
+
+    fn queue(&mut self, link: Link) {
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        if !std::mem::replace(&mut peer.queued, true) {
+            self.arrivals.push_back(link);
+        }
+    }
+
+    pub fn has_news(&self) -> bool {
+        !self.arrivals.is_empty()
+            || !self.closings.is_empty()
+            || self.timers.next().is_some_and(|at| at <= self.now)
+    }
+
+    /// The next connection that something came in on. Clients wait until machines told what they hold.
+    pub fn next_arrival(&mut self) -> Option<Link> {
+        let hears = self.hears_clients;
+        let waits = |peer: &Peer| !hears && matches!(peer.who, Who::Stranger | Who::Client(_));
+        let at = self.arrivals.iter().position(|link| self.peers.get(link).is_none_or(|p| !waits(p)))?;
+        let link = self.arrivals.remove(at).expect("was found");
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.queued = false;
+        }
+        Some(link)
+    }
+
+    pub fn due(&mut self) -> Option<Due> {
+        self.timers.due(self.now)
+    }
+
+    pub fn wake(&self) -> Option<Time> {
+        if !self.closings.is_empty() || (self.hears_clients && !self.arrivals.is_empty()) {
+            return Some(self.now);
+        }
+        self.timers.next()
+    }
+
+    /// Peers that don't read are let go: what waits for them is bounded.
+    pub fn after_round(&mut self) {
+        for link in std::mem::take(&mut self.stuck) {
+            tracing::warn!(link = link.0, "ended: it doesn't read, and too much waits for it");
+            self.end_of_ours(link);
+        }
+    }
+
+    /// Ends a connection from this side; what follows is as if it had broken.
+    pub fn end_of_ours(&mut self, link: Link) {
+        if self.peers.contains_key(&link) {
+            // What is unwritten must be known before it is dropped.
+            self.has_ended(link, End::Broken);
+        }
+    }
+
+    // Writing.
+
+    pub fn write(&mut self, link: Link, message: &Message<'_>) {
+        self.write_marked(link, message, None);
+    }
+
+    fn write_marked(&mut self, link: Link, message: &Message<'_>, mark: Option<u64>) {
+        self.scratch.clear();
+        protocol::encode(message, &mut self.scratch);
+        self.links.send(link, &self.scratch, mark);
+        if self.links.unwritten(link) > self.settings.most_unwritten {
+            self.stuck.push(link);
+        }
+    }
+
+    pub fn open_machine(&mut self, id: MachineId) {
+        let Some(spot) = self.machines.get(&id) else { return };
+        if spot.reach != Reach::Down || spot.mode == Mode::Left {
+            return;
+        }
+        let link = self.links.open(&spot.address.clone());
+        self.add_peer(link, Who::Machine(id));
+        let (now, silence) = (self.now, self.settings.silence);
+        let spot = self.machines.get_mut(&id).expect("was there");
+        spot.reach = Reach::Coming(link);
+        (spot.heard_at, spot.pinged_at) = (now, Some(now));
+        self.timers.set(now + silence, Due::Ping(id));
+    }
+
+    pub fn open_list(&mut self) {
+        if self.list_link.is_none() {
+            let link = self.links.open(&self.settings.list_address.clone());
+            self.add_peer(link, Who::List);
+            self.list_link = Some(link);
+        }
+    }
+
+    /// Tells the owner of a task: on the connection that asked last, else on the owner's newest.
+    pub fn tell_owner(&mut self, link: Option<Link>, owner: &str, message: &Message<'_>) {
+        let link = link.or_else(|| self.clients.get(owner).copied());
+        if let Some(link) = link {
+            self.write(link, message);
+        }
+    }
+
+    /// Writes the offer of an open send on the machine's connection.
+    pub fn write_offer(&mut self, id: TaskId, link: Link) {
+        let now = self.now;
+        self.next_mark += 1;
+        let mark = self.next_mark;
+        let job = self.jobs.get_mut(&id).expect("has an open send");
+        let open = job.open.as_mut().expect("has an open send");
+        (open.link, open.mark) = (Some(link), mark);
+        let time_out = open.due - now;
+        let (send, shape, owner) = (open.number, job.shape, std::mem::take(&mut job.owner));
+        self.marks.insert(mark, (id, send));
+        self.write_marked(
+            link,
+            &Message::Offer { task: id.0, send, shape, time_out: time_out.nanos(), owner: &owner },
+            Some(mark),
+        );
+        self.jobs.get_mut(&id).expect("is there").owner = owner;
+    }
+
+    /// Takes the offer of an open send back, where not a byte of it left this process.
+    pub fn take_back(&mut self, id: TaskId) -> bool {
+        let Some(open) = self.jobs.get(&id).and_then(|job| job.open) else { return false };
+        let back = match open.link {
+            Some(link) => self.links.take_back(link, open.mark),
+            None => {
+                self.machines.get(&open.machine).is_some_and(|m| m.waiting.contains(&(id.0, open.number)))
+            }
+        };
+        if back && let Some(spot) = self.machines.get_mut(&open.machine) {
+            spot.waiting.retain(|waits| *waits != (id.0, open.number));
+        }
+        back
+    }
+
+    /// The offers of an ended connection that were not wholly written.
+    pub fn unwritten_offers(&mut self, link: Link) -> Vec<(TaskId, u32, Unwritten)> {
+        let unwritten = self.links.abort(link);
+        let named =
+            |(mark, how): (u64, Unwritten)| self.marks.get(&mark).map(|(task, send)| (*task, *send, how));
+        unwritten.into_iter().filter_map(named).collect()
+    }
+
+    pub fn forget_mark(&mut self, mark: u64) {
+        self.marks.remove(&mark);
+    }
+
+    /// Keeps the final answer for an owner that comes back, and tells it where it is connected.
+    pub fn answer(&mut self, id: TaskId, answer: Answer) {
+        let job = self.jobs.remove(&id).expect("a task in hand");
+        self.owed -= usize::from(!job.answered);
+        let message = match answer {
+            Answer::Nacked(stay_away) => Message::Nacked { task: id.0, stay_away },
+            Answer::Errored => Message::Errored { task: id.0 },
+            Answer::Ended(ending) => Message::Ended { task: id.0, ending },
+            Answer::Withdrawn => return self.remember(id, answer, job.owner),
+        };
+        self.tell_owner(job.owner_link, &job.owner, &message);
+        self.remember(id, answer, job.owner);
+    }
+
+    fn remember(&mut self, id: TaskId, answer: Answer, owner: String) {
+        self.answered.insert(id, (answer, owner));
+        self.forget_later(id, None);
+    }
+
+    pub fn forget_later(&mut self, id: TaskId, send: Option<u32>) {
+        let at = self.now + self.settings.remember;
+        if self.to_forget.is_empty() {
+            self.timers.set(at, Due::Forget);
+        }
+        self.to_forget.push_back((at, id, send));
+    }
+
+    /// Forgets what nobody may come back for any more.
+    pub fn forget_old(&mut self) {
+        while let Some((at, id, send)) = self.to_forget.front().copied() {
+            if at > self.now {
+                self.timers.set(at, Due::Forget);
+                return;
+            }
+            self.to_forget.pop_front();
+            match send {
+                Some(send) => drop(self.late.remove(&(id, send))),
+                None => drop(self.answered.remove(&id)),
+            }
+        }
+    }
+
+    // The list.
+
+    pub fn list_changes(&mut self) {
+        self.list_changed = true;
+    }
+
+    /// The last list as a frame, where it changed.
+    pub fn list_to_keep(&mut self) -> Option<Vec<u8>> {
+        if !std::mem::take(&mut self.list_changed) {
+            return None;
+        }
+        let now = self.now;
+        let entry = |m: &'_ Spot| (m.id.0, m.address.clone(), m.since.map(|at| (now - at).nanos()), m.left);
+        let held: Vec<_> = self.machines.values().map(|m| (entry(m), m)).collect();
+        let entries = held
+            .iter()
+            .map(|((machine, address, up_for, left), m)| protocol::Entry {
+                machine: *machine,
+                address,
+                kind: m.kind.0 as u32,
+                cell: m.cell.0,
+                zone: m.zone.0,
+                mode: m.mode,
+                life: m.listed_life,
+                up_for: *up_for,
+                cores_left: left.map(|left| left.0),
+                memory_left: left.map(|left| left.1),
+            })
+            .collect();
+        let list = Message::List { kind: protocol::ListKind::Whole, version: self.list_version, entries };
+        let mut frame = Vec::new();
+        protocol::encode(&list, &mut frame);
+        Some(frame)
+    }
+
+    /// The tasks with an open send on this machine.
+    pub fn jobs_on(&self, machine: MachineId) -> Vec<(TaskId, Open)> {
+        let on = |(id, job): (&TaskId, &Job)| {
+            job.open.filter(|open| open.machine == machine).map(|open| (*id, open))
+        };
+        self.jobs.iter().filter_map(on).collect()
+    }
+}
+
+/// Carries out what the module chooses. The module holds it during a round in which the desk hears, so each
+/// borrows the desk for a moment only.
+pub struct Pen<'a>(pub &'a RefCell<Desk>);
+
+impl Writer for Pen<'_> {
+    fn send(&mut self, task: TaskId, machine: MachineId, time_out: Span) {
+        let desk = &mut *self.0.borrow_mut();
+        let now = desk.now;
+        let job = desk.jobs.get_mut(&task).expect("the module sends tasks in hand");
+        assert!(job.open.is_none(), "task {}: two sends out at once", task.0);
+        assert!(now <= job.order.deadline, "task {}: a send after its client timeout", task.0);
+        let number = job.sends;
+        job.sends += 1;
+        job.open = Some(Open {
+            number,
+            machine,
+            link: None,
+            mark: 0,
+            due: now + time_out,
+            placed: false,
+            runs: false,
+            stopping: false,
+        });
+        desk.counts.sends += 1;
+        desk.timers.set(now + time_out, Due::Send(task, number));
+        let spot = desk.machines.get(&machine).expect("the module sends to listed machines");
+        assert!(spot.mode == Mode::Active, "task {}: a send to a machine that drains or is gone", task.0);
+        match spot.reach {
+            Reach::Ready(link) => desk.write_offer(task, link),
+            Reach::Down if spot.retry_at > now => {
+                desk.closings.push_back((task, number, Ending::NoConnection));
+            }
+            _ => {
+                desk.machines.get_mut(&machine).expect("is there").waiting.push((task.0, number));
+                desk.open_machine(machine);
+            }
+        }
+    }
+
+    fn recall(&mut self, task: TaskId, send: u32) {
+        let desk = &mut *self.0.borrow_mut();
+        let Some(open) = desk.jobs.get(&task).and_then(|job| job.open) else { return };
+        // A send called back in this very turn has its end on the way already.
+        if open.number != send
+            || open.placed
+            || desk.closings.iter().any(|(t, s, _)| (*t, *s) == (task, send))
+        {
+            return;
+        }
+        if desk.take_back(task) {
+            desk.closings.push_back((task, send, Ending::NotSent));
+            return;
+        }
+        if let Some(link) = open.link {
+            desk.write(link, &Message::Recall { task: task.0, send });
+        }
+        desk.closings.push_back((task, send, Ending::Recalled));
+    }
+
+    fn nack(&mut self, task: TaskId, stay_away: Span) {
+        let desk = &mut *self.0.borrow_mut();
+        let job = &desk.jobs[&task];
+        assert!(job.open.is_none(), "task {}: nacked with a send out", task.0);
+        let harmless = match desk.settings.use_cases[job.order.use_case.0].effect {
+            Effect::Replayable | Effect::Referenced { group: Group::All, .. } => true,
+            Effect::Referenced { .. } | Effect::SingleUse => !job.may_have_run,
+        };
+        assert!(harmless, "task {}: nacked though it may have run", task.0);
+        desk.counts.nacked += 1;
+        desk.answer(task, Answer::Nacked(stay_away.nanos()));
+    }
+
+    fn error(&mut self, task: TaskId) {
+        let desk = &mut *self.0.borrow_mut();
+        assert!(desk.jobs[&task].open.is_none(), "task {}: errored with a send out", task.0);
+        desk.counts.errored += 1;
+        desk.answer(task, Answer::Errored);
+    }
+
+    fn move_off(&mut self, task: TaskId) {
+        let desk = &mut *self.0.borrow_mut();
+        let Some(open) = desk.jobs.get_mut(&task).and_then(|job| job.open.as_mut()) else { return };
+        open.stopping = true;
+        let (machine, send) = (open.machine, open.number);
+        if let Some(link) = desk.machines.get(&machine).and_then(Spot::ready) {
+            desk.write(link, &Message::Stop { task: task.0, send, moves: true });
+        }
+    }
+
+    fn wake_at(&mut self, token: u64, at: Time) {
+        self.0.borrow_mut().timers.set(at, Due::Token(token));
+    }
+
+    fn probe(&mut self, machine: MachineId) {
+        let desk = &mut *self.0.borrow_mut();
+        if let Some(link) = desk.machines.get(&machine).and_then(Spot::ready) {
+            desk.write(link, &Message::Probe { nonce: machine.0 });
+        }
+    }
+
+    fn watch_list(&mut self) {
+        let desk = &mut *self.0.borrow_mut();
+        desk.list_wanted = true;
+        match desk.list_link.filter(|link| desk.peers.get(link).is_some_and(|peer| peer.greeted)) {
+            Some(link) => desk.write(link, &Message::Watch {}),
+            None => desk.open_list(),
+        }
+    }
+
+    fn remark(&mut self, words: &str) {
+        tracing::info!(words, "the module remarks");
+    }
+}
--- /dev/null
+++ b/crates/engine/src/hear.rs
@@ -0,0 +1,970 @@
+//! Hearing: what each frame, end and timer means, and what the module is told of it.
+//!
+//! What proves that a send never ran, which the second rule rests on:
+//! - an offer of which no byte left this process (`Whole` unwritten, or taken back),
+//! - a machine's own word: nacked, recalled before it was accepted,
+//! - the same life of the machine, met again on a new connection, doesn't hold the send: a new greeting ends the
+//!   old connection for the machine, so what it had not accepted by then it never will.
+//!
+//! Everything else may have run: half-written and written offers whose machine can't be asked, time-outs, and
+//! whatever a former life of the machine was sent.
+
+use crate::desk::{Answer, Desk, Due, Job, Late, Open, Pen, Who};
+use crate::machines::{Reach, Spot};
+use mulleinhub::interface::{
+    Effect, Ending, Entry, ListKind, Loss, MachineId, Mode, Nack, Order, Report, Room, ServiceId, TaskId,
+    TaskKey, UseCaseId,
+};
+use mulleinhub::{Round, Time};
+use mulleinhub_protocol::{self as protocol, Bad, Conversation, Message, Reason, Shape, Side};
+use mulleinhub_seam::{End, Link, Unwritten};
+use std::cell::RefCell;
+
+type Told<'a, 'b> = Round<'a, Pen<'b>>;
+type Heard = Result<(), Bad>;
+
+/// The first turn: the list of the last life, and the calls for a newer one.
+pub fn begin(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, saved: Option<Vec<u8>>) {
+    if let Some(frame) = saved {
+        match protocol::decode(&frame) {
+            Ok(Message::List { version, entries, .. }) => {
+                list(desk, round, ListKind::Saved, version, &entries)
+            }
+            Ok(_) => tracing::error!("the kept list holds another message; going on without it"),
+            Err(bad) => tracing::error!(%bad, "the kept list can't be read; going on without it"),
+        }
+    }
+    let desk = &mut *desk.borrow_mut();
+    if !desk.settings.listing.asked {
+        desk.open_list();
+    }
+    let (now, settings) = (desk.now, &desk.settings);
+    desk.timers.set(now + settings.start_wait, Due::Start);
+}
+
+/// Every connection on which something came in, in the order of coming.
+pub fn all_that_came(desk: &RefCell<Desk>, round: &mut Told<'_, '_>) {
+    loop {
+        let next = desk.borrow_mut().next_arrival();
+        let Some(link) = next else {
+            // Clients are heard once machines told what they hold: what waited comes in now.
+            if !start(&mut desk.borrow_mut()) {
+                return;
+            }
+            continue;
+        };
+        hear_link(desk, round, link);
+    }
+}
+
+/// Opens the door for clients when all machines of the first list have told what they hold, or can't be reached.
+fn start(desk: &mut Desk) -> bool {
+    let told =
+        |spot: &Spot| spot.mode != protocol::Mode::Active || spot.ready().is_some() || spot.failures > 0;
+    if desk.hears_clients || !desk.list_known || !desk.machines.values().all(told) {
+        return false;
+    }
+    desk.hears_clients = true;
+    true
+}
+
+fn hear_link(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, link: Link) {
+    // The frames are taken out for the while, so that messages can borrow them and the desk stays free.
+    let Some(mut frames) =
+        desk.borrow_mut().peers.get_mut(&link).map(|peer| std::mem::take(&mut peer.frames))
+    else {
+        return;
+    };
+    loop {
+        let heard = match frames.next_frame() {
+            Ok(None) => break,
+            Ok(Some(frame)) => protocol::decode(frame).and_then(|message| hear(desk, round, link, &message)),
+            Err(bad) => Err(bad),
+        };
+        if let Err(bad) = heard {
+            refuse(&mut desk.borrow_mut(), link, &bad);
+            break;
+        }
+        if !desk.borrow().peers.contains_key(&link) {
+            return;
+        }
+    }
+    let end = {
+        let desk = &mut *desk.borrow_mut();
+        let Some(peer) = desk.peers.get_mut(&link) else { return };
+        peer.frames = frames;
+        peer.end
+    };
+    if let Some(end) = end {
+        has_ended(desk, round, link, end);
+    }
+}
+
+/// A peer that speaks wrongly is told why and let go, alone.
+fn refuse(desk: &mut Desk, link: Link, bad: &Bad) {
+    desk.counts.bad_frames += 1;
+    tracing::warn!(link = link.0, %bad, "a peer speaks wrongly; its connection ends");
+    let mut words = bad.to_string();
+    words.truncate(words.floor_char_boundary(protocol::MOST_WORDS));
+    desk.write(link, &Message::Bye { words: &words });
+    if let Some(peer) = desk.peers.get_mut(&link) {
+        match peer.who {
+            Who::Stranger | Who::Client(_) => {
+                // What is written goes out first; its tasks stay in hand.
+                client_gone(desk, link);
+                desk.peers.remove(&link);
+                desk.links.end(link);
+            }
+            Who::Machine(_) | Who::List => peer.end = Some(End::Broken),
+        }
+    }
+}
+
+/// Its tasks stay in hand; their ends wait for it to come back.
+fn client_gone(d: &mut Desk, link: Link) {
+    d.clients.retain(|_, newest| *newest != link);
+    for job in d.jobs.values_mut().filter(|job| job.owner_link == Some(link)) {
+        job.owner_link = None;
+    }
+}
+
+fn hear(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, link: Link, message: &Message<'_>) -> Heard {
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
+    let Some(peer) = d.peers.get_mut(&link) else { return Ok(()) };
+    let (conversation, side) = match peer.who {
+        Who::Stranger | Who::Client(_) => (Conversation::ClientPlanner, Side::Opener),
+        Who::Machine(_) => (Conversation::PlannerMachine, Side::Opened),
+        Who::List => (Conversation::PlannerList, Side::Opened),
+    };
+    if !message.belongs(conversation, side) {
+        return Err(Bad(format!("not a message for this side of {conversation:?}")));
+    }
+    if let Message::Hello { conversation: theirs, version, least_version, name, .. } = message {
+        if peer.greeted || *theirs != conversation {
+            return Err(Bad(format!("a hello for {theirs:?} where {conversation:?} is spoken")));
+        }
+        if *least_version > protocol::VERSION || *version < protocol::LEAST_VERSION {
+            return Err(Bad(format!(
+                "versions {least_version} to {version} are spoken, {} to {} are understood",
+                protocol::LEAST_VERSION,
+                protocol::VERSION
+            )));
+        }
+        (peer.who, peer.greeted) = (Who::Client((*name).to_owned()), true);
+        d.clients.insert((*name).to_owned(), link);
+        let (name, life) = (d.settings.name.clone(), d.life);
+        let version = protocol::VERSION.min(*version);
+        d.write(link, &Message::Welcome { version, features: 0, name: &name, life });
+        return Ok(());
+    }
+    match message {
+        Message::Ping { nonce } => {
+            d.write(link, &Message::Pong { nonce: *nonce });
+            return Ok(());
+        }
+        Message::Pong { .. } => return Ok(()),
+        Message::Bye { words } => {
+            tracing::warn!(link = link.0, words, "a peer says why it ends");
+            return Ok(());
+        }
+        Message::Welcome { .. } => {}
+        _ if !peer.greeted => return Err(Bad("a message before the greeting".into())),
+        _ => {}
+    }
+    match &peer.who {
+        Who::Machine(id) => {
+            let id = *id;
+            drop(borrowed);
+            hear_machine(desk, round, link, id, message)
+        }
+        Who::Client(name) => {
+            let name = name.clone();
+            drop(borrowed);
+            hear_client(desk, round, link, &name, message)
+        }
+        Who::List => {
+            if let Message::List { kind, version, entries } = message {
+                let kind = match kind {
+                    protocol::ListKind::Changes => ListKind::Changes,
+                    protocol::ListKind::Whole => ListKind::Whole,
+                };
+                drop(borrowed);
+                list(desk, round, kind, *version, entries);
+            } else {
+                peer.greeted = true;
+            }
+            Ok(())
+        }
+        Who::Stranger => Err(Bad("a message before the greeting".into())),
+    }
+}
+
+fn order(id: TaskId, shape: &Shape, deadline: Time) -> Order {
+    Order {
+        id,
+        key: TaskKey(shape.key),
+        use_case: UseCaseId(shape.use_case as usize),
+        service: ServiceId(shape.service),
+        ask: Room::new(shape.cores, shape.memory),
+        deadline,
+        again: shape.again,
+    }
+}
+
+// Clients.
+
+fn hear_client(
+    desk: &RefCell<Desk>,
+    round: &mut Told<'_, '_>,
+    link: Link,
+    name: &str,
+    message: &Message<'_>,
+) -> Heard {
+    match message {
+        Message::Ask { task, shape, patience } => {
+            if let Some(order) = take(&mut desk.borrow_mut(), link, name, *task, shape, *patience)? {
+                round.new_task(order);
+            }
+        }
+        Message::Withdraw { task } => withdraw(desk, round, name, TaskId(*task))?,
+        Message::Learn { task } => {
+            let d = &mut *desk.borrow_mut();
+            if !tell_again(d, link, name, TaskId(*task), None)? {
+                d.write(link, &Message::Unknown { task: *task });
+            }
+        }
+        Message::HandOver { task, shape, machine } => {
+            let d = &mut *desk.borrow_mut();
+            let id = TaskId(*task);
+            known_use_case(d, shape)?;
+            if tell_again(d, link, name, id, Some(shape.key))? {
+                return Ok(());
+            }
+            let Some(to) = d.machines.get(&MachineId(*machine)).and_then(Spot::ready) else {
+                d.write(link, &Message::Unknown { task: *task });
+                return Ok(());
+            };
+            let due = d.now + d.settings.silence;
+            let open = Open {
+                number: 0,
+                machine: MachineId(*machine),
+                link: Some(to),
+                mark: 0,
+                due,
+                placed: false,
+                runs: false,
+                stopping: false,
+            };
+            let order = order(id, shape, Time::from_nanos(u64::MAX));
+            let job = Job {
+                claiming: true,
+                answered: true,
+                open: Some(open),
+                sends: 1,
+                ..job(order, *shape, name, link)
+            };
+            d.jobs.insert(id, job);
+            d.write(to, &Message::Claim { task: *task, send: 0, key: shape.key, owner: name });
+            d.timers.set(due, Due::Claim(id));
+        }
+        Message::StatusAsk {} => {
+            let d = &mut *desk.borrow_mut();
+            let words = status(d);
+            d.write(link, &Message::Status { words: &words });
+        }
+        _ => return Err(Bad("not a message of a client".into())),
+    }
+    Ok(())
+}
+
+fn job(order: Order, shape: Shape, owner: &str, link: Link) -> Job {
+    Job {
+        order,
+        shape,
+        owner: owner.to_owned(),
+        owner_link: Some(link),
+        sends: 0,
+        open: None,
+        may_have_run: false,
+        withdrawn: false,
+        claiming: false,
+        answered: false,
+    }
+}
+
+fn known_use_case(d: &Desk, shape: &Shape) -> Heard {
+    let known = d.settings.use_cases.len();
+    if (shape.use_case as usize) < known {
+        Ok(())
+    } else {
+        Err(Bad(format!("use case {} of {known}", shape.use_case)))
+    }
+}
+
+/// Tells whoever asks again what is known of a task; false where nothing is. The newest connection of its owner
+/// hears what comes later.
+fn tell_again(d: &mut Desk, link: Link, name: &str, id: TaskId, key: Option<u64>) -> Result<bool, Bad> {
+    let another = || Bad(format!("task {} is another's", id.0));
+    if let Some(job) = d.jobs.get_mut(&id) {
+        if job.owner != name || key.is_some_and(|key| key != job.shape.key) {
+            return Err(another());
+        }
+        job.owner_link = Some(link);
+        let placed = job.open.filter(|open| open.placed).map(|open| open.machine.0);
+        match placed {
+            Some(machine) => d.write(link, &Message::Placed { task: id.0, machine }),
+            None => d.write(link, &Message::Taken { task: id.0 }),
+        }
+        return Ok(true);
+    }
+    let Some((answer, owner)) = d.answered.get(&id) else { return Ok(false) };
+    if owner != name {
+        return Err(another());
+    }
+    let message = match *answer {
+        Answer::Nacked(stay_away) => Message::Nacked { task: id.0, stay_away },
+        Answer::Errored => Message::Errored { task: id.0 },
+        Answer::Ended(ending) => Message::Ended { task: id.0, ending },
+        Answer::Withdrawn => Message::Ended { task: id.0, ending: protocol::Ending::Stopped },
+    };
+    d.write(link, &message);
+    Ok(true)
+}
+
+/// Takes a task, unless it is known or there is no room for it.
+fn take(
+    d: &mut Desk,
+    link: Link,
+    name: &str,
+    task: u64,
+    shape: &Shape,
+    patience: u64,
+) -> Result<Option<Order>, Bad> {
+    known_use_case(d, shape)?;
+    let id = TaskId(task);
+    if tell_again(d, link, name, id, Some(shape.key))? {
+        return Ok(None);
+    }
+    let longest = d.settings.use_cases[shape.use_case as usize].client_timeout;
+    let patience = mulleinhub::Span::from_nanos(patience).min(longest);
+    let full = d.owed >= d.settings.most_in_hand;
+    if d.winding_down || full || patience == mulleinhub::Span::ZERO {
+        d.write(link, &Message::Nacked { task, stay_away: 0 });
+        return Ok(None);
+    }
+    let order = order(id, shape, d.now + patience);
+    d.jobs.insert(id, job(order, *shape, name, link));
+    (d.counts.taken, d.owed) = (d.counts.taken + 1, d.owed + 1);
+    d.write(link, &Message::Taken { task });
+    Ok(Some(order))
+}
+
+fn withdraw(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, name: &str, id: TaskId) -> Heard {
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
+    let Some(job) = d.jobs.get_mut(&id) else { return Ok(()) };
+    if job.owner != name {
+        return Err(Bad(format!("task {} is another's", id.0)));
+    }
+    job.withdrawn = true;
+    let Some(open) = job.open.as_mut() else {
+        d.answer(id, Answer::Withdrawn);
+        drop(borrowed);
+        round.abandoned(id);
+        return Ok(());
+    };
+    let (machine, number, placed, link) = (open.machine, open.number, open.placed, open.link);
+    if placed {
+        open.stopping = true;
+        if let Some(to) = d.machines.get(&machine).and_then(Spot::ready) {
+            d.write(to, &Message::Stop { task: id.0, send: number, moves: false });
+        }
+        return Ok(());
+    }
+    if d.take_back(id) {
+        d.closings.push_back((id, number, Ending::NotSent));
+    } else if let Some(to) = link {
+        d.write(to, &Message::Recall { task: id.0, send: number });
+    }
+    drop(borrowed);
+    round.abandoned(id);
+    Ok(())
+}
+
+fn status(d: &Desk) -> String {
+    let counts = d.counts();
+    let machine = |m: &Spot| {
+        let reach = match m.reach {
+            Reach::Down => "down",
+            Reach::Coming(_) => "coming",
+            Reach::Ready(_) => "ready",
+        };
+        let (cores, memory) = m.left.unwrap_or_default();
+        let on = d.jobs_on(m.id).len();
+        format!("machine {} {reach} {:?} tasks {on} left {cores:.1} cores {memory:.1} memory", m.id.0, m.mode)
+    };
+    let mut lines = vec![
+        format!("planner {} life {}", d.settings.name, d.life),
+        format!(
+            "tasks taken {} placed {} nacked {} errored {}",
+            counts.taken, counts.placed, counts.nacked, counts.errored
+        ),
+        format!("in hand pending {} sent {} placed {}", counts.pending, counts.sent, counts.running),
+        format!("sends {} late yes {} bad frames {}", counts.sends, counts.late_yes, counts.bad_frames),
+        format!(
+            "machines {} of {} ready, list version {}",
+            counts.machines_ready, counts.machines, d.list_version
+        ),
+    ];
+    lines.extend(d.machines.values().map(machine));
+    lines.join("\n")
+}
+
+// Machines.
+
+fn hear_machine(
+    desk: &RefCell<Desk>,
+    round: &mut Told<'_, '_>,
+    link: Link,
+    machine: MachineId,
+    message: &Message<'_>,
+) -> Heard {
+    match message {
+        Message::Welcome { life, .. } => {
+            let d = &mut *desk.borrow_mut();
+            let Some(peer) = d.peers.get_mut(&link) else { return Ok(()) };
+            if std::mem::replace(&mut peer.greeted, true) {
+                return Err(Bad("a second welcome".into()));
+            }
+            let Some(spot) = d.machines.get_mut(&machine) else { return Ok(()) };
+            spot.told.clear();
+            let other_life = spot.life.replace(*life).is_some_and(|before| before != *life);
+            if other_life {
+                // Whatever the former life was sent or held went with it. An answer of it can't come any more:
+                // its connection is over, and this one began after it.
+                let lost = d.jobs_on(machine).into_iter().filter(|(_, open)| open.link.is_some());
+                let lost: Vec<_> = lost.map(|(id, open)| (id, open.number)).collect();
+                d.closings.extend(lost.iter().map(|(id, n)| (*id, *n, Ending::Broken(Loss::Untold))));
+            }
+        }
+        Message::Holds { tasks, last } => {
+            for held in tasks {
+                holds(desk, round, link, machine, held);
+            }
+            if *last {
+                told_all(desk, round, link, machine);
+            }
+        }
+        Message::Accepted { task, send } => accepted(desk, round, link, machine, TaskId(*task), *send),
+        Message::Runs { task, send } => runs(desk, round, machine, TaskId(*task), *send),
+        Message::Note { task, cores, memory, served, machine_memory } => {
+            let id = TaskId(*task);
+            let placed = {
+                let d = desk.borrow();
+                d.jobs.get(&id).and_then(|job| job.open).is_some_and(|o| o.placed && o.machine == machine)
+            };
+            if placed {
+                if cores.is_some() || memory.is_some() {
+                    round.uses(id, *cores, *memory);
+                }
+                if let Some(served) = served {
+                    round.served(id, *served);
+                }
+                if let Some(share) = machine_memory {
+                    round.machine_memory(id, *share);
+                }
+            }
+        }
+        Message::Closed { task, send, ending, reason } => {
+            let id = TaskId(*task);
+            let open = {
+                let d = &mut *desk.borrow_mut();
+                d.write(link, &Message::Heard { task: *task, send: *send });
+                d.late.remove(&(id, *send));
+                d.jobs.get(&id).and_then(|job| job.open)
+            };
+            if open.is_some_and(|open| open.machine == machine && open.number == *send) {
+                close(desk, round, id, *send, told_ending(*ending, *reason), Some(*ending));
+            }
+        }
+        Message::Report { cores_unused, memory_unused, .. } => {
+            let unused = cores_unused.zip(*memory_unused).map(|(cores, memory)| Room::new(cores, memory));
+            round.probed(machine, Report { unused, ..Report::default() });
+        }
+        _ => return Err(Bad("not a message of a machine".into())),
+    }
+    Ok(())
+}
+
+fn told_ending(ending: protocol::Ending, reason: Reason) -> Ending {
+    match ending {
+        protocol::Ending::Done | protocol::Ending::Stopped => Ending::Ok,
+        protocol::Ending::Errored => Ending::Errored,
+        protocol::Ending::Nacked => Ending::Nacked(match reason {
+            Reason::Untold => Nack::Untold,
+            Reason::NoCores => Nack::NoCores,
+            Reason::NoMemory => Nack::NoMemory,
+            Reason::LineFull => Nack::QueueFull,
+            Reason::NotHere => Nack::NotHere,
+            Reason::HandedBack => Nack::HandedBack,
+        }),
+        // The machine's own word that it dropped the offer before it accepted: proof.
+        protocol::Ending::Recalled => Ending::NotSent,
+        protocol::Ending::Lost => Ending::Broken(Loss::Untold),
+        protocol::Ending::Evicted => Ending::Broken(Loss::Evicted),
+        protocol::Ending::PushedOut => Ending::Broken(Loss::PushedOut),
+        protocol::Ending::SentAway | protocol::Ending::Moved => Ending::Broken(Loss::SentAway),
+    }
+}
+
+/// One task of a machine's telling after a greeting.
+fn holds(
+    desk: &RefCell<Desk>,
+    round: &mut Told<'_, '_>,
+    link: Link,
+    machine: MachineId,
+    held: &protocol::Held<'_>,
+) {
+    let id = TaskId(held.task);
+    let (ours, met, known) = {
+        let d = &mut *desk.borrow_mut();
+        let Some(spot) = d.machines.get_mut(&machine) else { return };
+        spot.told.push((held.task, held.send));
+        let met = spot.met;
+        let open = d.jobs.get_mut(&id).and_then(|job| job.open.as_mut());
+        let ours = match open.filter(|open| open.machine == machine && open.number == held.send) {
+            Some(open) => {
+                open.link = Some(link);
+                true
+            }
+            None => false,
+        };
+        (ours, met, d.jobs.contains_key(&id) || d.late.contains_key(&(id, held.send)))
+    };
+    if held.ended.is_some() {
+        let d = &mut *desk.borrow_mut();
+        d.write(link, &Message::Heard { task: held.task, send: held.send });
+        d.late.remove(&(id, held.send));
+    }
+    match (ours, held.ended) {
+        (true, Some(ending)) => {
+            close(desk, round, id, held.send, told_ending(ending, Reason::Untold), Some(ending));
+        }
+        (true, None) => {
+            accepted(desk, round, link, machine, id, held.send);
+            if held.runs {
+                runs(desk, round, machine, id, held.send);
+            }
+        }
+        (false, Some(_)) => {}
+        // Our former life placed it: it is ours again, with all that it counts for.
+        (false, None) if !met && !known => adopt(desk, round, link, machine, held),
+        (false, None) => late_yes(&mut desk.borrow_mut(), link, machine, id, held.send),
+    }
+}
+
+fn adopt(
+    desk: &RefCell<Desk>,
+    round: &mut Told<'_, '_>,
+    link: Link,
+    machine: MachineId,
+    held: &protocol::Held<'_>,
+) {
+    let id = TaskId(held.task);
+    let order = order(id, &held.shape, Time::from_nanos(u64::MAX));
+    {
+        let d = &mut *desk.borrow_mut();
+        if known_use_case(d, &held.shape).is_err() {
+            tracing::error!(task = held.task, "a machine holds a task of a use case that the settings lack");
+            d.write(link, &Message::Disown { task: held.task, send: held.send });
+            return;
+        }
+        let open = Open {
+            number: held.send,
+            machine,
+            link: Some(link),
+            mark: 0,
+            due: d.now,
+            placed: true,
+            runs: held.runs,
+            stopping: false,
+        };
+        let adopted = job(order, held.shape, held.owner, link);
+        let adopted = Job {
+            owner_link: None,
+            sends: held.send + 1,
+            open: Some(open),
+            may_have_run: true,
+            answered: true,
+            ..adopted
+        };
+        d.jobs.insert(id, adopted);
+    }
+    round.running(order, machine);
+}
+
+/// The telling is whole: what it lacks is known never to have been accepted, and offers may go.
+fn told_all(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, link: Link, machine: MachineId) {
+    let (resolved, waiting) = {
+        let d = &mut *desk.borrow_mut();
+        let Some(spot) = d.machines.get_mut(&machine) else { return };
+        spot.is_ready(link);
+        spot.met = true;
+        let told = std::mem::take(&mut spot.told);
+        let waiting = std::mem::take(&mut spot.waiting);
+        let mut resolved = Vec::new();
+        let mut stop_again = Vec::new();
+        for (id, open) in d.jobs_on(machine) {
+            let here = told.contains(&(id.0, open.number));
+            if here && open.stopping {
+                stop_again.push((id, open.number));
+            }
+            // A new life is dealt with by the closings that its welcome left.
+            let is_over = d.closings.iter().any(|(t, n, _)| (*t, *n) == (id, open.number));
+            if !here && !is_over && open.link.is_some_and(|offered| offered != link) {
+                let ending = if open.placed { Ending::Broken(Loss::Untold) } else { Ending::NotSent };
+                resolved.push((id, open.number, ending));
+            }
+        }
+        for (id, send) in stop_again {
+            let moves = !d.jobs[&id].withdrawn;
+            d.write(link, &Message::Stop { task: id.0, send, moves });
+        }
+        (resolved, waiting)
+    };
+    for (id, send, ending) in resolved {
+        close(desk, round, id, send, ending, None);
+    }
+    let d = &mut *desk.borrow_mut();
+    for (task, send) in waiting {
+        let waits = d.jobs.get(&TaskId(task)).and_then(|job| job.open);
+        if waits.is_some_and(|open| open.machine == machine && open.number == send && open.link.is_none()) {
+            d.write_offer(TaskId(task), link);
+        }
+    }
+}
+
+fn accepted(
+    desk: &RefCell<Desk>,
+    round: &mut Told<'_, '_>,
+    link: Link,
+    machine: MachineId,
+    id: TaskId,
+    send: u32,
+) {
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
+    // The answer came before the end that this side made in this turn was told: the answer counts.
+    d.closings.retain(|(task, number, ending)| {
+        (*task, *number) != (id, send) || matches!(ending, Ending::Broken(_) | Ending::NoConnection)
+    });
+    let Some(job) = d.jobs.get_mut(&id) else { return late_yes(d, link, machine, id, send) };
+    let (withdrawn, claiming, order) = (job.withdrawn, job.claiming, job.order);
+    let (owner_link, owner) = (job.owner_link, job.owner.clone());
+    let Some(open) = job.open.as_mut().filter(|open| open.machine == machine && open.number == send) else {
+        return late_yes(d, link, machine, id, send);
+    };
+    if std::mem::replace(&mut open.placed, true) {
+        return;
+    }
+    job.claiming = false;
+    job.may_have_run = true;
+    let mark = open.mark;
+    d.forget_mark(mark);
+    if withdrawn {
+        d.write(link, &Message::Stop { task: id.0, send, moves: false });
+        return;
+    }
+    d.counts.placed += 1;
+    d.owed -= usize::from(!std::mem::replace(&mut d.jobs.get_mut(&id).expect("is there").answered, true));
+    d.tell_owner(owner_link, &owner, &Message::Placed { task: id.0, machine: machine.0 });
+    drop(borrowed);
+    if claiming { round.running(order, machine) } else { round.accepted(id) }
+}
+
+fn runs(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, machine: MachineId, id: TaskId, send: u32) {
+    let first = {
+        let d = &mut *desk.borrow_mut();
+        let open = d.jobs.get_mut(&id).and_then(|job| job.open.as_mut());
+        open.filter(|open| open.placed && open.machine == machine && open.number == send)
+            .is_some_and(|open| !std::mem::replace(&mut open.runs, true))
+    };
+    if first {
+        round.runs(id);
+    }
+}
+
+/// A machine took a send that is over for us. Nobody may count on that copy, and it must not be lost sight of:
+/// a replayable one is stopped; of others the owner learns, who may hand it over before the machine ends it.
+fn late_yes(d: &mut Desk, link: Link, machine: MachineId, id: TaskId, send: u32) {
+    d.counts.late_yes += 1;
+    let late = d.late.remove(&(id, send));
+    let Some(late) = late else {
+        d.write(link, &Message::Disown { task: id.0, send });
+        return;
+    };
+    let case = &d.settings.use_cases[late.shape.use_case as usize];
+    if !late.wanted || case.effect == Effect::Replayable {
+        d.write(link, &Message::Stop { task: id.0, send, moves: false });
+        return;
+    }
+    d.write(link, &Message::Disown { task: id.0, send });
+    // While the task is in hand its next send, within the group, takes the place of this copy.
+    if !d.jobs.contains_key(&id) {
+        let told = Message::ProvesToRun { task: id.0, key: late.shape.key, machine: machine.0 };
+        d.tell_owner(None, &late.owner, &told);
+    }
+}
+
+/// The end of a send: told to the module, and to the owner where the task was placed.
+fn close(
+    desk: &RefCell<Desk>,
+    round: &mut Told<'_, '_>,
+    id: TaskId,
+    send: u32,
+    ending: Ending,
+    told: Option<protocol::Ending>,
+) {
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
+    let Some(job) = d.jobs.get_mut(&id) else { return };
+    let Some(open) = job.open.filter(|open| open.number == send) else { return };
+    job.open = None;
+    let never_ran = matches!(ending, Ending::Nacked(_) | Ending::NoConnection | Ending::NotSent);
+    job.may_have_run |= !never_ran;
+    let (shape, owner, owner_link) = (job.shape, job.owner.clone(), job.owner_link);
+    let (wanted, claiming) = (!job.withdrawn, job.claiming);
+    d.forget_mark(open.mark);
+    d.closings.retain(|(task, number, _)| (*task, *number) != (id, send));
+    if !never_ran && told.is_none() {
+        // Not the machine's own word: a copy may run.
+        d.late.insert((id, send), Late { shape, owner: owner.clone(), wanted });
+        d.forget_later(id, Some(send));
+    }
+    if claiming {
+        d.tell_owner(owner_link, &owner, &Message::Unknown { task: id.0 });
+        d.jobs.remove(&id);
+        return;
+    }
+    let over = open.placed || !wanted;
+    if open.placed {
+        d.answer(id, Answer::Ended(told.unwrap_or(protocol::Ending::Lost)));
+    } else if !wanted {
+        d.answer(id, Answer::Withdrawn);
+    }
+    drop(borrowed);
+    round.closed(id, ending, over, Report::default());
+}
+
+// Ends and timers.
+
+fn has_ended(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, link: Link, end: End) {
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
+    let unwritten = d.unwritten_offers(link);
+    let Some(peer) = d.peers.remove(&link) else { return };
+    match peer.who {
+        Who::Stranger | Who::Client(_) => client_gone(d, link),
+        Who::List => {
+            d.list_link = None;
+            if d.settings.listing.asked {
+                drop(borrowed);
+                round.list_failed();
+            } else {
+                let at = d.now + d.settings.reconnect;
+                d.timers.set(at, Due::List);
+            }
+        }
+        Who::Machine(id) => {
+            let (now, reconnect, lost_after) = (d.now, d.settings.reconnect, d.settings.lost_after);
+            let Some(spot) = d.machines.get_mut(&id).filter(|spot| spot.link() == Some(link)) else { return };
+            let failed = spot.ready().is_none() || end == End::Refused;
+            spot.failed(now, reconnect, failed);
+            let (retry_at, waiting) = (spot.retry_at, std::mem::take(&mut spot.waiting));
+            d.timers.set(retry_at, Due::Reconnect(id));
+            d.timers.set(now + lost_after, Due::Lost(id));
+            let mut ends: Vec<(TaskId, u32, Ending)> = Vec::new();
+            for (task, send, how) in unwritten {
+                if how == Unwritten::Whole {
+                    ends.push((task, send, Ending::NoConnection));
+                }
+            }
+            ends.extend(waiting.into_iter().map(|(task, send)| (TaskId(task), send, Ending::NoConnection)));
+            if failed {
+                // It can't be asked what it took: each open send may run.
+                let open = d.jobs_on(id).into_iter().filter(|(_, open)| !open.placed && open.link.is_some());
+                ends.extend(open.map(|(task, open)| (task, open.number, Ending::Broken(Loss::Untold))));
+            }
+            drop(borrowed);
+            for (task, send, ending) in ends {
+                close(desk, round, task, send, ending, None);
+            }
+        }
+    }
+}
+
+/// Nobody answered in time. An offer still unwritten is taken back, which proves that it never ran.
+pub fn timed_out(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, id: TaskId, send: u32) {
+    let ending = {
+        let d = &mut *desk.borrow_mut();
+        let Some(open) = d.jobs.get(&id).filter(|job| !job.claiming).and_then(|job| job.open) else { return };
+        if open.number != send || open.placed {
+            return;
+        }
+        if d.take_back(id) {
+            Ending::NotSent
+        } else {
+            if let Some(link) = open.link {
+                d.write(link, &Message::Recall { task: id.0, send });
+            }
+            Ending::TimedOut
+        }
+    };
+    close(desk, round, id, send, ending, None);
+}
+
+pub fn look_after(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, due: Due) {
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
+    let now = d.now;
+    match due {
+        Due::Reconnect(id) => {
+            if d.machines.get(&id).is_some_and(|spot| spot.reach == Reach::Down && spot.retry_at <= now) {
+                d.open_machine(id);
+            }
+        }
+        Due::Lost(id) => {
+            let lost_after = d.settings.lost_after;
+            if d.machines.get(&id).is_some_and(|spot| spot.is_lost(now, lost_after)) {
+                let lost: Vec<_> = d.jobs_on(id).into_iter().filter(|(_, open)| open.placed).collect();
+                drop(borrowed);
+                for (task, open) in lost {
+                    close(desk, round, task, open.number, Ending::Broken(Loss::Untold), None);
+                }
+            }
+        }
+        Due::Ping(id) => {
+            let silence = d.settings.silence;
+            let Some(spot) = d.machines.get_mut(&id) else { return };
+            let Some(link) = spot.link() else { return };
+            match spot.pinged_at {
+                Some(at) if now - at >= silence => {
+                    tracing::warn!(machine = id.0, "silent to a ping; its connection ends");
+                    d.end_of_ours(link);
+                }
+                None if now - spot.heard_at >= silence * 0.5 => {
+                    spot.pinged_at = Some(now);
+                    d.write(link, &Message::Ping { nonce: now.nanos() });
+                }
+                _ => {}
+            }
+            d.timers.set(now + silence * 0.5, Due::Ping(id));
+        }
+        Due::List => d.open_list(),
+        Due::Start => {
+            d.hears_clients = true;
+            drop(borrowed);
+            all_that_came(desk, round);
+        }
+        Due::Forget => d.forget_old(),
+        Due::Claim(id) => {
+            let claiming = d.jobs.get(&id).filter(|job| job.claiming).and_then(|job| job.open);
+            drop(borrowed);
+            if let Some(open) = claiming {
+                close(desk, round, id, open.number, Ending::TimedOut, None);
+            }
+        }
+        Due::Token(_) | Due::Send(..) => unreachable!("are told where they fall due"),
+    }
+}
+
+/// Ends that this side made: in the round before, or while hearing.
+pub fn closings(desk: &RefCell<Desk>, round: &mut Told<'_, '_>) {
+    loop {
+        let next = desk.borrow_mut().closings.pop_front();
+        let Some((id, send, ending)) = next else { return };
+        close(desk, round, id, send, ending, None);
+    }
+}
+
+// The list.
+
+fn list(
+    desk: &RefCell<Desk>,
+    round: &mut Told<'_, '_>,
+    kind: ListKind,
+    version: u64,
+    entries: &[protocol::Entry<'_>],
+) {
+    let told: Vec<Entry> = {
+        let d = &mut *desk.borrow_mut();
+        let now = d.now;
+        d.list_version = version;
+        d.list_known = true;
+        if kind != ListKind::Saved {
+            d.list_changes();
+        }
+        if kind == ListKind::Whole {
+            let named: std::collections::BTreeSet<u64> = entries.iter().map(|entry| entry.machine).collect();
+            for spot in d.machines.values_mut().filter(|spot| !named.contains(&spot.id.0)) {
+                spot.mode = protocol::Mode::Left;
+            }
+        }
+        for entry in entries {
+            let id = MachineId(entry.machine);
+            let spot = d.machines.entry(id).or_insert_with(|| Spot::new(entry, now));
+            spot.update(entry, now);
+            if entry.mode == protocol::Mode::Active && spot.reach == Reach::Down && spot.retry_at <= now {
+                d.open_machine(id);
+            }
+        }
+        // Told of a drain while offers wait here: the third rule counts what goes out on the wire.
+        let closed: Vec<MachineId> =
+            d.machines.values().filter(|m| m.mode != protocol::Mode::Active).map(|m| m.id).collect();
+        for id in closed {
+            for (task, open) in d.jobs_on(id).into_iter().filter(|(_, open)| !open.placed) {
+                if d.take_back(task) {
+                    d.closings.push_back((task, open.number, Ending::NotSent));
+                }
+            }
+        }
+        let told = entries.iter().map(|entry| told_entry(&d.machines[&MachineId(entry.machine)])).collect();
+        forget_gone(d);
+        told
+    };
+    round.list(kind, &told);
+}
+
+/// Machines that have left and hold nothing of ours need no connection any more.
+fn forget_gone(d: &mut Desk) {
+    let gone = |spot: &&Spot| spot.mode == protocol::Mode::Left;
+    let gone: Vec<(MachineId, Option<Link>)> =
+        d.machines.values().filter(gone).map(|spot| (spot.id, spot.link())).collect();
+    for (id, link) in gone {
+        if !d.jobs_on(id).is_empty() {
+            continue;
+        }
+        if let Some(link) = link {
+            d.peers.remove(&link);
+            d.links.abort(link);
+        }
+        d.machines.remove(&id);
+    }
+}
+
+fn told_entry(spot: &Spot) -> Entry {
+    Entry {
+        id: spot.id,
+        kind: spot.kind,
+        cell: spot.cell,
+        zone: spot.zone,
+        mode: match spot.mode {
+            protocol::Mode::Active => Mode::Active,
+            protocol::Mode::Leaving => Mode::Leaving,
+            protocol::Mode::Left => Mode::Left,
+        },
+        since: spot.since,
+        left: spot.left.map(|(cores, memory)| Room::new(cores, memory)),
+    }
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,145 @@
+//! The planner without I/O: it hears clients, machines and the list service, tells the module what came in, and
+//! carries out what the module chooses.
+//!
+//! For: what stands between the wire and the decisions: connections and what their ends prove, sends and their
+//! proofs, final answers and who is to hear them, copies that nobody holds. One turn is one `brain.round`.
+//! May not touch: sockets, clocks, files; any choice of machine, rest, order or nack, which are the module's.
+
+mod desk;
+mod hear;
+mod machines;
+mod settings;
+
+pub use desk::Counts;
+pub use settings::Settings;
+
+use desk::{Desk, Due, Pen};
+use mulleinhub::{Brain, Time};
+use mulleinhub_seam::{Door, End, Link, Links, Party};
+use std::cell::RefCell;
+
+/// One planner.
+pub struct Engine {
+    brain: Brain,
+    desk: RefCell<Desk>,
+    begun: bool,
+    saved: Option<Vec<u8>>,
+}
+
+impl Engine {
+    /// `life` is another number at each start; `saved` is what the last life kept, if it kept anything.
+    pub fn new(settings: Settings, life: u64, saved: Option<Vec<u8>>) -> Self {
+        let brain = Brain::new(
+            settings.seed ^ life,
+            settings.use_cases.clone(),
+            settings.kinds.clone(),
+            settings.taking,
+            settings.cold,
+            settings.listing,
+            settings.home,
+        );
+        Self { brain, desk: RefCell::new(Desk::new(settings, life)), begun: false, saved }
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.desk.borrow().counts()
+    }
+
+    /// Takes nothing new from now on. It is idle once all in hand have their final answer.
+    pub fn wind_down(&mut self) {
+        self.desk.borrow_mut().winding_down = true;
+    }
+
+    /// Takes over what may change in service; gives back the directives that wait for the next start.
+    pub fn reload(&mut self, new: &Settings) -> Vec<&'static str> {
+        let settings = &mut self.desk.get_mut().settings;
+        (settings.reconnect, settings.lost_after, settings.silence) =
+            (new.reconnect, new.lost_after, new.silence);
+        (settings.remember, settings.start_wait) = (new.remember, new.start_wait);
+        (settings.most_in_hand, settings.most_unwritten) = (new.most_in_hand, new.most_unwritten);
+        let mut fixed = Vec::new();
+        let mut differs = |name, is: bool| {
+            if is {
+                fixed.push(name);
+            }
+        };
+        differs("name", settings.name != new.name);
+        differs("seed", settings.seed != new.seed);
+        differs("list", settings.list_address != new.list_address);
+        differs("kind", settings.kinds != new.kinds);
+        differs("use-case", format!("{:?}", settings.use_cases) != format!("{:?}", new.use_cases));
+        differs("taking", format!("{:?}", settings.taking) != format!("{:?}", new.taking));
+        differs("rules", format!("{:?}", settings.cold) != format!("{:?}", new.cold));
+        differs("prices", format!("{:?}", settings.home) != format!("{:?}", new.home));
+        fixed
+    }
+
+    /// Nothing waits to go out to clients.
+    pub fn all_written(&self) -> bool {
+        let desk = self.desk.borrow();
+        desk.clients.values().all(|link| desk.links.unwritten(*link) == 0)
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.desk.borrow().owed == 0
+    }
+}
+
+impl Party for Engine {
+    fn opened(&mut self, _: Time, link: Link, _: Door) {
+        self.desk.get_mut().client_came(link);
+    }
+
+    fn up(&mut self, now: Time, link: Link) {
+        self.desk.get_mut().is_up(now, link);
+    }
+
+    fn received(&mut self, now: Time, link: Link, bytes: &[u8]) {
+        self.desk.get_mut().came_in(now, link, bytes);
+    }
+
+    fn ended(&mut self, _: Time, link: Link, end: End) {
+        self.desk.get_mut().has_ended(link, end);
+    }
+
+    fn turn(&mut self, now: Time) {
+        let Self { brain, desk, begun, saved } = self;
+        desk.get_mut().now = now;
+        let first = !std::mem::replace(begun, true);
+        if !first && !desk.get_mut().has_news() {
+            return;
+        }
+        let desk = &*desk;
+        brain.round(now, &mut Pen(desk), |round| {
+            if first {
+                round.start();
+                hear::begin(desk, round, saved.take());
+            }
+            hear::all_that_came(desk, round);
+            // Only now: an answer that lay waiting while this process stood still came first.
+            loop {
+                let due = desk.borrow_mut().due();
+                match due {
+                    Some(Due::Token(token)) => round.woken(token),
+                    Some(Due::Send(task, send)) => hear::timed_out(desk, round, task, send),
+                    Some(other) => hear::look_after(desk, round, other),
+                    None => break,
+                }
+            }
+            hear::closings(desk, round);
+        });
+        self.desk.get_mut().after_round();
+    }
+
+    fn wake(&self) -> Option<Time> {
+        if self.begun { self.desk.borrow().wake() } else { Some(Time::default()) }
+    }
+
+    fn links(&mut self) -> &mut Links {
+        &mut self.desk.get_mut().links
+    }
+
+    fn keep(&mut self) -> Option<Vec<u8>> {
+        self.desk.get_mut().list_to_keep()
+    }
+}
--- /dev/null
+++ b/crates/planner/src/daemon.rs
@@ -0,0 +1,197 @@
+//! The engine behind real sockets, with signals, logs, the kept list and the metrics endpoint.
+
+use crate::conf::{Conf, LogFormat, read_conf};
+use crate::metrics::Metrics;
+use mulleinhub::Time;
+use mulleinhub_engine::Engine;
+use mulleinhub_seam::{Door, End, Link, Links, Party};
+use mulleinhub_shell::{Shell, Step};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const METRICS: Door = Door(1);
+const MOST_REQUEST: usize = 8 * 1024;
+
+/// The engine, with a second door for those who read metrics.
+struct Daemon {
+    engine: Engine,
+    metrics: Metrics,
+    /// Requests that are not whole yet.
+    readers: BTreeMap<Link, Vec<u8>>,
+}
+
+impl Daemon {
+    fn answer(&mut self, link: Link) {
+        let request = self.readers.remove(&link).unwrap_or_default();
+        let path = request.split(|b| *b == b' ').nth(1).unwrap_or_default();
+        let (status, body) = match path {
+            b"/metrics" => ("200 OK", self.metrics.text(&self.engine.counts())),
+            b"/health" => ("200 OK", "well\n".to_owned()),
+            _ => ("404 Not Found", "only /metrics and /health are here\n".to_owned()),
+        };
+        let head = format!(
+            "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+            body.len()
+        );
+        self.engine.links().send(link, format!("{head}{body}").as_bytes(), None);
+        self.engine.links().end(link);
+    }
+}
+
+impl Party for Daemon {
+    fn opened(&mut self, now: Time, link: Link, door: Door) {
+        if door == METRICS {
+            self.readers.insert(link, Vec::new());
+        } else {
+            self.engine.opened(now, link, door);
+        }
+    }
+
+    fn up(&mut self, now: Time, link: Link) {
+        self.engine.up(now, link);
+    }
+
+    fn received(&mut self, now: Time, link: Link, bytes: &[u8]) {
+        let Some(request) = self.readers.get_mut(&link) else {
+            return self.engine.received(now, link, bytes);
+        };
+        request.extend_from_slice(bytes);
+        if request.len() > MOST_REQUEST {
+            self.readers.remove(&link);
+            self.engine.links().abort(link);
+        } else if request.windows(4).any(|end| end == b"\r\n\r\n") {
+            self.answer(link);
+        }
+    }
+
+    fn ended(&mut self, now: Time, link: Link, end: End) {
+        if self.readers.remove(&link).is_some() {
+            self.engine.links().forget(link);
+        } else {
+            self.engine.ended(now, link, end);
+        }
+    }
+
+    fn turn(&mut self, now: Time) {
+        self.engine.turn(now);
+    }
+
+    fn wake(&self) -> Option<Time> {
+        self.engine.wake()
+    }
+
+    fn links(&mut self) -> &mut Links {
+        self.engine.links()
+    }
+
+    fn keep(&mut self) -> Option<Vec<u8>> {
+        self.engine.keep()
+    }
+}
+
+fn start_log(format: LogFormat) {
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env()
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    // A second log in one process would be ours alone to blame; the first one serves.
+    let _ = match format {
+        LogFormat::Text => log.with_ansi(false).try_init(),
+        LogFormat::Json => log.json().try_init(),
+    };
+}
+
+/// The list that the last life kept; what can't be read is as none.
+fn load(path: &Path) -> Option<Vec<u8>> {
+    match std::fs::read(path) {
+        Ok(bytes) => Some(bytes),
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => None,
+        Err(error) => {
+            tracing::error!(%error, path = %path.display(), "the kept list can't be read");
+            None
+        }
+    }
+}
+
+/// Written beside and renamed, so that a kill leaves the old list or the new one.
+fn save(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
+    let beside = path.with_extension("new");
+    std::fs::write(&beside, bytes)?;
+    std::fs::rename(&beside, path)
+}
+
+/// Runs a planner until it is told to end.
+///
+/// # Errors
+/// Faults of the settings, or what the system refuses, in words.
+pub fn run(settings: &Path) -> Result<(), String> {
+    let conf = read_conf(settings)?;
+    start_log(conf.log);
+    let listen = conf.listen.ok_or_else(|| format!("{}: listen is missing", settings.display()))?;
+    let words = |what: &str, error: std::io::Error| format!("{what}: {error}");
+    let kept: Option<PathBuf> = match &conf.state_dir {
+        Some(dir) => {
+            std::fs::create_dir_all(dir).map_err(|e| words(&dir.display().to_string(), e))?;
+            Some(dir.join("list"))
+        }
+        None => None,
+    };
+    // Only tells one life of this planner from another; nothing is decided by it.
+    let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as u64);
+    let saved = kept.as_deref().and_then(load);
+    let engine = Engine::new(conf.engine.clone(), life, saved);
+    let daemon = Daemon { engine, metrics: Metrics::default(), readers: BTreeMap::new() };
+    let mut shell = Shell::new(daemon).map_err(|e| words("poll", e))?;
+    shell.hear_signals(&[SIGTERM, SIGINT, SIGHUP]).map_err(|e| words("signals", e))?;
+    let at = shell.listen(listen, Door(0)).map_err(|e| words(&format!("listen {listen}"), e))?;
+    if let Some(metrics) = conf.metrics {
+        shell.listen(metrics, METRICS).map_err(|e| words(&format!("metrics {metrics}"), e))?;
+    }
+    tracing::info!(name = conf.engine.name, %at, life, "up");
+    serve(&mut shell, settings, conf, kept.as_deref())
+}
+
+fn serve(shell: &mut Shell<Daemon>, path: &Path, mut conf: Conf, kept: Option<&Path>) -> Result<(), String> {
+    let longest = conf.engine.use_cases.iter().map(|case| case.client_timeout).max().unwrap_or_default();
+    let longest = Duration::from_nanos(longest.nanos());
+    let mut ending: Option<Instant> = None;
+    loop {
+        let step = shell.step(Duration::from_secs(1)).map_err(|error| format!("poll: {error}"))?;
+        if let (Some(bytes), Some(kept)) = (shell.party.keep(), kept)
+            && let Err(error) = save(kept, &bytes)
+        {
+            tracing::error!(%error, path = %kept.display(), "the list can't be kept");
+        }
+        match step {
+            Step::Signal(SIGHUP) => match read_conf(path) {
+                Ok(new) => {
+                    let fixed = shell.party.engine.reload(&new.engine);
+                    conf = new;
+                    tracing::info!(name = conf.engine.name, "settings read again");
+                    if !fixed.is_empty() {
+                        tracing::warn!(
+                            directives = fixed.join(", "),
+                            "these change with the next start only"
+                        );
+                    }
+                }
+                Err(faults) => tracing::error!(%faults, "the settings are faulty; the old ones stay"),
+            },
+            Step::Signal(_) if ending.is_none() => {
+                tracing::info!(in_hand = shell.party.engine.counts().pending, "ending: nothing new is taken");
+                shell.party.engine.wind_down();
+                ending = Some(Instant::now());
+            }
+            Step::Signal(_) => return Ok(()),
+            Step::Went => {}
+        }
+        // All in hand has had its answer, and the answers are written.
+        let written = shell.party.engine.all_written();
+        if ending.is_some_and(|since| (shell.party.engine.is_idle() && written) || since.elapsed() > longest)
+        {
+            tracing::info!("ended");
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/runner/src/lib.rs
@@ -0,0 +1,368 @@
+//! Plays a day in virtual time: the same engines and the same stage, one thread, one seed.
+//!
+//! For: running any bad day again, bit for bit. Planners are joined to the stage by wires that take no time; all
+//! delays are the taps'. A stopped planner's bytes wait as in a socket's buffers; a killed one keeps what it had
+//! asked to keep.
+//! May not touch: real clocks, sockets, threads.
+
+use mulleinhub::Time;
+use mulleinhub_day::{Day, PlannerDeed, Score, Stage};
+use mulleinhub_engine::{Counts, Engine, Settings};
+use mulleinhub_planner::{ConfText, conf_of_text};
+use mulleinhub_seam::{Ask, Door, End, Link, Party};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Write;
+
+/// Bytes that a socket's buffers hold for a process that doesn't read.
+const SOCKET: usize = 256 * 1024;
+/// Turns at one instant after which the day is taken to run in circles.
+const MOST_TURNS: u32 = 100_000;
+
+#[derive(Default)]
+struct Slot {
+    engine: Option<Engine>,
+    stopped: bool,
+    kept: Option<Vec<u8>>,
+    life: u64,
+    /// What came while it stood still.
+    waiting: Vec<Waiting>,
+    waiting_bytes: usize,
+}
+
+enum Waiting {
+    Opened(Link),
+    Up(Link),
+    Bytes(Link, Vec<u8>),
+    Ended(Link, End),
+}
+
+/// A day in virtual time.
+pub struct Runner<W: Write> {
+    stage: Stage<W>,
+    slots: Vec<Slot>,
+    settings: Vec<Settings>,
+    /// The wires: a planner's link and the stage's.
+    to_stage: BTreeMap<(usize, Link), Link>,
+    to_planner: BTreeMap<Link, (usize, Link)>,
+    /// Planners' links whose bytes the stage did not read when they were offered.
+    unread: BTreeSet<(usize, Link)>,
+    now: Time,
+    counts: Counts,
+}
+
+/// The settings text of a day's planner. `listen` and `list` are what the host of the planner has for it.
+pub fn planner_text<'a>(
+    day: &'a Day,
+    planner: usize,
+    listen: Option<std::net::SocketAddr>,
+    list: String,
+    state_dir: Option<&'a std::path::Path>,
+) -> ConfText<'a> {
+    ConfText {
+        name: format!("planner-{}", planner + 1),
+        number: planner,
+        schedulers: day.planners,
+        seed: day.seed.wrapping_mul(1_000_003).wrapping_add(planner as u64),
+        hall: planner as u32 % day.halls,
+        listen,
+        list,
+        state_dir,
+        asked: day.list.asked,
+        rules: &day.rules,
+        kinds: &day.kinds,
+        cases: day.cases.iter().map(|case| &case.case).collect(),
+        accepts: (day.machine.accepts_cores, day.machine.accepts_memory),
+        yes_when_running: day.machine.yes_when_running,
+        tells_pressure: day.machine.tells_pressure,
+        prices: (day.machine_price, day.cross_hall_price),
+    }
+}
+
+impl<W: Write> Runner<W> {
+    /// # Panics
+    /// Where the settings that the day gives its planners are faulty, which is a defect of the day's own checks.
+    pub fn new(day: Day, out: W) -> Self {
+        let settings = (0..day.planners)
+            .map(|planner| {
+                let list = format!("door:{}", planner * 1000 + 999);
+                let text = planner_text(&day, planner, None, list, None).show();
+                conf_of_text(&text).unwrap_or_else(|faults| panic!("{faults}")).engine
+            })
+            .collect();
+        let slots = (0..day.planners).map(|_| Slot::default()).collect();
+        let mut stage = Stage::new(day, out);
+        for (door, ..) in stage.doors() {
+            stage.set_address(door, format!("door:{}", door.0));
+        }
+        Self {
+            stage,
+            slots,
+            settings,
+            to_stage: BTreeMap::new(),
+            to_planner: BTreeMap::new(),
+            unread: BTreeSet::new(),
+            now: Time::default(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Plays the day to its end. `watch` is called about once a virtual second.
+    ///
+    /// # Errors
+    /// Where the record could not be written.
+    pub fn play(mut self, mut watch: impl FnMut(Time, &Stage<W>)) -> std::io::Result<(Score, Counts, W)> {
+        let mut watched = 0;
+        let mut turns = 0;
+        while !self.stage.is_over(self.now) {
+            self.turn();
+            let second = self.now.nanos() / 1_000_000_000;
+            if second > watched {
+                watched = second;
+                watch(self.now, &self.stage);
+            }
+            let engines =
+                self.slots.iter().filter(|slot| !slot.stopped).filter_map(|slot| slot.engine.as_ref());
+            let next = engines.filter_map(Engine::wake).chain(self.stage.wake()).min();
+            let Some(next) = next else { break };
+            turns = if next > self.now { 0 } else { turns + 1 };
+            assert!(turns < MOST_TURNS, "the day runs in circles at {} ns", self.now.nanos());
+            self.now = self.now.max(next);
+        }
+        for slot in &self.slots {
+            if let Some(engine) = &slot.engine {
+                add(&mut self.counts, &engine.counts());
+            }
+        }
+        let (score, out) = self.stage.finish(self.now)?;
+        Ok((score, self.counts, out))
+    }
+
+    fn turn(&mut self) {
+        self.stage.turn(self.now);
+        self.from_stage();
+        while let Some(deed) = self.stage.next_deed() {
+            self.do_deed(deed);
+        }
+        for planner in 0..self.slots.len() {
+            let slot = &mut self.slots[planner];
+            if slot.stopped {
+                continue;
+            }
+            let Some(engine) = &mut slot.engine else { continue };
+            engine.turn(self.now);
+            if let Some(kept) = engine.keep() {
+                slot.kept = Some(kept);
+            }
+            self.from_planner(planner);
+        }
+        for (planner, link) in std::mem::take(&mut self.unread) {
+            self.carry_to_stage(planner, link);
+        }
+    }
+
+    fn do_deed(&mut self, deed: PlannerDeed) {
+        match deed {
+            PlannerDeed::Start(planner) => {
+                let slot = &mut self.slots[planner];
+                if slot.engine.is_some() {
+                    return;
+                }
+                slot.life += 1;
+                slot.stopped = false;
+                let life = slot.life * 1_000 + planner as u64;
+                slot.engine = Some(Engine::new(self.settings[planner].clone(), life, slot.kept.clone()));
+            }
+            PlannerDeed::Kill(planner) => {
+                let Some(engine) = self.slots[planner].engine.take() else { return };
+                add(&mut self.counts, &engine.counts());
+                let slot = &mut self.slots[planner];
+                slot.stopped = false;
+                slot.waiting.clear();
+                slot.waiting_bytes = 0;
+                let links: Vec<Link> = self
+                    .to_planner
+                    .iter()
+                    .filter(|(_, (p, _))| *p == planner)
+                    .map(|(link, _)| *link)
+                    .collect();
+                for link in links {
+                    self.unwire(planner, link);
+                    self.stage.ended(self.now, link, End::Broken);
+                }
+            }
+            PlannerDeed::Stop(planner) => {
+                if self.slots[planner].engine.is_none() || self.slots[planner].stopped {
+                    return;
+                }
+                self.slots[planner].stopped = true;
+            }
+            PlannerDeed::Continue(planner) => {
+                if !std::mem::replace(&mut self.slots[planner].stopped, false) {
+                    return;
+                }
+                self.slots[planner].waiting_bytes = 0;
+                for waiting in std::mem::take(&mut self.slots[planner].waiting) {
+                    let Some(engine) = &mut self.slots[planner].engine else { break };
+                    match waiting {
+                        Waiting::Opened(link) => engine.opened(self.now, link, Door(0)),
+                        Waiting::Up(link) => engine.up(self.now, link),
+                        Waiting::Bytes(link, bytes) => engine.received(self.now, link, &bytes),
+                        Waiting::Ended(link, end) => engine.ended(self.now, link, end),
+                    }
+                }
+                // What waited in the stage for room goes on.
+                let links: Vec<Link> = self
+                    .to_planner
+                    .iter()
+                    .filter(|(_, (p, _))| *p == planner)
+                    .map(|(link, _)| *link)
+                    .collect();
+                for link in links {
+                    self.carry_to_planner(link);
+                }
+            }
+        }
+        self.stage.did(self.now, deed);
+    }
+
+    fn unwire(&mut self, planner: usize, stage_link: Link) {
+        if let Some((_, link)) = self.to_planner.remove(&stage_link) {
+            self.to_stage.remove(&(planner, link));
+        }
+    }
+
+    fn tell_planner(&mut self, planner: usize, news: Waiting) {
+        let slot = &mut self.slots[planner];
+        let Some(engine) = &mut slot.engine else { return };
+        if slot.stopped {
+            if let Waiting::Bytes(_, bytes) = &news {
+                slot.waiting_bytes += bytes.len();
+            }
+            slot.waiting.push(news);
+            return;
+        }
+        match news {
+            Waiting::Opened(link) => engine.opened(self.now, link, Door(0)),
+            Waiting::Up(link) => engine.up(self.now, link),
+            Waiting::Bytes(link, bytes) => engine.received(self.now, link, &bytes),
+            Waiting::Ended(link, end) => engine.ended(self.now, link, end),
+        }
+    }
+
+    fn carry_to_planner(&mut self, link: Link) {
+        let Some((planner, theirs)) = self.to_planner.get(&link).copied() else { return };
+        let slot = &self.slots[planner];
+        let room = if slot.stopped { SOCKET.saturating_sub(slot.waiting_bytes) } else { usize::MAX };
+        let waits = self.stage.links().outgoing(link);
+        let bytes = waits[..waits.len().min(room)].to_vec();
+        if !bytes.is_empty() {
+            self.stage.links().wrote(link, bytes.len());
+            self.tell_planner(planner, Waiting::Bytes(theirs, bytes));
+        }
+    }
+
+    fn from_stage(&mut self) {
+        loop {
+            while let Some(link) = self.stage.links().next_dirty() {
+                self.carry_to_planner(link);
+            }
+            let Some(ask) = self.stage.links().next_ask() else { return };
+            match ask {
+                Ask::Open(link, address) => {
+                    let number = address.strip_prefix("planner-").and_then(|n| n.parse::<usize>().ok());
+                    let planner = number.map_or(usize::MAX, |n| n - 1);
+                    let up = self.slots.get_mut(planner).and_then(|slot| slot.engine.as_mut());
+                    match up {
+                        Some(engine) => {
+                            let theirs = engine.links().fresh();
+                            self.to_planner.insert(link, (planner, theirs));
+                            self.to_stage.insert((planner, theirs), link);
+                            self.tell_planner(planner, Waiting::Opened(theirs));
+                            self.stage.up(self.now, link);
+                        }
+                        None => {
+                            self.stage.links().drop_link(link);
+                            self.stage.ended(self.now, link, End::Refused);
+                        }
+                    }
+                }
+                Ask::End { link, at_once } => {
+                    if !at_once {
+                        self.carry_to_planner(link);
+                    }
+                    self.stage.links().drop_link(link);
+                    if let Some((planner, theirs)) = self.to_planner.get(&link).copied() {
+                        self.unwire(planner, link);
+                        let end = if at_once { End::Broken } else { End::Closed };
+                        self.tell_planner(planner, Waiting::Ended(theirs, end));
+                    }
+                }
+            }
+        }
+    }
+
+    fn from_planner(&mut self, planner: usize) {
+        loop {
+            let Some(engine) = &mut self.slots[planner].engine else { return };
+            if let Some(link) = engine.links().next_dirty() {
+                self.carry_to_stage(planner, link);
+                continue;
+            }
+            let Some(ask) = engine.links().next_ask() else { return };
+            match ask {
+                Ask::Open(link, address) => {
+                    let door = address.strip_prefix("door:").and_then(|n| n.parse().ok()).map(Door);
+                    match door.filter(|door| self.stage.listens(*door)) {
+                        Some(door) => {
+                            let ours = self.stage.links().fresh();
+                            self.to_planner.insert(ours, (planner, link));
+                            self.to_stage.insert((planner, link), ours);
+                            self.stage.opened(self.now, ours, door);
+                            self.tell_planner(planner, Waiting::Up(link));
+                        }
+                        None => {
+                            self.tell_planner(planner, Waiting::Ended(link, End::Refused));
+                        }
+                    }
+                }
+                Ask::End { link, at_once } => {
+                    if !at_once {
+                        self.carry_to_stage(planner, link);
+                    }
+                    if let Some(engine) = &mut self.slots[planner].engine {
+                        engine.links().drop_link(link);
+                    }
+                    if let Some(ours) = self.to_stage.get(&(planner, link)).copied() {
+                        self.unwire(planner, ours);
+                        self.stage.ended(self.now, ours, if at_once { End::Broken } else { End::Closed });
+                    }
+                }
+            }
+        }
+    }
+
+    /// All that waits goes over, unless the stage doesn't read from this connection now.
+    fn carry_to_stage(&mut self, planner: usize, link: Link) {
+        let Some(ours) = self.to_stage.get(&(planner, link)).copied() else { return };
+        let Some(engine) = &mut self.slots[planner].engine else { return };
+        if self.stage.links().is_paused(ours) {
+            self.unread.insert((planner, link));
+            return;
+        }
+        let bytes = engine.links().outgoing(link).to_vec();
+        if !bytes.is_empty() {
+            engine.links().wrote(link, bytes.len());
+            self.stage.received(self.now, ours, &bytes);
+        }
+    }
+}
+
+fn add(sum: &mut Counts, counts: &Counts) {
+    sum.taken += counts.taken;
+    sum.placed += counts.placed;
+    sum.nacked += counts.nacked;
+    sum.errored += counts.errored;
+    sum.sends += counts.sends;
+    sum.late_yes += counts.late_yes;
+    sum.bad_frames += counts.bad_frames;
+}
--- /dev/null
+++ b/crates/seam/src/lib.rs
@@ -0,0 +1,65 @@
+//! The seam between programs and I/O.
+//!
+//! For: what each program and stand-in is made of. A [`Party`] is told bytes, ends of connections and the time,
+//! and leaves bytes, connections to open or end, and a wake time in its [`Links`]. A shell with real sockets
+//! and a runner in virtual time feed the same parties.
+//! May not touch: sockets, clocks, threads, files; what bytes mean.
+
+mod links;
+mod timers;
+
+pub use links::{Link, Links, Unwritten};
+pub use timers::Timers;
+
+use mulleinhub::Time;
+
+/// How a connection ended, as far as this side can know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It never came up: nothing was delivered.
+    Refused,
+    /// The other side closed it.
+    Closed,
+    /// It broke, or this side's own I/O failed.
+    Broken,
+}
+
+/// The way in that a connection came through; the party that listens gives it its meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Door(pub u32);
+
+/// What a shell or a runner has to do for a party, beside carrying bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// Open a connection to this address, and call it by this link.
+    Open(Link, String),
+    /// End this connection once its outgoing bytes are written, or at once where `at_once` is set.
+    End { link: Link, at_once: bool },
+}
+
+/// A program or stand-in without I/O.
+///
+/// A turn is: any number of `opened`, `up`, `received` and `ended`, then one `turn`. Whoever feeds it tells all
+/// that has come in before `turn`, so that a standstill is no silence of the others.
+pub trait Party {
+    /// Somebody opened a connection to this party.
+    fn opened(&mut self, now: Time, link: Link, door: Door);
+    /// A connection that this party asked for is up.
+    fn up(&mut self, now: Time, link: Link);
+    fn received(&mut self, now: Time, link: Link, bytes: &[u8]);
+    /// The connection is over; the link is never named again by either side.
+    fn ended(&mut self, now: Time, link: Link, end: End);
+    /// All that came in was told: time to act.
+    fn turn(&mut self, now: Time);
+    /// When `turn` is wanted at the latest, if nothing comes in before.
+    fn wake(&self) -> Option<Time>;
+    fn links(&mut self) -> &mut Links;
+    /// Whether a connection through this door is taken now; where not, it is refused.
+    fn listens(&self, _: Door) -> bool {
+        true
+    }
+    /// What is to be kept for the party's next life, where that has changed since the last call.
+    fn keep(&mut self) -> Option<Vec<u8>> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/seam/src/links.rs
@@ -0,0 +1,194 @@
+//! The connections of one party: their outgoing bytes, and which frames of them can still be taken back.
+
+use crate::Ask;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A connection, by a number that its party never uses again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Link(pub u64);
+
+/// What of a marked frame may have left this process when its connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unwritten {
+    /// Not a byte was handed to the system.
+    Whole,
+    /// Some bytes were, not all.
+    Part,
+}
+
+/// Bytes on their way out, with the places of the frames that carry a mark.
+#[derive(Debug, Default)]
+struct Outbox {
+    bytes: Vec<u8>,
+    /// How many bytes stood before `bytes[0]` since the connection began.
+    gone: u64,
+    /// Start, end and mark of each marked frame that is not wholly written, in order of their places.
+    marks: VecDeque<(u64, u64, u64)>,
+    paused: bool,
+}
+
+/// All connections of a party. The party writes frames into it; the shell or runner takes bytes out of it.
+#[derive(Debug, Default)]
+pub struct Links {
+    next: u64,
+    open: BTreeMap<Link, Outbox>,
+    dirty: BTreeSet<Link>,
+    asks: VecDeque<Ask>,
+}
+
+impl Links {
+    /// A link for a connection that came in. For whoever feeds the party.
+    pub fn fresh(&mut self) -> Link {
+        let link = Link(self.next);
+        self.next += 1;
+        self.open.insert(link, Outbox::default());
+        link
+    }
+
+    /// Asks for a connection; `up` or `ended` tells how it went.
+    pub fn open(&mut self, to: &str) -> Link {
+        let link = self.fresh();
+        self.asks.push_back(Ask::Open(link, to.to_owned()));
+        link
+    }
+
+    /// Ends a connection after what is written has gone out. No `ended` follows: the party asked for it.
+    pub fn end(&mut self, link: Link) {
+        if self.open.contains_key(&link) {
+            self.asks.push_back(Ask::End { link, at_once: false });
+        }
+    }
+
+    /// Ends a connection now, and gives back the marked frames that were not wholly handed over. No `ended`
+    /// follows. Harmless for a connection that is over.
+    pub fn abort(&mut self, link: Link) -> Vec<(u64, Unwritten)> {
+        if self.open.contains_key(&link) {
+            self.asks.push_back(Ask::End { link, at_once: true });
+        }
+        self.forget(link)
+    }
+
+    pub fn is_open(&self, link: Link) -> bool {
+        self.open.contains_key(&link)
+    }
+
+    /// Puts a frame behind what is on its way. A mark names it for `take_back` and `forget`.
+    pub fn send(&mut self, link: Link, frame: &[u8], mark: Option<u64>) {
+        let Some(out) = self.open.get_mut(&link) else { return };
+        let start = out.gone + out.bytes.len() as u64;
+        out.bytes.extend_from_slice(frame);
+        if let Some(mark) = mark {
+            out.marks.push_back((start, start + frame.len() as u64, mark));
+        }
+        self.dirty.insert(link);
+    }
+
+    /// Takes a marked frame out again if not a byte of it was handed over. True where it will never be sent.
+    pub fn take_back(&mut self, link: Link, mark: u64) -> bool {
+        let Some(out) = self.open.get_mut(&link) else { return false };
+        let Some(at) = out.marks.iter().position(|(start, _, m)| *m == mark && *start >= out.gone) else {
+            return false;
+        };
+        let (start, end, _) = out.marks.remove(at).expect("was found");
+        let len = end - start;
+        out.bytes.drain((start - out.gone) as usize..(end - out.gone) as usize);
+        for (later_start, later_end, _) in out.marks.iter_mut().skip(at) {
+            *later_start -= len;
+            *later_end -= len;
+        }
+        true
+    }
+
+    /// Bytes that wait to go out.
+    pub fn unwritten(&self, link: Link) -> usize {
+        self.open.get(&link).map_or(0, |out| out.bytes.len())
+    }
+
+    /// Whether whoever feeds the party should stop reading from this connection for now.
+    pub fn pause(&mut self, link: Link, paused: bool) {
+        if let Some(out) = self.open.get_mut(&link) {
+            out.paused = paused;
+        }
+    }
+
+    pub fn is_paused(&self, link: Link) -> bool {
+        self.open.get(&link).is_some_and(|out| out.paused)
+    }
+
+    /// For the party when it is told of an end: the marked frames that were not wholly handed over.
+    pub fn forget(&mut self, link: Link) -> Vec<(u64, Unwritten)> {
+        self.dirty.remove(&link);
+        let Some(out) = self.open.remove(&link) else { return Vec::new() };
+        let whole = |start| if start >= out.gone { Unwritten::Whole } else { Unwritten::Part };
+        out.marks.iter().map(|(start, _, mark)| (*mark, whole(*start))).collect()
+    }
+
+    // For whoever feeds the party.
+
+    pub fn next_ask(&mut self) -> Option<Ask> {
+        self.asks.pop_front()
+    }
+
+    /// A connection that has bytes to go out and was not looked at since they came.
+    pub fn next_dirty(&mut self) -> Option<Link> {
+        self.dirty.pop_first()
+    }
+
+    pub fn outgoing(&self, link: Link) -> &[u8] {
+        self.open.get(&link).map_or(&[], |out| &out.bytes)
+    }
+
+    /// So many bytes were handed over; they can't be taken back.
+    pub fn wrote(&mut self, link: Link, n: usize) {
+        let Some(out) = self.open.get_mut(&link) else { return };
+        assert!(n <= out.bytes.len(), "more was written than there was");
+        out.bytes.drain(..n);
+        out.gone += n as u64;
+        while out.marks.front().is_some_and(|(_, end, _)| *end <= out.gone) {
+            out.marks.pop_front();
+        }
+        if out.bytes.is_empty() && out.bytes.capacity() > 1 << 16 {
+            out.bytes = Vec::new();
+        }
+    }
+
+    /// The connection is over for both sides; nothing is told.
+    pub fn drop_link(&mut self, link: Link) {
+        self.open.remove(&link);
+        self.dirty.remove(&link);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_a_frame_of_which_no_byte_left_can_be_taken_back() {
+        let mut links = Links::default();
+        let link = links.fresh();
+        for mark in 1..=3 {
+            links.send(link, &[mark as u8; 10], Some(mark));
+        }
+        links.wrote(link, 4);
+        assert!(!links.take_back(link, 1), "four bytes of it are gone");
+        assert!(links.take_back(link, 2));
+        assert!(!links.take_back(link, 2), "it is out already");
+        assert_eq!(links.outgoing(link), [&[1; 6][..], &[3; 10]].concat());
+        links.wrote(link, 6);
+        assert_eq!(links.forget(link), [(3, Unwritten::Whole)]);
+    }
+
+    #[test]
+    fn an_end_tells_whole_from_part_and_forgets_what_was_written() {
+        let mut links = Links::default();
+        let link = links.fresh();
+        for mark in 1..=3 {
+            links.send(link, &[0; 8], Some(mark));
+        }
+        links.wrote(link, 9);
+        assert_eq!(links.forget(link), [(2, Unwritten::Part), (3, Unwritten::Whole)]);
+        links.send(link, &[0; 8], Some(4));
+        assert_eq!(links.unwritten(link), 0, "nothing is kept for a link that is over");
+    }
+}
--- /dev/null
+++ b/crates/seam/src/timers.rs
@@ -0,0 +1,45 @@
+//! Wake times of one party, in the order of their instants and then of their setting.
+
+use mulleinhub::Time;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// Things to come back to. Nothing is taken out early: whoever is woken looks whether it still matters.
+#[derive(Debug)]
+pub struct Timers<T> {
+    heap: BinaryHeap<Reverse<(Time, u64, T)>>,
+    set: u64,
+}
+
+impl<T: Ord> Default for Timers<T> {
+    fn default() -> Self {
+        Self { heap: BinaryHeap::new(), set: 0 }
+    }
+}
+
+impl<T: Ord> Timers<T> {
+    pub fn set(&mut self, at: Time, what: T) {
+        self.set += 1;
+        self.heap.push(Reverse((at, self.set, what)));
+    }
+
+    pub fn next(&self) -> Option<Time> {
+        self.heap.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// The earliest thing that is due by now.
+    pub fn due(&mut self, now: Time) -> Option<T> {
+        if self.next()? > now {
+            return None;
+        }
+        self.heap.pop().map(|Reverse((_, _, what))| what)
+    }
+
+    pub fn len(&self) -> usize {
+        self.heap.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.heap.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/shell/src/lib.rs
@@ -0,0 +1,388 @@
+//! A party behind real sockets: one thread, one poll, no runtime.
+//!
+//! For: everything between mio and a [`Party`]: listening, connecting, reading, writing, waking, signals. All that
+//! is readable is told before the party's turn, also after this process stood still.
+//! May not touch: what bytes mean. Addresses are loopback ones alone.
+
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use mulleinhub::{Span, Time};
+use mulleinhub_seam::{Ask, Door, End, Link, Party};
+use signal_hook_mio::v1_0::Signals;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const SIGNALS: Token = Token(usize::MAX - 1);
+/// Tokens below are listeners', the others are links'.
+const LISTENERS: usize = 1 << 20;
+/// Read from one connection before the others get their turn.
+const ONE_READ: usize = 64 * 1024;
+/// Polls without waiting before a turn: what came in while others were read is told too.
+const MOST_POLLS: usize = 16;
+/// After accepting failed for want of descriptors, it rests for this.
+const ACCEPT_REST: Duration = Duration::from_millis(100);
+
+struct Stream {
+    tcp: TcpStream,
+    up: bool,
+    readable: bool,
+    /// No more is written once what waits has gone out.
+    ending: bool,
+}
+
+struct Listening {
+    tcp: TcpListener,
+    door: Door,
+    ready: bool,
+    rests_until: Option<Instant>,
+    told_why: bool,
+}
+
+/// What made a step return.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    Went,
+    Signal(i32),
+}
+
+pub struct Shell<P: Party> {
+    pub party: P,
+    poll: Poll,
+    events: Events,
+    listeners: Vec<Listening>,
+    streams: BTreeMap<Link, Stream>,
+    /// Connections whose bytes are to be read.
+    readable: BTreeSet<Link>,
+    /// Addresses by the names that the party uses; others are read as addresses.
+    names: BTreeMap<String, SocketAddr>,
+    began: Instant,
+    signals: Option<Signals>,
+    buffer: Vec<u8>,
+    /// Calls of the system that carry bytes, for measurements.
+    pub calls: u64,
+}
+
+impl<P: Party> Shell<P> {
+    /// # Errors
+    /// Where the system has no poll for us.
+    pub fn new(party: P) -> std::io::Result<Self> {
+        Ok(Self {
+            party,
+            poll: Poll::new()?,
+            events: Events::with_capacity(4096),
+            listeners: Vec::new(),
+            streams: BTreeMap::new(),
+            readable: BTreeSet::new(),
+            names: BTreeMap::new(),
+            began: Instant::now(),
+            signals: None,
+            buffer: vec![0; ONE_READ],
+            calls: 0,
+        })
+    }
+
+    /// The time since this shell began.
+    pub fn now(&self) -> Time {
+        Time::from_nanos(self.began.elapsed().as_nanos() as u64)
+    }
+
+    /// Listens at a loopback address; gives back where, for a port of 0.
+    ///
+    /// # Errors
+    /// Where the address can't be had, or is not a loopback one.
+    pub fn listen(&mut self, at: SocketAddr, door: Door) -> std::io::Result<SocketAddr> {
+        if !at.ip().is_loopback() {
+            return Err(std::io::Error::new(
+                ErrorKind::InvalidInput,
+                format!("{at} is not a loopback address"),
+            ));
+        }
+        let mut tcp = TcpListener::bind(at)?;
+        let token = Token(self.listeners.len());
+        self.poll.registry().register(&mut tcp, token, Interest::READABLE)?;
+        let address = tcp.local_addr()?;
+        self.listeners.push(Listening { tcp, door, ready: false, rests_until: None, told_why: false });
+        Ok(address)
+    }
+
+    /// What the party calls an address.
+    pub fn name(&mut self, name: String, address: SocketAddr) {
+        self.names.insert(name, address);
+    }
+
+    /// Hears these signals from now on; each step tells of one at the most.
+    ///
+    /// # Errors
+    /// Where the system refuses one of them.
+    pub fn hear_signals(&mut self, signals: &[i32]) -> std::io::Result<()> {
+        let mut heard = Signals::new(signals)?;
+        self.poll.registry().register(&mut heard, SIGNALS, Interest::READABLE)?;
+        self.signals = Some(heard);
+        Ok(())
+    }
+
+    /// Waits for something to happen, at most so long, and lets the party have its turn.
+    ///
+    /// # Errors
+    /// Where the poll itself fails. Failures of single connections are told to the party.
+    pub fn step(&mut self, at_most: Duration) -> std::io::Result<Step> {
+        let now = self.now();
+        let mut wait = at_most;
+        if let Some(wake) = self.party.wake() {
+            wait = wait.min(Duration::from_nanos((wake - now).nanos()));
+        }
+        if self.listeners.iter().any(|listening| listening.rests_until.is_some()) {
+            wait = wait.min(ACCEPT_REST);
+        }
+        let unread: Vec<Link> = self.readable.iter().copied().collect();
+        if unread.into_iter().any(|link| !self.is_paused(link)) {
+            wait = Duration::ZERO;
+        }
+        let mut step = self.poll_once(Some(wait))?;
+        for _ in 0..MOST_POLLS {
+            self.accept_all();
+            if !self.read_all() {
+                break;
+            }
+            if let Step::Signal(signal) = self.poll_once(Some(Duration::ZERO))? {
+                step = Step::Signal(signal);
+            }
+        }
+        self.party.turn(self.now());
+        self.carry_out();
+        Ok(step)
+    }
+
+    fn is_paused(&mut self, link: Link) -> bool {
+        self.party.links().is_paused(link)
+    }
+
+    fn poll_once(&mut self, wait: Option<Duration>) -> std::io::Result<Step> {
+        match self.poll.poll(&mut self.events, wait) {
+            Err(error) if error.kind() == ErrorKind::Interrupted => return Ok(Step::Went),
+            done => done?,
+        }
+        let mut step = Step::Went;
+        let events: Vec<(Token, bool, bool)> = self
+            .events
+            .iter()
+            .map(|e| (e.token(), e.is_readable() || e.is_read_closed() || e.is_error(), e.is_writable()))
+            .collect();
+        for (token, readable, writable) in events {
+            if token == SIGNALS {
+                let signal = self.signals.as_mut().and_then(|signals| signals.pending().next());
+                step = signal.map_or(step, Step::Signal);
+            } else if token.0 < LISTENERS {
+                self.listeners[token.0].ready = true;
+            } else {
+                let link = Link((token.0 - LISTENERS) as u64);
+                if writable {
+                    self.is_writable(link);
+                }
+                if readable && let Some(stream) = self.streams.get_mut(&link) {
+                    stream.readable = true;
+                    self.readable.insert(link);
+                }
+            }
+        }
+        Ok(step)
+    }
+
+    fn accept_all(&mut self) {
+        for at in 0..self.listeners.len() {
+            let listening = &mut self.listeners[at];
+            if listening.rests_until.is_some_and(|until| Instant::now() >= until) {
+                (listening.rests_until, listening.ready) = (None, true);
+            }
+            while self.listeners[at].ready {
+                let listening = &mut self.listeners[at];
+                match listening.tcp.accept() {
+                    Ok((tcp, _)) => {
+                        listening.told_why = false;
+                        let door = listening.door;
+                        self.came(tcp, door);
+                    }
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => listening.ready = false,
+                    Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                    Err(error) => {
+                        // Descriptors have run out, most likely: trying again at once would spin.
+                        if !std::mem::replace(&mut listening.told_why, true) {
+                            tracing::error!(%error, "connections can't be accepted");
+                        }
+                        (listening.ready, listening.rests_until) =
+                            (false, Some(Instant::now() + ACCEPT_REST));
+                    }
+                }
+            }
+        }
+    }
+
+    fn came(&mut self, tcp: TcpStream, door: Door) {
+        if !self.party.listens(door) {
+            return;
+        }
+        let now = self.now();
+        let link = self.party.links().fresh();
+        if self.add(link, tcp, true) {
+            self.party.opened(now, link, door);
+        } else {
+            self.party.links().drop_link(link);
+        }
+    }
+
+    fn add(&mut self, link: Link, mut tcp: TcpStream, up: bool) -> bool {
+        let token = Token(LISTENERS + link.0 as usize);
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        if self.poll.registry().register(&mut tcp, token, interest).is_err() {
+            return false;
+        }
+        // Frames are small and answers are waited for.
+        let _ = tcp.set_nodelay(true);
+        self.streams.insert(link, Stream { tcp, up, readable: false, ending: false });
+        true
+    }
+
+    /// Reads from every connection that has bytes; true where any had.
+    fn read_all(&mut self) -> bool {
+        let mut any = false;
+        let ready: Vec<Link> = self.readable.iter().copied().collect();
+        for link in ready {
+            if self.is_paused(link) {
+                continue;
+            }
+            any |= self.read_one(link);
+        }
+        any
+    }
+
+    fn read_one(&mut self, link: Link) -> bool {
+        let Some(stream) = self.streams.get_mut(&link) else {
+            self.readable.remove(&link);
+            return false;
+        };
+        if !stream.up {
+            // Looked at again when it is up.
+            self.readable.remove(&link);
+            return false;
+        }
+        self.calls += 1;
+        match stream.tcp.read(&mut self.buffer) {
+            Ok(0) => {
+                self.gone(link, End::Closed);
+                true
+            }
+            Ok(n) => {
+                let now = Time::from_nanos(self.began.elapsed().as_nanos() as u64);
+                self.party.received(now, link, &self.buffer[..n]);
+                true
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                stream.readable = false;
+                self.readable.remove(&link);
+                false
+            }
+            Err(error) if error.kind() == ErrorKind::Interrupted => true,
+            Err(_) => {
+                self.gone(link, End::Broken);
+                true
+            }
+        }
+    }
+
+    fn gone(&mut self, link: Link, end: End) {
+        self.readable.remove(&link);
+        if self.streams.remove(&link).is_some() {
+            let now = self.now();
+            self.party.ended(now, link, end);
+        }
+    }
+
+    fn is_writable(&mut self, link: Link) {
+        let Some(stream) = self.streams.get_mut(&link) else { return };
+        if !stream.up {
+            let failed = stream.tcp.take_error().ok().flatten().is_some();
+            match stream.tcp.peer_addr() {
+                Ok(_) if !failed => {
+                    stream.up = true;
+                    self.readable.insert(link);
+                    let now = self.now();
+                    self.party.up(now, link);
+                }
+                Err(error) if error.kind() == ErrorKind::NotConnected && !failed => return,
+                _ => return self.gone(link, End::Refused),
+            }
+        }
+        self.write_one(link);
+    }
+
+    /// Writes what waits, as much as the system takes.
+    fn write_one(&mut self, link: Link) {
+        let Some(stream) = self.streams.get_mut(&link) else { return };
+        if !stream.up {
+            return;
+        }
+        loop {
+            let bytes = self.party.links().outgoing(link);
+            if bytes.is_empty() {
+                break;
+            }
+            self.calls += 1;
+            match stream.tcp.write(bytes) {
+                Ok(n) => self.party.links().wrote(link, n),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return self.gone(link, End::Broken),
+            }
+        }
+        if stream.ending {
+            self.readable.remove(&link);
+            self.streams.remove(&link);
+            self.party.links().drop_link(link);
+        }
+    }
+
+    /// Opens, ends and writes what the party asks for.
+    fn carry_out(&mut self) {
+        loop {
+            while let Some(link) = self.party.links().next_dirty() {
+                self.write_one(link);
+            }
+            let Some(ask) = self.party.links().next_ask() else { return };
+            match ask {
+                Ask::Open(link, to) => self.connect(link, &to),
+                Ask::End { link, at_once: true } => {
+                    self.readable.remove(&link);
+                    self.streams.remove(&link);
+                }
+                Ask::End { link, at_once: false } => {
+                    if let Some(stream) = self.streams.get_mut(&link) {
+                        stream.ending = true;
+                        self.write_one(link);
+                    }
+                }
+            }
+        }
+    }
+
+    fn connect(&mut self, link: Link, to: &str) {
+        let address = self.names.get(to).copied().or_else(|| to.parse().ok());
+        let tcp = address.filter(|a| a.ip().is_loopback()).and_then(|a| TcpStream::connect(a).ok());
+        let added = tcp.is_some_and(|tcp| self.add(link, tcp, false));
+        if !added {
+            let now = self.now();
+            self.party.ended(now, link, End::Refused);
+        }
+    }
+
+    /// Connections that are open now.
+    pub fn connections(&self) -> usize {
+        self.streams.len()
+    }
+}
+
+/// A real span of time as the project's own.
+pub fn span(duration: Duration) -> Span {
+    Span::from_nanos(duration.as_nanos() as u64)
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,19 @@
+//! Stand-ins for what a planner speaks to: racks of machines, the list service, and the owners of tasks.
+//!
+//! For: models without I/O that behave as the operators' published rules say, troubles included. Where a rule is
+//! silent the head of the model says what was guessed.
+//! May not touch: sockets and clocks, the planner's engine, the module.
+
+mod dice;
+mod list;
+mod machine;
+mod owner;
+mod rack;
+mod worth;
+
+pub use dice::Dice;
+pub use list::{Fact, ListPlight, ListService, ListSettings};
+pub use machine::{CaseModel, Drain, Happened, Machine, MachineSettings, Plight};
+pub use owner::{Load, Owner, OwnerSettings, OwnerTally, ServiceCase};
+pub use rack::Rack;
+pub use worth::{Tally, Worth};
