--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -23,6 +23,7 @@
         features: 0,
         name: "status",
         life: 1,
+        clock: 0,
     };
     protocol::encode(&hello, &mut bytes);
     protocol::encode(&Message::StatusAsk {}, &mut bytes);
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -461,11 +461,14 @@
             machines_fallen: self.machines_fallen,
             ..Score::default()
         };
+        let mut earned: BTreeMap<u64, f64> = BTreeMap::new();
         for node in &mut self.nodes {
             match node {
                 Body::Rack(rack) => {
                     rack.book(now);
-                    rack.machines.iter().for_each(|machine| score.earned.join(&machine.earned));
+                    for (key, amount) in rack.machines.iter().flat_map(|machine| &machine.earned) {
+                        *earned.entry(*key).or_default() += amount;
+                    }
                 }
                 Body::List(list) => score.list_lines = list.lines_told,
                 Body::Owner(owner) => {
@@ -484,6 +487,15 @@
                 }
             }
         }
+        for (key, amount) in earned {
+            for node in &self.owner_nodes {
+                if let Body::Owner(owner) = &self.nodes[*node]
+                    && let Some((case, amount)) = owner.wanted(key, amount)
+                {
+                    score.earned.add(case, amount);
+                }
+            }
+        }
         let out = self.recorder.close(now)?;
         Ok((score, out))
     }
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -40,6 +40,8 @@
     pub who: Who,
     pub frames: Frames,
     pub greeted: bool,
+    /// How far our clock was ahead of the peer's on its quickest frame, in nanoseconds.
+    pub ahead: i128,
     pub end: Option<End>,
     pub queued: bool,
 }
@@ -192,8 +194,28 @@
     // What whoever feeds the planner tells.
 
     fn add_peer(&mut self, link: Link, who: Who) {
-        self.peers
-            .insert(link, Peer { who, frames: Frames::default(), greeted: false, end: None, queued: false });
+        self.peers.insert(
+            link,
+            Peer {
+                who,
+                frames: Frames::default(),
+                greeted: false,
+                ahead: i128::MAX,
+                end: None,
+                queued: false,
+            },
+        );
+    }
+
+    /// For how long a frame that its sender wrote at this instant of its own clock has lain on the way, beyond the
+    /// quickest one of this connection. It was met when planners stood still or links stalled: an ask that had
+    /// lain for seconds was given its whole patience anew, and answered after its client timeout.
+    pub fn lain(&mut self, link: Link, clock: u64) -> Span {
+        let now = i128::from(self.now.nanos());
+        let Some(peer) = self.peers.get_mut(&link) else { return Span::ZERO };
+        let ahead = now - i128::from(clock);
+        peer.ahead = peer.ahead.min(ahead);
+        Span::from_nanos(u64::try_from(ahead - peer.ahead).unwrap_or(u64::MAX))
     }
 
     pub fn client_came(&mut self, link: Link) {
@@ -217,6 +239,7 @@
                 features: 0,
                 name: &name,
                 life,
+                clock: now.nanos(),
             },
         );
         if matches!(conversation, Conversation::PlannerList) && self.list_wanted {
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -15,7 +15,7 @@
     Effect, Ending, Entry, ListKind, Loss, MachineId, Mode, Nack, Order, Report, Room, ServiceId, TaskId,
     TaskKey, UseCaseId,
 };
-use mulleinhub::{Round, Time};
+use mulleinhub::{Round, Span, Time};
 use mulleinhub_protocol::{self as protocol, Bad, Conversation, Message, Reason, Shape, Side};
 use mulleinhub_seam::{End, Link, Unwritten};
 use std::cell::RefCell;
@@ -140,7 +140,7 @@
     if !message.belongs(conversation, side) {
         return Err(Bad(format!("not a message for this side of {conversation:?}")));
     }
-    if let Message::Hello { conversation: theirs, version, least_version, name, .. } = message {
+    if let Message::Hello { conversation: theirs, version, least_version, name, clock, .. } = message {
         if peer.greeted || *theirs != conversation {
             return Err(Bad(format!("a hello for {theirs:?} where {conversation:?} is spoken")));
         }
@@ -153,6 +153,7 @@
         }
         (peer.who, peer.greeted) = (Who::Client((*name).to_owned()), true);
         d.clients.insert((*name).to_owned(), link);
+        d.lain(link, *clock);
         let (name, life) = (d.settings.name.clone(), d.life);
         let version = protocol::VERSION.min(*version);
         d.write(link, &Message::Welcome { version, features: 0, name: &name, life });
@@ -222,8 +223,13 @@
     message: &Message<'_>,
 ) -> Heard {
     match message {
-        Message::Ask { task, shape, patience } => {
-            if let Some(order) = take(&mut desk.borrow_mut(), link, name, *task, shape, *patience)? {
+        Message::Ask { task, shape, patience, clock } => {
+            let order = {
+                let d = &mut *desk.borrow_mut();
+                let left = Span::from_nanos(*patience) - d.lain(link, *clock);
+                take(d, link, name, *task, shape, left)?
+            };
+            if let Some(order) = order {
                 round.new_task(order);
             }
         }
@@ -339,7 +345,7 @@
     name: &str,
     task: u64,
     shape: &Shape,
-    patience: u64,
+    patience: Span,
 ) -> Result<Option<Order>, Bad> {
     known_use_case(d, shape)?;
     let id = TaskId(task);
@@ -347,9 +353,9 @@
         return Ok(None);
     }
     let longest = d.settings.use_cases[shape.use_case as usize].client_timeout;
-    let patience = mulleinhub::Span::from_nanos(patience).min(longest);
+    let patience = patience.min(longest);
     let full = d.owed >= d.settings.most_in_hand;
-    if d.winding_down || full || patience == mulleinhub::Span::ZERO {
+    if d.winding_down || full || patience == Span::ZERO {
         d.write(link, &Message::Nacked { task, stay_away: 0 });
         return Ok(None);
     }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -178,6 +178,9 @@
         /// Another start of the same peer has another life.
         #[n(5)]
         life: u64,
+        /// The opener's own clock, in nanoseconds from whenever it likes: see `Ask`.
+        #[n(6)]
+        clock: u64,
     },
     #[n(1)]
     Welcome {
@@ -207,7 +210,9 @@
         nonce: u64,
     },
 
-    /// A task to be placed. `patience` is what is left until the client timeout, in nanoseconds.
+    /// A task to be placed. `patience` is what is left until the client timeout, in nanoseconds, at the instant
+    /// `clock` of the client. What of it has passed when the planner reads this, it tells by how much later than
+    /// on the quickest frame of this connection its own clock is ahead of the client's.
     #[n(10)]
     Ask {
         #[n(0)]
@@ -216,6 +221,8 @@
         shape: Shape,
         #[n(2)]
         patience: u64,
+        #[n(3)]
+        clock: u64,
     },
     #[n(11)]
     Taken {
--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -8,11 +8,11 @@
 //! priorities use counts as busy.
 
 use crate::dice::Dice;
-use crate::worth::{Tally, Worth};
+use crate::worth::Worth;
 use mulleinhub::interface::{Reach, Room};
 use mulleinhub::{Span, Time};
 use mulleinhub_protocol::{Ending, Reason, Shape};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 /// What machines know of a use case.
 #[derive(Clone, Debug)]
@@ -175,7 +175,8 @@
     arrivals: VecDeque<(Time, f64)>,
     next_note: Time,
     next_sent_away: Option<Time>,
-    pub earned: Tally,
+    /// Worth of the service given, by the key of the task.
+    pub earned: BTreeMap<u64, f64>,
     /// Cores and memory asked for, of all that is accepted.
     pub asked: Room,
     dice: Dice,
@@ -199,7 +200,7 @@
             arrivals: VecDeque::new(),
             next_note: now,
             next_sent_away: None,
-            earned: Tally::default(),
+            earned: BTreeMap::new(),
             asked: Room::NONE,
             dice,
         }
@@ -331,7 +332,7 @@
             if matches!(held.stage, Stage::Runs { .. }) && held.planner.is_some() {
                 let seconds = (now - held.settled).nanos() as f64 / 1e9;
                 let second = worth.second(held.shape.use_case, held.shape.cores, held.shape.memory);
-                self.earned.add(held.shape.use_case, seconds * held.served * second);
+                *self.earned.entry(held.shape.key).or_default() += seconds * held.served * second;
             }
             held.settled = now;
         }
--- a/crates/verdict/src/life.rs
+++ b/crates/verdict/src/life.rs
@@ -67,7 +67,7 @@
 fn words(message: &Message<'_>, id: u64) -> Option<String> {
     let is = |task: &u64| *task == id;
     Some(match message {
-        Message::Ask { task, shape, patience } if is(task) => format!(
+        Message::Ask { task, shape, patience, .. } if is(task) => format!(
             "asks for task {task}, use case {}, service {:x}, {} cores, {} memory, waits {} ms{}",
             shape.use_case,
             shape.service,
