Interface in a package of its own; any mind behind the engine; a gate before cold machines

Cause: seam, protocol and stand-ins had to know the decisions to know a span of time; the adapter's batch and settings files used each other; offers to a cold machine that lay behind a stalled link arrived together.

Change: crates/interface holds ids, spans and the traits Writer, Ears and Mind; the adapter's values and load reports have files of their own; the engine holds offers to a cold machine back while the way to it is stalled; timers that are set again for the same instant wait for the next turn.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,17 +1,17 @@
 //! Speaks the simulator's wire on standard input and output and hosts one brain for each scheduler.
 
 mod batch;
+mod reporting;
 mod settings;
+mod values;
 mod writer;
 
 use batch::{Batch, Line, Rosters};
 use mulleinhub::{Brain, Time};
-use settings::Reporting;
+use reporting::Reporting;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
-
-/// What was wrong with the wire, in words for the person who reads standard error.
-pub type Bad = String;
+use values::Bad;
 
 fn main() -> std::process::ExitCode {
     match serve(std::io::stdin().lock(), std::io::stdout().lock()) {
--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -5,7 +5,7 @@
 //! May not touch: what frames mean, how a day is judged, sockets.
 
 use minicbor::{Decode, Encode};
-use mulleinhub::Time;
+use mulleinhub_interface::Time;
 use std::io::{BufRead, Write};
 
 pub const MAGIC: &[u8; 8] = b"MLNCAP1\n";
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -4,8 +4,8 @@
 use crate::stage_host;
 use clap::{Args, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
-use mulleinhub::Time;
 use mulleinhub_day::{Day, Progress, Score, parse_day};
+use mulleinhub_interface::Time;
 use mulleinhub_runner::Runner;
 use mulleinhub_settings::{Directive, Faults, parse, parse_text};
 use mulleinhub_verdict::Verdict;
@@ -148,8 +148,8 @@
         }
         if let Some(length) = &self.length {
             use mulleinhub_settings::Value;
-            day.length =
-                mulleinhub::Span::read(length).map_err(|words| format!("--length {length}: {words}"))?;
+            day.length = mulleinhub_interface::Span::read(length)
+                .map_err(|words| format!("--length {length}: {words}"))?;
         }
         Ok(day)
     }
--- a/crates/cli/src/stage_host.rs
+++ b/crates/cli/src/stage_host.rs
@@ -1,7 +1,7 @@
 //! A day with real sockets: the stage in this process, each planner in one of its own.
 
-use mulleinhub::Time;
 use mulleinhub_day::{Day, PlannerDeed, Progress, Score, Stage};
+use mulleinhub_interface::Time;
 use mulleinhub_runner::planner_text;
 use mulleinhub_shell::Shell;
 use rustix::process::{Pid, Signal, kill_process};
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -2,8 +2,8 @@
 
 use crate::trouble::Trouble;
 use garde::Validate;
-use mulleinhub::Span;
-use mulleinhub::interface::Effect;
+use mulleinhub_interface::Effect;
+use mulleinhub_interface::Span;
 use mulleinhub_settings::{Args, Directive, Faults, Place, Range, Scope, Value};
 use mulleinhub_terms::{Case, Kind, Rules, check, places, range_or, read_case, read_kind, read_rules};
 
@@ -275,7 +275,7 @@
     /// The widest group in which one copy of a task stands: machines of different racks must know of each other
     /// where it is wider than a rack.
     pub(crate) fn groups_are_wide(&self) -> bool {
-        use mulleinhub::interface::Reach;
+        use mulleinhub_interface::Reach;
         let wide = |case: &CaseDay| match case.case.effect {
             Effect::Referenced { group, .. } => matches!(group, Reach::Zone | Reach::All),
             _ => false,
--- a/crates/day/src/tap.rs
+++ b/crates/day/src/tap.rs
@@ -3,7 +3,7 @@
 //! Bytes go on frame by frame, so that the record knows each frame's two instants. What is not a frame goes on
 //! as it is, without a record.
 
-use mulleinhub::{Span, Time};
+use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::Frames;
 use mulleinhub_seam::{End, Link};
 use std::collections::VecDeque;
--- a/crates/day/src/trouble.rs
+++ b/crates/day/src/trouble.rs
@@ -1,6 +1,6 @@
 //! Troubles: how a script states them, how they are said in words, and random ones.
 
-use mulleinhub::Span;
+use mulleinhub_interface::Span;
 use mulleinhub_settings::{Args, Directive, Faults, Range, Share, Value, suggest};
 use mulleinhub_standins::Dice;
 use mulleinhub_terms::show_span;
--- /dev/null
+++ b/crates/engine/src/cold.rs
@@ -0,0 +1,101 @@
+//! Keeps offers to a cold machine apart where the way to it is stalled.
+//!
+//! The module deals out what a cold machine always bears, over half as long again as the rule's window, so offers
+//! may be late by half a window. Met on real sockets: behind a stalled link, a stopped tap or a machine that hung,
+//! what was offered over seconds arrived together. So while an offer to a cold machine is out unanswered for
+//! longer than that, or was answered so late within the last window, no more is written to it.
+
+use mulleinhub_interface::{Span, Time};
+use std::collections::VecDeque;
+
+/// The part of the rule's window by which an offer may be late.
+const LATE: f64 = 0.5;
+
+#[derive(Debug, Default)]
+pub struct Gate {
+    cold_until: Option<Time>,
+    /// Offers without an answer, in the order of writing.
+    out: VecDeque<(Time, u64, u32)>,
+    late_at: Option<Time>,
+}
+
+impl Gate {
+    /// The machine is cold until then.
+    pub fn is_cold_until(&mut self, until: Time) {
+        self.cold_until = Some(self.cold_until.map_or(until, |known| known.max(until)));
+    }
+
+    pub fn wrote(&mut self, now: Time, task: u64, send: u32) {
+        if self.cold_until.is_some_and(|until| now < until) {
+            self.out.push_back((now, task, send));
+        }
+    }
+
+    /// The machine said something of this send: what was written before it has arrived too.
+    pub fn answered(&mut self, now: Time, fall: Span, task: u64, send: u32) {
+        let Some(at) = self.out.iter().position(|(_, t, s)| (*t, *s) == (task, send)) else { return };
+        let (written, ..) = self.out[at];
+        if now - written > fall * LATE {
+            self.late_at = Some(now);
+        }
+        self.out.drain(..=at);
+    }
+
+    /// The connection is over: nothing of it can arrive any more, and some may just have.
+    pub fn ended(&mut self, now: Time) {
+        if !self.out.is_empty() {
+            self.late_at = Some(now);
+        }
+        self.out.clear();
+    }
+
+    /// Until when nothing more may be written, where the way is stalled; later looks may say later.
+    pub fn shut_until(&self, now: Time, fall: Span) -> Option<Time> {
+        if self.cold_until.is_none_or(|until| now >= until) {
+            return None;
+        }
+        let late = self.late_at.map(|at| at + fall).filter(|until| *until > now);
+        let waits = self.out.front().is_some_and(|(written, ..)| now - *written > fall * LATE);
+        if waits { Some(late.unwrap_or(now).max(now + fall * LATE)) } else { late }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FALL: Span = Span::from_secs(1);
+
+    fn at(ms: u64) -> Time {
+        Time::from_nanos(ms * 1_000_000)
+    }
+
+    #[test]
+    fn a_warm_machine_is_never_held_back() {
+        let mut gate = Gate::default();
+        gate.wrote(at(0), 1, 0);
+        assert_eq!(gate.shut_until(at(5_000), FALL), None);
+    }
+
+    #[test]
+    fn a_silent_offer_shuts_the_gate_and_a_late_answer_keeps_it_shut_for_a_window() {
+        let mut gate = Gate::default();
+        gate.is_cold_until(at(60_000));
+        gate.wrote(at(0), 1, 0);
+        assert_eq!(gate.shut_until(at(500), FALL), None, "it may be late by half a window");
+        assert!(gate.shut_until(at(501), FALL).is_some());
+        gate.answered(at(2_000), FALL, 1, 0);
+        assert_eq!(gate.shut_until(at(2_000), FALL), Some(at(3_000)));
+        assert_eq!(gate.shut_until(at(3_000), FALL), None);
+    }
+
+    #[test]
+    fn an_answer_tells_that_what_was_written_before_has_arrived() {
+        let mut gate = Gate::default();
+        gate.is_cold_until(at(60_000));
+        gate.wrote(at(0), 1, 0);
+        gate.wrote(at(400), 2, 0);
+        gate.answered(at(450), FALL, 2, 0);
+        assert_eq!(gate.shut_until(at(5_000), FALL), None, "one use case may be left unanswered");
+    }
+}
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -2,8 +2,8 @@
 
 use crate::machines::{Reach, Spot};
 use crate::settings::Settings;
-use mulleinhub::interface::{Effect, Ending, MachineId, Order, Reach as Group, TaskId, Writer};
-use mulleinhub::{Span, Time};
+use mulleinhub_interface::{Effect, Ending, MachineId, Order, Reach as Group, TaskId, Writer};
+use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Mode, Shape};
 use mulleinhub_seam::{End, Link, Links, Timers, Unwritten};
 use std::cell::RefCell;
@@ -108,6 +108,7 @@
     Start,
     Forget,
     Claim(TaskId),
+    Release(MachineId),
 }
 
 pub struct Desk {
@@ -290,8 +291,8 @@
         Some(link)
     }
 
-    pub fn due(&mut self) -> Option<Due> {
-        self.timers.due(self.now)
+    pub fn due(&mut self, mark: u64) -> Option<Due> {
+        self.timers.due_of(self.now, mark)
     }
 
     pub fn wake(&self) -> Option<Time> {
@@ -371,7 +372,11 @@
         let open = job.open.as_mut().expect("has an open send");
         (open.link, open.mark) = (Some(link), mark);
         let time_out = open.due - now;
-        let (send, shape, owner) = (open.number, job.shape, std::mem::take(&mut job.owner));
+        let (machine, send, shape) = (open.machine, open.number, job.shape);
+        let owner = std::mem::take(&mut job.owner);
+        if let Some(spot) = self.machines.get_mut(&machine) {
+            spot.gate.wrote(now, id.0, send);
+        }
         self.marks.insert(mark, (id, send));
         self.write_marked(
             link,
@@ -381,6 +386,34 @@
         self.jobs.get_mut(&id).expect("is there").owner = owner;
     }
 
+    /// Writes the offers that wait for this machine's connection, as far as the gate of a cold one lets them.
+    pub fn release(&mut self, machine: MachineId) {
+        let (now, fall) = (self.now, self.settings.cold.fall);
+        let Some(spot) = self.machines.get_mut(&machine) else { return };
+        let Some(link) = spot.ready() else { return };
+        if let Some(until) = spot.gate.shut_until(now, fall) {
+            if !spot.waiting.is_empty() {
+                self.timers.set(until, Due::Release(machine));
+            }
+            return;
+        }
+        for (task, send) in std::mem::take(&mut spot.waiting) {
+            let waits = self.jobs.get(&TaskId(task)).and_then(|job| job.open);
+            if waits.is_some_and(|open| open.machine == machine && open.number == send && open.link.is_none()) {
+                self.write_offer(TaskId(task), link);
+            }
+        }
+    }
+
+    /// A machine said something of a send.
+    pub fn answered_by(&mut self, machine: MachineId, task: u64, send: u32) {
+        let (now, fall) = (self.now, self.settings.cold.fall);
+        if let Some(spot) = self.machines.get_mut(&machine) {
+            spot.gate.answered(now, fall, task, send);
+        }
+        self.release(machine);
+    }
+
     /// Takes the offer of an open send back, where not a byte of it left this process.
     pub fn take_back(&mut self, id: TaskId) -> bool {
         let Some(open) = self.jobs.get(&id).and_then(|job| job.open) else { return false };
@@ -521,7 +554,12 @@
         desk.timers.set(now + time_out, Due::Send(task, number));
         let spot = desk.machines.get(&machine).expect("the module sends to listed machines");
         assert!(spot.mode == Mode::Active, "task {}: a send to a machine that drains or is gone", task.0);
+        let shut = spot.gate.shut_until(now, desk.settings.cold.fall);
         match spot.reach {
+            Reach::Ready(_) if shut.is_some() => {
+                desk.machines.get_mut(&machine).expect("is there").waiting.push((task.0, number));
+                desk.timers.set(shut.expect("is shut"), Due::Release(machine));
+            }
             Reach::Ready(link) => desk.write_offer(task, link),
             Reach::Down if spot.retry_at > now => {
                 desk.closings.push_back((task, number, Ending::NoConnection));
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -9,22 +9,20 @@
 //! Everything else may have run: half-written and written offers whose machine can't be asked, time-outs, and
 //! whatever a former life of the machine was sent.
 
-use crate::desk::{Answer, Desk, Due, Job, Late, Open, Pen, Who};
+use crate::desk::{Answer, Desk, Due, Job, Late, Open, Who};
 use crate::machines::{Reach, Spot};
-use mulleinhub::interface::{
-    Effect, Ending, Entry, ListKind, Loss, MachineId, Mode, Nack, Order, Report, Room, ServiceId, TaskId,
-    TaskKey, UseCaseId,
+use mulleinhub_interface::{
+    Ears, Effect, Ending, Entry, ListKind, Loss, MachineId, Mode, Nack, Order, Report, Room, ServiceId, Span,
+    TaskId, TaskKey, Time, UseCaseId,
 };
-use mulleinhub::{Round, Span, Time};
 use mulleinhub_protocol::{self as protocol, Bad, Conversation, Message, Reason, Shape, Side};
 use mulleinhub_seam::{End, Link, Unwritten};
 use std::cell::RefCell;
 
-type Told<'a, 'b> = Round<'a, Pen<'b>>;
 type Heard = Result<(), Bad>;
 
 /// The first turn: the list of the last life, and the calls for a newer one.
-pub fn begin(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, saved: Option<Vec<u8>>) {
+pub fn begin(desk: &RefCell<Desk>, round: &mut dyn Ears, saved: Option<Vec<u8>>) {
     if let Some(frame) = saved {
         match protocol::decode(&frame) {
             Ok(Message::List { version, entries, .. }) => {
@@ -43,7 +41,7 @@
 }
 
 /// Every connection on which something came in, in the order of coming.
-pub fn all_that_came(desk: &RefCell<Desk>, round: &mut Told<'_, '_>) {
+pub fn all_that_came(desk: &RefCell<Desk>, round: &mut dyn Ears) {
     loop {
         let next = desk.borrow_mut().next_arrival();
         let Some(link) = next else {
@@ -68,7 +66,7 @@
     true
 }
 
-fn hear_link(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, link: Link) {
+fn hear_link(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link) {
     // The frames are taken out for the while, so that messages can borrow them and the desk stays free.
     let Some(mut frames) =
         desk.borrow_mut().peers.get_mut(&link).map(|peer| std::mem::take(&mut peer.frames))
@@ -128,7 +126,7 @@
     }
 }
 
-fn hear(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, link: Link, message: &Message<'_>) -> Heard {
+fn hear(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, message: &Message<'_>) -> Heard {
     let mut borrowed = desk.borrow_mut();
     let d = &mut *borrowed;
     let Some(peer) = d.peers.get_mut(&link) else { return Ok(()) };
@@ -217,7 +215,7 @@
 
 fn hear_client(
     desk: &RefCell<Desk>,
-    round: &mut Told<'_, '_>,
+    round: &mut dyn Ears,
     link: Link,
     name: &str,
     message: &Message<'_>,
@@ -366,7 +364,7 @@
     Ok(Some(order))
 }
 
-fn withdraw(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, name: &str, id: TaskId) -> Heard {
+fn withdraw(desk: &RefCell<Desk>, round: &mut dyn Ears, name: &str, id: TaskId) -> Heard {
     let mut borrowed = desk.borrow_mut();
     let d = &mut *borrowed;
     let Some(job) = d.jobs.get_mut(&id) else { return Ok(()) };
@@ -431,7 +429,7 @@
 
 fn hear_machine(
     desk: &RefCell<Desk>,
-    round: &mut Told<'_, '_>,
+    round: &mut dyn Ears,
     link: Link,
     machine: MachineId,
     message: &Message<'_>,
@@ -445,8 +443,10 @@
             }
             let Some(spot) = d.machines.get_mut(&machine) else { return Ok(()) };
             spot.told.clear();
+            let warm_after = d.settings.cold.warm_after;
             let other_life = spot.life.replace(*life).is_some_and(|before| before != *life);
             if other_life {
+                spot.gate.is_cold_until(d.now + warm_after);
                 // Whatever the former life was sent or held went with it. An answer of it can't come any more:
                 // its connection is over, and this one began after it.
                 let lost = d.jobs_on(machine).into_iter().filter(|(_, open)| open.link.is_some());
@@ -462,7 +462,10 @@
                 told_all(desk, round, link, machine);
             }
         }
-        Message::Accepted { task, send } => accepted(desk, round, link, machine, TaskId(*task), *send),
+        Message::Accepted { task, send } => {
+            desk.borrow_mut().answered_by(machine, *task, *send);
+            accepted(desk, round, link, machine, TaskId(*task), *send);
+        }
         Message::Runs { task, send } => runs(desk, round, machine, TaskId(*task), *send),
         Message::Note { task, cores, memory, served, machine_memory } => {
             let id = TaskId(*task);
@@ -487,6 +490,7 @@
             let open = {
                 let d = &mut *desk.borrow_mut();
                 d.write(link, &Message::Heard { task: *task, send: *send });
+                d.answered_by(machine, *task, *send);
                 d.late.remove(&(id, *send));
                 d.jobs.get(&id).and_then(|job| job.open)
             };
@@ -527,7 +531,7 @@
 /// One task of a machine's telling after a greeting.
 fn holds(
     desk: &RefCell<Desk>,
-    round: &mut Told<'_, '_>,
+    round: &mut dyn Ears,
     link: Link,
     machine: MachineId,
     held: &protocol::Held<'_>,
@@ -572,7 +576,7 @@
 
 fn adopt(
     desk: &RefCell<Desk>,
-    round: &mut Told<'_, '_>,
+    round: &mut dyn Ears,
     link: Link,
     machine: MachineId,
     held: &protocol::Held<'_>,
@@ -611,14 +615,13 @@
 }
 
 /// The telling is whole: what it lacks is known never to have been accepted, and offers may go.
-fn told_all(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, link: Link, machine: MachineId) {
-    let (resolved, waiting) = {
+fn told_all(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, machine: MachineId) {
+    let resolved = {
         let d = &mut *desk.borrow_mut();
         let Some(spot) = d.machines.get_mut(&machine) else { return };
         spot.is_ready(link);
         spot.met = true;
         let told = std::mem::take(&mut spot.told);
-        let waiting = std::mem::take(&mut spot.waiting);
         let mut resolved = Vec::new();
         let mut stop_again = Vec::new();
         for (id, open) in d.jobs_on(machine) {
@@ -637,23 +640,17 @@
             let moves = !d.jobs[&id].withdrawn;
             d.write(link, &Message::Stop { task: id.0, send, moves });
         }
-        (resolved, waiting)
+        resolved
     };
     for (id, send, ending) in resolved {
         close(desk, round, id, send, ending, None);
     }
-    let d = &mut *desk.borrow_mut();
-    for (task, send) in waiting {
-        let waits = d.jobs.get(&TaskId(task)).and_then(|job| job.open);
-        if waits.is_some_and(|open| open.machine == machine && open.number == send && open.link.is_none()) {
-            d.write_offer(TaskId(task), link);
-        }
-    }
+    desk.borrow_mut().release(machine);
 }
 
 fn accepted(
     desk: &RefCell<Desk>,
-    round: &mut Told<'_, '_>,
+    round: &mut dyn Ears,
     link: Link,
     machine: MachineId,
     id: TaskId,
@@ -689,7 +686,7 @@
     if claiming { round.running(order, machine) } else { round.accepted(id) }
 }
 
-fn runs(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, machine: MachineId, id: TaskId, send: u32) {
+fn runs(desk: &RefCell<Desk>, round: &mut dyn Ears, machine: MachineId, id: TaskId, send: u32) {
     let first = {
         let d = &mut *desk.borrow_mut();
         let open = d.jobs.get_mut(&id).and_then(|job| job.open.as_mut());
@@ -726,7 +723,7 @@
 /// The end of a send: told to the module, and to the owner where the task was placed.
 fn close(
     desk: &RefCell<Desk>,
-    round: &mut Told<'_, '_>,
+    round: &mut dyn Ears,
     id: TaskId,
     send: u32,
     ending: Ending,
@@ -765,7 +762,7 @@
 
 // Ends and timers.
 
-fn has_ended(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, link: Link, end: End) {
+fn has_ended(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, end: End) {
     let mut borrowed = desk.borrow_mut();
     let d = &mut *borrowed;
     let unwritten = d.unwritten_offers(link);
@@ -811,7 +808,7 @@
 }
 
 /// Nobody answered in time. An offer still unwritten is taken back, which proves that it never ran.
-pub fn timed_out(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, id: TaskId, send: u32) {
+pub fn timed_out(desk: &RefCell<Desk>, round: &mut dyn Ears, id: TaskId, send: u32) {
     let ending = {
         let d = &mut *desk.borrow_mut();
         let Some(open) = d.jobs.get(&id).filter(|job| !job.claiming).and_then(|job| job.open) else { return };
@@ -830,7 +827,7 @@
     close(desk, round, id, send, ending, None);
 }
 
-pub fn look_after(desk: &RefCell<Desk>, round: &mut Told<'_, '_>, due: Due) {
+pub fn look_after(desk: &RefCell<Desk>, round: &mut dyn Ears, due: Due) {
     let mut borrowed = desk.borrow_mut();
     let d = &mut *borrowed;
     let now = d.now;
@@ -874,6 +871,7 @@
             all_that_came(desk, round);
         }
         Due::Forget => d.forget_old(),
+        Due::Release(machine) => d.release(machine),
         Due::Claim(id) => {
             let claiming = d.jobs.get(&id).filter(|job| job.claiming).and_then(|job| job.open);
             drop(borrowed);
@@ -886,7 +884,7 @@
 }
 
 /// Ends that this side made: in the round before, or while hearing.
-pub fn closings(desk: &RefCell<Desk>, round: &mut Told<'_, '_>) {
+pub fn closings(desk: &RefCell<Desk>, round: &mut dyn Ears) {
     loop {
         let next = desk.borrow_mut().closings.pop_front();
         let Some((id, send, ending)) = next else { return };
@@ -898,7 +896,7 @@
 
 fn list(
     desk: &RefCell<Desk>,
-    round: &mut Told<'_, '_>,
+    round: &mut dyn Ears,
     kind: ListKind,
     version: u64,
     entries: &[protocol::Entry<'_>],
@@ -921,6 +919,9 @@
             let id = MachineId(entry.machine);
             let spot = d.machines.entry(id).or_insert_with(|| Spot::new(entry, now));
             spot.update(entry, now);
+            if let Some(since) = spot.since {
+                spot.gate.is_cold_until(since + d.settings.cold.warm_after);
+            }
             if entry.mode == protocol::Mode::Active && spot.reach == Reach::Down && spot.retry_at <= now {
                 d.open_machine(id);
             }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -2,9 +2,10 @@
 //! carries out what the module chooses.
 //!
 //! For: what stands between the wire and the decisions: connections and what their ends prove, sends and their
-//! proofs, final answers and who is to hear them, copies that nobody holds. One turn is one `brain.round`.
+//! proofs, final answers and who is to hear them, copies that nobody holds. One turn is one round of the module.
 //! May not touch: sockets, clocks, files; any choice of machine, rest, order or nack, which are the module's.
 
+mod cold;
 mod desk;
 mod hear;
 mod machines;
@@ -14,13 +15,14 @@
 pub use settings::Settings;
 
 use desk::{Desk, Due, Pen};
-use mulleinhub::{Brain, Time};
+use mulleinhub::Brain;
+use mulleinhub_interface::{Mind, Time};
 use mulleinhub_seam::{Door, End, Link, Links, Party};
 use std::cell::RefCell;
 
 /// One planner.
 pub struct Engine {
-    brain: Brain,
+    mind: Box<dyn Mind>,
     desk: RefCell<Desk>,
     begun: bool,
     saved: Option<Vec<u8>>,
@@ -38,7 +40,12 @@
             settings.listing,
             settings.home,
         );
-        Self { brain, desk: RefCell::new(Desk::new(settings, life)), begun: false, saved }
+        Self::with_mind(Box::new(brain), settings, life, saved)
+    }
+
+    /// With another mind than the module: baselines, for comparison only.
+    pub fn with_mind(mind: Box<dyn Mind>, settings: Settings, life: u64, saved: Option<Vec<u8>>) -> Self {
+        Self { mind, desk: RefCell::new(Desk::new(settings, life)), begun: false, saved }
     }
 
     pub fn counts(&self) -> Counts {
@@ -103,22 +110,23 @@
     }
 
     fn turn(&mut self, now: Time) {
-        let Self { brain, desk, begun, saved } = self;
+        let Self { mind, desk, begun, saved } = self;
         desk.get_mut().now = now;
         let first = !std::mem::replace(begun, true);
         if !first && !desk.get_mut().has_news() {
             return;
         }
         let desk = &*desk;
-        brain.round(now, &mut Pen(desk), |round| {
+        mind.round(now, &mut Pen(desk), &mut |round| {
             if first {
                 round.start();
                 hear::begin(desk, round, saved.take());
             }
             hear::all_that_came(desk, round);
             // Only now: an answer that lay waiting while this process stood still came first.
+            let mark = desk.borrow().timers.mark();
             loop {
-                let due = desk.borrow_mut().due();
+                let due = desk.borrow_mut().due(mark);
                 match due {
                     Some(Due::Token(token)) => round.woken(token),
                     Some(Due::Send(task, send)) => hear::timed_out(desk, round, task, send),
--- a/crates/engine/src/machines.rs
+++ b/crates/engine/src/machines.rs
@@ -1,7 +1,8 @@
 //! What is known of each machine's connection, and when it is tried again, ended, or given up.
 
-use mulleinhub::interface::{CellId, KindId, MachineId, ZoneId};
-use mulleinhub::{Span, Time};
+use crate::cold::Gate;
+use mulleinhub_interface::{CellId, KindId, MachineId, ZoneId};
+use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{Entry, Mode};
 use mulleinhub_seam::Link;
 
@@ -41,6 +42,7 @@
     pub told: Vec<(u64, u32)>,
     /// It has told once, in this life of ours, what it holds.
     pub met: bool,
+    pub gate: Gate,
 }
 
 impl Spot {
@@ -65,6 +67,7 @@
             waiting: Vec::new(),
             told: Vec::new(),
             met: false,
+            gate: Gate::default(),
         }
     }
 
@@ -97,6 +100,7 @@
     /// A try failed or the connection ended. The next try waits twice as long each time, up to eight times.
     pub fn failed(&mut self, now: Time, reconnect: Span, refused: bool) {
         self.reach = Reach::Down;
+        self.gate.ended(now);
         self.told.clear();
         self.pinged_at = None;
         self.down_since.get_or_insert(now);
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -1,7 +1,7 @@
 //! What a planner is started with.
 
-use mulleinhub::Span;
-use mulleinhub::interface::{ColdRule, Home, Listing, Room, Taking, UseCase};
+use mulleinhub_interface::Span;
+use mulleinhub_interface::{ColdRule, Home, Listing, Room, Taking, UseCase};
 
 #[derive(Clone, Debug)]
 pub struct Settings {
--- a/src/interface.rs
+++ b/crates/interface/src/lib.rs
@@ -1,7 +1,13 @@
-//! What the decisions are called with: ids as the wire gives them, settings as types, and the writer that
-//! takes the answers. Nothing here decides anything.
+//! What the decisions are called with: ids as the wire gives them, settings as types, points in time, and the
+//! traits of who hears and who writes.
+//!
+//! For: types that the module, its adapters and everything around them share.
+//! May not touch: anything; nothing here decides or does.
+
+mod units;
+
+pub use units::{Span, Time};
 
-use crate::units::{Span, Time};
 use std::ops::{Add, AddAssign, Sub, SubAssign};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -257,3 +263,60 @@
     fn watch_list(&mut self);
     fn remark(&mut self, words: &str);
 }
+
+impl<W: Writer + ?Sized> Writer for &mut W {
+    fn send(&mut self, task: TaskId, machine: MachineId, time_out: Span) {
+        (**self).send(task, machine, time_out);
+    }
+    fn recall(&mut self, task: TaskId, send: u32) {
+        (**self).recall(task, send);
+    }
+    fn nack(&mut self, task: TaskId, stay_away: Span) {
+        (**self).nack(task, stay_away);
+    }
+    fn error(&mut self, task: TaskId) {
+        (**self).error(task);
+    }
+    fn move_off(&mut self, task: TaskId) {
+        (**self).move_off(task);
+    }
+    fn wake_at(&mut self, token: u64, at: Time) {
+        (**self).wake_at(token, at);
+    }
+    fn probe(&mut self, machine: MachineId) {
+        (**self).probe(machine);
+    }
+    fn watch_list(&mut self) {
+        (**self).watch_list();
+    }
+    fn remark(&mut self, words: &str) {
+        (**self).remark(words);
+    }
+}
+
+/// Hears what came in during one round.
+pub trait Ears {
+    fn start(&mut self);
+    fn new_task(&mut self, order: Order);
+    /// A task that runs already has become this scheduler's charge.
+    fn running(&mut self, order: Order, machine: MachineId);
+    fn accepted(&mut self, task: TaskId);
+    fn runs(&mut self, task: TaskId);
+    fn uses(&mut self, task: TaskId, cores: Option<f64>, memory: Option<f64>);
+    /// The part of full service that a task gets.
+    fn served(&mut self, task: TaskId, share: f64);
+    /// The part of its machine's memory in use.
+    fn machine_memory(&mut self, task: TaskId, share: f64);
+    fn probed(&mut self, machine: MachineId, report: Report);
+    /// The end of a send. Where `over` is not set, the final answer is still to be given.
+    fn closed(&mut self, task: TaskId, ending: Ending, over: bool, report: Report);
+    fn abandoned(&mut self, task: TaskId);
+    fn woken(&mut self, token: u64);
+    fn list_failed(&mut self);
+    fn list(&mut self, kind: ListKind, entries: &[Entry]);
+}
+
+/// Decides: hears all that came in during a round, and writes its answers by the end of it.
+pub trait Mind {
+    fn round(&mut self, now: Time, out: &mut dyn Writer, tell: &mut dyn FnMut(&mut dyn Ears));
+}
--- a/src/units.rs
+++ b/crates/interface/src/units.rs
@@ -5,13 +5,13 @@
 /// A point in time, in nanoseconds of the caller's clock.
 ///
 /// ```
-/// use mulleinhub::{Span, Time};
+/// use mulleinhub_interface::{Span, Time};
 /// let start = Time::from_nanos(5_000);
 /// assert_eq!(start + Span::from_nanos(10) - start, Span::from_nanos(10));
 /// assert_eq!(start - (start + Span::from_nanos(10)), Span::ZERO, "a clock that jumps back gives no span");
 /// ```
 /// ```compile_fail
-/// let wrong = mulleinhub::Time::from_nanos(1) + mulleinhub::Time::from_nanos(1);
+/// let wrong = mulleinhub_interface::Time::from_nanos(1) + mulleinhub_interface::Time::from_nanos(1);
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Time(u64);
--- a/crates/planner/src/conf.rs
+++ b/crates/planner/src/conf.rs
@@ -1,8 +1,8 @@
 //! The settings file of a planner.
 
-use mulleinhub::Span;
-use mulleinhub::interface::{ColdRule, Home, Listing, Taking, ZoneId};
 use mulleinhub_engine::Settings;
+use mulleinhub_interface::Span;
+use mulleinhub_interface::{ColdRule, Home, Listing, Taking, ZoneId};
 use mulleinhub_settings::{Bytes, Directive, Faults, Name, Place, Scope, parse, parse_text};
 use mulleinhub_terms::{Case, Kind, Rules, read_case, read_kind, read_rules};
 use std::net::SocketAddr;
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -2,8 +2,8 @@
 
 use crate::conf::{Conf, LogFormat, read_conf};
 use crate::metrics::Metrics;
-use mulleinhub::Time;
 use mulleinhub_engine::Engine;
+use mulleinhub_interface::Time;
 use mulleinhub_seam::{Door, End, Link, Links, Party};
 use mulleinhub_shell::{Shell, Step};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -141,7 +141,7 @@
     let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as u64);
     let saved = kept.as_deref().and_then(load);
     let engine = Engine::new(conf.engine.clone(), life, saved);
-    let daemon = Daemon { engine, metrics: Metrics::default(), readers: BTreeMap::new() };
+    let daemon = Daemon { engine, metrics: Metrics, readers: BTreeMap::new() };
     let mut shell = Shell::new(daemon).map_err(|e| words("poll", e))?;
     shell.hear_signals(&[SIGTERM, SIGINT, SIGHUP]).map_err(|e| words("signals", e))?;
     let at = shell.listen(listen, Door(0)).map_err(|e| words(&format!("listen {listen}"), e))?;
--- a/crates/planner/src/metrics.rs
+++ b/crates/planner/src/metrics.rs
@@ -5,7 +5,6 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-#[derive(Default)]
 pub struct Metrics;
 
 impl Metrics {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -446,50 +446,56 @@
         use Conversation as C;
         use Message as M;
         use Side as S;
-        match (self, conversation, side) {
-            (M::Hello { .. }, _, S::Opener) | (M::Welcome { .. }, _, S::Opened) => true,
-            (M::Bye { .. } | M::Ping { .. } | M::Pong { .. }, ..) => true,
-            (
-                M::Ask { .. } | M::Withdraw { .. } | M::Learn { .. } | M::HandOver { .. } | M::StatusAsk {},
-                C::ClientPlanner,
-                S::Opener,
-            ) => true,
-            (
-                M::Taken { .. }
-                | M::Placed { .. }
-                | M::Nacked { .. }
-                | M::Errored { .. }
-                | M::Ended { .. }
-                | M::Unknown { .. }
-                | M::ProvesToRun { .. }
-                | M::Status { .. },
-                C::ClientPlanner,
-                S::Opened,
-            ) => true,
-            (
-                M::Offer { .. }
-                | M::Recall { .. }
-                | M::Stop { .. }
-                | M::Probe { .. }
-                | M::Heard { .. }
-                | M::Disown { .. }
-                | M::Claim { .. },
-                C::PlannerMachine,
-                S::Opener,
-            ) => true,
-            (
-                M::Accepted { .. }
-                | M::Runs { .. }
-                | M::Note { .. }
-                | M::Closed { .. }
-                | M::Report { .. }
-                | M::Holds { .. },
-                C::PlannerMachine,
-                S::Opened,
-            ) => true,
-            (M::Watch {}, C::PlannerList, S::Opener) | (M::List { .. }, C::PlannerList, S::Opened) => true,
-            _ => false,
-        }
+        matches!(
+            (self, conversation, side),
+            (M::Hello { .. }, _, S::Opener)
+                | (M::Welcome { .. }, _, S::Opened)
+                | (M::Bye { .. } | M::Ping { .. } | M::Pong { .. }, ..)
+                | (
+                    M::Ask { .. }
+                        | M::Withdraw { .. }
+                        | M::Learn { .. }
+                        | M::HandOver { .. }
+                        | M::StatusAsk {},
+                    C::ClientPlanner,
+                    S::Opener,
+                )
+                | (
+                    M::Taken { .. }
+                        | M::Placed { .. }
+                        | M::Nacked { .. }
+                        | M::Errored { .. }
+                        | M::Ended { .. }
+                        | M::Unknown { .. }
+                        | M::ProvesToRun { .. }
+                        | M::Status { .. },
+                    C::ClientPlanner,
+                    S::Opened,
+                )
+                | (
+                    M::Offer { .. }
+                        | M::Recall { .. }
+                        | M::Stop { .. }
+                        | M::Probe { .. }
+                        | M::Heard { .. }
+                        | M::Disown { .. }
+                        | M::Claim { .. },
+                    C::PlannerMachine,
+                    S::Opener,
+                )
+                | (
+                    M::Accepted { .. }
+                        | M::Runs { .. }
+                        | M::Note { .. }
+                        | M::Closed { .. }
+                        | M::Report { .. }
+                        | M::Holds { .. },
+                    C::PlannerMachine,
+                    S::Opened,
+                )
+                | (M::Watch {}, C::PlannerList, S::Opener)
+                | (M::List { .. }, C::PlannerList, S::Opened)
+        )
     }
 
     /// Bounds that the schema states and CBOR doesn't check.
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -5,9 +5,9 @@
 //! asked to keep.
 //! May not touch: real clocks, sockets, threads.
 
-use mulleinhub::Time;
 use mulleinhub_day::{Day, PlannerDeed, Score, Stage};
 use mulleinhub_engine::{Counts, Engine, Settings};
+use mulleinhub_interface::Time;
 use mulleinhub_planner::{ConfText, conf_of_text};
 use mulleinhub_seam::{Ask, Door, End, Link, Party};
 use std::collections::{BTreeMap, BTreeSet};
@@ -139,7 +139,7 @@
 
     fn turn(&mut self) {
         self.stage.turn(self.now);
-        self.from_stage();
+        self.carry_out_stage();
         while let Some(deed) = self.stage.next_deed() {
             self.do_deed(deed);
         }
@@ -153,7 +153,7 @@
             if let Some(kept) = engine.keep() {
                 slot.kept = Some(kept);
             }
-            self.from_planner(planner);
+            self.carry_out_planner(planner);
         }
         for (planner, link) in std::mem::take(&mut self.unread) {
             self.carry_to_stage(planner, link);
@@ -261,7 +261,7 @@
         }
     }
 
-    fn from_stage(&mut self) {
+    fn carry_out_stage(&mut self) {
         loop {
             while let Some(link) = self.stage.links().next_dirty() {
                 self.carry_to_planner(link);
@@ -301,7 +301,7 @@
         }
     }
 
-    fn from_planner(&mut self, planner: usize) {
+    fn carry_out_planner(&mut self, planner: usize) {
         loop {
             let Some(engine) = &mut self.slots[planner].engine else { return };
             if let Some(link) = engine.links().next_dirty() {
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -11,7 +11,7 @@
 pub use links::{Link, Links, Unwritten};
 pub use timers::Timers;
 
-use mulleinhub::Time;
+use mulleinhub_interface::Time;
 
 /// How a connection ended, as far as this side can know.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/seam/src/timers.rs
+++ b/crates/seam/src/timers.rs
@@ -1,6 +1,6 @@
 //! Wake times of one party, in the order of their instants and then of their setting.
 
-use mulleinhub::Time;
+use mulleinhub_interface::Time;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -35,6 +35,18 @@
         self.heap.pop().map(|Reverse((_, _, what))| what)
     }
 
+    /// How many were ever set: a mark for `due_of`.
+    pub fn mark(&self) -> u64 {
+        self.set
+    }
+
+    /// The earliest thing that is due by now and was set before the mark, so that what is set again for the same
+    /// instant waits for the next turn.
+    pub fn due_of(&mut self, now: Time, mark: u64) -> Option<T> {
+        let Reverse((_, set, _)) = self.heap.peek()?;
+        if *set > mark { None } else { self.due(now) }
+    }
+
     pub fn len(&self) -> usize {
         self.heap.len()
     }
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -1,6 +1,6 @@
 //! Typed values: what an argument may be, and what is said where it is not.
 
-use mulleinhub::Span;
+use mulleinhub_interface::Span;
 
 pub trait Value: Sized {
     /// What is wanted, for messages: "a span of time, as 600ms".
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -1,6 +1,6 @@
 //! What a person is told about files that are wrong, and that no text can do harm.
 
-use mulleinhub::Span;
+use mulleinhub_interface::Span;
 use mulleinhub_settings::{Bytes, Faults, Range, Scope, Share, parse_text};
 use proptest::prelude::*;
 
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -6,7 +6,7 @@
 
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
-use mulleinhub::{Span, Time};
+use mulleinhub_interface::{Span, Time};
 use mulleinhub_seam::{Ask, Door, End, Link, Party};
 use signal_hook_mio::v1_0::Signals;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/standins/src/dice.rs
+++ b/crates/standins/src/dice.rs
@@ -1,6 +1,6 @@
 //! Chance for stand-ins, from a seed and a name, so that one stand-in's draws never shift another's.
 
-use mulleinhub::Span;
+use mulleinhub_interface::Span;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -3,7 +3,7 @@
 //! Guessed: it looks at all machines once a period; what it saw is told `late` afterwards; a machine that went
 //! without a word stays listed for a while and then counts as left.
 
-use mulleinhub::{Span, Time};
+use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{
     self as protocol, Bad, Conversation, Entry, Frames, ListKind, Message, Mode, Side,
 };
--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -9,8 +9,8 @@
 
 use crate::dice::Dice;
 use crate::worth::Worth;
-use mulleinhub::interface::{Reach, Room};
-use mulleinhub::{Span, Time};
+use mulleinhub_interface::{Reach, Room};
+use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{Ending, Reason, Shape};
 use std::collections::{BTreeMap, VecDeque};
 
--- a/crates/standins/src/owner.rs
+++ b/crates/standins/src/owner.rs
@@ -7,7 +7,7 @@
 
 use crate::dice::Dice;
 use crate::worth::{Tally, Worth};
-use mulleinhub::{Span, Time};
+use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{self as protocol, Bad, Conversation, Ending, Frames, Message, Shape};
 use mulleinhub_seam::{Door, End, Link, Links, Party, Timers};
 use std::collections::BTreeMap;
--- a/crates/standins/src/rack.rs
+++ b/crates/standins/src/rack.rs
@@ -6,7 +6,7 @@
 
 use crate::machine::{CaseModel, Happened, Held, Machine, Offer, Stage, told_end};
 use crate::worth::Worth;
-use mulleinhub::Time;
+use mulleinhub_interface::Time;
 use mulleinhub_protocol::{self as protocol, Bad, Conversation, Ending, Frames, Message, Reason, Side};
 use mulleinhub_seam::{Door, End, Link, Links, Party};
 use std::collections::BTreeMap;
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -4,8 +4,8 @@
 //! May not touch: what is done with them.
 
 use garde::Validate;
-use mulleinhub::Span;
-use mulleinhub::interface::{Effect, KindId, Reach, Room, UseCase};
+use mulleinhub_interface::Span;
+use mulleinhub_interface::{Effect, KindId, Reach, Room, UseCase};
 use mulleinhub_settings::{Args, Bytes, Cores, Directive, Faults, Name, Place, Range, Scope, Share, suggest};
 use std::collections::BTreeMap;
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,7 @@
 //! All decisions of mulleinhub, with every table and tuned value.
 //!
 //! Called once a round with all that came in: `brain.round(now, &mut writer, |r| { r.new_task(..); .. })`;
-//! the round ends with the placing. Types and writer trait: `interface.rs`; the design: docs/design.md.
+//! the round ends with the placing. Types and writer trait: `crates/interface`; the design: docs/design.md.
 //! Beside it stand these mechanisms, six at most:
 //! 1. bars: machines rest by use case after trouble, longer each time; cells rest; fresh machines have a cap
 //! 2. late views: a nack for room counts until a view can show it; a list without news fades
@@ -14,7 +14,6 @@
 use crate::pcg::{Pcg, mix};
 use crate::slab::Slab;
 use crate::state::{Dealing, Machine, State, Task};
-use crate::units::{Span, Time};
 use std::collections::VecDeque;
 
 // The design's figures.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,12 @@
 //! only its own traffic. All decisions stand in [`brain`]; the rest is what it is called with and built from.
 
 pub mod brain;
-pub mod interface;
+mod mind;
 mod pcg;
 mod peak;
 mod slab;
 mod state;
-mod units;
 
 pub use brain::{Brain, Round};
-pub use units::{Span, Time};
+pub use mulleinhub_interface as interface;
+pub use mulleinhub_interface::{Span, Time};
--- /dev/null
+++ b/src/mind.rs
@@ -0,0 +1,55 @@
+//! The module behind the traits of the interface, for those who may also call another mind.
+
+use crate::brain::{Brain, Round};
+use crate::interface::*;
+
+impl<W: Writer> Ears for Round<'_, W> {
+    fn start(&mut self) {
+        self.start();
+    }
+    fn new_task(&mut self, order: Order) {
+        self.new_task(order);
+    }
+    fn running(&mut self, order: Order, machine: MachineId) {
+        self.running(order, machine);
+    }
+    fn accepted(&mut self, task: TaskId) {
+        self.accepted(task);
+    }
+    fn runs(&mut self, task: TaskId) {
+        self.runs(task);
+    }
+    fn uses(&mut self, task: TaskId, cores: Option<f64>, memory: Option<f64>) {
+        self.uses(task, cores, memory);
+    }
+    fn served(&mut self, task: TaskId, share: f64) {
+        self.served(task, share);
+    }
+    fn machine_memory(&mut self, task: TaskId, share: f64) {
+        self.machine_memory(task, share);
+    }
+    fn probed(&mut self, machine: MachineId, report: Report) {
+        self.probed(machine, report);
+    }
+    fn closed(&mut self, task: TaskId, ending: Ending, over: bool, report: Report) {
+        self.closed(task, ending, over, report);
+    }
+    fn abandoned(&mut self, task: TaskId) {
+        self.abandoned(task);
+    }
+    fn woken(&mut self, token: u64) {
+        self.woken(token);
+    }
+    fn list_failed(&mut self) {
+        self.list_failed();
+    }
+    fn list(&mut self, kind: ListKind, entries: &[Entry]) {
+        self.list(kind, entries);
+    }
+}
+
+impl Mind for Brain {
+    fn round(&mut self, now: Time, mut out: &mut dyn Writer, tell: &mut dyn FnMut(&mut dyn Ears)) {
+        Self::round(self, now, &mut out, |round| tell(round));
+    }
+}
--- a/src/peak.rs
+++ b/src/peak.rs
@@ -1,6 +1,6 @@
 //! The highest value noted within a sliding window, in a few fixed steps, so that noting allocates nothing.
 
-use crate::units::{Span, Time};
+use crate::interface::{Span, Time};
 
 const STEPS: usize = 6;
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,6 @@
 
 use crate::interface::*;
 use crate::peak::Peak;
-use crate::units::{Span, Time};
 use std::collections::VecDeque;
 
 #[derive(Clone, Copy, PartialEq)]
