--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -399,7 +399,8 @@
         }
         for (task, send) in std::mem::take(&mut spot.waiting) {
             let waits = self.jobs.get(&TaskId(task)).and_then(|job| job.open);
-            if waits.is_some_and(|open| open.machine == machine && open.number == send && open.link.is_none()) {
+            if waits.is_some_and(|open| open.machine == machine && open.number == send && open.link.is_none())
+            {
                 self.write_offer(TaskId(task), link);
             }
         }
--- /dev/null
+++ b/crates/engine/tests/host/mod.rs
@@ -0,0 +1,284 @@
+//! Plays a planner's peers by hand: frames in, frames out, and nothing in between.
+
+use mulleinhub_engine::{Engine, Settings};
+use mulleinhub_interface::*;
+use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Mode, Shape};
+use mulleinhub_seam::{Ask, Door, End, Link, Party};
+use std::collections::BTreeMap;
+
+pub const REPLAYABLE: u32 = 0;
+pub const REFERENCED: u32 = 1;
+pub const SINGLE_USE: u32 = 2;
+
+pub fn settings() -> Settings {
+    let case = |effect| UseCase {
+        soft_limit: Span::from_secs(1),
+        client_timeout: Span::from_secs(8),
+        effect,
+        earnings: 1.0,
+        start_seconds: 5.0,
+        priority: 1,
+        kind: None,
+        spread: None,
+        full_up_to: 1.0,
+        fade: 1.0,
+    };
+    let window = Span::from_secs(5);
+    Settings {
+        name: "planner-1".to_owned(),
+        seed: 7,
+        use_cases: vec![
+            case(Effect::Replayable),
+            case(Effect::Referenced { group: Reach::Cell, window }),
+            case(Effect::SingleUse),
+        ],
+        kinds: vec![Room::new(16.0, 32.0)],
+        taking: Taking {
+            cores: 2.0,
+            memory: 1.5,
+            yes_when_running: false,
+            max_sends: 4,
+            tells_pressure: true,
+            recalls: true,
+        },
+        cold: ColdRule {
+            warm_after: Span::from_secs(12),
+            fall: Span::from_secs(1),
+            young_limit: 9.0,
+            schedulers: 1,
+            number: 0,
+        },
+        listing: Listing { asked: false, ask_within: Span::from_secs(10) },
+        home: Home { zone: ZoneId(0), cross_zone_price: 0.0, machine_price: 0.0 },
+        list_address: "list".to_owned(),
+        reconnect: Span::from_nanos(200_000_000),
+        lost_after: Span::from_secs(2),
+        silence: Span::from_secs(2),
+        remember: Span::from_secs(60),
+        start_wait: Span::from_secs(1),
+        most_in_hand: 100,
+        most_unwritten: 64 * 1024,
+    }
+}
+
+/// What the planner wrote, in words that a story can compare.
+pub type Said = (String, String);
+
+pub struct Host {
+    pub engine: Engine,
+    pub now: Time,
+    /// Who is behind each link, by the planner's address for it or the client's name.
+    pub links: BTreeMap<Link, String>,
+    frames: BTreeMap<Link, Frames>,
+    /// Links from which nothing is taken: their peers don't read.
+    pub unread: Vec<Link>,
+    pub opening: Vec<(Link, String)>,
+    pub ended: Vec<Link>,
+}
+
+impl Host {
+    pub fn new(settings: Settings, life: u64, saved: Option<Vec<u8>>) -> Self {
+        Self {
+            engine: Engine::new(settings, life, saved),
+            now: Time::from_nanos(1_000_000_000),
+            links: BTreeMap::new(),
+            frames: BTreeMap::new(),
+            unread: Vec::new(),
+            opening: Vec::new(),
+            ended: Vec::new(),
+        }
+    }
+
+    /// A planner that is up with machines 1 to n, each in a cell of its own pair, all empty.
+    pub fn with_machines(n: u64) -> Self {
+        let mut host = Self::new(settings(), 1, None);
+        host.turn();
+        host.accept("list");
+        host.list(&(1..=n).map(|id| (id, Mode::Active)).collect::<Vec<_>>());
+        for id in 1..=n {
+            host.meets(id, 100 + id, vec![]);
+        }
+        host
+    }
+
+    pub fn turn(&mut self) -> Vec<Said> {
+        self.engine.turn(self.now);
+        let mut said = Vec::new();
+        loop {
+            let links = self.engine.links();
+            if let Some(link) = links.next_dirty() {
+                if !self.unread.contains(&link) {
+                    self.take(link, usize::MAX, &mut said);
+                }
+                continue;
+            }
+            match links.next_ask() {
+                None => return said,
+                Some(Ask::Open(link, address)) => {
+                    self.links.insert(link, address.clone());
+                    self.opening.push((link, address));
+                }
+                Some(Ask::End { link, .. }) => {
+                    self.take(link, usize::MAX, &mut said);
+                    self.engine.links().drop_link(link);
+                    self.ended.push(link);
+                }
+            }
+        }
+    }
+
+    /// Takes so many bytes of what waits on a link.
+    pub fn take(&mut self, link: Link, most: usize, said: &mut Vec<Said>) {
+        let waits = self.engine.links().outgoing(link);
+        let bytes = waits[..waits.len().min(most)].to_vec();
+        self.engine.links().wrote(link, bytes.len());
+        let frames = self.frames.entry(link).or_default();
+        frames.take(&bytes);
+        let who = self.links.get(&link).cloned().unwrap_or_default();
+        while let Some(frame) = frames.next_frame().expect("planners write frames") {
+            let message = protocol::decode(frame).expect("planners write messages");
+            if !matches!(message, Message::Ping { .. }) {
+                said.push((who.clone(), words(&message)));
+            }
+        }
+    }
+
+    pub fn after(&mut self, ms: u64) -> Vec<Said> {
+        self.now = self.now + Span::from_nanos(ms * 1_000_000);
+        self.turn()
+    }
+
+    /// The newest link that the planner opened to this address.
+    pub fn link(&self, address: &str) -> Link {
+        self.opening.iter().rev().find(|(_, to)| to == address).map(|(link, _)| *link).expect("was asked for")
+    }
+
+    pub fn accept(&mut self, address: &str) -> Vec<Said> {
+        let link = self.link(address);
+        self.engine.up(self.now, link);
+        let mut said = self.turn();
+        said.extend(self.tell(link, &[Message::Welcome { version: 1, features: 0, name: address, life: 1 }]));
+        said
+    }
+
+    pub fn list(&mut self, machines: &[(u64, Mode)]) -> Vec<Said> {
+        let addresses: Vec<String> = machines.iter().map(|(id, _)| format!("m{id}")).collect();
+        let entries = machines
+            .iter()
+            .zip(&addresses)
+            .map(|((id, mode), address)| protocol::Entry {
+                machine: *id,
+                address,
+                kind: 0,
+                cell: (*id as u32 - 1) / 2,
+                zone: 0,
+                mode: *mode,
+                life: 0,
+                up_for: None,
+                cores_left: Some(16.0),
+                memory_left: Some(32.0),
+            })
+            .collect();
+        let link = self.link("list");
+        self.tell(link, &[Message::List { kind: protocol::ListKind::Changes, version: 1, entries }])
+    }
+
+    /// A machine answers the planner's greeting and tells what it holds.
+    pub fn meets(&mut self, id: u64, life: u64, tasks: Vec<protocol::Held<'_>>) -> Vec<Said> {
+        let link = self.link(&format!("m{id}"));
+        self.engine.up(self.now, link);
+        let mut said = self.turn();
+        let name = format!("machine-{id}");
+        let welcome = Message::Welcome { version: 1, features: 0, name: &name, life };
+        said.extend(self.tell(link, &[welcome, Message::Holds { tasks, last: true }]));
+        said
+    }
+
+    pub fn machine(&mut self, id: u64, message: Message<'_>) -> Vec<Said> {
+        let link = self.link(&format!("m{id}"));
+        self.tell(link, &[message])
+    }
+
+    /// Messages come in on a link, and the planner has its turn.
+    pub fn tell(&mut self, link: Link, messages: &[Message<'_>]) -> Vec<Said> {
+        self.only_tell(link, messages);
+        self.turn()
+    }
+
+    pub fn only_tell(&mut self, link: Link, messages: &[Message<'_>]) {
+        let mut bytes = Vec::new();
+        messages.iter().for_each(|message| protocol::encode(message, &mut bytes));
+        self.engine.received(self.now, link, &bytes);
+    }
+
+    pub fn client(&mut self, name: &str) -> Link {
+        let link = self.engine.links().fresh();
+        self.links.insert(link, name.to_owned());
+        self.engine.opened(self.now, link, Door(0));
+        let hello = hello(name, self.now);
+        self.tell(link, &[hello]);
+        link
+    }
+
+    pub fn ask(&mut self, client: Link, task: u64, use_case: u32) -> Vec<Said> {
+        let message = ask(task, use_case, self.now);
+        self.tell(client, &[message])
+    }
+
+    pub fn ends(&mut self, link: Link, end: End) -> Vec<Said> {
+        self.engine.ended(self.now, link, end);
+        self.turn()
+    }
+}
+
+pub fn hello(name: &str, now: Time) -> Message<'_> {
+    Message::Hello {
+        conversation: Conversation::ClientPlanner,
+        version: 1,
+        least_version: 1,
+        features: 0,
+        name,
+        life: 1,
+        clock: now.nanos(),
+    }
+}
+
+pub fn shape(task: u64, use_case: u32) -> Shape {
+    Shape { key: task, use_case, service: task, cores: 1.0, memory: 1.0, again: false }
+}
+
+pub fn ask(task: u64, use_case: u32, now: Time) -> Message<'static> {
+    Message::Ask { task, shape: shape(task, use_case), patience: 8_000_000_000, clock: now.nanos() }
+}
+
+fn words(message: &Message<'_>) -> String {
+    match message {
+        Message::Offer { task, send, .. } => format!("offer {task}.{send}"),
+        Message::Recall { task, send } => format!("recall {task}.{send}"),
+        Message::Stop { task, send, .. } => format!("stop {task}.{send}"),
+        Message::Disown { task, send } => format!("disown {task}.{send}"),
+        Message::Claim { task, send, .. } => format!("claim {task}.{send}"),
+        Message::Heard { task, send } => format!("heard {task}.{send}"),
+        Message::Taken { task } => format!("taken {task}"),
+        Message::Placed { task, machine } => format!("placed {task} on {machine}"),
+        Message::Nacked { task, .. } => format!("nacked {task}"),
+        Message::Errored { task } => format!("errored {task}"),
+        Message::Ended { task, ending } => format!("ended {task} {ending:?}"),
+        Message::Unknown { task } => format!("unknown {task}"),
+        Message::ProvesToRun { task, machine, .. } => format!("proves {task} on {machine}"),
+        Message::Bye { words } => format!("bye {words}"),
+        other => format!("{other:?}"),
+    }
+}
+
+/// Where a task's offer went, and its number.
+pub fn offered(said: &[Said], task: u64) -> Option<(u64, u32)> {
+    said.iter().find_map(|(who, words)| {
+        let send = words.strip_prefix(&format!("offer {task}."))?;
+        Some((who.strip_prefix('m')?.parse().ok()?, send.parse().ok()?))
+    })
+}
+
+pub fn says(said: &[Said], who: &str, words: &str) -> bool {
+    said.iter().any(|(to, what)| to == who && what.starts_with(words))
+}
--- /dev/null
+++ b/crates/engine/tests/stories.rs
@@ -0,0 +1,465 @@
+//! The hard cases of connections, as short stories: what the planner writes when its peers behave badly.
+
+mod host;
+
+use host::*;
+use mulleinhub_protocol::{Ending, Held, Message, Mode, Reason};
+use mulleinhub_seam::{End, Party};
+
+/// A planner with machines, and a task of this use case offered to one of them.
+fn with_offer(use_case: u32) -> (Host, mulleinhub_seam::Link, u64) {
+    let mut host = Host::with_machines(4);
+    let client = host.client("owner");
+    let said = host.ask(client, 1, use_case);
+    let (machine, _) = offered(&said, 1).expect("there is room");
+    (host, client, machine)
+}
+
+#[test]
+fn the_ordinary_path_is_taken_offered_placed_and_ended() {
+    let (mut host, _, machine) = with_offer(REPLAYABLE);
+    let said = host.machine(machine, Message::Accepted { task: 1, send: 0 });
+    assert_eq!(said, [("owner".to_owned(), format!("placed 1 on {machine}"))]);
+    let done = Message::Closed { task: 1, send: 0, ending: Ending::Done, reason: Reason::Untold };
+    let said = host.machine(machine, done);
+    assert!(says(&said, "owner", "ended 1 Done") && says(&said, &format!("m{machine}"), "heard 1.0"));
+}
+
+// What a dead connection proves.
+
+#[test]
+fn an_offer_of_which_no_byte_left_never_ran_and_goes_elsewhere_even_for_single_use() {
+    let mut host = Host::with_machines(4);
+    let client = host.client("owner");
+    let links: Vec<_> = (1..=4).map(|id| host.link(&format!("m{id}"))).collect();
+    host.unread.clone_from(&links);
+    host.ask(client, 1, SINGLE_USE);
+    let stuck = links.into_iter().find(|link| host.engine.links().unwritten(*link) > 0).expect("is offered");
+    host.unread.clear();
+    let said = host.ends(stuck, End::Broken);
+    assert!(offered(&said, 1).is_some_and(|(_, send)| send == 1), "{said:?}");
+}
+
+#[test]
+fn a_half_written_offer_may_have_run() {
+    let mut host = Host::with_machines(4);
+    let client = host.client("owner");
+    let links: Vec<_> = (1..=4).map(|id| host.link(&format!("m{id}"))).collect();
+    host.unread.clone_from(&links);
+    host.ask(client, 1, SINGLE_USE);
+    let stuck = links.into_iter().find(|link| host.engine.links().unwritten(*link) > 0).expect("is offered");
+    host.take(stuck, 5, &mut Vec::new());
+    host.unread.clear();
+    let address = host.links[&stuck].clone();
+    host.ends(stuck, End::Broken);
+    let again = host.link(&address);
+    let said = host.ends(again, End::Refused);
+    assert!(says(&said, "owner", "errored 1") && offered(&said, 1).is_none(), "{said:?}");
+}
+
+#[test]
+fn the_same_life_that_lacks_an_offer_proves_that_it_never_ran() {
+    let (mut host, _, machine) = with_offer(SINGLE_USE);
+    let link = host.link(&format!("m{machine}"));
+    let said = host.ends(link, End::Broken);
+    assert!(offered(&said, 1).is_none(), "nothing is known yet");
+    let said = host.meets(machine, 100 + machine, vec![]);
+    assert!(offered(&said, 1).is_some_and(|(_, send)| send == 1), "{said:?}");
+}
+
+#[test]
+fn the_same_life_that_holds_an_offer_has_accepted_it() {
+    let (mut host, _, machine) = with_offer(SINGLE_USE);
+    let link = host.link(&format!("m{machine}"));
+    host.ends(link, End::Broken);
+    let held =
+        Held { task: 1, send: 0, shape: shape(1, SINGLE_USE), owner: "owner", ended: None, runs: true };
+    let said = host.meets(machine, 100 + machine, vec![held]);
+    assert!(says(&said, "owner", &format!("placed 1 on {machine}")), "{said:?}");
+}
+
+#[test]
+fn another_life_of_the_machine_knows_nothing_of_what_the_former_was_sent() {
+    let (mut host, _, machine) = with_offer(SINGLE_USE);
+    let link = host.link(&format!("m{machine}"));
+    host.ends(link, End::Broken);
+    let said = host.meets(machine, 999, vec![]);
+    assert!(says(&said, "owner", "errored 1") && offered(&said, 1).is_none(), "{said:?}");
+}
+
+#[test]
+fn tasks_on_a_machine_that_comes_back_in_another_life_are_lost_and_in_the_same_life_are_not() {
+    for (life, lost) in [(0, false), (999, true)] {
+        let (mut host, _, machine) = with_offer(REPLAYABLE);
+        host.machine(machine, Message::Accepted { task: 1, send: 0 });
+        let link = host.link(&format!("m{machine}"));
+        host.ends(link, End::Broken);
+        let held = Held { task: 1, send: 0, shape: shape(1, 0), owner: "owner", ended: None, runs: true };
+        let (life, tasks) = if lost { (life, vec![]) } else { (100 + machine, vec![held]) };
+        let said = host.meets(machine, life, tasks);
+        assert_eq!(says(&said, "owner", "ended 1 Lost"), lost, "{said:?}");
+    }
+}
+
+#[test]
+fn tasks_on_a_machine_out_of_reach_for_long_are_lost() {
+    let (mut host, _, machine) = with_offer(REPLAYABLE);
+    host.machine(machine, Message::Accepted { task: 1, send: 0 });
+    let link = host.link(&format!("m{machine}"));
+    host.ends(link, End::Broken);
+    let mut lost_after = None;
+    for ms in (100..4_000).step_by(100) {
+        let tries: Vec<_> = host.opening.drain(..).filter(|(_, to)| *to == format!("m{machine}")).collect();
+        for (link, _) in tries {
+            host.engine.ended(host.now, link, End::Refused);
+        }
+        if says(&host.after(100), "owner", "ended 1 Lost") {
+            lost_after.get_or_insert(ms);
+        }
+    }
+    assert!(lost_after.is_some_and(|ms| (2_000..2_300).contains(&ms)), "{lost_after:?}");
+}
+
+// Final answers.
+
+#[test]
+fn a_client_that_comes_back_learns_and_the_newest_connection_hears_the_answer() {
+    let (mut host, client, machine) = with_offer(REPLAYABLE);
+    host.ends(client, End::Broken);
+    let back = host.client("owner");
+    assert!(says(&host.tell(back, &[Message::Learn { task: 1 }]), "owner", "taken 1"));
+    let said = host.machine(machine, Message::Accepted { task: 1, send: 0 });
+    assert!(says(&said, "owner", "placed 1"));
+    // Asked once more, on a third connection: the same answer, and the task is not taken twice.
+    let third = host.client("owner");
+    let said = host.ask(third, 1, REPLAYABLE);
+    assert!(says(&said, "owner", "placed 1") && offered(&said, 1).is_none(), "{said:?}");
+    assert_eq!(host.engine.counts().taken, 1);
+}
+
+#[test]
+fn another_owner_can_neither_learn_nor_claim_a_task() {
+    let (mut host, _, _) = with_offer(REPLAYABLE);
+    for message in [Message::Learn { task: 1 }, ask(1, REPLAYABLE, host.now), Message::Withdraw { task: 1 }] {
+        let other = host.client("other");
+        let said = host.tell(other, &[message]);
+        assert!(says(&said, "other", "bye task 1 is another's"), "{said:?}");
+    }
+    assert_eq!(host.engine.counts().sent, 1, "the task goes on");
+}
+
+#[test]
+fn an_answer_is_kept_for_an_owner_that_was_away() {
+    let (mut host, client, machine) = with_offer(SINGLE_USE);
+    host.ends(client, End::Closed);
+    let nack = Message::Closed { task: 1, send: 0, ending: Ending::Errored, reason: Reason::Untold };
+    host.machine(machine, nack);
+    let back = host.client("owner");
+    assert!(says(&host.tell(back, &[Message::Learn { task: 1 }]), "owner", "errored 1"));
+    assert!(says(&host.tell(back, &[Message::Learn { task: 2 }]), "owner", "unknown 2"));
+}
+
+#[test]
+fn an_ask_that_lay_on_its_way_has_less_patience_left() {
+    let mut host = Host::with_machines(4);
+    let client = host.client("owner");
+    let late = ask(1, REPLAYABLE, host.now);
+    let too_late = ask(2, REPLAYABLE, host.now);
+    host.after(7_900);
+    let said = host.tell(client, &[late]);
+    assert!(says(&said, "owner", "taken 1") && says(&said, "owner", "nacked 1"), "{said:?}");
+    host.after(200);
+    let said = host.tell(client, &[too_late]);
+    assert!(says(&said, "owner", "nacked 2") && !says(&said, "owner", "taken 2"), "{said:?}");
+}
+
+// Late yes.
+
+#[test]
+fn a_late_yes_of_a_replayable_task_is_stopped() {
+    let (mut host, _, machine) = with_offer(REPLAYABLE);
+    host.after(6_100);
+    let said = host.machine(machine, Message::Accepted { task: 1, send: 0 });
+    assert!(says(&said, &format!("m{machine}"), "stop 1.0"), "{said:?}");
+}
+
+#[test]
+fn a_late_yes_after_the_final_answer_is_disowned_told_and_can_be_handed_over() {
+    let (mut host, client, machine) = with_offer(SINGLE_USE);
+    let said = host.after(6_100);
+    assert!(says(&said, "owner", "errored 1"), "{said:?}");
+    let said = host.machine(machine, Message::Accepted { task: 1, send: 0 });
+    assert!(says(&said, &format!("m{machine}"), "disown 1.0"), "{said:?}");
+    assert!(says(&said, "owner", &format!("proves 1 on {machine}")), "{said:?}");
+    let hand_over = Message::HandOver { task: 2, shape: shape(1, SINGLE_USE), machine };
+    let said = host.tell(client, &[hand_over]);
+    assert!(says(&said, &format!("m{machine}"), "claim 2.0"), "{said:?}");
+    let said = host.machine(machine, Message::Accepted { task: 2, send: 0 });
+    assert!(says(&said, "owner", &format!("placed 2 on {machine}")), "{said:?}");
+}
+
+#[test]
+fn a_referenced_task_that_may_have_run_stays_in_its_group_and_takes_the_place_of_a_late_copy() {
+    let (mut host, _, machine) = with_offer(REFERENCED);
+    let link = host.link(&format!("m{machine}"));
+    host.ends(link, End::Broken);
+    let again = host.link(&format!("m{machine}"));
+    let mut said = host.ends(again, End::Refused);
+    said.extend(host.after(100));
+    let (other, send) = offered(&said, 1).expect("its neighbour has room");
+    assert_eq!(
+        ((other - 1) / 2, send),
+        ((machine - 1) / 2, 1),
+        "machines 1 and 2 share a rack, so do 3 and 4"
+    );
+}
+
+#[test]
+fn a_copy_that_nobody_holds_any_more_can_not_be_handed_over() {
+    let mut host = Host::with_machines(2);
+    let client = host.client("owner");
+    host.tell(client, &[Message::HandOver { task: 2, shape: shape(1, SINGLE_USE), machine: 1 }]);
+    let gone = Message::Closed { task: 2, send: 0, ending: Ending::Nacked, reason: Reason::NotHere };
+    assert!(says(&host.machine(1, gone), "owner", "unknown 2"));
+    let said = host.tell(client, &[Message::HandOver { task: 3, shape: shape(1, 2), machine: 77 }]);
+    assert!(says(&said, "owner", "unknown 3"), "no such machine: {said:?}");
+}
+
+// Restarts and stalls.
+
+#[test]
+fn a_planner_starts_with_its_kept_list_and_hears_clients_when_machines_told_what_they_hold() {
+    let mut host = Host::with_machines(2);
+    let kept = host.engine.keep().expect("the list changed");
+    let mut host = Host::new(settings(), 2, Some(kept));
+    host.turn();
+    let client = host.engine.links().fresh();
+    host.links.insert(client, "owner".to_owned());
+    host.engine.opened(host.now, client, mulleinhub_seam::Door(0));
+    host.only_tell(client, &[hello("owner", host.now), Message::Learn { task: 9 }]);
+    assert!(!says(&host.turn(), "owner", "Welcome"), "machines have not told yet");
+    let held = Held { task: 9, send: 1, shape: shape(9, 0), owner: "owner", ended: None, runs: true };
+    host.meets(1, 101, vec![held]);
+    let said = host.meets(2, 102, vec![]);
+    assert!(says(&said, "owner", "Welcome") && says(&said, "owner", "placed 9 on 1"), "{said:?}");
+}
+
+#[test]
+fn a_machine_that_can_not_be_reached_holds_up_a_start_for_a_second_at_most() {
+    let mut host = Host::with_machines(2);
+    let kept = host.engine.keep().expect("the list changed");
+    let mut host = Host::new(settings(), 2, Some(kept));
+    host.turn();
+    let client = host.engine.links().fresh();
+    host.links.insert(client, "owner".to_owned());
+    host.engine.opened(host.now, client, mulleinhub_seam::Door(0));
+    host.only_tell(client, &[hello("owner", host.now)]);
+    assert!(!says(&host.after(900), "owner", "Welcome"));
+    assert!(says(&host.after(100), "owner", "Welcome"));
+}
+
+#[test]
+fn an_answer_that_lay_in_a_buffer_while_the_planner_stood_still_counts_before_its_time_out() {
+    let (mut host, _, machine) = with_offer(SINGLE_USE);
+    host.now = host.now + mulleinhub_interface::Span::from_secs(7);
+    let said = host.machine(machine, Message::Accepted { task: 1, send: 0 });
+    assert!(says(&said, "owner", &format!("placed 1 on {machine}")), "{said:?}");
+    assert!(!said.iter().any(|(_, words)| words.starts_with("recall")), "{said:?}");
+}
+
+#[test]
+fn a_silent_connection_is_given_up_after_a_ping_but_not_for_our_own_standstill() {
+    let mut host = Host::with_machines(1);
+    host.after(1_100);
+    let link = host.link("m1");
+    host.only_tell(link, &[Message::Pong { nonce: 1 }]);
+    host.after(5_000);
+    assert!(!host.ended.contains(&link), "what lay waiting is a sign of life");
+    host.after(1_100);
+    host.after(1_100);
+    host.after(1_100);
+    assert!(host.ended.contains(&link), "two seconds after the ping");
+}
+
+// Peers that don't read, and drains.
+
+#[test]
+fn an_offer_that_was_never_written_is_taken_back_at_its_time_out_and_goes_elsewhere() {
+    let mut host = Host::with_machines(2);
+    let client = host.client("owner");
+    let links = [host.link("m1"), host.link("m2")];
+    host.unread.extend(links);
+    host.ask(client, 1, SINGLE_USE);
+    let first =
+        links.into_iter().position(|link| host.engine.links().unwritten(link) > 0).expect("is offered");
+    host.unread.retain(|link| *link == links[first]);
+    let said = host.after(6_050);
+    assert!(
+        offered(&said, 1).is_some_and(|(machine, send)| machine != first as u64 + 1 && send == 1),
+        "{said:?}"
+    );
+    let mut left = Vec::new();
+    host.take(links[first], usize::MAX, &mut left);
+    assert_eq!(left, [], "nothing of it is left to write");
+}
+
+#[test]
+fn a_peer_that_does_not_read_is_let_go_and_the_others_go_on() {
+    let mut host = Host::with_machines(2);
+    let (deaf, fine) = (host.client("deaf"), host.client("fine"));
+    host.unread.push(deaf);
+    for task in 0..20_000 {
+        host.only_tell(deaf, &[Message::Learn { task }]);
+    }
+    host.turn();
+    host.turn();
+    assert!(host.ended.contains(&deaf));
+    assert!(says(&host.ask(fine, 70_000, REPLAYABLE), "fine", "taken 70000"));
+}
+
+#[test]
+fn an_offer_in_the_write_buffer_is_taken_back_when_its_machine_is_told_to_drain() {
+    let mut host = Host::with_machines(2);
+    let client = host.client("owner");
+    let links = [host.link("m1"), host.link("m2")];
+    host.unread.extend(links);
+    host.ask(client, 1, SINGLE_USE);
+    let first =
+        links.into_iter().position(|link| host.engine.links().unwritten(link) > 0).expect("is offered");
+    host.unread.retain(|link| *link == links[first]);
+    let said = host.list(&[(first as u64 + 1, Mode::Leaving)]);
+    assert!(offered(&said, 1).is_some_and(|(machine, _)| machine != first as u64 + 1), "{said:?}");
+    assert_eq!(host.engine.links().unwritten(links[first]), 0);
+}
+
+#[test]
+fn offers_to_a_cold_machine_wait_where_the_way_to_it_is_stalled() {
+    let mut host = Host::with_machines(1);
+    let link = host.link("m1");
+    host.ends(link, End::Broken);
+    host.meets(1, 999, vec![]);
+    host.after(12_000 - 3_000);
+    let client = host.client("owner");
+    let mut said = host.ask(client, 1, REPLAYABLE);
+    for _ in 0..40 {
+        said.extend(host.after(50));
+    }
+    assert!(offered(&said, 1).is_some(), "{said:?}");
+    let said = host.ask(client, 2, REPLAYABLE);
+    assert!(offered(&said, 2).is_none(), "the first has been out for half a window: {said:?}");
+}
+
+// Bad input.
+
+#[test]
+fn wrong_frames_end_their_own_connection_alone_and_say_why() {
+    let mut host = Host::with_machines(2);
+    let fine = host.client("fine");
+    host.ask(fine, 1, REPLAYABLE);
+    let old = Message::Hello {
+        conversation: mulleinhub_protocol::Conversation::ClientPlanner,
+        version: 0,
+        least_version: 0,
+        features: 0,
+        name: "old",
+        life: 1,
+        clock: 0,
+    };
+    let machine = Message::Hello {
+        conversation: mulleinhub_protocol::Conversation::PlannerMachine,
+        version: 1,
+        least_version: 1,
+        features: 0,
+        name: "wrong",
+        life: 1,
+        clock: 0,
+    };
+    for (first, why) in [
+        (old, "bye versions 0 to 0 are spoken"),
+        (machine, "bye a hello for PlannerMachine"),
+        (ask(5, 0, host.now), "bye a message before the greeting"),
+        (
+            Message::Offer { task: 1, send: 0, shape: shape(1, 0), time_out: 1, owner: "x" },
+            "bye not a message",
+        ),
+    ] {
+        let link = host.engine.links().fresh();
+        host.links.insert(link, "bad".to_owned());
+        host.engine.opened(host.now, link, mulleinhub_seam::Door(0));
+        let said = host.tell(link, &[first]);
+        assert!(says(&said, "bad", why), "{why}: {said:?}");
+        assert!(host.ended.contains(&link));
+    }
+    for (bytes, why) in [
+        (&[0xff, 0xff, 0xff, 0xff, 1][..], "bye byte 0: a frame of 4294967295 bytes"),
+        (&[0, 0, 0, 0][..], "bye byte 0: a frame of 0 bytes"),
+        (&[0, 0, 0, 2, 0xff, 0xff][..], "bye byte"),
+    ] {
+        let link = host.engine.links().fresh();
+        host.links.insert(link, "bad".to_owned());
+        host.engine.opened(host.now, link, mulleinhub_seam::Door(0));
+        host.engine.received(host.now, link, bytes);
+        let said = host.turn();
+        assert!(says(&said, "bad", why), "{why}: {said:?}");
+    }
+    let wrong_case = host.client("bad");
+    assert!(says(&host.ask(wrong_case, 8, 9), "bad", "bye use case 9 of 3"));
+    assert_eq!(host.engine.counts().bad_frames, 8);
+    assert!(says(&host.ask(fine, 2, REPLAYABLE), "fine", "taken 2"), "the others are unharmed");
+}
+
+#[test]
+fn a_machine_that_speaks_wrongly_is_cut_off_and_asked_again() {
+    let (mut host, _, machine) = with_offer(SINGLE_USE);
+    let before = host.opening.len();
+    host.machine(machine, Message::Taken { task: 1 });
+    assert!(host.opening.len() > before, "it is tried again");
+    let said = host.meets(machine, 100 + machine, vec![]);
+    assert!(offered(&said, 1).is_some(), "{said:?}");
+}
+
+#[test]
+fn ids_and_times_at_their_ends_do_no_harm() {
+    let mut host = Host::with_machines(2);
+    let client = host.client("owner");
+    let largest =
+        Message::Ask { task: u64::MAX, shape: shape(u64::MAX, 0), patience: u64::MAX, clock: u64::MAX };
+    let said = host.tell(client, &[largest]);
+    assert!(says(&said, "owner", &format!("taken {}", u64::MAX)), "{said:?}");
+    let none = Message::Ask { task: 0, shape: shape(0, 0), patience: 0, clock: 0 };
+    assert!(says(&host.tell(client, &[none]), "owner", "nacked 0"));
+    host.now = mulleinhub_interface::Time::from_nanos(u64::MAX);
+    host.turn();
+}
+
+#[test]
+fn what_does_not_fit_in_hand_is_nacked_at_the_door_and_an_ending_planner_takes_nothing() {
+    let mut host = Host::new(settings(), 1, None);
+    host.turn();
+    host.accept("list");
+    host.list(&[]);
+    let client = host.client("owner");
+    for task in 0..100 {
+        assert!(says(&host.ask(client, task, REPLAYABLE), "owner", "taken"));
+    }
+    assert!(says(&host.ask(client, 100, REPLAYABLE), "owner", "nacked 100"));
+    host.engine.wind_down();
+    assert!(!host.engine.is_idle());
+    for _ in 0..100 {
+        host.after(100);
+    }
+    assert!(host.engine.is_idle(), "all in hand have had their answer");
+    assert!(says(&host.ask(client, 101, REPLAYABLE), "owner", "nacked 101"));
+}
+
+#[test]
+fn a_withdrawn_task_is_called_back_or_stopped_and_gets_no_answer() {
+    let (mut host, client, machine) = with_offer(REPLAYABLE);
+    let said = host.tell(client, &[Message::Withdraw { task: 1 }]);
+    assert!(says(&said, &format!("m{machine}"), "recall 1.0"), "{said:?}");
+    let said = host.machine(machine, Message::Accepted { task: 1, send: 0 });
+    assert!(says(&said, &format!("m{machine}"), "stop 1.0") && !says(&said, "owner", "placed"), "{said:?}");
+    let stopped = Message::Closed { task: 1, send: 0, ending: Ending::Stopped, reason: Reason::Untold };
+    host.machine(machine, stopped);
+    assert!(host.engine.is_idle());
+}
--- a/crates/runner/tests/days.rs
+++ b/crates/runner/tests/days.rs
@@ -20,6 +20,44 @@
     (capture, verdict)
 }
 
+/// Plays seeds from `first` on with this many random troubles, on all cores; the rules' cases are added up.
+fn play_many(first: u64, seeds: u64, troubles: usize) -> [u64; 5] {
+    let threads = std::thread::available_parallelism().map_or(1, usize::from) as u64;
+    let mut sum = [0; 5];
+    std::thread::scope(|scope| {
+        let one = |thread: u64| {
+            let mut cases = [0; 5];
+            for seed in (first + thread..first + seeds).step_by(threads as usize) {
+                let mut day = day("bad-day.day", seed);
+                day.troubles.clear();
+                day.random_troubles = mulleinhub_settings::Range { low: troubles, high: troubles };
+                let (_, verdict) = play(day);
+                for ((rule, name), sum) in verdict.rules.iter().zip(Verdict::NAMES).zip(&mut cases) {
+                    let again = format!(
+                        "mulleinhub day run --virtual --seed {seed} --random-troubles {troubles} --no-troubles \
+                         days/bad-day.day"
+                    );
+                    assert_eq!(rule.breaches, [], "{name}; again: {again}");
+                    *sum += rule.cases;
+                }
+            }
+            cases
+        };
+        let running: Vec<_> = (0..threads).map(|thread| scope.spawn(move || one(thread))).collect();
+        for thread in running {
+            let cases = thread.join().expect("a seed breaks a rule");
+            sum.iter_mut().zip(cases).for_each(|(sum, cases)| *sum += cases);
+        }
+    });
+    sum
+}
+
+#[test]
+fn two_hundred_seeds_of_random_troubles_keep_all_rules() {
+    let cases = play_many(1, 200, 6);
+    assert!(cases.iter().all(|cases| *cases > 0), "{cases:?}");
+}
+
 #[test]
 fn the_bad_day_keeps_all_rules_and_is_the_same_twice() {
     let (one, verdict) = play(day("bad-day.day", 7));
