--- /dev/null
+++ b/crates/planner/tests/daemon.rs
@@ -0,0 +1,201 @@
+//! The daemon as a process: settings, signals, metrics, and clients over real sockets.
+
+use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Shape};
+use rustix::process::{Pid, Signal, kill_process};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+}
+
+struct Daemon {
+    child: Child,
+    log: PathBuf,
+    settings: PathBuf,
+    listen: SocketAddr,
+    metrics: SocketAddr,
+    _folder: tempfile::TempDir,
+}
+
+fn settings(listen: SocketAddr, metrics: SocketAddr, extra: &str) -> String {
+    format!(
+        "name p1\nlisten {listen}\nmetrics {metrics}\nlist \"{}\"\nkind small {{\n cores 4\n memory 8GiB\n}}\n\
+         use-case web {{\n soft-limit 300ms\n client-timeout 1500ms\n effect replayable\n}}\n\
+         links {{\n start-wait 100ms\n}}\n{extra}",
+        free()
+    )
+}
+
+impl Daemon {
+    fn start() -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (listen, metrics) = (free(), free());
+        let path = folder.path().join("planner.conf");
+        std::fs::write(&path, settings(listen, metrics, "")).expect("is written");
+        let log = folder.path().join("log");
+        let out = std::fs::File::create(&log).expect("is made");
+        let child = Command::new(env!("CARGO_BIN_EXE_mulleinhub-planner"))
+            .arg(&path)
+            .stdout(Stdio::null())
+            .stderr(out)
+            .spawn()
+            .expect("starts");
+        Self { child, log, settings: path, listen, metrics, _folder: folder }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).expect("a process");
+        kill_process(pid, signal).expect("is there");
+    }
+
+    fn logs(&self, words: &str) -> bool {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if std::fs::read_to_string(&self.log).is_ok_and(|log| log.contains(words)) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Client {
+    tcp: TcpStream,
+    frames: Frames,
+}
+
+impl Client {
+    fn meets(at: SocketAddr) -> Self {
+        let until = Instant::now() + PATIENCE;
+        let tcp = loop {
+            match TcpStream::connect(at) {
+                Ok(tcp) => break tcp,
+                Err(error) => assert!(Instant::now() < until, "{at}: {error}"),
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        };
+        tcp.set_read_timeout(Some(PATIENCE)).expect("is set");
+        let mut client = Self { tcp, frames: Frames::default() };
+        client.says(&Message::Hello {
+            conversation: Conversation::ClientPlanner,
+            version: 1,
+            least_version: 1,
+            features: 0,
+            name: "test",
+            life: 1,
+            clock: 0,
+        });
+        assert!(client.hears().starts_with("Welcome"));
+        client
+    }
+
+    fn says(&mut self, message: &Message<'_>) {
+        let mut bytes = Vec::new();
+        protocol::encode(message, &mut bytes);
+        self.tcp.write_all(&bytes).expect("is written");
+    }
+
+    /// The next message, as it prints.
+    fn hears(&mut self) -> String {
+        let mut buffer = [0; 4096];
+        loop {
+            if let Some(frame) = self.frames.next_frame().expect("are frames") {
+                return format!("{:?}", protocol::decode(frame).expect("is a message"));
+            }
+            let n = self.tcp.read(&mut buffer).expect("is read");
+            assert!(n > 0, "the connection ended");
+            self.frames.take(&buffer[..n]);
+        }
+    }
+
+    fn asks(&mut self, task: u64) {
+        let shape = Shape { key: task, use_case: 0, service: 1, cores: 1.0, memory: 1.0, again: false };
+        self.says(&Message::Ask { task, shape, patience: 1_500_000_000, clock: 0 });
+    }
+}
+
+#[test]
+fn it_answers_all_in_hand_before_it_ends_and_takes_nothing_new() {
+    let mut daemon = Daemon::start();
+    let mut client = Client::meets(daemon.listen);
+    client.asks(1);
+    assert_eq!(client.hears(), "Taken { task: 1 }");
+    daemon.signal(Signal::TERM);
+    assert!(daemon.logs("nothing new is taken"));
+    client.asks(2);
+    assert_eq!(client.hears(), "Nacked { task: 2, stay_away: 0 }");
+    assert_eq!(client.hears(), "Nacked { task: 1, stay_away: 0 }", "no machine is known");
+    assert!(daemon.child.wait().expect("ends").success());
+}
+
+#[test]
+fn it_reads_its_settings_again_and_keeps_the_old_ones_where_the_new_are_faulty() {
+    let daemon = Daemon::start();
+    let mut client = Client::meets(daemon.listen);
+    std::fs::write(&daemon.settings, "name p1\nlisen 127.0.0.1:1\n").expect("is written");
+    daemon.signal(Signal::HUP);
+    assert!(daemon.logs("the old ones stay") && daemon.logs("did you mean listen?"));
+    client.asks(1);
+    assert_eq!(client.hears(), "Taken { task: 1 }");
+    let text = settings(daemon.listen, daemon.metrics, "hall 1\n");
+    std::fs::write(&daemon.settings, text).expect("is written");
+    daemon.signal(Signal::HUP);
+    assert!(
+        daemon.logs("settings read again") && daemon.logs("prices"),
+        "a hall changes with the next start only"
+    );
+}
+
+#[test]
+fn it_tells_metrics_and_refuses_a_second_one_on_its_port() {
+    let daemon = Daemon::start();
+    let mut client = Client::meets(daemon.listen);
+    client.asks(1);
+    client.hears();
+    let mut http = TcpStream::connect(daemon.metrics).expect("listens");
+    http.write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").expect("is written");
+    let mut text = String::new();
+    http.read_to_string(&mut text).expect("is read");
+    assert!(text.starts_with("HTTP/1.1 200 OK") && text.contains("mulleinhub_tasks_taken 1"), "{text}");
+    let second = Command::new(env!("CARGO_BIN_EXE_mulleinhub-planner")).arg(&daemon.settings).output();
+    let second = second.expect("runs");
+    let told = String::from_utf8_lossy(&second.stderr).into_owned();
+    assert!(!second.status.success() && told.contains("listen 127.0.0.1"), "{told}");
+}
+
+#[test]
+fn faulty_settings_are_told_whole_and_nothing_starts() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("planner.conf");
+    let text = "name p1\nlisten 8.8.8.8:53\nlist x\nuse-case web {\n soft-limit 5\n efect replayable\n}\n";
+    std::fs::write(&path, text).expect("is written");
+    let done = Command::new(env!("CARGO_BIN_EXE_mulleinhub-planner")).arg(&path).output().expect("runs");
+    let told = String::from_utf8_lossy(&done.stderr).into_owned();
+    assert!(!done.status.success());
+    for words in [
+        "only loopback addresses",
+        "planner.conf:2:8",
+        "needs a unit",
+        "planner.conf:5:13",
+        "did you mean effect?",
+        "client-timeout is missing",
+    ] {
+        assert!(told.contains(words), "{words}:\n{told}");
+    }
+    let none = Command::new(env!("CARGO_BIN_EXE_mulleinhub-planner")).arg(Path::new("/nowhere")).output();
+    assert!(!none.expect("runs").status.success());
+}
