Decide anew what waited for a machine that tells of a former life's tasks; baselines

Change: offers that wait for a machine's first telling are closed as not sent when it tells of tasks, and decided anew.

--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -6,7 +6,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use mulleinhub_day::{Day, Progress, Score, parse_day};
 use mulleinhub_interface::Time;
-use mulleinhub_runner::Runner;
+use mulleinhub_runner::{Rule, Runner};
 use mulleinhub_settings::{Directive, Faults, parse, parse_text};
 use mulleinhub_verdict::Verdict;
 use std::fs::File;
@@ -61,11 +61,29 @@
     /// Ends after so long, as 20s, in place of the script's length
     #[arg(long)]
     length: Option<String>,
+    /// Lets a plain policy decide in place of the module, for comparison (virtual time)
+    #[arg(long, requires = "in_virtual_time", value_enum)]
+    baseline: Option<Baseline>,
     /// Where the capture goes
     #[arg(long)]
     capture: Option<PathBuf>,
 }
 
+#[derive(Clone, Copy, clap::ValueEnum)]
+pub enum Baseline {
+    Random,
+    LeastRequested,
+}
+
+impl Baseline {
+    fn rule(self) -> Rule {
+        match self {
+            Self::Random => Rule::Random,
+            Self::LeastRequested => Rule::LeastRequested,
+        }
+    }
+}
+
 fn scripts(path: Option<&Path>, faults: &mut Faults) -> Result<Vec<Directive>, String> {
     match path {
         Some(path) => parse(path, faults).map_err(|error| format!("{}: {error}", path.display())),
@@ -200,7 +218,8 @@
         let out = BufWriter::new(File::create(path).map_err(words)?);
         let watch = Watch::new(&day);
         let mut end = Time::default();
-        let played = Runner::new(day, out).play(|now, stage| {
+        let rule = self.baseline.map(Baseline::rule);
+        let played = Runner::new(day, out).with_baseline(rule).play(|now, stage| {
             end = now;
             watch.see(now, &stage.progress());
         });
@@ -227,7 +246,8 @@
                         let seed = first + n;
                         let one = Day { seed, ..day.clone() };
                         let played = std::panic::catch_unwind(|| {
-                            let played = Runner::new(one, Vec::new()).play(|_, _| ());
+                            let rule = self.baseline.map(Baseline::rule);
+                            let played = Runner::new(one, Vec::new()).with_baseline(rule).play(|_, _| ());
                             let (score, _, capture) = played.map_err(|e| e.to_string())?;
                             let verdict =
                                 mulleinhub_verdict::judge(&capture[..]).map_err(|e| e.to_string())?;
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -620,9 +620,15 @@
         let d = &mut *desk.borrow_mut();
         let Some(spot) = d.machines.get_mut(&machine) else { return };
         spot.is_ready(link);
-        spot.met = true;
+        let met = std::mem::replace(&mut spot.met, true);
         let told = std::mem::take(&mut spot.told);
         let mut resolved = Vec::new();
+        if !met && !told.is_empty() {
+            // What waits was decided on without knowing what the machine holds. Met when a planner had started
+            // while a machine hung: its offers went out with the telling, and broke the spread.
+            let waiting = std::mem::take(&mut spot.waiting);
+            resolved.extend(waiting.into_iter().map(|(task, send)| (TaskId(task), send, Ending::NotSent)));
+        }
         let mut stop_again = Vec::new();
         for (id, open) in d.jobs_on(machine) {
             let here = told.contains(&(id.0, open.number));
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -258,6 +258,33 @@
     assert!(says(&host.after(100), "owner", "Welcome"));
 }
 
+#[test]
+fn what_waited_for_a_machine_is_decided_anew_when_it_tells_of_tasks_of_a_former_life() {
+    let mut host = Host::with_machines(2);
+    let kept = host.engine.keep().expect("the list changed");
+    let mut limited = settings();
+    limited.use_cases[0].spread = Some((mulleinhub_interface::Reach::Machine, 1));
+    let mut host = Host::new(limited, 2, Some(kept));
+    host.turn();
+    host.after(1_000);
+    let client = host.client("owner");
+    let said = host.ask(client, 1, REPLAYABLE);
+    assert!(offered(&said, 1).is_none(), "both machines are silent: {said:?}");
+    let held = Held {
+        task: 9,
+        send: 0,
+        shape: mulleinhub_protocol::Shape { service: 1, ..shape(9, 0) },
+        owner: "owner",
+        ended: None,
+        runs: true,
+    };
+    let mut said = host.meets(1, 101, vec![held]);
+    assert!(offered(&said, 1).is_none(), "it holds one of the service: {said:?}");
+    said.extend(host.meets(2, 102, vec![]));
+    said.extend(host.after(100));
+    assert_eq!(offered(&said, 1).map(|(machine, _)| machine), Some(2), "{said:?}");
+}
+
 #[test]
 fn an_answer_that_lay_in_a_buffer_while_the_planner_stood_still_counts_before_its_time_out() {
     let (mut host, _, machine) = with_offer(SINGLE_USE);
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -5,6 +5,9 @@
 //! asked to keep.
 //! May not touch: real clocks, sockets, threads.
 
+pub use mulleinhub_baselines::Rule;
+
+use mulleinhub_baselines::Baseline;
 use mulleinhub_day::{Day, PlannerDeed, Score, Stage};
 use mulleinhub_engine::{Counts, Engine, Settings};
 use mulleinhub_interface::Time;
@@ -48,6 +51,8 @@
     unread: BTreeSet<(usize, Link)>,
     now: Time,
     counts: Counts,
+    /// In place of the module: for comparison only.
+    baseline: Option<Rule>,
 }
 
 /// The settings text of a day's planner. `listen` and `list` are what the host of the planner has for it.
@@ -103,9 +108,16 @@
             unread: BTreeSet::new(),
             now: Time::default(),
             counts: Counts::default(),
+            baseline: None,
         }
     }
 
+    /// Lets a plain policy decide in the module's place.
+    pub fn with_baseline(mut self, rule: Option<Rule>) -> Self {
+        self.baseline = rule;
+        self
+    }
+
     /// Plays the day to its end. `watch` is called about once a virtual second.
     ///
     /// # Errors
@@ -170,7 +182,17 @@
                 slot.life += 1;
                 slot.stopped = false;
                 let life = slot.life * 1_000 + planner as u64;
-                slot.engine = Some(Engine::new(self.settings[planner].clone(), life, slot.kept.clone()));
+                let (settings, kept) = (self.settings[planner].clone(), slot.kept.clone());
+                slot.engine = Some(match self.baseline {
+                    None => Engine::new(settings, life, kept),
+                    Some(rule) => {
+                        let (cases, kinds) = (settings.use_cases.clone(), settings.kinds.clone());
+                        let (taking, cold, listing) = (settings.taking, settings.cold, settings.listing);
+                        let mind =
+                            Baseline::new(rule, settings.seed ^ life, cases, kinds, taking, cold, listing);
+                        Engine::with_mind(Box::new(mind), settings, life, kept)
+                    }
+                });
             }
             PlannerDeed::Kill(planner) => {
                 let Some(engine) = self.slots[planner].engine.take() else { return };
