--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -55,6 +55,9 @@
     /// Machines, in place of the script's
     #[arg(long)]
     machines: Option<usize>,
+    /// Racks, in place of the script's
+    #[arg(long)]
+    racks: Option<u32>,
     /// Planners, in place of the script's
     #[arg(long)]
     planners: Option<usize>,
@@ -157,6 +160,7 @@
         day.seed = self.seed.unwrap_or(day.seed);
         day.rate = self.rate.unwrap_or(day.rate);
         day.machines = self.machines.unwrap_or(day.machines);
+        day.racks = self.racks.unwrap_or(day.racks);
         day.planners = self.planners.unwrap_or(day.planners);
         if let Some(n) = self.random_troubles {
             day.random_troubles = mulleinhub_settings::Range { low: n, high: n };
@@ -179,6 +183,7 @@
         words.extend(self.no_troubles.then(|| "--no-troubles".to_owned()));
         words.extend(self.rate.map(|rate| format!("--rate {rate}")));
         words.extend(self.machines.map(|n| format!("--machines {n}")));
+        words.extend(self.racks.map(|n| format!("--racks {n}")));
         words.extend(self.planners.map(|n| format!("--planners {n}")));
         words.extend(self.length.as_ref().map(|length| format!("--length {length}")));
         words.extend(self.script.as_ref().map(|script| script.display().to_string()));
@@ -190,6 +195,7 @@
         if let Some(seeds) = self.seeds {
             return self.many(&day, seeds);
         }
+        let mut usage = None;
         let (path, score, end) = if self.in_virtual_time {
             let path = self.capture.clone().unwrap_or_else(|| folder(&day).join("capture"));
             self.in_virtual(day, &path)?
@@ -197,15 +203,25 @@
             let folder = folder(&day);
             let path = self.capture.clone().unwrap_or_else(|| folder.join("capture"));
             let watch = Watch::new(&day);
-            let (score, end) =
+            let (score, end, used) =
                 stage_host::play(day, &folder, &path, |now, progress| watch.see(now, progress))?;
             watch.done();
+            usage = Some(used);
             (path, score, end)
         };
         let file = File::open(&path).map_err(|e| format!("{}: {e}", path.display()))?;
         let verdict = mulleinhub_verdict::judge(BufReader::new(file))
             .map_err(|e| format!("{}: {e}", path.display()))?;
         print(&verdict, &score);
+        if let Some(usage) = usage {
+            let taken: u64 = verdict.figures.cases.values().map(|counts| counts[0]).sum();
+            println!(
+                "planners' CPU: {:.0} us a task, {:.2} s in all; most memory of one: {} KiB",
+                usage.cpu.as_micros() as f64 / taken.max(1) as f64,
+                usage.cpu.as_secs_f64(),
+                usage.most_memory
+            );
+        }
         println!("{:.1} s played; capture: {}", end.nanos() as f64 / 1e9, path.display());
         Ok(if verdict.holds() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
     }
--- a/crates/cli/src/stage_host.rs
+++ b/crates/cli/src/stage_host.rs
@@ -12,11 +12,30 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+/// What the planners' processes used.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    pub cpu: Duration,
+    /// The most that one of them held in memory, in KiB.
+    pub most_memory: u64,
+}
+
+/// What a process used up to now; nothing where the system doesn't tell.
+fn usage_of(pid: u32) -> Usage {
+    let schedstat = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
+    let cpu = schedstat.split(' ').next().and_then(|nanos| nanos.parse().ok()).unwrap_or(0);
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let peak = peak.and_then(|words| words.trim().strip_suffix(" kB")).and_then(|n| n.trim().parse().ok());
+    Usage { cpu: Duration::from_nanos(cpu), most_memory: peak.unwrap_or(0) }
+}
+
 /// One planner of the day.
 struct Planner {
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    usage: Usage,
 }
 
 impl Planner {
@@ -42,6 +61,9 @@
 
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            let usage = usage_of(child.id());
+            self.usage.cpu += usage.cpu;
+            self.usage.most_memory = self.usage.most_memory.max(usage.most_memory);
             // Gone already is as good.
             let _ = child.kill();
             let _ = child.wait();
@@ -76,7 +98,7 @@
     folder: &Path,
     capture: &Path,
     mut watch: impl FnMut(Time, &Progress),
-) -> Result<(Score, Time), String> {
+) -> Result<(Score, Time, Usage), String> {
     let words = |what: &Path, e: std::io::Error| format!("{}: {e}", what.display());
     std::fs::create_dir_all(folder).map_err(|e| words(folder, e))?;
     let out = BufWriter::new(File::create(capture).map_err(|e| words(capture, e))?);
@@ -99,7 +121,12 @@
         let settings = folder.join(format!("{name}.conf"));
         let text = planner_text(&day, n, Some(listen), list, Some(&state)).show();
         std::fs::write(&settings, text).map_err(|e| words(&settings, e))?;
-        planners.push(Planner { settings, log: folder.join(format!("{name}.log")), child: None });
+        planners.push(Planner {
+            settings,
+            log: folder.join(format!("{name}.log")),
+            child: None,
+            usage: Usage::default(),
+        });
     }
     let mut looked = 0;
     loop {
@@ -134,5 +161,11 @@
     let end = shell.now();
     let (score, mut out) = shell.party.finish(end).map_err(|e| words(capture, e))?;
     out.flush().map_err(|e| words(capture, e))?;
-    Ok((score, end))
+    let mut usage = Usage::default();
+    for planner in &mut planners {
+        planner.kill();
+        usage.cpu += planner.usage.cpu;
+        usage.most_memory = usage.most_memory.max(planner.usage.most_memory);
+    }
+    Ok((score, end, usage))
 }
