--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -67,6 +67,9 @@
     /// Lets a plain policy decide in place of the module, for comparison (virtual time)
     #[arg(long, requires = "in_virtual_time", value_enum)]
     baseline: Option<Baseline>,
+    /// Prints at the end how each planner is (virtual time)
+    #[arg(long, requires = "in_virtual_time")]
+    status: bool,
     /// Where the capture goes
     #[arg(long)]
     capture: Option<PathBuf>,
@@ -235,11 +238,16 @@
         let watch = Watch::new(&day);
         let mut end = Time::default();
         let rule = self.baseline.map(Baseline::rule);
-        let played = Runner::new(day, out).with_baseline(rule).play(|now, stage| {
+        let mut runner = Runner::new(day, out).with_baseline(rule);
+        runner.play_to_end(|now, stage| {
             end = now;
             watch.see(now, &stage.progress());
         });
         watch.done();
+        if self.status {
+            runner.status().iter().for_each(|words| println!("{words}\n"));
+        }
+        let played = runner.play(|_, _| ());
         let (score, _, mut out) = played.map_err(words)?;
         out.flush().map_err(words)?;
         Ok((path.to_owned(), score, end))
@@ -283,7 +291,7 @@
         for (seed, played) in &results {
             match played {
                 Ok((score, verdict)) => {
-                    shares.push(score.earned.sum() / score.asked.sum().max(1e-9));
+                    shares.push((score.earned.sum() / score.asked.sum().max(1e-9), *seed));
                     cases.iter_mut().zip(&verdict.rules).for_each(|(sum, rule)| *sum += rule.cases);
                     if !verdict.holds() {
                         failed += 1;
@@ -297,15 +305,16 @@
                 }
             }
         }
-        shares.sort_by(f64::total_cmp);
+        shares.sort_by(|a, b| a.0.total_cmp(&b.0));
         let at = |part: f64| {
-            shares.get(((shares.len().max(1) - 1) as f64 * part) as usize).copied().unwrap_or(0.0)
+            shares.get(((shares.len().max(1) - 1) as f64 * part) as usize).copied().unwrap_or((0.0, 0))
         };
         println!(
-            "{seeds} seeds, {failed} failed; earned/asked lowest {:.3}, median {:.3}, highest {:.3}",
-            at(0.0),
-            at(0.5),
-            at(1.0)
+            "{seeds} seeds, {failed} failed; earned/asked lowest {:.3} (seed {}), median {:.3}, highest {:.3}",
+            at(0.0).0,
+            at(0.0).1,
+            at(0.5).0,
+            at(1.0).0
         );
         for (name, cases) in Verdict::NAMES.iter().zip(cases) {
             println!("{name}: {cases} cases");
--- a/crates/cli/src/stage_host.rs
+++ b/crates/cli/src/stage_host.rs
@@ -12,6 +12,9 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+/// How long a planner may take to end when the day is over.
+const GOODBYE: Duration = Duration::from_millis(500);
+
 /// What the planners' processes used.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Usage {
@@ -77,6 +80,25 @@
     }
 }
 
+impl Planner {
+    /// Waits for it to end by itself, at most so long; what it used is known up to the last look.
+    fn ends_within(&mut self, at_most: Duration) {
+        let until = std::time::Instant::now() + at_most;
+        let Some(child) = &mut self.child else { return };
+        let mut usage = usage_of(child.id());
+        while std::time::Instant::now() < until {
+            if !matches!(child.try_wait(), Ok(None)) {
+                self.usage.cpu += usage.cpu;
+                self.usage.most_memory = self.usage.most_memory.max(usage.most_memory);
+                self.child = None;
+                return;
+            }
+            usage = usage_of(child.id());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
 impl Drop for Planner {
     fn drop(&mut self) {
         self.kill();
@@ -162,7 +184,10 @@
     let (score, mut out) = shell.party.finish(end).map_err(|e| words(capture, e))?;
     out.flush().map_err(|e| words(capture, e))?;
     let mut usage = Usage::default();
+    // They say in their logs what they did, unless they are stopped.
+    planners.iter().for_each(|planner| planner.signal(Signal::TERM));
     for planner in &mut planners {
+        planner.ends_within(GOODBYE);
         planner.kill();
         usage.cpu += planner.usage.cpu;
         usage.most_memory = usage.most_memory.max(planner.usage.most_memory);
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -2,6 +2,7 @@
 
 use crate::machines::{Reach, Spot};
 use crate::settings::Settings;
+use hdrhistogram::Histogram;
 use mulleinhub_interface::{Effect, Ending, MachineId, Order, Reach as Group, TaskId, Writer};
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Mode, Shape};
@@ -26,6 +27,20 @@
     pub machines: usize,
 }
 
+/// How long tasks take, in microseconds to three digits, since the start.
+#[derive(Clone, Debug)]
+pub struct Times {
+    pub take_to_send: Histogram<u64>,
+    pub take_to_answer: Histogram<u64>,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        let histogram = || Histogram::new_with_bounds(1, 600_000_000, 3).expect("fixed bounds");
+        Self { take_to_send: histogram(), take_to_answer: histogram() }
+    }
+}
+
 #[derive(Debug)]
 pub enum Who {
     /// Somebody opened a connection and has not said who it is.
@@ -69,6 +84,7 @@
     pub shape: Shape,
     pub owner: String,
     pub owner_link: Option<Link>,
+    pub came: Time,
     pub sends: u32,
     pub open: Option<Open>,
     pub may_have_run: bool,
@@ -142,6 +158,7 @@
     pub hears_clients: bool,
     pub winding_down: bool,
     pub counts: Counts,
+    pub times: Times,
     scratch: Vec<u8>,
 }
 
@@ -174,6 +191,7 @@
             hears_clients: false,
             winding_down: false,
             counts: Counts::default(),
+            times: Times::default(),
             scratch: Vec::with_capacity(1024),
         }
     }
@@ -446,6 +464,11 @@
     pub fn answer(&mut self, id: TaskId, answer: Answer) {
         let job = self.jobs.remove(&id).expect("a task in hand");
         self.owed -= usize::from(!job.answered);
+        if !job.answered {
+            self.times.take_to_answer.saturating_record((self.now - job.came).nanos() / 1000);
+        }
+        let _task = tracing::debug_span!("task", id = id.0, owner = job.owner).entered();
+        tracing::debug!(?answer, sends = job.sends, "answered");
         let message = match answer {
             Answer::Nacked(stay_away) => Message::Nacked { task: id.0, stay_away },
             Answer::Errored => Message::Errored { task: id.0 },
@@ -541,6 +564,11 @@
         assert!(now <= job.order.deadline, "task {}: a send after its client timeout", task.0);
         let number = job.sends;
         job.sends += 1;
+        if number == 0 {
+            desk.times.take_to_send.saturating_record((now - job.came).nanos() / 1000);
+        }
+        let _task = tracing::debug_span!("task", id = task.0, owner = job.owner).entered();
+        tracing::debug!(machine = machine.0, send = number, "sent");
         job.open = Some(Open {
             number,
             machine,
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -266,7 +266,7 @@
                 answered: true,
                 open: Some(open),
                 sends: 1,
-                ..job(order, *shape, name, link)
+                ..job(order, *shape, name, link, d.now)
             };
             d.jobs.insert(id, job);
             d.write(to, &Message::Claim { task: *task, send: 0, key: shape.key, owner: name });
@@ -282,12 +282,13 @@
     Ok(())
 }
 
-fn job(order: Order, shape: Shape, owner: &str, link: Link) -> Job {
+fn job(order: Order, shape: Shape, owner: &str, link: Link, came: Time) -> Job {
     Job {
         order,
         shape,
         owner: owner.to_owned(),
         owner_link: Some(link),
+        came,
         sends: 0,
         open: None,
         may_have_run: false,
@@ -358,7 +359,7 @@
         return Ok(None);
     }
     let order = order(id, shape, d.now + patience);
-    d.jobs.insert(id, job(order, *shape, name, link));
+    d.jobs.insert(id, job(order, *shape, name, link, d.now));
     (d.counts.taken, d.owed) = (d.counts.taken + 1, d.owed + 1);
     d.write(link, &Message::Taken { task });
     Ok(Some(order))
@@ -396,7 +397,7 @@
     Ok(())
 }
 
-fn status(d: &Desk) -> String {
+pub fn status(d: &Desk) -> String {
     let counts = d.counts();
     let machine = |m: &Spot| {
         let reach = match m.reach {
@@ -600,7 +601,7 @@
             runs: held.runs,
             stopping: false,
         };
-        let adopted = job(order, held.shape, held.owner, link);
+        let adopted = job(order, held.shape, held.owner, link, d.now);
         let adopted = Job {
             owner_link: None,
             sends: held.send + 1,
@@ -686,7 +687,13 @@
         return;
     }
     d.counts.placed += 1;
-    d.owed -= usize::from(!std::mem::replace(&mut d.jobs.get_mut(&id).expect("is there").answered, true));
+    let job = d.jobs.get_mut(&id).expect("is there");
+    if !std::mem::replace(&mut job.answered, true) {
+        d.owed -= 1;
+        d.times.take_to_answer.saturating_record((d.now - job.came).nanos() / 1000);
+    }
+    let _task = tracing::debug_span!("task", id = id.0, owner).entered();
+    tracing::debug!(machine = machine.0, send, "placed");
     d.tell_owner(owner_link, &owner, &Message::Placed { task: id.0, machine: machine.0 });
     drop(borrowed);
     if claiming { round.running(order, machine) } else { round.accepted(id) }
@@ -744,6 +751,8 @@
     job.may_have_run |= !never_ran;
     let (shape, owner, owner_link) = (job.shape, job.owner.clone(), job.owner_link);
     let (wanted, claiming) = (!job.withdrawn, job.claiming);
+    let _task = tracing::debug_span!("task", id = id.0, owner).entered();
+    tracing::debug!(machine = open.machine.0, send, ?ending, "closed");
     d.forget_mark(open.mark);
     d.closings.retain(|(task, number, _)| (*task, *number) != (id, send));
     if !never_ran && told.is_none() {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,7 +11,7 @@
 mod machines;
 mod settings;
 
-pub use desk::Counts;
+pub use desk::{Counts, Times};
 pub use settings::Settings;
 
 use desk::{Desk, Due, Pen};
@@ -52,6 +52,16 @@
         self.desk.borrow().counts()
     }
 
+    /// How long tasks took since the start.
+    pub fn times(&self) -> Times {
+        self.desk.borrow().times.clone()
+    }
+
+    /// How it is, in lines for a person.
+    pub fn status(&self) -> String {
+        hear::status(&self.desk.borrow())
+    }
+
     /// Takes nothing new from now on. It is idle once all in hand have their final answer.
     pub fn wind_down(&mut self) {
         self.desk.borrow_mut().winding_down = true;
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -27,7 +27,7 @@
         let request = self.readers.remove(&link).unwrap_or_default();
         let path = request.split(|b| *b == b' ').nth(1).unwrap_or_default();
         let (status, body) = match path {
-            b"/metrics" => ("200 OK", self.metrics.text(&self.engine.counts())),
+            b"/metrics" => ("200 OK", self.metrics.text(&self.engine.counts(), self.engine.times())),
             b"/health" => ("200 OK", "well\n".to_owned()),
             _ => ("404 Not Found", "only /metrics and /health are here\n".to_owned()),
         };
@@ -190,7 +190,8 @@
         let written = shell.party.engine.all_written();
         if ending.is_some_and(|since| (shell.party.engine.is_idle() && written) || since.elapsed() > longest)
         {
-            tracing::info!("ended");
+            let taken = shell.party.engine.counts().taken;
+            tracing::info!(system_calls = shell.calls, taken, "ended");
             return Ok(());
         }
     }
--- a/crates/planner/src/metrics.rs
+++ b/crates/planner/src/metrics.rs
@@ -1,15 +1,47 @@
 //! What the planner tells those who watch it, in the text format of OpenMetrics.
 
-use mulleinhub_engine::Counts;
+use hdrhistogram::Histogram;
+use mulleinhub_engine::{Counts, Times};
+use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{DescriptorEncoder, NoLabelSet};
+use prometheus_client::metrics::MetricType;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+/// Upper ends of the buckets, in seconds.
+const ENDS: [f64; 12] = [0.000_1, 0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
+
+/// A histogram of the engine's, carried over bucket by bucket.
+#[derive(Debug)]
+struct Told {
+    name: &'static str,
+    help: &'static str,
+    times: Histogram<u64>,
+}
+
+impl Collector for Told {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
+        let mut below = 0;
+        let mut buckets = Vec::with_capacity(ENDS.len() + 1);
+        for end in ENDS {
+            let up_to = self.times.count_between(0, (end * 1e6) as u64);
+            buckets.push((end, up_to - below));
+            below = up_to;
+        }
+        buckets.push((f64::MAX, self.times.len() - below));
+        let sum = self.times.mean() * self.times.len() as f64 / 1e6;
+        encoder
+            .encode_descriptor(self.name, self.help, None, MetricType::Histogram)?
+            .encode_histogram::<NoLabelSet>(sum, self.times.len(), &buckets, None)
+    }
+}
+
 pub struct Metrics;
 
 impl Metrics {
     /// The text of all figures. They are counted by the engine; gauges only carry them over.
-    pub fn text(&self, counts: &Counts) -> String {
+    pub fn text(&self, counts: &Counts, times: Times) -> String {
         let mut registry = Registry::with_prefix("mulleinhub");
         let figures = [
             ("tasks_taken", "Tasks taken since the start", counts.taken),
@@ -30,6 +62,13 @@
             gauge.set(value as i64);
             registry.register(name, help, gauge);
         }
+        let told = [
+            ("take_to_send_seconds", "From taking a task to its first offer", times.take_to_send),
+            ("take_to_answer_seconds", "From taking a task to its final answer", times.take_to_answer),
+        ];
+        for (name, help, times) in told {
+            registry.register_collector(Box::new(Told { name, help, times }));
+        }
         let mut text = String::new();
         encode(&mut text, &registry).expect("a string takes all");
         text
--- a/crates/planner/tests/daemon.rs
+++ b/crates/planner/tests/daemon.rs
@@ -171,6 +171,7 @@
     let mut text = String::new();
     http.read_to_string(&mut text).expect("is read");
     assert!(text.starts_with("HTTP/1.1 200 OK") && text.contains("mulleinhub_tasks_taken 1"), "{text}");
+    assert!(text.contains("take_to_answer_seconds_bucket{le=\"0.25\"} 0"), "{text}");
     let second = Command::new(env!("CARGO_BIN_EXE_mulleinhub-planner")).arg(&daemon.settings).output();
     let second = second.expect("runs");
     let told = String::from_utf8_lossy(&second.stderr).into_owned();
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -122,7 +122,24 @@
     ///
     /// # Errors
     /// Where the record could not be written.
-    pub fn play(mut self, mut watch: impl FnMut(Time, &Stage<W>)) -> std::io::Result<(Score, Counts, W)> {
+    pub fn play(mut self, watch: impl FnMut(Time, &Stage<W>)) -> std::io::Result<(Score, Counts, W)> {
+        self.play_to_end(watch);
+        for slot in &self.slots {
+            if let Some(engine) = &slot.engine {
+                add(&mut self.counts, &engine.counts());
+            }
+        }
+        let (score, out) = self.stage.finish(self.now)?;
+        Ok((score, self.counts, out))
+    }
+
+    /// How each planner that is up is, in lines for a person.
+    pub fn status(&self) -> Vec<String> {
+        self.slots.iter().filter_map(|slot| slot.engine.as_ref()).map(Engine::status).collect()
+    }
+
+    /// Plays on until the day is over.
+    pub fn play_to_end(&mut self, mut watch: impl FnMut(Time, &Stage<W>)) {
         let mut watched = 0;
         let mut turns = 0;
         while !self.stage.is_over(self.now) {
@@ -140,13 +157,6 @@
             assert!(turns < MOST_TURNS, "the day runs in circles at {} ns", self.now.nanos());
             self.now = self.now.max(next);
         }
-        for slot in &self.slots {
-            if let Some(engine) = &slot.engine {
-                add(&mut self.counts, &engine.counts());
-            }
-        }
-        let (score, out) = self.stage.finish(self.now)?;
-        Ok((score, self.counts, out))
     }
 
     fn turn(&mut self) {
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -60,7 +60,7 @@
     began: Instant,
     signals: Option<Signals>,
     buffer: Vec<u8>,
-    /// Calls of the system that carry bytes, for measurements.
+    /// Calls of the system to wait, accept, read and write, for measurements.
     pub calls: u64,
 }
 
@@ -160,6 +160,7 @@
     }
 
     fn poll_once(&mut self, wait: Option<Duration>) -> std::io::Result<Step> {
+        self.calls += 1;
         match self.poll.poll(&mut self.events, wait) {
             Err(error) if error.kind() == ErrorKind::Interrupted => return Ok(Step::Went),
             done => done?,
@@ -197,6 +198,7 @@
                 (listening.rests_until, listening.ready) = (None, true);
             }
             while self.listeners[at].ready {
+                self.calls += 1;
                 let listening = &mut self.listeners[at];
                 match listening.tcp.accept() {
                     Ok((tcp, _)) => {
