Limits on clients' connections as decisions of their own, with a lazy wheel of deadlines

Cause: nothing bounded clients' connections: those that never greet, never finish a frame, fall silent, or wake all at once.

Change: crates/limits decides, without I/O, which connection is taken, asked for a sign of life, let go or heard later; never one with a task in hand while an idle one exists. One entry in a wheel for each connection; deadlines move in its record alone. The engine ends connections with a reason in a frame before.

--- a/crates/engine/examples/ordinary_path.rs
+++ b/crates/engine/examples/ordinary_path.rs
@@ -57,6 +57,7 @@
         silence: Span::from_secs(3600),
         remember: Span::from_nanos(500_000_000),
         start_wait: Span::from_nanos(1),
+        clients: mulleinhub_limits::Settings::default(),
         most_in_hand: 1 << 20,
         most_unwritten: 1 << 24,
     }
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -5,6 +5,7 @@
 use hdrhistogram::Histogram;
 use mulleinhub_interface::{Effect, Ending, MachineId, Order, Reach as Group, TaskId, Writer};
 use mulleinhub_interface::{Span, Time};
+use mulleinhub_limits::{Act, Limits, Why};
 use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Mode, Shape};
 use mulleinhub_seam::{End, Link, Links, Timers, Unwritten};
 use std::cell::RefCell;
@@ -59,6 +60,8 @@
     pub ahead: i128,
     pub end: Option<End>,
     pub queued: bool,
+    /// Tasks asked for on this connection that have had no final answer.
+    pub in_hand: u32,
 }
 
 /// The open send of a task.
@@ -134,6 +137,8 @@
     pub links: Links,
     pub peers: BTreeMap<Link, Peer>,
     arrivals: VecDeque<Link>,
+    /// Clients' connections that were silent before they spoke now.
+    woken: VecDeque<Link>,
     pub machines: BTreeMap<MachineId, Spot>,
     pub list_link: Option<Link>,
     pub list_version: u64,
@@ -155,6 +160,9 @@
     /// The newest connection of each client, by its name.
     pub clients: BTreeMap<String, Link>,
     stuck: Vec<Link>,
+    pub limits: Limits,
+    /// Frames that connections which were silent before may still have heard in this turn.
+    woken_left: usize,
     pub hears_clients: bool,
     pub winding_down: bool,
     pub counts: Counts,
@@ -164,6 +172,7 @@
 
 impl Desk {
     pub fn new(settings: Settings, life: u64) -> Self {
+        let limits = Limits::new(settings.clients.clone());
         Self {
             settings,
             life,
@@ -171,6 +180,7 @@
             links: Links::default(),
             peers: BTreeMap::new(),
             arrivals: VecDeque::new(),
+            woken: VecDeque::new(),
             machines: BTreeMap::new(),
             list_link: None,
             list_version: 0,
@@ -188,6 +198,8 @@
             owed: 0,
             clients: BTreeMap::new(),
             stuck: Vec::new(),
+            limits,
+            woken_left: 0,
             hears_clients: false,
             winding_down: false,
             counts: Counts::default(),
@@ -222,6 +234,7 @@
                 ahead: i128::MAX,
                 end: None,
                 queued: false,
+                in_hand: 0,
             },
         );
     }
@@ -237,8 +250,56 @@
         Span::from_nanos(u64::try_from(ahead - peer.ahead).unwrap_or(u64::MAX))
     }
 
-    pub fn client_came(&mut self, link: Link) {
+    pub fn client_came(&mut self, now: Time, link: Link) {
+        self.now = self.now.max(now);
         self.add_peer(link, Who::Stranger);
+        match self.limits.opened(self.now, link.0) {
+            Ok(None) => {}
+            Ok(Some(idle)) => self.let_go(Link(idle), Why::MadeRoom),
+            Err(why) => self.let_go(link, why),
+        }
+    }
+
+    /// A client's connection is ended by a decision of the limits, with the reason in a frame before. What came on
+    /// it and was not heard is never taken: there is no `Taken` for it.
+    pub fn let_go(&mut self, link: Link, why: Why) {
+        self.write(link, &Message::Bye { words: why.words() });
+        self.client_gone(link);
+        self.peers.remove(&link);
+        self.links.end(link);
+    }
+
+    /// Its tasks stay in hand; their ends wait for it to come back.
+    pub fn client_gone(&mut self, link: Link) {
+        self.limits.forget(link.0);
+        if let Some(Peer { who: Who::Client(name), .. }) = self.peers.get(&link)
+            && self.clients.get(name) == Some(&link)
+        {
+            self.clients.remove(name);
+        }
+        for job in self.jobs.values_mut().filter(|job| job.owner_link == Some(link)) {
+            job.owner_link = None;
+        }
+    }
+
+    /// A task in hand is this connection's now, or no longer.
+    pub fn hand(&mut self, link: Option<Link>, more: bool) {
+        let Some(link) = link else { return };
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        peer.in_hand = if more { peer.in_hand + 1 } else { peer.in_hand.saturating_sub(1) };
+        self.limits.in_hand(link.0, peer.in_hand);
+    }
+
+    /// Deadlines of clients' connections, a bounded number of them in one turn.
+    pub fn look_after_clients(&mut self) {
+        const IN_ONE_TURN: usize = 512;
+        for _ in 0..IN_ONE_TURN {
+            let Some((conn, act)) = self.limits.due(self.now) else { return };
+            match act {
+                Act::AskForSign => self.write(Link(conn), &Message::Ping { nonce: conn }),
+                Act::End(why) => self.let_go(Link(conn), why),
+            }
+        }
     }
 
     pub fn is_up(&mut self, now: Time, link: Link) {
@@ -269,10 +330,16 @@
     pub fn came_in(&mut self, now: Time, link: Link, bytes: &[u8]) {
         let Some(peer) = self.peers.get_mut(&link) else { return };
         peer.frames.take(bytes);
-        if let Who::Machine(id) = peer.who
-            && let Some(spot) = self.machines.get_mut(&id)
-        {
-            (spot.heard_at, spot.pinged_at) = (now, None);
+        match peer.who {
+            Who::Machine(id) => {
+                if let Some(spot) = self.machines.get_mut(&id) {
+                    (spot.heard_at, spot.pinged_at) = (now, None);
+                }
+            }
+            // Heard at once, so that no deadline passes over bytes that are here; whether a part of a frame is
+            // left is known once its frames are read.
+            Who::Stranger | Who::Client(_) => self.limits.heard(now, link.0, false),
+            Who::List => {}
         }
         self.queue(link);
     }
@@ -286,23 +353,36 @@
 
     fn queue(&mut self, link: Link) {
         let Some(peer) = self.peers.get_mut(&link) else { return };
-        if !std::mem::replace(&mut peer.queued, true) {
+        if std::mem::replace(&mut peer.queued, true) {
+            return;
+        }
+        let client = matches!(peer.who, Who::Stranger | Who::Client(_));
+        if client && !(self.hears_clients && self.limits.is_steady(self.now, link.0)) {
+            self.woken.push_back(link);
+        } else {
             self.arrivals.push_back(link);
         }
     }
 
     pub fn has_news(&self) -> bool {
         !self.arrivals.is_empty()
+            || !self.woken.is_empty()
+            || self.limits.wake().is_some_and(|at| at <= self.now)
             || !self.closings.is_empty()
             || self.timers.next().is_some_and(|at| at <= self.now)
     }
 
     /// The next connection that something came in on. Clients wait until machines told what they hold.
     pub fn next_arrival(&mut self) -> Option<Link> {
-        let hears = self.hears_clients;
-        let waits = |peer: &Peer| !hears && matches!(peer.who, Who::Stranger | Who::Client(_));
-        let at = self.arrivals.iter().position(|link| self.peers.get(link).is_none_or(|p| !waits(p)))?;
-        let link = self.arrivals.remove(at).expect("was found");
+        let link = match self.arrivals.pop_front() {
+            Some(link) => link,
+            // Those that were silent before are heard after all others, so many in one turn.
+            None if self.hears_clients && self.woken_left > 0 => {
+                self.woken_left -= 1;
+                self.woken.pop_front()?
+            }
+            None => return None,
+        };
         if let Some(peer) = self.peers.get_mut(&link) {
             peer.queued = false;
         }
@@ -314,10 +394,16 @@
     }
 
     pub fn wake(&self) -> Option<Time> {
-        if !self.closings.is_empty() || (self.hears_clients && !self.arrivals.is_empty()) {
+        if !self.closings.is_empty() || (self.hears_clients && !self.woken.is_empty()) {
             return Some(self.now);
         }
-        self.timers.next()
+        [self.timers.next(), self.limits.wake()].into_iter().flatten().min()
+    }
+
+    /// A turn begins: so many frames of those that woke are heard in it.
+    pub fn begin_turn(&mut self, now: Time) {
+        self.now = now;
+        self.woken_left = self.limits.woken_frames();
     }
 
     /// Peers that don't read are let go: what waits for them is bounded.
@@ -465,6 +551,7 @@
         let job = self.jobs.remove(&id).expect("a task in hand");
         self.owed -= usize::from(!job.answered);
         if !job.answered {
+            self.hand(job.owner_link, false);
             self.times.take_to_answer.saturating_record((self.now - job.came).nanos() / 1000);
         }
         let _task = tracing::debug_span!("task", id = id.0, owner = job.owner).entered();
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -90,8 +90,14 @@
     let end = {
         let desk = &mut *desk.borrow_mut();
         let Some(peer) = desk.peers.get_mut(&link) else { return };
+        let partial = frames.kept() > 0;
         peer.frames = frames;
-        peer.end
+        let end = peer.end;
+        if partial && matches!(peer.who, Who::Stranger | Who::Client(_)) {
+            let now = desk.now;
+            desk.limits.heard(now, link.0, true);
+        }
+        end
     };
     if let Some(end) = end {
         has_ended(desk, round, link, end);
@@ -109,7 +115,7 @@
         match peer.who {
             Who::Stranger | Who::Client(_) => {
                 // What is written goes out first; its tasks stay in hand.
-                client_gone(desk, link);
+                desk.client_gone(link);
                 desk.peers.remove(&link);
                 desk.links.end(link);
             }
@@ -118,14 +124,6 @@
     }
 }
 
-/// Its tasks stay in hand; their ends wait for it to come back.
-fn client_gone(d: &mut Desk, link: Link) {
-    d.clients.retain(|_, newest| *newest != link);
-    for job in d.jobs.values_mut().filter(|job| job.owner_link == Some(link)) {
-        job.owner_link = None;
-    }
-}
-
 fn hear(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, message: &Message<'_>) -> Heard {
     let mut borrowed = desk.borrow_mut();
     let d = &mut *borrowed;
@@ -151,6 +149,10 @@
         }
         (peer.who, peer.greeted) = (Who::Client((*name).to_owned()), true);
         d.clients.insert((*name).to_owned(), link);
+        if let Err(why) = d.limits.greeted(link.0, name) {
+            d.let_go(link, why);
+            return Ok(());
+        }
         d.lain(link, *clock);
         let (name, life) = (d.settings.name.clone(), d.life);
         let version = protocol::VERSION.min(*version);
@@ -315,12 +317,17 @@
         if job.owner != name || key.is_some_and(|key| key != job.shape.key) {
             return Err(another());
         }
-        job.owner_link = Some(link);
+        let before = job.owner_link.replace(link);
+        let owed = !job.answered;
         let placed = job.open.filter(|open| open.placed).map(|open| open.machine.0);
         match placed {
             Some(machine) => d.write(link, &Message::Placed { task: id.0, machine }),
             None => d.write(link, &Message::Taken { task: id.0 }),
         }
+        if owed {
+            d.hand(before, false);
+            d.hand(Some(link), true);
+        }
         return Ok(true);
     }
     let Some((answer, owner)) = d.answered.get(&id) else { return Ok(false) };
@@ -361,6 +368,7 @@
     let order = order(id, shape, d.now + patience);
     d.jobs.insert(id, job(order, *shape, name, link, d.now));
     (d.counts.taken, d.owed) = (d.counts.taken + 1, d.owed + 1);
+    d.hand(Some(link), true);
     d.write(link, &Message::Taken { task });
     Ok(Some(order))
 }
@@ -690,6 +698,8 @@
     let job = d.jobs.get_mut(&id).expect("is there");
     if !std::mem::replace(&mut job.answered, true) {
         d.owed -= 1;
+        d.hand(owner_link, false);
+        let job = &d.jobs[&id];
         d.times.take_to_answer.saturating_record((d.now - job.came).nanos() / 1000);
     }
     let _task = tracing::debug_span!("task", id = id.0, owner).entered();
@@ -780,10 +790,16 @@
 fn has_ended(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, end: End) {
     let mut borrowed = desk.borrow_mut();
     let d = &mut *borrowed;
+    if d.peers.get(&link).is_some_and(|peer| matches!(peer.who, Who::Stranger | Who::Client(_))) {
+        d.client_gone(link);
+        d.links.abort(link);
+        d.peers.remove(&link);
+        return;
+    }
     let unwritten = d.unwritten_offers(link);
     let Some(peer) = d.peers.remove(&link) else { return };
     match peer.who {
-        Who::Stranger | Who::Client(_) => client_gone(d, link),
+        Who::Stranger | Who::Client(_) => unreachable!("is dealt with above"),
         Who::List => {
             d.list_link = None;
             if d.settings.listing.asked {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -73,8 +73,10 @@
         (settings.reconnect, settings.lost_after, settings.silence) =
             (new.reconnect, new.lost_after, new.silence);
         (settings.remember, settings.start_wait) = (new.remember, new.start_wait);
+        settings.clients = new.clients.clone();
         (settings.most_in_hand, settings.most_unwritten) = (new.most_in_hand, new.most_unwritten);
         let mut fixed = Vec::new();
+        let clients = settings.clients.clone();
         let mut differs = |name, is: bool| {
             if is {
                 fixed.push(name);
@@ -88,6 +90,7 @@
         differs("taking", format!("{:?}", settings.taking) != format!("{:?}", new.taking));
         differs("rules", format!("{:?}", settings.cold) != format!("{:?}", new.cold));
         differs("prices", format!("{:?}", settings.home) != format!("{:?}", new.home));
+        self.desk.get_mut().limits.change(clients);
         fixed
     }
 
@@ -103,8 +106,8 @@
 }
 
 impl Party for Engine {
-    fn opened(&mut self, _: Time, link: Link, _: Door) {
-        self.desk.get_mut().client_came(link);
+    fn opened(&mut self, now: Time, link: Link, _: Door) {
+        self.desk.get_mut().client_came(now, link);
     }
 
     fn up(&mut self, now: Time, link: Link) {
@@ -121,7 +124,7 @@
 
     fn turn(&mut self, now: Time) {
         let Self { mind, desk, begun, saved } = self;
-        desk.get_mut().now = now;
+        desk.get_mut().begin_turn(now);
         let first = !std::mem::replace(begun, true);
         if !first && !desk.get_mut().has_news() {
             return;
@@ -145,6 +148,7 @@
                 }
             }
             hear::closings(desk, round);
+            desk.borrow_mut().look_after_clients();
         });
         self.desk.get_mut().after_round();
     }
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -25,6 +25,8 @@
     pub remember: Span,
     /// How long a start waits for machines to tell what they hold, before it hears clients.
     pub start_wait: Span,
+    /// Of clients' connections.
+    pub clients: mulleinhub_limits::Settings,
     /// Tasks without a final answer that are held at a time; more are nacked at the door.
     pub most_in_hand: usize,
     /// Bytes that may wait for one peer that doesn't read; with more the connection is ended.
--- a/crates/engine/tests/host/mod.rs
+++ b/crates/engine/tests/host/mod.rs
@@ -56,6 +56,7 @@
         silence: Span::from_secs(2),
         remember: Span::from_secs(60),
         start_wait: Span::from_secs(1),
+        clients: mulleinhub_limits::Settings::default(),
         most_in_hand: 100,
         most_unwritten: 64 * 1024,
     }
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -490,3 +490,85 @@
     host.machine(machine, stopped);
     assert!(host.engine.is_idle());
 }
+
+// Limits on connections.
+
+fn limited(change: impl FnOnce(&mut mulleinhub_limits::Settings)) -> Host {
+    let mut settings = settings();
+    change(&mut settings.clients);
+    let mut host = Host::new(settings, 1, None);
+    host.turn();
+    host.accept("list");
+    host.list(&[(1, Mode::Active)]);
+    host.meets(1, 101, vec![]);
+    host
+}
+
+#[test]
+fn a_full_house_ends_the_longest_idle_with_a_reason_and_never_one_with_a_task() {
+    let mut host = limited(|clients| clients.most = 2);
+    let busy = host.client("busy");
+    host.ask(busy, 1, REPLAYABLE);
+    host.after(10);
+    let idle = host.client("idle");
+    host.after(10);
+    host.client("new");
+    assert!(host.ended.contains(&idle) && !host.ended.contains(&busy));
+    let last = host.client("last");
+    assert!(!host.ended.contains(&last), "the other idle one made room");
+}
+
+#[test]
+fn a_task_on_a_connection_that_is_let_go_in_the_same_turn_was_never_taken() {
+    let mut host = limited(|clients| clients.most = 1);
+    let idle = host.client("idle");
+    host.only_tell(idle, &[ask(1, REPLAYABLE, host.now)]);
+    let new = host.engine.links().fresh();
+    host.links.insert(new, "new".to_owned());
+    host.engine.opened(host.now, new, mulleinhub_seam::Door(0));
+    let said = host.turn();
+    assert!(says(&said, "idle", "bye room was needed") && !says(&said, "idle", "taken"), "{said:?}");
+    assert_eq!(host.engine.counts().taken, 0);
+    let back = host.client("idle");
+    assert!(says(&host.ask(back, 1, REPLAYABLE), "idle", "taken 1"), "it can be asked for again");
+}
+
+#[test]
+fn silent_strangers_and_silent_clients_are_ended_and_a_sign_of_life_keeps_a_client() {
+    let mut host = limited(|_| ());
+    let stranger = host.engine.links().fresh();
+    host.engine.opened(host.now, stranger, mulleinhub_seam::Door(0));
+    let client = host.client("quiet");
+    host.after(5_200);
+    assert!(host.ended.contains(&stranger) && !host.ended.contains(&client));
+    host.after(55_200);
+    host.tell(client, &[Message::Pong { nonce: 0 }]);
+    host.after(10_200);
+    assert!(!host.ended.contains(&client));
+    host.after(60_200);
+    host.after(10_200);
+    assert!(host.ended.contains(&client));
+}
+
+#[test]
+fn many_that_wake_at_once_are_heard_after_a_steady_one_and_a_bounded_number_in_a_turn() {
+    let mut host = limited(|clients| clients.woken_frames = 10);
+    let steady = host.client("steady");
+    for _ in 0..7 {
+        host.after(1_000);
+        host.tell(steady, &[Message::Pong { nonce: 0 }]);
+    }
+    let woken: Vec<_> = (0..50).map(|n| host.client(&format!("woken{n}"))).collect();
+    for (n, link) in woken.iter().enumerate() {
+        host.only_tell(*link, &[ask(100 + n as u64, REPLAYABLE, host.now)]);
+    }
+    host.only_tell(steady, &[ask(1, REPLAYABLE, host.now)]);
+    let said = host.turn();
+    let taken = |said: &[Said]| said.iter().filter(|(_, words)| words.starts_with("taken")).count();
+    assert!(says(&said, "steady", "taken 1") && taken(&said) == 11, "{}", taken(&said));
+    let mut all = taken(&said);
+    for _ in 0..4 {
+        all += taken(&host.turn());
+    }
+    assert_eq!(all, 51, "nothing is lost, only later");
+}
--- /dev/null
+++ b/crates/limits/src/pressure.rs
@@ -0,0 +1,57 @@
+//! How many connections are allowed, from what turns cost: less when they take too long, more again slowly.
+//!
+//! The band between too long and long enough does nothing, and a change waits for the effect of the one before, so
+//! that the number does not swing.
+
+use mulleinhub_interface::{Span, Time};
+
+/// A turn over this costs the others their promptness.
+const TOO_LONG: Span = Span::from_nanos(50_000_000);
+/// Turns under this leave room.
+const SHORT: Span = Span::from_nanos(10_000_000);
+/// Between two changes.
+const SETTLE: Span = Span::from_secs(2);
+/// Cut to this part; grown by this part of the most.
+const CUT: f64 = 0.8;
+const GROW: f64 = 0.02;
+/// Never under this part of the most.
+const LEAST: f64 = 0.1;
+
+#[derive(Clone, Debug)]
+pub struct Pressure {
+    most: usize,
+    allowed: usize,
+    changed_at: Time,
+    /// The longest turn since the last change has settled.
+    longest: Span,
+}
+
+impl Pressure {
+    pub fn new(most: usize) -> Self {
+        Self { most, allowed: most, changed_at: Time::default(), longest: Span::ZERO }
+    }
+
+    pub fn allowed(&self) -> usize {
+        self.allowed
+    }
+
+    /// A turn has taken so long, with so many connections open.
+    pub fn turn_took(&mut self, now: Time, took: Span, open: usize) {
+        let since = now - self.changed_at;
+        if since < SETTLE {
+            return;
+        }
+        self.longest = self.longest.max(took);
+        let least = ((self.most as f64 * LEAST) as usize).max(1);
+        if took > TOO_LONG {
+            // From what is open, not from what would be allowed: only that takes effect.
+            let from = self.allowed.min(open.max(least));
+            self.allowed = ((from as f64 * CUT) as usize).max(least);
+        } else if since < SETTLE * 2.0 {
+            return;
+        } else if self.longest < SHORT && self.allowed < self.most {
+            self.allowed = (self.allowed + (self.most as f64 * GROW) as usize + 1).min(self.most);
+        }
+        (self.changed_at, self.longest) = (now, Span::ZERO);
+    }
+}
--- a/crates/planner/src/conf.rs
+++ b/crates/planner/src/conf.rs
@@ -115,6 +115,20 @@
     let most_in_hand = links.or("most-in-hand", 20_000, faults);
     let most_unwritten = links.or("most-unwritten", Bytes(4 << 20), faults).0 as usize;
     links.finish(faults);
+    let none = Scope::new(&[], place.clone());
+    let mut clients = scope.once("clients", faults).map_or(none, Scope::of);
+    let usual = mulleinhub_limits::Settings::default();
+    let of_clients = mulleinhub_limits::Settings {
+        most: clients.or("most", usual.most, faults).max(1),
+        most_of_a_name: clients.or("most-of-a-name", usual.most_of_a_name, faults).max(1),
+        greet_within: clients.or("greet-within", usual.greet_within, faults),
+        frame_within: clients.or("frame-within", usual.frame_within, faults),
+        idle_after: clients.or("idle-after", usual.idle_after, faults),
+        sign_within: clients.or("sign-within", usual.sign_within, faults),
+        steady_for: clients.or("steady-for", usual.steady_for, faults),
+        woken_frames: clients.or("woken-a-turn", usual.woken_frames, faults).max(1),
+    };
+    clients.finish(faults);
     scope.finish(faults);
     for (name, span) in [("reconnect", reconnect), ("silence", silence), ("remember", remember)] {
         if span == Span::ZERO {
@@ -145,6 +159,7 @@
         silence,
         remember,
         start_wait,
+        clients: of_clients,
         most_in_hand,
         most_unwritten,
     };
