--- a/crates/cli/src/stage_host.rs
+++ b/crates/cli/src/stage_host.rs
@@ -93,7 +93,9 @@
                 self.child = None;
                 return;
             }
-            usage = usage_of(child.id());
+            // One that has just ended tells nothing any more.
+            let last = usage_of(child.id());
+            usage = if last.most_memory > 0 { last } else { usage };
             std::thread::sleep(Duration::from_millis(5));
         }
     }
