--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -115,6 +115,17 @@
     Withdrawn,
 }
 
+impl Answer {
+    pub fn message(self, id: TaskId) -> Message<'static> {
+        match self {
+            Self::Nacked(stay_away) => Message::Nacked { task: id.0, stay_away },
+            Self::Errored => Message::Errored { task: id.0 },
+            Self::Ended(ending) => Message::Ended { task: id.0, ending },
+            Self::Withdrawn => Message::Ended { task: id.0, ending: protocol::Ending::Stopped },
+        }
+    }
+}
+
 /// A send that was closed without proof that it never ran.
 #[derive(Debug)]
 pub struct Late {
@@ -130,7 +141,8 @@
     Send(TaskId, u32),
     Reconnect(MachineId),
     Lost(MachineId),
-    Ping(MachineId),
+    /// For this connection alone: another one has its own.
+    Ping(MachineId, Link),
     List,
     Start,
     Forget,
@@ -282,15 +294,15 @@
         self.add_peer(link, Who::Stranger);
         match self.limits.opened(self.now, link.0) {
             Ok(None) => {}
-            Ok(Some(idle)) => self.let_go(Link(idle), Why::MadeRoom),
-            Err(why) => self.let_go(link, why),
+            Ok(Some(idle)) => self.let_go(Link(idle), Why::MadeRoom.words()),
+            Err(why) => self.let_go(link, why.words()),
         }
     }
 
-    /// A client's connection is ended by a decision of the limits, with the reason in a frame before. What came on
-    /// it and was not heard is never taken: there is no `Taken` for it.
-    pub fn let_go(&mut self, link: Link, why: Why) {
-        self.write(link, &Message::Bye { words: why.words() });
+    /// A client's connection is ended, with the reason in a frame before. What came on it and was not heard is never
+    /// taken: there is no `Taken` for it.
+    pub fn let_go(&mut self, link: Link, words: &str) {
+        self.write(link, &Message::Bye { words });
         self.client_gone(link);
         self.peers.remove(&link);
         self.links.end(link);
@@ -324,7 +336,7 @@
             let Some((conn, act)) = self.limits.due(self.now) else { return };
             match act {
                 Act::AskForSign => self.write(Link(conn), &Message::Ping { nonce: conn }),
-                Act::End(why) => self.let_go(Link(conn), why),
+                Act::End(why) => self.let_go(Link(conn), why.words()),
             }
         }
     }
@@ -483,7 +495,7 @@
         let spot = self.machines.get_mut(&id).expect("was there");
         spot.reach = Reach::Coming(link);
         (spot.heard_at, spot.pinged_at) = (now, Some(now));
-        self.timers.set(now + silence, Due::Ping(id));
+        self.timers.set(now + silence, Due::Ping(id, link));
     }
 
     pub fn open_list(&mut self) {
@@ -584,23 +596,25 @@
     /// Keeps the final answer for an owner that comes back, and tells it where it is connected.
     pub fn answer(&mut self, id: TaskId, answer: Answer) {
         let job = self.jobs.remove(&id).expect("a task in hand");
-        self.owed -= usize::from(!job.answered);
         if !job.answered {
-            self.hand(job.owner_link, false);
-            self.times.take_to_answer.saturating_record((self.now - job.came).nanos() / 1000);
+            self.owes_less(job.owner_link, job.came);
         }
         let _task = tracing::debug_span!("task", id = id.0, owner = job.owner).entered();
         tracing::debug!(?answer, sends = job.sends, "answered");
-        let message = match answer {
-            Answer::Nacked(stay_away) => Message::Nacked { task: id.0, stay_away },
-            Answer::Errored => Message::Errored { task: id.0 },
-            Answer::Ended(ending) => Message::Ended { task: id.0, ending },
-            Answer::Withdrawn => return self.remember(id, answer, job.owner),
-        };
-        self.tell_owner(job.owner_link, &job.owner, &message);
+        // Who withdrew it asked for no answer.
+        if answer != Answer::Withdrawn {
+            self.tell_owner(job.owner_link, &job.owner, &answer.message(id));
+        }
         self.remember(id, answer, job.owner);
     }
 
+    /// The final answer of a task that came then is given.
+    pub fn owes_less(&mut self, link: Option<Link>, came: Time) {
+        self.owed -= 1;
+        self.hand(link, false);
+        self.times.take_to_answer.saturating_record((self.now - came).nanos() / 1000);
+    }
+
     fn remember(&mut self, id: TaskId, answer: Answer, owner: String) {
         self.answered.insert(id, (answer, owner));
         self.forget_later(id, None);
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -110,16 +110,12 @@
     tracing::warn!(link = link.0, %bad, "a peer speaks wrongly; its connection ends");
     let mut words = bad.to_string();
     words.truncate(words.floor_char_boundary(protocol::MOST_WORDS));
-    desk.write(link, &Message::Bye { words: &words });
-    if let Some(peer) = desk.peers.get_mut(&link) {
-        match peer.who {
-            Who::Stranger | Who::Client(_) => {
-                // What is written goes out first; its tasks stay in hand.
-                desk.client_gone(link);
-                desk.peers.remove(&link);
-                desk.links.end(link);
-            }
-            Who::Machine(_) | Who::List => peer.end = Some(End::Broken),
+    let Some(peer) = desk.peers.get_mut(&link) else { return };
+    match peer.who {
+        Who::Stranger | Who::Client(_) => desk.let_go(link, &words),
+        Who::Machine(_) | Who::List => {
+            peer.end = Some(End::Broken);
+            desk.write(link, &Message::Bye { words: &words });
         }
     }
 }
@@ -150,7 +146,7 @@
         (peer.who, peer.greeted) = (Who::Client((*name).to_owned()), true);
         d.clients.insert((*name).to_owned(), link);
         if let Err(why) = d.limits.greeted(link.0, name) {
-            d.let_go(link, why);
+            d.let_go(link, why.words());
             return Ok(());
         }
         d.lain(link, *clock);
@@ -334,12 +330,7 @@
     if owner != name {
         return Err(another());
     }
-    let message = match *answer {
-        Answer::Nacked(stay_away) => Message::Nacked { task: id.0, stay_away },
-        Answer::Errored => Message::Errored { task: id.0 },
-        Answer::Ended(ending) => Message::Ended { task: id.0, ending },
-        Answer::Withdrawn => Message::Ended { task: id.0, ending: protocol::Ending::Stopped },
-    };
+    let message = answer.message(id);
     d.write(link, &message);
     Ok(true)
 }
@@ -697,10 +688,8 @@
     d.counts.placed += 1;
     let job = d.jobs.get_mut(&id).expect("is there");
     if !std::mem::replace(&mut job.answered, true) {
-        d.owed -= 1;
-        d.hand(owner_link, false);
-        let job = &d.jobs[&id];
-        d.times.take_to_answer.saturating_record((d.now - job.came).nanos() / 1000);
+        let came = job.came;
+        d.owes_less(owner_link, came);
     }
     let _task = tracing::debug_span!("task", id = id.0, owner).entered();
     tracing::debug!(machine = machine.0, send, "placed");
@@ -878,10 +867,9 @@
                 }
             }
         }
-        Due::Ping(id) => {
+        Due::Ping(id, link) => {
             let silence = d.settings.silence;
-            let Some(spot) = d.machines.get_mut(&id) else { return };
-            let Some(link) = spot.link() else { return };
+            let Some(spot) = d.machines.get_mut(&id).filter(|spot| spot.link() == Some(link)) else { return };
             match spot.pinged_at {
                 Some(at) if now - at >= silence => {
                     tracing::warn!(machine = id.0, "silent to a ping; its connection ends");
@@ -893,7 +881,7 @@
                 }
                 _ => {}
             }
-            d.timers.set(now + silence * 0.5, Due::Ping(id));
+            d.timers.set(now + silence * 0.5, Due::Ping(id, link));
         }
         Due::List => d.open_list(),
         Due::Start => {
