--- a/crates/baselines/src/lib.rs
+++ b/crates/baselines/src/lib.rs
@@ -1,7 +1,7 @@
 //! Plain policies behind the same interface: random choice and least requested.
 //!
-//! For: comparison on the same days, never for service. They keep the rules (kind, spread, drains, effects, the
-//! cold budget) and know nothing of health, slack, pressure, programs or prices.
+//! For: comparison on the same days, never for service. They keep the rules (kind, spread, drains, effects,
+//! the cold budget) and know nothing of health, slack, pressure, programs or prices.
 //! May not touch: the module, the engine, the stand-ins.
 
 use mulleinhub_interface::*;
--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -206,7 +206,8 @@
         #[n(0)]
         records: u64,
     },
-    /// From now on the tap doesn't read what this side writes, or reads it again: bytes wait where it can't see.
+    /// From now on the tap doesn't read what this side writes, or reads it again: bytes wait where it can't
+    /// see.
     #[n(7)]
     Unread {
         #[n(0)]
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -310,7 +310,8 @@
             shares.get(((shares.len().max(1) - 1) as f64 * part) as usize).copied().unwrap_or((0.0, 0))
         };
         println!(
-            "{seeds} seeds, {failed} failed; earned/asked lowest {:.3} (seed {}), median {:.3}, highest {:.3}",
+            "{seeds} seeds, {failed} failed; earned/asked \
+             lowest {:.3} (seed {}), median {:.3}, highest {:.3}",
             at(0.0).0,
             at(0.0).1,
             at(0.5).0,
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -1,8 +1,8 @@
 //! Days: the script of one, and the stage on which it is played.
 //!
-//! For: reading day scripts, saying in words what they do, drawing random troubles, and the stage: all stand-ins of
-//! a day behind taps, which record every frame and do the network's troubles. The stage has no I/O of its own:
-//! planners reach it through its doors, by sockets or in virtual time.
+//! For: reading day scripts, saying in words what they do, drawing random troubles, and the stage: all
+//! stand-ins of a day behind taps, which record every frame and do the network's troubles. The stage has no
+//! I/O of its own: planners reach it through its doors, by sockets or in virtual time.
 //! May not touch: planners' insides, sockets, clocks, how a day is judged.
 
 mod script;
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -272,8 +272,8 @@
 }
 
 impl Day {
-    /// The widest group in which one copy of a task stands: machines of different racks must know of each other
-    /// where it is wider than a rack.
+    /// The widest group in which one copy of a task stands: machines of different racks must know of each
+    /// other where it is wider than a rack.
     pub(crate) fn groups_are_wide(&self) -> bool {
         use mulleinhub_interface::Reach;
         let wide = |case: &CaseDay| match case.case.effect {
@@ -287,7 +287,8 @@
     pub fn explain(&self) -> Vec<String> {
         let span = mulleinhub_terms::show_span;
         let mut lines = vec![format!(
-            "{}: {} long, {} planners, {} machines ({} spare) in {} racks and {} halls, {} owners, {} new tasks a second",
+            "{}: {} long, {} planners, {} machines ({} spare) in {} racks and {} halls, \
+             {} owners, {} new tasks a second",
             self.name,
             span(self.length),
             self.planners,
--- a/crates/day/src/tap.rs
+++ b/crates/day/src/tap.rs
@@ -1,7 +1,7 @@
 //! A relay between two ends: what it holds on its way, when each parcel is due, and the weather on it.
 //!
-//! Bytes go on frame by frame, so that the record knows each frame's two instants. What is not a frame goes on
-//! as it is, without a record.
+//! Bytes go on frame by frame, so that the record knows each frame's two instants. What is not a frame goes
+//! on as it is, without a record.
 
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::Frames;
--- a/crates/engine/examples/ordinary_path.rs
+++ b/crates/engine/examples/ordinary_path.rs
@@ -1,7 +1,8 @@
-//! What one dull task costs: `cargo run --release -p mulleinhub-engine --example ordinary_path -- TASKS IN_HAND`.
+//! What one dull task costs: `cargo run --release -p mulleinhub-engine --example ordinary_path -- TASKS
+//! IN_HAND`.
 //!
-//! Drives one engine without sockets through tasks that are asked for, accepted, run and end, with so many in hand,
-//! and prints allocations, bytes and CPU time a task, after a warm-up that isn't counted.
+//! Drives one engine without sockets through tasks that are asked for, accepted, run and end, with so many in
+//! hand, and prints allocations, bytes and CPU time a task, after a warm-up that isn't counted.
 
 use mulleinhub_engine::{Engine, Settings};
 use mulleinhub_interface::*;
@@ -190,7 +191,8 @@
     let (took, change) = (began.elapsed(), region.change());
     let each = |n: usize| n as f64 / tasks as f64;
     println!(
-        "{tasks} tasks, {in_hand} in hand, {MACHINES} machines: {:.1} allocations, {:.0} bytes allocated, {:.2} us a task",
+        "{tasks} tasks, {in_hand} in hand, {MACHINES} machines: \
+         {:.1} allocations, {:.0} bytes allocated, {:.2} us a task",
         each(change.allocations + change.reallocations),
         each(change.bytes_allocated),
         took.as_secs_f64() * 1e6 / tasks as f64
--- a/crates/engine/src/cold.rs
+++ b/crates/engine/src/cold.rs
@@ -1,9 +1,10 @@
 //! Keeps offers to a cold machine apart where the way to it is stalled.
 //!
-//! The module deals out what a cold machine always bears, over half as long again as the rule's window, so offers
-//! may be late by half a window. Met on real sockets: behind a stalled link, a stopped tap or a machine that hung,
-//! what was offered over seconds arrived together. So while an offer to a cold machine is out unanswered for
-//! longer than that, or was answered so late within the last window, no more is written to it.
+//! The module deals out what a cold machine always bears, over half as long again as the rule's window, so
+//! offers may be late by half a window. Met on real sockets: behind a stalled link, a stopped tap or a
+//! machine that hung, what was offered over seconds arrived together. So while an offer to a cold machine is
+//! out unanswered for longer than that, or was answered so late within the last window, no more is written to
+//! it.
 
 use mulleinhub_interface::{Span, Time};
 use std::collections::VecDeque;
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -265,14 +265,16 @@
         );
     }
 
-    /// For how long a frame that its sender wrote at this instant of its own clock has lain on the way, beyond the
-    /// quickest one of this connection. It was met when planners stood still or links stalled: an ask that had
-    /// lain for seconds was given its whole patience anew, and answered after its client timeout.
+    /// For how long a frame that its sender wrote at this instant of its own clock has lain on the way,
+    /// beyond the quickest one of this connection. It was met when planners stood still or links stalled: an
+    /// ask that had lain for seconds was given its whole patience anew, and answered after its client
+    /// timeout.
     pub fn lain(&mut self, link: Link, clock: u64) -> Span {
         let stood = if self.stood > STANDSTILL { i128::from(self.stood.nanos()) } else { 0 };
         let ahead = i128::from(self.now.nanos()) - i128::from(clock);
         let Some(peer) = self.peers.get_mut(&link) else { return Span::ZERO };
-        // A frame read after a standstill may have lain for all of it: until one is read promptly, the worst holds.
+        // A frame read after a standstill may have lain for all of it: until one is read promptly, the worst
+        // holds.
         let sure = stood == 0;
         let least = match peer.ahead {
             Some(before) if peer.ahead_is_sure => before.min(ahead),
@@ -280,8 +282,8 @@
             _ => ahead - stood,
         };
         (peer.ahead, peer.ahead_is_sure) = (Some(least), peer.ahead_is_sure || sure);
-        // What is read after a standstill may have lain for all of it, whatever earlier frames say: theirs may
-        // have lain on a stalled link. Too little patience is harmless, too much is late.
+        // What is read after a standstill may have lain for all of it, whatever earlier frames say: theirs
+        // may have lain on a stalled link. Too little patience is harmless, too much is late.
         Span::from_nanos(u64::try_from(ahead - least).unwrap_or(0)).max(if sure {
             Span::ZERO
         } else {
@@ -299,8 +301,8 @@
         }
     }
 
-    /// A client's connection is ended, with the reason in a frame before. What came on it and was not heard is never
-    /// taken: there is no `Taken` for it.
+    /// A client's connection is ended, with the reason in a frame before. What came on it and was not heard
+    /// is never taken: there is no `Taken` for it.
     pub fn let_go(&mut self, link: Link, words: &str) {
         self.write(link, &Message::Bye { words });
         self.client_gone(link);
@@ -375,8 +377,8 @@
                     (spot.heard_at, spot.pinged_at) = (now, None);
                 }
             }
-            // Heard at once, so that no deadline passes over bytes that are here; whether a part of a frame is
-            // left is known once its frames are read.
+            // Heard at once, so that no deadline passes over bytes that are here; whether a part of a frame
+            // is left is known once its frames are read.
             Who::Stranger | Who::Client(_) => self.limits.heard(now, link.0, false),
             Who::List => {}
         }
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -3,8 +3,8 @@
 //! What proves that a send never ran, which the second rule rests on:
 //! - an offer of which no byte left this process (`Whole` unwritten, or taken back),
 //! - a machine's own word: nacked, recalled before it was accepted,
-//! - the same life of the machine, met again on a new connection, doesn't hold the send: a new greeting ends the
-//!   old connection for the machine, so what it had not accepted by then it never will.
+//! - the same life of the machine, met again on a new connection, doesn't hold the send: a new greeting ends
+//!   the old connection for the machine, so what it had not accepted by then it never will.
 //!
 //! Everything else may have run: half-written and written offers whose machine can't be asked, time-outs, and
 //! whatever a former life of the machine was sent.
@@ -55,7 +55,8 @@
     }
 }
 
-/// Opens the door for clients when all machines of the first list have told what they hold, or can't be reached.
+/// Opens the door for clients when all machines of the first list have told what they hold, or can't be
+/// reached.
 fn start(desk: &mut Desk) -> bool {
     let told =
         |spot: &Spot| spot.mode != protocol::Mode::Active || spot.ready().is_some() || spot.failures > 0;
@@ -305,8 +306,8 @@
     }
 }
 
-/// Tells whoever asks again what is known of a task; false where nothing is. The newest connection of its owner
-/// hears what comes later.
+/// Tells whoever asks again what is known of a task; false where nothing is. The newest connection of its
+/// owner hears what comes later.
 fn tell_again(d: &mut Desk, link: Link, name: &str, id: TaskId, key: Option<u64>) -> Result<bool, Bad> {
     let another = || Bad(format!("task {} is another's", id.0));
     if let Some(job) = d.jobs.get_mut(&id) {
@@ -447,8 +448,8 @@
             let other_life = spot.life.replace(*life).is_some_and(|before| before != *life);
             if other_life {
                 spot.gate.is_cold_until(d.now + warm_after);
-                // Whatever the former life was sent or held went with it. An answer of it can't come any more:
-                // its connection is over, and this one began after it.
+                // Whatever the former life was sent or held went with it. An answer of it can't come any
+                // more: its connection is over, and this one began after it.
                 let lost = d.jobs_on(machine).into_iter().filter(|(_, open)| open.link.is_some());
                 let lost: Vec<_> = lost.map(|(id, open)| (id, open.number)).collect();
                 d.closings.extend(lost.iter().map(|(id, n)| (*id, *n, Ending::Broken(Loss::Untold))));
@@ -624,8 +625,8 @@
         let told = std::mem::take(&mut spot.told);
         let mut resolved = Vec::new();
         if !met && !told.is_empty() {
-            // What waits was decided on without knowing what the machine holds. Met when a planner had started
-            // while a machine hung: its offers went out with the telling, and broke the spread.
+            // What waits was decided on without knowing what the machine holds. Met when a planner had
+            // started while a machine hung: its offers went out with the telling, and broke the spread.
             let waiting = std::mem::take(&mut spot.waiting);
             resolved.extend(waiting.into_iter().map(|(task, send)| (TaskId(task), send, Ending::NotSent)));
         }
@@ -710,8 +711,9 @@
     }
 }
 
-/// A machine took a send that is over for us. Nobody may count on that copy, and it must not be lost sight of:
-/// a replayable one is stopped; of others the owner learns, who may hand it over before the machine ends it.
+/// A machine took a send that is over for us. Nobody may count on that copy, and it must not be lost sight
+/// of: a replayable one is stopped; of others the owner learns, who may hand it over before the machine ends
+/// it.
 fn late_yes(d: &mut Desk, link: Link, machine: MachineId, id: TaskId, send: u32) {
     d.counts.late_yes += 1;
     let late = d.late.remove(&(id, send));
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,8 +1,9 @@
-//! The planner without I/O: it hears clients, machines and the list service, tells the module what came in, and
-//! carries out what the module chooses.
+//! The planner without I/O: it hears clients, machines and the list service, tells the module what came in,
+//! and carries out what the module chooses.
 //!
-//! For: what stands between the wire and the decisions: connections and what their ends prove, sends and their
-//! proofs, final answers and who is to hear them, copies that nobody holds. One turn is one round of the module.
+//! For: what stands between the wire and the decisions: connections and what their ends prove, sends and
+//! their proofs, final answers and who is to hear them, copies that nobody holds. One turn is one round of
+//! the module.
 //! May not touch: sockets, clocks, files; any choice of machine, rest, order or nack, which are the module's.
 
 mod cold;
@@ -94,7 +95,8 @@
         fixed
     }
 
-    /// What the last turn cost, from whoever has a clock: where turns take long, fewer connections are allowed.
+    /// What the last turn cost, from whoever has a clock: where turns take long, fewer connections are
+    /// allowed.
     pub fn turn_took(&mut self, now: Time, took: Span) {
         let limits = &mut self.desk.get_mut().limits;
         let open = limits.len();
--- a/crates/engine/tests/host/mod.rs
+++ b/crates/engine/tests/host/mod.rs
@@ -212,10 +212,16 @@
         self.engine.received(self.now, link, &bytes);
     }
 
-    pub fn client(&mut self, name: &str) -> Link {
+    /// Somebody opens a connection, and has said nothing yet.
+    pub fn opens(&mut self, name: &str) -> Link {
         let link = self.engine.links().fresh();
         self.links.insert(link, name.to_owned());
         self.engine.opened(self.now, link, Door(0));
+        link
+    }
+
+    pub fn client(&mut self, name: &str) -> Link {
+        let link = self.opens(name);
         let hello = hello(name, self.now);
         self.tell(link, &[hello]);
         link
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -233,9 +233,7 @@
     let kept = host.engine.keep().expect("the list changed");
     let mut host = Host::new(settings(), 2, Some(kept));
     host.turn();
-    let client = host.engine.links().fresh();
-    host.links.insert(client, "owner".to_owned());
-    host.engine.opened(host.now, client, mulleinhub_seam::Door(0));
+    let client = host.opens("owner");
     host.only_tell(client, &[hello("owner", host.now), Message::Learn { task: 9 }]);
     assert!(!says(&host.turn(), "owner", "Welcome"), "machines have not told yet");
     let held = Held { task: 9, send: 1, shape: shape(9, 0), owner: "owner", ended: None, runs: true };
@@ -250,9 +248,7 @@
     let kept = host.engine.keep().expect("the list changed");
     let mut host = Host::new(settings(), 2, Some(kept));
     host.turn();
-    let client = host.engine.links().fresh();
-    host.links.insert(client, "owner".to_owned());
-    host.engine.opened(host.now, client, mulleinhub_seam::Door(0));
+    let client = host.opens("owner");
     host.only_tell(client, &[hello("owner", host.now)]);
     assert!(!says(&host.after(900), "owner", "Welcome"));
     assert!(says(&host.after(100), "owner", "Welcome"));
@@ -410,9 +406,7 @@
             "bye not a message",
         ),
     ] {
-        let link = host.engine.links().fresh();
-        host.links.insert(link, "bad".to_owned());
-        host.engine.opened(host.now, link, mulleinhub_seam::Door(0));
+        let link = host.opens("bad");
         let said = host.tell(link, &[first]);
         assert!(says(&said, "bad", why), "{why}: {said:?}");
         assert!(host.ended.contains(&link));
@@ -422,9 +416,7 @@
         (&[0, 0, 0, 0][..], "bye byte 0: a frame of 0 bytes"),
         (&[0, 0, 0, 2, 0xff, 0xff][..], "bye byte"),
     ] {
-        let link = host.engine.links().fresh();
-        host.links.insert(link, "bad".to_owned());
-        host.engine.opened(host.now, link, mulleinhub_seam::Door(0));
+        let link = host.opens("bad");
         host.engine.received(host.now, link, bytes);
         let said = host.turn();
         assert!(says(&said, "bad", why), "{why}: {said:?}");
@@ -523,9 +515,7 @@
     let mut host = limited(|clients| clients.most = 1);
     let idle = host.client("idle");
     host.only_tell(idle, &[ask(1, REPLAYABLE, host.now)]);
-    let new = host.engine.links().fresh();
-    host.links.insert(new, "new".to_owned());
-    host.engine.opened(host.now, new, mulleinhub_seam::Door(0));
+    host.opens("new");
     let said = host.turn();
     assert!(says(&said, "idle", "bye room was needed") && !says(&said, "idle", "taken"), "{said:?}");
     assert_eq!(host.engine.counts().taken, 0);
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,8 +1,8 @@
 //! Decisions about connections of clients: which are taken, kept, asked for a sign of life, slowed or ended.
 //!
-//! For: limits by total, by name and by state; deadlines of greetings, frames and silence; whose frames are heard
-//! first when many wake at once; what is let go when room runs short. Never a connection with a task in hand while
-//! an idle one exists.
+//! For: limits by total, by name and by state; deadlines of greetings, frames and silence; whose frames are
+//! heard first when many wake at once; what is let go when room runs short. Never a connection with a task in
+//! hand while an idle one exists.
 //! May not touch: sockets, frames, tasks themselves. It is told what happens and asked what to do.
 
 mod pressure;
@@ -241,8 +241,8 @@
         self.settings.woken_frames
     }
 
-    /// The next connection to which something is to be done. Ask until there is none, or until enough was done for
-    /// one turn: what is left stays due.
+    /// The next connection to which something is to be done. Ask until there is none, or until enough was
+    /// done for one turn: what is left stays due.
     pub fn due(&mut self, now: Time) -> Option<(u64, Act)> {
         loop {
             let (at, conn) = self.wheel.due(now)?;
--- a/crates/limits/src/pressure.rs
+++ b/crates/limits/src/pressure.rs
@@ -1,7 +1,7 @@
 //! How many connections are allowed, from what turns cost: less when they take too long, more again slowly.
 //!
-//! The band between too long and long enough does nothing, and a change waits for the effect of the one before, so
-//! that the number does not swing.
+//! The band between too long and long enough does nothing, and a change waits for the effect of the one
+//! before, so that the number does not swing.
 
 use mulleinhub_interface::{Span, Time};
 
--- a/crates/limits/src/wheel.rs
+++ b/crates/limits/src/wheel.rs
@@ -1,8 +1,9 @@
 //! Many deadlines, put in and worked off at a cost that doesn't grow with their number.
 //!
-//! A hashed wheel: a slot for each tick of a turn of the wheel, later ones in the slot that they will come to.
-//! Nothing is taken out early and nothing is moved: a connection that is heard moves its deadline in its own record,
-//! and finds out when its place comes up. One entry stands for a connection, not one for each frame read.
+//! A hashed wheel: a slot for each tick of a turn of the wheel, later ones in the slot that they will come
+//! to. Nothing is taken out early and nothing is moved: a connection that is heard moves its deadline in its
+//! own record, and finds out when its place comes up. One entry stands for a connection, not one for each
+//! frame read.
 
 use mulleinhub_interface::{Span, Time};
 use std::collections::VecDeque;
--- a/crates/limits/tests/limits.rs
+++ b/crates/limits/tests/limits.rs
@@ -126,7 +126,8 @@
 proptest! {
     #[test]
     fn the_wheel_hands_out_every_entry_once_and_never_early(
-        entries in proptest::collection::vec(0u64..400_000, 1..200), steps in proptest::collection::vec(1u64..90_000, 1..20),
+        entries in proptest::collection::vec(0u64..400_000, 1..200),
+        steps in proptest::collection::vec(1u64..90_000, 1..20),
     ) {
         let mut wheel = Wheel::default();
         for (n, ms) in entries.iter().enumerate() {
@@ -139,7 +140,7 @@
             let next = wheel.next();
             while let Some((due, n)) = wheel.due(at(now)) {
                 prop_assert!(due <= at(now) && due == at(entries[n as usize]));
-                prop_assert!(next.is_some_and(|next| next <= at(now)), "it would not have been woken for this");
+                prop_assert!(next.is_some_and(|next| next <= at(now)), "it would not be woken for this");
                 prop_assert!(seen.insert(n, now).is_none());
             }
             for (n, ms) in entries.iter().enumerate() {
@@ -166,13 +167,13 @@
                     match limits.opened(at(now), next) {
                         Ok(room) => {
                             if let Some(gone) = room {
-                                prop_assert_eq!(open.remove(&gone), Some(0), "one with a task in hand was let go");
+                                prop_assert_eq!(open.remove(&gone), Some(0), "one with a task was let go");
                             }
                             open.insert(next, 0);
                         }
                         Err(why) => {
                             prop_assert_eq!(why, Why::Full);
-                            prop_assert!(open.values().all(|tasks| *tasks > 0), "an idle one had to go first");
+                            prop_assert!(open.values().all(|tasks| *tasks > 0), "an idle one was to go");
                         }
                     }
                 }
--- a/crates/planner/src/conf.rs
+++ b/crates/planner/src/conf.rs
@@ -222,7 +222,8 @@
         self.kinds.iter().for_each(|kind| text += &kind.show());
         self.cases.iter().for_each(|case| text += &case.show());
         text += &format!(
-            "taking {{\n    accepts-cores {}\n    accepts-memory {}\n    yes-when-running {}\n    tells-pressure {}\n}}\n",
+            "taking {{\n    accepts-cores {}\n    accepts-memory {}\n    \
+             yes-when-running {}\n    tells-pressure {}\n}}\n",
             self.accepts.0,
             self.accepts.1,
             yes(self.yes_when_running),
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -32,7 +32,8 @@
             _ => ("404 Not Found", "only /metrics and /health are here\n".to_owned()),
         };
         let head = format!(
-            "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+            "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\n\
+             Content-Length: {}\r\nConnection: close\r\n\r\n",
             body.len()
         );
         self.engine.links().send(link, format!("{head}{body}").as_bytes(), None);
--- a/crates/planner/tests/daemon.rs
+++ b/crates/planner/tests/daemon.rs
@@ -25,7 +25,8 @@
 
 fn settings(listen: SocketAddr, metrics: SocketAddr, extra: &str) -> String {
     format!(
-        "name p1\nlisten {listen}\nmetrics {metrics}\nlist \"{}\"\nkind small {{\n cores 4\n memory 8GiB\n}}\n\
+        "name p1\nlisten {listen}\nmetrics {metrics}\nlist \"{}\"\n\
+         kind small {{\n cores 4\n memory 8GiB\n}}\n\
          use-case web {{\n soft-limit 300ms\n client-timeout 1500ms\n effect replayable\n}}\n\
          links {{\n start-wait 100ms\n}}\n{extra}",
         free()
--- a/crates/protocol/examples/fuzz_frames.rs
+++ b/crates/protocol/examples/fuzz_frames.rs
@@ -1,7 +1,7 @@
 //! Throws mutated streams at the decoder: `cargo run --release --example fuzz_frames -- STREAMS SEED`.
 //!
-//! Each stream is a few good frames with bytes changed, dropped, doubled or swapped. Whatever is read must come out
-//! the same when it is written and read again.
+//! Each stream is a few good frames with bytes changed, dropped, doubled or swapped. Whatever is read must
+//! come out the same when it is written and read again.
 
 use mulleinhub_protocol::*;
 
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -210,9 +210,9 @@
         nonce: u64,
     },
 
-    /// A task to be placed. `patience` is what is left until the client timeout, in nanoseconds, at the instant
-    /// `clock` of the client. What of it has passed when the planner reads this, it tells by how much later than
-    /// on the quickest frame of this connection its own clock is ahead of the client's.
+    /// A task to be placed. `patience` is what is left until the client timeout, in nanoseconds, at the
+    /// instant `clock` of the client. What of it has passed when the planner reads this, it tells by how much
+    /// later than on the quickest frame of this connection its own clock is ahead of the client's.
     #[n(10)]
     Ask {
         #[n(0)]
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -100,7 +100,9 @@
     #[test]
     fn lists_come_back_as_they_were(
         kind in any::<bool>(), version in any::<u64>(),
-        machines in proptest::collection::vec((any::<u64>(), "[a-z0-9.:]{0,32}", amounts(), amounts()), 0..40),
+        machines in proptest::collection::vec(
+            (any::<u64>(), "[a-z0-9.:]{0,32}", amounts(), amounts()), 0..40
+        ),
     ) {
         let entries = machines
             .iter()
@@ -125,7 +127,8 @@
 
     #[test]
     fn a_stream_is_cut_into_the_same_frames_however_it_arrives(
-        tasks in proptest::collection::vec(any::<u64>(), 1..20), cuts in proptest::collection::vec(1usize..9, 1..60),
+        tasks in proptest::collection::vec(any::<u64>(), 1..20),
+        cuts in proptest::collection::vec(1usize..9, 1..60),
     ) {
         let stream: Vec<u8> = tasks.iter().flat_map(|task| frame(&Message::Taken { task: *task })).collect();
         let mut frames = Frames::default();
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -1,8 +1,8 @@
 //! Plays a day in virtual time: the same engines and the same stage, one thread, one seed.
 //!
-//! For: running any bad day again, bit for bit. Planners are joined to the stage by wires that take no time; all
-//! delays are the taps'. A stopped planner's bytes wait as in a socket's buffers; a killed one keeps what it had
-//! asked to keep.
+//! For: running any bad day again, bit for bit. Planners are joined to the stage by wires that take no time;
+//! all delays are the taps'. A stopped planner's bytes wait as in a socket's buffers; a killed one keeps what
+//! it had asked to keep.
 //! May not touch: real clocks, sockets, threads.
 
 pub use mulleinhub_baselines::Rule;
@@ -84,8 +84,8 @@
 }
 
 impl<W: Write> Runner<W> {
-    /// # Panics
-    /// Where the settings that the day gives its planners are faulty, which is a defect of the day's own checks.
+    /// # Panics Where the settings that the day gives its planners are faulty, which is a defect of the day's
+    /// own checks.
     pub fn new(day: Day, out: W) -> Self {
         let settings = (0..day.planners)
             .map(|planner| {
@@ -211,13 +211,7 @@
                 slot.stopped = false;
                 slot.waiting.clear();
                 slot.waiting_bytes = 0;
-                let links: Vec<Link> = self
-                    .to_planner
-                    .iter()
-                    .filter(|(_, (p, _))| *p == planner)
-                    .map(|(link, _)| *link)
-                    .collect();
-                for link in links {
+                for link in self.links_of(planner) {
                     self.unwire(planner, link);
                     self.stage.ended(self.now, link, End::Broken);
                 }
@@ -234,22 +228,10 @@
                 }
                 self.slots[planner].waiting_bytes = 0;
                 for waiting in std::mem::take(&mut self.slots[planner].waiting) {
-                    let Some(engine) = &mut self.slots[planner].engine else { break };
-                    match waiting {
-                        Waiting::Opened(link) => engine.opened(self.now, link, Door(0)),
-                        Waiting::Up(link) => engine.up(self.now, link),
-                        Waiting::Bytes(link, bytes) => engine.received(self.now, link, &bytes),
-                        Waiting::Ended(link, end) => engine.ended(self.now, link, end),
-                    }
+                    self.tell_planner(planner, waiting);
                 }
                 // What waited in the stage for room goes on.
-                let links: Vec<Link> = self
-                    .to_planner
-                    .iter()
-                    .filter(|(_, (p, _))| *p == planner)
-                    .map(|(link, _)| *link)
-                    .collect();
-                for link in links {
+                for link in self.links_of(planner) {
                     self.carry_to_planner(link);
                 }
             }
@@ -257,6 +239,11 @@
         self.stage.did(self.now, deed);
     }
 
+    /// The stage's links to this planner.
+    fn links_of(&self, planner: usize) -> Vec<Link> {
+        self.to_planner.iter().filter(|(_, (p, _))| *p == planner).map(|(link, _)| *link).collect()
+    }
+
     fn unwire(&mut self, planner: usize, stage_link: Link) {
         if let Some((_, link)) = self.to_planner.remove(&stage_link) {
             self.to_stage.remove(&(planner, link));
--- a/crates/runner/tests/days.rs
+++ b/crates/runner/tests/days.rs
@@ -34,7 +34,8 @@
                 let (_, verdict) = play(day);
                 for ((rule, name), sum) in verdict.rules.iter().zip(Verdict::NAMES).zip(&mut cases) {
                     let again = format!(
-                        "mulleinhub day run --virtual --seed {seed} --random-troubles {troubles} --no-troubles \
+                        "mulleinhub day run --virtual --seed {seed} \
+                         --random-troubles {troubles} --no-troubles \
                          days/bad-day.day"
                     );
                     assert_eq!(rule.breaches, [], "{name}; again: {again}");
--- a/crates/runner/tests/mutants.rs
+++ b/crates/runner/tests/mutants.rs
@@ -148,6 +148,12 @@
     tape.iter().enumerate().find_map(of).expect("a day places tasks")
 }
 
+/// Tells that a task is over, or withdraws it.
+fn is_over(kept: &Kept, task: u64) -> bool {
+    let over = message(kept);
+    matches!(over, Some(Message::Ended { task: t, .. } | Message::Withdraw { task: t }) if t == task)
+}
+
 #[track_caller]
 fn caught(tape: &Tape, rule: usize, task: Option<u64>, machine: Option<u64>) {
     let verdict = rewrite(tape);
@@ -168,7 +174,7 @@
     let mut tape = QUIET.clone();
     let (.., task) = answer(&tape);
     tape.retain(|(_, kept)| {
-        !matches!(message(kept), Some(Message::Placed { task: t, .. } | Message::Ended { task: t, .. } | Message::Withdraw { task: t }) if t == task)
+        !matches!(message(kept), Some(Message::Placed { task: t, .. }) if t == task) && !is_over(kept, task)
     });
     caught(&tape, LOST, Some(task), None);
 }
@@ -194,9 +200,7 @@
     let mut tape = QUIET.clone();
     let (place, at, _, task) = answer(&tape);
     tape[place].0 = at + 9_000_000_000;
-    tape.retain(|(_, kept)| {
-        !matches!(message(kept), Some(Message::Ended { task: t, .. } | Message::Withdraw { task: t }) if t == task)
-    });
+    tape.retain(|(_, kept)| !is_over(kept, task));
     caught(&tape, LOST, Some(task), None);
 }
 
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -1,8 +1,8 @@
 //! The seam between programs and I/O.
 //!
-//! For: what each program and stand-in is made of. A [`Party`] is told bytes, ends of connections and the time,
-//! and leaves bytes, connections to open or end, and a wake time in its [`Links`]. A shell with real sockets
-//! and a runner in virtual time feed the same parties.
+//! For: what each program and stand-in is made of. A [`Party`] is told bytes, ends of connections and the
+//! time, and leaves bytes, connections to open or end, and a wake time in its [`Links`]. A shell with real
+//! sockets and a runner in virtual time feed the same parties.
 //! May not touch: sockets, clocks, threads, files; what bytes mean.
 
 mod links;
@@ -39,8 +39,8 @@
 
 /// A program or stand-in without I/O.
 ///
-/// A turn is: any number of `opened`, `up`, `received` and `ended`, then one `turn`. Whoever feeds it tells all
-/// that has come in before `turn`, so that a standstill is no silence of the others.
+/// A turn is: any number of `opened`, `up`, `received` and `ended`, then one `turn`. Whoever feeds it tells
+/// all that has come in before `turn`, so that a standstill is no silence of the others.
 pub trait Party {
     /// Somebody opened a connection to this party.
     fn opened(&mut self, now: Time, link: Link, door: Door);
--- a/crates/seam/src/timers.rs
+++ b/crates/seam/src/timers.rs
@@ -40,8 +40,8 @@
         self.set
     }
 
-    /// The earliest thing that is due by now and was set before the mark, so that what is set again for the same
-    /// instant waits for the next turn.
+    /// The earliest thing that is due by now and was set before the mark, so that what is set again for the
+    /// same instant waits for the next turn.
     pub fn due_of(&mut self, now: Time, mark: u64) -> Option<T> {
         let Reverse((_, set, _)) = self.heap.peek()?;
         if *set > mark { None } else { self.due(now) }
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -1,7 +1,7 @@
 //! A party behind real sockets: one thread, one poll, no runtime.
 //!
-//! For: everything between mio and a [`Party`]: listening, connecting, reading, writing, waking, signals. All that
-//! is readable is told before the party's turn, also after this process stood still.
+//! For: everything between mio and a [`Party`]: listening, connecting, reading, writing, waking, signals. All
+//! that is readable is told before the party's turn, also after this process stood still.
 //! May not touch: what bytes mean. Addresses are loopback ones alone.
 
 use mio::net::{TcpListener, TcpStream};
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for what a planner speaks to: racks of machines, the list service, and the owners of tasks.
 //!
-//! For: models without I/O that behave as the operators' published rules say, troubles included. Where a rule is
-//! silent the head of the model says what was guessed.
+//! For: models without I/O that behave as the operators' published rules say, troubles included. Where a rule
+//! is silent the head of the model says what was guessed.
 //! May not touch: sockets and clocks, the planner's engine, the module.
 
 mod dice;
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -1,7 +1,7 @@
 //! The list of machines: late, told to whoever watches it, of fixed capacity.
 //!
-//! Guessed: it looks at all machines once a period; what it saw is told `late` afterwards; a machine that went
-//! without a word stays listed for a while and then counts as left.
+//! Guessed: it looks at all machines once a period; what it saw is told `late` afterwards; a machine that
+//! went without a word stays listed for a while and then counts as left.
 
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{
--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -1,11 +1,11 @@
 //! One machine: looks at one offer at a time, starts a few at once, runs tasks and tells how they fare.
 //!
 //! From the published rules: accepting by asks up to multiples of the size, one offer looked at at a time, a
-//! bounded line, so many starts at once, more work without the program, kept programs, yes when accepted or when
-//! running, push-outs and evictions by priority, the cold pace and falling over, the manners of draining.
-//! Guessed: use over time is a sine about a mean drawn for the task; memory grows to it within five seconds; a
-//! start takes one core; the pace of a cold machine rises evenly until it is warm; half of what lower
-//! priorities use counts as busy.
+//! bounded line, so many starts at once, more work without the program, kept programs, yes when accepted or
+//! when running, push-outs and evictions by priority, the cold pace and falling over, the manners of
+//! draining. Guessed: use over time is a sine about a mean drawn for the task; memory grows to it within five
+//! seconds; a start takes one core; the pace of a cold machine rises evenly until it is warm; half of what
+//! lower priorities use counts as busy.
 
 use crate::dice::Dice;
 use crate::worth::Worth;
@@ -415,7 +415,8 @@
         self.start_next(now, cases);
     }
 
-    /// Makes room by ending tasks of lower priority, newest of the lowest first; nothing if that isn't enough.
+    /// Makes room by ending tasks of lower priority, newest of the lowest first; nothing if that isn't
+    /// enough.
     fn push_out_for(
         &mut self,
         now: Time,
@@ -471,7 +472,8 @@
         }
     }
 
-    /// Brings everything up to now: starts that are done, notes, evictions, tasks sent away, copies unclaimed.
+    /// Brings everything up to now: starts that are done, notes, evictions, tasks sent away, copies
+    /// unclaimed.
     pub(crate) fn turn(&mut self, now: Time, cases: &[CaseModel], worth: &Worth, out: &mut Vec<Happened>) {
         let mut at = 0;
         let mut started = false;
--- a/crates/standins/src/owner.rs
+++ b/crates/standins/src/owner.rs
@@ -1,9 +1,9 @@
 //! Those who ask for tasks: a product team's deploy tool, say, with services of several tasks each.
 //!
-//! From the published rules: an owner asks again after a nack, an error, a move or a loss, later after many; where
-//! a send may have run and a second start could do harm it waits first; a task that proves to run is handed to a
-//! planner. Guessed: an owner keeps one connection to each planner that it knows, spreads its tasks over those
-//! that are up, and asks what became of its tasks when a connection is up again.
+//! From the published rules: an owner asks again after a nack, an error, a move or a loss, later after many;
+//! where a send may have run and a second start could do harm it waits first; a task that proves to run is
+//! handed to a planner. Guessed: an owner keeps one connection to each planner that it knows, spreads its
+//! tasks over those that are up, and asks what became of its tasks when a connection is up again.
 
 use crate::dice::Dice;
 use crate::worth::{Tally, Worth};
--- a/crates/standins/src/rack.rs
+++ b/crates/standins/src/rack.rs
@@ -1,8 +1,8 @@
 //! Machines that share a group of repeats: of a referenced task one copy stands among them.
 //!
-//! Each machine has a door of its own and speaks the machine's side of the protocol. Guessed: the machines of a
-//! group know of each other's copies at once; a repeat is turned away while somebody holds the standing copy, and
-//! takes its place where nobody does or where it comes from the planner that sent the first.
+//! Each machine has a door of its own and speaks the machine's side of the protocol. Guessed: the machines of
+//! a group know of each other's copies at once; a repeat is turned away while somebody holds the standing
+//! copy, and takes its place where nobody does or where it comes from the planner that sent the first.
 
 use crate::machine::{CaseModel, Happened, Held, Machine, Offer, Stage, told_end};
 use crate::worth::Worth;
@@ -232,7 +232,8 @@
         let name = format!("machine-{}", self.machines[at].settings.id);
         self.write(link, &Message::Welcome { version: protocol::VERSION, features: 0, name: &name, life });
         let ours = self.machines[at].held.iter().filter(|held| held.planner.as_deref() == Some(planner));
-        // With yes when running, what doesn't run yet has had no yes: the planner must not take it for placed.
+        // With yes when running, what doesn't run yet has had no yes: the planner must not take it for
+        // placed.
         let yes_when_running = self.machines[at].settings.yes_when_running;
         let runs = |held: &Held| matches!(held.stage, Stage::Runs { .. });
         let mut tasks: Vec<protocol::Held<'_>> = ours
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -1,7 +1,7 @@
 //! The judge: walks through a capture once and keeps what the rules need to know.
 //!
-//! A planner is held to what had been delivered to it and to what it wrote. Times are the tap's. What a killed
-//! planner held is no longer its duty; while a planner was stopped it can't be late.
+//! A planner is held to what had been delivered to it and to what it wrote. Times are the tap's. What a
+//! killed planner held is no longer its duty; while a planner was stopped it can't be late.
 
 use crate::figures::{ERRORED, Figures, NACKED, PLACED, TAKEN, WITHDRAWN};
 use mulleinhub_capture::{CaseTerms, Deed, Effect, Reach, Record, Side, Stamped, Terms};
@@ -734,7 +734,8 @@
         }
     }
 
-    /// The telling is whole. What an older connection to the same life carried and the machine lacks never ran.
+    /// The telling is whole. What an older connection to the same life carried and the machine lacks never
+    /// ran.
     fn lacks(&mut self, link: u32, name: &str, machine: u64) {
         let wire = &self.wires[&link];
         let (life, held) = (wire.life, wire.held.clone());
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -1,7 +1,7 @@
 //! Judges the five rules from a capture alone.
 //!
-//! For: saying of each rule whether it was kept, broken or not met, with the task or machine concerned, and the
-//! day's figures as the traffic shows them.
+//! For: saying of each rule whether it was kept, broken or not met, with the task or machine concerned, and
+//! the day's figures as the traffic shows them.
 //! May not touch: the engine, the module, the stand-ins: a judge that shares code with the judged shares its
 //! errors. It knows captures and the protocol's decoder.
 
