--- a/crates/engine/examples/ordinary_path.rs
+++ b/crates/engine/examples/ordinary_path.rs
@@ -108,7 +108,7 @@
         let (bytes, offers, machines) = (Vec::new(), VecDeque::new(), Vec::new());
         let mut bench = Self { engine, now, machines, client, bytes, offers };
         bench.engine.up(now, list);
-        bench.tell(list, &Message::Welcome { version: 1, features: 0, name: "list", life: 1 });
+        bench.tell(list, &Message::Welcome { version: 1, features: 0, name: "list", life: 1, silence: None });
         let entries = (1..=MACHINES)
             .map(|machine| protocol::Entry {
                 machine,
@@ -132,7 +132,8 @@
         }
         for link in bench.machines.clone() {
             bench.engine.up(now, link);
-            bench.tell(link, &Message::Welcome { version: 1, features: 0, name: "m", life: 1 });
+            bench
+                .tell(link, &Message::Welcome { version: 1, features: 0, name: "m", life: 1, silence: None });
             bench.tell(link, &Message::Holds { tasks: vec![], last: true });
         }
         let clock = now.nanos();
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -6,14 +6,18 @@
 use mulleinhub_interface::{Effect, Ending, MachineId, Order, Reach as Group, TaskId, Writer};
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_limits::{Act, Limits, Why};
-use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Mode, Shape};
+use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Mode, Shape, Spare};
 use mulleinhub_seam::{End, Link, Links, Timers, Unwritten};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 /// A turn that comes so much later than was promised follows a standstill of this process.
 const STANDSTILL: Span = Span::from_nanos(20_000_000);
 
+/// Bytes of a client that wait to be heard; with more, nothing is read from it.
+const MOST_UNHEARD: usize = 64 * 1024;
+
 /// Between two turns at the most, while there are clients.
 const HEARTBEAT: Span = Span::from_nanos(100_000_000);
 
@@ -52,7 +56,7 @@
 pub enum Who {
     /// Somebody opened a connection and has not said who it is.
     Stranger,
-    Client(String),
+    Client(Arc<str>),
     Machine(MachineId),
     List,
 }
@@ -63,7 +67,7 @@
     pub frames: Frames,
     pub greeted: bool,
     /// How far our clock was ahead of the peer's on its quickest frame, in nanoseconds.
-    pub ahead: Option<i128>,
+    pub ahead: Option<i64>,
     /// That frame was not read after a standstill of ours.
     pub ahead_is_sure: bool,
     pub end: Option<End>,
@@ -157,8 +161,10 @@
     pub links: Links,
     pub peers: BTreeMap<Link, Peer>,
     arrivals: VecDeque<Link>,
-    /// Clients' connections that were silent before they spoke now.
-    woken: VecDeque<Link>,
+    /// Connections of which more came than is heard in a turn: they stand in line from the next one on.
+    rest: Vec<Link>,
+    /// Buffers of connections on which nothing comes in now.
+    pub spare: Spare,
     pub machines: BTreeMap<MachineId, Spot>,
     pub list_link: Option<Link>,
     pub list_version: u64,
@@ -178,11 +184,9 @@
     /// Final answers owed.
     pub owed: usize,
     /// The newest connection of each client, by its name.
-    pub clients: BTreeMap<String, Link>,
+    pub clients: BTreeMap<Arc<str>, Link>,
     stuck: Vec<Link>,
     pub limits: Limits,
-    /// Frames that connections which were silent before may still have heard in this turn.
-    woken_left: usize,
     /// When a turn was promised at the end of the last one, and how much later this one came.
     promised: Option<Time>,
     stood: Span,
@@ -203,7 +207,8 @@
             links: Links::default(),
             peers: BTreeMap::new(),
             arrivals: VecDeque::new(),
-            woken: VecDeque::new(),
+            rest: Vec::new(),
+            spare: Spare::default(),
             machines: BTreeMap::new(),
             list_link: None,
             list_version: 0,
@@ -222,7 +227,6 @@
             clients: BTreeMap::new(),
             stuck: Vec::new(),
             limits,
-            woken_left: 0,
             promised: None,
             stood: Span::ZERO,
             hears_clients: false,
@@ -270,21 +274,21 @@
     /// ask that had lain for seconds was given its whole patience anew, and answered after its client
     /// timeout.
     pub fn lain(&mut self, link: Link, clock: u64) -> Span {
-        let stood = if self.stood > STANDSTILL { i128::from(self.stood.nanos()) } else { 0 };
-        let ahead = i128::from(self.now.nanos()) - i128::from(clock);
+        let stood = if self.stood > STANDSTILL { self.stood.nanos() as i64 } else { 0 };
+        let ahead = (self.now.nanos() as i64).saturating_sub(i64::try_from(clock).unwrap_or(i64::MAX));
         let Some(peer) = self.peers.get_mut(&link) else { return Span::ZERO };
         // A frame read after a standstill may have lain for all of it: until one is read promptly, the worst
         // holds.
         let sure = stood == 0;
         let least = match peer.ahead {
             Some(before) if peer.ahead_is_sure => before.min(ahead),
-            Some(before) if !sure => before.min(ahead - stood),
-            _ => ahead - stood,
+            Some(before) if !sure => before.min(ahead.saturating_sub(stood)),
+            _ => ahead.saturating_sub(stood),
         };
         (peer.ahead, peer.ahead_is_sure) = (Some(least), peer.ahead_is_sure || sure);
         // What is read after a standstill may have lain for all of it, whatever earlier frames say: theirs
         // may have lain on a stalled link. Too little patience is harmless, too much is late.
-        Span::from_nanos(u64::try_from(ahead - least).unwrap_or(0)).max(if sure {
+        Span::from_nanos(u64::try_from(ahead.saturating_sub(least)).unwrap_or(0)).max(if sure {
             Span::ZERO
         } else {
             self.stood
@@ -310,7 +314,8 @@
         self.links.end(link);
     }
 
-    /// Its tasks stay in hand; their ends wait for it to come back.
+    /// Its tasks stay in hand; their ends wait for it to come back. They still name its link, which nobody
+    /// has again: `tell_owner` sees that it is over.
     pub fn client_gone(&mut self, link: Link) {
         self.limits.forget(link.0);
         if let Some(Peer { who: Who::Client(name), .. }) = self.peers.get(&link)
@@ -318,9 +323,6 @@
         {
             self.clients.remove(name);
         }
-        for job in self.jobs.values_mut().filter(|job| job.owner_link == Some(link)) {
-            job.owner_link = None;
-        }
     }
 
     /// A task in hand is this connection's now, or no longer.
@@ -333,9 +335,8 @@
 
     /// Deadlines of clients' connections, a bounded number of them in one turn.
     pub fn look_after_clients(&mut self) {
-        const IN_ONE_TURN: usize = 512;
-        for _ in 0..IN_ONE_TURN {
-            let Some((conn, act)) = self.limits.due(self.now) else { return };
+        let mut budget = 512;
+        while let Some((conn, act)) = self.limits.due(self.now, &mut budget) {
             match act {
                 Act::AskForSign => self.write(Link(conn), &Message::Ping { nonce: conn }),
                 Act::End(why) => self.let_go(Link(conn), why.words()),
@@ -370,7 +371,11 @@
 
     pub fn came_in(&mut self, now: Time, link: Link, bytes: &[u8]) {
         let Some(peer) = self.peers.get_mut(&link) else { return };
-        peer.frames.take(bytes);
+        peer.frames.take_with(bytes, &mut self.spare);
+        // Who sends more than is heard in a turn waits until that was heard.
+        if matches!(peer.who, Who::Stranger | Who::Client(_)) && peer.frames.kept() > MOST_UNHEARD {
+            self.links.pause(link, true);
+        }
         match peer.who {
             Who::Machine(id) => {
                 if let Some(spot) = self.machines.get_mut(&id) {
@@ -397,17 +402,43 @@
         if std::mem::replace(&mut peer.queued, true) {
             return;
         }
-        let client = matches!(peer.who, Who::Stranger | Who::Client(_));
-        if client && !(self.hears_clients && self.limits.is_steady(self.now, link.0)) {
-            self.woken.push_back(link);
-        } else {
+        let now = match peer.who {
+            Who::Machine(_) | Who::List => true,
+            Who::Client(_) if self.hears_clients => self.limits.speaks(self.now, link.0, peer.in_hand > 0),
+            // Who comes back with tasks in hand says so in its greeting.
+            Who::Stranger | Who::Client(_) => {
+                let greeting = peer.frames.peek().and_then(|frame| protocol::decode(frame).ok());
+                let returns = matches!(greeting, Some(Message::Hello { features, .. })
+                    if features & protocol::HAS_TASKS != 0);
+                self.limits.stands_in_line(link.0, returns);
+                false
+            }
+        };
+        if now {
             self.arrivals.push_back(link);
         }
     }
 
+    /// More of it was here than is heard in one turn.
+    pub fn hear_rest_later(&mut self, link: Link) {
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        if !std::mem::replace(&mut peer.queued, true) {
+            self.rest.push(link);
+        }
+    }
+
+    /// What a pinch of descriptors costs: idle connections, with a reason.
+    pub fn pinched(&mut self, now: Time) {
+        self.now = self.now.max(now);
+        for conn in self.limits.pinched(self.now) {
+            self.let_go(Link(conn), Why::MadeRoom.words());
+        }
+    }
+
     pub fn has_news(&self) -> bool {
         !self.arrivals.is_empty()
-            || !self.woken.is_empty()
+            || self.limits.any_in_line()
+            || !self.rest.is_empty()
             || self.limits.wake().is_some_and(|at| at <= self.now)
             || !self.closings.is_empty()
             || self.timers.next().is_some_and(|at| at <= self.now)
@@ -418,10 +449,7 @@
         let link = match self.arrivals.pop_front() {
             Some(link) => link,
             // Those that were silent before are heard after all others, so many in one turn.
-            None if self.hears_clients && self.woken_left > 0 => {
-                self.woken_left -= 1;
-                self.woken.pop_front()?
-            }
+            None if self.hears_clients => Link(self.limits.next_heard()?),
             None => return None,
         };
         if let Some(peer) = self.peers.get_mut(&link) {
@@ -435,7 +463,9 @@
     }
 
     pub fn wake(&self) -> Option<Time> {
-        if !self.closings.is_empty() || (self.hears_clients && !self.woken.is_empty()) {
+        if !self.closings.is_empty()
+            || (self.hears_clients && (self.limits.any_in_line() || !self.rest.is_empty()))
+        {
             return Some(self.now);
         }
         // A turn at least so often, where there are clients: by its lateness a standstill is known.
@@ -447,7 +477,14 @@
     pub fn begin_turn(&mut self, now: Time) {
         self.now = now;
         self.stood = self.promised.take().map_or(Span::ZERO, |promised| now - promised);
-        self.woken_left = self.limits.woken_frames();
+        self.limits.begin_turn(self.machines.len());
+        for link in std::mem::take(&mut self.rest) {
+            let returns = self.peers.get(&link).is_some_and(|peer| peer.in_hand > 0);
+            self.limits.stands_in_line(link.0, returns);
+        }
+        if self.stood > STANDSTILL {
+            self.limits.woke(now);
+        }
     }
 
     /// The turn is over; the next one is due at the latest by then.
@@ -465,9 +502,16 @@
 
     /// Ends a connection from this side; what follows is as if it had broken.
     pub fn end_of_ours(&mut self, link: Link) {
-        if self.peers.contains_key(&link) {
+        match self.peers.get(&link).map(|peer| &peer.who) {
+            None => {}
+            // What it sent and was not heard was never taken.
+            Some(Who::Stranger | Who::Client(_)) => {
+                self.client_gone(link);
+                self.peers.remove(&link);
+                self.links.abort(link);
+            }
             // What is unwritten must be known before it is dropped.
-            self.has_ended(link, End::Broken);
+            Some(Who::Machine(_) | Who::List) => self.has_ended(link, End::Broken),
         }
     }
 
@@ -510,6 +554,7 @@
 
     /// Tells the owner of a task: on the connection that asked last, else on the owner's newest.
     pub fn tell_owner(&mut self, link: Option<Link>, owner: &str, message: &Message<'_>) {
+        let link = link.filter(|link| self.peers.contains_key(link));
         let link = link.or_else(|| self.clients.get(owner).copied());
         if let Some(link) = link {
             self.write(link, message);
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -18,9 +18,14 @@
 use mulleinhub_protocol::{self as protocol, Bad, Conversation, Message, Reason, Shape, Side};
 use mulleinhub_seam::{End, Link, Unwritten};
 use std::cell::RefCell;
+use std::sync::Arc;
 
 type Heard = Result<(), Bad>;
 
+/// Frames of one client's connection that are heard in one turn; the rest waits in line with others'. Met: an
+/// owner that asked for a thousand tasks in one write held up the asks of all others for that turn.
+const FRAMES_A_TURN: usize = 64;
+
 /// The first turn: the list of the last life, and the calls for a newer one.
 pub fn begin(desk: &RefCell<Desk>, round: &mut dyn Ears, saved: Option<Vec<u8>>) {
     if let Some(frame) = saved {
@@ -74,7 +79,11 @@
     else {
         return;
     };
+    let mut left = FRAMES_A_TURN;
     loop {
+        if left == 0 {
+            break;
+        }
         let heard = match frames.next_frame() {
             Ok(None) => break,
             Ok(Some(frame)) => protocol::decode(frame).and_then(|message| hear(desk, round, link, &message)),
@@ -84,19 +93,27 @@
             refuse(&mut desk.borrow_mut(), link, &bad);
             break;
         }
-        if !desk.borrow().peers.contains_key(&link) {
-            return;
-        }
+        let desk = desk.borrow();
+        let Some(peer) = desk.peers.get(&link) else { return };
+        left -= usize::from(matches!(peer.who, Who::Stranger | Who::Client(_)));
     }
     let end = {
         let desk = &mut *desk.borrow_mut();
         let Some(peer) = desk.peers.get_mut(&link) else { return };
+        frames.tidy(&mut desk.spare);
         let partial = frames.kept() > 0;
         peer.frames = frames;
         let end = peer.end;
-        if partial && matches!(peer.who, Who::Stranger | Who::Client(_)) {
-            let now = desk.now;
-            desk.limits.heard(now, link.0, true);
+        if left == 0 && partial && peer.frames.peek().is_some() {
+            desk.hear_rest_later(link);
+            return;
+        }
+        if matches!(peer.who, Who::Stranger | Who::Client(_)) {
+            desk.links.pause(link, false);
+            if partial {
+                let now = desk.now;
+                desk.limits.heard(now, link.0, true);
+            }
         }
         end
     };
@@ -144,16 +161,20 @@
                 protocol::VERSION
             )));
         }
-        (peer.who, peer.greeted) = (Who::Client((*name).to_owned()), true);
-        d.clients.insert((*name).to_owned(), link);
-        if let Err(why) = d.limits.greeted(link.0, name) {
+        // One copy of the name serves all that know it.
+        let name: Arc<str> =
+            d.clients.get_key_value(*name).map_or_else(|| (*name).into(), |(n, _)| n.clone());
+        (peer.who, peer.greeted) = (Who::Client(name.clone()), true);
+        d.clients.insert(name.clone(), link);
+        if let Err(why) = d.limits.greeted(link.0, &name) {
             d.let_go(link, why.words());
             return Ok(());
         }
         d.lain(link, *clock);
         let (name, life) = (d.settings.name.clone(), d.life);
         let version = protocol::VERSION.min(*version);
-        d.write(link, &Message::Welcome { version, features: 0, name: &name, life });
+        let silence = Some(d.limits.settings().idle_after.nanos());
+        d.write(link, &Message::Welcome { version, features: 0, name: &name, life, silence });
         return Ok(());
     }
     match message {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -95,12 +95,28 @@
         fixed
     }
 
+    /// Bytes of all buffers that are held for connections, and spare.
+    pub fn buffers(&self) -> usize {
+        let desk = self.desk.borrow();
+        let partial: usize = desk.peers.values().map(|peer| peer.frames.owned()).sum();
+        desk.links.held() + desk.spare.held() + partial
+    }
+
     /// What the last turn cost, from whoever has a clock: where turns take long, fewer connections are
     /// allowed.
     pub fn turn_took(&mut self, now: Time, took: Span) {
-        let limits = &mut self.desk.get_mut().limits;
-        let open = limits.len();
-        limits.pressure.turn_took(now, took, open);
+        self.desk.get_mut().limits.turn_took(now, took);
+    }
+
+    /// So many descriptors this process may have: clients get what machines and the list leave of them.
+    pub fn descriptors(&mut self, most: usize) {
+        self.desk.get_mut().limits.descriptors(most);
+    }
+
+    /// Clients' connections that are open, and places of deadlines that are held for them.
+    pub fn clients_open(&self) -> (usize, usize) {
+        let desk = self.desk.borrow();
+        (desk.limits.len(), desk.limits.timers())
     }
 
     /// Nothing waits to go out to clients.
@@ -171,6 +187,14 @@
         &mut self.desk.get_mut().links
     }
 
+    fn takes(&self, _: Door) -> usize {
+        self.desk.borrow().limits.takes()
+    }
+
+    fn pinched(&mut self, now: Time) {
+        self.desk.get_mut().pinched(now);
+    }
+
     fn keep(&mut self) -> Option<Vec<u8>> {
         self.desk.get_mut().list_to_keep()
     }
--- a/crates/engine/tests/host/mod.rs
+++ b/crates/engine/tests/host/mod.rs
@@ -149,6 +149,14 @@
         self.turn()
     }
 
+    /// Time passes as in a process that goes on: a turn every tenth of a second.
+    pub fn lives(&mut self, ms: u64) {
+        let end = self.now + Span::from_nanos(ms * 1_000_000);
+        while self.now < end {
+            self.after(100);
+        }
+    }
+
     /// The newest link that the planner opened to this address.
     pub fn link(&self, address: &str) -> Link {
         self.opening.iter().rev().find(|(_, to)| to == address).map(|(link, _)| *link).expect("was asked for")
@@ -158,7 +166,10 @@
         let link = self.link(address);
         self.engine.up(self.now, link);
         let mut said = self.turn();
-        said.extend(self.tell(link, &[Message::Welcome { version: 1, features: 0, name: address, life: 1 }]));
+        said.extend(self.tell(
+            link,
+            &[Message::Welcome { version: 1, features: 0, name: address, life: 1, silence: None }],
+        ));
         said
     }
 
@@ -190,7 +201,7 @@
         self.engine.up(self.now, link);
         let mut said = self.turn();
         let name = format!("machine-{id}");
-        let welcome = Message::Welcome { version: 1, features: 0, name: &name, life };
+        let welcome = Message::Welcome { version: 1, features: 0, name: &name, life, silence: None };
         said.extend(self.tell(link, &[welcome, Message::Holds { tasks, last: true }]));
         said
     }
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -3,6 +3,7 @@
 mod host;
 
 use host::*;
+use mulleinhub_interface::Span;
 use mulleinhub_protocol::{Ending, Held, Message, Mode, Reason};
 use mulleinhub_seam::{End, Party};
 
@@ -284,7 +285,7 @@
 #[test]
 fn an_answer_that_lay_in_a_buffer_while_the_planner_stood_still_counts_before_its_time_out() {
     let (mut host, _, machine) = with_offer(SINGLE_USE);
-    host.now = host.now + mulleinhub_interface::Span::from_secs(7);
+    host.now = host.now + Span::from_secs(7);
     let said = host.machine(machine, Message::Accepted { task: 1, send: 0 });
     assert!(says(&said, "owner", &format!("placed 1 on {machine}")), "{said:?}");
     assert!(!said.iter().any(|(_, words)| words.starts_with("recall")), "{said:?}");
@@ -334,8 +335,9 @@
     for task in 0..20_000 {
         host.only_tell(deaf, &[Message::Learn { task }]);
     }
-    host.turn();
-    host.turn();
+    for _ in 0..200 {
+        host.turn();
+    }
     assert!(host.ended.contains(&deaf));
     assert!(says(&host.ask(fine, 70_000, REPLAYABLE), "fine", "taken 70000"));
 }
@@ -529,20 +531,20 @@
     let stranger = host.engine.links().fresh();
     host.engine.opened(host.now, stranger, mulleinhub_seam::Door(0));
     let client = host.client("quiet");
-    host.after(5_200);
+    host.lives(5_200);
     assert!(host.ended.contains(&stranger) && !host.ended.contains(&client));
-    host.after(55_200);
+    host.lives(55_200);
     host.tell(client, &[Message::Pong { nonce: 0 }]);
-    host.after(10_200);
+    host.lives(10_200);
     assert!(!host.ended.contains(&client));
-    host.after(60_200);
-    host.after(10_200);
+    host.lives(60_200);
+    host.lives(10_200);
     assert!(host.ended.contains(&client));
 }
 
 #[test]
 fn many_that_wake_at_once_are_heard_after_a_steady_one_and_a_bounded_number_in_a_turn() {
-    let mut host = limited(|clients| clients.woken_frames = 10);
+    let mut host = limited(|clients| clients.woken_a_turn = 10);
     let steady = host.client("steady");
     for _ in 0..7 {
         host.after(1_000);
@@ -562,3 +564,86 @@
     }
     assert_eq!(all, 51, "nothing is lost, only later");
 }
+
+#[test]
+fn a_standstill_with_twenty_thousand_keep_alives_due_ends_no_live_client() {
+    const ALL: usize = 20_000;
+    let mut host = limited(|clients| {
+        (clients.sign_within, clients.most_strangers) = (Span::from_secs(1), ALL);
+    });
+    let all: Vec<_> = (0..ALL).map(|n| host.opens(&format!("quiet{n}"))).collect();
+    for (n, link) in all.iter().enumerate() {
+        host.only_tell(*link, &[hello(&format!("quiet{n}"), host.now)]);
+    }
+    for _ in 0..ALL / 200 {
+        host.turn();
+    }
+    // Silence for fifty seconds: some have been asked for a sign, each within the last of its time.
+    host.lives(45_700);
+    // A standstill of two seconds, longer than the time for a sign. Half the answers lie in buffers, the
+    // other half comes within a second: the questions to them had lain here.
+    host.now = host.now + Span::from_secs(2);
+    let (before, after) = all.split_at(ALL / 2);
+    before.iter().for_each(|link| host.only_tell(*link, &[Message::Pong { nonce: 0 }]));
+    (0..10).for_each(|_| drop(host.turn()));
+    host.lives(500);
+    after.iter().for_each(|link| host.only_tell(*link, &[Message::Pong { nonce: 0 }]));
+    host.lives(900);
+    assert!(all.iter().all(|link| !host.ended.contains(link)));
+}
+
+#[test]
+fn after_a_restart_those_with_tasks_in_hand_are_heard_first() {
+    let mut host = limited(|clients| clients.woken_a_turn = 4);
+    for n in 0..40 {
+        let name = format!("back{n}");
+        let link = host.opens(&name);
+        let features = if n >= 30 { mulleinhub_protocol::HAS_TASKS } else { 0 };
+        let Message::Hello { conversation, version, least_version, name, life, clock, .. } =
+            hello(&name, host.now)
+        else {
+            unreachable!("is a hello")
+        };
+        let message = Message::Hello { conversation, version, least_version, features, name, life, clock };
+        host.only_tell(link, &[message]);
+    }
+    let mut order = Vec::new();
+    for _ in 0..10 {
+        let said = host.turn();
+        order.extend(said.into_iter().map(|(who, _)| who).filter(|who| who.starts_with("back")));
+    }
+    let last = order.iter().rposition(|who| who.as_str() >= "back30" && who.len() == 6);
+    assert!(order.len() == 40 && last.is_some_and(|last| last < 16), "{order:?}");
+}
+
+#[test]
+fn one_client_that_asks_for_a_thousand_tasks_at_once_does_not_hold_up_the_others() {
+    let mut host = limited(|_| ());
+    let (greedy, other) = (host.client("greedy"), host.client("other"));
+    let now = host.now;
+    let asks: Vec<_> = (0..90).map(|n| ask(n, REPLAYABLE, now)).collect();
+    host.only_tell(greedy, &asks);
+    host.only_tell(other, &[ask(1_000, REPLAYABLE, now)]);
+    let said = host.turn();
+    let of =
+        |said: &[Said]| said.iter().filter(|(who, words)| who == "greedy" && words.contains("aken")).count();
+    assert!(says(&said, "other", "taken 1000") && of(&said) == 64, "{}", of(&said));
+    assert_eq!(of(&host.turn()), 26, "the rest is heard next");
+}
+
+#[test]
+fn an_idle_connection_owns_no_buffer_after_it_spoke() {
+    let mut host = limited(|_| ());
+    let all: Vec<_> = (0..500).map(|n| host.client(&format!("quiet{n}"))).collect();
+    for link in &all {
+        host.tell(*link, &[Message::StatusAsk {}]);
+    }
+    assert!(host.engine.buffers() < 2 * 64 * 16 * 1024, "{} bytes", host.engine.buffers());
+    let half = [0, 0, 0, 40, 1, 2, 3];
+    host.engine.received(host.now, all[3], &half);
+    host.turn();
+    let owned = host.engine.buffers();
+    host.engine.received(host.now, all[3], &[0; 37]);
+    host.turn();
+    assert!(host.engine.buffers() <= owned + 16 * 1024 && host.ended.contains(&all[3]));
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -5,50 +5,73 @@
 //! hand while an idle one exists.
 //! May not touch: sockets, frames, tasks themselves. It is told what happens and asked what to do.
 
+mod lines;
 mod pressure;
 mod wheel;
 
-pub use pressure::Pressure;
+pub use lines::Lines;
+pub use pressure::{Pace, Pressure};
 pub use wheel::Wheel;
 
 use mulleinhub_interface::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Connections of clients at a time.
     pub most: usize,
+    /// Of one tenant: of all names that are the same up to their first slash.
+    pub most_of_a_tenant: usize,
     /// Of one name.
     pub most_of_a_name: usize,
+    /// That have not said who they are.
+    pub most_strangers: usize,
+    /// Taken in one turn.
+    pub opens_a_turn: usize,
     /// A connection that has not greeted for so long is ended.
     pub greet_within: Span,
     /// A frame that is not whole after so long is never going to be.
     pub frame_within: Span,
-    /// A connection silent for so long is asked for a sign of life.
+    /// A connection silent for so long at the most is asked for a sign of life.
     pub idle_after: Span,
     /// And ended without one after so long.
     pub sign_within: Span,
     /// One that spoke within this is steady; what others say waits its turn where much comes at once.
     pub steady_for: Span,
-    /// Frames of connections that were silent before, heard in one turn.
-    pub woken_frames: usize,
+    /// Connections that were silent before, heard in one turn; and of one tenant's steady ones.
+    pub woken_a_turn: usize,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
             most: 100_000,
-            most_of_a_name: 50_000,
+            most_of_a_tenant: 50_000,
+            most_of_a_name: 1_000,
+            most_strangers: 10_000,
+            opens_a_turn: 256,
             greet_within: Span::from_secs(5),
             frame_within: Span::from_secs(10),
             idle_after: Span::from_secs(60),
             sign_within: Span::from_secs(10),
             steady_for: Span::from_secs(5),
-            woken_frames: 256,
+            woken_a_turn: 256,
         }
     }
 }
 
+/// The last part of the wait before a question that is drawn, so that clients that all came at one moment are
+/// not asked at one moment for ever after.
+const DRAWN: f64 = 0.25;
+/// Descriptors that are no client's, beside one for each machine: the list, listeners, files, who reads
+/// metrics, and one to accept with.
+const OWN_DESCRIPTORS: usize = 64;
+/// Let go together where descriptors have run out all the same: others in this process took them.
+const PINCH: usize = 16;
+/// Of what is heard from those that wait, this part is kept for those that come without a task in hand.
+const FOR_OTHERS: usize = 4;
+
 /// Why a connection is ended or not taken; its words go out in a frame before the end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Why {
@@ -59,10 +82,21 @@
     MadeRoom,
     /// All connections are taken, and none is idle.
     Full,
+    TenantFull,
     NameFull,
 }
 
 impl Why {
+    pub const ALL: [Self; 7] = [
+        Self::NoGreeting,
+        Self::SlowFrame,
+        Self::Silent,
+        Self::MadeRoom,
+        Self::Full,
+        Self::TenantFull,
+        Self::NameFull,
+    ];
+
     pub fn words(self) -> &'static str {
         match self {
             Self::NoGreeting => "no greeting came in time",
@@ -70,9 +104,23 @@
             Self::Silent => "no sign of life came in time",
             Self::MadeRoom => "room was needed and this connection was idle; come again later",
             Self::Full => "all connections are taken; come again later",
+            Self::TenantFull => "this tenant has all the connections that one tenant may have",
             Self::NameFull => "this name has all the connections that one name may have",
         }
     }
+
+    /// As it is called in status and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoGreeting => "no-greeting",
+            Self::SlowFrame => "slow-frame",
+            Self::Silent => "silent",
+            Self::MadeRoom => "made-room",
+            Self::Full => "full",
+            Self::TenantFull => "tenant-full",
+            Self::NameFull => "name-full",
+        }
+    }
 }
 
 /// What is to be done to a connection.
@@ -84,7 +132,7 @@
 
 #[derive(Debug)]
 struct Conn {
-    name: Option<String>,
+    name: Option<Arc<str>>,
     opened: Time,
     heard: Time,
     /// Before that it had been silent for longer than steady ones are.
@@ -95,34 +143,81 @@
     /// Its place in the wheel stands for this instant; its true deadline may be later.
     in_wheel: Time,
     in_hand: u32,
+    /// What came on it waits for us to hear it.
+    in_line: bool,
+}
+
+/// What is counted of a name or a tenant.
+#[derive(Debug, Default)]
+struct Count {
+    open: usize,
+    /// Steady connections of it heard in this turn.
+    heard: usize,
+    turn: u64,
 }
 
 /// All connections of clients, by a number of the caller's.
 #[derive(Debug)]
 pub struct Limits {
     settings: Settings,
-    conns: BTreeMap<u64, Conn>,
-    names: BTreeMap<String, usize>,
+    conns: BTreeMap<u64, Box<Conn>>,
+    names: BTreeMap<Arc<str>, u32>,
+    tenants: BTreeMap<Arc<str>, Count>,
     /// Those without a task in hand, longest silent first.
     idle: BTreeSet<(Time, u64)>,
+    /// Those that have not greeted, the first to come first.
+    strangers: BTreeSet<(Time, u64)>,
     wheel: Wheel,
     pub pressure: Pressure,
+    pace: Pace,
+    /// Descriptors that this process may have, and how many machines want one each.
+    descriptors: usize,
+    machines: usize,
+    turn: u64,
+    taken: usize,
+    /// When this process last went on after it had stood still.
+    woke: Time,
+    /// Those that came back with tasks in hand, and all others that wait to be heard.
+    returning: Lines,
+    woken: Lines,
+    returning_left: usize,
+    woken_left: usize,
     /// How many were ended or refused, by reason.
     pub ended: BTreeMap<Why, u64>,
 }
 
+/// The tenant of a name: what stands before its first slash.
+fn tenant(name: &str) -> &str {
+    name.split('/').next().unwrap_or(name)
+}
+
 impl Limits {
     pub fn new(settings: Settings) -> Self {
         let pressure = Pressure::new(settings.most);
-        Self {
+        let pace = Pace::new(settings.opens_a_turn);
+        let mut limits = Self {
             settings,
             conns: BTreeMap::new(),
             names: BTreeMap::new(),
+            tenants: BTreeMap::new(),
             idle: BTreeSet::new(),
+            strangers: BTreeSet::new(),
             wheel: Wheel::default(),
             pressure,
+            pace,
+            descriptors: usize::MAX,
+            machines: 0,
+            turn: 0,
+            taken: 0,
+            woke: Time::default(),
+            returning: Lines::default(),
+            woken: Lines::default(),
+            returning_left: 0,
+            woken_left: 0,
             ended: BTreeMap::new(),
-        }
+        };
+        limits.begin_turn(0);
+        limits
     }
 
     pub fn len(&self) -> usize {
@@ -133,26 +228,82 @@
         self.conns.is_empty()
     }
 
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     pub fn change(&mut self, settings: Settings) {
-        self.pressure = Pressure::new(settings.most);
+        // What pressure has learnt stays, unless it was learnt of another number.
+        if settings.most != self.settings.most {
+            self.pressure = Pressure::new(settings.most);
+        }
+        if settings.opens_a_turn != self.settings.opens_a_turn {
+            self.pace = Pace::new(settings.opens_a_turn);
+        }
         self.settings = settings;
     }
 
+    /// So many descriptors this process may have, in all.
+    pub fn descriptors(&mut self, most: usize) {
+        self.descriptors = most;
+    }
+
+    /// Connections that are allowed as things stand: by the settings, by pressure, and by descriptors, of
+    /// which machines and the list service have theirs before any client.
+    pub fn allowed(&self) -> usize {
+        let descriptors = self.descriptors.saturating_sub(OWN_DESCRIPTORS + self.machines).max(1);
+        self.pressure.allowed().min(descriptors)
+    }
+
+    /// A turn begins, with so many machines to be connected to.
+    pub fn begin_turn(&mut self, machines: usize) {
+        self.turn += 1;
+        (self.taken, self.machines) = (0, machines);
+        let most = self.settings.woken_a_turn.max(1);
+        self.woken_left = most.div_ceil(FOR_OTHERS);
+        self.returning_left = most - self.woken_left;
+    }
+
+    /// This process stood still until now. Who was asked for a sign of life has all the time for it once
+    /// more: the question may have lain here unwritten.
+    pub fn woke(&mut self, now: Time) {
+        self.woke = now;
+    }
+
+    /// A turn has taken so long.
+    pub fn turn_took(&mut self, now: Time, took: Span) {
+        let open = self.len();
+        self.pressure.turn_took(now, took, open);
+        self.pace.turn_took(took);
+    }
+
+    /// How many connections are taken yet in this turn; more wait outside, where they cost nothing.
+    pub fn takes(&self) -> usize {
+        self.pace.now().saturating_sub(self.taken)
+    }
+
     /// A connection came in. It may cost another one its place: that one is named, and is to be ended.
     ///
     /// # Errors
     /// Why it can't be taken.
     pub fn opened(&mut self, now: Time, conn: u64) -> Result<Option<u64>, Why> {
+        self.taken += 1;
         let mut room = None;
-        if self.conns.len() >= self.pressure.allowed() {
-            // One that greeted and has been silent longest; never one with a task in hand.
-            let Some((_, oldest)) = self.idle.first().copied() else {
+        if self.strangers.len() >= self.settings.most_strangers {
+            // Met: who opens and never greets took the places of those who had.
+            room = self.strangers.first().copied();
+        } else if self.conns.len() >= self.allowed() {
+            // One that has been silent longest; never one with a task in hand.
+            let Some(longest) = self.idle.first().copied() else {
                 return Err(self.count(Why::Full));
             };
-            self.forget(oldest);
-            self.count(Why::MadeRoom);
-            room = Some(oldest);
+            room = Some(longest);
         }
+        let room = room.map(|(_, out)| {
+            self.forget(out);
+            self.count(Why::MadeRoom);
+            out
+        });
         let deadline = now + self.settings.greet_within;
         let entry = Conn {
             name: None,
@@ -163,9 +314,11 @@
             asked_at: None,
             in_wheel: deadline,
             in_hand: 0,
+            in_line: false,
         };
-        self.conns.insert(conn, entry);
+        self.conns.insert(conn, Box::new(entry));
         self.idle.insert((now, conn));
+        self.strangers.insert((now, conn));
         self.wheel.put(now, deadline, conn);
         Ok(room)
     }
@@ -173,16 +326,34 @@
     /// It said who it is.
     ///
     /// # Errors
-    /// Where its name has all the connections that one may have; it is forgotten.
-    pub fn greeted(&mut self, conn: u64, name: &str) -> Result<(), Why> {
+    /// Where its name or its tenant has all the connections that one may have; it is forgotten.
+    pub fn greeted(&mut self, conn: u64, name: &Arc<str>) -> Result<(), Why> {
         let Some(entry) = self.conns.get_mut(&conn) else { return Ok(()) };
-        let of_name = self.names.entry(name.to_owned()).or_default();
-        if *of_name >= self.settings.most_of_a_name {
+        if entry.name.is_some() {
+            return Ok(());
+        }
+        let of_name = self.names.get(name).copied().unwrap_or(0) as usize;
+        let of_tenant = self.tenants.get(tenant(name)).map_or(0, |count| count.open);
+        let full = if of_name >= self.settings.most_of_a_name {
+            Some(Why::NameFull)
+        } else {
+            (of_tenant >= self.settings.most_of_a_tenant).then_some(Why::TenantFull)
+        };
+        if let Some(why) = full {
             self.forget(conn);
-            return Err(self.count(Why::NameFull));
+            return Err(self.count(why));
+        }
+        self.strangers.remove(&(entry.opened, conn));
+        entry.name = Some(name.clone());
+        *self.names.entry(name.clone()).or_default() += 1;
+        match self.tenants.get_mut(tenant(name)) {
+            Some(count) => count.open += 1,
+            None => {
+                let short = tenant(name);
+                let key = if short.len() == name.len() { name.clone() } else { short.into() };
+                self.tenants.insert(key, Count { open: 1, ..Count::default() });
+            }
         }
-        *of_name += 1;
-        entry.name = Some(name.to_owned());
         Ok(())
     }
 
@@ -192,14 +363,14 @@
         if now - entry.heard > self.settings.steady_for {
             entry.steady_since = now;
         }
-        if entry.in_hand == 0 {
+        if entry.in_hand == 0 && now != entry.heard {
             self.idle.remove(&(entry.heard, conn));
             self.idle.insert((now, conn));
         }
         (entry.heard, entry.asked_at) = (now, None);
         entry.partial_since = if partial { entry.partial_since.or(Some(now)) } else { None };
         // Nothing is moved in the wheel, unless the new deadline is sooner than its place there.
-        let deadline = entry.deadline(&self.settings);
+        let deadline = entry.deadline(conn, &self.settings, self.woke);
         if deadline < entry.in_wheel {
             entry.in_wheel = deadline;
             self.wheel.put(now, deadline, conn);
@@ -221,14 +392,22 @@
     pub fn forget(&mut self, conn: u64) {
         let Some(entry) = self.conns.remove(&conn) else { return };
         self.idle.remove(&(entry.heard, conn));
-        if let Some(name) = entry.name
-            && let Some(of_name) = self.names.get_mut(&name)
-        {
+        let Some(name) = entry.name else {
+            self.strangers.remove(&(entry.opened, conn));
+            return;
+        };
+        if let Some(of_name) = self.names.get_mut(&name) {
             *of_name -= 1;
             if *of_name == 0 {
                 self.names.remove(&name);
             }
         }
+        if let Some(count) = self.tenants.get_mut(tenant(&name)) {
+            count.open -= 1;
+            if count.open == 0 {
+                self.tenants.remove(tenant(&name));
+            }
+        }
     }
 
     /// Whether it is heard before those that were silent until now.
@@ -236,22 +415,102 @@
         self.conns.get(&conn).is_some_and(|entry| now - entry.steady_since >= self.settings.steady_for)
     }
 
-    /// Frames of connections that are not steady, in one turn.
-    pub fn woken_frames(&self) -> usize {
-        self.settings.woken_frames
+    /// Something came on a connection that is to be heard. True: now, with the steady ones. False: it stands
+    /// in line, and `next_heard` names it. `returns` is for one that comes back with tasks in hand.
+    pub fn speaks(&mut self, now: Time, conn: u64, returns: bool) -> bool {
+        if self.is_steady(now, conn) {
+            // Met: one tenant whose ten thousand connections all spoke every few seconds held up all others.
+            let name = self.conns.get(&conn).and_then(|entry| entry.name.as_ref());
+            let Some(count) = name.and_then(|name| self.tenants.get_mut(tenant(name))) else { return true };
+            if count.turn != self.turn {
+                (count.turn, count.heard) = (self.turn, 0);
+            }
+            count.heard += 1;
+            if count.heard <= self.settings.woken_a_turn {
+                return true;
+            }
+        }
+        self.stands_in_line(conn, returns);
+        false
     }
 
-    /// The next connection to which something is to be done. Ask until there is none, or until enough was
-    /// done for one turn: what is left stays due.
-    pub fn due(&mut self, now: Time) -> Option<(u64, Act)> {
+    /// It is to be heard in a later turn.
+    pub fn stands_in_line(&mut self, conn: u64, returns: bool) {
+        let name = self.conns.get_mut(&conn).and_then(|entry| {
+            entry.in_line = true;
+            entry.name.as_deref()
+        });
+        let line = if returns { &mut self.returning } else { &mut self.woken };
+        line.put(name.map_or("", tenant), conn);
+    }
+
+    /// The next of those that stand in line, as far as this turn has room for them: first those that came
+    /// back with tasks in hand, tenant after tenant; a part is kept for the others.
+    pub fn next_heard(&mut self) -> Option<u64> {
+        let conn = self.next_in_line()?;
+        if let Some(entry) = self.conns.get_mut(&conn) {
+            entry.in_line = false;
+        }
+        Some(conn)
+    }
+
+    fn next_in_line(&mut self) -> Option<u64> {
+        if self.returning_left > 0
+            && let Some(conn) = self.returning.next()
+        {
+            self.returning_left -= 1;
+            return Some(conn);
+        }
+        if self.woken_left + self.returning_left == 0 {
+            return None;
+        }
+        let next = self.woken.next();
+        if next.is_some() {
+            // What those that return leave is the others'.
+            match self.woken_left {
+                0 => self.returning_left -= 1,
+                _ => self.woken_left -= 1,
+            }
+        }
+        next
+    }
+
+    /// Whether anybody stands in line.
+    pub fn any_in_line(&self) -> bool {
+        !self.returning.is_empty() || !self.woken.is_empty()
+    }
+
+    /// Descriptors have run out: these are to be let go, none of them with a task in hand. Fewer connections
+    /// are allowed from now on, until turns have been short for a while.
+    pub fn pinched(&mut self, now: Time) -> Vec<u64> {
+        self.pressure.cut_to(now, self.len().saturating_sub(PINCH));
+        let out: Vec<u64> = self.idle.iter().take(PINCH).map(|(_, conn)| *conn).collect();
+        for conn in &out {
+            self.forget(*conn);
+            self.count(Why::MadeRoom);
+        }
+        out
+    }
+
+    /// The next connection to which something is to be done. Ask until there is none; each place of the wheel
+    /// that is looked at costs one of `budget`, and what is left stays due.
+    pub fn due(&mut self, now: Time, budget: &mut usize) -> Option<(u64, Act)> {
         loop {
+            if *budget == 0 {
+                return None;
+            }
             let (at, conn) = self.wheel.due(now)?;
+            *budget -= 1;
             let Some(entry) = self.conns.get_mut(&conn) else { continue };
             if entry.in_wheel != at {
                 // An older place of a connection that has a newer one.
                 continue;
             }
-            let deadline = entry.deadline(&self.settings);
+            // Met: who had greeted was ended for not greeting, while its greeting waited for our start.
+            let deadline = match entry.in_line {
+                true => now + self.settings.greet_within,
+                false => entry.deadline(conn, &self.settings, self.woke),
+            };
             if deadline > now {
                 entry.in_wheel = deadline;
                 self.wheel.put(now, deadline, conn);
@@ -268,7 +527,7 @@
             };
             let Some(why) = why else {
                 entry.asked_at = Some(now);
-                entry.in_wheel = entry.deadline(&self.settings);
+                entry.in_wheel = entry.deadline(conn, &self.settings, self.woke);
                 self.wheel.put(now, entry.in_wheel, conn);
                 return Some((conn, Act::AskForSign));
             };
@@ -283,6 +542,11 @@
         self.wheel.next()
     }
 
+    /// Places in the wheel: one for a connection, and now and then an older one.
+    pub fn timers(&self) -> usize {
+        self.wheel.len()
+    }
+
     fn count(&mut self, why: Why) -> Why {
         *self.ended.entry(why).or_default() += 1;
         why
@@ -291,10 +555,10 @@
 
 impl Conn {
     /// When something must have come, as things stand.
-    fn deadline(&self, settings: &Settings) -> Time {
+    fn deadline(&self, conn: u64, settings: &Settings, woke: Time) -> Time {
         let silence = match self.asked_at {
-            Some(asked) => asked + settings.sign_within,
-            None => self.heard + settings.idle_after,
+            Some(asked) => asked.max(woke) + settings.sign_within,
+            None => self.heard + settings.idle_after * (1.0 - DRAWN * draw(conn, self.heard)),
         };
         let greeting = match self.name {
             None => self.opened + settings.greet_within,
@@ -304,3 +568,12 @@
         silence.min(greeting).min(frame)
     }
 }
+
+/// From 0 to 1, another for each silence of each connection: drawn from both by SplitMix64's steps, so that
+/// nothing is kept for it.
+fn draw(conn: u64, heard: Time) -> f64 {
+    let mut z = conn.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ heard.nanos();
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/crates/limits/src/pressure.rs
+++ b/crates/limits/src/pressure.rs
@@ -54,4 +54,40 @@
         }
         (self.changed_at, self.longest) = (now, Span::ZERO);
     }
+
+    /// Something other than turns ran short: no more than so many from now on.
+    pub fn cut_to(&mut self, now: Time, most: usize) {
+        self.allowed = self.allowed.min(most.max(1));
+        (self.changed_at, self.longest) = (now, Span::ZERO);
+    }
+}
+
+/// How many connections are taken in one turn: half as many after a turn that was too long, more again after
+/// short ones. Those not taken yet wait in the system's line, where they cost no turn.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    most: usize,
+    now: usize,
+}
+
+/// Grown by, and never cut under, this part of the most.
+const PACE_PART: usize = 16;
+
+impl Pace {
+    pub fn new(most: usize) -> Self {
+        Self { most: most.max(1), now: most.max(1) }
+    }
+
+    pub fn now(&self) -> usize {
+        self.now
+    }
+
+    pub fn turn_took(&mut self, took: Span) {
+        let part = (self.most / PACE_PART).max(1);
+        if took > TOO_LONG {
+            self.now = (self.now / 2).max(part);
+        } else if took < SHORT {
+            self.now = (self.now + part).min(self.most);
+        }
+    }
 }
--- a/crates/planner/src/conf.rs
+++ b/crates/planner/src/conf.rs
@@ -20,6 +20,8 @@
     pub engine: Settings,
     /// Where clients come in; nothing in virtual time.
     pub listen: Option<SocketAddr>,
+    /// Other processes listen at the same port; the system spreads connections over them.
+    pub shared: bool,
     pub metrics: Option<SocketAddr>,
     /// Where the last list is kept; nothing keeps none.
     pub state_dir: Option<PathBuf>,
@@ -55,6 +57,7 @@
     let seed = scope.or("seed", 1u64, faults);
     let hall = scope.or("hall", 0u32, faults);
     let listen = loopback(&mut scope, "listen", faults);
+    let shared = scope.or("listen-shared", false, faults);
     let metrics = loopback(&mut scope, "metrics", faults);
     let list_address = scope.must::<String>("list", faults);
     let state_dir = scope.maybe::<String>("state-dir", faults).map(PathBuf::from);
@@ -120,13 +123,16 @@
     let usual = mulleinhub_limits::Settings::default();
     let of_clients = mulleinhub_limits::Settings {
         most: clients.or("most", usual.most, faults).max(1),
+        most_of_a_tenant: clients.or("most-of-a-tenant", usual.most_of_a_tenant, faults).max(1),
         most_of_a_name: clients.or("most-of-a-name", usual.most_of_a_name, faults).max(1),
+        most_strangers: clients.or("most-strangers", usual.most_strangers, faults).max(1),
+        opens_a_turn: clients.or("opens-a-turn", usual.opens_a_turn, faults).max(1),
         greet_within: clients.or("greet-within", usual.greet_within, faults),
         frame_within: clients.or("frame-within", usual.frame_within, faults),
         idle_after: clients.or("idle-after", usual.idle_after, faults),
         sign_within: clients.or("sign-within", usual.sign_within, faults),
         steady_for: clients.or("steady-for", usual.steady_for, faults),
-        woken_frames: clients.or("woken-a-turn", usual.woken_frames, faults).max(1),
+        woken_a_turn: clients.or("woken-a-turn", usual.woken_a_turn, faults).max(1),
     };
     clients.finish(faults);
     scope.finish(faults);
@@ -163,7 +169,7 @@
         most_in_hand,
         most_unwritten,
     };
-    faults.is_empty().then_some(Conf { engine, listen, metrics, state_dir, log })
+    faults.is_empty().then_some(Conf { engine, listen, shared, metrics, state_dir, log })
 }
 
 /// Reads a settings file; what is wrong with it is the error, ready to print.
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -13,6 +13,8 @@
 
 const METRICS: Door = Door(1);
 const MOST_REQUEST: usize = 8 * 1024;
+/// Who reads metrics at a time; they have their own share of the descriptors.
+const MOST_READERS: usize = 16;
 
 /// The engine, with a second door for those who read metrics.
 struct Daemon {
@@ -89,6 +91,18 @@
         self.engine.links()
     }
 
+    fn takes(&self, door: Door) -> usize {
+        if door == METRICS {
+            MOST_READERS.saturating_sub(self.readers.len())
+        } else {
+            self.engine.takes(door)
+        }
+    }
+
+    fn pinched(&mut self, now: Time) {
+        self.engine.pinched(now);
+    }
+
     fn keep(&mut self) -> Option<Vec<u8>> {
         self.engine.keep()
     }
@@ -143,11 +157,15 @@
     // Only tells one life of this planner from another; nothing is decided by it.
     let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as u64);
     let saved = kept.as_deref().and_then(load);
-    let engine = Engine::new(conf.engine.clone(), life, saved);
+    let mut engine = Engine::new(conf.engine.clone(), life, saved);
+    if let Some(most) = mulleinhub_shell::descriptors() {
+        engine.descriptors(most);
+    }
     let daemon = Daemon { engine, metrics: Metrics, readers: BTreeMap::new() };
     let mut shell = Shell::new(daemon).map_err(|e| words("poll", e))?;
     shell.hear_signals(&[SIGTERM, SIGINT, SIGHUP]).map_err(|e| words("signals", e))?;
-    let at = shell.listen(listen, Door(0)).map_err(|e| words(&format!("listen {listen}"), e))?;
+    let at =
+        shell.listen_at(listen, Door(0), conf.shared).map_err(|e| words(&format!("listen {listen}"), e))?;
     if let Some(metrics) = conf.metrics {
         shell.listen(metrics, METRICS).map_err(|e| words(&format!("metrics {metrics}"), e))?;
     }
@@ -190,9 +208,9 @@
             Step::Went => {}
         }
         // All in hand has had its answer, and the answers are written.
-        let written = shell.party.engine.all_written();
-        if ending.is_some_and(|since| (shell.party.engine.is_idle() && written) || since.elapsed() > longest)
-        {
+        let engine = &shell.party.engine;
+        let done = || engine.is_idle() && engine.all_written();
+        if ending.is_some_and(|since| done() || since.elapsed() > longest) {
             let taken = shell.party.engine.counts().taken;
             tracing::info!(system_calls = shell.calls, taken, "ended");
             return Ok(());
--- a/crates/planner/tests/daemon.rs
+++ b/crates/planner/tests/daemon.rs
@@ -3,15 +3,19 @@
 use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Shape};
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Another address each time: a port that was free a moment ago is given to two tests now and then.
 fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let host = Ipv4Addr::new(127, 0, 7, NEXT.fetch_add(1, Ordering::Relaxed));
+    TcpListener::bind((host, 0)).and_then(|l| l.local_addr()).expect("a free port")
 }
 
 struct Daemon {
@@ -176,7 +180,7 @@
     let second = Command::new(env!("CARGO_BIN_EXE_mulleinhub-planner")).arg(&daemon.settings).output();
     let second = second.expect("runs");
     let told = String::from_utf8_lossy(&second.stderr).into_owned();
-    assert!(!second.status.success() && told.contains("listen 127.0.0.1"), "{told}");
+    assert!(!second.status.success() && told.contains("listen 127.0.7."), "{told}");
 }
 
 #[test]
--- a/crates/protocol/examples/fuzz_frames.rs
+++ b/crates/protocol/examples/fuzz_frames.rs
@@ -32,7 +32,13 @@
         1 => Message::Offer { task: bytes.next(), send: 3, shape, time_out: bytes.next(), owner: name },
         2 => Message::Holds { tasks: vec![held; bytes.below(4)], last: true },
         3 => Message::Bye { words: name },
-        4 => Message::Welcome { version: 1, features: 0, name, life: bytes.next() },
+        4 => Message::Welcome {
+            version: 1,
+            features: 0,
+            name,
+            life: bytes.next(),
+            silence: Some(bytes.next()),
+        },
         5 => Message::Note {
             task: bytes.next(),
             cores: Some(1.0),
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -27,23 +27,72 @@
     out[at..at + 4].copy_from_slice(&(len as u32).to_be_bytes());
 }
 
-/// Cuts a stream of bytes into frames. What is not yet a whole frame is kept, and nothing else.
+/// Emptied buffers for the next connections on which something comes in: those of idle ones.
 #[derive(Debug, Default)]
-pub struct Frames {
+pub struct Spare(
+    #[expect(clippy::vec_box, reason = "boxes go from here into frames and come back")] Vec<Box<Buffer>>,
+);
+
+/// So many are kept; what a burst took beyond that is given back.
+const SPARE: usize = 64;
+/// A buffer that grew beyond this is not kept.
+const MOST_SPARE: usize = 16 * 1024;
+
+impl Spare {
+    /// Bytes of memory that are held.
+    pub fn held(&self) -> usize {
+        self.0.iter().map(|buffer| buffer.bytes.capacity()).sum()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Buffer {
     bytes: Vec<u8>,
     at: usize,
-    /// Bytes of the stream before `bytes[0]`, for messages about it.
+}
+
+/// Cuts a stream of bytes into frames. What is not yet a whole frame is kept, and nothing else: with nothing
+/// kept, after `tidy`, no buffer is owned.
+#[derive(Debug, Default)]
+pub struct Frames {
+    buffer: Option<Box<Buffer>>,
+    /// Bytes of the stream before the buffer's first, for messages about it.
     before: u64,
 }
 
 impl Frames {
     pub fn take(&mut self, bytes: &[u8]) {
-        if self.at > 0 {
-            self.bytes.drain(..self.at);
-            self.before += self.at as u64;
-            self.at = 0;
+        self.take_with(bytes, &mut Spare::default());
+    }
+
+    /// The same, with a buffer of the spare ones where one is needed.
+    pub fn take_with(&mut self, bytes: &[u8], spare: &mut Spare) {
+        let buffer = self.buffer.get_or_insert_with(|| spare.0.pop().unwrap_or_default());
+        if buffer.at > 0 {
+            buffer.bytes.drain(..buffer.at);
+            self.before += buffer.at as u64;
+            buffer.at = 0;
+        }
+        buffer.bytes.extend_from_slice(bytes);
+    }
+
+    /// Gives the buffer back where nothing is kept in it; a part of a frame keeps what it needs.
+    pub fn tidy(&mut self, spare: &mut Spare) {
+        let kept = self.kept();
+        let Some(buffer) = &mut self.buffer else { return };
+        self.before += buffer.at as u64;
+        buffer.bytes.drain(..buffer.at);
+        buffer.at = 0;
+        if kept > 0 {
+            if buffer.bytes.capacity() > 1024 && buffer.bytes.capacity() / 4 > kept {
+                buffer.bytes.shrink_to_fit();
+            }
+            return;
+        }
+        let buffer = self.buffer.take().expect("was there");
+        if spare.0.len() < SPARE && buffer.bytes.capacity() <= MOST_SPARE {
+            spare.0.push(buffer);
         }
-        self.bytes.extend_from_slice(bytes);
     }
 
     /// The next whole frame with its length before it, or nothing yet.
@@ -51,30 +100,45 @@
     /// # Errors
     /// Where the length is none or too great; the stream can't be read any further.
     pub fn next_frame(&mut self) -> Result<Option<&[u8]>, Bad> {
-        let rest = &self.bytes[self.at..];
+        let Some(len) = self.length()? else { return Ok(None) };
+        let Some(buffer) = &mut self.buffer else { return Ok(None) };
+        let start = buffer.at;
+        buffer.at += len + 4;
+        Ok(Some(&buffer.bytes[start..buffer.at]))
+    }
+
+    /// The next whole frame, which stays where it is; nothing where there is none or it is wrong.
+    pub fn peek(&self) -> Option<&[u8]> {
+        let len = self.length().ok()??;
+        Some(&self.rest()[..len + 4])
+    }
+
+    /// The length of the next frame, where the whole of it is here.
+    fn length(&self) -> Result<Option<usize>, Bad> {
+        let rest = self.rest();
         let Some(len) = rest.first_chunk::<4>().map(|len| u32::from_be_bytes(*len) as usize) else {
             return Ok(None);
         };
         if len == 0 || len > MOST_FRAME {
-            let place = self.before + self.at as u64;
+            let place = self.before + self.buffer.as_ref().map_or(0, |buffer| buffer.at as u64);
             return Err(Bad(format!("byte {place}: a frame of {len} bytes (1 to {MOST_FRAME} are allowed)")));
         }
-        if rest.len() < len + 4 {
-            return Ok(None);
-        }
-        let start = self.at;
-        self.at += len + 4;
-        Ok(Some(&self.bytes[start..self.at]))
+        Ok((rest.len() >= len + 4).then_some(len))
     }
 
     /// What is kept of a frame that is not whole, or of what is none.
     pub fn rest(&self) -> &[u8] {
-        &self.bytes[self.at..]
+        self.buffer.as_ref().map_or(&[], |buffer| &buffer.bytes[buffer.at..])
     }
 
     /// Bytes kept of a frame that is not whole.
     pub fn kept(&self) -> usize {
-        self.bytes.len() - self.at
+        self.rest().len()
+    }
+
+    /// Bytes of memory that are owned for it.
+    pub fn owned(&self) -> usize {
+        self.buffer.as_ref().map_or(0, |buffer| buffer.bytes.capacity())
     }
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,5 +7,5 @@
 mod frame;
 mod message;
 
-pub use frame::{Bad, Frames, MOST_FRAME, decode, encode};
+pub use frame::{Bad, Frames, MOST_FRAME, Spare, decode, encode};
 pub use message::*;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -6,6 +6,8 @@
 /// The version that this code speaks, and the least that it understands.
 pub const VERSION: u16 = 1;
 pub const LEAST_VERSION: u16 = 1;
+/// A feature in a client's greeting: it has tasks out with this planner, and comes for news of them.
+pub const HAS_TASKS: u64 = 1;
 
 /// The most characters of a name or of words, and the most entries of a list or tasks in one message.
 pub const MOST_WORDS: usize = 512;
@@ -192,6 +194,10 @@
         name: &'b str,
         #[n(3)]
         life: u64,
+        /// A planner tells its clients after how long a silence, in nanoseconds, it asks for a sign of life
+        /// at the latest: who hears nothing for much longer has lost it.
+        #[n(4)]
+        silence: Option<u64>,
     },
     /// The connection ends, and why.
     #[n(2)]
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -58,6 +58,12 @@
     fn listens(&self, _: Door) -> bool {
         true
     }
+    /// How many more connections through this door are taken before the next turn; others wait outside.
+    fn takes(&self, _: Door) -> usize {
+        usize::MAX
+    }
+    /// No connection can be accepted for want of descriptors.
+    fn pinched(&mut self, _now: Time) {}
     /// What is to be kept for the party's next life, where that has changed since the last call.
     fn keep(&mut self) -> Option<Vec<u8>> {
         None
--- a/crates/seam/src/links.rs
+++ b/crates/seam/src/links.rs
@@ -20,20 +20,33 @@
 #[derive(Debug, Default)]
 struct Outbox {
     bytes: Vec<u8>,
-    /// How many bytes stood before `bytes[0]` since the connection began.
+    /// How many bytes stood before `bytes[0]` since this box was taken.
     gone: u64,
     /// Start, end and mark of each marked frame that is not wholly written, in order of their places.
     marks: VecDeque<(u64, u64, u64)>,
+}
+
+/// A connection; one that has nothing to write owns no buffer.
+#[derive(Debug, Default)]
+struct Slot {
+    out: Option<Box<Outbox>>,
     paused: bool,
 }
 
+/// Emptied boxes that are kept for the next ones that write; what a burst took beyond that is given back.
+const SPARE: usize = 64;
+/// A box that grew beyond this is not kept.
+const MOST_SPARE: usize = 16 * 1024;
+
 /// All connections of a party. The party writes frames into it; the shell or runner takes bytes out of it.
 #[derive(Debug, Default)]
 pub struct Links {
     next: u64,
-    open: BTreeMap<Link, Outbox>,
+    open: BTreeMap<Link, Slot>,
     dirty: BTreeSet<Link>,
     asks: VecDeque<Ask>,
+    #[expect(clippy::vec_box, reason = "boxes go from here into slots and come back")]
+    spare: Vec<Box<Outbox>>,
 }
 
 impl Links {
@@ -41,7 +54,7 @@
     pub fn fresh(&mut self) -> Link {
         let link = Link(self.next);
         self.next += 1;
-        self.open.insert(link, Outbox::default());
+        self.open.insert(link, Slot::default());
         link
     }
 
@@ -74,7 +87,9 @@
 
     /// Puts a frame behind what is on its way. A mark names it for `take_back` and `forget`.
     pub fn send(&mut self, link: Link, frame: &[u8], mark: Option<u64>) {
-        let Some(out) = self.open.get_mut(&link) else { return };
+        let Some(slot) = self.open.get_mut(&link) else { return };
+        let spare = &mut self.spare;
+        let out = slot.out.get_or_insert_with(|| spare.pop().unwrap_or_default());
         let start = out.gone + out.bytes.len() as u64;
         out.bytes.extend_from_slice(frame);
         if let Some(mark) = mark {
@@ -85,7 +100,7 @@
 
     /// Takes a marked frame out again if not a byte of it was handed over. True where it will never be sent.
     pub fn take_back(&mut self, link: Link, mark: u64) -> bool {
-        let Some(out) = self.open.get_mut(&link) else { return false };
+        let Some(out) = self.open.get_mut(&link).and_then(|slot| slot.out.as_mut()) else { return false };
         let Some(at) = out.marks.iter().position(|(start, _, m)| *m == mark && *start >= out.gone) else {
             return false;
         };
@@ -101,24 +116,24 @@
 
     /// Bytes that wait to go out.
     pub fn unwritten(&self, link: Link) -> usize {
-        self.open.get(&link).map_or(0, |out| out.bytes.len())
+        self.outgoing(link).len()
     }
 
     /// Whether whoever feeds the party should stop reading from this connection for now.
     pub fn pause(&mut self, link: Link, paused: bool) {
-        if let Some(out) = self.open.get_mut(&link) {
-            out.paused = paused;
+        if let Some(slot) = self.open.get_mut(&link) {
+            slot.paused = paused;
         }
     }
 
     pub fn is_paused(&self, link: Link) -> bool {
-        self.open.get(&link).is_some_and(|out| out.paused)
+        self.open.get(&link).is_some_and(|slot| slot.paused)
     }
 
     /// For the party when it is told of an end: the marked frames that were not wholly handed over.
     pub fn forget(&mut self, link: Link) -> Vec<(u64, Unwritten)> {
         self.dirty.remove(&link);
-        let Some(out) = self.open.remove(&link) else { return Vec::new() };
+        let Some(out) = self.open.remove(&link).and_then(|slot| slot.out) else { return Vec::new() };
         let whole = |start| if start >= out.gone { Unwritten::Whole } else { Unwritten::Part };
         out.marks.iter().map(|(start, _, mark)| (*mark, whole(*start))).collect()
     }
@@ -135,23 +150,38 @@
     }
 
     pub fn outgoing(&self, link: Link) -> &[u8] {
-        self.open.get(&link).map_or(&[], |out| &out.bytes)
+        self.open.get(&link).and_then(|slot| slot.out.as_ref()).map_or(&[], |out| &out.bytes)
     }
 
     /// So many bytes were handed over; they can't be taken back.
     pub fn wrote(&mut self, link: Link, n: usize) {
-        let Some(out) = self.open.get_mut(&link) else { return };
+        let Some(slot) = self.open.get_mut(&link) else { return };
+        let Some(out) = &mut slot.out else {
+            assert!(n == 0, "more was written than there was");
+            return;
+        };
         assert!(n <= out.bytes.len(), "more was written than there was");
         out.bytes.drain(..n);
         out.gone += n as u64;
         while out.marks.front().is_some_and(|(_, end, _)| *end <= out.gone) {
             out.marks.pop_front();
         }
-        if out.bytes.is_empty() && out.bytes.capacity() > 1 << 16 {
-            out.bytes = Vec::new();
+        if out.bytes.is_empty() {
+            assert!(out.marks.is_empty(), "a frame is marked, and all is written");
+            let mut out = slot.out.take().expect("was there");
+            if self.spare.len() < SPARE && out.bytes.capacity() <= MOST_SPARE {
+                out.gone = 0;
+                self.spare.push(out);
+            }
         }
     }
 
+    /// Bytes of buffers that are held, by connections and spare: for measurements.
+    pub fn held(&self) -> usize {
+        let boxes = self.open.values().filter_map(|slot| slot.out.as_ref()).chain(&self.spare);
+        boxes.map(|out| out.bytes.capacity()).sum()
+    }
+
     /// The connection is over for both sides; nothing is told.
     pub fn drop_link(&mut self, link: Link) {
         self.open.remove(&link);
@@ -179,6 +209,23 @@
         assert_eq!(links.forget(link), [(3, Unwritten::Whole)]);
     }
 
+    #[test]
+    fn a_connection_that_has_written_all_owns_no_buffer_and_a_burst_is_given_back() {
+        let mut links = Links::default();
+        let all: Vec<Link> = (0..1_000).map(|_| links.fresh()).collect();
+        for link in &all {
+            links.send(*link, &[0; 1_000], None);
+        }
+        assert!(links.held() >= 1_000_000);
+        for link in &all {
+            links.wrote(*link, 1_000);
+        }
+        assert!(links.held() <= 64 * 16 * 1024 && links.open.values().all(|slot| slot.out.is_none()));
+        links.send(all[7], &[1; 10], Some(1));
+        links.wrote(all[7], 4);
+        assert!(!links.take_back(all[7], 1), "places begin anew with the box");
+    }
+
     #[test]
     fn an_end_tells_whole_from_part_and_forgets_what_was_written() {
         let mut links = Links::default();
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -9,9 +9,10 @@
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_seam::{Ask, Door, End, Link, Party};
 use signal_hook_mio::v1_0::Signals;
+use socket2::{Domain, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 const SIGNALS: Token = Token(usize::MAX - 1);
@@ -21,8 +22,17 @@
 const ONE_READ: usize = 64 * 1024;
 /// Polls without waiting before a turn: what came in while others were read is told too.
 const MOST_POLLS: usize = 16;
+/// Told by one poll. Where a poll tells as many there are more, and they come before the turn too: no peer is
+/// taken for silent whose bytes are here.
+const EVENTS: usize = 4096;
+/// Polls that were full before a turn, at the most.
+const MOST_FULL_POLLS: usize = 64;
 /// After accepting failed for want of descriptors, it rests for this.
 const ACCEPT_REST: Duration = Duration::from_millis(100);
+/// And why it failed is told once in this.
+const TELL_AGAIN: Duration = Duration::from_secs(60);
+/// Connections that wait to be accepted, kept by the system.
+const BACKLOG: i32 = 4096;
 
 struct Stream {
     tcp: TcpStream,
@@ -37,7 +47,7 @@
     door: Door,
     ready: bool,
     rests_until: Option<Instant>,
-    told_why: bool,
+    told_at: Option<Instant>,
 }
 
 /// What made a step return.
@@ -59,6 +69,8 @@
     names: BTreeMap<String, SocketAddr>,
     began: Instant,
     signals: Option<Signals>,
+    /// The last poll told as much as it can.
+    full: bool,
     buffer: Vec<u8>,
     /// Calls of the system to wait, accept, read and write, for measurements.
     pub calls: u64,
@@ -71,13 +83,14 @@
         Ok(Self {
             party,
             poll: Poll::new()?,
-            events: Events::with_capacity(4096),
+            events: Events::with_capacity(EVENTS),
             listeners: Vec::new(),
             streams: BTreeMap::new(),
             readable: BTreeSet::new(),
             names: BTreeMap::new(),
             began: Instant::now(),
             signals: None,
+            full: false,
             buffer: vec![0; ONE_READ],
             calls: 0,
         })
@@ -93,17 +106,31 @@
     /// # Errors
     /// Where the address can't be had, or is not a loopback one.
     pub fn listen(&mut self, at: SocketAddr, door: Door) -> std::io::Result<SocketAddr> {
+        self.listen_at(at, door, false)
+    }
+
+    /// The same; with `shared`, other processes may listen there too, and the system spreads connections.
+    ///
+    /// # Errors
+    /// As for `listen`.
+    pub fn listen_at(&mut self, at: SocketAddr, door: Door, shared: bool) -> std::io::Result<SocketAddr> {
         if !at.ip().is_loopback() {
             return Err(std::io::Error::new(
                 ErrorKind::InvalidInput,
                 format!("{at} is not a loopback address"),
             ));
         }
-        let mut tcp = TcpListener::bind(at)?;
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_reuse_port(shared)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(BACKLOG)?;
+        let mut tcp = TcpListener::from_std(socket.into());
         let token = Token(self.listeners.len());
         self.poll.registry().register(&mut tcp, token, Interest::READABLE)?;
         let address = tcp.local_addr()?;
-        self.listeners.push(Listening { tcp, door, ready: false, rests_until: None, told_why: false });
+        self.listeners.push(Listening { tcp, door, ready: false, rests_until: None, told_at: None });
         Ok(address)
     }
 
@@ -136,12 +163,22 @@
         if self.listeners.iter().any(|listening| listening.rests_until.is_some()) {
             wait = wait.min(ACCEPT_REST);
         }
+        if self.listeners.iter().any(|listening| listening.ready && self.party.takes(listening.door) > 0) {
+            // More was there than one turn takes.
+            wait = Duration::ZERO;
+        }
         let unread: Vec<Link> = self.readable.iter().copied().collect();
         if unread.into_iter().any(|link| !self.is_paused(link)) {
             wait = Duration::ZERO;
         }
         let mut step = self.poll_once(Some(wait))?;
-        for _ in 0..MOST_POLLS {
+        let (mut polls, mut full) = (0, 0);
+        while polls < MOST_POLLS {
+            if self.full && full < MOST_FULL_POLLS {
+                full += 1;
+            } else {
+                polls += 1;
+            }
             self.accept_all();
             if !self.read_all() {
                 break;
@@ -166,6 +203,7 @@
             done => done?,
         }
         let mut step = Step::Went;
+        self.full = self.events.iter().count() >= EVENTS;
         let events: Vec<(Token, bool, bool)> = self
             .events
             .iter()
@@ -197,12 +235,11 @@
             if listening.rests_until.is_some_and(|until| Instant::now() >= until) {
                 (listening.rests_until, listening.ready) = (None, true);
             }
-            while self.listeners[at].ready {
+            while self.listeners[at].ready && self.party.takes(self.listeners[at].door) > 0 {
                 self.calls += 1;
                 let listening = &mut self.listeners[at];
                 match listening.tcp.accept() {
                     Ok((tcp, _)) => {
-                        listening.told_why = false;
                         let door = listening.door;
                         self.came(tcp, door);
                     }
@@ -210,11 +247,16 @@
                     Err(error) if error.kind() == ErrorKind::Interrupted => {}
                     Err(error) => {
                         // Descriptors have run out, most likely: trying again at once would spin.
-                        if !std::mem::replace(&mut listening.told_why, true) {
+                        let now = Instant::now();
+                        if listening.told_at.is_none_or(|at| now - at >= TELL_AGAIN) {
+                            listening.told_at = Some(now);
                             tracing::error!(%error, "connections can't be accepted");
                         }
-                        (listening.ready, listening.rests_until) =
-                            (false, Some(Instant::now() + ACCEPT_REST));
+                        (listening.ready, listening.rests_until) = (false, Some(now + ACCEPT_REST));
+                        let now = self.now();
+                        self.party.pinched(now);
+                        // What was let go has its reason written and its descriptor given back.
+                        self.carry_out();
                     }
                 }
             }
@@ -369,8 +411,13 @@
     }
 
     fn connect(&mut self, link: Link, to: &str) {
+        // `TO from ADDRESS`: from this address of ours, for more connections than one has ports for.
+        let (to, from) = to.split_once(" from ").map_or((to, None), |(to, from)| (to, Some(from)));
         let address = self.names.get(to).copied().or_else(|| to.parse().ok());
-        let tcp = address.filter(|a| a.ip().is_loopback()).and_then(|a| TcpStream::connect(a).ok());
+        let tcp = address.filter(|a| a.ip().is_loopback()).and_then(|a| match from {
+            None => TcpStream::connect(a).ok(),
+            Some(from) => connect_from(from.parse().ok()?, a).ok(),
+        });
         let added = tcp.is_some_and(|tcp| self.add(link, tcp, false));
         if !added {
             let now = self.now();
@@ -384,6 +431,25 @@
     }
 }
 
+fn connect_from(from: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SocketAddr::new(from, 0).into())?;
+    match socket.connect(&to.into()) {
+        // It goes on; whether it came up is seen when it can be written.
+        Err(error) if error.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {
+            Err(error)
+        }
+        _ => Ok(TcpStream::from_std(socket.into())),
+    }
+}
+
+/// How many descriptors this process may have; nothing where the system sets no limit.
+pub fn descriptors() -> Option<usize> {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    limit.current.and_then(|most| usize::try_from(most).ok())
+}
+
 /// A real span of time as the project's own.
 pub fn span(duration: Duration) -> Span {
     Span::from_nanos(duration.as_nanos() as u64)
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -190,7 +190,7 @@
                 watcher.name = Some((*name).to_owned());
                 let version = protocol::VERSION;
                 protocol::encode(
-                    &Message::Welcome { version, features: 0, name: "list", life: 1 },
+                    &Message::Welcome { version, features: 0, name: "list", life: 1, silence: None },
                     &mut frame,
                 );
             }
--- a/crates/standins/src/owner.rs
+++ b/crates/standins/src/owner.rs
@@ -576,13 +576,18 @@
     fn up(&mut self, now: Time, link: Link) {
         if let Some(planner) = self.desks.iter().position(|desk| desk.link == Some(link)) {
             let name = self.settings.name.clone();
+            let out = |want: &Want| match want.state {
+                State::Asking { planner: at, .. } | State::Placed { planner: at, .. } => at == planner,
+                _ => false,
+            };
+            let has_tasks = self.wants.values().any(out);
             self.write(
                 planner,
                 &Message::Hello {
                     conversation: Conversation::ClientPlanner,
                     version: protocol::VERSION,
                     least_version: protocol::LEAST_VERSION,
-                    features: 0,
+                    features: if has_tasks { protocol::HAS_TASKS } else { 0 },
                     name: &name,
                     life: 1,
                     clock: now.nanos(),
--- a/crates/standins/src/rack.rs
+++ b/crates/standins/src/rack.rs
@@ -230,7 +230,10 @@
         self.callers.get_mut(&link).expect("it speaks").name = Some(planner.to_owned());
         let life = self.machines[at].life;
         let name = format!("machine-{}", self.machines[at].settings.id);
-        self.write(link, &Message::Welcome { version: protocol::VERSION, features: 0, name: &name, life });
+        self.write(
+            link,
+            &Message::Welcome { version: protocol::VERSION, features: 0, name: &name, life, silence: None },
+        );
         let ours = self.machines[at].held.iter().filter(|held| held.planner.as_deref() == Some(planner));
         // With yes when running, what doesn't run yet has had no yes: the planner must not take it for
         // placed.
