--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -61,6 +61,9 @@
     /// Planners, in place of the script's
     #[arg(long)]
     planners: Option<usize>,
+    /// Silent connections, in place of the script's
+    #[arg(long)]
+    silent: Option<usize>,
     /// Ends after so long, as 20s, in place of the script's length
     #[arg(long)]
     length: Option<String>,
@@ -165,6 +168,7 @@
         day.machines = self.machines.unwrap_or(day.machines);
         day.racks = self.racks.unwrap_or(day.racks);
         day.planners = self.planners.unwrap_or(day.planners);
+        day.silent = self.silent.unwrap_or(day.silent);
         if let Some(n) = self.random_troubles {
             day.random_troubles = mulleinhub_settings::Range { low: n, high: n };
         }
@@ -188,6 +192,7 @@
         words.extend(self.machines.map(|n| format!("--machines {n}")));
         words.extend(self.racks.map(|n| format!("--racks {n}")));
         words.extend(self.planners.map(|n| format!("--planners {n}")));
+        words.extend(self.silent.map(|n| format!("--silent {n}")));
         words.extend(self.length.as_ref().map(|length| format!("--length {length}")));
         words.extend(self.script.as_ref().map(|script| script.display().to_string()));
         words.join(" ")
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod capture;
 mod day;
+mod load;
 mod report;
 mod stage_host;
 mod status;
@@ -24,6 +25,9 @@
     /// Plays a day of trouble and judges it
     #[command(subcommand)]
     Day(day::DayCommand),
+    /// Loads planners with rising numbers and measures them
+    #[command(subcommand)]
+    Load(load::LoadCommand),
     /// Judges the five rules from a capture
     Verdict { capture: PathBuf },
     /// Looks into a capture
@@ -39,12 +43,19 @@
     /// A planner that a day starts; operators run mulleinhub-planner
     #[command(hide = true)]
     Planner { settings: PathBuf },
+    /// A part of the silent crowd of `load idle`, told by lines on its input
+    #[command(hide = true)]
+    Crowd { number: usize, rate: f64, planners: Vec<std::net::SocketAddr> },
 }
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Check { file } => day::check(&file),
         Command::Day(command) => day::run(command),
+        Command::Load(command) => load::run(command),
+        Command::Crowd { number, rate, planners } => {
+            mulleinhub_load::host_crowd(number, &planners, rate).map(|()| ExitCode::SUCCESS)
+        }
         Command::Verdict { capture } => capture::verdict(&capture),
         Command::Capture(command) => capture::run(command),
         Command::Status { address } => status::ask(address),
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -64,7 +64,26 @@
         format!("{:.3}", score.earned.sum() / score.asked.sum().max(1e-9)),
         format!("{} of {}", score.starts_in_time.iter().sum::<u64>(), score.first_starts.iter().sum::<u64>()),
     ]);
-    format!("{service}\n")
+    format!("{service}\n{}", silent(score))
+}
+
+fn silent(score: &Score) -> String {
+    let (up, tally) = &score.silent;
+    if tally.opened == 0 {
+        return String::new();
+    }
+    let mut text = format!(
+        "silent connections: {up} up at the end; opened {}, refused {}, ended {}; \
+         asked for a sign {}, spoke {}, answered {}",
+        tally.opened, tally.refused, tally.ended, tally.asked_for_sign, tally.spoke, tally.answered
+    );
+    if let Some(recovered) = tally.recovered {
+        text += &format!("; all back {:.2} s after the last storm", recovered.nanos() as f64 / 1e9);
+    }
+    for (words, count) in &tally.byes {
+        text += &format!("\n    told {count} times: {words}");
+    }
+    text + "\n"
 }
 
 /// A line for each rule, and its breaches.
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -69,6 +69,9 @@
     pub planners: usize,
     #[garde(range(min = 1, max = 999))]
     pub owners: usize,
+    /// Connections that are kept open and say almost nothing, to all planners together.
+    #[garde(range(max = 200_000))]
+    pub silent: usize,
     #[garde(range(min = 1, max = 16))]
     pub halls: u32,
     #[garde(range(min = 1, max = 200))]
@@ -203,6 +206,7 @@
     let length = scope.must::<Span>("length", faults);
     let planners = scope.or("planners", 3, faults);
     let owners = scope.or("owners", 4, faults);
+    let silent = scope.or("silent", 0, faults);
     let halls = scope.or("halls", 2, faults);
     let racks = scope.or("racks", 4, faults);
     let machines = scope.or("machines", 12, faults);
@@ -249,6 +253,7 @@
         length: length?,
         planners,
         owners,
+        silent,
         halls,
         racks,
         machines,
@@ -299,6 +304,9 @@
             self.owners,
             self.rate
         )];
+        if self.silent > 0 {
+            lines.push(format!("{} connections are kept open and say almost nothing", self.silent));
+        }
         for case in &self.cases {
             let effect = match case.case.effect {
                 Effect::Replayable => "may run again".to_owned(),
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -9,8 +9,8 @@
 use mulleinhub_seam::{Ask, Door, End, Link, Links, Party};
 use mulleinhub_settings::Range;
 use mulleinhub_standins::{
-    CaseModel, Dice, Drain, Fact, ListPlight, ListService, ListSettings, Load, Machine, MachineSettings,
-    Owner, OwnerSettings, Plight, Rack, ServiceCase, Tally, Worth,
+    CaseModel, Crowd, CrowdSettings, CrowdTally, Dice, Drain, Fact, ListPlight, ListService, ListSettings,
+    Load, Machine, MachineSettings, Owner, OwnerSettings, Plight, Rack, ServiceCase, Tally, Worth,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
@@ -18,6 +18,8 @@
 /// Doors of one planner begin at this many times its number; the last is the list's.
 const DOORS: u32 = 1000;
 const LIST_DOOR: u32 = DOORS - 1;
+/// Silent connections are of so many tenants.
+const SILENT_TENANTS: usize = 20;
 
 /// What is to be done to a planner, by whoever runs it. Numbers from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,12 +58,15 @@
     pub machines_lost: u64,
     pub machines_fallen: u64,
     pub list_lines: u64,
+    /// Silent connections that were up at the end, and what they saw.
+    pub silent: (usize, CrowdTally),
 }
 
 enum Body {
     Rack(Box<Rack>),
     List(Box<ListService>),
     Owner(Box<Owner>),
+    Crowd(Box<Crowd>),
 }
 
 impl Body {
@@ -70,6 +75,7 @@
             Self::Rack(rack) => rack.as_mut(),
             Self::List(list) => list.as_mut(),
             Self::Owner(owner) => owner.as_mut(),
+            Self::Crowd(crowd) => crowd.as_mut(),
         }
     }
 
@@ -78,6 +84,7 @@
             Self::Rack(rack) => rack.wake(),
             Self::List(list) => list.wake(),
             Self::Owner(owner) => owner.wake(),
+            Self::Crowd(crowd) => crowd.wake(),
         }
     }
 }
@@ -157,7 +164,14 @@
         let names: Vec<String> = day.cases.iter().map(|case| case.case.name.clone()).collect();
         let Range { low, high } = day.random_troubles;
         for _ in 0..low + dice.below(high - low + 1) {
-            troubles.push(Trouble::random(&mut dice, day.length, &names, day.planners, day.racks));
+            troubles.push(Trouble::random(
+                &mut dice,
+                day.length,
+                &names,
+                day.planners,
+                day.racks,
+                day.silent > 0,
+            ));
         }
         let asks = day.cases.iter().flat_map(|case| case.asks.iter().map(move |ask| (case.share, *ask)));
         let weight = |of: fn((f64, f64)) -> f64| {
@@ -279,6 +293,19 @@
             self.names.push(settings.name.clone());
             self.nodes.push(Body::Owner(Box::new(Owner::new(settings, self.worth.clone(), day.seed))));
         }
+        if day.silent > 0 {
+            let settings = CrowdSettings {
+                name: "silent".to_owned(),
+                many: day.silent,
+                tenants: SILENT_TENANTS,
+                planners: (0..day.planners).map(|p| format!("planner-{}", p + 1)).collect(),
+                // All are there after the first twentieth of the day.
+                opens_a_second: day.silent as f64 * 20e9 / day.length.nanos() as f64,
+                back_within: day.owner.reconnect * 2.0,
+            };
+            self.names.push(settings.name.clone());
+            self.nodes.push(Body::Crowd(Box::new(Crowd::new(settings, day.seed))));
+        }
         let now = Time::default();
         for planner in 0..day.planners {
             self.at(now, Act::Planner(PlannerDeed::Start(planner)));
@@ -471,6 +498,7 @@
                     }
                 }
                 Body::List(list) => score.list_lines = list.lines_told,
+                Body::Crowd(crowd) => score.silent = (crowd.up(), crowd.tally.clone()),
                 Body::Owner(owner) => {
                     owner.book(now);
                     let tally = &owner.tally;
@@ -534,6 +562,9 @@
                     }
                 }
                 self.strike(now);
+                if matches!(self.troubles[n].what, What::SlowSenders { .. }) {
+                    self.with_crowd(|crowd| crowd.slow_senders(now, 0.0));
+                }
                 if self.troubles[n].what == What::HalfOpen {
                     self.end_half_open(now, n);
                 }
@@ -695,6 +726,25 @@
                     self.touched.insert(node);
                 }
             }
+            What::Storm { part, within } => {
+                let part = self.draw(*part);
+                let within = self.dice.span(within.low, within.high);
+                self.with_crowd(|crowd| crowd.storm(now, part, within));
+                for node in self.some(self.owner_nodes.clone(), part) {
+                    if let Body::Owner(owner) = &mut self.nodes[node] {
+                        owner.drops_connections(now);
+                    }
+                    self.touched.insert(node);
+                }
+            }
+            What::SilentBurst { part } => {
+                let part = self.draw(*part);
+                self.with_crowd(|crowd| crowd.speaks(part));
+            }
+            What::SlowSenders { part } => {
+                let part = self.draw(*part);
+                self.with_crowd(|crowd| crowd.slow_senders(now, part));
+            }
             What::Hang
             | What::ListSilent
             | What::Cut
@@ -714,6 +764,16 @@
         self.strike(now);
     }
 
+    fn with_crowd(&mut self, act: impl FnOnce(&mut Crowd)) {
+        let crowd = self.nodes.iter().position(|node| matches!(node, Body::Crowd(_)));
+        if let Some(node) = crowd
+            && let Body::Crowd(crowd) = &mut self.nodes[node]
+        {
+            act(crowd);
+            self.touched.insert(node);
+        }
+    }
+
     fn machine(&self, n: usize) -> &Machine {
         let (rack, at) = self.spots[n];
         match &self.nodes[rack] {
--- /dev/null
+++ b/crates/engine/examples/idle.rs
@@ -0,0 +1,293 @@
+//! What silent connections cost the engine, without sockets:
+//! `cargo run --release -p mulleinhub-engine --example idle -- CONNECTIONS`.
+//!
+//! Opens so many, each with a name of its own, and lets sixty virtual seconds of silence pass, in which every
+//! question is answered. Then a steady client asks while all are silent, and while all speak in one moment;
+//! then all drop and come back. Prints bytes a connection by the allocator's own count, CPU, turns and times.
+
+use hdrhistogram::Histogram;
+use mulleinhub_engine::{Engine, Settings};
+use mulleinhub_interface::*;
+use mulleinhub_protocol::{self as protocol, Conversation, Message, Shape};
+use mulleinhub_seam::{Ask, Door, End, Link, Party};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use std::alloc::System;
+use std::time::{Duration, Instant};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+fn settings(most: usize) -> Settings {
+    Settings {
+        name: "planner-1".to_owned(),
+        seed: 7,
+        use_cases: vec![UseCase {
+            soft_limit: Span::from_secs(1),
+            client_timeout: Span::from_secs(3600),
+            effect: Effect::Replayable,
+            earnings: 1.0,
+            start_seconds: 5.0,
+            priority: 0,
+            kind: None,
+            spread: None,
+            full_up_to: 1.0,
+            fade: 1.0,
+        }],
+        kinds: vec![Room::new(16.0, 32.0)],
+        taking: Taking {
+            cores: 1.0,
+            memory: 1.0,
+            yes_when_running: false,
+            max_sends: 4,
+            tells_pressure: true,
+            recalls: true,
+        },
+        cold: ColdRule {
+            warm_after: Span::from_secs(12),
+            fall: Span::from_secs(1),
+            young_limit: 9.0,
+            schedulers: 1,
+            number: 0,
+        },
+        listing: Listing { asked: false, ask_within: Span::from_secs(10) },
+        home: Home { zone: ZoneId(0), cross_zone_price: 0.0, machine_price: 0.0 },
+        list_address: "list".to_owned(),
+        reconnect: Span::from_nanos(200_000_000),
+        lost_after: Span::from_secs(2),
+        silence: Span::from_secs(3600),
+        remember: Span::from_secs(3600),
+        start_wait: Span::from_nanos(1),
+        clients: mulleinhub_limits::Settings {
+            most,
+            most_of_a_tenant: most,
+            most_strangers: most,
+            ..mulleinhub_limits::Settings::default()
+        },
+        most_in_hand: 20_000,
+        most_unwritten: 1 << 24,
+    }
+}
+
+struct Bench {
+    engine: Engine,
+    now: Time,
+    bytes: Vec<u8>,
+    /// Links that were written a `welcome` or a `ping` in the last turn.
+    welcomed: usize,
+    asked: Vec<Link>,
+    cpu: Duration,
+    turns: u64,
+    longest: Duration,
+    ended: usize,
+}
+
+fn hello(name: &str, clock: u64) -> Message<'_> {
+    Message::Hello {
+        conversation: Conversation::ClientPlanner,
+        version: 1,
+        least_version: 1,
+        features: 0,
+        name,
+        life: 1,
+        clock,
+    }
+}
+
+impl Bench {
+    fn tell(&mut self, link: Link, message: &Message<'_>) {
+        self.bytes.clear();
+        protocol::encode(message, &mut self.bytes);
+        let began = Instant::now();
+        self.engine.received(self.now, link, &self.bytes);
+        self.cpu += began.elapsed();
+    }
+
+    fn turn(&mut self) {
+        let began = Instant::now();
+        self.engine.turn(self.now);
+        let took = began.elapsed();
+        self.cpu += took;
+        self.longest = self.longest.max(took);
+        self.turns += 1;
+        while let Some(link) = self.engine.links().next_dirty() {
+            let bytes = self.engine.links().outgoing(link);
+            // The kind of a message is the first item of its frame.
+            match bytes.get(5).copied() {
+                Some(1) => self.welcomed += 1,
+                Some(3) => self.asked.push(link),
+                _ => {}
+            }
+            let len = bytes.len();
+            self.engine.links().wrote(link, len);
+        }
+        while let Some(ask) = self.engine.links().next_ask() {
+            if let Ask::End { link, .. } = ask {
+                self.engine.links().drop_link(link);
+                self.ended += 1;
+            }
+        }
+    }
+
+    fn open(&mut self, all: usize) -> Vec<Link> {
+        let mut links = Vec::with_capacity(all);
+        while links.len() < all {
+            let room = self.engine.takes(Door(0)).min(all - links.len());
+            for n in links.len()..links.len() + room {
+                let link = self.engine.links().fresh();
+                let began = Instant::now();
+                self.engine.opened(self.now, link, Door(0));
+                self.cpu += began.elapsed();
+                let clock = self.now.nanos();
+                self.tell(link, &hello(&format!("tool-{}/{n}", n % 100), clock));
+                links.push(link);
+            }
+            self.now = self.now + Span::from_nanos(1_000_000);
+            self.turn();
+        }
+        while self.welcomed < all {
+            self.turn();
+        }
+        self.welcomed = 0;
+        links
+    }
+
+    /// A steady client asks; how long until its task is taken, with turns of so many at most.
+    fn ask(&mut self, client: Link, task: u64, turns: u32) -> Duration {
+        let shape = Shape { key: task, use_case: 0, service: 1, cores: 1.0, memory: 1.0, again: false };
+        let before = self.engine.counts().taken;
+        let began = Instant::now();
+        let clock = self.now.nanos();
+        self.tell(client, &Message::Ask { task, shape, patience: 3_600_000_000_000, clock });
+        for _ in 0..turns {
+            self.turn();
+            if self.engine.counts().taken > before {
+                let took = began.elapsed();
+                // Tasks that wait cost the module's time, which is not what is measured here.
+                self.tell(client, &Message::Withdraw { task });
+                self.turn();
+                return took;
+            }
+        }
+        panic!("task {task} was not taken in {turns} turns");
+    }
+}
+
+fn main() {
+    let all: usize = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(1_000_000);
+    let engine = Engine::new(settings(all + 1), 1, None);
+    let now = Time::from_nanos(1_000_000_000);
+    let mut bench = Bench {
+        engine,
+        now,
+        bytes: Vec::new(),
+        welcomed: 0,
+        asked: Vec::new(),
+        cpu: Duration::ZERO,
+        turns: 0,
+        longest: Duration::ZERO,
+        ended: 0,
+    };
+    bench.engine.turn(now);
+    let Some(Ask::Open(list, _)) = bench.engine.links().next_ask() else { panic!("the list is asked for") };
+    bench.engine.up(now, list);
+    bench.tell(list, &Message::Welcome { version: 1, features: 0, name: "list", life: 1, silence: None });
+    bench.tell(list, &Message::List { kind: protocol::ListKind::Whole, version: 1, entries: vec![] });
+    bench.turn();
+    let steady = bench.open(1)[0];
+
+    let region = Region::new(ALLOCATOR);
+    let began = Instant::now();
+    let links = bench.open(all);
+    let opened = began.elapsed();
+    let held = |region: &Region<'_, System>| {
+        let change = region.change();
+        change.bytes_allocated as i64 - change.bytes_deallocated as i64 + change.bytes_reallocated as i64
+    };
+    // What this bench itself keeps for each.
+    let own = (links.capacity() * size_of::<Link>()) as i64;
+    println!("{all} connections, each of a name of its own");
+    println!("opened and greeted: {:.0} a second", all as f64 / opened.as_secs_f64());
+    println!("bytes a connection: {:.0}", (held(&region) - own) as f64 / all as f64);
+    println!("of that, buffers: {} in all", bench.engine.buffers());
+    println!("places of deadlines a connection: {:.2}", bench.engine.clients_open().1 as f64 / all as f64);
+
+    let silent_for = 60;
+    (bench.cpu, bench.turns, bench.longest) = (Duration::ZERO, 0, Duration::ZERO);
+    let end = bench.now + Span::from_secs(silent_for);
+    let mut answered = 0;
+    while bench.now < end {
+        let next = bench.engine.wake().unwrap_or(end).min(end);
+        bench.now = bench.now.max(next);
+        if bench.turns.is_multiple_of(10) {
+            bench.tell(steady, &Message::Pong { nonce: 0 });
+        }
+        bench.turn();
+        for link in std::mem::take(&mut bench.asked) {
+            answered += 1;
+            bench.tell(link, &Message::Pong { nonce: 0 });
+        }
+    }
+    let cpu = bench.cpu.as_secs_f64() / silent_for as f64;
+    println!(
+        "{silent_for} s of silence: CPU {:.3} ms a second for each 10,000, {answered} signs of life, \
+         {} ended, longest turn {:.2} ms",
+        cpu * 1e3 / (all as f64 / 1e4),
+        bench.ended,
+        bench.longest.as_secs_f64() * 1e3
+    );
+
+    let mut times = Histogram::<u64>::new(3).expect("fixed bounds");
+    for task in 0..10_000 {
+        bench.now = bench.now + Span::from_nanos(1_000_000);
+        let took = bench.ask(steady, task, 1);
+        times.record(took.as_nanos() as u64).expect("grows with what it records");
+    }
+    let us = |part| times.value_at_quantile(part) as f64 / 1e3;
+    println!(
+        "ask to taken, all others silent: p50 {:.1} us, p99 {:.1}, p99.9 {:.1}",
+        us(0.5),
+        us(0.99),
+        us(0.999)
+    );
+
+    (bench.turns, bench.longest) = (0, Duration::ZERO);
+    let began = Instant::now();
+    for (n, link) in links.iter().enumerate() {
+        bench.tell(*link, &Message::Learn { task: 1_000_000 + n as u64 });
+    }
+    let told = began.elapsed();
+    let took = bench.ask(steady, 500_000, 1);
+    let before = bench.turns;
+    while bench.engine.wake().is_some_and(|at| at <= bench.now) && bench.turns < before + 100_000 {
+        bench.turn();
+    }
+    println!(
+        "all speak at once: the steady one is taken {:.2} ms after its ask (a turn); all were heard \
+         after {} turns and {:.2} s ({:.2} s to read them), longest turn {:.2} ms",
+        took.as_secs_f64() * 1e3,
+        bench.turns,
+        began.elapsed().as_secs_f64(),
+        told.as_secs_f64(),
+        bench.longest.as_secs_f64() * 1e3
+    );
+
+    let began = Instant::now();
+    (bench.turns, bench.longest) = (0, Duration::ZERO);
+    for link in &links {
+        bench.engine.ended(bench.now, *link, End::Closed);
+    }
+    bench.turn();
+    while bench.engine.wake().is_some_and(|at| at <= bench.now) {
+        bench.turn();
+    }
+    let gone = began.elapsed();
+    let began = Instant::now();
+    let back = bench.open(all);
+    println!(
+        "all drop at once: heard in {:.2} s; all come back and are greeted in {:.2} s; longest turn {:.2} ms",
+        gone.as_secs_f64(),
+        began.elapsed().as_secs_f64(),
+        bench.longest.as_secs_f64() * 1e3
+    );
+    assert!(bench.engine.clients_open().0 == back.len() + 1, "all are here again");
+}
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -15,9 +15,6 @@
 /// A turn that comes so much later than was promised follows a standstill of this process.
 const STANDSTILL: Span = Span::from_nanos(20_000_000);
 
-/// Bytes of a client that wait to be heard; with more, nothing is read from it.
-const MOST_UNHEARD: usize = 64 * 1024;
-
 /// Between two turns at the most, while there are clients.
 const HEARTBEAT: Span = Span::from_nanos(100_000_000);
 
@@ -159,7 +156,7 @@
     pub life: u64,
     pub now: Time,
     pub links: Links,
-    pub peers: BTreeMap<Link, Peer>,
+    pub peers: BTreeMap<Link, Box<Peer>>,
     arrivals: VecDeque<Link>,
     /// Connections of which more came than is heard in a turn: they stand in line from the next one on.
     rest: Vec<Link>,
@@ -256,7 +253,7 @@
     fn add_peer(&mut self, link: Link, who: Who) {
         self.peers.insert(
             link,
-            Peer {
+            Box::new(Peer {
                 who,
                 frames: Frames::default(),
                 greeted: false,
@@ -265,7 +262,7 @@
                 end: None,
                 queued: false,
                 in_hand: 0,
-            },
+            }),
         );
     }
 
@@ -318,7 +315,7 @@
     /// has again: `tell_owner` sees that it is over.
     pub fn client_gone(&mut self, link: Link) {
         self.limits.forget(link.0);
-        if let Some(Peer { who: Who::Client(name), .. }) = self.peers.get(&link)
+        if let Some(Who::Client(name)) = self.peers.get(&link).map(|peer| &peer.who)
             && self.clients.get(name) == Some(&link)
         {
             self.clients.remove(name);
@@ -373,7 +370,7 @@
         let Some(peer) = self.peers.get_mut(&link) else { return };
         peer.frames.take_with(bytes, &mut self.spare);
         // Who sends more than is heard in a turn waits until that was heard.
-        if matches!(peer.who, Who::Stranger | Who::Client(_)) && peer.frames.kept() > MOST_UNHEARD {
+        if matches!(peer.who, Who::Stranger | Who::Client(_)) && self.limits.slows(peer.frames.kept()) {
             self.links.pause(link, true);
         }
         match peer.who {
@@ -382,9 +379,8 @@
                     (spot.heard_at, spot.pinged_at) = (now, None);
                 }
             }
-            // Heard at once, so that no deadline passes over bytes that are here; whether a part of a frame
-            // is left is known once its frames are read.
-            Who::Stranger | Who::Client(_) => self.limits.heard(now, link.0, false),
+            // Heard at once, so that no deadline passes over bytes that are here.
+            Who::Stranger | Who::Client(_) => self.limits.heard(now, link.0),
             Who::List => {}
         }
         self.queue(link);
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -22,10 +22,6 @@
 
 type Heard = Result<(), Bad>;
 
-/// Frames of one client's connection that are heard in one turn; the rest waits in line with others'. Met: an
-/// owner that asked for a thousand tasks in one write held up the asks of all others for that turn.
-const FRAMES_A_TURN: usize = 64;
-
 /// The first turn: the list of the last life, and the calls for a newer one.
 pub fn begin(desk: &RefCell<Desk>, round: &mut dyn Ears, saved: Option<Vec<u8>>) {
     if let Some(frame) = saved {
@@ -79,7 +75,7 @@
     else {
         return;
     };
-    let mut left = FRAMES_A_TURN;
+    let mut left = desk.borrow().limits.frames_a_turn();
     loop {
         if left == 0 {
             break;
@@ -110,10 +106,8 @@
         }
         if matches!(peer.who, Who::Stranger | Who::Client(_)) {
             desk.links.pause(link, false);
-            if partial {
-                let now = desk.now;
-                desk.limits.heard(now, link.0, true);
-            }
+            let now = desk.now;
+            desk.limits.read(now, link.0, partial);
         }
         end
     };
@@ -438,6 +432,12 @@
         ),
         format!("in hand pending {} sent {} placed {}", counts.pending, counts.sent, counts.running),
         format!("sends {} late yes {} bad frames {}", counts.sends, counts.late_yes, counts.bad_frames),
+        format!(
+            "clients' connections {} of {} allowed, deadlines held {}",
+            d.limits.len(),
+            d.limits.allowed(),
+            d.limits.timers()
+        ),
         format!(
             "machines {} of {} ready, list version {}",
             counts.machines_ready, counts.machines, d.list_version
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,6 +18,7 @@
 use desk::{Desk, Due, Pen};
 use mulleinhub::Brain;
 use mulleinhub_interface::{Mind, Span, Time};
+use mulleinhub_limits::Why;
 use mulleinhub_seam::{Door, End, Link, Links, Party};
 use std::cell::RefCell;
 
@@ -95,6 +96,12 @@
         fixed
     }
 
+    /// Clients' connections that were ended or refused by limits, by reason.
+    pub fn clients_ended(&self) -> Vec<(&'static str, u64)> {
+        let ended = &self.desk.borrow().limits.ended;
+        Why::ALL.into_iter().map(|why| (why.name(), ended.get(&why).copied().unwrap_or(0))).collect()
+    }
+
     /// Bytes of all buffers that are held for connections, and spare.
     pub fn buffers(&self) -> usize {
         let desk = self.desk.borrow();
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -647,3 +647,31 @@
     host.turn();
     assert!(host.engine.buffers() <= owned + 16 * 1024 && host.ended.contains(&all[3]));
 }
+
+#[test]
+fn where_descriptors_run_out_idle_clients_go_with_a_word_and_those_with_tasks_stay() {
+    let mut host = limited(|_| ());
+    let busy = host.client("busy");
+    host.ask(busy, 1, REPLAYABLE);
+    let idle: Vec<_> = (0..20).map(|n| host.client(&format!("idle{n}"))).collect();
+    let now = host.now;
+    host.engine.pinched(now);
+    let said = host.turn();
+    assert!(says(&said, "idle0", "bye room was needed"), "{said:?}");
+    let gone = idle.iter().filter(|link| host.ended.contains(link)).count();
+    assert!(gone == 16 && !host.ended.contains(&busy));
+}
+
+#[test]
+fn a_byte_a_second_of_a_frame_ends_a_connection_in_time_and_a_whole_one_does_not() {
+    let mut host = limited(|_| ());
+    let (slow, fine) = (host.client("slow"), host.client("fine"));
+    let mut bytes = Vec::new();
+    mulleinhub_protocol::encode(&Message::Learn { task: u64::MAX }, &mut bytes);
+    for byte in bytes.iter().take(12) {
+        host.engine.received(host.now, slow, &[*byte]);
+        host.only_tell(fine, &[Message::Learn { task: 1 }]);
+        host.lives(1_000);
+    }
+    assert!(host.ended.contains(&slow) && !host.ended.contains(&fine));
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -67,6 +67,13 @@
 /// Descriptors that are no client's, beside one for each machine: the list, listeners, files, who reads
 /// metrics, and one to accept with.
 const OWN_DESCRIPTORS: usize = 64;
+/// Where the system allows few, at most this part of them is kept.
+const OWN_PART: usize = 4;
+/// Frames of one connection that are heard in one turn; the rest stands in line with others'. Met: an owner
+/// that asked for a thousand tasks in one write held up the asks of all others for that turn.
+const FRAMES_A_TURN: usize = 64;
+/// Bytes that wait to be heard of one connection; with more, nothing is read from it.
+const MOST_UNHEARD: usize = 64 * 1024;
 /// Let go together where descriptors have run out all the same: others in this process took them.
 const PINCH: usize = 16;
 /// Of what is heard from those that wait, this part is kept for those that come without a task in hand.
@@ -251,7 +258,8 @@
     /// Connections that are allowed as things stand: by the settings, by pressure, and by descriptors, of
     /// which machines and the list service have theirs before any client.
     pub fn allowed(&self) -> usize {
-        let descriptors = self.descriptors.saturating_sub(OWN_DESCRIPTORS + self.machines).max(1);
+        let own = OWN_DESCRIPTORS.min(self.descriptors / OWN_PART) + self.machines;
+        let descriptors = self.descriptors.saturating_sub(own).max(1);
         self.pressure.allowed().min(descriptors)
     }
 
@@ -259,7 +267,7 @@
     pub fn begin_turn(&mut self, machines: usize) {
         self.turn += 1;
         (self.taken, self.machines) = (0, machines);
-        let most = self.settings.woken_a_turn.max(1);
+        let most = self.settings.woken_a_turn.max(2);
         self.woken_left = most.div_ceil(FOR_OTHERS);
         self.returning_left = most - self.woken_left;
     }
@@ -282,6 +290,16 @@
         self.pace.now().saturating_sub(self.taken)
     }
 
+    /// How many frames of one connection are heard in one turn.
+    pub fn frames_a_turn(&self) -> usize {
+        FRAMES_A_TURN
+    }
+
+    /// Whether nothing more is to be read from a connection of which so many bytes wait to be heard.
+    pub fn slows(&self, unheard: usize) -> bool {
+        unheard > MOST_UNHEARD
+    }
+
     /// A connection came in. It may cost another one its place: that one is named, and is to be ended.
     ///
     /// # Errors
@@ -357,8 +375,8 @@
         Ok(())
     }
 
-    /// Bytes came in; `partial` where the last frame of them is not whole.
-    pub fn heard(&mut self, now: Time, conn: u64, partial: bool) {
+    /// Bytes came in.
+    pub fn heard(&mut self, now: Time, conn: u64) {
         let Some(entry) = self.conns.get_mut(&conn) else { return };
         if now - entry.heard > self.settings.steady_for {
             entry.steady_since = now;
@@ -368,6 +386,12 @@
             self.idle.insert((now, conn));
         }
         (entry.heard, entry.asked_at) = (now, None);
+    }
+
+    /// All that came was read; `partial` where a part of a frame is left. The rest of it must come in time,
+    /// whatever comes of it a byte at a time.
+    pub fn read(&mut self, now: Time, conn: u64, partial: bool) {
+        let Some(entry) = self.conns.get_mut(&conn) else { return };
         entry.partial_since = if partial { entry.partial_since.or(Some(now)) } else { None };
         // Nothing is moved in the wheel, unless the new deadline is sooner than its place there.
         let deadline = entry.deadline(conn, &self.settings, self.woke);
@@ -461,18 +485,19 @@
             self.returning_left -= 1;
             return Some(conn);
         }
-        if self.woken_left + self.returning_left == 0 {
-            return None;
-        }
-        let next = self.woken.next();
-        if next.is_some() {
-            // What those that return leave is the others'.
-            match self.woken_left {
-                0 => self.returning_left -= 1,
-                _ => self.woken_left -= 1,
-            }
+        if self.woken_left > 0
+            && let Some(conn) = self.woken.next()
+        {
+            self.woken_left -= 1;
+            return Some(conn);
         }
-        next
+        // What the ones leave is the others'.
+        let left = match self.returning_left {
+            0 => &mut self.woken_left,
+            _ => &mut self.returning_left,
+        };
+        *left = left.checked_sub(1)?;
+        self.returning.next().or_else(|| self.woken.next())
     }
 
     /// Whether anybody stands in line.
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -29,7 +29,7 @@
         let request = self.readers.remove(&link).unwrap_or_default();
         let path = request.split(|b| *b == b' ').nth(1).unwrap_or_default();
         let (status, body) = match path {
-            b"/metrics" => ("200 OK", self.metrics.text(&self.engine.counts(), self.engine.times())),
+            b"/metrics" => ("200 OK", self.metrics.text(&self.engine)),
             b"/health" => ("200 OK", "well\n".to_owned()),
             _ => ("404 Not Found", "only /metrics and /health are here\n".to_owned()),
         };
--- a/crates/planner/src/metrics.rs
+++ b/crates/planner/src/metrics.rs
@@ -1,11 +1,12 @@
 //! What the planner tells those who watch it, in the text format of OpenMetrics.
 
 use hdrhistogram::Histogram;
-use mulleinhub_engine::{Counts, Times};
+use mulleinhub_engine::Engine;
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{DescriptorEncoder, NoLabelSet};
 use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
@@ -41,7 +42,8 @@
 
 impl Metrics {
     /// The text of all figures. They are counted by the engine; gauges only carry them over.
-    pub fn text(&self, counts: &Counts, times: Times) -> String {
+    pub fn text(&self, engine: &Engine) -> String {
+        let (counts, times) = (engine.counts(), engine.times());
         let mut registry = Registry::with_prefix("mulleinhub");
         let figures = [
             ("tasks_taken", "Tasks taken since the start", counts.taken),
@@ -62,6 +64,22 @@
             gauge.set(value as i64);
             registry.register(name, help, gauge);
         }
+        let (open, deadlines) = engine.clients_open();
+        let figures = [
+            ("clients", "Connections of clients", open),
+            ("client_deadlines", "Deadlines held for them", deadlines),
+            ("client_buffer_bytes", "Bytes of buffers held for connections", engine.buffers()),
+        ];
+        for (name, help, value) in figures {
+            let gauge: Gauge = Gauge::default();
+            gauge.set(value as i64);
+            registry.register(name, help, gauge);
+        }
+        let ended = Family::<[(&str, &str); 1], Gauge>::default();
+        for (why, count) in engine.clients_ended() {
+            ended.get_or_create(&[("why", why)]).set(count as i64);
+        }
+        registry.register("clients_ended", "Connections ended or refused by limits since the start", ended);
         let told = [
             ("take_to_send_seconds", "From taking a task to its first offer", times.take_to_send),
             ("take_to_answer_seconds", "From taking a task to its final answer", times.take_to_answer),
--- /dev/null
+++ b/crates/shell/tests/descriptors.rs
@@ -0,0 +1,72 @@
+//! At the hard limit of descriptors, with real sockets. One test, for it lowers this process's own limit.
+
+use mulleinhub_interface::Time;
+use mulleinhub_seam::{Door, End, Link, Links, Party};
+use mulleinhub_shell::Shell;
+use std::collections::VecDeque;
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Takes whoever comes, and lets the oldest go where descriptors run out.
+#[derive(Default)]
+struct Host {
+    links: Links,
+    open: VecDeque<Link>,
+    pinches: usize,
+}
+
+impl Party for Host {
+    fn opened(&mut self, _: Time, link: Link, _: Door) {
+        self.open.push_back(link);
+    }
+    fn up(&mut self, _: Time, _: Link) {}
+    fn received(&mut self, _: Time, _: Link, _: &[u8]) {}
+    fn ended(&mut self, _: Time, link: Link, _: End) {
+        self.links.forget(link);
+        self.open.retain(|open| *open != link);
+    }
+    fn turn(&mut self, _: Time) {}
+    fn wake(&self) -> Option<Time> {
+        None
+    }
+    fn links(&mut self) -> &mut Links {
+        &mut self.links
+    }
+    fn pinched(&mut self, _: Time) {
+        self.pinches += 1;
+        for link in self.open.drain(..2) {
+            self.links.send(link, b"bye", None);
+            self.links.end(link);
+        }
+    }
+}
+
+#[test]
+fn at_the_limit_accepting_rests_lets_go_with_a_word_and_goes_on() {
+    use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+    let mut shell = Shell::new(Host::default()).expect("a poll");
+    let at = shell.listen(SocketAddr::from(([127, 0, 0, 1], 0)), Door(0)).expect("a listener");
+    // Clients that were here before the limit is met, so that it is met by accepting alone.
+    let mut clients: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(at).expect("waits")).collect();
+    let used = clients.len() + 20;
+    let most = getrlimit(Resource::Nofile).maximum;
+    setrlimit(Resource::Nofile, Rlimit { current: Some(used as u64 + 30), maximum: most })
+        .expect("is lowered");
+    for _ in 0..20 {
+        shell.step(Duration::from_millis(20)).expect("polls");
+    }
+    let calls = shell.calls;
+    assert!(shell.party.pinches > 0, "the limit was met");
+    // It rests between tries: a second at the limit is some tens of calls, not thousands.
+    for _ in 0..10 {
+        shell.step(Duration::from_millis(100)).expect("polls");
+    }
+    assert!(shell.calls - calls < 400, "{} calls", shell.calls - calls);
+    // Those let go were told; the rest was taken in their places.
+    let mut word = [0; 3];
+    clients[0].set_read_timeout(Some(Duration::from_secs(5))).expect("is set");
+    clients[0].read_exact(&mut word).expect("a word before the end");
+    assert_eq!(&word, b"bye");
+    assert!(shell.party.open.len() >= 20, "{} are open", shell.party.open.len());
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! is silent the head of the model says what was guessed.
 //! May not touch: sockets and clocks, the planner's engine, the module.
 
+mod crowd;
 mod dice;
 mod list;
 mod machine;
@@ -11,6 +12,7 @@
 mod rack;
 mod worth;
 
+pub use crowd::{Crowd, CrowdSettings, CrowdTally};
 pub use dice::Dice;
 pub use list::{Fact, ListPlight, ListService, ListSettings};
 pub use machine::{CaseModel, Drain, Happened, Machine, MachineSettings, Plight};
