Bursts: steady clients are read and answered between slices of those that woke

Cause: with 19,904 silent connections speaking at one moment a steady client waited up to 225 ms over sockets: all that was readable was read before the turn, in the order of links.

Change: the shell reads connections that the party calls prompt first, and between slices of 256 others lets it have an early turn that answers what was told and takes nobody for silent. A read that filled less than its buffer is not followed by one that finds nothing. Clients that were told to come later come later each time.

--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -3,9 +3,11 @@
 use crate::trouble::Trouble;
 use garde::Validate;
 use mulleinhub_interface::Effect;
-use mulleinhub_interface::Span;
+use mulleinhub_interface::{Span, Time};
 use mulleinhub_settings::{Args, Directive, Faults, Place, Range, Scope, Value};
+use mulleinhub_standins::{Planned, UseBook};
 use mulleinhub_terms::{Case, Kind, Rules, check, places, range_or, read_case, read_kind, read_rules};
+use std::sync::Arc;
 
 /// What a use case's tasks are like on this day.
 #[derive(Clone, Debug)]
@@ -96,6 +98,24 @@
     pub troubles: Vec<Trouble>,
     /// So many random troubles are added, drawn from the seed.
     pub random_troubles: Range<usize>,
+    /// Machines and work as a trace tells them, in place of the above.
+    pub fleet: Option<Arc<Fleet>>,
+}
+
+/// A machine of a trace: its place among the kinds and racks, and when it is up and down.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spot {
+    pub kind: usize,
+    pub rack: u32,
+    pub changes: Vec<(Time, bool)>,
+}
+
+/// What a trace tells: a spot for each of the day's machines, the work of each owner, and what it uses.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    pub spots: Vec<Spot>,
+    pub wanted: Vec<Arc<Vec<Planned>>>,
+    pub uses: Arc<UseBook>,
 }
 
 fn a_day(span: &Span, (): &()) -> garde::Result {
@@ -271,12 +291,25 @@
         cross_hall_price,
         troubles,
         random_troubles,
+        fleet: None,
     };
     check(&day, &places(directives), &place, faults);
     faults.is_empty().then_some(day)
 }
 
 impl Day {
+    /// The rack of a machine, both from 0.
+    pub fn rack_of(&self, n: usize) -> u32 {
+        let spot = self.fleet.as_ref().and_then(|fleet| fleet.spots.get(n));
+        spot.map_or(n as u32 % self.racks, |spot| spot.rack % self.racks)
+    }
+
+    /// The place of a machine's kind among the kinds.
+    pub fn kind_of(&self, n: usize) -> usize {
+        let spot = self.fleet.as_ref().and_then(|fleet| fleet.spots.get(n));
+        spot.map_or((n / self.racks as usize) % self.kinds.len(), |spot| spot.kind)
+    }
+
     /// The widest group in which one copy of a task stands: machines of different racks must know of each
     /// other where it is wider than a rack.
     pub(crate) fn groups_are_wide(&self) -> bool {
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -41,6 +41,20 @@
     pub troubles: Vec<&'static str>,
 }
 
+/// How the machines of a day are at an instant.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Look {
+    pub machines: u64,
+    pub in_use: u64,
+    pub tasks: u64,
+    pub waiting: u64,
+    pub size: Room,
+    pub asked: Room,
+    pub used: Room,
+    /// By machines, up to when they last counted.
+    pub earned: f64,
+}
+
 /// What a day came to, as the stand-ins saw it.
 #[derive(Clone, Debug, Default)]
 pub struct Score {
@@ -242,13 +256,21 @@
         let work: u64 = cases.iter().map(|case| case.work.nanos()).sum();
         self.mean_work = work as f64 / cases.len().max(1) as f64;
         let all = day.machines + day.spare_machines;
+        let now = Time::default();
         let groups = if day.groups_are_wide() { 1 } else { day.racks as usize };
         let mut racks: Vec<Vec<Machine>> = (0..groups).map(|_| Vec::new()).collect();
         for n in 0..all {
             let settings = self.machine_settings(n);
             let mut machine = Machine::new(settings, 0, Time::default(), false, day.seed);
             machine.down = n >= day.machines;
-            let group = n % groups;
+            if let Some(fleet) = &day.fleet {
+                let changes = &fleet.spots[n].changes;
+                machine.down = !changes.iter().any(|(at, up)| *at == now && *up);
+                for (at, up) in changes.iter().filter(|(at, _)| *at > now) {
+                    self.at(*at, if *up { Act::MachineUp(n) } else { Act::MachineDown(n) });
+                }
+            }
+            let group = day.rack_of(n) as usize % groups;
             self.spots.push((group, racks[group].len()));
             racks[group].push(machine);
         }
@@ -288,6 +310,11 @@
                 again: (day.owner.again.low, day.owner.again.high),
                 settle: day.owner.settle,
                 reconnect: day.owner.reconnect,
+                planned: day
+                    .fleet
+                    .as_ref()
+                    .and_then(|fleet| fleet.wanted.get(n).cloned())
+                    .unwrap_or_default(),
             };
             self.owner_nodes.push(self.nodes.len());
             self.names.push(settings.name.clone());
@@ -327,8 +354,7 @@
     fn machine_settings(&mut self, n: usize) -> MachineSettings {
         let day = &self.day;
         let model = &day.machine;
-        let rack = n as u32 % day.racks;
-        let kind = (n / day.racks as usize) % day.kinds.len();
+        let (rack, kind) = (day.rack_of(n), day.kind_of(n));
         let dice = &mut self.dice;
         let whole = |dice: &mut Dice, range: Range<usize>| range.low + dice.below(range.high - range.low + 1);
         MachineSettings {
@@ -356,6 +382,7 @@
             note_every: model.note_every,
             drain: model.sends_away.map_or(Drain::Keeps, Drain::SendsAway),
             claim_within: day.owner.settle + Span::from_secs(1),
+            uses: day.fleet.as_ref().map(|fleet| fleet.uses.clone()).unwrap_or_default(),
         }
     }
 
@@ -386,7 +413,7 @@
             .collect();
         let machines = (0..self.spots.len() as u32)
             .map(|n| {
-                let cell = n % day.racks;
+                let cell = day.rack_of(n as usize);
                 let settings = &self.machine(n as usize).settings;
                 capture::MachineTerms {
                     machine: u64::from(n) + 1,
@@ -469,6 +496,24 @@
         progress
     }
 
+    /// How the machines are now, for whoever draws it over time.
+    pub fn fleet_now(&self) -> Look {
+        let mut look = Look::default();
+        for node in &self.nodes {
+            let Body::Rack(rack) = node else { continue };
+            for machine in rack.machines.iter().filter(|machine| !machine.down) {
+                let (asked, used, tasks) = machine.load();
+                look.machines += 1;
+                look.in_use += u64::from(tasks > 0);
+                (look.tasks, look.size) = (look.tasks + tasks as u64, look.size + machine.settings.size);
+                (look.asked, look.used) = (look.asked + asked, look.used + used);
+            }
+            look.earned += rack.machines.iter().flat_map(|machine| machine.earned.values()).sum::<f64>();
+        }
+        look.waiting = self.progress().waiting as u64;
+        look
+    }
+
     /// The day's length is over, and every owner has heard of its tasks or has waited as long as it would.
     pub fn is_over(&self, now: Time) -> bool {
         let end = Time::default() + self.day.length;
@@ -600,15 +645,13 @@
         match trouble.struck() {
             Struck::Machines => {
                 let is = |n: &usize| {
-                    let rack = *n as u32 % day.racks;
+                    let rack = day.rack_of(*n);
                     let up = !self.machine(*n).down;
                     up && match &trouble.target {
                         Target::Machine(id) => *id == *n as u64 + 1,
                         Target::Rack(number) => rack + 1 == *number,
                         Target::Hall(hall) => rack % day.halls + 1 == *hall,
-                        Target::Kind(name) => {
-                            day.kinds[(n / day.racks as usize) % day.kinds.len()].name == *name
-                        }
+                        Target::Kind(name) => day.kinds[day.kind_of(*n)].name == *name,
                         _ => true,
                     }
                 };
@@ -891,7 +934,7 @@
         match far {
             Far::Machines => machine.is_some(),
             Far::Machine(id) => machine.is_some_and(|n| n as u64 + 1 == *id),
-            Far::Rack(rack) => machine.is_some_and(|n| n as u32 % self.day.racks + 1 == *rack),
+            Far::Rack(rack) => machine.is_some_and(|n| self.day.rack_of(n) + 1 == *rack),
             Far::Owners => self.owner_nodes.contains(&node),
             Far::List => node == self.list_node,
         }
@@ -1025,8 +1068,8 @@
         };
         pipe.weather = self.pipe_weather(&pipe);
         let (_, machine) = self.far_of(&pipe);
-        pipe.cross = machine
-            .is_some_and(|n| n as u32 % self.day.racks % self.day.halls != planner as u32 % self.day.halls);
+        pipe.cross =
+            machine.is_some_and(|n| self.day.rack_of(n) % self.day.halls != planner as u32 % self.day.halls);
         self.pipes.insert(id, pipe);
         self.by_end.insert(opener, (id, 0));
         let delay = self.delay(id);
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -187,6 +187,8 @@
     /// When a turn was promised at the end of the last one, and how much later this one came.
     promised: Option<Time>,
     stood: Span,
+    /// There was an early turn since the last whole one.
+    early: bool,
     pub hears_clients: bool,
     pub winding_down: bool,
     pub counts: Counts,
@@ -226,6 +228,7 @@
             limits,
             promised: None,
             stood: Span::ZERO,
+            early: false,
             hears_clients: false,
             winding_down: false,
             counts: Counts::default(),
@@ -469,23 +472,50 @@
         [self.timers.next(), self.limits.wake(), heartbeat].into_iter().flatten().min()
     }
 
+    /// How much later than promised this turn comes; early ones before it have found out already.
+    fn note_standstill(&mut self, now: Time) {
+        match self.promised.take() {
+            Some(promised) => self.stood = now - promised,
+            None if !self.early => self.stood = Span::ZERO,
+            None => return,
+        }
+        if self.stood > STANDSTILL {
+            self.limits.woke(now);
+        }
+    }
+
     /// A turn begins: so many frames of those that woke are heard in it.
     pub fn begin_turn(&mut self, now: Time) {
         self.now = now;
-        self.stood = self.promised.take().map_or(Span::ZERO, |promised| now - promised);
+        self.note_standstill(now);
         self.limits.begin_turn(self.machines.len());
         for link in std::mem::take(&mut self.rest) {
             let returns = self.peers.get(&link).is_some_and(|peer| peer.in_hand > 0);
             self.limits.stands_in_line(link.0, returns);
         }
-        if self.stood > STANDSTILL {
-            self.limits.woke(now);
+    }
+
+    /// Much lies unread: what came is heard, nothing is due yet. False where nothing came that is heard now.
+    pub fn begin_early(&mut self, now: Time) -> bool {
+        self.now = now;
+        self.note_standstill(now);
+        self.early = true;
+        !self.arrivals.is_empty() || !self.closings.is_empty()
+    }
+
+    /// Machines, the list and clients that spoke all along are read before others, where many have bytes.
+    pub fn is_prompt(&self, link: Link) -> bool {
+        match self.peers.get(&link).map(|peer| &peer.who) {
+            None | Some(Who::Stranger) => false,
+            Some(Who::Machine(_) | Who::List) => true,
+            Some(Who::Client(_)) => self.limits.is_steady(self.now, link.0),
         }
     }
 
     /// The turn is over; the next one is due at the latest by then.
     pub fn end_turn(&mut self) {
         self.promised = self.wake();
+        self.early = false;
     }
 
     /// Peers that don't read are let go: what waits for them is bounded.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -154,6 +154,23 @@
         self.desk.get_mut().has_ended(link, end);
     }
 
+    fn turn_early(&mut self, now: Time) {
+        let Self { mind, desk, begun, .. } = self;
+        if !*begun || !desk.get_mut().begin_early(now) {
+            return;
+        }
+        let desk = &*desk;
+        mind.round(now, &mut Pen(desk), &mut |round| {
+            hear::all_that_came(desk, round);
+            hear::closings(desk, round);
+        });
+        self.desk.get_mut().after_round();
+    }
+
+    fn is_prompt(&self, link: Link) -> bool {
+        self.desk.borrow().is_prompt(link)
+    }
+
     fn turn(&mut self, now: Time) {
         let Self { mind, desk, begun, saved } = self;
         desk.get_mut().begin_turn(now);
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -675,3 +675,23 @@
     }
     assert!(host.ended.contains(&slow) && !host.ended.contains(&fine));
 }
+
+#[test]
+fn an_early_turn_answers_what_was_read_and_takes_nobody_for_silent() {
+    let mut host = limited(|clients| clients.greet_within = Span::from_secs(1));
+    let steady = host.client("steady");
+    for _ in 0..7 {
+        host.lives(1_000);
+        host.tell(steady, &[Message::Pong { nonce: 0 }]);
+    }
+    let (_, stranger) = (host.ask(steady, 1, REPLAYABLE), host.opens("stranger"));
+    host.turn();
+    // The process stands still; then so much lies unread that the steady one is answered between.
+    host.now = host.now + Span::from_secs(2);
+    host.only_tell(steady, &[ask(2, REPLAYABLE, host.now)]);
+    host.engine.turn_early(host.now);
+    assert!(host.engine.counts().taken == 2 && !host.ended.contains(&stranger));
+    host.only_tell(stranger, &[hello("stranger", host.now)]);
+    host.turn();
+    assert!(!host.ended.contains(&stranger), "its greeting lay here");
+}
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    fn turn_early(&mut self, now: Time) {
+        self.engine.turn_early(now);
+    }
+
+    fn is_prompt(&self, link: Link) -> bool {
+        self.engine.is_prompt(link)
+    }
+
     fn turn(&mut self, now: Time) {
         let began = Instant::now();
         self.engine.turn(now);
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -51,6 +51,13 @@
     fn ended(&mut self, now: Time, link: Link, end: End);
     /// All that came in was told: time to act.
     fn turn(&mut self, now: Time);
+    /// Some of what came in was told, and more lies unread: what was told may be answered, and nobody is
+    /// taken for silent before `turn`.
+    fn turn_early(&mut self, _now: Time) {}
+    /// Whether what comes on this connection is told before what comes on others, where much comes at once.
+    fn is_prompt(&self, _link: Link) -> bool {
+        false
+    }
     /// When `turn` is wanted at the latest, if nothing comes in before.
     fn wake(&self) -> Option<Time>;
     fn links(&mut self) -> &mut Links;
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -20,6 +20,8 @@
 const LISTENERS: usize = 1 << 20;
 /// Read from one connection before the others get their turn.
 const ONE_READ: usize = 64 * 1024;
+/// Connections that are read before those that are prompt have another look.
+const ONE_SLICE: usize = 256;
 /// Polls without waiting before a turn: what came in while others were read is told too.
 const MOST_POLLS: usize = 16;
 /// Told by one poll. Where a poll tells as many there are more, and they come before the turn too: no peer is
@@ -38,6 +40,8 @@
     tcp: TcpStream,
     up: bool,
     readable: bool,
+    /// The other side writes no more: what is left is read to its end.
+    closing: bool,
     /// No more is written once what waits has gone out.
     ending: bool,
 }
@@ -167,8 +171,8 @@
             // More was there than one turn takes.
             wait = Duration::ZERO;
         }
-        let unread: Vec<Link> = self.readable.iter().copied().collect();
-        if unread.into_iter().any(|link| !self.is_paused(link)) {
+        let links = self.party.links();
+        if self.readable.iter().any(|link| !links.is_paused(*link)) {
             wait = Duration::ZERO;
         }
         let mut step = self.poll_once(Some(wait))?;
@@ -180,7 +184,7 @@
                 polls += 1;
             }
             self.accept_all();
-            if !self.read_all() {
+            if !self.read_all()? {
                 break;
             }
             if let Step::Signal(signal) = self.poll_once(Some(Duration::ZERO))? {
@@ -192,10 +196,6 @@
         Ok(step)
     }
 
-    fn is_paused(&mut self, link: Link) -> bool {
-        self.party.links().is_paused(link)
-    }
-
     fn poll_once(&mut self, wait: Option<Duration>) -> std::io::Result<Step> {
         self.calls += 1;
         match self.poll.poll(&mut self.events, wait) {
@@ -204,12 +204,12 @@
         }
         let mut step = Step::Went;
         self.full = self.events.iter().count() >= EVENTS;
-        let events: Vec<(Token, bool, bool)> = self
+        let events: Vec<(Token, bool, bool, bool)> = self
             .events
             .iter()
-            .map(|e| (e.token(), e.is_readable() || e.is_read_closed() || e.is_error(), e.is_writable()))
+            .map(|e| (e.token(), e.is_readable(), e.is_read_closed() || e.is_error(), e.is_writable()))
             .collect();
-        for (token, readable, writable) in events {
+        for (token, readable, closing, writable) in events {
             if token == SIGNALS {
                 let signal = self.signals.as_mut().and_then(|signals| signals.pending().next());
                 step = signal.map_or(step, Step::Signal);
@@ -220,8 +220,11 @@
                 if writable {
                     self.is_writable(link);
                 }
-                if readable && let Some(stream) = self.streams.get_mut(&link) {
+                if (readable || closing)
+                    && let Some(stream) = self.streams.get_mut(&link)
+                {
                     stream.readable = true;
+                    stream.closing |= closing;
                     self.readable.insert(link);
                 }
             }
@@ -284,18 +287,34 @@
         }
         // Frames are small and answers are waited for.
         let _ = tcp.set_nodelay(true);
-        self.streams.insert(link, Stream { tcp, up, readable: false, ending: false });
+        self.streams.insert(link, Stream { tcp, up, readable: false, closing: false, ending: false });
         true
     }
 
-    /// Reads from every connection that has bytes; true where any had.
-    fn read_all(&mut self) -> bool {
-        let mut any = false;
-        let ready: Vec<Link> = self.readable.iter().copied().collect();
-        for link in ready {
-            if self.is_paused(link) {
-                continue;
+    /// Reads from every connection that has bytes; true where any had. Where many have, those that the party
+    /// calls prompt are read between slices of the others.
+    fn read_all(&mut self) -> std::io::Result<bool> {
+        let mut any = self.read_prompt();
+        let rest: Vec<Link> = self.readable.iter().copied().collect();
+        for (n, slice) in rest.chunks(ONE_SLICE).enumerate() {
+            if n > 0 {
+                self.party.turn_early(self.now());
+                self.carry_out();
+                self.poll_once(Some(Duration::ZERO))?;
+                any |= self.read_prompt();
             }
+            for link in slice {
+                any |= self.read_one(*link);
+            }
+        }
+        Ok(any)
+    }
+
+    fn read_prompt(&mut self) -> bool {
+        let prompt: Vec<Link> =
+            self.readable.iter().filter(|link| self.party.is_prompt(**link)).copied().collect();
+        let mut any = false;
+        for link in prompt {
             any |= self.read_one(link);
         }
         any
@@ -306,6 +325,9 @@
             self.readable.remove(&link);
             return false;
         };
+        if self.party.links().is_paused(link) {
+            return false;
+        }
         if !stream.up {
             // Looked at again when it is up.
             self.readable.remove(&link);
@@ -318,6 +340,12 @@
                 true
             }
             Ok(n) => {
+                // Less than there was room for is all that there was: what comes later is told anew. An end
+                // that came with it isn't.
+                if n < self.buffer.len() && !stream.closing {
+                    stream.readable = false;
+                    self.readable.remove(&link);
+                }
                 let now = Time::from_nanos(self.began.elapsed().as_nanos() as u64);
                 self.party.received(now, link, &self.buffer[..n]);
                 true
--- a/crates/standins/src/crowd.rs
+++ b/crates/standins/src/crowd.rs
@@ -209,7 +209,7 @@
         match message {
             Message::Welcome { silence, .. } => {
                 let one = &mut self.all[n as usize];
-                (one.refusals, one.silence) = (0, silence.map(Span::from_nanos));
+                one.silence = silence.map(Span::from_nanos);
                 self.up += usize::from(!std::mem::replace(&mut one.up, true));
                 if let (Some(silence), Some(link)) = (one.silence, one.link) {
                     self.timers.set(now + silence * 2.0, Due::Dead(n, link));
@@ -222,13 +222,18 @@
             }
             Message::Ping { nonce } => {
                 self.tally.asked_for_sign += 1;
+                // One that was kept so long was not unwanted.
+                self.all[n as usize].refusals = 0;
                 // Whoever is in the middle of a frame can't say anything else.
                 if self.all[n as usize].slow.is_none() {
                     self.write(n, &Message::Pong { nonce: *nonce });
                 }
             }
             Message::Unknown { .. } => self.tally.answered += 1,
-            Message::Bye { words } => *self.tally.byes.entry((*words).to_owned()).or_default() += 1,
+            Message::Bye { words } => {
+                self.all[n as usize].refusals += 1;
+                *self.tally.byes.entry((*words).to_owned()).or_default() += 1;
+            }
             _ => {}
         }
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 mod list;
 mod machine;
 mod owner;
+mod plan;
 mod rack;
 mod worth;
 
@@ -17,5 +18,6 @@
 pub use list::{Fact, ListPlight, ListService, ListSettings};
 pub use machine::{CaseModel, Drain, Happened, Machine, MachineSettings, Plight};
 pub use owner::{Load, Owner, OwnerSettings, OwnerTally, ServiceCase};
+pub use plan::{Planned, UseBook, UsePart, planned_key};
 pub use rack::Rack;
 pub use worth::{Tally, Worth};
--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -8,11 +8,13 @@
 //! lower priorities use counts as busy.
 
 use crate::dice::Dice;
+use crate::plan::UseBook;
 use crate::worth::Worth;
 use mulleinhub_interface::{Reach, Room};
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{Ending, Reason, Shape};
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 /// What machines know of a use case.
 #[derive(Clone, Debug)]
@@ -66,6 +68,8 @@
     pub drain: Drain,
     /// A copy that nobody holds is ended after this.
     pub claim_within: Span,
+    /// What tasks use, where that is known beforehand.
+    pub uses: Arc<UseBook>,
 }
 
 /// What is the matter with a machine.
@@ -525,6 +529,12 @@
         }
     }
 
+    /// What the tasks on it ask for, what they use, and how many they are.
+    pub fn load(&self) -> (Room, Room, usize) {
+        let used = self.held.iter().fold(Room::NONE, |sum, held| sum + held.in_use);
+        (self.asked, used, self.held.len())
+    }
+
     /// From now on it takes nothing new.
     pub fn drains(&mut self, now: Time) {
         self.draining = true;
@@ -546,7 +556,12 @@
                 |(case, part, _): &(u32, f64, f64)| held.shape.use_case == *case && held.turn < *part;
             let more = heavy.filter(is_heavy).map_or(1.0, |(.., by)| by);
             let cap = Room::new(held.shape.cores, held.shape.memory).times(1.5, 1.3);
-            held.in_use = held.mean_use.times(swing * more, grown * more).at_most(cap);
+            held.in_use = match self.settings.uses.at(held.shape.key, now - since) {
+                Some(part) => Room::new(held.shape.cores, held.shape.memory)
+                    .times(part.cores * more, part.memory * more)
+                    .at_most(cap),
+                None => held.mean_use.times(swing * more, grown * more).at_most(cap),
+            };
         }
         loop {
             let memory: f64 = self.held.iter().map(|held| held.in_use.memory).sum();
--- a/crates/standins/src/owner.rs
+++ b/crates/standins/src/owner.rs
@@ -6,11 +6,13 @@
 //! tasks over those that are up, and asks what became of its tasks when a connection is up again.
 
 use crate::dice::Dice;
+use crate::plan::{Planned, planned_key};
 use crate::worth::{Tally, Worth};
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{self as protocol, Bad, Conversation, Ending, Frames, Message, Shape};
 use mulleinhub_seam::{Door, End, Link, Links, Party, Timers};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// What an owner knows of a use case.
 #[derive(Clone, Debug)]
@@ -44,6 +46,8 @@
     /// Where a send may have run and a second start could do harm.
     pub settle: Span,
     pub reconnect: Span,
+    /// In the order of their instants; an owner that has some wants nothing else.
+    pub planned: Arc<Vec<Planned>>,
 }
 
 /// What drives an owner harder or otherwise than usual.
@@ -120,6 +124,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     NewService,
+    Planned(usize),
     Look(u64),
     Reconnect(usize),
 }
@@ -155,6 +160,7 @@
         let desk = || Desk { link: None, up: false, frames: Frames::default() };
         let desks = settings.planners.iter().map(|_| desk()).collect();
         let first = u64::from(settings.number) << 40;
+        let planned = settings.planned.len() as u64;
         Self {
             settings,
             load: Load::default(),
@@ -166,7 +172,7 @@
             by_id: BTreeMap::new(),
             timers: Timers::default(),
             next_id: first,
-            next_key: first,
+            next_key: first + planned,
             turn_of: 0,
             hot_service: None,
             dice,
@@ -303,6 +309,25 @@
         }
     }
 
+    /// Asks for all that is planned up to now.
+    fn planned(&mut self, now: Time, first: usize) {
+        let planned = self.settings.planned.clone();
+        for (n, task) in planned.iter().enumerate().skip(first) {
+            if task.at > now {
+                return self.timers.set(task.at, Due::Planned(n));
+            }
+            let shape = Shape {
+                key: planned_key(self.settings.number, n),
+                use_case: task.use_case,
+                service: task.service,
+                cores: task.cores,
+                memory: task.memory,
+                again: false,
+            };
+            self.want(now, shape, task.until);
+        }
+    }
+
     fn want(&mut self, now: Time, shape: Shape, until: Time) {
         let key = shape.key;
         let state = State::Waiting { at: now };
@@ -630,11 +655,15 @@
                 self.open(planner);
             }
             let first = self.dice.span(Span::ZERO, Span::from_secs(1));
-            self.timers.set(now + first, Due::NewService);
+            match self.settings.planned.first() {
+                None => self.timers.set(now + first, Due::NewService),
+                Some(planned) => self.timers.set(planned.at, Due::Planned(0)),
+            }
         }
         while let Some(due) = self.timers.due(now) {
             match due {
                 Due::NewService => self.new_service(now),
+                Due::Planned(n) => self.planned(now, n),
                 Due::Look(key) => self.look(now, key),
                 Due::Reconnect(planner) => self.open(planner),
             }
