trace replay and report: samples of traces through owners, planners and machines; fair admission

`mulleinhub trace` has inspect, make, replay, report and layouts. Admission is a module of its own in crates/limits: under a bound on work in hand each service has its share, and nacks call back one after the other at the pace at which room comes free. A tight-fit baseline.

--- a/crates/baselines/src/lib.rs
+++ b/crates/baselines/src/lib.rs
@@ -13,6 +13,8 @@
     Random,
     /// The one with the least asked, cores and memory weighing the same.
     LeastRequested,
+    /// The one with the most asked on which it still fits.
+    TightFit,
 }
 
 /// A pending task is looked at again after so long.
@@ -131,12 +133,16 @@
                 let n = self.draw(fits.len());
                 fits.get(n).copied()
             }
-            Rule::LeastRequested => {
+            Rule::LeastRequested | Rule::TightFit => {
                 let free = |m: &Machine| {
                     let size = self.kinds[m.entry.kind.0];
                     m.left.cores / size.cores + m.left.memory / size.memory
                 };
-                fits.max_by(|(_, a), (_, b)| free(a).total_cmp(&free(b))).map(|(to, _)| *to)
+                let best = match self.rule {
+                    Rule::TightFit => fits.min_by(|(_, a), (_, b)| free(a).total_cmp(&free(b))),
+                    _ => fits.max_by(|(_, a), (_, b)| free(a).total_cmp(&free(b))),
+                };
+                best.map(|(to, _)| *to)
             }
         }
     }
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -82,6 +82,7 @@
 pub enum Baseline {
     Random,
     LeastRequested,
+    TightFit,
 }
 
 impl Baseline {
@@ -89,6 +90,7 @@
         match self {
             Self::Random => Rule::Random,
             Self::LeastRequested => Rule::LeastRequested,
+            Self::TightFit => Rule::TightFit,
         }
     }
 }
@@ -203,35 +205,15 @@
         if let Some(seeds) = self.seeds {
             return self.many(&day, seeds);
         }
-        let mut usage = None;
-        let (path, score, end) = if self.in_virtual_time {
+        if self.in_virtual_time {
             let path = self.capture.clone().unwrap_or_else(|| folder(&day).join("capture"));
-            self.in_virtual(day, &path)?
+            let (path, score, end) = self.in_virtual(day, &path)?;
+            told(&path, &score, end, None)
         } else {
             let folder = folder(&day);
             let path = self.capture.clone().unwrap_or_else(|| folder.join("capture"));
-            let watch = Watch::new(&day);
-            let (score, end, used) =
-                stage_host::play(day, &folder, &path, |now, progress| watch.see(now, progress))?;
-            watch.done();
-            usage = Some(used);
-            (path, score, end)
-        };
-        let file = File::open(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-        let verdict = mulleinhub_verdict::judge(BufReader::new(file))
-            .map_err(|e| format!("{}: {e}", path.display()))?;
-        print(&verdict, &score);
-        if let Some(usage) = usage {
-            let taken: u64 = verdict.figures.cases.values().map(|counts| counts[0]).sum();
-            println!(
-                "planners' CPU: {:.0} us a task, {:.2} s in all; most memory of one: {} KiB",
-                usage.cpu.as_micros() as f64 / taken.max(1) as f64,
-                usage.cpu.as_secs_f64(),
-                usage.most_memory
-            );
+            real(day, &folder, &path)
         }
-        println!("{:.1} s played; capture: {}", end.nanos() as f64 / 1e9, path.display());
-        Ok(if verdict.holds() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
     }
 
     fn in_virtual(&self, day: Day, path: &Path) -> Result<(PathBuf, Score, Time), String> {
@@ -329,6 +311,43 @@
     }
 }
 
+/// Plays a day over sockets and tells what it came to.
+fn real(day: Day, folder: &Path, path: &Path) -> Result<ExitCode, String> {
+    let watch = Watch::new(&day);
+    let (score, end, usage) = stage_host::play(day, folder, path, |now, progress| watch.see(now, progress))?;
+    watch.done();
+    told(path, &score, end, Some(usage))
+}
+
+/// The same for a day that no script tells.
+pub fn play_real(day: Day) -> Result<ExitCode, String> {
+    let folder = folder(&day);
+    real(day, &folder, &folder.join("capture"))
+}
+
+/// The troubles of a day's script, to be laid over another day.
+pub fn troubles(path: &Path) -> Result<Vec<mulleinhub_day::Trouble>, String> {
+    Ok(read(Some(path))?.troubles)
+}
+
+fn told(path: &Path, score: &Score, end: Time, usage: Option<stage_host::Usage>) -> Result<ExitCode, String> {
+    let file = File::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let verdict =
+        mulleinhub_verdict::judge(BufReader::new(file)).map_err(|e| format!("{}: {e}", path.display()))?;
+    print(&verdict, score);
+    if let Some(usage) = usage {
+        let taken: u64 = verdict.figures.cases.values().map(|counts| counts[0]).sum();
+        println!(
+            "planners' CPU: {:.0} us a task, {:.2} s in all; most memory of one: {} KiB",
+            usage.cpu.as_micros() as f64 / taken.max(1) as f64,
+            usage.cpu.as_secs_f64(),
+            usage.most_memory
+        );
+    }
+    println!("{:.1} s played; capture: {}", end.nanos() as f64 / 1e9, path.display());
+    Ok(if verdict.holds() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 fn folder(day: &Day) -> PathBuf {
     let name: String = day.name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '-' }).collect();
     std::env::temp_dir().join(format!("mulleinhub-{name}-{}", std::process::id()))
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod report;
 mod stage_host;
 mod status;
+mod trace;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use std::path::PathBuf;
@@ -33,6 +34,9 @@
     /// Looks into a capture
     #[command(subcommand)]
     Capture(capture::CaptureCommand),
+    /// Public cluster traces: what is in them, and replays of them
+    #[command(subcommand)]
+    Trace(trace::TraceCommand),
     /// Asks a running planner how it is
     Status {
         /// Where it hears clients, as 127.0.0.1:7000
@@ -58,6 +62,7 @@
         }
         Command::Verdict { capture } => capture::verdict(&capture),
         Command::Capture(command) => capture::run(command),
+        Command::Trace(command) => trace::run(command),
         Command::Status { address } => status::ask(address),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "mulleinhub", &mut std::io::stdout());
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -5,7 +5,7 @@
 use mulleinhub_interface::Effect;
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_settings::{Args, Directive, Faults, Place, Range, Scope, Value};
-use mulleinhub_standins::{Planned, UseBook};
+use mulleinhub_standins::{Planned, UseBook, Worth};
 use mulleinhub_terms::{Case, Kind, Rules, check, places, range_or, read_case, read_kind, read_rules};
 use std::sync::Arc;
 
@@ -96,6 +96,9 @@
     pub machine_price: f64,
     pub cross_hall_price: f64,
     pub troubles: Vec<Trouble>,
+    /// Of each planner, in place of its default.
+    #[garde(inner(range(min = 1)))]
+    pub most_in_hand: Option<usize>,
     /// So many random troubles are added, drawn from the seed.
     pub random_troubles: Range<usize>,
     /// Machines and work as a trace tells them, in place of the above.
@@ -245,6 +248,7 @@
     let machine_price = scope.or("machine-price", 0.0, faults);
     let cross_hall_price = scope.or("cross-hall-price", 0.0, faults);
     let random_troubles = range_or(&mut scope, "random-troubles", 0, 0, faults);
+    let most_in_hand = scope.maybe("most-in-hand", faults);
     let mut troubles = Vec::new();
     for line in scope.each("at") {
         let Some(trouble) = Trouble::read(line, faults) else { continue };
@@ -290,6 +294,7 @@
         machine_price,
         cross_hall_price,
         troubles,
+        most_in_hand,
         random_troubles,
         fleet: None,
     };
@@ -298,6 +303,23 @@
 }
 
 impl Day {
+    /// What service is worth on this day: by use case, and by size over the mean ask's.
+    pub fn worth(&self) -> Worth {
+        let asks = self.cases.iter().flat_map(|case| case.asks.iter().map(move |ask| (case.share, *ask)));
+        let weight = |of: fn((f64, f64)) -> f64| {
+            let (sum, all) = asks
+                .clone()
+                .fold((0.0, 0.0), |(sum, all), (share, ask)| (sum + share * of(ask), all + share));
+            sum / f64::max(all, 1e-9)
+        };
+        Worth {
+            mean_cores: weight(|ask| ask.0),
+            mean_memory: weight(|ask| ask.1),
+            earnings: self.cases.iter().map(|case| case.case.earnings).collect(),
+            start_seconds: self.cases.iter().map(|case| case.case.start_seconds).collect(),
+        }
+    }
+
     /// The rack of a machine, both from 0.
     pub fn rack_of(&self, n: usize) -> u32 {
         let spot = self.fleet.as_ref().and_then(|fleet| fleet.spots.get(n));
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -187,19 +187,7 @@
                 day.silent > 0,
             ));
         }
-        let asks = day.cases.iter().flat_map(|case| case.asks.iter().map(move |ask| (case.share, *ask)));
-        let weight = |of: fn((f64, f64)) -> f64| {
-            let (sum, all) = asks
-                .clone()
-                .fold((0.0, 0.0), |(sum, all), (share, ask)| (sum + share * of(ask), all + share));
-            sum / f64::max(all, 1e-9)
-        };
-        let worth = Worth {
-            mean_cores: weight(|ask| ask.0),
-            mean_memory: weight(|ask| ask.1),
-            earnings: day.cases.iter().map(|case| case.case.earnings).collect(),
-            start_seconds: day.cases.iter().map(|case| case.case.start_seconds).collect(),
-        };
+        let worth = day.worth();
         let mut stage = Self {
             troubles,
             worth,
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -5,7 +5,7 @@
 use hdrhistogram::Histogram;
 use mulleinhub_interface::{Effect, Ending, MachineId, Order, Reach as Group, TaskId, Writer};
 use mulleinhub_interface::{Span, Time};
-use mulleinhub_limits::{Act, Limits, Why};
+use mulleinhub_limits::{Act, Admission, Limits, Why};
 use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Mode, Shape, Spare};
 use mulleinhub_seam::{End, Link, Links, Timers, Unwritten};
 use std::cell::RefCell;
@@ -184,6 +184,7 @@
     pub clients: BTreeMap<Arc<str>, Link>,
     stuck: Vec<Link>,
     pub limits: Limits,
+    pub admission: Admission,
     /// When a turn was promised at the end of the last one, and how much later this one came.
     promised: Option<Time>,
     stood: Span,
@@ -199,6 +200,7 @@
 impl Desk {
     pub fn new(settings: Settings, life: u64) -> Self {
         let limits = Limits::new(settings.clients.clone());
+        let admission = Admission::new(settings.most_in_hand);
         Self {
             settings,
             life,
@@ -226,6 +228,7 @@
             clients: BTreeMap::new(),
             stuck: Vec::new(),
             limits,
+            admission,
             promised: None,
             stood: Span::ZERO,
             early: false,
@@ -670,7 +673,7 @@
     pub fn answer(&mut self, id: TaskId, answer: Answer) {
         let job = self.jobs.remove(&id).expect("a task in hand");
         if !job.answered {
-            self.owes_less(job.owner_link, job.came);
+            self.owes_less(job.owner_link, job.came, job.shape.service);
         }
         let _task = tracing::debug_span!("task", id = id.0, owner = job.owner).entered();
         tracing::debug!(?answer, sends = job.sends, "answered");
@@ -682,8 +685,9 @@
     }
 
     /// The final answer of a task that came then is given.
-    pub fn owes_less(&mut self, link: Option<Link>, came: Time) {
+    pub fn owes_less(&mut self, link: Option<Link>, came: Time, service: u64) {
         self.owed -= 1;
+        self.admission.done(self.now, service);
         self.hand(link, false);
         self.times.take_to_answer.saturating_record((self.now - came).nanos() / 1000);
     }
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -367,11 +367,14 @@
     }
     let longest = d.settings.use_cases[shape.use_case as usize].client_timeout;
     let patience = patience.min(longest);
-    let full = d.owed >= d.settings.most_in_hand;
-    if d.winding_down || full || patience == Span::ZERO {
+    if d.winding_down || patience == Span::ZERO {
         d.write(link, &Message::Nacked { task, stay_away: 0 });
         return Ok(None);
     }
+    if let Err(away) = d.admission.ask(d.now, shape.service) {
+        d.write(link, &Message::Nacked { task, stay_away: away.nanos() });
+        return Ok(None);
+    }
     let order = order(id, shape, d.now + patience);
     d.jobs.insert(id, job(order, *shape, name, link, d.now));
     (d.counts.taken, d.owed) = (d.counts.taken + 1, d.owed + 1);
@@ -710,8 +713,8 @@
     d.counts.placed += 1;
     let job = d.jobs.get_mut(&id).expect("is there");
     if !std::mem::replace(&mut job.answered, true) {
-        let came = job.came;
-        d.owes_less(owner_link, came);
+        let (came, service) = (job.came, job.shape.service);
+        d.owes_less(owner_link, came, service);
     }
     let _task = tracing::debug_span!("task", id = id.0, owner).entered();
     tracing::debug!(machine = machine.0, send, "placed");
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -92,7 +92,9 @@
         differs("taking", format!("{:?}", settings.taking) != format!("{:?}", new.taking));
         differs("rules", format!("{:?}", settings.cold) != format!("{:?}", new.cold));
         differs("prices", format!("{:?}", settings.home) != format!("{:?}", new.home));
+        let most = new.most_in_hand;
         self.desk.get_mut().limits.change(clients);
+        self.desk.get_mut().admission.change(most);
         fixed
     }
 
--- /dev/null
+++ b/crates/limits/src/admission.rs
@@ -0,0 +1,109 @@
+//! Which asks are taken where work in hand is bounded, and how long the others are told to stay away.
+//!
+//! Met: a job of ten thousand tasks wanted at one instant took all the room in hand; every other service was
+//! nacked with no word of when to come again, came again within seconds together with the ten thousand, and
+//! so on for as long as the burst lasted.
+
+use mulleinhub_interface::{Span, Time};
+use std::collections::BTreeMap;
+
+/// Below this part of the most, whoever asks is taken: there is nothing to share out.
+const FREE_PART: f64 = 0.5;
+/// A nacked one is told to stay away for this at the least and at the most.
+const LEAST_AWAY: Span = Span::from_nanos(100_000_000);
+const MOST_AWAY: Span = Span::from_secs(30);
+/// How fast work drains is measured over spans of this, and smoothed by this weight of the newest.
+const MEASURE: Span = Span::from_nanos(250_000_000);
+const NEWEST: f64 = 0.5;
+/// Before anything has drained, the most in hand is taken to drain within this.
+const FIRST_GUESS: Span = Span::from_secs(1);
+/// So many are called back for each place that comes free: one who comes too early is nacked again at little
+/// cost, and one who comes too late leaves a place empty.
+const CALLED: f64 = 2.0;
+
+/// What asks wait for: room in hand, shared among the services that want it.
+#[derive(Debug)]
+pub struct Admission {
+    most: usize,
+    in_hand: usize,
+    services: BTreeMap<u64, usize>,
+    /// Final answers in the present span of measuring, and answers a second before.
+    drained: usize,
+    since: Time,
+    rate: Option<f64>,
+    /// Room is promised up to this instant: each nack books the next place.
+    booked: Time,
+}
+
+impl Admission {
+    pub fn new(most: usize) -> Self {
+        Self {
+            most: most.max(1),
+            in_hand: 0,
+            services: BTreeMap::new(),
+            drained: 0,
+            since: Time::default(),
+            rate: None,
+            booked: Time::default(),
+        }
+    }
+
+    pub fn change(&mut self, most: usize) {
+        self.most = most.max(1);
+    }
+
+    pub fn in_hand(&self) -> usize {
+        self.in_hand
+    }
+
+    /// Whether a task of this service is taken now.
+    ///
+    /// # Errors
+    /// For how long it is to stay away. Those nacked one after the other are called back one after the other,
+    /// at the pace at which room comes free, so that they do not come back in step.
+    pub fn ask(&mut self, now: Time, service: u64) -> Result<(), Span> {
+        let of_service = self.services.get(&service).copied().unwrap_or(0);
+        let takes = (self.in_hand as f64) < self.most as f64 * FREE_PART
+            || (self.in_hand < self.most && of_service < self.share(service));
+        if takes {
+            self.in_hand += 1;
+            *self.services.entry(service).or_default() += 1;
+            return Ok(());
+        }
+        if of_service < self.share(service) {
+            // All room is taken by others; what comes free next is for such as this.
+            return Err(LEAST_AWAY);
+        }
+        let guess = self.most as f64 / (FIRST_GUESS.nanos() as f64 / 1e9);
+        let rate = self.rate.unwrap_or(guess).max(1.0) * CALLED;
+        let gap = Span::from_nanos((1e9 / rate) as u64);
+        let latest = now + MOST_AWAY;
+        self.booked = (self.booked.max(now + LEAST_AWAY) + gap).min(latest);
+        Err(self.booked - now)
+    }
+
+    /// The room in hand that one service may have while it is scarce: an equal part for each that has some,
+    /// and one part for whoever comes next.
+    fn share(&self, service: u64) -> usize {
+        let parts = self.services.len() + usize::from(!self.services.contains_key(&service)) + 1;
+        (self.most / parts).max(1)
+    }
+
+    /// A task of this service has had its final answer.
+    pub fn done(&mut self, now: Time, service: u64) {
+        self.in_hand = self.in_hand.checked_sub(1).expect("an answer for each that was taken");
+        let count = self.services.get_mut(&service).expect("a service with a task in hand");
+        *count -= 1;
+        if *count == 0 {
+            self.services.remove(&service);
+        }
+        self.drained += 1;
+        let span = now - self.since;
+        if span >= MEASURE {
+            let newest = self.drained as f64 / (span.nanos() as f64 / 1e9);
+            let before = self.rate.unwrap_or(newest);
+            self.rate = Some(before + (newest - before) * NEWEST);
+            (self.drained, self.since) = (0, now);
+        }
+    }
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,14 +1,17 @@
-//! Decisions about connections of clients: which are taken, kept, asked for a sign of life, slowed or ended.
+//! Decisions about connections of clients: which are taken, kept, asked for a sign of life, slowed or ended;
+//! and about their asks: which are taken where work in hand is bounded.
 //!
 //! For: limits by total, by name and by state; deadlines of greetings, frames and silence; whose frames are
 //! heard first when many wake at once; what is let go when room runs short. Never a connection with a task in
 //! hand while an idle one exists.
 //! May not touch: sockets, frames, tasks themselves. It is told what happens and asked what to do.
 
+mod admission;
 mod lines;
 mod pressure;
 mod wheel;
 
+pub use admission::Admission;
 pub use lines::Lines;
 pub use pressure::{Pace, Pressure};
 pub use wheel::Wheel;
--- a/crates/planner/src/conf.rs
+++ b/crates/planner/src/conf.rs
@@ -202,6 +202,7 @@
     pub yes_when_running: bool,
     pub tells_pressure: bool,
     pub prices: (f64, f64),
+    pub most_in_hand: Option<usize>,
 }
 
 impl ConfText<'_> {
@@ -235,6 +236,9 @@
             yes(self.yes_when_running),
             yes(self.tells_pressure)
         );
+        if let Some(most) = self.most_in_hand {
+            text += &format!("links {{\n    most-in-hand {most}\n}}\n");
+        }
         text += &format!("prices {{\n    machine {}\n    cross-hall {}\n}}\n", self.prices.0, self.prices.1);
         text
     }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -58,6 +58,24 @@
     Stopped,
 }
 
+impl Ending {
+    /// As reports call it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Errored => "errored",
+            Self::Nacked => "nacked",
+            Self::Recalled => "recalled",
+            Self::Lost => "lost",
+            Self::Evicted => "evicted",
+            Self::PushedOut => "pushed out",
+            Self::SentAway => "sent away",
+            Self::Moved => "moved",
+            Self::Stopped => "stopped",
+        }
+    }
+}
+
 /// Why a send was nacked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 #[cbor(index_only)]
--- /dev/null
+++ b/crates/replay/src/bound.rs
@@ -0,0 +1,79 @@
+//! What could be earned at the most if nothing but room counted: no starts, no spreading, no knowledge to
+//! gain.
+
+use crate::build::is_up;
+use mulleinhub_day::Day;
+use mulleinhub_interface::{Room, Span, Time};
+use mulleinhub_standins::Worth;
+
+/// Steps of the clock in which the bound is computed.
+const STEPS: u64 = 300;
+
+/// The bound, and what is wanted, over time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Bound {
+    /// Seconds of service that are wanted, and that there is room for, by worth.
+    pub wanted: f64,
+    pub most: f64,
+    /// For each step: its instant in seconds, and the wanted and possible worth of a second of it.
+    pub over_time: Vec<(f64, f64, f64)>,
+}
+
+impl Bound {
+    /// The part of what is wanted that there is room for.
+    pub fn part(&self) -> f64 {
+        self.most / self.wanted.max(1e-9)
+    }
+}
+
+/// Of each instant the tasks that earn most for their cores are served first, and the same by memory; the
+/// smaller of the two sums is a bound, whatever is chosen: each leaves the other resource out of account.
+pub fn bound(day: &Day, worth: &Worth) -> Bound {
+    let Some(fleet) = &day.fleet else { return Bound::default() };
+    let step = Span::from_nanos((day.length.nanos() / STEPS).max(1));
+    let accepts = (day.machine.accepts_cores, day.machine.accepts_memory);
+    // Sums of asks wanted, by use case, change at begins and ends alone.
+    let mut changes: Vec<(Time, usize, f64, f64)> = Vec::new();
+    for task in fleet.wanted.iter().flat_map(|wanted| wanted.iter()) {
+        let case = task.use_case as usize;
+        changes.push((task.at, case, task.cores, task.memory));
+        changes.push((task.until, case, -task.cores, -task.memory));
+    }
+    changes.sort_by_key(|change| change.0);
+    let mut sums = vec![Room::NONE; day.cases.len()];
+    let (mut next, mut bound) = (0, Bound::default());
+    for n in 0..STEPS {
+        let at = Time::default() + step * (n as f64 + 0.5);
+        while let Some((_, case, cores, memory)) = changes.get(next).copied().filter(|change| change.0 <= at)
+        {
+            sums[case] += Room::new(cores, memory);
+            next += 1;
+        }
+        let mut room = Room::NONE;
+        for spot in fleet.spots.iter().filter(|spot| is_up(spot, at)) {
+            room += day.kinds[spot.kind].size.times(accepts.0, accepts.1);
+        }
+        let wanted: Vec<(f64, Room)> = sums
+            .iter()
+            .enumerate()
+            .map(|(case, sum)| (worth.second(case as u32, sum.cores.max(0.0), sum.memory.max(0.0)), *sum))
+            .collect();
+        let most = |size: fn(&Room) -> f64| {
+            let mut left = size(&room);
+            let mut order: Vec<&(f64, Room)> = wanted.iter().filter(|(_, sum)| size(sum) > 1e-9).collect();
+            order.sort_by(|a, b| (b.0 / size(&b.1)).total_cmp(&(a.0 / size(&a.1))));
+            order.into_iter().fold(0.0, |earned, (worth, sum)| {
+                let part = (left / size(sum)).min(1.0);
+                left -= size(sum) * part;
+                earned + worth * part
+            })
+        };
+        let all: f64 = wanted.iter().map(|(worth, _)| worth).sum();
+        let possible = most(|room| room.cores).min(most(|room| room.memory)).min(all);
+        let seconds = step.nanos() as f64 / 1e9;
+        bound.wanted += all * seconds;
+        bound.most += possible * seconds;
+        bound.over_time.push(((at - Time::default()).nanos() as f64 / 1e9, all, possible));
+    }
+    bound
+}
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -80,6 +80,7 @@
         yes_when_running: day.machine.yes_when_running,
         tells_pressure: day.machine.tells_pressure,
         prices: (day.machine_price, day.cross_hall_price),
+        most_in_hand: day.most_in_hand,
     }
 }
 
--- a/crates/trace/src/map.rs
+++ b/crates/trace/src/map.rs
@@ -97,8 +97,7 @@
     };
     let Some(fault) = Fault::ALL.into_iter().find(|fault| fault.name() == kind.text) else {
         let names: Vec<&str> = Fault::ALL.iter().map(|fault| fault.name()).collect();
-        let like =
-            suggest(&kind.text, &names).map_or(String::new(), |like| format!(" (did you mean {like}?)"));
+        let like = suggest(&kind.text, &names).map_or(String::new(), |like| format!(" ({like})"));
         return faults.add(&kind.place, format!("{} is no kind of fault{like}", kind.text));
     };
     let policy = match done.text.as_str() {
--- a/crates/trace/src/read.rs
+++ b/crates/trace/src/read.rs
@@ -12,6 +12,7 @@
 use crate::row::Row;
 use crate::source::{Source, open};
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 
@@ -22,7 +23,7 @@
 #[derive(Debug, Default)]
 pub struct Progress {
     pub rows: AtomicU64,
-    pub stop: AtomicBool,
+    pub stop: Arc<AtomicBool>,
 }
 
 pub struct Reader {
--- a/crates/verdict/src/figures.rs
+++ b/crates/verdict/src/figures.rs
@@ -8,6 +8,8 @@
 pub struct Figures {
     /// By use case: taken, placed, nacked, errored, withdrawn.
     pub cases: BTreeMap<u32, [u64; 5]>,
+    /// Ends of placed tasks that owners were told of, by how.
+    pub endings: BTreeMap<&'static str, u64>,
     pub offers: u64,
     /// Tasks of which at least one offer was written.
     pub tasks_offered: u64,
@@ -30,6 +32,7 @@
         let histogram = || Histogram::new_with_bounds(1, 600_000_000, 3).expect("fixed bounds");
         Self {
             cases: BTreeMap::new(),
+            endings: BTreeMap::new(),
             offers: 0,
             tasks_offered: 0,
             nacks: BTreeMap::new(),
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -418,7 +418,8 @@
                 }
                 return;
             }
-            Message::Ended { task, .. } => {
+            Message::Ended { task, ending } => {
+                *self.verdict.figures.endings.entry(ending.name()).or_default() += 1;
                 let Some(planner) = self.planners.get_mut(name) else { return };
                 if let Some(task) = planner.tasks.get_mut(task) {
                     task.ended = true;
