Traces: at most 262,144 events of a table are held; made jobs come over the whole trace

Cause: a table with many rows at one instant held up to a million events, 118 MB; the maker piled late jobs at one instant.

--- a/crates/trace/src/make.rs
+++ b/crates/trace/src/make.rs
@@ -126,14 +126,14 @@
         while (jobs.len() as u64) < self.model.jobs {
             let swing = 1.0 + 0.5 * (at / length * 4.0 * std::f64::consts::PI).sin();
             let gap = -(1.0 - self.dice.random::<f64>()).ln() * length / self.model.jobs as f64 / swing;
-            at += gap.min(length / 10.0);
+            at += gap;
             let ask = ASKS[self.dice.random_range(0..ASKS.len())];
             let class = [0, 0, 0, 1, 1, 2, 3][self.dice.random_range(0..7)];
             let tasks = 1 << self.dice.random_range(0..5u32);
             // From a twentieth of the trace to all of it.
             let life = length * 20f64.powf(-self.dice.random::<f64>());
             jobs.push(Job {
-                at: ((at.min(length * 0.95)) * SECOND as f64) as u64,
+                at: (at * SECOND as f64) as u64,
                 class,
                 priority: if class >= 2 { 9 } else { self.dice.random_range(0..9) },
                 tasks,
@@ -143,6 +143,9 @@
                 apart: class == 3 && tasks <= 4,
             });
         }
+        // However the gaps came out, the last job comes shortly before the end.
+        let scale = length * 0.95 / at.max(1e-9);
+        jobs.iter_mut().for_each(|job| job.at = (job.at as f64 * scale) as u64);
         if self.model.burst > 0 {
             jobs.push(Job {
                 at: self.model.length * SECOND / 2,
--- a/crates/trace/src/order.rs
+++ b/crates/trace/src/order.rs
@@ -15,7 +15,7 @@
 }
 
 /// However wide the window, no more events are held.
-const MOST_HELD: usize = 1 << 20;
+const MOST_HELD: usize = 1 << 18;
 
 #[derive(Debug)]
 struct Held(u64, u64, Stamped);
