--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -45,6 +45,9 @@
     /// Tables that are left out
     #[arg(long, value_delimiter = ',')]
     without: Vec<String>,
+    /// Tables that are parsed at a time; figures don't hang on it
+    #[arg(long, default_value_t = 4)]
+    threads: usize,
     /// The mapping file: classes, faults, machines; an embedded one where none is named
     #[arg(long)]
     map: Option<PathBuf>,
@@ -189,7 +192,7 @@
         let (layout, sources) = find_sources(&self.files, layout, self.table.as_deref())?;
         let window = mapping.window.nanos() / 1_000;
         let policies = mapping.policies.clone();
-        Ok(Reader { layout, sources, policies, window, without: self.without.clone() })
+        Ok(Reader { layout, sources, policies, window, without: self.without.clone(), threads: self.threads })
     }
 }
 
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -566,8 +566,8 @@
 }
 
 #[test]
-fn a_standstill_with_twenty_thousand_keep_alives_due_ends_no_live_client() {
-    const ALL: usize = 20_000;
+fn a_standstill_with_a_hundred_thousand_keep_alives_due_ends_no_live_client() {
+    const ALL: usize = 100_000;
     let mut host = limited(|clients| {
         (clients.sign_within, clients.most_strangers) = (Span::from_secs(1), ALL);
     });
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -140,6 +140,9 @@
     End(Why),
 }
 
+/// No instant.
+const NEVER: Time = Time::from_nanos(u64::MAX);
+
 #[derive(Debug)]
 struct Conn {
     name: Option<Arc<str>>,
@@ -147,9 +150,10 @@
     heard: Time,
     /// Before that it had been silent for longer than steady ones are.
     steady_since: Time,
-    /// A part of a frame has been here since then.
-    partial_since: Option<Time>,
-    asked_at: Option<Time>,
+    /// A part of a frame has been here since then, or `NEVER`: an option of an instant takes twice the room,
+    /// and there are many of these.
+    partial_since: Time,
+    asked_at: Time,
     /// Its place in the wheel stands for this instant; its true deadline may be later.
     in_wheel: Time,
     in_hand: u32,
@@ -331,8 +335,8 @@
             opened: now,
             heard: now,
             steady_since: now,
-            partial_since: None,
-            asked_at: None,
+            partial_since: NEVER,
+            asked_at: NEVER,
             in_wheel: deadline,
             in_hand: 0,
             in_line: false,
@@ -388,14 +392,14 @@
             self.idle.remove(&(entry.heard, conn));
             self.idle.insert((now, conn));
         }
-        (entry.heard, entry.asked_at) = (now, None);
+        (entry.heard, entry.asked_at) = (now, NEVER);
     }
 
     /// All that came was read; `partial` where a part of a frame is left. The rest of it must come in time,
     /// whatever comes of it a byte at a time.
     pub fn read(&mut self, now: Time, conn: u64, partial: bool) {
         let Some(entry) = self.conns.get_mut(&conn) else { return };
-        entry.partial_since = if partial { entry.partial_since.or(Some(now)) } else { None };
+        entry.partial_since = if partial { entry.partial_since.min(now) } else { NEVER };
         // Nothing is moved in the wheel, unless the new deadline is sooner than its place there.
         let deadline = entry.deadline(conn, &self.settings, self.woke);
         if deadline < entry.in_wheel {
@@ -546,15 +550,16 @@
             }
             let why = if entry.name.is_none() && entry.opened + self.settings.greet_within <= now {
                 Some(Why::NoGreeting)
-            } else if entry.partial_since.is_some_and(|since| since + self.settings.frame_within <= now) {
+            } else if entry.partial_since != NEVER && entry.partial_since + self.settings.frame_within <= now
+            {
                 Some(Why::SlowFrame)
-            } else if entry.asked_at.is_some() {
+            } else if entry.asked_at != NEVER {
                 Some(Why::Silent)
             } else {
                 None
             };
             let Some(why) = why else {
-                entry.asked_at = Some(now);
+                entry.asked_at = now;
                 entry.in_wheel = entry.deadline(conn, &self.settings, self.woke);
                 self.wheel.put(now, entry.in_wheel, conn);
                 return Some((conn, Act::AskForSign));
@@ -585,14 +590,15 @@
     /// When something must have come, as things stand.
     fn deadline(&self, conn: u64, settings: &Settings, woke: Time) -> Time {
         let silence = match self.asked_at {
-            Some(asked) => asked.max(woke) + settings.sign_within,
-            None => self.heard + settings.idle_after * (1.0 - DRAWN * draw(conn, self.heard)),
+            asked if asked != NEVER => asked.max(woke) + settings.sign_within,
+            _ => self.heard + settings.idle_after * (1.0 - DRAWN * draw(conn, self.heard)),
         };
         let greeting = match self.name {
             None => self.opened + settings.greet_within,
             Some(_) => silence,
         };
-        let frame = self.partial_since.map_or(silence, |since| since + settings.frame_within);
+        // Beyond the clock's end, where there is none.
+        let frame = self.partial_since + settings.frame_within;
         silence.min(greeting).min(frame)
     }
 }
--- a/crates/replay/src/bound.rs
+++ b/crates/replay/src/bound.rs
@@ -15,11 +15,17 @@
     /// Seconds of service that are wanted, and that there is room for, by worth.
     pub wanted: f64,
     pub most: f64,
-    /// For each step: its instant in seconds, and the wanted and possible worth of a second of it.
-    pub over_time: Vec<(f64, f64, f64)>,
+    /// For each step: its instant in seconds, the wanted and possible worth of a second of it, and how many
+    /// machines of the mean size would hold what is asked for.
+    pub over_time: Vec<(f64, f64, f64, f64)>,
 }
 
 impl Bound {
+    /// Machines that would hold what is asked for, over time.
+    pub fn needed(&self) -> f64 {
+        self.over_time.iter().map(|step| step.3).sum::<f64>() / self.over_time.len().max(1) as f64
+    }
+
     /// The part of what is wanted that there is room for.
     pub fn part(&self) -> f64 {
         self.most / self.wanted.max(1e-9)
@@ -49,10 +55,13 @@
             sums[case] += Room::new(cores, memory);
             next += 1;
         }
-        let mut room = Room::NONE;
+        let (mut room, mut up) = (Room::NONE, 0.0);
         for spot in fleet.spots.iter().filter(|spot| is_up(spot, at)) {
             room += day.kinds[spot.kind].size.times(accepts.0, accepts.1);
+            up += 1.0;
         }
+        let asked = sums.iter().fold(Room::NONE, |all, sum| all + *sum);
+        let needed = up * f64::max(asked.cores / room.cores.max(1e-9), asked.memory / room.memory.max(1e-9));
         let wanted: Vec<(f64, Room)> = sums
             .iter()
             .enumerate()
@@ -73,7 +82,7 @@
         let seconds = step.nanos() as f64 / 1e9;
         bound.wanted += all * seconds;
         bound.most += possible * seconds;
-        bound.over_time.push(((at - Time::default()).nanos() as f64 / 1e9, all, possible));
+        bound.over_time.push(((at - Time::default()).nanos() as f64 / 1e9, all, possible, needed));
     }
     bound
 }
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -20,6 +20,8 @@
     pub left_out: LeftOut,
     /// Of what was wanted, the part that there is room for.
     pub bound: f64,
+    /// Machines of the mean size that would hold what is asked for, in the mean over time.
+    pub machines_needed: f64,
     pub runs: Vec<Run>,
 }
 
@@ -137,6 +139,7 @@
             },
             left_out: replay.left_out,
             bound: round(bound.part()),
+            machines_needed: round(bound.needed()),
             runs: Vec::new(),
         }
     }
@@ -297,7 +300,11 @@
              {} beyond the most tasks",
             report.left_out.unmapped, report.left_out.too_big, report.left_out.too_many
         ),
-        format!("room alone would allow {:.1}% of what is asked for", report.bound * 100.0),
+        format!(
+            "room alone would allow {:.1}% of what is asked for; {:.1} machines would hold it in the mean",
+            report.bound * 100.0,
+            report.machines_needed
+        ),
     ];
     if report.trace.partial {
         lines.push("PARTIAL: reading was ended early; all figures are of a part of the trace".to_owned());
@@ -338,8 +345,13 @@
     out
 }
 
-const COLORS: [RGBColor; 4] =
-    [RGBColor(30, 80, 160), RGBColor(170, 60, 40), RGBColor(40, 110, 60), RGBColor(130, 90, 20)];
+const COLORS: [RGBColor; 5] = [
+    RGBColor(30, 80, 160),
+    RGBColor(170, 60, 40),
+    RGBColor(40, 110, 60),
+    RGBColor(130, 90, 20),
+    RGBColor(90, 90, 90),
+];
 
 /// One plot as SVG: named lines over seconds.
 fn plot(title: &str, unit: &str, lines: &[(String, Vec<(f64, f64)>)]) -> Result<String, String> {
@@ -407,8 +419,8 @@
         };
         report.runs.iter().map(line).collect()
     };
-    let wanted = bound.over_time.iter().map(|(at, wanted, _)| (*at, *wanted)).collect();
-    let possible = bound.over_time.iter().map(|(at, _, possible)| (*at, *possible)).collect();
+    let wanted = bound.over_time.iter().map(|(at, wanted, ..)| (*at, *wanted)).collect();
+    let possible = bound.over_time.iter().map(|(at, _, possible, _)| (*at, *possible)).collect();
     let rate = |run: &Run| {
         let pairs = run.over_time.windows(2);
         let rate = pairs.map(|pair| {
@@ -421,7 +433,9 @@
     earned.push(("room allows".to_owned(), possible));
     page += &plot("Worth of a second of service", "worth", &earned)?;
     page += &plot("Tasks that wait", "tasks", &over_time(3))?;
-    page += &plot("Machines in use", "machines", &over_time(2))?;
+    let mut in_use = over_time(2);
+    in_use.push(("needed".to_owned(), bound.over_time.iter().map(|step| (step.0, step.3)).collect()));
+    page += &plot("Machines in use, and as many as would hold what is asked for", "machines", &in_use)?;
     page += &plot("Cores used, of those up", "part", &over_time(5))?;
     page += &plot("Memory used, of what is up", "part", &over_time(6))?;
     page += "</html>\n";
--- a/crates/replay/tests/replays.rs
+++ b/crates/replay/tests/replays.rs
@@ -13,7 +13,7 @@
     let (layout, sources) = find_sources(&[folder.to_owned()], None, None).expect("tables are there");
     let window = mapping.window.nanos() / 1_000;
     let policies = mapping.policies.clone();
-    let reader = Reader { layout, sources, policies, window, without: Vec::new() };
+    let reader = Reader { layout, sources, policies, window, without: Vec::new(), threads: 4 };
     let work = collect(&reader, &mapping, sample, &Progress::default()).expect("is read");
     let mut replay = build(&work, &mapping, &base, "a trace").expect("something is left");
     replay.day.seed = sample.seed;
@@ -107,7 +107,7 @@
     let (mapping, base) = read_map(&parse_text("m", &text, &mut faults), faults).expect("is fine");
     let (layout, sources) = find_sources(&[folder.path().to_owned()], None, None).expect("tables");
     let policies = Policies::default();
-    let reader = Reader { layout, sources, policies, window: 300_000_000, without: Vec::new() };
+    let reader = Reader { layout, sources, policies, window: 300_000_000, without: Vec::new(), threads: 4 };
     let work = collect(&reader, &mapping, &Sample::default(), &Progress::default()).expect("is read");
     let replay = build(&work, &mapping, &base, "a trace").expect("something is left");
     assert!(replay.left_out.unmapped > 0);
--- a/crates/trace/src/read.rs
+++ b/crates/trace/src/read.rs
@@ -12,9 +12,9 @@
 use crate::row::Row;
 use crate::source::{Source, open};
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 
 const BATCH: usize = 4096;
 const BATCHES: usize = 4;
@@ -34,6 +34,29 @@
     pub window: u64,
     /// Tables that are left out, by name.
     pub without: Vec<String>,
+    /// So many tables are parsed at a time. What is told and counted does not hang on it.
+    pub threads: usize,
+}
+
+/// Lets so many threads go on at a time.
+struct Permits {
+    left: Mutex<usize>,
+    free: Condvar,
+}
+
+impl Permits {
+    fn take(&self) {
+        let mut left = self.left.lock().unwrap_or_else(PoisonError::into_inner);
+        while *left == 0 {
+            left = self.free.wait(left).unwrap_or_else(PoisonError::into_inner);
+        }
+        *left -= 1;
+    }
+
+    fn give(&self) {
+        *self.left.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        self.free.notify_one();
+    }
 }
 
 /// What one table's thread came to.
@@ -72,13 +95,14 @@
             .filter(|table| !self.without.iter().any(|name| name == tables[*table].name))
             .collect();
         let mut tally = Tally::new(self.policies.clone());
+        let permits = &Permits { left: Mutex::new(self.threads.max(1)), free: Condvar::new() };
         std::thread::scope(|scope| {
             let mut running = Vec::new();
             let mut by_name = Vec::new();
             let mut by_time = Vec::new();
             for table in wanted {
                 let (send, receive) = sync_channel(BATCHES);
-                running.push((table, scope.spawn(move || self.table(table, progress, &send))));
+                running.push((table, scope.spawn(move || self.table(table, progress, &send, permits))));
                 match tables[table].order {
                     Order::ByName => by_name.push(receive),
                     Order::ByTime => by_time.push(Merged { receive, ready: VecDeque::new() }),
@@ -121,19 +145,39 @@
         })
     }
 
-    fn table(&self, table: usize, progress: &Progress, send: &SyncSender<Vec<Stamped>>) -> Read {
+    fn table(
+        &self,
+        table: usize,
+        progress: &Progress,
+        send: &SyncSender<Vec<Stamped>>,
+        permits: &Permits,
+    ) -> Read {
+        permits.take();
+        let read = self.table_permitted(table, progress, send, permits);
+        permits.give();
+        read
+    }
+
+    fn table_permitted(
+        &self,
+        table: usize,
+        progress: &Progress,
+        send: &SyncSender<Vec<Stamped>>,
+        permits: &Permits,
+    ) -> Read {
         let mut read = Read { tally: Tally::new(self.policies.clone()), rows: 0, after: 0, stopped: None };
         let mut window = Window::new(self.window);
         let mut out = Vec::with_capacity(BATCH * 2);
         for source in self.sources.iter().filter(|source| source.table == table) {
-            if let Err(words) = self.file(source, progress, &mut read, &mut window, &mut out, send) {
+            if let Err(words) = self.file(source, progress, &mut read, &mut window, &mut out, (send, permits))
+            {
                 read.stopped = (!words.is_empty()).then_some(words);
                 return read;
             }
         }
         window.finish(&mut out);
         // Nobody there any more: reading was ended.
-        let _ = send.send(out);
+        let _ = sent(out, send, permits);
         read
     }
 
@@ -146,7 +190,7 @@
         read: &mut Read,
         window: &mut Window,
         out: &mut Vec<Stamped>,
-        send: &SyncSender<Vec<Stamped>>,
+        (send, permits): (&SyncSender<Vec<Stamped>>, &Permits),
     ) -> Result<(), String> {
         let table = &self.layout.tables()[source.table];
         let mut reader = csv::ReaderBuilder::new()
@@ -205,7 +249,7 @@
                 }
             }
             if out.len() >= BATCH {
-                if send.send(std::mem::replace(out, Vec::with_capacity(BATCH * 2))).is_err() {
+                if !sent(std::mem::replace(out, Vec::with_capacity(BATCH * 2)), send, permits) {
                     return Err(String::new());
                 }
                 progress.rows.fetch_add(std::mem::take(&mut counted), Ordering::Relaxed);
@@ -219,6 +263,14 @@
     }
 }
 
+/// Sends a batch, and lets another table be parsed while it waits to be taken.
+fn sent(batch: Vec<Stamped>, send: &SyncSender<Vec<Stamped>>, permits: &Permits) -> bool {
+    permits.give();
+    let sent = send.send(batch).is_ok();
+    permits.take();
+    sent
+}
+
 /// A table that follows the clock, as its thread tells it.
 struct Merged {
     receive: Receiver<Vec<Stamped>>,
--- a/crates/trace/src/sample.rs
+++ b/crates/trace/src/sample.rs
@@ -84,6 +84,7 @@
             policies: reader.policies.clone(),
             window: reader.window,
             without,
+            threads: reader.threads,
         };
         let mut sizes: BTreeMap<u64, f64> = BTreeMap::new();
         machines.run(progress, |Stamped { event, .. }, _| {
--- a/crates/trace/tests/traces.rs
+++ b/crates/trace/tests/traces.rs
@@ -11,7 +11,7 @@
 fn reader(folder: &Path) -> Reader {
     let (layout, sources) = find_sources(&[folder.to_owned()], None, None).expect("tables are there");
     let window = 300_000_000;
-    Reader { layout, sources, policies: Policies::default(), window, without: Vec::new() }
+    Reader { layout, sources, policies: Policies::default(), window, without: Vec::new(), threads: 4 }
 }
 
 fn whole(folder: &Path) -> Work {
@@ -155,6 +155,35 @@
     assert_ne!(works[0].tasks, works[2].tasks);
 }
 
+#[test]
+fn what_is_read_does_not_hang_on_the_number_of_threads() {
+    for layout in ["google-2011", "alibaba-2018"] {
+        let folder = tempfile::tempdir().expect("a folder");
+        make(&Model { faults: 4, jobs: 1_500, parts: 2, ..model(layout) }, folder.path()).expect("is made");
+        let with = |threads: usize| {
+            let reader = Reader { threads, ..reader(folder.path()) };
+            let sample = Sample { share: Share::Part(0.5), ..Sample::default() };
+            collect(&reader, &Mapping::default(), &sample, &Progress::default()).expect("is read")
+        };
+        let one = with(1);
+        for threads in [2, 3, 16] {
+            let other = with(threads);
+            assert_eq!((&one.tasks, &one.machines), (&other.tasks, &other.machines));
+            assert_eq!(one.summary.tally, other.summary.tally);
+        }
+    }
+}
+
+#[test]
+fn reading_that_is_ended_early_says_that_it_is_of_a_part() {
+    let folder = tempfile::tempdir().expect("a folder");
+    make(&Model { jobs: 5_000, ..model("google-2011") }, folder.path()).expect("is made");
+    let progress = Progress::default();
+    progress.stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    let found = inspect(&reader(folder.path()), &progress).expect("is read");
+    assert!(found.partial && found.wanted < 5_000 * 3, "{}", found.wanted);
+}
+
 #[test]
 fn policies_stop_or_skip_as_they_are_set_and_name_the_place() {
     let folder = tempfile::tempdir().expect("a folder");
