Measurements of silent connections and traces; the last eighth of room in hand for small services

Cause: half of the room in hand for one service alone made a burst drain at half the pace; in a burst the shell looked for steady connections among all readable ones before each slice (longest wait 119 ms).

Change: a service may have up to seven eighths of the room while it is alone, the last eighth is for those with less than an equal part; waits of 10 s at the most. Only connections that became readable since are looked at. Plots with lighter grids and smoother rates.

--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -338,7 +338,8 @@
 
     /// Deadlines of clients' connections, a bounded number of them in one turn.
     pub fn look_after_clients(&mut self) {
-        // Few at a time: met, in the p99 of the busy, the questions of one tick of the wheel written together.
+        // Few at a time: met, in the p99 of the busy, the questions of one tick of the wheel written
+        // together.
         let mut budget = 16;
         while let Some((conn, act)) = self.limits.due(self.now, &mut budget) {
             match act {
--- a/crates/limits/src/admission.rs
+++ b/crates/limits/src/admission.rs
@@ -9,9 +9,12 @@
 
 /// Below this part of the most, whoever asks is taken: there is nothing to share out.
 const FREE_PART: f64 = 0.5;
+/// Above this part only those with less than an equal part are taken, one part counted for whoever comes
+/// next. Half in its place was tried: a burst alone then drained at half the pace.
+const KEPT_ABOVE: f64 = 0.875;
 /// A nacked one is told to stay away for this at the least and at the most.
 const LEAST_AWAY: Span = Span::from_nanos(100_000_000);
-const MOST_AWAY: Span = Span::from_secs(30);
+const MOST_AWAY: Span = Span::from_secs(10);
 /// How fast work drains is measured over spans of this, and smoothed by this weight of the newest.
 const MEASURE: Span = Span::from_nanos(250_000_000);
 const NEWEST: f64 = 0.5;
@@ -63,14 +66,16 @@
     /// at the pace at which room comes free, so that they do not come back in step.
     pub fn ask(&mut self, now: Time, service: u64) -> Result<(), Span> {
         let of_service = self.services.get(&service).copied().unwrap_or(0);
-        let takes = (self.in_hand as f64) < self.most as f64 * FREE_PART
-            || (self.in_hand < self.most && of_service < self.share(service));
+        let under = |part: f64| (self.in_hand as f64) < self.most as f64 * part;
+        let takes = under(FREE_PART)
+            || (under(KEPT_ABOVE) && of_service < self.share(service, 0))
+            || (under(1.0) && of_service < self.share(service, 1));
         if takes {
             self.in_hand += 1;
             *self.services.entry(service).or_default() += 1;
             return Ok(());
         }
-        if of_service < self.share(service) {
+        if of_service < self.share(service, 1) {
             // All room is taken by others; what comes free next is for such as this.
             return Err(LEAST_AWAY);
         }
@@ -83,9 +88,9 @@
     }
 
     /// The room in hand that one service may have while it is scarce: an equal part for each that has some,
-    /// and one part for whoever comes next.
-    fn share(&self, service: u64) -> usize {
-        let parts = self.services.len() + usize::from(!self.services.contains_key(&service)) + 1;
+    /// and for so many more.
+    fn share(&self, service: u64, more: usize) -> usize {
+        let parts = self.services.len() + usize::from(!self.services.contains_key(&service)) + more;
         (self.most / parts).max(1)
     }
 
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -90,6 +90,7 @@
         .map_err(|e| words(&e))?;
     chart
         .configure_mesh()
+        .max_light_lines(1)
         .x_desc("silent connections")
         .y_desc("microseconds")
         .draw()
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -353,6 +353,9 @@
     RGBColor(90, 90, 90),
 ];
 
+/// Points over which a rate is taken.
+const RATE_POINTS: usize = 12;
+
 /// One plot as SVG: named lines over seconds.
 fn plot(title: &str, unit: &str, lines: &[(String, Vec<(f64, f64)>)]) -> Result<String, String> {
     let mut svg = String::new();
@@ -370,7 +373,7 @@
             .y_label_area_size(60)
             .build_cartesian_2d(0.0..right, 0.0..top)
             .map_err(|e| words(&e))?;
-        let mesh = chart.configure_mesh().x_desc("seconds").y_desc(unit).draw();
+        let mesh = chart.configure_mesh().max_light_lines(1).x_desc("seconds").y_desc(unit).draw();
         mesh.map_err(|e| words(&e))?;
         for ((name, points), color) in lines.iter().zip(COLORS.iter().cycle()) {
             chart
@@ -422,9 +425,11 @@
     let wanted = bound.over_time.iter().map(|(at, wanted, ..)| (*at, *wanted)).collect();
     let possible = bound.over_time.iter().map(|(at, _, possible, _)| (*at, *possible)).collect();
     let rate = |run: &Run| {
-        let pairs = run.over_time.windows(2);
-        let rate = pairs.map(|pair| {
-            (pair[1][0], ((pair[1][7] - pair[0][7]) / (pair[1][0] - pair[0][0]).max(1e-9)).max(0.0))
+        // Over several points: machines count what was earned at steps of their own.
+        let spans = run.over_time.windows(RATE_POINTS);
+        let rate = spans.map(|span| {
+            let (first, last) = (span[0], span[span.len() - 1]);
+            ((first[0] + last[0]) / 2.0, ((last[7] - first[7]) / (last[0] - first[0]).max(1e-9)).max(0.0))
         });
         (run.policy.clone(), rate.collect())
     };
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -69,6 +69,8 @@
     streams: BTreeMap<Link, Stream>,
     /// Connections whose bytes are to be read.
     readable: BTreeSet<Link>,
+    /// Those of them that became readable since they were last asked about.
+    fresh: Vec<Link>,
     /// Addresses by the names that the party uses; others are read as addresses.
     names: BTreeMap<String, SocketAddr>,
     began: Instant,
@@ -91,6 +93,7 @@
             listeners: Vec::new(),
             streams: BTreeMap::new(),
             readable: BTreeSet::new(),
+            fresh: Vec::new(),
             names: BTreeMap::new(),
             began: Instant::now(),
             signals: None,
@@ -225,7 +228,9 @@
                 {
                     stream.readable = true;
                     stream.closing |= closing;
-                    self.readable.insert(link);
+                    if self.readable.insert(link) {
+                        self.fresh.push(link);
+                    }
                 }
             }
         }
@@ -311,11 +316,11 @@
     }
 
     fn read_prompt(&mut self) -> bool {
-        let prompt: Vec<Link> =
-            self.readable.iter().filter(|link| self.party.is_prompt(**link)).copied().collect();
         let mut any = false;
-        for link in prompt {
-            any |= self.read_one(link);
+        for link in std::mem::take(&mut self.fresh) {
+            if self.party.is_prompt(link) {
+                any |= self.read_one(link);
+            }
         }
         any
     }
--- a/crates/trace/src/alibaba.rs
+++ b/crates/trace/src/alibaba.rs
@@ -115,9 +115,9 @@
     fn about(&self) -> &'static str {
         "Alibaba cluster-trace-v2018: machine_meta, container_meta, container_usage, batch_task, \
          batch_instance, machine_usage. Services are apps (app_du) and jobs; containers are class 3, batch \
-         is class 0; a batch task is instance_num tasks that are wanted from its start to its end, since no \
-         row tells when it was asked for; a container is wanted from its first row to the trace's end; use of \
-         containers is a part of their ask; failure domains are failure_domain_2."
+         is class 0; a batch task is instance_num tasks that are wanted from its start to its end, since \
+         no row tells when it was asked for; a container is wanted from its first row to the trace's end; \
+         use of containers is a part of their ask; failure domains are failure_domain_2."
     }
 
     fn tables(&self) -> &'static [Table] {
