--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -86,7 +86,7 @@
 }
 
 impl Baseline {
-    fn rule(self) -> Rule {
+    pub fn rule(self) -> Rule {
         match self {
             Self::Random => Rule::Random,
             Self::LeastRequested => Rule::LeastRequested,
@@ -278,7 +278,7 @@
         for (seed, played) in &results {
             match played {
                 Ok((score, verdict)) => {
-                    shares.push((score.earned.sum() / score.asked.sum().max(1e-9), *seed));
+                    shares.push((score.earned.sum() / score.owners.asked.sum().max(1e-9), *seed));
                     cases.iter_mut().zip(&verdict.rules).for_each(|(sum, rule)| *sum += rule.cases);
                     if !verdict.holds() {
                         failed += 1;
@@ -330,7 +330,12 @@
     Ok(read(Some(path))?.troubles)
 }
 
-fn told(path: &Path, score: &Score, end: Time, usage: Option<stage_host::Usage>) -> Result<ExitCode, String> {
+fn told(
+    path: &Path,
+    score: &Score,
+    end: Time,
+    usage: Option<mulleinhub_load::Usage>,
+) -> Result<ExitCode, String> {
     let file = File::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
     let verdict =
         mulleinhub_verdict::judge(BufReader::new(file)).map_err(|e| format!("{}: {e}", path.display()))?;
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -48,21 +48,25 @@
     let mut service = table(&["service", "earned", "asked", "earned/asked", "starts in time"]);
     let of = |counts: &[u64], n: usize| counts.get(n).copied().unwrap_or(0);
     for (n, name) in score.cases.iter().enumerate() {
-        let (earned, asked) = (score.earned.of(n), score.asked.of(n));
+        let (earned, asked) = (score.earned.of(n), score.owners.asked.of(n));
         service.add_row([
             name.clone(),
             format!("{earned:.0}"),
             format!("{asked:.0}"),
             format!("{:.3}", earned / asked.max(1e-9)),
-            format!("{} of {}", of(&score.starts_in_time, n), of(&score.first_starts, n)),
+            format!("{} of {}", of(&score.owners.starts_in_time, n), of(&score.owners.first_starts, n)),
         ]);
     }
     service.add_row([
         "all".to_owned(),
         format!("{:.0}", score.earned.sum()),
-        format!("{:.0}", score.asked.sum()),
-        format!("{:.3}", score.earned.sum() / score.asked.sum().max(1e-9)),
-        format!("{} of {}", score.starts_in_time.iter().sum::<u64>(), score.first_starts.iter().sum::<u64>()),
+        format!("{:.0}", score.owners.asked.sum()),
+        format!("{:.3}", score.earned.sum() / score.owners.asked.sum().max(1e-9)),
+        format!(
+            "{} of {}",
+            score.owners.starts_in_time.iter().sum::<u64>(),
+            score.owners.first_starts.iter().sum::<u64>()
+        ),
     ]);
     format!("{service}\n{}", silent(score))
 }
--- a/crates/cli/src/stage_host.rs
+++ b/crates/cli/src/stage_host.rs
@@ -2,111 +2,53 @@
 
 use mulleinhub_day::{Day, PlannerDeed, Progress, Score, Stage};
 use mulleinhub_interface::Time;
+use mulleinhub_load::{PlannerProcess, Usage};
 use mulleinhub_runner::planner_text;
 use mulleinhub_shell::Shell;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
 use std::time::Duration;
 
 /// How long a planner may take to end when the day is over.
 const GOODBYE: Duration = Duration::from_millis(500);
 
-/// What the planners' processes used.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Usage {
-    pub cpu: Duration,
-    /// The most that one of them held in memory, in KiB.
-    pub most_memory: u64,
-}
-
-/// What a process used up to now; nothing where the system doesn't tell.
-fn usage_of(pid: u32) -> Usage {
-    let schedstat = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
-    let cpu = schedstat.split(' ').next().and_then(|nanos| nanos.parse().ok()).unwrap_or(0);
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let peak = peak.and_then(|words| words.trim().strip_suffix(" kB")).and_then(|n| n.trim().parse().ok());
-    Usage { cpu: Duration::from_nanos(cpu), most_memory: peak.unwrap_or(0) }
-}
-
-/// One planner of the day.
+/// One planner of the day, and what its processes used that are over.
 struct Planner {
-    settings: PathBuf,
-    log: PathBuf,
-    child: Option<Child>,
+    process: PlannerProcess,
     usage: Usage,
 }
 
 impl Planner {
-    fn start(&mut self) -> Result<(), String> {
-        if self.child.is_some() {
-            return Ok(());
-        }
-        let words = |what: &Path, e: std::io::Error| format!("{}: {e}", what.display());
-        let log =
-            File::options().create(true).append(true).open(&self.log).map_err(|e| words(&self.log, e))?;
-        let ourselves = std::env::current_exe().map_err(|e| format!("this program: {e}"))?;
-        let child = Command::new(&ourselves)
-            .arg("planner")
-            .arg(&self.settings)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .map_err(|e| words(&ourselves, e))?;
-        self.child = Some(child);
-        Ok(())
+    fn used(&mut self, usage: Usage) {
+        self.usage.cpu += usage.cpu;
+        self.usage.most_memory = self.usage.most_memory.max(usage.most_memory);
     }
 
     fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let usage = usage_of(child.id());
-            self.usage.cpu += usage.cpu;
-            self.usage.most_memory = self.usage.most_memory.max(usage.most_memory);
-            // Gone already is as good.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    fn signal(&self, signal: Signal) {
-        if let Some(pid) = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
-            let _ = kill_process(pid, signal);
-        }
+        self.used(self.process.usage());
+        self.process.kill();
     }
-}
 
-impl Planner {
     /// Waits for it to end by itself, at most so long; what it used is known up to the last look.
     fn ends_within(&mut self, at_most: Duration) {
         let until = std::time::Instant::now() + at_most;
-        let Some(child) = &mut self.child else { return };
-        let mut usage = usage_of(child.id());
-        while std::time::Instant::now() < until {
-            if !matches!(child.try_wait(), Ok(None)) {
-                self.usage.cpu += usage.cpu;
-                self.usage.most_memory = self.usage.most_memory.max(usage.most_memory);
-                self.child = None;
-                return;
+        let mut usage = self.process.usage();
+        while self.process.runs() && std::time::Instant::now() < until {
+            if self.process.ended().is_some() {
+                self.used(usage);
+                return self.process.kill();
             }
             // One that has just ended tells nothing any more.
-            let last = usage_of(child.id());
+            let last = self.process.usage();
             usage = if last.most_memory > 0 { last } else { usage };
             std::thread::sleep(Duration::from_millis(5));
         }
     }
 }
 
-impl Drop for Planner {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// A port that was free a moment ago.
 fn free_port() -> Result<SocketAddr, String> {
     let probe = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(|e| format!("a free port: {e}"))?;
@@ -145,12 +87,8 @@
         let settings = folder.join(format!("{name}.conf"));
         let text = planner_text(&day, n, Some(listen), list, Some(&state)).show();
         std::fs::write(&settings, text).map_err(|e| words(&settings, e))?;
-        planners.push(Planner {
-            settings,
-            log: folder.join(format!("{name}.log")),
-            child: None,
-            usage: Usage::default(),
-        });
+        let log = folder.join(format!("{name}.log"));
+        planners.push(Planner { process: PlannerProcess::new(settings, log, None), usage: Usage::default() });
     }
     let mut looked = 0;
     loop {
@@ -158,18 +96,17 @@
         let now = shell.now();
         while let Some(deed) = shell.party.next_deed() {
             match deed {
-                PlannerDeed::Start(n) => planners[n].start()?,
+                PlannerDeed::Start(n) => planners[n].process.start()?,
                 PlannerDeed::Kill(n) => planners[n].kill(),
-                PlannerDeed::Stop(n) => planners[n].signal(Signal::STOP),
-                PlannerDeed::Continue(n) => planners[n].signal(Signal::CONT),
+                PlannerDeed::Stop(n) => planners[n].process.signal(Signal::STOP),
+                PlannerDeed::Continue(n) => planners[n].process.signal(Signal::CONT),
             }
             let now = shell.now();
             shell.party.did(now, deed);
         }
         for (n, planner) in planners.iter_mut().enumerate() {
-            let ended = planner.child.as_mut().and_then(|child| child.try_wait().ok()).flatten();
-            if let Some(status) = ended {
-                let log = planner.log.display();
+            if let Some(status) = planner.process.ended() {
+                let log = planner.process.log.display();
                 return Err(format!("planner {} ended by itself ({status}); its log: {log}", n + 1));
             }
         }
@@ -187,7 +124,7 @@
     out.flush().map_err(|e| words(capture, e))?;
     let mut usage = Usage::default();
     // They say in their logs what they did, unless they are stopped.
-    planners.iter().for_each(|planner| planner.signal(Signal::TERM));
+    planners.iter().for_each(|planner| planner.process.signal(Signal::TERM));
     for planner in &mut planners {
         planner.ends_within(GOODBYE);
         planner.kill();
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -16,15 +16,7 @@
     let mut tcp = TcpStream::connect_timeout(&address, PATIENCE).map_err(words)?;
     tcp.set_read_timeout(Some(PATIENCE)).map_err(words)?;
     let mut bytes = Vec::new();
-    let hello = Message::Hello {
-        conversation: Conversation::ClientPlanner,
-        version: protocol::VERSION,
-        least_version: protocol::LEAST_VERSION,
-        features: 0,
-        name: "status",
-        life: 1,
-        clock: 0,
-    };
+    let hello = Message::hello(Conversation::ClientPlanner, 0, "status", 1, 0);
     protocol::encode(&hello, &mut bytes);
     protocol::encode(&Message::StatusAsk {}, &mut bytes);
     tcp.write_all(&bytes).map_err(words)?;
--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -1,5 +1,6 @@
 //! `trace`: what is in public cluster traces, small made ones, and replays of samples of them.
 
+use crate::day::Baseline;
 use clap::{Args, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
 use mulleinhub_day::Day;
@@ -120,7 +121,7 @@
     troubles: Option<PathBuf>,
     /// Plain policies beside the module (report)
     #[arg(long, value_enum, value_delimiter = ',', default_value = "random,least-requested,tight-fit")]
-    baselines: Vec<Policy>,
+    baselines: Vec<Baseline>,
     /// Where report.json and report.html go
     #[arg(long, default_value = "trace-report")]
     out: PathBuf,
@@ -132,23 +133,6 @@
     most_tasks: usize,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
-pub enum Policy {
-    Random,
-    LeastRequested,
-    TightFit,
-}
-
-impl Policy {
-    fn rule(self) -> (&'static str, Rule) {
-        match self {
-            Self::Random => ("random", Rule::Random),
-            Self::LeastRequested => ("least requested", Rule::LeastRequested),
-            Self::TightFit => ("tight fit", Rule::TightFit),
-        }
-    }
-}
-
 fn span(text: &str) -> Result<Span, String> {
     Span::read(text)
 }
@@ -344,16 +328,17 @@
         if self.real {
             return crate::day::play_real(replay.day);
         }
-        let mut rules = vec![("the module", None)];
+        let mut rules = vec![("the module".to_owned(), None)];
         if !alone {
             rules.extend(self.baselines.iter().map(|policy| {
-                let (name, rule) = policy.rule();
-                (name, Some(rule))
+                let name =
+                    policy.to_possible_value().map_or(String::new(), |value| value.get_name().to_owned());
+                (name.replace('-', " "), Some(policy.rule()))
             }));
         }
         for (name, rule) in rules {
-            let outcome = play_watched(&replay.day, name, rule)?;
-            report.add(name, &outcome);
+            let outcome = play_watched(&replay.day, &name, rule)?;
+            report.add(&name, &outcome);
         }
         print!("{}", text(&report));
         let words = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -113,6 +113,13 @@
     pub changes: Vec<(Time, bool)>,
 }
 
+impl Spot {
+    /// Whether the machine is up at an instant.
+    pub fn is_up(&self, at: Time) -> bool {
+        self.changes.iter().rev().find(|(since, _)| *since <= at).is_some_and(|(_, up)| *up)
+    }
+}
+
 /// What a trace tells: a spot for each of the day's machines, the work of each owner, and what it uses.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -10,7 +10,8 @@
 use mulleinhub_settings::Range;
 use mulleinhub_standins::{
     CaseModel, Crowd, CrowdSettings, CrowdTally, Dice, Drain, Fact, ListPlight, ListService, ListSettings,
-    Load, Machine, MachineSettings, Owner, OwnerSettings, Plight, Rack, ServiceCase, Tally, Worth,
+    Load, Machine, MachineSettings, Owner, OwnerSettings, OwnerTally, Plight, Rack, ServiceCase, Tally,
+    Worth,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
@@ -59,16 +60,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Score {
     pub cases: Vec<String>,
-    pub asked: Tally,
     pub earned: Tally,
-    pub first_starts: Vec<u64>,
-    pub starts_in_time: Vec<u64>,
-    pub placed: u64,
-    pub nacked: u64,
-    pub errored: u64,
-    pub unanswered: u64,
-    pub lost: u64,
-    pub handed_over: u64,
+    /// Of all owners together.
+    pub owners: OwnerTally,
     pub machines_lost: u64,
     pub machines_fallen: u64,
     pub list_lines: u64,
@@ -252,9 +246,9 @@
             let mut machine = Machine::new(settings, 0, Time::default(), false, day.seed);
             machine.down = n >= day.machines;
             if let Some(fleet) = &day.fleet {
-                let changes = &fleet.spots[n].changes;
-                machine.down = !changes.iter().any(|(at, up)| *at == now && *up);
-                for (at, up) in changes.iter().filter(|(at, _)| *at > now) {
+                let spot = &fleet.spots[n];
+                machine.down = !spot.is_up(now);
+                for (at, up) in spot.changes.iter().filter(|(at, _)| *at > now) {
                     self.at(*at, if *up { Act::MachineUp(n) } else { Act::MachineDown(n) });
                 }
             }
@@ -534,17 +528,8 @@
                 Body::Crowd(crowd) => score.silent = (crowd.up(), crowd.tally.clone()),
                 Body::Owner(owner) => {
                     owner.book(now);
-                    let tally = &owner.tally;
-                    score.asked.join(&tally.asked);
-                    score.earned.join(&tally.in_time);
-                    add(&mut score.first_starts, &tally.first_starts);
-                    add(&mut score.starts_in_time, &tally.starts_in_time);
-                    score.placed += tally.placed;
-                    score.nacked += tally.nacked;
-                    score.errored += tally.errored;
-                    score.unanswered += tally.unanswered;
-                    score.lost += tally.lost;
-                    score.handed_over += tally.handed_over;
+                    score.earned.join(&owner.tally.in_time);
+                    score.owners.join(&owner.tally);
                 }
             }
         }
@@ -596,7 +581,7 @@
                 }
                 self.strike(now);
                 if matches!(self.troubles[n].what, What::SlowSenders { .. }) {
-                    self.with_crowd(|crowd| crowd.slow_senders(now, 0.0));
+                    self.with_crowd(|crowd| crowd.slow_senders_finish());
                 }
                 if self.troubles[n].what == What::HalfOpen {
                     self.end_half_open(now, n);
@@ -1321,13 +1306,6 @@
     }
 }
 
-fn add(to: &mut Vec<u64>, from: &[u64]) {
-    if to.len() < from.len() {
-        to.resize(from.len(), 0);
-    }
-    to.iter_mut().zip(from).for_each(|(to, from)| *to += from);
-}
-
 impl<W: Write> Party for Stage<W> {
     fn opened(&mut self, now: Time, link: Link, door: Door) {
         let now = now.max(self.now);
--- a/crates/engine/examples/idle.rs
+++ b/crates/engine/examples/idle.rs
@@ -82,15 +82,7 @@
 }
 
 fn hello(name: &str, clock: u64) -> Message<'_> {
-    Message::Hello {
-        conversation: Conversation::ClientPlanner,
-        version: 1,
-        least_version: 1,
-        features: 0,
-        name,
-        life: 1,
-        clock,
-    }
+    Message::hello(Conversation::ClientPlanner, 0, name, 1, clock)
 }
 
 impl Bench {
--- a/crates/engine/examples/ordinary_path.rs
+++ b/crates/engine/examples/ordinary_path.rs
@@ -137,18 +137,7 @@
             bench.tell(link, &Message::Holds { tasks: vec![], last: true });
         }
         let clock = now.nanos();
-        bench.tell(
-            client,
-            &Message::Hello {
-                conversation: Conversation::ClientPlanner,
-                version: 1,
-                least_version: 1,
-                features: 0,
-                name: "owner",
-                life: 1,
-                clock,
-            },
-        );
+        bench.tell(client, &Message::hello(Conversation::ClientPlanner, 0, "owner", 1, clock));
         bench.turn();
         bench
     }
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -178,12 +178,11 @@
     pub timers: Timers<Due>,
     marks: BTreeMap<u64, (TaskId, u32)>,
     next_mark: u64,
-    /// Final answers owed.
-    pub owed: usize,
     /// The newest connection of each client, by its name.
     pub clients: BTreeMap<Arc<str>, Link>,
     stuck: Vec<Link>,
     pub limits: Limits,
+    /// Knows how many final answers are owed, and to which services.
     pub admission: Admission,
     /// When a turn was promised at the end of the last one, and how much later this one came.
     promised: Option<Time>,
@@ -224,7 +223,6 @@
             timers: Timers::default(),
             marks: BTreeMap::new(),
             next_mark: 0,
-            owed: 0,
             clients: BTreeMap::new(),
             stuck: Vec::new(),
             limits,
@@ -357,18 +355,7 @@
             _ => return,
         };
         let (name, life) = (self.settings.name.clone(), self.life);
-        self.write(
-            link,
-            &Message::Hello {
-                conversation,
-                version: protocol::VERSION,
-                least_version: protocol::LEAST_VERSION,
-                features: 0,
-                name: &name,
-                life,
-                clock: now.nanos(),
-            },
-        );
+        self.write(link, &Message::hello(conversation, 0, &name, life, now.nanos()));
         if matches!(conversation, Conversation::PlannerList) && self.list_wanted {
             self.write(link, &Message::Watch {});
         }
@@ -688,7 +675,6 @@
 
     /// The final answer of a task that came then is given.
     pub fn owes_less(&mut self, link: Option<Link>, came: Time, service: u64) {
-        self.owed -= 1;
         self.admission.done(self.now, service);
         self.hand(link, false);
         self.times.take_to_answer.saturating_record((self.now - came).nanos() / 1000);
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -377,7 +377,7 @@
     }
     let order = order(id, shape, d.now + patience);
     d.jobs.insert(id, job(order, *shape, name, link, d.now));
-    (d.counts.taken, d.owed) = (d.counts.taken + 1, d.owed + 1);
+    d.counts.taken += 1;
     d.hand(Some(link), true);
     d.write(link, &Message::Taken { task });
     Ok(Some(order))
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -135,7 +135,7 @@
     }
 
     pub fn is_idle(&self) -> bool {
-        self.desk.borrow().owed == 0
+        self.desk.borrow().admission.in_hand() == 0
     }
 }
 
--- a/crates/engine/tests/host/mod.rs
+++ b/crates/engine/tests/host/mod.rs
@@ -250,15 +250,7 @@
 }
 
 pub fn hello(name: &str, now: Time) -> Message<'_> {
-    Message::Hello {
-        conversation: Conversation::ClientPlanner,
-        version: 1,
-        least_version: 1,
-        features: 0,
-        name,
-        life: 1,
-        clock: now.nanos(),
-    }
+    Message::hello(Conversation::ClientPlanner, 0, name, 1, now.nanos())
 }
 
 pub fn shape(task: u64, use_case: u32) -> Shape {
--- a/crates/load/src/busy.rs
+++ b/crates/load/src/busy.rs
@@ -189,15 +189,13 @@
         let Some(desk) = self.desks.iter().position(|desk| desk.link == Some(link)) else { return };
         let has_tasks = self.out.values().any(|out| out.desk == desk);
         let name = format!("busy/{desk}");
-        let hello = Message::Hello {
-            conversation: Conversation::ClientPlanner,
-            version: protocol::VERSION,
-            least_version: protocol::LEAST_VERSION,
-            features: if has_tasks { protocol::HAS_TASKS } else { 0 },
-            name: &name,
-            life: 1,
-            clock: now.nanos(),
-        };
+        let hello = Message::hello(
+            Conversation::ClientPlanner,
+            if has_tasks { protocol::HAS_TASKS } else { 0 },
+            &name,
+            1,
+            now.nanos(),
+        );
         self.write(desk, &hello);
     }
 
--- a/crates/load/src/idle.rs
+++ b/crates/load/src/idle.rs
@@ -2,7 +2,8 @@
 
 use crate::busy::{Busy, BusySettings, Seen};
 use crate::crowd_host::CrowdProcess;
-use crate::planners::{Planner, Usage, kernel_memory};
+use crate::planners::{Planner, kernel_memory};
+use crate::process::Usage;
 use crate::report::{self, Row};
 use crate::town::{self, Town};
 use mulleinhub_day::Day;
@@ -137,9 +138,12 @@
     }
 
     fn usage(&self) -> Usage {
-        self.planners.iter().map(Planner::usage).fold(Usage::default(), |sum, usage| Usage {
-            cpu: sum.cpu + usage.cpu,
-            resident: sum.resident + usage.resident,
+        self.planners.iter().map(|planner| planner.process.usage()).fold(Usage::default(), |sum, usage| {
+            Usage {
+                cpu: sum.cpu + usage.cpu,
+                resident: sum.resident + usage.resident,
+                most_memory: sum.most_memory + usage.most_memory,
+            }
         })
     }
 
@@ -331,10 +335,10 @@
     field.busy.party.asks(now, true);
     field.go_on(SETTLES)?;
     let struck = campaign.storm_planners.min(field.planners.len());
-    field.planners[..struck].iter_mut().for_each(Planner::kill);
+    field.planners[..struck].iter_mut().for_each(|planner| planner.process.kill());
     // The ends of their connections are seen before they are there again.
     field.go_on(Duration::from_millis(50))?;
-    field.planners[..struck].iter_mut().try_for_each(Planner::again)?;
+    field.planners[..struck].iter_mut().try_for_each(|planner| planner.process.start())?;
     let began = Instant::now();
     let mut busy_back = None;
     while began.elapsed() < Duration::from_secs(60) {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,8 +8,10 @@
 mod crowd_host;
 mod idle;
 mod planners;
+mod process;
 mod report;
 mod town;
 
 pub use crowd_host::host as host_crowd;
 pub use idle::{Campaign, run};
+pub use process::{PlannerProcess, Usage};
--- a/crates/planner/src/metrics.rs
+++ b/crates/planner/src/metrics.rs
@@ -44,6 +44,7 @@
     /// The text of all figures. They are counted by the engine; gauges only carry them over.
     pub fn text(&self, engine: &Engine) -> String {
         let (counts, times) = (engine.counts(), engine.times());
+        let (open, deadlines) = engine.clients_open();
         let mut registry = Registry::with_prefix("mulleinhub");
         let figures = [
             ("tasks_taken", "Tasks taken since the start", counts.taken),
@@ -58,17 +59,9 @@
             ("running", "Tasks placed", counts.running as u64),
             ("machines", "Machines listed", counts.machines as u64),
             ("machines_ready", "Machines connected", counts.machines_ready as u64),
-        ];
-        for (name, help, value) in figures {
-            let gauge: Gauge = Gauge::default();
-            gauge.set(value as i64);
-            registry.register(name, help, gauge);
-        }
-        let (open, deadlines) = engine.clients_open();
-        let figures = [
-            ("clients", "Connections of clients", open),
-            ("client_deadlines", "Deadlines held for them", deadlines),
-            ("client_buffer_bytes", "Bytes of buffers held for connections", engine.buffers()),
+            ("clients", "Connections of clients", open as u64),
+            ("client_deadlines", "Deadlines held for them", deadlines as u64),
+            ("client_buffer_bytes", "Bytes of buffers held for connections", engine.buffers() as u64),
         ];
         for (name, help, value) in figures {
             let gauge: Gauge = Gauge::default();
--- a/crates/planner/tests/daemon.rs
+++ b/crates/planner/tests/daemon.rs
@@ -102,15 +102,7 @@
         };
         tcp.set_read_timeout(Some(PATIENCE)).expect("is set");
         let mut client = Self { tcp, frames: Frames::default() };
-        client.says(&Message::Hello {
-            conversation: Conversation::ClientPlanner,
-            version: 1,
-            least_version: 1,
-            features: 0,
-            name: "test",
-            life: 1,
-            clock: 0,
-        });
+        client.says(&Message::hello(Conversation::ClientPlanner, 0, "test", 1, 0));
         assert!(client.hears().starts_with("Welcome"));
         client
     }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -58,6 +58,14 @@
     Stopped,
 }
 
+impl<'b> Message<'b> {
+    /// The greeting of whoever opens a connection, in the versions that are spoken here.
+    pub fn hello(conversation: Conversation, features: u64, name: &'b str, life: u64, clock: u64) -> Self {
+        let (version, least_version) = (VERSION, LEAST_VERSION);
+        Self::Hello { conversation, version, least_version, features, name, life, clock }
+    }
+}
+
 impl Ending {
     /// As reports call it.
     pub fn name(self) -> &'static str {
--- a/crates/replay/src/bound.rs
+++ b/crates/replay/src/bound.rs
@@ -1,7 +1,6 @@
 //! What could be earned at the most if nothing but room counted: no starts, no spreading, no knowledge to
 //! gain.
 
-use crate::build::is_up;
 use mulleinhub_day::Day;
 use mulleinhub_interface::{Room, Span, Time};
 use mulleinhub_standins::Worth;
@@ -56,7 +55,7 @@
             next += 1;
         }
         let (mut room, mut up) = (Room::NONE, 0.0);
-        for spot in fleet.spots.iter().filter(|spot| is_up(spot, at)) {
+        for spot in fleet.spots.iter().filter(|spot| spot.is_up(at)) {
             room += day.kinds[spot.kind].size.times(accepts.0, accepts.1);
             up += 1.0;
         }
--- a/crates/replay/src/build.rs
+++ b/crates/replay/src/build.rs
@@ -1,7 +1,7 @@
 //! A day of a trace: its machines as kinds and racks, its tasks as what owners want.
 
 use mulleinhub_day::{Day, Fleet, Spot, parse_day};
-use mulleinhub_interface::{Room, Span, Time};
+use mulleinhub_interface::{Room, Span};
 use mulleinhub_settings::{Directive, Faults, Place, parse_text};
 use mulleinhub_standins::{Planned, UseBook, UsePart, planned_key};
 use mulleinhub_terms::Kind;
@@ -200,8 +200,3 @@
         .collect();
     (kinds, kind_of)
 }
-
-/// The instants at which a machine is up, for the bound.
-pub(crate) fn is_up(spot: &Spot, at: Time) -> bool {
-    spot.changes.iter().rev().find(|(since, _)| *since <= at).is_some_and(|(_, up)| *up)
-}
--- a/crates/replay/tests/replays.rs
+++ b/crates/replay/tests/replays.rs
@@ -51,7 +51,7 @@
         let sample = Sample { machines: Some(30), share: Share::ByMachines(1.0), ..Sample::default() };
         let (one, outcome) = report(folder.path(), &sample, None);
         assert!(outcome.verdict.holds(), "{layout}");
-        assert!(outcome.score.placed > 100, "{layout}: {} placed", outcome.score.placed);
+        assert!(outcome.score.owners.placed > 100, "{layout}: {} placed", outcome.score.owners.placed);
         let (two, _) = report(folder.path(), &sample, None);
         assert_eq!(xxhash_rust::xxh3::xxh3_64(one.as_bytes()), xxhash_rust::xxh3::xxh3_64(two.as_bytes()));
         let (other, _) = report(folder.path(), &Sample { seed: 2, ..sample }, None);
@@ -67,7 +67,7 @@
     assert_eq!(replay.left_out, LeftOut::default());
     let outcome = play(&replay.day, None, |_| ()).expect("is played");
     assert!(outcome.verdict.holds());
-    let starts: u64 = outcome.score.first_starts.iter().sum();
+    let starts: u64 = outcome.score.owners.first_starts.iter().sum();
     assert!(starts <= replay.tasks && starts * 10 >= replay.tasks * 9, "{starts} of {}", replay.tasks);
     // Some machines vanish in the trace, with tasks on them: each is told to be lost once, and comes again.
     assert!(outcome.score.machines_lost > 0);
@@ -79,9 +79,9 @@
     let (_, mut replay) = read(folder.path(), &Sample::default());
     replay.day.most_in_hand = Some(100);
     let outcome = play(&replay.day, None, |_| ()).expect("is played");
-    assert!(outcome.verdict.holds() && outcome.score.nacked > 0, "the bound was met");
+    assert!(outcome.verdict.holds() && outcome.score.owners.nacked > 0, "the bound was met");
     let service = &outcome.score;
-    let (first, in_time) = (service.first_starts[0], service.starts_in_time[0]);
+    let (first, in_time) = (service.owners.first_starts[0], service.owners.starts_in_time[0]);
     assert!(in_time * 10 >= first * 8, "{in_time} of {first} starts of services in time");
 }
 
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -39,7 +39,6 @@
 struct Stream {
     tcp: TcpStream,
     up: bool,
-    readable: bool,
     /// The other side writes no more: what is left is read to its end.
     closing: bool,
     /// No more is written once what waits has gone out.
@@ -226,7 +225,6 @@
                 if (readable || closing)
                     && let Some(stream) = self.streams.get_mut(&link)
                 {
-                    stream.readable = true;
                     stream.closing |= closing;
                     if self.readable.insert(link) {
                         self.fresh.push(link);
@@ -292,7 +290,7 @@
         }
         // Frames are small and answers are waited for.
         let _ = tcp.set_nodelay(true);
-        self.streams.insert(link, Stream { tcp, up, readable: false, closing: false, ending: false });
+        self.streams.insert(link, Stream { tcp, up, closing: false, ending: false });
         true
     }
 
@@ -348,7 +346,6 @@
                 // Less than there was room for is all that there was: what comes later is told anew. An end
                 // that came with it isn't.
                 if n < self.buffer.len() && !stream.closing {
-                    stream.readable = false;
                     self.readable.remove(&link);
                 }
                 let now = Time::from_nanos(self.began.elapsed().as_nanos() as u64);
@@ -356,7 +353,6 @@
                 true
             }
             Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                stream.readable = false;
                 self.readable.remove(&link);
                 false
             }
--- a/crates/standins/src/crowd.rs
+++ b/crates/standins/src/crowd.rs
@@ -144,18 +144,19 @@
         }
     }
 
-    /// A part of them begins a frame and sends a byte a second of it; with a part of 0 they finish it.
+    /// A part of them begins a frame and sends a byte a second of it.
     pub fn slow_senders(&mut self, now: Time, part: f64) {
-        if part > 0.0 {
-            for n in self.some(part) {
-                let one = &mut self.all[n as usize];
-                if one.up && one.slow.is_none() {
-                    one.slow = Some(0);
-                    self.timers.set(now, Due::Byte(n));
-                }
+        for n in self.some(part) {
+            let one = &mut self.all[n as usize];
+            if one.up && one.slow.is_none() {
+                one.slow = Some(0);
+                self.timers.set(now, Due::Byte(n));
             }
-            return;
         }
+    }
+
+    /// Slow senders send the rest of their frames.
+    pub fn slow_senders_finish(&mut self) {
         for n in 0..self.all.len() as u32 {
             while self.all[n as usize].slow.is_some() {
                 self.next_byte(n);
@@ -278,15 +279,7 @@
         let tenant = n as usize % self.settings.tenants.max(1);
         let name = format!("{}-{tenant}/{n}", self.settings.name);
         self.all[n as usize].heard = now;
-        let hello = Message::Hello {
-            conversation: Conversation::ClientPlanner,
-            version: protocol::VERSION,
-            least_version: protocol::LEAST_VERSION,
-            features: 0,
-            name: &name,
-            life: 1,
-            clock: now.nanos(),
-        };
+        let hello = Message::hello(Conversation::ClientPlanner, 0, &name, 1, now.nanos());
         self.write(n, &hello);
     }
 
--- a/crates/standins/src/owner.rs
+++ b/crates/standins/src/owner.rs
@@ -577,6 +577,29 @@
     }
 }
 
+impl OwnerTally {
+    /// Adds what another owner saw.
+    pub fn join(&mut self, other: &Self) {
+        self.asked.join(&other.asked);
+        self.in_time.join(&other.in_time);
+        add(&mut self.first_starts, &other.first_starts);
+        add(&mut self.starts_in_time, &other.starts_in_time);
+        self.placed += other.placed;
+        self.nacked += other.nacked;
+        self.errored += other.errored;
+        self.unanswered += other.unanswered;
+        self.lost += other.lost;
+        self.handed_over += other.handed_over;
+    }
+}
+
+fn add(to: &mut Vec<u64>, from: &[u64]) {
+    if to.len() < from.len() {
+        to.resize(from.len(), 0);
+    }
+    to.iter_mut().zip(from).for_each(|(to, from)| *to += from);
+}
+
 fn count(counts: &mut Vec<u64>, case: usize) {
     if counts.len() <= case {
         counts.resize(case + 1, 0);
@@ -608,15 +631,13 @@
             let has_tasks = self.wants.values().any(out);
             self.write(
                 planner,
-                &Message::Hello {
-                    conversation: Conversation::ClientPlanner,
-                    version: protocol::VERSION,
-                    least_version: protocol::LEAST_VERSION,
-                    features: if has_tasks { protocol::HAS_TASKS } else { 0 },
-                    name: &name,
-                    life: 1,
-                    clock: now.nanos(),
-                },
+                &Message::hello(
+                    Conversation::ClientPlanner,
+                    if has_tasks { protocol::HAS_TASKS } else { 0 },
+                    &name,
+                    1,
+                    now.nanos(),
+                ),
             );
         }
     }
