A late copy of a task that its owner has withdrawn is stopped, not left to run

Seen: drawn events (a property test to come) with a referenced task whose first send may have run, sent again, then withdrawn: the first machine came back holding its copy, which was disowned. It ran on until the machine ended it, and the owner was told to come for it. Story: a_copy_of_an_earlier_send_that_proves_to_run_after_the_withdrawal_is_stopped, which fails before this change.

Ruled out: the machine's recall (it had accepted while its connection was down) and the module, which hears of the withdrawal in time.

At fault: hear.rs, withdraw: only the open send's end noted that nobody wants the task; what earlier sends had left in `late` kept wanted. And late_yes forgot a send with its first stop, so a stop lost on the way was followed by a disown.

Change: a withdrawal marks all earlier sends of the task; a stopped copy stays known until its end is told.

--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -386,6 +386,11 @@
 fn withdraw(desk: &RefCell<Desk>, round: &mut dyn Ears, name: &str, id: TaskId) -> Heard {
     let mut borrowed = desk.borrow_mut();
     let d = &mut *borrowed;
+    // Copies of earlier sends that prove to run from now on are nobody's. Met: such a copy was disowned, ran
+    // on until its machine ended it, and its owner was told to come for it.
+    for late in d.late.range_mut((id, 0)..=(id, u32::MAX)).map(|(_, late)| late) {
+        late.wanted &= late.owner != name;
+    }
     let Some(job) = d.jobs.get_mut(&id) else { return Ok(()) };
     if job.owner != name {
         return Err(Bad(format!("task {} is another's", id.0)));
@@ -740,16 +745,17 @@
 /// it.
 fn late_yes(d: &mut Desk, link: Link, machine: MachineId, id: TaskId, send: u32) {
     d.counts.late_yes += 1;
-    let late = d.late.remove(&(id, send));
-    let Some(late) = late else {
+    let Some(late) = d.late.get(&(id, send)) else {
         d.write(link, &Message::Disown { task: id.0, send });
         return;
     };
     let case = &d.settings.use_cases[late.shape.use_case as usize];
     if !late.wanted || case.effect == Effect::Replayable {
+        // It stays known until its end is told, so that a stop that is lost on the way is said again.
         d.write(link, &Message::Stop { task: id.0, send, moves: false });
         return;
     }
+    let Some(late) = d.late.remove(&(id, send)) else { return };
     d.write(link, &Message::Disown { task: id.0, send });
     // While the task is in hand its next send, within the group, takes the place of this copy.
     if !d.jobs.contains_key(&id) {
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -485,6 +485,22 @@
     assert!(host.engine.is_idle());
 }
 
+#[test]
+fn a_copy_of_an_earlier_send_that_proves_to_run_after_the_withdrawal_is_stopped() {
+    let (mut host, client, machine) = with_offer(REFERENCED);
+    let address = format!("m{machine}");
+    host.ends(host.link(&address), End::Broken);
+    let mut said = host.ends(host.link(&address), End::Refused);
+    said.extend(host.after(100));
+    assert!(offered(&said, 1).is_some_and(|(_, send)| send == 1), "{said:?}");
+    host.tell(client, &[Message::Withdraw { task: 1 }]);
+    host.after(1_000);
+    let shape = shape(1, REFERENCED);
+    let held = Held { task: 1, send: 0, shape, owner: "owner", ended: None, runs: true };
+    let said = host.meets(machine, 100 + machine, vec![held]);
+    assert!(says(&said, &address, "stop 1.0") && !says(&said, &address, "disown"), "{said:?}");
+}
+
 // Limits on connections.
 
 fn limited(change: impl FnOnce(&mut mulleinhub_limits::Settings)) -> Host {
