A stop that was lost with its connection is said again on the next one

Seen: an owner withdraws a task that is offered; the machine accepts; the connection breaks before it reads the stop. On the next connection the machine tells that it holds the task, and nothing stops it: it runs to its end for nobody.

Ruled out: tasks withdrawn after they were placed (those were marked as being stopped) and moves by the module.

At fault: hear.rs, accepted: it wrote the stop and did not mark the send as being stopped, which told_all goes by.

--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -707,9 +707,11 @@
     if std::mem::replace(&mut open.placed, true) {
         return;
     }
+    // Met: a stop that was lost with its connection was never said again, and a withdrawn task ran on.
+    open.stopping = withdrawn;
+    let mark = open.mark;
     job.claiming = false;
     job.may_have_run = true;
-    let mark = open.mark;
     d.forget_mark(mark);
     if withdrawn {
         d.write(link, &Message::Stop { task: id.0, send, moves: false });
