An offer whose time is over is not written any more, also in an early turn

Seen: an offer waits for its machine's connection while the planner stands still past its time-out. The connection comes up, and so much lies unread that the planner has an early turn, in which nothing falls due: the offer went out with no time left, was called back in the turn that followed, and may have run; a single-use task was errored for it. Story: an_offer_whose_time_is_over_after_a_standstill_is_not_written_any_more, which fails before this change.

Ruled out: whole turns, in which the time-out takes the offer back before the shell writes, whatever the order of timers.

At fault: desk.rs, release: it looked at whose offer waits, not at whether it still has time.

--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -615,9 +615,17 @@
         }
         for (task, send) in std::mem::take(&mut spot.waiting) {
             let waits = self.jobs.get(&TaskId(task)).and_then(|job| job.open);
-            if waits.is_some_and(|open| open.machine == machine && open.number == send && open.link.is_none())
-            {
+            let Some(open) =
+                waits.filter(|open| (open.machine, open.number) == (machine, send) && open.link.is_none())
+            else {
+                continue;
+            };
+            if open.due > now {
                 self.write_offer(TaskId(task), link);
+            } else if let Some(spot) = self.machines.get_mut(&machine) {
+                // Its time-out is about to take it back. Met after a standstill: it went out in an early
+                // turn, with no time left, and may have run.
+                spot.waiting.push((task, send));
             }
         }
     }
--- a/crates/engine/tests/host/mod.rs
+++ b/crates/engine/tests/host/mod.rs
@@ -104,6 +104,16 @@
 
     pub fn turn(&mut self) -> Vec<Said> {
         self.engine.turn(self.now);
+        self.drain()
+    }
+
+    /// More lies unread than is told before the planner answers some.
+    pub fn early(&mut self) -> Vec<Said> {
+        self.engine.turn_early(self.now);
+        self.drain()
+    }
+
+    fn drain(&mut self) -> Vec<Said> {
         let mut said = Vec::new();
         loop {
             let links = self.engine.links();
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -515,6 +515,23 @@
     assert!(says(&said, &address, "stop 1.0"), "{said:?}");
 }
 
+#[test]
+fn an_offer_whose_time_is_over_after_a_standstill_is_not_written_any_more() {
+    let mut host = Host::with_machines(1);
+    let client = host.client("owner");
+    host.ends(host.link("m1"), End::Broken);
+    let said = host.ask(client, 1, SINGLE_USE);
+    assert!(offered(&said, 1).is_none(), "it waits for the connection: {said:?}");
+    host.now = host.now + Span::from_secs(7);
+    let link = host.link("m1");
+    host.engine.up(host.now, link);
+    let welcome = Message::Welcome { version: 1, features: 0, name: "m1", life: 101, silence: None };
+    host.only_tell(link, &[welcome, Message::Holds { tasks: vec![], last: true }]);
+    let mut said = host.early();
+    said.extend(host.turn());
+    assert!(offered(&said, 1).is_none(), "its time-out has passed: {said:?}");
+}
+
 // Limits on connections.
 
 fn limited(change: impl FnOnce(&mut mulleinhub_limits::Settings)) -> Host {
