A proof that an offer never ran outlives a time-out in the same turn

Seen: after a standstill one turn hears that a machine drains, takes an unwritten offer back, and then finds the offer's time-out due: told as timed out, so a single-use task was errored as one that may have run, and a recall went out for an offer that was never sent. Story: what_is_taken_back_from_a_draining_machine_never_ran_though_its_time_is_over_in_that_turn, which fails before this change.

Ruled out: recalls by the module, which looked whether an end was on its way.

At fault: hear.rs, timed_out: it did not look. Both ask the desk now.

Result: the story's task is nacked (errored before). No rule was broken by it: it lost a proof, never made one up.

--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -639,6 +639,11 @@
         self.release(machine);
     }
 
+    /// Whether the end of a send is known, and told in this turn.
+    pub fn is_closing(&self, id: TaskId, send: u32) -> bool {
+        self.closings.iter().any(|(task, number, _)| (*task, *number) == (id, send))
+    }
+
     /// Takes the offer of an open send back, where not a byte of it left this process.
     pub fn take_back(&mut self, id: TaskId) -> bool {
         let Some(open) = self.jobs.get(&id).and_then(|job| job.open) else { return false };
@@ -813,10 +818,7 @@
         let desk = &mut *self.0.borrow_mut();
         let Some(open) = desk.jobs.get(&task).and_then(|job| job.open) else { return };
         // A send called back in this very turn has its end on the way already.
-        if open.number != send
-            || open.placed
-            || desk.closings.iter().any(|(t, s, _)| (*t, *s) == (task, send))
-        {
+        if open.number != send || open.placed || desk.is_closing(task, send) {
             return;
         }
         if desk.take_back(task) {
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -666,7 +666,7 @@
                 stop_again.push((id, open.number));
             }
             // A new life is dealt with by the closings that its welcome left.
-            let is_over = d.closings.iter().any(|(t, n, _)| (*t, *n) == (id, open.number));
+            let is_over = d.is_closing(id, open.number);
             if !here && !is_over && open.link.is_some_and(|offered| offered != link) {
                 let ending = if open.placed { Ending::Broken(Loss::Untold) } else { Ending::NotSent };
                 resolved.push((id, open.number, ending));
@@ -866,7 +866,8 @@
     let ending = {
         let d = &mut *desk.borrow_mut();
         let Some(open) = d.jobs.get(&id).filter(|job| !job.claiming).and_then(|job| job.open) else { return };
-        if open.number != send || open.placed {
+        // Met: an offer taken back from a draining machine timed out in the same turn, and its proof was lost.
+        if open.number != send || open.placed || d.is_closing(id, send) {
             return;
         }
         if d.take_back(id) {
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -532,6 +532,19 @@
     assert!(offered(&said, 1).is_none(), "its time-out has passed: {said:?}");
 }
 
+#[test]
+fn what_is_taken_back_from_a_draining_machine_never_ran_though_its_time_is_over_in_that_turn() {
+    let mut host = Host::with_machines(1);
+    let client = host.client("owner");
+    host.unread.push(host.link("m1"));
+    host.ask(client, 1, SINGLE_USE);
+    host.now = host.now + Span::from_secs(7);
+    host.list(&[(1, Mode::Leaving)]);
+    host.lives(1_000);
+    let said = host.tell(client, &[Message::Learn { task: 1 }]);
+    assert!(says(&said, "owner", "nacked 1"), "not a byte of it left: {said:?}");
+}
+
 // Limits on connections.
 
 fn limited(change: impl FnOnce(&mut mulleinhub_limits::Settings)) -> Host {
