A machine that greets in another life is cold at once, and what waited for it is decided anew

Seen: a machine restarts while a planner has nothing on it.

Ruled out: restarts that cost the planner a task or an offer (the module hears of a loss and counts the machine as cold); the gate before cold machines, which knew of the new life and holds back only where answers are late.

At fault: hear.rs, hear_machine (Welcome): only the gate was told. Two parts judged coldness, and the one that deals out the budget, the module, knew less.

Change: Ears::restarted tells the module, which counts the machine as cold from then on; waiting offers go back as never sent.

--- a/crates/baselines/src/lib.rs
+++ b/crates/baselines/src/lib.rs
@@ -266,6 +266,12 @@
         }
     }
 
+    fn restarted(&mut self, machine: MachineId) {
+        if let Some(machine) = self.b.machines.get_mut(&machine) {
+            machine.entry.since = Some(self.now);
+        }
+    }
+
     fn runs(&mut self, _: TaskId) {}
     fn uses(&mut self, _: TaskId, _: Option<f64>, _: Option<f64>) {}
     fn served(&mut self, _: TaskId, _: f64) {}
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -466,7 +466,8 @@
 ) -> Heard {
     match message {
         Message::Welcome { life, .. } => {
-            let d = &mut *desk.borrow_mut();
+            let mut borrowed = desk.borrow_mut();
+            let d = &mut *borrowed;
             let Some(peer) = d.peers.get_mut(&link) else { return Ok(()) };
             if std::mem::replace(&mut peer.greeted, true) {
                 return Err(Bad("a second welcome".into()));
@@ -482,6 +483,12 @@
                 let lost = d.jobs_on(machine).into_iter().filter(|(_, open)| open.link.is_some());
                 let lost: Vec<_> = lost.map(|(id, open)| (id, open.number)).collect();
                 d.closings.extend(lost.iter().map(|(id, n)| (*id, *n, Ending::Broken(Loss::Untold))));
+                // What waits was decided on for a warm machine. Met: all of it reached the cold one at once.
+                let waiting = d.machines.get_mut(&machine).map(|spot| std::mem::take(&mut spot.waiting));
+                let waiting = waiting.into_iter().flatten();
+                d.closings.extend(waiting.map(|(id, n)| (TaskId(id), n, Ending::NotSent)));
+                drop(borrowed);
+                round.restarted(machine);
             }
         }
         Message::Holds { tasks, last } => {
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -545,6 +545,27 @@
     assert!(says(&said, "owner", "nacked 1"), "not a byte of it left: {said:?}");
 }
 
+/// How many tasks are offered in what was said.
+fn offers(said: &[Said]) -> usize {
+    said.iter().filter(|(_, words)| words.starts_with("offer ")).count()
+}
+
+#[test]
+fn a_machine_that_greets_in_another_life_is_cold_before_any_list_tells_of_it() {
+    let mut host = Host::with_machines(1);
+    let client = host.client("owner");
+    host.ends(host.link("m1"), End::Broken);
+    for task in 1..=12 {
+        host.ask(client, task, REPLAYABLE);
+    }
+    let mut said = host.meets(1, 999, vec![]);
+    for task in 13..=24 {
+        said.extend(host.ask(client, task, REPLAYABLE));
+    }
+    said.extend(host.after(100));
+    assert!(offers(&said) <= 9, "it bears nine in its window, and has {}", offers(&said));
+}
+
 // Limits on connections.
 
 fn limited(change: impl FnOnce(&mut mulleinhub_limits::Settings)) -> Host {
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -308,6 +308,8 @@
     /// The part of its machine's memory in use.
     fn machine_memory(&mut self, task: TaskId, share: f64);
     fn probed(&mut self, machine: MachineId, report: Report);
+    /// The machine itself told that it started anew, before any list does.
+    fn restarted(&mut self, machine: MachineId);
     /// The end of a send. Where `over` is not set, the final answer is still to be given.
     fn closed(&mut self, task: TaskId, ending: Ending, over: bool, report: Report);
     fn abandoned(&mut self, task: TaskId);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -302,6 +302,13 @@
         self.press(at, cores > HOT || memory > HOT);
     }
 
+    /// It is cold, long before the list tells of its start.
+    pub fn restarted(&mut self, machine: MachineId) {
+        if let Some(at) = self.b.machines.place(machine) {
+            self.b.machines[at].lost_at = Some(self.now);
+        }
+    }
+
     /// After a note of use. A pressed machine comes last, whoever causes it: neighbours, surges, our guess.
     fn press(&mut self, at: usize, pressed: bool) {
         self.b.machines[at].pressed_until = if pressed { self.now + PRESSED } else { self.now };
--- a/src/mind.rs
+++ b/src/mind.rs
@@ -31,6 +31,9 @@
     fn probed(&mut self, machine: MachineId, report: Report) {
         self.probed(machine, report);
     }
+    fn restarted(&mut self, machine: MachineId) {
+        self.restarted(machine);
+    }
     fn closed(&mut self, task: TaskId, ending: Ending, over: bool, report: Report) {
         self.closed(task, ending, over, report);
     }
