Offers that waited too long for a cold machine go back to the module, not out together

Seen: a cold machine whose connection is slow to come up, on a site where yes means that a task runs, so that waiting offers are not called back. Story: offers_that_waited_for_a_cold_machine_do_not_reach_it_together, which fails before this change.

Ruled out: sites where yes comes before the start: offers to a silent machine are called back after a tenth of the client timeout there. The module's own count: in no window does it decide on more than its deal.

At fault: desk.rs, release: how long an offer had waited counted for nothing, and the gate that it asks judges answers alone.

Change: the gate, where the bound of half a window stands, says whether an offer comes too late for the budget that it was counted in; such a one is closed as never sent, and the module decides anew. Nothing else decides on budgets.

--- a/crates/engine/src/cold.rs
+++ b/crates/engine/src/cold.rs
@@ -50,6 +50,12 @@
         self.out.clear();
     }
 
+    /// Whether an offer that was decided on then comes too late for the budget that it was counted in. Met:
+    /// offers of several windows waited for a connection or behind the gate, and went out in one instant.
+    pub fn is_stale(&self, now: Time, fall: Span, decided: Time) -> bool {
+        self.cold_until.is_some_and(|until| now < until) && now - decided > fall * LATE
+    }
+
     /// Until when nothing more may be written, where the way is stalled; later looks may say later.
     pub fn shut_until(&self, now: Time, fall: Span) -> Option<Time> {
         if self.cold_until.is_none_or(|until| now >= until) {
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -81,7 +81,8 @@
     /// The connection that carried the offer, and its mark there. None while it waits for one.
     pub link: Option<Link>,
     pub mark: u64,
-    /// When the wait for an answer ends.
+    /// When the module decided on it, and when the wait for an answer ends.
+    pub decided: Time,
     pub due: Time,
     pub placed: bool,
     pub runs: bool,
@@ -603,16 +604,12 @@
     }
 
     /// Writes the offers that wait for this machine's connection, as far as the gate of a cold one lets them.
+    /// What waited too long for a cold one goes back to the module, whose budget counts it no longer.
     pub fn release(&mut self, machine: MachineId) {
         let (now, fall) = (self.now, self.settings.cold.fall);
         let Some(spot) = self.machines.get_mut(&machine) else { return };
         let Some(link) = spot.ready() else { return };
-        if let Some(until) = spot.gate.shut_until(now, fall) {
-            if !spot.waiting.is_empty() {
-                self.timers.set(until, Due::Release(machine));
-            }
-            return;
-        }
+        let shut = spot.gate.shut_until(now, fall);
         for (task, send) in std::mem::take(&mut spot.waiting) {
             let waits = self.jobs.get(&TaskId(task)).and_then(|job| job.open);
             let Some(open) =
@@ -620,14 +617,21 @@
             else {
                 continue;
             };
-            if open.due > now {
-                self.write_offer(TaskId(task), link);
-            } else if let Some(spot) = self.machines.get_mut(&machine) {
+            let Some(spot) = self.machines.get_mut(&machine) else { return };
+            if spot.gate.is_stale(now, fall, open.decided) {
+                self.closings.push_back((TaskId(task), send, Ending::NotSent));
+            } else if shut.is_some() || open.due <= now {
                 // Its time-out is about to take it back. Met after a standstill: it went out in an early
                 // turn, with no time left, and may have run.
                 spot.waiting.push((task, send));
+            } else {
+                self.write_offer(TaskId(task), link);
             }
         }
+        let waits = self.machines.get(&machine).is_some_and(|spot| !spot.waiting.is_empty());
+        if let Some(until) = shut.filter(|_| waits) {
+            self.timers.set(until, Due::Release(machine));
+        }
     }
 
     /// A machine said something of a send.
@@ -788,6 +792,7 @@
             machine,
             link: None,
             mark: 0,
+            decided: now,
             due: now + time_out,
             placed: false,
             runs: false,
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -566,6 +566,32 @@
     assert!(offers(&said) <= 9, "it bears nine in its window, and has {}", offers(&said));
 }
 
+#[test]
+fn offers_that_waited_for_a_cold_machine_do_not_reach_it_together() {
+    // Where yes means that it runs, nothing is called back before its time-out.
+    let mut limited = settings();
+    limited.taking.yes_when_running = true;
+    let mut host = Host::new(limited, 1, None);
+    host.turn();
+    host.accept("list");
+    host.list(&[(1, Mode::Active)]);
+    host.meets(1, 101, vec![]);
+    let client = host.client("owner");
+    host.ends(host.link("m1"), End::Broken);
+    host.meets(1, 999, vec![]);
+    host.ends(host.link("m1"), End::Broken);
+    for task in 1..=12 {
+        host.ask(client, task, REPLAYABLE);
+    }
+    host.lives(1_700);
+    for task in 13..=24 {
+        host.ask(client, task, REPLAYABLE);
+    }
+    let mut said = host.meets(1, 999, vec![]);
+    said.extend(host.after(100));
+    assert!(offers(&said) <= 9, "it bears nine in its window, and has {}", offers(&said));
+}
+
 // Limits on connections.
 
 fn limited(change: impl FnOnce(&mut mulleinhub_limits::Settings)) -> Host {
