A late copy stays known until its end is told, so that a lost answer to it is given again

A machine accepts after the time-out; the planner disowns the copy, and the connection breaks before the machine reads it. On the next connection the copy is told again, and the planner knows nothing of it: it was disowned once more, although its owner had withdrawn the task in between. Story: a_late_copy_whose_disowning_was_lost_is_stopped_once_its_owner_withdraws_it, which fails before this change.

Ruled out: copies that are told once only; a copy that its owner has claimed carries the new task's name.

At fault: hear.rs, late_yes: it forgot a send with its first answer.

--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -756,22 +756,22 @@
 /// it.
 fn late_yes(d: &mut Desk, link: Link, machine: MachineId, id: TaskId, send: u32) {
     d.counts.late_yes += 1;
+    // It stays known until its end is told: what is written now may be lost on the way, and asked for again.
     let Some(late) = d.late.get(&(id, send)) else {
         d.write(link, &Message::Disown { task: id.0, send });
         return;
     };
     let case = &d.settings.use_cases[late.shape.use_case as usize];
     if !late.wanted || case.effect == Effect::Replayable {
-        // It stays known until its end is told, so that a stop that is lost on the way is said again.
         d.write(link, &Message::Stop { task: id.0, send, moves: false });
         return;
     }
-    let Some(late) = d.late.remove(&(id, send)) else { return };
+    let (key, owner) = (late.shape.key, late.owner.clone());
     d.write(link, &Message::Disown { task: id.0, send });
     // While the task is in hand its next send, within the group, takes the place of this copy.
     if !d.jobs.contains_key(&id) {
-        let told = Message::ProvesToRun { task: id.0, key: late.shape.key, machine: machine.0 };
-        d.tell_owner(None, &late.owner, &told);
+        let told = Message::ProvesToRun { task: id.0, key, machine: machine.0 };
+        d.tell_owner(None, &owner, &told);
     }
 }
 
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -501,6 +501,21 @@
     assert!(says(&said, &address, "stop 1.0") && !says(&said, &address, "disown"), "{said:?}");
 }
 
+#[test]
+fn a_late_copy_whose_disowning_was_lost_is_stopped_once_its_owner_withdraws_it() {
+    let (mut host, client, machine) = with_offer(SINGLE_USE);
+    let address = format!("m{machine}");
+    host.after(6_100);
+    host.unread.push(host.link(&address));
+    host.machine(machine, Message::Accepted { task: 1, send: 0 });
+    host.ends(host.link(&address), End::Broken);
+    host.tell(client, &[Message::Withdraw { task: 1 }]);
+    let shape = shape(1, SINGLE_USE);
+    let held = Held { task: 1, send: 0, shape, owner: "owner", ended: None, runs: true };
+    let said = host.meets(machine, 100 + machine, vec![held]);
+    assert!(says(&said, &address, "stop 1.0") && !says(&said, &address, "disown"), "{said:?}");
+}
+
 #[test]
 fn a_stop_that_was_lost_with_its_connection_is_said_again_on_the_next() {
     let (mut host, client, machine) = with_offer(REPLAYABLE);
