A machine that restarted while its planner was down is cold at its first greeting

Story: a_machine_that_restarted_while_the_planner_was_down_is_cold_at_its_first_greeting, which fails before this change.

Ruled out: lists that tell the new life themselves (`since` and the cold budget come from them), and later greetings.

At fault: hear.rs, hear_machine (Welcome): a first greeting had nothing to differ from, though the list names the life.

The story's fake list names lives as machines do.

--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -476,7 +476,8 @@
             let Some(spot) = d.machines.get_mut(&machine) else { return Ok(()) };
             spot.told.clear();
             let warm_after = d.settings.cold.warm_after;
-            let other_life = spot.life.replace(*life).is_some_and(|before| before != *life);
+            // Before its first greeting the list's word holds, also one that an earlier life of ours kept.
+            let other_life = spot.life.replace(*life).unwrap_or(spot.listed_life) != *life;
             if other_life {
                 spot.gate.is_cold_until(d.now + warm_after);
                 // Whatever the former life was sent or held went with it. An answer of it can't come any
--- a/crates/engine/tests/host/mod.rs
+++ b/crates/engine/tests/host/mod.rs
@@ -195,7 +195,7 @@
                 cell: (*id as u32 - 1) / 2,
                 zone: 0,
                 mode: *mode,
-                life: 0,
+                life: 100 + *id,
                 up_for: None,
                 cores_left: Some(16.0),
                 memory_left: Some(32.0),
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -581,6 +581,22 @@
     assert!(offers(&said) <= 9, "it bears nine in its window, and has {}", offers(&said));
 }
 
+#[test]
+fn a_machine_that_restarted_while_the_planner_was_down_is_cold_at_its_first_greeting() {
+    let mut host = Host::with_machines(1);
+    let kept = host.engine.keep().expect("the list changed");
+    let mut host = Host::new(settings(), 2, Some(kept));
+    host.turn();
+    host.meets(1, 999, vec![]);
+    let client = host.client("owner");
+    let mut said = Vec::new();
+    for task in 1..=24 {
+        said.extend(host.ask(client, task, REPLAYABLE));
+    }
+    said.extend(host.after(100));
+    assert!(offers(&said) <= 9, "it bears nine in its window, and has {}", offers(&said));
+}
+
 #[test]
 fn offers_that_waited_for_a_cold_machine_do_not_reach_it_together() {
     // Where yes means that it runs, nothing is called back before its time-out.
