A machine that drains or is cold is not forgotten: it may come back

Seen: drawn events for three schedulers that share machines. A cold machine was told to drain, held nothing of ours, and was told active again within the rule's window: its dealt budget began anew, five sends of all schedulers where four are borne (rule 4). And a task handed over on a draining machine that had been forgotten had no cell: a third task of a service went into a cell that may hold two (rule 5). Stories: a_cold_machine_that_drains_and_comes_back_has_no_budget_anew, a_task_handed_over_on_a_draining_machine_counts_for_spread_in_its_cell; both fail before this change.

Ruled out: the deal itself (it holds in every window while the machine is known) and the count of tasks held.

At fault: brain.rs, list: any machine that was not active and held nothing of ours was removed with all that was known of it.

Change: it goes only when it is told to be gone, or is in no full list, and is not cold.

A draining machine is closed as before: nothing else is decided differently.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -434,7 +434,7 @@
             self.b.watch_failures = 0;
         }
         if kind != ListKind::Changes {
-            self.b.machines.iter_mut().for_each(|(_, m)| m.open = false);
+            self.b.machines.iter_mut().for_each(|(_, m)| (m.open, m.gone) = (false, true));
         }
         for entry in entries {
             let at = self.machine(entry.id);
@@ -442,7 +442,7 @@
             let fresh_start = self.b.is_fresh(entry.since, now);
             let m = &mut self.b.machines[at];
             (m.kind, m.cell, m.zone, m.size) = (entry.kind, entry.cell, entry.zone, size);
-            m.open = entry.mode == Mode::Active;
+            (m.open, m.gone) = (entry.mode == Mode::Active, entry.mode == Mode::Left);
             m.left = entry.left.unwrap_or(m.left);
             if fresh_start && m.since != entry.since {
                 m.cap = fresh;
@@ -450,8 +450,10 @@
             }
             m.since = entry.since;
         }
-        let gone = self.b.machines.iter().find(|(_, m)| !m.open && m.tasks.is_empty()).map(|(at, _)| at);
-        gone.and_then(|at| self.b.machines.remove(at));
+        // Not one that drains, nor a cold one: it may come back, and what was dealt to it still counts.
+        let is_over = |m: &Machine| m.gone && m.tasks.is_empty() && !self.b.is_cold(m, now);
+        let over = self.b.machines.iter().find(|(_, m)| is_over(m)).map(|(at, _)| at);
+        over.and_then(|at| self.b.machines.remove(at));
         // Whoever is not named has not changed: its view is as fresh as the named ones'.
         self.b.news_at = now;
         let (mut left, mut size) = (Room::NONE, Room::NONE);
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,6 +56,8 @@
     pub zone: ZoneId,
     pub size: Room,
     pub open: bool,
+    /// Told to be gone, or in no list yet.
+    pub gone: bool,
     pub since: Option<Time>,
     pub left: Room,
     /// Our own asks (below nought) and ends (above) that the view may not show yet.
@@ -121,6 +123,7 @@
             zone: ZoneId(u32::MAX),
             size: Room::NONE,
             open: false,
+            gone: true,
             since: None,
             left: Room::NONE,
             unseen: VecDeque::with_capacity(16),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -473,6 +473,34 @@
     }
 }
 
+#[test]
+fn a_cold_machine_that_drains_and_comes_back_has_no_budget_anew() {
+    let fresh = |host: &Host, mode| Entry { mode, since: Some(host.now()), ..machine(1, 10.0) };
+    let mut host = Host::new().up(&[]);
+    let (cold, drains) = (fresh(&host, Mode::Active), fresh(&host, Mode::Leaving));
+    host.tell(|r| r.list(ListKind::Changes, &[cold]));
+    for id in 1..=4 {
+        assert_eq!(host.ask(id, HIGH, 1.0), [Said::Send(id, 1)], "it is dealt four of twelve");
+        host.ends(id, Ending::Nacked(Nack::NotHere));
+    }
+    host.tell(|r| r.list(ListKind::Changes, &[drains]));
+    host.tell(|r| r.list(ListKind::Changes, &[cold]));
+    assert_eq!(host.ask(5, HIGH, 1.0), [], "the window is not over");
+}
+
+#[test]
+fn a_task_handed_over_on_a_draining_machine_counts_for_spread_in_its_cell() {
+    let mut host = Host::new();
+    host.use_cases[HIGH].spread = Some((Reach::Cell, 1));
+    let mut host = host.up(&[machine(1, 10.0), machine(2, 10.0)]);
+    host.tell(|r| r.list(ListKind::Changes, &[Entry { mode: Mode::Leaving, ..machine(1, 10.0) }]));
+    let service = ServiceId(7);
+    let running = Order { service, ..host.order(1, HIGH, 1.0) };
+    host.tell(|r| r.running(running, MachineId(1)));
+    let another = Order { service, ..host.order(2, HIGH, 1.0) };
+    assert_eq!(host.tell(|r| r.new_task(another)), [], "its cell has one of the service");
+}
+
 #[test]
 fn a_machine_with_a_full_queue_is_left_alone_for_a_while() {
     let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 4.0)]);
