A task that is being stopped is not moved too, and no other goes for its heat

Seen: two parts decide whether a low-priority task stays: the engine, which stops what its owner withdraws, and the module, which sheds heat. The module heard nothing of a withdrawal of a placed task: it moved the same task once more, or another one in its place, and counted the slack of a task that was on its way out; of one that it had moved itself the use counted as heat again in the next report.

Ruled out: the machines' own evictions, which nobody can foresee; peaks noted before a move, which are forgotten.

At fault: hear.rs, withdraw (a placed task's withdrawal was not told); brain.rs, abandoned (nothing for placed tasks) and shed (tasks on their way out counted in full).

Change: the module is told, gives up the task's slack at once, never moves it, and counts the last use of whatever is being stopped off the heat.

--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -409,9 +409,7 @@
         if let Some(to) = d.machines.get(&machine).and_then(Spot::ready) {
             d.write(to, &Message::Stop { task: id.0, send: number, moves: false });
         }
-        return Ok(());
-    }
-    if d.take_back(id) {
+    } else if d.take_back(id) {
         d.closings.push_back((id, number, Ending::NotSent));
     } else if let Some(to) = link {
         d.write(to, &Message::Recall { task: id.0, send: number });
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -407,8 +407,13 @@
                 self.b.pending.retain(|p| *p != place);
                 self.b.tasks.remove(place);
             }
-            State::Sent => self.b.tasks[place].state = State::Over,
-            _ => {}
+            // Of one that runs, neither its slack nor its heat is there for long.
+            State::Sent | State::Placed => {
+                let task = &mut self.b.tasks[place];
+                task.state = State::Over;
+                self.b.machines[task.machine].slack -= std::mem::take(&mut task.slack);
+            }
+            State::Over => {}
         }
     }
 
@@ -482,15 +487,22 @@
         let m = &mut self.b.machines[at];
         let peak = Room::new(m.use_cores.peak(now).unwrap_or(0.0), m.use_memory.peak(now).unwrap_or(0.0));
         let total = peak.times(m.size.cores, m.size.memory);
-        let over = total - m.size.times(HOT, HOT);
-        if over.cores <= 0.0 && over.memory <= 0.0 {
+        let most = m.size.times(HOT, HOT);
+        if most.fits(total) {
             return;
         }
-        // Others see the heat too: ours to shed is our part of the use.
-        let ours = Room::new(m.used.cores / total.cores.max(1e-9), m.used.memory / total.memory.max(1e-9));
-        let mut over = over.times(ours.cores.min(1.0), ours.memory.min(1.0));
         m.use_cores.forget();
         m.use_memory.forget();
+        // What is being stopped, by us or its owner, is over soon. Met: one heat, and two tasks gone for it.
+        let stops = m.tasks.iter().map(|(place, _)| &self.b.tasks[*place]).filter(|t| t.state == State::Over);
+        let stops = stops.fold(Room::NONE, |sum, task| sum + task.last_use);
+        let (total, used) = (total - stops, m.used - stops);
+        if most.fits(total) {
+            return;
+        }
+        // Others see the heat too: ours to shed is our part of the use.
+        let ours = Room::new(used.cores / total.cores.max(1e-9), used.memory / total.memory.max(1e-9));
+        let mut over = (total - most).times(ours.cores.min(1.0), ours.memory.min(1.0));
         for n in (0..self.b.machines[at].tasks.len()).rev() {
             let (place, _) = self.b.machines[at].tasks[n];
             let task = &self.b.tasks[place];
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -85,19 +85,42 @@
     assert_eq!(host.ask(1, HIGH, 1.0), [Said::Send(1, 2)]);
 }
 
-#[test]
-fn a_hot_machine_sheds_the_newest_low_task_and_waits_for_a_fresh_report() {
+/// Three low-priority tasks and a high-priority one on machine 1, which use all of it and two units more.
+fn heated() -> Host {
     let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 9.0)]);
     for (id, use_case) in [(1, LOW), (2, LOW), (3, HIGH), (4, LOW)] {
         host.runs_on(id, use_case, 1.0, 1);
         let used = if use_case == LOW { 2.5 } else { 4.5 };
         host.tell(|r| (r.uses(TaskId(id), Some(used), None), r.uses(TaskId(id), None, Some(used))));
     }
+    host
+}
+
+#[test]
+fn a_hot_machine_sheds_the_newest_low_task_and_waits_for_a_fresh_report() {
+    let mut host = heated();
     assert_eq!(host.tell(|r| r.machine_memory(TaskId(3), 1.2)), [Said::Move(4)], "2.5 too much: one goes");
     assert_eq!(host.after(100), [], "no more before the next report");
+    assert_eq!(host.tell(|r| r.machine_memory(TaskId(3), 1.2)), [], "the first is not off yet");
+    host.ends(4, Ending::Broken(Loss::SentAway));
+    host.runs_on(5, HIGH, 1.0, 1);
+    host.tell(|r| (r.uses(TaskId(5), Some(2.5), None), r.uses(TaskId(5), None, Some(2.5))));
     assert_eq!(host.tell(|r| r.machine_memory(TaskId(3), 1.2)), [Said::Move(2)]);
 }
 
+#[test]
+fn a_task_that_its_owner_stops_is_not_moved_and_no_other_goes_for_its_heat() {
+    for stopped in [1, 2, 4] {
+        let mut host = heated();
+        host.tell(|r| r.abandoned(TaskId(stopped)));
+        assert_eq!(host.tell(|r| r.machine_memory(TaskId(3), 1.2)), [], "{stopped} is off soon");
+    }
+    let mut host = heated();
+    assert_eq!(host.tell(|r| r.machine_memory(TaskId(3), 1.2)), [Said::Move(4)]);
+    assert_eq!(host.tell(|r| r.abandoned(TaskId(4))), [], "the other order");
+    assert_eq!(host.tell(|r| r.machine_memory(TaskId(3), 1.2)), [], "and it is counted off once");
+}
+
 /// A high-priority task that uses all of machine 1, with two units more; what comes on top is ours to shed.
 fn crowd(host: &mut Host) {
     host.runs_on(900, HIGH, 1.0, 1);
