A calm note of one kind does not undo what a note of another kind told

Seen: pressure was one mark, written by served shares, memory notes, probes, evictions and slow starts, and the last one won. A note that told of poor service and calm memory, as our own wire puts both into one frame, left the machine calm; an eviction was undone by the next task that was served well. Story: a_calm_note_of_one_kind_does_not_undo_what_another_kind_told, which fails before this change.

At fault: brain.rs, press, called for every kind of note.

Change: cores (service, slow starts) and memory (short memory, evictions) have a mark each; a machine is calm when both are.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -79,6 +79,12 @@
     }
 }
 
+/// A pressed machine comes last, whoever causes it: neighbours, surges, our guess. A better note of the same
+/// kind ends it. Met: one that had just evicted took tasks again, as cores were calm there.
+fn pressed(now: Time, is: bool) -> Time {
+    if is { now + PRESSED } else { now }
+}
+
 /// What fits: the machine's place, its rank and its key in the service's order, whether it lacks the program,
 /// and how it departs from the ordinary path.
 type Fit = (usize, f64, u64, bool, usize);
@@ -244,7 +250,7 @@
             // Far slower than usual: a slow or crowded machine, also where nothing else tells of pressure.
             let usual = &mut self.b.usual_start[usize::from(task.bare)];
             if !self.b.taking.tells_pressure && took > *usual * SLOW && *usual > Span::ZERO {
-                m.pressed_until = now + PRESSED;
+                m.pressed.cores = now + PRESSED;
             }
             *usual = usual.toward(took, USUAL_STEP);
             if took < soft_limit {
@@ -284,13 +290,16 @@
         let m = &mut self.b.machines[at];
         m.poor.note(self.now, 1.0 - share);
         m.use_cores.note(self.now, busy);
-        self.press(at, share < SERVED_WELL);
+        m.pressed.cores = pressed(self.now, share < SERVED_WELL);
+        self.shed(at);
     }
 
     pub fn machine_memory(&mut self, id: TaskId, share: f64) {
         let Some((_, at)) = self.placed(id) else { return };
-        self.b.machines[at].use_memory.note(self.now, share);
-        self.press(at, share > HOT);
+        let m = &mut self.b.machines[at];
+        m.use_memory.note(self.now, share);
+        m.pressed.memory = pressed(self.now, share > HOT);
+        self.shed(at);
     }
 
     pub fn probed(&mut self, machine: MachineId, report: Report) {
@@ -299,7 +308,9 @@
         let (cores, memory) = (1.0 - unused.cores / m.size.cores, 1.0 - unused.memory / m.size.memory);
         m.use_cores.note(self.now, cores);
         m.use_memory.note(self.now, memory);
-        self.press(at, cores > HOT || memory > HOT);
+        m.pressed.cores = pressed(self.now, cores > HOT);
+        m.pressed.memory = pressed(self.now, memory > HOT);
+        self.shed(at);
     }
 
     /// It is cold, long before the list tells of its start.
@@ -309,12 +320,6 @@
         }
     }
 
-    /// After a note of use. A pressed machine comes last, whoever causes it: neighbours, surges, our guess.
-    fn press(&mut self, at: usize, pressed: bool) {
-        self.b.machines[at].pressed_until = if pressed { self.now + PRESSED } else { self.now };
-        self.shed(at);
-    }
-
     fn placed(&self, id: TaskId) -> Option<(usize, usize)> {
         let place = self.b.tasks.place(id)?;
         let task = &self.b.tasks[place];
@@ -362,7 +367,7 @@
             }
             // Out of memory, whoever used it up.
             Ending::Broken(Loss::Evicted) | Ending::Nacked(Nack::HandedBack) => {
-                m.pressed_until = now + PRESSED;
+                m.pressed.memory = now + PRESSED;
                 m.poor.note(now, 1.0);
             }
             _ => {}
@@ -547,7 +552,7 @@
     fn has_calm_room(&self, place: usize) -> bool {
         let (task, use_case, fade) = (&self.b.tasks[place], self.b.use_case(place), self.b.fade(self.now));
         self.b.machines.iter().any(|(at, m)| {
-            m.pressed_until <= self.now
+            m.is_calm(self.now)
                 && self.may_go(task, use_case, at, m)
                 && self.has_room(task, true, m, self.b.free(m, fade))
         })
@@ -653,7 +658,7 @@
                 continue;
             }
             let free = self.b.free(m, fade);
-            let calm = m.pressed_until <= self.now;
+            let calm = m.is_calm(self.now);
             let away = m.zone != home.zone && home.cross_zone_price > 0.0;
             open += usize::from(calm && !away);
             let departs = match self.has_room(task, low, m, free) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,6 +49,12 @@
     pub times: u32,
 }
 
+/// Bad service, or short memory, was noted, with no better note of its kind since; trusted until then.
+pub struct Pressed {
+    pub cores: Time,
+    pub memory: Time,
+}
+
 pub struct Machine {
     pub id: MachineId,
     pub kind: KindId,
@@ -74,8 +80,7 @@
     pub use_memory: Peak,
     /// The worst share of service missed within the window.
     pub poor: Peak,
-    /// Bad service or short memory was noted, with no better note since; trusted until then.
-    pub pressed_until: Time,
+    pub pressed: Pressed,
     pub starting: usize,
     pub cap: f64,
     /// When a send or a task was last lost with it.
@@ -135,7 +140,7 @@
             use_cores: Peak::new(window),
             use_memory: Peak::new(window),
             poor: Peak::new(window),
-            pressed_until: now,
+            pressed: Pressed { cores: now, memory: now },
             starting: 0,
             cap,
             lost_at: None,
@@ -148,6 +153,10 @@
         (self.id, self.cell, self.zone)
     }
 
+    pub fn is_calm(&self, now: Time) -> bool {
+        self.pressed.cores <= now && self.pressed.memory <= now
+    }
+
     pub fn is_within(&self, reach: Reach, of: Spot) -> bool {
         match reach {
             Reach::All => true,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -357,6 +357,31 @@
     assert_eq!(host.ask(4, HIGH, 0.5), [Said::Send(4, 1)], "a good note ends it");
 }
 
+#[test]
+fn a_calm_note_of_one_kind_does_not_undo_what_another_kind_told() {
+    let mut id = 10;
+    let mut calm = |host: &mut Host| {
+        id += 1;
+        sent_to(&host.ask(id, HIGH, 0.5)) == Some(1)
+    };
+    let host = || {
+        let mut host = Host::new().up(&[machine(1, 9.5), machine(2, 2.0)]);
+        host.runs_on(1, HIGH, 0.5, 1);
+        host.runs_on(2, HIGH, 0.5, 1);
+        host
+    };
+    assert!(calm(&mut host()), "it is far emptier");
+    let mut poor = host();
+    poor.tell(|r| (r.served(TaskId(1), 0.5), r.machine_memory(TaskId(1), 0.5)));
+    assert!(!calm(&mut poor), "it serves poorly, whatever memory is left");
+    let mut evicts = host();
+    evicts.tell(|r| r.closed(TaskId(2), Ending::Broken(Loss::Evicted), true, Report::default()));
+    evicts.tell(|r| r.served(TaskId(1), 1.0));
+    assert!(!calm(&mut evicts), "it has just evicted, however well it serves");
+    evicts.tell(|r| r.machine_memory(TaskId(1), 0.5));
+    assert!(calm(&mut evicts), "a better note of the same kind");
+}
+
 #[test]
 fn a_nack_for_room_outlives_the_next_stale_view() {
     let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 3.0)]);
