Planners that lose a machine or the list together don't come back together

Seen: 120 planners of one setting, each alone in virtual time, that lose a machine or the list at one instant, and the instants at which they try again: 120 of 120 in ten milliseconds, at each of the doublings too; the list's tries had no back-off at all. Planners that started together asked their machines for signs of life together, 120 of 120, for ever after. Two planners of one seed and one start drew the same chance.

Ruled out: clients' keep-alives (their wheel draws) and the pace of accepting, which spreads what comes, not what goes.

At fault: machines.rs, failed; hear.rs, has_ended (List) and Due::Ping; lib.rs, new (seed ^ life).

Change: again.rs decides when to come back and draws a part of each wait, never beyond what it was; the list's tries double as machines' do. The first try after an end stays at once where an open offer asks for proof, and a send to a machine that has not refused opens its connection at once, so a planner alone loses nothing. The seed takes in the planner's name.

--- /dev/null
+++ b/crates/engine/src/again.rs
@@ -0,0 +1,29 @@
+//! When a planner comes back to a peer that it lost, or asks one for a sign of life.
+//!
+//! Met, counted over 120 planners: whoever learnt of a lost rack or list at one instant came back at one instant,
+//! and again at each doubling; whoever started together asked for signs of life together for ever after. So a
+//! part of each wait is drawn. It is never longer than it would be undrawn, so a planner alone loses nothing.
+
+use mulleinhub_interface::Span;
+
+/// The part of a wait between tries that is drawn.
+const TRY: f64 = 0.5;
+/// And of that between two looks for signs of life.
+const LOOK: f64 = 0.25;
+/// Waits double so often at the most.
+const DOUBLINGS: u32 = 3;
+
+/// How long to wait after so many tries that failed; `drawn` is a part of a whole, by chance.
+pub fn after_failures(first: Span, failures: u32, drawn: f64) -> Span {
+    first * f64::from(1u32 << failures.min(DOUBLINGS)) * (1.0 - TRY * drawn)
+}
+
+/// How long after a connection that was up has ended, where nothing waits for what the other side tells.
+pub fn after_end(first: Span, drawn: f64) -> Span {
+    first * drawn
+}
+
+/// From one look for signs of life to the next.
+pub fn sign(silence: Span, drawn: f64) -> Span {
+    silence * 0.5 * (1.0 - LOOK * drawn)
+}
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -1,8 +1,10 @@
 //! All that a planner holds beside the module, and the pen that carries out the module's choices.
 
+use crate::again;
 use crate::machines::{Reach, Spot};
 use crate::settings::Settings;
 use hdrhistogram::Histogram;
+use mulleinhub::{Pcg, mix};
 use mulleinhub_interface::{Effect, Ending, MachineId, Order, Reach as Group, TaskId, Writer};
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_limits::{Act, Admission, Limits, Why};
@@ -165,6 +167,8 @@
     pub spare: Spare,
     pub machines: BTreeMap<MachineId, Spot>,
     pub list_link: Option<Link>,
+    /// Tries and connections that ended since it last told anything.
+    pub list_failures: u32,
     pub list_version: u64,
     pub list_wanted: bool,
     pub list_known: bool,
@@ -194,11 +198,19 @@
     pub winding_down: bool,
     pub counts: Counts,
     pub times: Times,
+    /// Draws when to come back, so that planners that learnt of one thing at one instant don't act at one.
+    chance: Pcg,
     scratch: Vec<u8>,
 }
 
+/// Of this planner in this life alone, also where many have the same settings or start at one instant.
+pub fn own_seed(settings: &Settings, life: u64) -> u64 {
+    settings.name.bytes().fold(mix(settings.seed, life), |seed, byte| mix(seed, u64::from(byte)))
+}
+
 impl Desk {
     pub fn new(settings: Settings, life: u64) -> Self {
+        let chance = Pcg::new(own_seed(&settings, !life));
         let limits = Limits::new(settings.clients.clone());
         let admission = Admission::new(settings.most_in_hand);
         Self {
@@ -212,6 +224,7 @@
             spare: Spare::default(),
             machines: BTreeMap::new(),
             list_link: None,
+            list_failures: 0,
             list_version: 0,
             list_wanted: true,
             list_known: false,
@@ -235,10 +248,16 @@
             winding_down: false,
             counts: Counts::default(),
             times: Times::default(),
+            chance,
             scratch: Vec::with_capacity(1024),
         }
     }
 
+    /// A part of a whole, by chance.
+    pub fn drawn(&mut self) -> f64 {
+        self.chance.below(1000) as f64 / 1000.0
+    }
+
     pub fn counts(&self) -> Counts {
         let placed = |job: &&Job| job.open.is_some_and(|open| open.placed);
         let running = self.jobs.values().filter(placed).count();
@@ -557,10 +576,11 @@
         let link = self.links.open(&spot.address.clone());
         self.add_peer(link, Who::Machine(id));
         let (now, silence) = (self.now, self.settings.silence);
+        let first = silence + again::sign(silence, self.drawn()) * 0.5;
         let spot = self.machines.get_mut(&id).expect("was there");
         spot.reach = Reach::Coming(link);
         (spot.heard_at, spot.pinged_at) = (now, Some(now));
-        self.timers.set(now + silence, Due::Ping(id, link));
+        self.timers.set(now + first, Due::Ping(id, link));
     }
 
     pub fn open_list(&mut self) {
@@ -809,7 +829,8 @@
                 desk.timers.set(shut.expect("is shut"), Due::Release(machine));
             }
             Reach::Ready(link) => desk.write_offer(task, link),
-            Reach::Down if spot.retry_at > now => {
+            // One that has not refused since it was there last is tried at once.
+            Reach::Down if spot.failures > 0 && spot.retry_at > now => {
                 desk.closings.push_back((task, number, Ending::NoConnection));
             }
             _ => {
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -9,6 +9,7 @@
 //! Everything else may have run: half-written and written offers whose machine can't be asked, time-outs, and
 //! whatever a former life of the machine was sent.
 
+use crate::again;
 use crate::desk::{Answer, Desk, Due, Job, Late, Open, Who};
 use crate::machines::{Reach, Spot};
 use mulleinhub_interface::{
@@ -837,15 +838,26 @@
                 drop(borrowed);
                 round.list_failed();
             } else {
-                let at = d.now + d.settings.reconnect;
+                let (drawn, failures) = (d.drawn(), d.list_failures);
+                d.list_failures += 1;
+                let at = d.now + again::after_failures(d.settings.reconnect, failures, drawn);
                 d.timers.set(at, Due::List);
             }
         }
         Who::Machine(id) => {
             let (now, reconnect, lost_after) = (d.now, d.settings.reconnect, d.settings.lost_after);
+            let drawn = d.drawn();
+            let asks = |(_, open): &(TaskId, Open)| !open.placed && open.link == Some(link);
+            let asks = d.jobs_on(id).iter().any(asks);
             let Some(spot) = d.machines.get_mut(&id).filter(|spot| spot.link() == Some(link)) else { return };
             let failed = spot.ready().is_none() || end == End::Refused;
-            spot.failed(now, reconnect, failed);
+            let wait = match failed {
+                true => again::after_failures(reconnect, spot.failures, drawn),
+                // At once: the answer may prove what became of open sends.
+                false if asks => Span::ZERO,
+                false => again::after_end(reconnect, drawn),
+            };
+            spot.failed(now, wait, failed);
             let (retry_at, waiting) = (spot.retry_at, std::mem::take(&mut spot.waiting));
             d.timers.set(retry_at, Due::Reconnect(id));
             d.timers.set(now + lost_after, Due::Lost(id));
@@ -924,7 +936,8 @@
                 }
                 _ => {}
             }
-            d.timers.set(now + silence * 0.5, Due::Ping(id, link));
+            let next = now + again::sign(silence, d.drawn());
+            d.timers.set(next, Due::Ping(id, link));
         }
         Due::List => d.open_list(),
         Due::Start => {
@@ -968,6 +981,7 @@
         let now = d.now;
         d.list_version = version;
         d.list_known = true;
+        d.list_failures = 0;
         if kind != ListKind::Saved {
             d.list_changes();
         }
@@ -985,7 +999,13 @@
                 spot.gate.is_cold_until(since + d.settings.cold.warm_after);
             }
             if entry.mode == protocol::Mode::Active && spot.reach == Reach::Down && spot.retry_at <= now {
-                d.open_machine(id);
+                if d.hears_clients {
+                    // Many planners read this at one instant; whoever sends to it does not wait.
+                    let at = now + again::after_end(d.settings.reconnect, d.drawn());
+                    d.timers.set(at, Due::Reconnect(id));
+                } else {
+                    d.open_machine(id);
+                }
             }
         }
         // Told of a drain while offers wait here: the third rule counts what goes out on the wire.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,12 +6,12 @@
 //! the module.
 //! May not touch: sockets, clocks, files; any choice of machine, rest, order or nack, which are the module's.
 
+mod again;
 mod cold;
 mod desk;
 mod hear;
 mod machines;
 mod settings;
-
 pub use desk::{Counts, Times};
 pub use settings::Settings;
 
@@ -34,7 +34,7 @@
     /// `life` is another number at each start; `saved` is what the last life kept, if it kept anything.
     pub fn new(settings: Settings, life: u64, saved: Option<Vec<u8>>) -> Self {
         let brain = Brain::new(
-            settings.seed ^ life,
+            desk::own_seed(&settings, life),
             settings.use_cases.clone(),
             settings.kinds.clone(),
             settings.taking,
--- a/crates/engine/src/machines.rs
+++ b/crates/engine/src/machines.rs
@@ -97,15 +97,14 @@
         if let Reach::Ready(link) = self.reach { Some(link) } else { None }
     }
 
-    /// A try failed or the connection ended. The next try waits twice as long each time, up to eight times.
-    pub fn failed(&mut self, now: Time, reconnect: Span, refused: bool) {
+    /// A try failed or the connection ended. The next try waits for so long.
+    pub fn failed(&mut self, now: Time, wait: Span, refused: bool) {
         self.reach = Reach::Down;
         self.gate.ended(now);
         self.told.clear();
         self.pinged_at = None;
         self.down_since.get_or_insert(now);
-        // The first try after an end goes at once: its answer may prove what became of open sends.
-        self.retry_at = if refused { now + reconnect * f64::from(1u32 << self.failures.min(3)) } else { now };
+        self.retry_at = now + wait;
         self.failures += u32::from(refused);
     }
 
--- a/crates/engine/tests/host/mod.rs
+++ b/crates/engine/tests/host/mod.rs
@@ -75,6 +75,8 @@
     pub unread: Vec<Link>,
     pub opening: Vec<(Link, String)>,
     pub ended: Vec<Link>,
+    /// When the planner asked somebody for a sign of life.
+    pub pings: Vec<Time>,
 }
 
 impl Host {
@@ -87,12 +89,17 @@
             unread: Vec::new(),
             opening: Vec::new(),
             ended: Vec::new(),
+            pings: Vec::new(),
         }
     }
 
     /// A planner that is up with machines 1 to n, each in a cell of its own pair, all empty.
     pub fn with_machines(n: u64) -> Self {
-        let mut host = Self::new(settings(), 1, None);
+        Self::up(settings(), n)
+    }
+
+    pub fn up(settings: Settings, n: u64) -> Self {
+        let mut host = Self::new(settings, 1, None);
         host.turn();
         host.accept("list");
         host.list(&(1..=n).map(|id| (id, Mode::Active)).collect::<Vec<_>>());
@@ -148,7 +155,9 @@
         let who = self.links.get(&link).cloned().unwrap_or_default();
         while let Some(frame) = frames.next_frame().expect("planners write frames") {
             let message = protocol::decode(frame).expect("planners write messages");
-            if !matches!(message, Message::Ping { .. }) {
+            if matches!(message, Message::Ping { .. }) {
+                self.pings.push(self.now);
+            } else {
                 said.push((who.clone(), words(&message)));
             }
         }
@@ -207,7 +216,12 @@
 
     /// A machine answers the planner's greeting and tells what it holds.
     pub fn meets(&mut self, id: u64, life: u64, tasks: Vec<protocol::Held<'_>>) -> Vec<Said> {
-        let link = self.link(&format!("m{id}"));
+        let address = format!("m{id}");
+        if self.ended.contains(&self.link(&address)) {
+            // It comes back after a part of the first wait.
+            self.lives(200);
+        }
+        let link = self.link(&address);
         self.engine.up(self.now, link);
         let mut said = self.turn();
         let name = format!("machine-{id}");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,3 +11,4 @@
 pub use brain::{Brain, Round};
 pub use mulleinhub_interface as interface;
 pub use mulleinhub_interface::{Span, Time};
+pub use pcg::{Pcg, mix};
