--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,6 +45,9 @@
 /// A machine in trouble rests for this part of the client timeout, doubled by each trouble, at most so often.
 const REST_SHARE: f64 = 0.35;
 const MOST_DOUBLINGS: u32 = 5;
+/// This part of a wait is drawn: what many learn at one instant they must not come back to at one. Met: 120
+/// that had lost a machine or the list together sent again in the same ten milliseconds.
+const DRAWN: f64 = 0.25;
 /// How old a view may be when it comes: our sends younger than this are not in it.
 const VIEW_AGE: Span = Span::from_nanos(800_000_000);
 /// A list that tells nothing is trusted for this part of the longest silence that the rules allow.
@@ -178,6 +181,11 @@
         tightest * RETRY_SHARE + Span::from_nanos(1)
     }
 
+    /// The wait, or less by a part that is drawn.
+    fn drawn(&mut self, wait: Span) -> Span {
+        wait * (1.0 - DRAWN * self.chance.below(1000) as f64 / 1000.0)
+    }
+
     /// A view without news fades to the mean of all machines, or whoever gets none fills those once empty.
     fn fade(&self, now: Time) -> f64 {
         let silence = (now - self.news_at).over(self.listing.ask_within * NEWS_SHARE);
@@ -329,7 +337,8 @@
     /// The end of a send. Where `over` is not set, the final answer is still ours to give.
     pub fn closed(&mut self, id: TaskId, ending: Ending, over: bool, report: Report) {
         let Some(place) = self.b.tasks.place(id) else { return };
-        let (now, rest) = (self.now, self.b.use_case(place).client_timeout * REST_SHARE);
+        let rest = self.b.use_case(place).client_timeout * REST_SHARE;
+        let (now, rest) = (self.now, self.b.drawn(rest));
         let task = &mut self.b.tasks[place];
         let (at, state, ask, case) = (task.machine, task.state, task.order.ask, task.order.use_case.0);
         if task.sends == 0 || state == State::Pending {
@@ -434,7 +443,8 @@
     pub fn list_failed(&mut self) {
         let wait = self.b.retry_after() * f64::from(8u32 << self.b.watch_failures.min(4));
         self.b.watch_failures += 1;
-        self.out.wake_at(WATCH, self.now + wait.min(self.b.listing.ask_within * NEWS_SHARE));
+        let wait = self.b.drawn(wait.min(self.b.listing.ask_within * NEWS_SHARE));
+        self.out.wake_at(WATCH, self.now + wait);
     }
 
     pub fn list(&mut self, kind: ListKind, entries: &[Entry]) {
@@ -596,7 +606,7 @@
         let waiting = !self.b.pending.is_empty() || self.b.machines.iter().any(|(_, m)| m.starting > 0);
         if waiting && !self.b.tick_set {
             self.b.tick_set = true;
-            let wake = self.now + self.b.retry_after();
+            let wake = self.now + self.b.drawn(self.b.retry_after());
             self.out.wake_at(TICK, wake);
         }
     }
