A standstill between an early turn and the whole one is known

A client's greeting and ask lie here while an early turn answers others; the process stands still for nine seconds before its whole turn. Story: a_standstill_between_an_early_turn_and_the_whole_one_is_known, which fails before this change.

Ruled out: standstills before the first early turn, which were known and outlast it.

At fault: desk.rs, note_standstill and begin_early: after an early turn nothing was promised, so nothing could be late.

Result: the story's task is nacked unheard of any machine (offered before).

--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -484,12 +484,14 @@
         [self.timers.next(), self.limits.wake(), heartbeat].into_iter().flatten().min()
     }
 
-    /// How much later than promised this turn comes; early ones before it have found out already.
+    /// How much later than promised this turn comes. After an early one it is promised at once; what that one
+    /// found out holds for the rest of what lay here. Met: a process that stood still between the two.
     fn note_standstill(&mut self, now: Time) {
-        match self.promised.take() {
-            Some(promised) => self.stood = now - promised,
-            None if !self.early => self.stood = Span::ZERO,
-            None => return,
+        let late = self.promised.take().map_or(Span::ZERO, |promised| now - promised);
+        match self.early {
+            true if late <= STANDSTILL => return,
+            true => self.stood = self.stood + late,
+            false => self.stood = late,
         }
         if self.stood > STANDSTILL {
             self.limits.woke(now);
@@ -511,7 +513,7 @@
     pub fn begin_early(&mut self, now: Time) -> bool {
         self.now = now;
         self.note_standstill(now);
-        self.early = true;
+        (self.early, self.promised) = (true, Some(now));
         !self.arrivals.is_empty() || !self.closings.is_empty()
     }
 
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -561,6 +561,19 @@
     assert!(says(&said, "owner", "nacked 1"), "not a byte of it left: {said:?}");
 }
 
+#[test]
+fn a_standstill_between_an_early_turn_and_the_whole_one_is_known() {
+    let mut host = Host::with_machines(1);
+    host.client("steady");
+    let late = host.opens("late");
+    host.early();
+    host.only_tell(late, &[hello("late", host.now), ask(1, REPLAYABLE, host.now)]);
+    host.now = host.now + Span::from_secs(9);
+    let said = host.turn();
+    assert!(says(&said, "late", "nacked 1"), "its client timeout passed while it lay here: {said:?}");
+    assert!(offered(&said, 1).is_none());
+}
+
 /// How many tasks are offered in what was said.
 fn offers(said: &[Said]) -> usize {
     said.iter().filter(|(_, words)| words.starts_with("offer ")).count()
