A turn without news promises the next one too, so that a standstill after it is known

The planner's standstill is known by how much later than promised a turn comes; a turn that found nothing to do took the last promise and made none, and without clients there was no heartbeat. Story: a_first_client_that_came_in_a_standstill_has_less_patience_left, which fails before this change.

Ruled out: frames that carry an older clock (their lying is known by it) and standstills right after a turn with news.

At fault: lib.rs, turn: it returned before end_turn; desk.rs, wake: the heartbeat hung on clients being there.

The fake host takes turns when the planner wants them, as shells do: it was late by design, which went unnoticed while nothing was promised.

--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -17,7 +17,7 @@
 /// A turn that comes so much later than was promised follows a standstill of this process.
 const STANDSTILL: Span = Span::from_nanos(20_000_000);
 
-/// Between two turns at the most, while there are clients.
+/// Between two turns at the most, while clients are heard.
 const HEARTBEAT: Span = Span::from_nanos(100_000_000);
 
 /// Figures for logs, status and metrics.
@@ -479,8 +479,9 @@
         {
             return Some(self.now);
         }
-        // A turn at least so often, where there are clients: by its lateness a standstill is known.
-        let heartbeat = (!self.clients.is_empty()).then_some(self.now + HEARTBEAT);
+        // A turn at least so often, where clients are heard: by its lateness a standstill is known. Met without
+        // one: the first client's ask lay in a standstill that nobody knew of.
+        let heartbeat = self.hears_clients.then_some(self.now + HEARTBEAT);
         [self.timers.next(), self.limits.wake(), heartbeat].into_iter().flatten().min()
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -178,7 +178,8 @@
         desk.get_mut().begin_turn(now);
         let first = !std::mem::replace(begun, true);
         if !first && !desk.get_mut().has_news() {
-            return;
+            // Met: a turn without news promised no next one, and a standstill after it was not known.
+            return desk.get_mut().end_turn();
         }
         let desk = &*desk;
         mind.round(now, &mut Pen(desk), &mut |round| {
--- a/crates/engine/tests/host/mod.rs
+++ b/crates/engine/tests/host/mod.rs
@@ -168,11 +168,15 @@
         self.turn()
     }
 
-    /// Time passes as in a process that goes on: a turn every tenth of a second.
+    /// Time passes as in a process that goes on: a turn whenever the planner wants one, and every tenth of a
+    /// second.
     pub fn lives(&mut self, ms: u64) {
         let end = self.now + Span::from_nanos(ms * 1_000_000);
         while self.now < end {
-            self.after(100);
+            let next = (self.now + Span::from_nanos(100_000_000)).min(end);
+            let wake = self.engine.wake().unwrap_or(next);
+            self.now = wake.clamp(self.now + Span::from_nanos(1), next);
+            self.turn();
         }
     }
 
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -574,6 +574,21 @@
     assert!(offered(&said, 1).is_none());
 }
 
+#[test]
+fn a_first_client_that_came_in_a_standstill_has_less_patience_left() {
+    let mut host = Host::with_machines(1);
+    host.lives(300);
+    let asked_at = host.now + Span::from_nanos(100_000_000);
+    // The process is stopped while the first client comes and asks, and goes on a second later.
+    host.now = asked_at + Span::from_secs(1);
+    let first = host.opens("first");
+    let (shape, clock) = (shape(1, REPLAYABLE), asked_at.nanos());
+    let ask = Message::Ask { task: 1, shape, patience: 800_000_000, clock };
+    host.only_tell(first, &[hello("first", asked_at), ask]);
+    let said = host.turn();
+    assert!(says(&said, "first", "nacked 1"), "its client timeout is over: {said:?}");
+}
+
 /// How many tasks are offered in what was said.
 fn offers(said: &[Said]) -> usize {
     said.iter().filter(|(_, words)| words.starts_with("offer ")).count()
