The module draws rests and the list's tries upward, and ticks not at all

Cause: the first try, downward, had schedulers ask the list service sooner on the whole, which is the bottleneck with 300 of them, and back at machines sooner.

Change: a wait is longer by up to a quarter. Ticks are the module's own phase since it last had something pending: drawing them showed nothing.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,8 +45,8 @@
 /// A machine in trouble rests for this part of the client timeout, doubled by each trouble, at most so often.
 const REST_SHARE: f64 = 0.35;
 const MOST_DOUBLINGS: u32 = 5;
-/// This part of a wait is drawn: what many learn at one instant they must not come back to at one. Met: 120
-/// that had lost a machine or the list together sent again in the same ten milliseconds.
+/// Waits are longer by up to this part: what many learn at one instant they must not come back to at one.
+/// Met: 120 that had lost a machine or the list together sent again in the same ten milliseconds.
 const DRAWN: f64 = 0.25;
 /// How old a view may be when it comes: our sends younger than this are not in it.
 const VIEW_AGE: Span = Span::from_nanos(800_000_000);
@@ -185,9 +185,9 @@
         tightest * RETRY_SHARE + Span::from_nanos(1)
     }
 
-    /// The wait, or less by a part that is drawn.
+    /// The wait, and a part of it more that is drawn.
     fn drawn(&mut self, wait: Span) -> Span {
-        wait * (1.0 - DRAWN * self.chance.below(1000) as f64 / 1000.0)
+        wait * (1.0 + DRAWN * self.chance.below(1000) as f64 / 1000.0)
     }
 
     /// A view without news fades to the mean of all machines, or whoever gets none fills those once empty.
@@ -610,7 +610,7 @@
         let waiting = !self.b.pending.is_empty() || self.b.machines.iter().any(|(_, m)| m.starting > 0);
         if waiting && !self.b.tick_set {
             self.b.tick_set = true;
-            let wake = self.now + self.b.drawn(self.b.retry_after());
+            let wake = self.now + self.b.retry_after();
             self.out.wake_at(TICK, wake);
         }
     }
