An offer that waited for its connection is not written after the window of repeats

Story: an_offer_that_waited_for_its_connection_is_not_written_after_the_window_of_repeats, which fails before this change.

Ruled out: the module, which sends again within nine tenths of the window and can't see the wait.

At fault: desk.rs, release: only the offer's time-out was looked at.

Change: the planner notes when the first send was decided on that may have run; a waiting offer past the window from then on goes back as never sent, and the module answers as for any task past its window.

--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -102,7 +102,8 @@
     pub came: Time,
     pub sends: u32,
     pub open: Option<Open>,
-    pub may_have_run: bool,
+    /// When the first send was decided on that may have run, if any.
+    pub may_have_run: Option<Time>,
     pub withdrawn: bool,
     /// Handed over by its owner; the machine has not yet said that it holds it.
     pub claiming: bool,
@@ -640,8 +641,9 @@
             else {
                 continue;
             };
+            let past = self.is_past_window(TaskId(task));
             let Some(spot) = self.machines.get_mut(&machine) else { return };
-            if spot.gate.is_stale(now, fall, open.decided) {
+            if past || spot.gate.is_stale(now, fall, open.decided) {
                 self.closings.push_back((TaskId(task), send, Ending::NotSent));
             } else if shut.is_some() || open.due <= now {
                 // Its time-out is about to take it back. Met after a standstill: it went out in an early
@@ -671,6 +673,16 @@
         self.closings.iter().any(|(task, number, _)| (*task, *number) == (id, send))
     }
 
+    /// Whether machines drop repeats of this task no longer. Met: an offer that had waited for its connection
+    /// until then.
+    fn is_past_window(&self, id: TaskId) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        match self.settings.use_cases[job.order.use_case.0].effect {
+            Effect::Referenced { window, .. } => job.may_have_run.is_some_and(|at| self.now - at > window),
+            Effect::Replayable | Effect::SingleUse => false,
+        }
+    }
+
     /// Takes the offer of an open send back, where not a byte of it left this process.
     pub fn take_back(&mut self, id: TaskId) -> bool {
         let Some(open) = self.jobs.get(&id).and_then(|job| job.open) else { return false };
@@ -866,7 +878,7 @@
         assert!(job.open.is_none(), "task {}: nacked with a send out", task.0);
         let harmless = match desk.settings.use_cases[job.order.use_case.0].effect {
             Effect::Replayable | Effect::Referenced { group: Group::All, .. } => true,
-            Effect::Referenced { .. } | Effect::SingleUse => !job.may_have_run,
+            Effect::Referenced { .. } | Effect::SingleUse => job.may_have_run.is_none(),
         };
         assert!(harmless, "task {}: nacked though it may have run", task.0);
         desk.counts.nacked += 1;
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -307,7 +307,7 @@
         came,
         sends: 0,
         open: None,
-        may_have_run: false,
+        may_have_run: None,
         withdrawn: false,
         claiming: false,
         answered: false,
@@ -644,7 +644,7 @@
             owner_link: None,
             sends: held.send + 1,
             open: Some(open),
-            may_have_run: true,
+            may_have_run: Some(d.now),
             answered: true,
             ..adopted
         };
@@ -720,7 +720,7 @@
     open.stopping = withdrawn;
     let mark = open.mark;
     job.claiming = false;
-    job.may_have_run = true;
+    job.may_have_run.get_or_insert(open.decided);
     d.forget_mark(mark);
     if withdrawn {
         d.write(link, &Message::Stop { task: id.0, send, moves: false });
@@ -790,7 +790,9 @@
     let Some(open) = job.open.filter(|open| open.number == send) else { return };
     job.open = None;
     let never_ran = matches!(ending, Ending::Nacked(_) | Ending::NoConnection | Ending::NotSent);
-    job.may_have_run |= !never_ran;
+    if !never_ran {
+        job.may_have_run.get_or_insert(open.decided);
+    }
     let (shape, owner, owner_link) = (job.shape, job.owner.clone(), job.owner_link);
     let (wanted, claiming) = (!job.withdrawn, job.claiming);
     let _task = tracing::debug_span!("task", id = id.0, owner).entered();
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -589,6 +589,25 @@
     assert!(says(&said, "first", "nacked 1"), "its client timeout is over: {said:?}");
 }
 
+#[test]
+fn an_offer_that_waited_for_its_connection_is_not_written_after_the_window_of_repeats() {
+    // Where yes means that it runs, nothing is called back before its time-out.
+    let mut limited = settings();
+    limited.taking.yes_when_running = true;
+    let mut host = Host::up(limited, 2);
+    let client = host.client("owner");
+    let (first, _) = offered(&host.ask(client, 1, REFERENCED), 1).expect("there is room");
+    let other = if first % 2 == 1 { first + 1 } else { first - 1 };
+    host.after(3_400);
+    // Both lose their connections: the first is refused, so the task may have run; the other's comes up late.
+    host.ends(host.link(&format!("m{other}")), End::Broken);
+    host.ends(host.link(&format!("m{first}")), End::Broken);
+    host.ends(host.link(&format!("m{first}")), End::Refused);
+    host.after(1_700);
+    let said = host.meets(other, 100 + other, vec![]);
+    assert!(offered(&said, 1).is_none(), "five seconds after the first send: {said:?}");
+}
+
 /// How many tasks are offered in what was said.
 fn offers(said: &[Said]) -> usize {
     said.iter().filter(|(_, words)| words.starts_with("offer ")).count()
