--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -706,6 +706,11 @@
         unwritten.into_iter().filter_map(named).collect()
     }
 
+    #[cfg(test)]
+    pub fn marks_held(&self) -> usize {
+        self.marks.len()
+    }
+
     pub fn forget_mark(&mut self, mark: u64) {
         self.marks.remove(&mark);
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,6 +11,8 @@
 mod desk;
 mod hear;
 mod machines;
+#[cfg(test)]
+mod properties;
 mod settings;
 pub use desk::{Counts, Times};
 pub use settings::Settings;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -107,9 +107,9 @@
     /// How long a start usually takes, on a machine with and without the program.
     usual_start: [Span; 2],
     chance: Pcg,
-    tasks: Slab<TaskId, Task>,
-    machines: Slab<MachineId, Machine>,
-    pending: Vec<usize>,
+    pub(crate) tasks: Slab<TaskId, Task>,
+    pub(crate) machines: Slab<MachineId, Machine>,
+    pub(crate) pending: Vec<usize>,
     moved: VecDeque<(TaskKey, Room)>,
     fits: Vec<Fit>,
     tick_set: bool,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 mod mind;
 mod pcg;
 mod peak;
+#[cfg(test)]
+mod properties;
 mod slab;
 mod state;
 
--- /dev/null
+++ b/src/properties.rs
@@ -0,0 +1,658 @@
+//! The brief's five rules as properties of the decisions: three schedulers that share machines and nothing
+//! else, drawn events, and an oracle that has the rules' words. What a whole planner makes of them is
+//! tested in `crates/engine`; here are endings that no wire of ours tells, and the sum over schedulers.
+
+use crate::interface::*;
+use crate::{Brain, Span, Time};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: u64 = 1_000_000;
+const SCHEDULERS: usize = 3;
+const MACHINES: usize = 4;
+const YOUNG_LIMIT: usize = 4;
+const MOST_SENDS: usize = 4;
+const ANSWER_SLACK: u64 = 250 * MS;
+const FALL: u64 = 1_000 * MS;
+const WARM: u64 = 10_000 * MS;
+
+#[derive(Clone, Debug)]
+enum Event {
+    New {
+        case: usize,
+        service: u64,
+        ask: f64,
+        patience: u64,
+    },
+    Runs {
+        case: usize,
+        service: u64,
+        machine: usize,
+    },
+    /// Of the tasks that wait for an answer or run, the one of this number.
+    Accepted(usize),
+    Started(usize),
+    Closed(usize, Ending),
+    Abandoned(usize),
+    Noted(usize, f64, f64),
+    Fares(usize, f64, f64),
+    /// It uses much, and its machine's memory is short.
+    Heats(usize),
+    /// Of a task that is over, or never was.
+    Odd(u64, usize),
+    Listed(usize, Mode, bool),
+    WholeList,
+    ListFailed,
+    Restarted(usize),
+}
+
+#[derive(Clone, Debug)]
+struct Step {
+    scheduler: usize,
+    wait: u64,
+    /// It hears nothing until all of the wait is over, time-outs neither.
+    stands: bool,
+    events: Vec<Event>,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let endings = vec![
+        Ending::Ok,
+        Ending::Errored,
+        Ending::Nacked(Nack::Untold),
+        Ending::Nacked(Nack::HandedBack),
+        Ending::Nacked(Nack::NoCores),
+        Ending::Nacked(Nack::NoMemory),
+        Ending::Nacked(Nack::QueueFull),
+        Ending::Nacked(Nack::NotHere),
+        Ending::TimedOut,
+        Ending::NoConnection,
+        Ending::Broken(Loss::Untold),
+        Ending::Broken(Loss::Evicted),
+        Ending::Recalled,
+        Ending::NotSent,
+    ];
+    let (m, n) = (0..MACHINES, 0..12usize);
+    let mode = prop_oneof![4 => Just(Mode::Active), 1 => Just(Mode::Leaving), 1 => Just(Mode::Left)];
+    prop_oneof![
+        12 => (0..4usize, 0..3u64, 1..8u32, prop_oneof![3 => Just(8_000u64), 1 => 1..8_000u64]).prop_map(
+            |(case, service, ask, patience)| Event::New { case, service, ask: f64::from(ask) * 0.5, patience }
+        ),
+        1 => (0..4usize, 0..3u64, m.clone())
+            .prop_map(|(case, service, machine)| Event::Runs { case, service, machine }),
+        8 => n.clone().prop_map(Event::Accepted),
+        4 => n.clone().prop_map(Event::Started),
+        8 => (n.clone(), prop::sample::select(endings)).prop_map(|(n, ending)| Event::Closed(n, ending)),
+        4 => n.clone().prop_map(Event::Abandoned),
+        3 => (n.clone(), 0..4u32, 0..4u32)
+            .prop_map(|(n, c, m)| Event::Noted(n, f64::from(c) * 2.0, f64::from(m) * 2.0)),
+        3 => (n, 0..5u32, 0..5u32)
+            .prop_map(|(n, s, m)| Event::Fares(n, f64::from(s) / 4.0, f64::from(m) * 0.4)),
+        3 => (0..12usize).prop_map(Event::Heats),
+        1 => (any::<u64>(), 0..4usize).prop_map(|(id, n)| Event::Odd(id, n)),
+        5 => (m.clone(), mode, any::<bool>()).prop_map(|(m, mode, fresh)| Event::Listed(m, mode, fresh)),
+        1 => Just(Event::WholeList),
+        1 => Just(Event::ListFailed),
+        1 => m.prop_map(Event::Restarted),
+    ]
+}
+
+#[derive(Clone)]
+struct Day(Vec<Step>);
+
+impl std::fmt::Debug for Day {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.iter().try_for_each(|step| write!(f, "\n    {step:?}"))
+    }
+}
+
+fn day() -> impl Strategy<Value = Day> {
+    let wait = prop_oneof![4 => Just(0u64), 4 => 1..100u64, 2 => 100..2_000u64];
+    let step = (0..SCHEDULERS, wait, prop::bool::weighted(0.1), prop::collection::vec(event(), 1..4));
+    let step = step.prop_map(|(scheduler, wait, stands, events)| Step { scheduler, wait, stands, events });
+    prop::collection::vec(step, 1..100).prop_map(Day)
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Said {
+    Send(u64, u64, u64),
+    Nack(u64),
+    Error(u64),
+    Move(u64),
+    Recall(u64),
+    Wake(u64, u64),
+}
+
+#[derive(Default)]
+struct Notebook(Vec<Said>);
+
+impl Writer for Notebook {
+    fn send(&mut self, task: TaskId, machine: MachineId, time_out: Span) {
+        self.0.push(Said::Send(task.0, machine.0, time_out.nanos()));
+    }
+    fn recall(&mut self, task: TaskId, _: u32) {
+        self.0.push(Said::Recall(task.0));
+    }
+    fn nack(&mut self, task: TaskId, _: Span) {
+        self.0.push(Said::Nack(task.0));
+    }
+    fn error(&mut self, task: TaskId) {
+        self.0.push(Said::Error(task.0));
+    }
+    fn move_off(&mut self, task: TaskId) {
+        self.0.push(Said::Move(task.0));
+    }
+    fn wake_at(&mut self, token: u64, at: Time) {
+        self.0.push(Said::Wake(token, at.nanos()));
+    }
+    fn probe(&mut self, _: MachineId) {}
+    fn watch_list(&mut self) {}
+    fn remark(&mut self, _: &str) {}
+}
+
+#[derive(Debug)]
+struct Sent {
+    machine: usize,
+    at: u64,
+    due: u64,
+    over: bool,
+    never_ran: bool,
+}
+
+#[derive(Debug)]
+struct Task {
+    case: usize,
+    service: u64,
+    deadline: u64,
+    sends: Vec<Sent>,
+    placed: bool,
+    /// Answered, or over in another way.
+    over: bool,
+    abandoned: bool,
+    /// Abandoned or over in a round before this one.
+    heard: bool,
+    moved: bool,
+}
+
+/// What one scheduler was told, and what it said.
+struct Scheduler {
+    brain: Brain,
+    tasks: BTreeMap<u64, Task>,
+    wakes: BTreeSet<(u64, u64)>,
+    listed: Vec<Option<Mode>>,
+    /// Until when it must take each machine for cold.
+    cold_until: [u64; MACHINES],
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Met {
+    answers: u64,
+    bound_again: u64,
+    drains: u64,
+    cold_sends: u64,
+    spread_sends: u64,
+    moves: u64,
+    abandoned: [u64; 3],
+}
+
+struct World {
+    now: u64,
+    next: u64,
+    schedulers: Vec<Scheduler>,
+    /// When each machine started, where that is told.
+    up_at: [Option<u64>; MACHINES],
+    cold_sends: Vec<Vec<u64>>,
+    met: Met,
+}
+
+fn use_cases() -> Vec<UseCase> {
+    let window = Span::from_secs(5);
+    let case = |effect, priority, spread| UseCase {
+        soft_limit: Span::from_secs(1),
+        client_timeout: Span::from_secs(8),
+        effect,
+        earnings: f64::from(priority) + 1.0,
+        start_seconds: 10.0,
+        priority,
+        kind: None,
+        spread,
+        full_up_to: 0.8,
+        fade: 0.2,
+    };
+    vec![
+        case(Effect::Replayable, 0, None),
+        case(Effect::Referenced { group: Reach::Cell, window }, 1, None),
+        case(Effect::SingleUse, 1, Some((Reach::Machine, 1))),
+        case(Effect::Replayable, 1, Some((Reach::Cell, 2))),
+    ]
+}
+
+fn entry(m: usize, mode: Mode, since: Option<u64>) -> Entry {
+    Entry {
+        id: MachineId(m as u64),
+        kind: KindId(0),
+        cell: CellId(m as u32 / 2),
+        zone: ZoneId(0),
+        mode,
+        since: since.map(Time::from_nanos),
+        left: Some(Room::new(10.0, 10.0)),
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let scheduler = |number| {
+            let taking = Taking {
+                cores: 2.0,
+                memory: 2.0,
+                yes_when_running: seed % 2 == 0,
+                max_sends: MOST_SENDS as u32,
+                tells_pressure: true,
+                recalls: true,
+            };
+            let cold = ColdRule {
+                warm_after: Span::from_nanos(WARM),
+                fall: Span::from_nanos(FALL),
+                young_limit: YOUNG_LIMIT as f64,
+                schedulers: SCHEDULERS as u32,
+                number,
+            };
+            let listing = Listing { asked: true, ask_within: Span::from_secs(10) };
+            let home = Home { zone: ZoneId(0), cross_zone_price: 0.0, machine_price: 0.1 };
+            let kinds = vec![Room::new(10.0, 10.0)];
+            let seed = seed + u64::from(number);
+            Scheduler {
+                brain: Brain::new(seed, use_cases(), kinds, taking, cold, listing, home),
+                tasks: BTreeMap::new(),
+                wakes: BTreeSet::new(),
+                listed: vec![None; MACHINES],
+                cold_until: [0; MACHINES],
+            }
+        };
+        let mut world = Self {
+            now: 100_000 * MS,
+            next: 1,
+            schedulers: (0..SCHEDULERS as u32).map(scheduler).collect(),
+            up_at: [None; MACHINES],
+            cold_sends: vec![Vec::new(); MACHINES],
+            met: Met::default(),
+        };
+        for s in 0..SCHEDULERS {
+            world.round(s, &[Event::WholeList]);
+        }
+        world
+    }
+
+    /// The `n`th task that has a send out or runs.
+    fn open(&self, s: usize, n: usize) -> Option<u64> {
+        let open = |task: &Task| task.sends.last().is_some_and(|sent| !sent.over);
+        let open: Vec<u64> =
+            self.schedulers[s].tasks.iter().filter(|(_, t)| open(t)).map(|(id, _)| *id).collect();
+        open.get(n % open.len().max(1)).copied()
+    }
+
+    /// One round of one scheduler, and what it says.
+    fn round(&mut self, s: usize, events: &[Event]) {
+        let mut book = Notebook::default();
+        let now = Time::from_nanos(self.now);
+        // Taken out for the round, so that events can be drawn on the world.
+        let mut brain = std::mem::replace(&mut self.schedulers[s].brain, idle_brain());
+        brain.round(now, &mut book, |round| {
+            let due: Vec<(u64, u64)> =
+                self.schedulers[s].wakes.range(..=(self.now, u64::MAX)).copied().collect();
+            for wake in due {
+                self.schedulers[s].wakes.remove(&wake);
+                round.woken(wake.1);
+            }
+            events.iter().for_each(|event| self.tell(s, event, round));
+            let late: Vec<u64> = self.schedulers[s]
+                .tasks
+                .iter()
+                .filter(|(_, t)| is_due(t, self.now))
+                .map(|(id, _)| *id)
+                .collect();
+            late.into_iter().for_each(|id| self.close(s, id, Ending::TimedOut, round));
+        });
+        self.schedulers[s].brain = brain;
+        book.0.into_iter().for_each(|said| self.said(s, said));
+        self.schedulers[s].tasks.values_mut().for_each(|task| task.heard = task.abandoned || task.over);
+        for (id, task) in
+            self.schedulers[s].tasks.iter().filter(|(_, t)| !t.over && !t.placed && !t.abandoned)
+        {
+            assert!(self.now <= task.deadline + ANSWER_SLACK, "rule 1: task {id} has no answer in time");
+        }
+    }
+
+    fn tell(&mut self, s: usize, event: &Event, round: &mut crate::Round<'_, Notebook>) {
+        match *event {
+            Event::New { case, service, ask, patience } => {
+                let deadline = self.now + patience * MS;
+                let order = self.order(s, case, service, ask, deadline);
+                round.new_task(order);
+            }
+            Event::Runs { machine, .. } if self.schedulers[s].listed[machine] == Some(Mode::Left) => {}
+            Event::Runs { case, service, machine } => {
+                let order = self.order(s, case, service, 1.0, u64::MAX);
+                let sent = Sent { machine, at: self.now, due: u64::MAX, over: false, never_ran: false };
+                let task = self.schedulers[s].tasks.get_mut(&order.id.0).expect("is there");
+                (task.placed, task.deadline) = (true, u64::MAX - ANSWER_SLACK);
+                task.sends.push(sent);
+                round.running(order, MachineId(machine as u64));
+            }
+            Event::Accepted(n) => {
+                let Some(id) = self.open(s, n) else { return };
+                let task = self.schedulers[s].tasks.get_mut(&id).expect("is open");
+                task.placed |= !task.abandoned;
+                round.accepted(TaskId(id));
+            }
+            Event::Started(n) => {
+                if let Some(id) = self.open(s, n).filter(|id| self.schedulers[s].tasks[id].placed) {
+                    round.runs(TaskId(id));
+                }
+            }
+            Event::Closed(n, ending) => {
+                if let Some(id) = self.open(s, n) {
+                    self.close(s, id, ending, round);
+                }
+            }
+            Event::Abandoned(n) => {
+                let live = |task: &Task| !task.over && !task.abandoned;
+                let tasks = &mut self.schedulers[s].tasks;
+                let ids: Vec<u64> = tasks.iter().filter(|(_, t)| live(t)).map(|(id, _)| *id).collect();
+                let Some(id) = ids.get(n % ids.len().max(1)).copied() else { return };
+                let task = tasks.get_mut(&id).expect("is live");
+                let out = task.sends.last().is_some_and(|sent| !sent.over);
+                self.met.abandoned[usize::from(out) + usize::from(task.placed)] += 1;
+                task.abandoned = true;
+                task.over |= !out;
+                round.abandoned(TaskId(id));
+            }
+            Event::Noted(n, cores, memory) => {
+                if let Some(id) = self.open(s, n) {
+                    round.uses(TaskId(id), Some(cores), Some(memory));
+                }
+            }
+            Event::Fares(n, served, memory) => {
+                if let Some(id) = self.open(s, n) {
+                    round.served(TaskId(id), served);
+                    round.machine_memory(TaskId(id), memory);
+                }
+            }
+            Event::Heats(n) => {
+                if let Some(id) = self.open(s, n) {
+                    round.uses(TaskId(id), Some(4.0), Some(4.0));
+                    round.machine_memory(TaskId(id), 1.2);
+                }
+            }
+            Event::Odd(id, n) => {
+                let over = self.schedulers[s].tasks.iter().find(|(_, t)| t.over).map(|(id, _)| *id);
+                let id = TaskId(over.unwrap_or(id | 1 << 60));
+                match n {
+                    0 => round.accepted(id),
+                    1 => round.runs(id),
+                    2 => round.abandoned(id),
+                    _ => round.closed(id, Ending::Broken(Loss::Untold), true, Report::default()),
+                }
+            }
+            Event::Listed(m, mode, fresh) => {
+                if fresh {
+                    self.up_at[m] = Some(self.now - 200 * MS);
+                }
+                let since = self.up_at[m];
+                self.listed(s, m, mode, since);
+                round.list(ListKind::Changes, &[entry(m, mode, since)]);
+            }
+            Event::WholeList => {
+                let up_at = self.up_at;
+                let entries: Vec<Entry> = (0..MACHINES).map(|m| entry(m, Mode::Active, up_at[m])).collect();
+                (0..MACHINES).for_each(|m| self.listed(s, m, Mode::Active, up_at[m]));
+                round.list(ListKind::Whole, &entries);
+            }
+            Event::ListFailed => round.list_failed(),
+            // Nobody is connected to a machine that has left.
+            Event::Restarted(m) if self.schedulers[s].listed[m] == Some(Mode::Left) => {}
+            Event::Restarted(m) => {
+                self.is_cold(s, m, self.now);
+                round.restarted(MachineId(m as u64));
+            }
+        }
+    }
+
+    fn order(&mut self, s: usize, case: usize, service: u64, ask: f64, deadline: u64) -> Order {
+        let id = self.next;
+        self.next += 1;
+        let service = service + 10 * case as u64;
+        let task = Task {
+            case,
+            service,
+            deadline,
+            sends: Vec::new(),
+            placed: false,
+            over: false,
+            abandoned: false,
+            heard: false,
+            moved: false,
+        };
+        self.schedulers[s].tasks.insert(id, task);
+        Order {
+            id: TaskId(id),
+            key: TaskKey(id),
+            use_case: UseCaseId(case),
+            service: ServiceId(service),
+            ask: Room::new(ask, ask),
+            deadline: Time::from_nanos(deadline),
+            again: id % 5 == 0,
+        }
+    }
+
+    fn listed(&mut self, s: usize, m: usize, mode: Mode, since: Option<u64>) {
+        let before = self.schedulers[s].listed[m].replace(mode);
+        self.met.drains += u64::from(mode != Mode::Active && before == Some(Mode::Active));
+        if let Some(since) = since {
+            self.is_cold(s, m, since);
+        }
+    }
+
+    fn is_cold(&mut self, s: usize, m: usize, since: u64) {
+        let until = &mut self.schedulers[s].cold_until[m];
+        *until = (*until).max(since + WARM);
+    }
+
+    /// The send that is out, or the task that runs, ends.
+    fn close(&mut self, s: usize, id: u64, ending: Ending, round: &mut crate::Round<'_, Notebook>) {
+        let task = self.schedulers[s].tasks.get_mut(&id).expect("is open");
+        let sent = task.sends.last_mut().expect("is open");
+        let (m, handed_back) = (sent.machine, ending == Ending::Nacked(Nack::HandedBack));
+        sent.over = true;
+        sent.never_ran = matches!(ending, Ending::Nacked(_) | Ending::NoConnection | Ending::NotSent)
+            && (!task.placed || handed_back);
+        let over = task.placed || task.abandoned;
+        task.over |= over;
+        if matches!(ending, Ending::NoConnection | Ending::Broken(Loss::Untold)) {
+            self.is_cold(s, m, self.now);
+        }
+        round.closed(TaskId(id), ending, over, Report::default());
+    }
+
+    fn said(&mut self, s: usize, said: Said) {
+        let (now, cases) = (self.now, use_cases());
+        match said {
+            Said::Wake(token, at) => drop(self.schedulers[s].wakes.insert((at.max(now + 1), token))),
+            Said::Recall(id) => {
+                let out = self.schedulers[s].tasks[&id].sends.last().is_some_and(|sent| !sent.over);
+                assert!(out, "task {id}: a send is called back that is over");
+            }
+            Said::Move(id) => {
+                let task = self.schedulers[s].tasks.get_mut(&id).expect("a task of ours");
+                assert!(task.placed, "task {id} is moved and doesn't run");
+                assert!(!std::mem::replace(&mut task.moved, true), "task {id} is moved twice");
+                assert!(!task.heard, "task {id} is moved though it is over, or its owner stops it");
+                assert_eq!(cases[task.case].priority, 0, "only low-priority tasks are moved");
+                self.met.moves += 1;
+            }
+            Said::Nack(id) | Said::Error(id) => {
+                let task = self.schedulers[s].tasks.get_mut(&id).expect("a task of ours");
+                assert!(!task.over && !task.placed, "rule 1: task {id} is answered twice");
+                assert!(!task.abandoned, "task {id} is answered though nobody waits");
+                assert!(task.sends.iter().all(|sent| sent.over), "rule 2: {id} is answered with a send out");
+                let may_run = task.sends.iter().any(|sent| !sent.never_ran);
+                let harmless = !may_run || cases[task.case].effect == Effect::Replayable;
+                let nack = matches!(said, Said::Nack(_));
+                assert!(!nack || harmless, "rule 2: task {id} is nacked though it may have run");
+                task.over = true;
+                self.met.answers += 1;
+            }
+            Said::Send(id, m, time_out) => self.sent(s, id, m as usize, time_out),
+        }
+    }
+
+    fn sent(&mut self, s: usize, id: u64, m: usize, time_out: u64) {
+        let (now, cases) = (self.now, use_cases());
+        let scheduler = &mut self.schedulers[s];
+        let task = scheduler.tasks.get_mut(&id).expect("a task of ours");
+        let case = &cases[task.case];
+        assert!(!task.over && !task.placed && !task.abandoned, "rule 1: task {id} is sent after its end");
+        assert!(now <= task.deadline, "rule 1: task {id} is sent after its client timeout");
+        assert!(task.sends.iter().all(|sent| sent.over), "rule 2: task {id} has two sends out");
+        assert!(task.sends.len() < MOST_SENDS, "task {id} is sent too often");
+        self.met.bound_again += u64::from(!task.sends.is_empty());
+        if let Some(first) = task.sends.iter().find(|sent| !sent.never_ran) {
+            match case.effect {
+                Effect::Replayable => {}
+                Effect::SingleUse => panic!("rule 2: single-use task {id} is sent again"),
+                Effect::Referenced { window, .. } => {
+                    assert_eq!(first.machine / 2, m / 2, "rule 2: task {id} leaves its group");
+                    assert!(now <= first.at + window.nanos(), "rule 2: task {id} is sent after its window");
+                }
+            }
+        }
+        task.sends.push(Sent { machine: m, at: now, due: now + time_out, over: false, never_ran: false });
+        let service = task.service;
+        assert_eq!(
+            scheduler.listed[m],
+            Some(Mode::Active),
+            "rule 3: task {id} is sent to closed machine {m}"
+        );
+        if now < scheduler.cold_until[m] {
+            let sends = &mut self.cold_sends[m];
+            sends.push(now);
+            sends.retain(|at| now - at < FALL);
+            let many = sends.len();
+            assert!(many <= YOUNG_LIMIT, "rule 4: {many} sends of all schedulers to cold machine {m}");
+            self.met.cold_sends += 1;
+        }
+        if let Some((reach, most)) = case.spread {
+            let there = |sent: &Sent| match reach {
+                Reach::Machine => sent.machine == m,
+                _ => sent.machine / 2 == m / 2,
+            };
+            let holds =
+                |t: &&Task| t.service == service && t.sends.iter().any(|sent| !sent.over && there(sent));
+            let held = self.schedulers[s].tasks.values().filter(holds).count();
+            assert!(held <= most, "rule 5: {held} tasks of one service by machine {m}");
+            self.met.spread_sends += 1;
+        }
+    }
+
+    /// When something of this scheduler falls due.
+    fn next_due(&self, s: usize) -> u64 {
+        let scheduler = &self.schedulers[s];
+        let sends = scheduler.tasks.values().filter(|t| !t.placed).filter_map(|t| t.sends.last());
+        let sends = sends.filter(|sent| !sent.over).map(|sent| sent.due);
+        sends.chain(scheduler.wakes.first().map(|(at, _)| *at)).min().unwrap_or(u64::MAX)
+    }
+
+    /// Time passes, and each scheduler but one that stands still hears what falls due.
+    fn passes(&mut self, nanos: u64, stands: Option<usize>) {
+        let end = self.now + nanos;
+        loop {
+            let live = (0..SCHEDULERS).filter(|s| Some(*s) != stands);
+            let Some((at, s)) = live.map(|s| (self.next_due(s), s)).min().filter(|(at, _)| *at <= end) else {
+                break;
+            };
+            self.now = self.now.max(at);
+            self.round(s, &[]);
+        }
+        self.now = end;
+    }
+
+    /// All that runs ends, nothing new comes: every tally comes back to nought.
+    fn falls_quiet(&mut self) {
+        self.passes(10_000 * MS, None);
+        for s in 0..SCHEDULERS {
+            let ends: Vec<Event> = (0..500).map(|_| Event::Closed(0, Ending::Ok)).collect();
+            self.round(s, &ends);
+        }
+        self.passes(60_000 * MS, None);
+        for scheduler in &self.schedulers {
+            let brain = &scheduler.brain;
+            assert!(scheduler.tasks.values().all(|task| task.over), "all are over");
+            assert_eq!((brain.tasks.iter().count(), brain.pending.len()), (0, 0), "tasks held");
+            for (_, m) in brain.machines.iter() {
+                assert_eq!((m.starting, m.tasks.len()), (0, 0), "held of a machine");
+                let sums = [m.used.cores, m.used.memory, m.slack.cores, m.slack.memory];
+                assert!(sums.iter().all(|sum| sum.abs() < 1e-9), "use and slack of nothing: {sums:?}");
+            }
+        }
+    }
+}
+
+fn is_due(task: &Task, now: u64) -> bool {
+    !task.placed && task.sends.last().is_some_and(|sent| !sent.over && sent.due <= now)
+}
+
+fn idle_brain() -> Brain {
+    let taking = Taking {
+        cores: 1.0,
+        memory: 1.0,
+        yes_when_running: false,
+        max_sends: 1,
+        tells_pressure: false,
+        recalls: false,
+    };
+    let none = Span::ZERO;
+    let cold = ColdRule { warm_after: none, fall: none, young_limit: 0.0, schedulers: 1, number: 0 };
+    let home = Home { zone: ZoneId(0), cross_zone_price: 0.0, machine_price: 0.0 };
+    Brain::new(0, Vec::new(), Vec::new(), taking, cold, Listing { asked: false, ask_within: none }, home)
+}
+
+fn plays(seed: u8, days: u32) -> Met {
+    let config = Config { cases: days, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    let met = std::cell::RefCell::new(Met::default());
+    let played = TestRunner::new_with_rng(config, rng).run(&day(), |Day(steps)| {
+        let mut world = World::new(u64::from(seed));
+        for step in &steps {
+            world.passes(step.wait * MS, step.stands.then_some(step.scheduler));
+            world.round(step.scheduler, &step.events);
+        }
+        world.falls_quiet();
+        let (mut sum, new) = (met.borrow_mut(), world.met);
+        sum.answers += new.answers;
+        sum.bound_again += new.bound_again;
+        sum.drains += new.drains;
+        sum.cold_sends += new.cold_sends;
+        sum.spread_sends += new.spread_sends;
+        sum.moves += new.moves;
+        sum.abandoned.iter_mut().zip(new.abandoned).for_each(|(sum, new)| *sum += new);
+        Ok(())
+    });
+    if let Err(failed) = played {
+        panic!("seed {seed}: {failed}");
+    }
+    met.into_inner()
+}
+
+#[test]
+fn the_five_rules_hold_for_three_schedulers_and_all_tallies_come_back_to_nought() {
+    let met: Vec<Met> = std::thread::scope(|scope| {
+        let running: Vec<_> = (1..=4).map(|seed| scope.spawn(move || plays(seed, 1_000))).collect();
+        running.into_iter().map(|thread| thread.join().expect("a property fails")).collect()
+    });
+    for met in met {
+        println!("{met:?}");
+        let rules = [met.answers, met.bound_again, met.drains, met.cold_sends, met.spread_sends, met.moves];
+        assert!(rules.iter().chain(&met.abandoned).all(|cases| *cases > 20), "not met often: {met:?}");
+    }
+}
