What nothing calls or reads goes: probes, remarks, report values, start seconds

Cause: a walk over every public name.

Change: they are gone. Machines still answer a probe of the wire's, whose numbers stay.

--- a/crates/benchlink/src/reporting.rs
+++ b/crates/benchlink/src/reporting.rs
@@ -28,15 +28,11 @@
             match name.as_str() {
                 "x0" => cores = Some(value),
                 "x1" => memory = Some(value),
-                "queue" => report.queue = Some(value),
                 _ => {}
             }
         }
-        let room = cores.zip(memory).map(|(cores, memory)| Room::new(cores, memory));
         if self.of_use {
-            report.unused = room;
-        } else {
-            report.unasked = room;
+            report.unused = cores.zip(memory).map(|(cores, memory)| Room::new(cores, memory));
         }
         Ok(report)
     }
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -103,7 +103,6 @@
             client_timeout: span(class, "deadline")?,
             effect,
             earnings: number(class, "gain")?,
-            start_seconds: figure("classStartS", n).unwrap_or(0.0),
             priority: figure("precedence", n).unwrap_or(0.0) as u8,
             kind: figure("kindByClass", n).filter(|kind| *kind >= 0.0).map(|kind| KindId(kind as usize)),
             spread: reach.zip(figure("togetherMax", n).map(|most| most as usize)),
--- a/crates/benchlink/src/writer.rs
+++ b/crates/benchlink/src/writer.rs
@@ -40,15 +40,7 @@
         self.line("SET_TIMER", format_args!("\t{token}\t{}", at.nanos()));
     }
 
-    fn probe(&mut self, machine: MachineId) {
-        self.line("INSPECT", format_args!("\t{}", machine.0));
-    }
-
     fn watch_list(&mut self) {
         self.line("KEEP_INFORMED", format_args!("\t1"));
     }
-
-    fn remark(&mut self, words: &str) {
-        self.line("REMARK", format_args!("\t{words}"));
-    }
 }
--- a/crates/engine/examples/idle.rs
+++ b/crates/engine/examples/idle.rs
@@ -26,7 +26,6 @@
             client_timeout: Span::from_secs(3600),
             effect: Effect::Replayable,
             earnings: 1.0,
-            start_seconds: 5.0,
             priority: 0,
             kind: None,
             spread: None,
--- a/crates/engine/examples/ordinary_path.rs
+++ b/crates/engine/examples/ordinary_path.rs
@@ -27,7 +27,6 @@
             client_timeout: Span::from_secs(8),
             effect: Effect::Replayable,
             earnings: 1.0,
-            start_seconds: 5.0,
             priority: 0,
             kind: None,
             spread: None,
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -911,13 +911,6 @@
         self.0.borrow_mut().timers.set(at, Due::Token(token));
     }
 
-    fn probe(&mut self, machine: MachineId) {
-        let desk = &mut *self.0.borrow_mut();
-        if let Some(link) = desk.machines.get(&machine).and_then(Spot::ready) {
-            desk.write(link, &Message::Probe { nonce: machine.0 });
-        }
-    }
-
     fn watch_list(&mut self) {
         let desk = &mut *self.0.borrow_mut();
         desk.list_wanted = true;
@@ -926,8 +919,4 @@
             None => desk.open_list(),
         }
     }
-
-    fn remark(&mut self, words: &str) {
-        tracing::info!(words, "the module remarks");
-    }
 }
--- a/crates/engine/src/properties.rs
+++ b/crates/engine/src/properties.rs
@@ -233,7 +233,6 @@
         client_timeout: Span::from_secs(8),
         effect,
         earnings: 1.0,
-        start_seconds: 5.0,
         priority,
         kind: None,
         spread,
--- a/crates/engine/tests/host/mod.rs
+++ b/crates/engine/tests/host/mod.rs
@@ -16,7 +16,6 @@
         client_timeout: Span::from_secs(8),
         effect,
         earnings: 1.0,
-        start_seconds: 5.0,
         priority: 1,
         kind: None,
         spread: None,
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -112,8 +112,6 @@
     pub effect: Effect,
     /// For a second of full service of a task of mean size.
     pub earnings: f64,
-    /// Seconds of service that a first start within the soft limit is worth.
-    pub start_seconds: f64,
     pub priority: u8,
     pub kind: Option<KindId>,
     /// Where one service may have at most so many tasks of this scheduler.
@@ -246,8 +244,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Report {
     pub unused: Option<Room>,
-    pub unasked: Option<Room>,
-    pub queue: Option<f64>,
 }
 
 /// Takes the answers, in the order in which they are given.
@@ -259,9 +255,7 @@
     /// Stops a placed task, so that its owner asks again.
     fn move_off(&mut self, task: TaskId);
     fn wake_at(&mut self, token: u64, at: Time);
-    fn probe(&mut self, machine: MachineId);
     fn watch_list(&mut self);
-    fn remark(&mut self, words: &str);
 }
 
 impl<W: Writer + ?Sized> Writer for &mut W {
@@ -283,15 +277,9 @@
     fn wake_at(&mut self, token: u64, at: Time) {
         (**self).wake_at(token, at);
     }
-    fn probe(&mut self, machine: MachineId) {
-        (**self).probe(machine);
-    }
     fn watch_list(&mut self) {
         (**self).watch_list();
     }
-    fn remark(&mut self, words: &str) {
-        (**self).remark(words);
-    }
 }
 
 /// Hears what came in during one round.
--- a/crates/seam/src/links.rs
+++ b/crates/seam/src/links.rs
@@ -81,10 +81,6 @@
         self.forget(link)
     }
 
-    pub fn is_open(&self, link: Link) -> bool {
-        self.open.contains_key(&link)
-    }
-
     /// Puts a frame behind what is on its way. A mark names it for `take_back` and `forget`.
     pub fn send(&mut self, link: Link, frame: &[u8], mark: Option<u64>) {
         let Some(slot) = self.open.get_mut(&link) else { return };
--- a/crates/settings/src/fault.rs
+++ b/crates/settings/src/fault.rs
@@ -42,14 +42,6 @@
         self.list.is_empty()
     }
 
-    /// Line and column of a place, both from 1, the column in characters.
-    pub fn line_and_column(&self, place: &Place) -> (usize, usize) {
-        let Some((_, text)) = self.sources.0.get(place.file) else { return (1, 1) };
-        let before = &text[..place.bytes.start.min(text.len())];
-        let line = before.matches('\n').count() + 1;
-        (line, before.chars().rev().take_while(|c| *c != '\n').count() + 1)
-    }
-
     /// Every fault with file, line, column, the line itself and a caret.
     pub fn render(&self) -> String {
         let mut faults: Vec<&Fault> = self.list.iter().collect();
--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -227,10 +227,6 @@
         self.settings.size - self.asked
     }
 
-    pub fn holds_anything(&self) -> bool {
-        !self.held.is_empty()
-    }
-
     /// An offer has arrived. Every one pushes a cold machine, whatever becomes of it.
     pub(crate) fn offered(&mut self, now: Time, offer: Offer, cases: &[CaseModel], out: &mut Vec<Happened>) {
         if self.is_cold(now) && self.is_pushed_over(now, offer.shape.use_case, cases) {
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -6,7 +6,7 @@
 use garde::Validate;
 use mulleinhub_interface::Span;
 use mulleinhub_interface::{Effect, KindId, Reach, Room, UseCase};
-use mulleinhub_settings::{Args, Bytes, Cores, Directive, Faults, Name, Place, Range, Scope, Share, suggest};
+use mulleinhub_settings::{Args, Bytes, Cores, Directive, Faults, Name, Place, Range, Scope, suggest};
 use std::collections::BTreeMap;
 
 /// A use case, by the directives that planners and days share.
@@ -236,7 +236,6 @@
             client_timeout: self.client_timeout,
             effect: self.effect,
             earnings: self.earnings,
-            start_seconds: self.start_seconds,
             priority: self.priority,
             kind,
             spread: self.spread,
@@ -307,8 +306,3 @@
 ) -> Range<T> {
     scope.or(name, Range { low, high }, faults)
 }
-
-/// A part of a whole, or `default`.
-pub fn share_or(scope: &mut Scope<'_>, name: &'static str, default: f64, faults: &mut Faults) -> f64 {
-    scope.or(name, Share(default), faults).0
-}
--- a/src/properties.rs
+++ b/src/properties.rs
@@ -146,9 +146,7 @@
     fn wake_at(&mut self, token: u64, at: Time) {
         self.0.push(Said::Wake(token, at.nanos()));
     }
-    fn probe(&mut self, _: MachineId) {}
     fn watch_list(&mut self) {}
-    fn remark(&mut self, _: &str) {}
 }
 
 #[derive(Debug)]
@@ -213,7 +211,6 @@
         client_timeout: Span::from_secs(8),
         effect,
         earnings: f64::from(priority) + 1.0,
-        start_seconds: 10.0,
         priority,
         kind: None,
         spread,
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -39,11 +39,9 @@
             self.0.push(Said::WatchAt(at.nanos() / 1_000_000));
         }
     }
-    fn probe(&mut self, _: MachineId) {}
     fn watch_list(&mut self) {
         self.0.push(Said::Watch);
     }
-    fn remark(&mut self, _: &str) {}
 }
 
 /// Use case 0 is high-priority, 1 is low; both replayable unless the story changes that before `up`.
@@ -76,7 +74,6 @@
             client_timeout: secs(8),
             effect: Effect::Replayable,
             earnings: f64::from(priority) + 1.0,
-            start_seconds: 10.0,
             priority,
             kind: None,
             spread: None,
