--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -538,7 +538,7 @@
         }
         Message::Report { cores_unused, memory_unused, .. } => {
             let unused = cores_unused.zip(*memory_unused).map(|(cores, memory)| Room::new(cores, memory));
-            round.probed(machine, Report { unused, ..Report::default() });
+            round.probed(machine, Report { unused });
         }
         _ => return Err(Bad("not a message of a machine".into())),
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,11 +3,11 @@
 //! Called once a round with all that came in: `brain.round(now, &mut writer, |r| { r.new_task(..); .. })`;
 //! the round ends with the placing. Types and writer trait: `crates/interface`; the design: docs/design.md.
 //! Beside it stand these mechanisms, six at most:
-//! 1. bars: machines rest by use case after trouble, longer each time; cells rest; fresh machines have a cap
+//! 1. bars: machines rest by use case after trouble, longer each time; fresh machines have a cap
 //! 2. late views: a nack for room counts until a view can show it; a list without news fades
 //! 3. stretch: where few machines have the room asked for, what machines accept beyond it counts too
 //! 4. pressure: machines that serve poorly, or start slowly, come last and rank as fuller
-//! 5. surcharges of rank: the service's own order, another zone, an empty machine
+//! 5. surcharges of rank: the service's own order, an empty machine
 //! 6. order of pending tasks: earnings, those in time for their first start before late ones
 
 use crate::interface::*;
@@ -55,8 +55,6 @@
 /// Service under this is poor; a machine noted so counts as pressed for so long unless a better note comes.
 const SERVED_WELL: f64 = 0.95;
 const PRESSED: Span = Span::from_secs(3);
-/// So many points of asked share weigh as a point of price for another zone.
-const ZONE: f64 = 4.0;
 /// Machines keep programs for a while; so many services whose tasks of ours ended last are taken to be kept.
 const KEPT: usize = 8;
 /// What a machine without the service's program must be emptier by, as a share of its size, for each place it
@@ -362,9 +360,8 @@
             // Others were answered since this was sent, or it was moved: a long line, no dead machine.
             Ending::TimedOut | Ending::Recalled
                 if state != State::Sent || m.dealings[case].answered_at > task.sent_at => {}
-            // Send it less, and let it rest, longer each time.
+            // Let it rest, longer each time.
             Ending::NoConnection | Ending::Broken(Loss::Untold) | Ending::Nacked(Nack::QueueFull) => {
-                m.cap = (m.cap / 2.0).max(1.0);
                 m.dealings.iter_mut().for_each(|dealing| dealing.bar(now, rest));
             }
             // Errors, silence, or a nack without a reason: it may be this use case alone that suffers.
@@ -400,24 +397,11 @@
             self.b.pending.push(place);
         }
         if matches!(ending, Ending::NoConnection | Ending::Broken(Loss::Untold)) {
-            self.lost(at, rest);
+            self.b.machines[at].lost_at = Some(now);
         }
         self.probed(machine, report);
     }
 
-    /// Machines lost together have something in common: what shares a cell with them rests too. Met when
-    /// racks restarted: each scheduler learnt each machine by a failed send. Hurts where losses are chance.
-    fn lost(&mut self, at: usize, rest: Span) {
-        let now = self.now;
-        self.b.machines[at].lost_at = Some(now);
-        let is_lost = |m: &Machine| m.lost_at.is_some_and(|at| now - at < rest);
-        let cells: Vec<CellId> =
-            self.b.machines.iter().filter(|(_, m)| is_lost(m)).map(|(_, m)| m.cell).collect();
-        for (_, m) in self.b.machines.iter_mut().filter(|(_, m)| cells.len() > 1 && cells.contains(&m.cell)) {
-            m.dealings.iter_mut().for_each(|d| d.barred_until = d.barred_until.max(now + rest));
-        }
-    }
-
     pub fn abandoned(&mut self, id: TaskId) {
         let Some(place) = self.b.tasks.place(id) else { return };
         match self.b.tasks[place].state {
@@ -687,7 +671,7 @@
                 CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
             rank += m.poor.peak(self.now).unwrap_or(0.0) * POOR;
             let shut = home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - free);
-            rank += if shut { OPENING } else { 0.0 } + if away { ZONE * home.cross_zone_price } else { 0.0 };
+            rank += if shut { OPENING } else { 0.0 };
             let order = mix(service.0, m.id.0) >> 1 | u64::from(away) << 63;
             fits.push((at, rank, order, m.is_bare(service), departs));
         }
