--- a/src/properties.rs
+++ b/src/properties.rs
@@ -243,7 +243,7 @@
             let taking = Taking {
                 cores: 2.0,
                 memory: 2.0,
-                yes_when_running: seed % 2 == 0,
+                yes_when_running: seed.is_multiple_of(2),
                 max_sends: MOST_SENDS as u32,
                 tells_pressure: true,
                 recalls: true,
@@ -439,7 +439,7 @@
             service: ServiceId(service),
             ask: Room::new(ask, ask),
             deadline: Time::from_nanos(deadline),
-            again: id % 5 == 0,
+            again: id.is_multiple_of(5),
         }
     }
 
