Asks that wait in line after a standstill have the standstill taken off, whenever they are heard

After a standstill many clients' asks lie here at once, and only so many newcomers are heard in a turn. Story: asks_that_wait_in_line_for_a_later_turn_after_a_standstill_have_less_patience_left, which fails before this change.

Ruled out: steady clients, whose earlier frames tell how long a frame has lain.

At fault: desk.rs, lain: it asked whether this turn came after a standstill, not whether the bytes were read after one.

Change: each peer notes when, and after how many turns, the first of what waits was read; the wait itself counts too.

Result: the story's fourth ask is nacked like the first (offered before).

--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -71,6 +71,8 @@
     pub ahead_is_sure: bool,
     pub end: Option<End>,
     pub queued: bool,
+    /// When the first of what waits to be heard was read, and after how many turns.
+    pub since: (Time, u64),
     /// Tasks asked for on this connection that have had no final answer.
     pub in_hand: u32,
 }
@@ -193,6 +195,10 @@
     /// When a turn was promised at the end of the last one, and how much later this one came.
     promised: Option<Time>,
     stood: Span,
+    /// Turns that began, early ones too.
+    turns: u64,
+    /// The last standstill: the first and last turns of the step that came after it, and how long it was.
+    last_stood: (u64, u64, Span),
     /// There was an early turn since the last whole one.
     early: bool,
     pub hears_clients: bool,
@@ -244,6 +250,8 @@
             admission,
             promised: None,
             stood: Span::ZERO,
+            turns: 0,
+            last_stood: (0, 0, Span::ZERO),
             early: false,
             hears_clients: false,
             winding_down: false,
@@ -286,6 +294,7 @@
                 ahead_is_sure: false,
                 end: None,
                 queued: false,
+                since: (self.now, self.turns),
                 in_hand: 0,
             }),
         );
@@ -296,9 +305,15 @@
     /// ask that had lain for seconds was given its whole patience anew, and answered after its client
     /// timeout.
     pub fn lain(&mut self, link: Link, clock: u64) -> Span {
-        let stood = if self.stood > STANDSTILL { self.stood.nanos() as i64 } else { 0 };
+        let (first, last, length) = self.last_stood;
         let ahead = (self.now.nanos() as i64).saturating_sub(i64::try_from(clock).unwrap_or(i64::MAX));
         let Some(peer) = self.peers.get_mut(&link) else { return Span::ZERO };
+        // What was read after a standstill may be heard turns later. Met: those who waited in line then were
+        // given their whole patience anew.
+        let (since, turns) = peer.since;
+        let after_one = first <= turns + 1 && turns < last;
+        let lay = (self.now - since) + if after_one { length } else { Span::ZERO };
+        let stood = if lay > STANDSTILL { lay.nanos() as i64 } else { 0 };
         // A frame read after a standstill may have lain for all of it: until one is read promptly, the worst
         // holds.
         let sure = stood == 0;
@@ -313,7 +328,7 @@
         Span::from_nanos(u64::try_from(ahead.saturating_sub(least)).unwrap_or(0)).max(if sure {
             Span::ZERO
         } else {
-            self.stood
+            lay
         })
     }
 
@@ -385,6 +400,9 @@
     pub fn came_in(&mut self, now: Time, link: Link, bytes: &[u8]) {
         let Some(peer) = self.peers.get_mut(&link) else { return };
         peer.frames.take_with(bytes, &mut self.spare);
+        if !peer.queued {
+            peer.since = (now, self.turns);
+        }
         // Who sends more than is heard in a turn waits until that was heard.
         if matches!(peer.who, Who::Stranger | Who::Client(_)) && self.limits.slows(peer.frames.kept()) {
             self.links.pause(link, true);
@@ -489,13 +507,15 @@
     /// How much later than promised this turn comes. After an early one it is promised at once; what that one
     /// found out holds for the rest of what lay here. Met: a process that stood still between the two.
     fn note_standstill(&mut self, now: Time) {
+        self.turns += 1;
         let late = self.promised.take().map_or(Span::ZERO, |promised| now - promised);
-        match self.early {
-            true if late <= STANDSTILL => return,
-            true => self.stood = self.stood + late,
-            false => self.stood = late,
+        let known = self.early && self.stood > STANDSTILL;
+        if !self.early || late > STANDSTILL {
+            self.stood = if self.early { self.stood + late } else { late };
         }
         if self.stood > STANDSTILL {
+            let first = if known { self.last_stood.0 } else { self.turns };
+            self.last_stood = (first, self.turns, self.stood);
             self.limits.woke(now);
         }
     }
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -608,6 +608,23 @@
     assert!(offered(&said, 1).is_none(), "five seconds after the first send: {said:?}");
 }
 
+#[test]
+fn asks_that_wait_in_line_for_a_later_turn_after_a_standstill_have_less_patience_left() {
+    let mut host = limited(|clients| clients.woken_a_turn = 2);
+    host.lives(300);
+    let asked_at = host.now + Span::from_nanos(100_000_000);
+    host.now = asked_at + Span::from_secs(9);
+    for n in 1..=4 {
+        let name = format!("late{n}");
+        let link = host.opens(&name);
+        host.only_tell(link, &[hello(&name, asked_at), ask(n, REPLAYABLE, asked_at)]);
+    }
+    let mut said = host.turn();
+    said.extend(host.turn());
+    assert!(says(&said, "late1", "nacked 1"), "heard in the turn after the standstill: {said:?}");
+    assert!(says(&said, "late4", "nacked 4"), "heard a turn later: {said:?}");
+}
+
 /// How many tasks are offered in what was said.
 fn offers(said: &[Said]) -> usize {
     said.iter().filter(|(_, words)| words.starts_with("offer ")).count()
