A standstill has one record: how long it was, and which turns came after it

Need: read over once more, the desk kept how long the present step's standstill was beside the record of the last one, from which it follows, and added lateness under the mark to it now and then.

Change: the record alone is kept and extended.

--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -192,9 +192,8 @@
     pub limits: Limits,
     /// Knows how many final answers are owed, and to which services.
     pub admission: Admission,
-    /// When a turn was promised at the end of the last one, and how much later this one came.
+    /// When a turn was promised at the end of the last one.
     promised: Option<Time>,
-    stood: Span,
     /// Turns that began, early ones too.
     turns: u64,
     /// The last standstill: the first and last turns of the step that came after it, and how long it was.
@@ -249,7 +248,6 @@
             limits,
             admission,
             promised: None,
-            stood: Span::ZERO,
             turns: 0,
             last_stood: (0, 0, Span::ZERO),
             early: false,
@@ -498,8 +496,8 @@
         {
             return Some(self.now);
         }
-        // A turn at least so often, where clients are heard: by its lateness a standstill is known. Met without
-        // one: the first client's ask lay in a standstill that nobody knew of.
+        // A turn at least so often, where clients are heard: by its lateness a standstill is known. Met
+        // without one: the first client's ask lay in a standstill that nobody knew of.
         let heartbeat = self.hears_clients.then_some(self.now + HEARTBEAT);
         [self.timers.next(), self.limits.wake(), heartbeat].into_iter().flatten().min()
     }
@@ -509,15 +507,16 @@
     fn note_standstill(&mut self, now: Time) {
         self.turns += 1;
         let late = self.promised.take().map_or(Span::ZERO, |promised| now - promised);
-        let known = self.early && self.stood > STANDSTILL;
-        if !self.early || late > STANDSTILL {
-            self.stood = if self.early { self.stood + late } else { late };
-        }
-        if self.stood > STANDSTILL {
-            let first = if known { self.last_stood.0 } else { self.turns };
-            self.last_stood = (first, self.turns, self.stood);
-            self.limits.woke(now);
+        let late = if late > STANDSTILL { late } else { Span::ZERO };
+        let (first, last, length) = self.last_stood;
+        if self.early && last + 1 == self.turns {
+            self.last_stood = (first, self.turns, length + late);
+        } else if late > Span::ZERO {
+            self.last_stood = (self.turns, self.turns, late);
+        } else {
+            return;
         }
+        self.limits.woke(now);
     }
 
     /// A turn begins: so many frames of those that woke are heard in it.
