An answer looks up nothing where no offer waits, and a lost connection's sends are listed once

Need: release runs after every answer of a machine. Since it also decides what goes back to the module, it asked the gate and looked the machine up once more where nothing waits, which is nearly always. And the end of a connection walked all tasks once to see whether a proof is wanted, and again to close what can't be asked.

Change: release ends at once where nothing waits, and keeps what waits on in a list of its own; the ended connection's unanswered sends are listed once for both questions. The greeting of another life takes what waits where it has the machine.

--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -651,31 +651,28 @@
     pub fn release(&mut self, machine: MachineId) {
         let (now, fall) = (self.now, self.settings.cold.fall);
         let Some(spot) = self.machines.get_mut(&machine) else { return };
-        let Some(link) = spot.ready() else { return };
+        let Some(link) = spot.ready().filter(|_| !spot.waiting.is_empty()) else { return };
         let shut = spot.gate.shut_until(now, fall);
+        let mut waits_on = Vec::new();
         for (task, send) in std::mem::take(&mut spot.waiting) {
-            let waits = self.jobs.get(&TaskId(task)).and_then(|job| job.open);
-            let Some(open) =
-                waits.filter(|open| (open.machine, open.number) == (machine, send) && open.link.is_none())
-            else {
-                continue;
-            };
-            let past = self.is_past_window(TaskId(task));
-            let Some(spot) = self.machines.get_mut(&machine) else { return };
-            if past || spot.gate.is_stale(now, fall, open.decided) {
-                self.closings.push_back((TaskId(task), send, Ending::NotSent));
+            let id = TaskId(task);
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let is_it = |open: &Open| (open.machine, open.number, open.link) == (machine, send, None);
+            let Some(open) = job.open.filter(is_it) else { continue };
+            if self.is_past_window(job) || self.machines[&machine].gate.is_stale(now, fall, open.decided) {
+                self.closings.push_back((id, send, Ending::NotSent));
             } else if shut.is_some() || open.due <= now {
                 // Its time-out is about to take it back. Met after a standstill: it went out in an early
                 // turn, with no time left, and may have run.
-                spot.waiting.push((task, send));
+                waits_on.push((task, send));
             } else {
-                self.write_offer(TaskId(task), link);
+                self.write_offer(id, link);
             }
         }
-        let waits = self.machines.get(&machine).is_some_and(|spot| !spot.waiting.is_empty());
-        if let Some(until) = shut.filter(|_| waits) {
+        if let Some(until) = shut.filter(|_| !waits_on.is_empty()) {
             self.timers.set(until, Due::Release(machine));
         }
+        self.machines.get_mut(&machine).expect("is there").waiting = waits_on;
     }
 
     /// A machine said something of a send.
@@ -694,8 +691,7 @@
 
     /// Whether machines drop repeats of this task no longer. Met: an offer that had waited for its connection
     /// until then.
-    fn is_past_window(&self, id: TaskId) -> bool {
-        let Some(job) = self.jobs.get(&id) else { return false };
+    fn is_past_window(&self, job: &Job) -> bool {
         match self.settings.use_cases[job.order.use_case.0].effect {
             Effect::Referenced { window, .. } => job.may_have_run.is_some_and(|at| self.now - at > window),
             Effect::Replayable | Effect::SingleUse => false,
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -479,15 +479,14 @@
             let other_life = spot.life.replace(*life).unwrap_or(spot.listed_life) != *life;
             if other_life {
                 spot.gate.is_cold_until(d.now + warm_after);
+                // What waits was decided on for a warm machine. Met: all of it reached the cold one at once.
+                let waiting = std::mem::take(&mut spot.waiting);
                 // Whatever the former life was sent or held went with it. An answer of it can't come any
                 // more: its connection is over, and this one began after it.
                 let lost = d.jobs_on(machine).into_iter().filter(|(_, open)| open.link.is_some());
                 let lost: Vec<_> = lost.map(|(id, open)| (id, open.number)).collect();
                 d.closings.extend(lost.iter().map(|(id, n)| (*id, *n, Ending::Broken(Loss::Untold))));
-                // What waits was decided on for a warm machine. Met: all of it reached the cold one at once.
-                let waiting = d.machines.get_mut(&machine).map(|spot| std::mem::take(&mut spot.waiting));
-                let waiting = waiting.into_iter().flatten();
-                d.closings.extend(waiting.map(|(id, n)| (TaskId(id), n, Ending::NotSent)));
+                d.closings.extend(waiting.into_iter().map(|(id, n)| (TaskId(id), n, Ending::NotSent)));
                 drop(borrowed);
                 round.restarted(machine);
             }
@@ -849,14 +848,14 @@
         Who::Machine(id) => {
             let (now, reconnect, lost_after) = (d.now, d.settings.reconnect, d.settings.lost_after);
             let drawn = d.drawn();
-            let asks = |(_, open): &(TaskId, Open)| !open.placed && open.link == Some(link);
-            let asks = d.jobs_on(id).iter().any(asks);
+            let mut unanswered = d.jobs_on(id);
+            unanswered.retain(|(_, open)| !open.placed && open.link.is_some());
             let Some(spot) = d.machines.get_mut(&id).filter(|spot| spot.link() == Some(link)) else { return };
             let failed = spot.ready().is_none() || end == End::Refused;
             let wait = match failed {
                 true => again::after_failures(reconnect, spot.failures, drawn),
                 // At once: the answer may prove what became of open sends.
-                false if asks => Span::ZERO,
+                false if !unanswered.is_empty() => Span::ZERO,
                 false => again::after_end(reconnect, drawn),
             };
             spot.failed(now, wait, failed);
@@ -872,8 +871,11 @@
             ends.extend(waiting.into_iter().map(|(task, send)| (TaskId(task), send, Ending::NoConnection)));
             if failed {
                 // It can't be asked what it took: each open send may run.
-                let open = d.jobs_on(id).into_iter().filter(|(_, open)| !open.placed && open.link.is_some());
-                ends.extend(open.map(|(task, open)| (task, open.number, Ending::Broken(Loss::Untold))));
+                ends.extend(
+                    unanswered
+                        .into_iter()
+                        .map(|(task, open)| (task, open.number, Ending::Broken(Loss::Untold))),
+                );
             }
             drop(borrowed);
             for (task, send, ending) in ends {
