When to look for the first sign of life stands with the other waits; one question for a cold machine

Need: again.rs decides when a planner comes back or asks for a sign, and says that no wait is longer than undrawn. The first look was put together in the desk, and is longer, so that a greeting has all the silence. The gate asked three times in its own words whether the machine is cold.

Change: again::first_sign; the page's head says what holds; Gate::is_cold. What is drawn is drawn where it is kept.

--- a/crates/engine/src/again.rs
+++ b/crates/engine/src/again.rs
@@ -1,8 +1,9 @@
 //! When a planner comes back to a peer that it lost, or asks one for a sign of life.
 //!
-//! Met, counted over 120 planners: whoever learnt of a lost rack or list at one instant came back at one instant,
-//! and again at each doubling; whoever started together asked for signs of life together for ever after. So a
-//! part of each wait is drawn. It is never longer than it would be undrawn, so a planner alone loses nothing.
+//! Met, counted over 120 planners: whoever learnt of a lost rack or list at one instant came back at one
+//! instant, and again at each doubling; whoever started together asked for signs of life together for ever
+//! after. So a part of each wait is drawn, and no wait between tries is longer than it would be undrawn. What
+//! can't wait doesn't: open sends that want a proof, and sends to a machine that has not refused.
 
 use mulleinhub_interface::Span;
 
@@ -23,6 +24,11 @@
     first * drawn
 }
 
+/// From the asking for a connection to the first look for signs of life: a greeting has all the silence.
+pub fn first_sign(silence: Span, drawn: f64) -> Span {
+    silence + sign(silence, drawn) * 0.5
+}
+
 /// From one look for signs of life to the next.
 pub fn sign(silence: Span, drawn: f64) -> Span {
     silence * 0.5 * (1.0 - LOOK * drawn)
--- a/crates/engine/src/cold.rs
+++ b/crates/engine/src/cold.rs
@@ -26,8 +26,12 @@
         self.cold_until = Some(self.cold_until.map_or(until, |known| known.max(until)));
     }
 
+    fn is_cold(&self, now: Time) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
     pub fn wrote(&mut self, now: Time, task: u64, send: u32) {
-        if self.cold_until.is_some_and(|until| now < until) {
+        if self.is_cold(now) {
             self.out.push_back((now, task, send));
         }
     }
@@ -53,12 +57,12 @@
     /// Whether an offer that was decided on then comes too late for the budget that it was counted in. Met:
     /// offers of several windows waited for a connection or behind the gate, and went out in one instant.
     pub fn is_stale(&self, now: Time, fall: Span, decided: Time) -> bool {
-        self.cold_until.is_some_and(|until| now < until) && now - decided > fall * LATE
+        self.is_cold(now) && now - decided > fall * LATE
     }
 
     /// Until when nothing more may be written, where the way is stalled; later looks may say later.
     pub fn shut_until(&self, now: Time, fall: Span) -> Option<Time> {
-        if self.cold_until.is_none_or(|until| now >= until) {
+        if !self.is_cold(now) {
             return None;
         }
         let late = self.late_at.map(|at| at + fall).filter(|until| *until > now);
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -205,7 +205,7 @@
     pub counts: Counts,
     pub times: Times,
     /// Draws when to come back, so that planners that learnt of one thing at one instant don't act at one.
-    chance: Pcg,
+    pub chance: Pcg,
     scratch: Vec<u8>,
 }
 
@@ -260,11 +260,6 @@
         }
     }
 
-    /// A part of a whole, by chance.
-    pub fn drawn(&mut self) -> f64 {
-        self.chance.below(1000) as f64 / 1000.0
-    }
-
     pub fn counts(&self) -> Counts {
         let placed = |job: &&Job| job.open.is_some_and(|open| open.placed);
         let running = self.jobs.values().filter(placed).count();
@@ -599,7 +594,7 @@
         let link = self.links.open(&spot.address.clone());
         self.add_peer(link, Who::Machine(id));
         let (now, silence) = (self.now, self.settings.silence);
-        let first = silence + again::sign(silence, self.drawn()) * 0.5;
+        let first = again::first_sign(silence, self.chance.part());
         let spot = self.machines.get_mut(&id).expect("was there");
         spot.reach = Reach::Coming(link);
         (spot.heard_at, spot.pinged_at) = (now, Some(now));
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -839,7 +839,7 @@
                 drop(borrowed);
                 round.list_failed();
             } else {
-                let (drawn, failures) = (d.drawn(), d.list_failures);
+                let (drawn, failures) = (d.chance.part(), d.list_failures);
                 d.list_failures += 1;
                 let at = d.now + again::after_failures(d.settings.reconnect, failures, drawn);
                 d.timers.set(at, Due::List);
@@ -847,7 +847,7 @@
         }
         Who::Machine(id) => {
             let (now, reconnect, lost_after) = (d.now, d.settings.reconnect, d.settings.lost_after);
-            let drawn = d.drawn();
+            let drawn = d.chance.part();
             let mut unanswered = d.jobs_on(id);
             unanswered.retain(|(_, open)| !open.placed && open.link.is_some());
             let Some(spot) = d.machines.get_mut(&id).filter(|spot| spot.link() == Some(link)) else { return };
@@ -890,7 +890,7 @@
     let ending = {
         let d = &mut *desk.borrow_mut();
         let Some(open) = d.jobs.get(&id).filter(|job| !job.claiming).and_then(|job| job.open) else { return };
-        // Met: an offer taken back from a draining machine timed out in the same turn, and its proof was lost.
+        // Met: an offer taken back from a draining machine timed out in the same turn, and lost its proof.
         if open.number != send || open.placed || d.is_closing(id, send) {
             return;
         }
@@ -940,7 +940,7 @@
                 }
                 _ => {}
             }
-            let next = now + again::sign(silence, d.drawn());
+            let next = now + again::sign(silence, d.chance.part());
             d.timers.set(next, Due::Ping(id, link));
         }
         Due::List => d.open_list(),
@@ -1005,7 +1005,7 @@
             if entry.mode == protocol::Mode::Active && spot.reach == Reach::Down && spot.retry_at <= now {
                 if d.hears_clients {
                     // Many planners read this at one instant; whoever sends to it does not wait.
-                    let at = now + again::after_end(d.settings.reconnect, d.drawn());
+                    let at = now + again::after_end(d.settings.reconnect, d.chance.part());
                     d.timers.set(at, Due::Reconnect(id));
                 } else {
                     d.open_machine(id);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,6 +14,7 @@
 #[cfg(test)]
 mod properties;
 mod settings;
+
 pub use desk::{Counts, Times};
 pub use settings::Settings;
 
