--- a/src/brain.rs
+++ b/src/brain.rs
@@ -73,8 +73,8 @@
 const WATCH: u64 = 1;
 
 impl Dealing {
-    /// Twice as long each time, up to a bound. What ends while it rests was sent before: the same trouble. Met:
-    /// one hang with many sends out, each of which doubled the rest, and a machine idle for a minute.
+    /// Twice as long each time, up to a bound. What ends while it rests was sent before: the same trouble.
+    /// Met: one hang with many sends out, each of which doubled the rest, and a machine idle for a minute.
     fn bar(&mut self, now: Time, rest: Span) {
         if now < self.barred_until {
             return;
@@ -185,7 +185,7 @@
 
     /// The wait, and a part of it more that is drawn.
     fn drawn(&mut self, wait: Span) -> Span {
-        wait * (1.0 + DRAWN * self.chance.below(1000) as f64 / 1000.0)
+        wait * (1.0 + DRAWN * self.chance.part())
     }
 
     /// A view without news fades to the mean of all machines, or whoever gets none fills those once empty.
@@ -442,7 +442,7 @@
             self.b.watch_failures = 0;
         }
         if kind != ListKind::Changes {
-            self.b.machines.iter_mut().for_each(|(_, m)| (m.open, m.gone) = (false, true));
+            self.b.machines.iter_mut().for_each(|(_, m)| m.mode = Mode::Left);
         }
         for entry in entries {
             let at = self.machine(entry.id);
@@ -450,7 +450,7 @@
             let fresh_start = self.b.is_fresh(entry.since, now);
             let m = &mut self.b.machines[at];
             (m.kind, m.cell, m.zone, m.size) = (entry.kind, entry.cell, entry.zone, size);
-            (m.open, m.gone) = (entry.mode == Mode::Active, entry.mode == Mode::Left);
+            m.mode = entry.mode;
             m.left = entry.left.unwrap_or(m.left);
             if fresh_start && m.since != entry.since {
                 m.cap = fresh;
@@ -459,7 +459,7 @@
             m.since = entry.since;
         }
         // Not one that drains, nor a cold one: it may come back, and what was dealt to it still counts.
-        let is_over = |m: &Machine| m.gone && m.tasks.is_empty() && !self.b.is_cold(m, now);
+        let is_over = |m: &Machine| m.mode == Mode::Left && m.tasks.is_empty() && !self.b.is_cold(m, now);
         let over = self.b.machines.iter().find(|(_, m)| is_over(m)).map(|(at, _)| at);
         over.and_then(|at| self.b.machines.remove(at));
         // Whoever is not named has not changed: its view is as fresh as the named ones'.
@@ -467,7 +467,7 @@
         let (mut left, mut size) = (Room::NONE, Room::NONE);
         for (_, m) in self.b.machines.iter_mut() {
             m.seen(now, VIEW_AGE);
-            if m.open {
+            if m.mode == Mode::Active {
                 left += m.left;
                 size += m.size;
             }
@@ -517,7 +517,7 @@
             let task = &mut self.b.tasks[place];
             // Less than a whole task is shed by chance.
             let part = (over.cores / task.last_use.cores).max(over.memory / task.last_use.memory);
-            if part < self.b.chance.below(1000) as f64 / 1000.0 {
+            if part < self.b.chance.part() {
                 break;
             }
             over -= task.last_use;
@@ -697,7 +697,7 @@
     fn may_go(&self, task: &Task, use_case: &UseCase, at: usize, m: &Machine) -> bool {
         let now = self.now;
         let barred = now < m.dealings[task.order.use_case.0].barred_until || task.turned_down == Some(at);
-        if !m.open || barred || m.starting as f64 >= m.cap {
+        if m.mode != Mode::Active || barred || m.starting as f64 >= m.cap {
             return false;
         }
         if use_case.kind.is_some_and(|kind| kind != m.kind) || m.size.cores <= 0.0 || m.size.memory <= 0.0 {
--- a/src/pcg.rs
+++ b/src/pcg.rs
@@ -23,6 +23,11 @@
     pub fn below(&mut self, below: usize) -> usize {
         ((u64::from(self.next()) * below as u64) >> 32) as usize
     }
+
+    /// A part of a whole, in thousandths, under one.
+    pub fn part(&mut self) -> f64 {
+        self.below(1000) as f64 / 1000.0
+    }
 }
 
 /// Two ids stirred into one number: the same for everybody, and without order.
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,9 +61,8 @@
     pub cell: CellId,
     pub zone: ZoneId,
     pub size: Room,
-    pub open: bool,
-    /// Told to be gone, or in no list yet.
-    pub gone: bool,
+    /// As the list has it; one that no list names has left.
+    pub mode: Mode,
     pub since: Option<Time>,
     pub left: Room,
     /// Our own asks (below nought) and ends (above) that the view may not show yet.
@@ -127,8 +126,7 @@
             cell: CellId(u32::MAX),
             zone: ZoneId(u32::MAX),
             size: Room::NONE,
-            open: false,
-            gone: true,
+            mode: Mode::Left,
             since: None,
             left: Room::NONE,
             unseen: VecDeque::with_capacity(16),
