Stories and the judge say once what they said several times over

Need: stories built the same held task eight times and the same planner twice; counting many planners had a clock of its own beside the fake host's; the judge walked an owner's unread connections in two places. Its comment named a half-open link where the capture shows one that was not read any more.

Change: runs, that_calls_nothing_back, Host::goes_on under Host::lives, Judge::unread. No assertion is touched.

--- a/crates/engine/tests/host/mod.rs
+++ b/crates/engine/tests/host/mod.rs
@@ -167,16 +167,20 @@
         self.turn()
     }
 
-    /// Time passes as in a process that goes on: a turn whenever the planner wants one, and every tenth of a
-    /// second.
+    /// Time passes as in a process that goes on.
     pub fn lives(&mut self, ms: u64) {
-        let end = self.now + Span::from_nanos(ms * 1_000_000);
-        while self.now < end {
-            let next = (self.now + Span::from_nanos(100_000_000)).min(end);
-            let wake = self.engine.wake().unwrap_or(next);
-            self.now = wake.clamp(self.now + Span::from_nanos(1), next);
-            self.turn();
+        self.goes_on(self.now + Span::from_nanos(ms * 1_000_000), |_, _| ());
+        self.turn();
+    }
+
+    /// A turn whenever the planner wants one until then; `each` sees what it did in a turn.
+    pub fn goes_on(&mut self, until: Time, mut each: impl FnMut(&mut Self, Vec<Said>)) {
+        while let Some(at) = self.engine.wake().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            let said = self.turn();
+            each(self, said);
         }
+        self.now = until;
     }
 
     /// The newest link that the planner opened to this address.
--- a/crates/engine/tests/same_moment/mod.rs
+++ b/crates/engine/tests/same_moment/mod.rs
@@ -4,7 +4,7 @@
 use crate::host::*;
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{Ending, Message, Reason};
-use mulleinhub_seam::{End, Party};
+use mulleinhub_seam::End;
 use std::collections::BTreeMap;
 
 const PLANNERS: usize = 120;
@@ -20,16 +20,6 @@
     })
 }
 
-/// Lets a planner go on until then, with a turn whenever it wants one; `each` sees what it did in a turn.
-fn goes_on(host: &mut Host, until: Time, mut each: impl FnMut(&mut Host, Vec<Said>)) {
-    while let Some(at) = host.engine.wake().filter(|at| *at <= until) {
-        host.now = host.now.max(at);
-        let said = host.turn();
-        each(host, said);
-    }
-    host.now = until;
-}
-
 /// The most instants that fall into one ten milliseconds, and how far the last is from the first.
 fn crowding(instants: &[Time]) -> (usize, Span) {
     let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
@@ -65,7 +55,7 @@
             }
         };
         look(&mut host, Vec::new());
-        goes_on(&mut host, until, look);
+        host.goes_on(until, look);
     }
     tries
 }
@@ -115,7 +105,7 @@
     for mut host in planners(false) {
         let until = host.now + Span::from_secs(20);
         let mut answered = 0;
-        goes_on(&mut host, until, |host, _| {
+        host.goes_on(until, |host, _| {
             if host.pings.len() > answered {
                 answered = host.pings.len();
                 host.only_tell(host.link("m1"), &[Message::Pong { nonce: 0 }]);
@@ -143,7 +133,7 @@
         let said = host.ask(client, 2, REPLAYABLE);
         assert!(offered(&said, 2).is_none(), "the machine rests");
         let until = host.now + Span::from_secs(7);
-        goes_on(&mut host, until, |host, said| {
+        host.goes_on(until, |host, said| {
             if offered(&said, 2).is_some() {
                 offers.push(host.now);
             }
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -17,6 +17,19 @@
     (host, client, machine)
 }
 
+/// One where yes means that a task runs: nothing is called back before its time-out.
+fn that_calls_nothing_back(machines: u64) -> Host {
+    let mut settings = settings();
+    settings.taking.yes_when_running = true;
+    Host::up(settings, machines)
+}
+
+/// The first send of a task, as its machine tells it after a greeting.
+fn runs(task: u64, use_case: u32) -> Held<'static> {
+    let shape = shape(task, use_case);
+    Held { task, send: 0, shape, owner: "owner", ended: None, runs: true }
+}
+
 #[test]
 fn the_ordinary_path_is_taken_offered_placed_and_ended() {
     let (mut host, _, machine) = with_offer(REPLAYABLE);
@@ -74,9 +87,7 @@
     let (mut host, _, machine) = with_offer(SINGLE_USE);
     let link = host.link(&format!("m{machine}"));
     host.ends(link, End::Broken);
-    let held =
-        Held { task: 1, send: 0, shape: shape(1, SINGLE_USE), owner: "owner", ended: None, runs: true };
-    let said = host.meets(machine, 100 + machine, vec![held]);
+    let said = host.meets(machine, 100 + machine, vec![runs(1, SINGLE_USE)]);
     assert!(says(&said, "owner", &format!("placed 1 on {machine}")), "{said:?}");
 }
 
@@ -96,8 +107,7 @@
         host.machine(machine, Message::Accepted { task: 1, send: 0 });
         let link = host.link(&format!("m{machine}"));
         host.ends(link, End::Broken);
-        let held = Held { task: 1, send: 0, shape: shape(1, 0), owner: "owner", ended: None, runs: true };
-        let (life, tasks) = if lost { (life, vec![]) } else { (100 + machine, vec![held]) };
+        let (life, tasks) = if lost { (life, vec![]) } else { (100 + machine, vec![runs(1, REPLAYABLE)]) };
         let said = host.meets(machine, life, tasks);
         assert_eq!(says(&said, "owner", "ended 1 Lost"), lost, "{said:?}");
     }
@@ -238,8 +248,7 @@
     let client = host.opens("owner");
     host.only_tell(client, &[hello("owner", host.now), Message::Learn { task: 9 }]);
     assert!(!says(&host.turn(), "owner", "Welcome"), "machines have not told yet");
-    let held = Held { task: 9, send: 1, shape: shape(9, 0), owner: "owner", ended: None, runs: true };
-    host.meets(1, 101, vec![held]);
+    host.meets(1, 101, vec![Held { send: 1, ..runs(9, REPLAYABLE) }]);
     let said = host.meets(2, 102, vec![]);
     assert!(says(&said, "owner", "Welcome") && says(&said, "owner", "placed 9 on 1"), "{said:?}");
 }
@@ -272,7 +281,7 @@
     let mut said = Vec::new();
     for machine in 1..=2 {
         let shape = mulleinhub_protocol::Shape { service: 1, ..shape(8 + machine, 0) };
-        let held = Held { task: 8 + machine, send: 0, shape, owner: "owner", ended: None, runs: true };
+        let held = Held { shape, ..runs(8 + machine, REPLAYABLE) };
         said.extend(host.meets(machine, 100 + machine, vec![held]));
     }
     said.extend(host.after(100));
@@ -496,9 +505,7 @@
     assert!(offered(&said, 1).is_some_and(|(_, send)| send == 1), "{said:?}");
     host.tell(client, &[Message::Withdraw { task: 1 }]);
     host.after(1_000);
-    let shape = shape(1, REFERENCED);
-    let held = Held { task: 1, send: 0, shape, owner: "owner", ended: None, runs: true };
-    let said = host.meets(machine, 100 + machine, vec![held]);
+    let said = host.meets(machine, 100 + machine, vec![runs(1, REFERENCED)]);
     assert!(says(&said, &address, "stop 1.0") && !says(&said, &address, "disown"), "{said:?}");
 }
 
@@ -511,9 +518,7 @@
     host.machine(machine, Message::Accepted { task: 1, send: 0 });
     host.ends(host.link(&address), End::Broken);
     host.tell(client, &[Message::Withdraw { task: 1 }]);
-    let shape = shape(1, SINGLE_USE);
-    let held = Held { task: 1, send: 0, shape, owner: "owner", ended: None, runs: true };
-    let said = host.meets(machine, 100 + machine, vec![held]);
+    let said = host.meets(machine, 100 + machine, vec![runs(1, SINGLE_USE)]);
     assert!(says(&said, &address, "stop 1.0") && !says(&said, &address, "disown"), "{said:?}");
 }
 
@@ -525,9 +530,7 @@
     host.unread.push(host.link(&address));
     host.machine(machine, Message::Accepted { task: 1, send: 0 });
     host.ends(host.link(&address), End::Broken);
-    let shape = shape(1, REPLAYABLE);
-    let held = Held { task: 1, send: 0, shape, owner: "owner", ended: None, runs: true };
-    let said = host.meets(machine, 100 + machine, vec![held]);
+    let said = host.meets(machine, 100 + machine, vec![runs(1, REPLAYABLE)]);
     assert!(says(&said, &address, "stop 1.0"), "{said:?}");
 }
 
@@ -591,10 +594,7 @@
 
 #[test]
 fn an_offer_that_waited_for_its_connection_is_not_written_after_the_window_of_repeats() {
-    // Where yes means that it runs, nothing is called back before its time-out.
-    let mut limited = settings();
-    limited.taking.yes_when_running = true;
-    let mut host = Host::up(limited, 2);
+    let mut host = that_calls_nothing_back(2);
     let client = host.client("owner");
     let (first, _) = offered(&host.ask(client, 1, REFERENCED), 1).expect("there is room");
     let other = if first % 2 == 1 { first + 1 } else { first - 1 };
@@ -664,14 +664,7 @@
 
 #[test]
 fn offers_that_waited_for_a_cold_machine_do_not_reach_it_together() {
-    // Where yes means that it runs, nothing is called back before its time-out.
-    let mut limited = settings();
-    limited.taking.yes_when_running = true;
-    let mut host = Host::new(limited, 1, None);
-    host.turn();
-    host.accept("list");
-    host.list(&[(1, Mode::Active)]);
-    host.meets(1, 101, vec![]);
+    let mut host = that_calls_nothing_back(1);
     let client = host.client("owner");
     host.ends(host.link("m1"), End::Broken);
     host.meets(1, 999, vec![]);
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -329,17 +329,15 @@
         !self.wires.values().any(there)
     }
 
-    /// What the planner wrote to this owner was not read when the planner ended.
-    fn is_unread(&self, planner: &str, owner: &str) -> bool {
-        self.wires.values().any(|wire| wire.planner == planner && wire.owner == owner && wire.unread)
+    /// Connections of this owner of which something that the planner wrote was not read.
+    fn unread(&self, planner: &str, owner: &str) -> impl Iterator<Item = &Wire> {
+        self.wires.values().filter(move |w| w.planner == planner && w.owner == owner && w.unread)
     }
 
-    /// A connection of this owner ended after this instant without having been read to its end: what the planner
-    /// answered on it, nobody saw. Met: an answer in time on a connection that went half open, and again on
-    /// the next one, when the owner asked.
+    /// What the planner answered after this instant may stand on one that ended, where nobody saw it. Met: an
+    /// answer in time on a connection that was not read any more, and again on the next one, when asked for.
     fn was_unread(&self, planner: &str, owner: &str, since: u64) -> bool {
-        let is = |wire: &Wire| wire.planner == planner && wire.owner == owner && wire.unread;
-        self.wires.values().any(|wire| is(wire) && wire.ended_at.is_some_and(|ended| ended > since))
+        self.unread(planner, owner).any(|wire| wire.ended_at.is_some_and(|ended| ended > since))
     }
 
     /// The frame may have been written long before the tap read it.
@@ -844,7 +842,7 @@
                 || planner.stood.iter().any(|(from, to)| *from <= due && *to + slack >= at)
             {
                 "unanswered while the planner stood still"
-            } else if self.is_unread(name, &task.owner) {
+            } else if self.unread(name, &task.owner).next().is_some() {
                 "perhaps written while nobody read"
             } else if self.is_away(name, &task.owner, due) {
                 "its owner was away and never came back"
