The properties say once what they said several times over; the oracles are the same

Change: Task::new, sent, ends, hears_list, one tell; an Option in the dummy's place. No assertion and no draw is touched.

--- a/crates/engine/src/properties.rs
+++ b/crates/engine/src/properties.rs
@@ -164,6 +164,21 @@
     sends: BTreeMap<u32, Sent>,
 }
 
+impl Task {
+    fn new(shape: Shape, deadline: u64) -> Self {
+        Self {
+            shape,
+            taken: false,
+            deadline,
+            answer: None,
+            withdrawn: false,
+            withdrawal_heard: false,
+            questions: 0,
+            sends: BTreeMap::new(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Held {
     task: u64,
@@ -331,24 +346,26 @@
         Time::from_nanos(self.now)
     }
 
-    fn tell(&mut self, link: Link, message: &Message<'_>) {
+    fn tell(&mut self, link: Link, message: &Message<'_>) -> Vec<u8> {
         let mut bytes = Vec::new();
         protocol::encode(message, &mut bytes);
         self.engine.received(self.time(), link, &bytes);
+        bytes
     }
 
     fn machine_tells(&mut self, m: usize, message: &Message<'_>) -> bool {
         let Some(link) = self.machines[m].link.filter(|_| self.machines[m].greeted) else { return false };
-        let mut bytes = Vec::new();
-        protocol::encode(message, &mut bytes);
-        self.engine.received(self.time(), link, &bytes);
-        self.machines[m].last_words = Some(bytes);
+        self.machines[m].last_words = Some(self.tell(link, message));
         true
     }
 
+    fn sent(&mut self, task: u64, send: u32) -> Option<&mut Sent> {
+        self.tasks.get_mut(&task)?.sends.get_mut(&send)
+    }
+
     /// The planner's turn, and what follows at the same instant.
     fn turn(&mut self) {
-        self.machines.iter_mut().for_each(|machine| machine.closed = machine.closed_said);
+        self.hears_list();
         for _ in 0..50 {
             self.engine.turn(self.time());
             self.drain();
@@ -365,8 +382,13 @@
         self.after_standstill = false;
     }
 
-    fn early_turn(&mut self) {
+    /// What the list said until now is heard in this turn.
+    fn hears_list(&mut self) {
         self.machines.iter_mut().for_each(|machine| machine.closed = machine.closed_said);
+    }
+
+    fn early_turn(&mut self) {
+        self.hears_list();
         self.engine.turn_early(self.time());
         self.drain();
     }
@@ -477,10 +499,7 @@
                 self.is_over(*task, *send);
                 let at = self.machines[m].held.iter().position(|h| (h.task, h.send) == (*task, *send));
                 if let Some(at) = at {
-                    let held = self.machines[m].held.remove(at);
-                    let ending = if *moves { Ending::Moved } else { Ending::Stopped };
-                    self.machines[m].untold.push((*task, *send, held.shape, ending));
-                    self.closes(m, *task, *send, ending, Reason::Untold);
+                    self.ends(m, at, if *moves { Ending::Moved } else { Ending::Stopped });
                 }
             }
             Message::Disown { task, send } => {
@@ -509,9 +528,7 @@
                     None => self.closes(m, *task, *send, Ending::Nacked, Reason::NotHere),
                 }
             }
-            Message::Ping { nonce } => {
-                self.tell(link, &Message::Pong { nonce: *nonce });
-            }
+            Message::Ping { nonce } => drop(self.tell(link, &Message::Pong { nonce: *nonce })),
             Message::Heard { task, send } => {
                 self.machines[m].untold.retain(|(t, s, ..)| (t, s) != (task, send));
             }
@@ -520,7 +537,7 @@
     }
 
     fn is_over(&mut self, task: u64, send: u32) {
-        if let Some(sent) = self.tasks.get_mut(&task).and_then(|task| task.sends.get_mut(&send)) {
+        if let Some(sent) = self.sent(task, send) {
             sent.over = true;
         }
     }
@@ -554,10 +571,10 @@
             runs: false,
         }));
         let told: Vec<(u64, u32, bool)> = tasks.iter().map(|h| (h.task, h.send, h.ended.is_some())).collect();
+        let holds = Message::Holds { tasks, last: true };
         let mut bytes = Vec::new();
         let welcome = Message::Welcome { version: 1, features: 0, name: "m", life, silence: None };
-        protocol::encode(&welcome, &mut bytes);
-        protocol::encode(&Message::Holds { tasks, last: true }, &mut bytes);
+        [welcome, holds].iter().for_each(|message| protocol::encode(message, &mut bytes));
         let now = self.time();
         self.engine.received(now, link, &bytes);
         // What this proves of the sends of older connections.
@@ -583,8 +600,8 @@
         let task = self.tasks.get(&id).expect("a task of ours");
         assert!(task.answer.is_none(), "rule 1: task {id} is offered after its answer {:?}", task.answer);
         assert!(!task.withdrawal_heard, "task {id} is offered after its owner withdrew it");
-        // A system's buffer gives away after a standstill what was written before it, and how long a standstill
-        // was is known to a heartbeat.
+        // A system's buffer gives away after a standstill what was written before it, and how long a
+        // standstill was is known to a heartbeat.
         assert!(
             now <= task.deadline + ANSWER_SLACK || self.reads_old,
             "task {id} is offered after its client timeout"
@@ -687,9 +704,16 @@
         }
     }
 
+    /// What it holds there ends; that is told again until it was heard.
+    fn ends(&mut self, m: usize, at: usize, ending: Ending) {
+        let Held { task, send, shape, .. } = self.machines[m].held.remove(at);
+        self.machines[m].untold.push((task, send, shape, ending));
+        self.closes(m, task, send, ending, Reason::Untold);
+    }
+
     fn closes(&mut self, m: usize, task: u64, send: u32, ending: Ending, reason: Reason) {
         if self.machine_tells(m, &Message::Closed { task, send, ending, reason })
-            && let Some(sent) = self.tasks.get_mut(&task).and_then(|task| task.sends.get_mut(&send))
+            && let Some(sent) = self.sent(task, send)
         {
             sent.over = true;
             sent.never_ran |= !sent.taken && matches!(ending, Ending::Nacked | Ending::Recalled);
@@ -721,7 +745,7 @@
                 assert!(!known, "rule 1: task {task} was taken and is not known any more");
                 return;
             }
-            Message::Ping { nonce } => return self.tell(link, &Message::Pong { nonce: *nonce }),
+            Message::Ping { nonce } => return drop(self.tell(link, &Message::Pong { nonce: *nonce })),
             _ => return,
         };
         let Some(task) = self.tasks.get_mut(&id) else { return };
@@ -848,17 +872,7 @@
                 let service = *service + 10 * *case as u64;
                 let shape =
                     Shape { key: id, use_case: *case as u32, service, cores: 1.0, memory: 1.0, again: false };
-                let task = Task {
-                    shape,
-                    taken: false,
-                    deadline: now + patience * MS,
-                    answer: None,
-                    withdrawn: false,
-                    withdrawal_heard: false,
-                    questions: 0,
-                    sends: BTreeMap::new(),
-                };
-                self.tasks.insert(id, task);
+                self.tasks.insert(id, Task::new(shape, now + patience * MS));
                 self.tell(link, &Message::Ask { task: id, shape, patience: patience * MS, clock: now });
             }
             Event::Withdraw(n) => {
@@ -868,13 +882,9 @@
             }
             Event::Answers(m, word) => self.answers(*m, *word),
             Event::Ends(m, ending) => {
-                let held = &mut self.machines[*m].held;
-                if held.is_empty() || held[0].disowned {
-                    return;
+                if self.machines[*m].held.first().is_some_and(|held| !held.disowned) {
+                    self.ends(*m, 0, *ending);
                 }
-                let held = held.remove(0);
-                self.machines[*m].untold.push((held.task, held.send, held.shape, *ending));
-                self.closes(*m, held.task, held.send, *ending, Reason::Untold);
             }
             Event::SaysAgain(m) => {
                 let machine = &self.machines[*m];
@@ -954,17 +964,7 @@
                 let machine = m as u64 + 1;
                 let task = self.next_task;
                 self.next_task += 1;
-                let handed = Task {
-                    shape,
-                    taken: false,
-                    deadline: u64::MAX - ANSWER_SLACK,
-                    answer: None,
-                    withdrawn: false,
-                    withdrawal_heard: false,
-                    questions: 0,
-                    sends: BTreeMap::new(),
-                };
-                self.tasks.insert(task, handed);
+                self.tasks.insert(task, Task::new(shape, u64::MAX - ANSWER_SLACK));
                 self.tell(link, &Message::HandOver { task, shape, machine });
             }
             Event::Passes(ms) => self.passes(*ms),
@@ -1003,7 +1003,7 @@
         match word {
             Word::Accepts => {
                 self.machines[m].held.push(Held { task, send, shape, disowned: false });
-                if let Some(sent) = self.tasks.get_mut(&task).and_then(|task| task.sends.get_mut(&send)) {
+                if let Some(sent) = self.sent(task, send) {
                     sent.taken = true;
                 }
                 let link = self.machines[m].link.unwrap_or(Link(u64::MAX));
@@ -1013,7 +1013,7 @@
             // Dropped unaccepted, where nobody can be told.
             Word::Errs if !self.machines[m].greeted => {}
             Word::Errs => {
-                if let Some(sent) = self.tasks.get_mut(&task).and_then(|task| task.sends.get_mut(&send)) {
+                if let Some(sent) = self.sent(task, send) {
                     sent.taken = true;
                 }
                 self.closes(m, task, send, Ending::Errored, Reason::Untold);
--- a/src/properties.rs
+++ b/src/properties.rs
@@ -175,7 +175,8 @@
 
 /// What one scheduler was told, and what it said.
 struct Scheduler {
-    brain: Brain,
+    /// Taken out for a round, so that events can be drawn on the world.
+    brain: Option<Brain>,
     tasks: BTreeMap<u64, Task>,
     wakes: BTreeSet<(u64, u64)>,
     listed: Vec<Option<Mode>>,
@@ -260,7 +261,7 @@
             let kinds = vec![Room::new(10.0, 10.0)];
             let seed = seed + u64::from(number);
             Scheduler {
-                brain: Brain::new(seed, use_cases(), kinds, taking, cold, listing, home),
+                brain: Some(Brain::new(seed, use_cases(), kinds, taking, cold, listing, home)),
                 tasks: BTreeMap::new(),
                 wakes: BTreeSet::new(),
                 listed: vec![None; MACHINES],
@@ -293,8 +294,7 @@
     fn round(&mut self, s: usize, events: &[Event]) {
         let mut book = Notebook::default();
         let now = Time::from_nanos(self.now);
-        // Taken out for the round, so that events can be drawn on the world.
-        let mut brain = std::mem::replace(&mut self.schedulers[s].brain, idle_brain());
+        let mut brain = self.schedulers[s].brain.take().expect("is back after each round");
         brain.round(now, &mut book, |round| {
             let due: Vec<(u64, u64)> =
                 self.schedulers[s].wakes.range(..=(self.now, u64::MAX)).copied().collect();
@@ -311,7 +311,7 @@
                 .collect();
             late.into_iter().for_each(|id| self.close(s, id, Ending::TimedOut, round));
         });
-        self.schedulers[s].brain = brain;
+        self.schedulers[s].brain = Some(brain);
         book.0.into_iter().for_each(|said| self.said(s, said));
         self.schedulers[s].tasks.values_mut().for_each(|task| task.heard = task.abandoned || task.over);
         for (id, task) in
@@ -583,7 +583,7 @@
         }
         self.passes(60_000 * MS, None);
         for scheduler in &self.schedulers {
-            let brain = &scheduler.brain;
+            let brain = scheduler.brain.as_ref().expect("is back after each round");
             assert!(scheduler.tasks.values().all(|task| task.over), "all are over");
             assert_eq!((brain.tasks.iter().count(), brain.pending.len()), (0, 0), "tasks held");
             for (_, m) in brain.machines.iter() {
@@ -599,21 +599,6 @@
     !task.placed && task.sends.last().is_some_and(|sent| !sent.over && sent.due <= now)
 }
 
-fn idle_brain() -> Brain {
-    let taking = Taking {
-        cores: 1.0,
-        memory: 1.0,
-        yes_when_running: false,
-        max_sends: 1,
-        tells_pressure: false,
-        recalls: false,
-    };
-    let none = Span::ZERO;
-    let cold = ColdRule { warm_after: none, fall: none, young_limit: 0.0, schedulers: 1, number: 0 };
-    let home = Home { zone: ZoneId(0), cross_zone_price: 0.0, machine_price: 0.0 };
-    Brain::new(0, Vec::new(), Vec::new(), taking, cold, Listing { asked: false, ask_within: none }, home)
-}
-
 fn plays(seed: u8, days: u32) -> Met {
     let config = Config { cases: days, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
