The ordinary-path measurement's machines greet with the life that their list names

Since a machine that greets in another life than its list names is cold, all of its hundred machines were: its list said life 0, and they greeted with 1. No check runs the example.

--- a/crates/engine/examples/ordinary_path.rs
+++ b/crates/engine/examples/ordinary_path.rs
@@ -116,7 +116,7 @@
                 cell: (machine % 20) as u32,
                 zone: 0,
                 mode: Mode::Active,
-                life: 0,
+                life: 1,
                 up_for: None,
                 cores_left: Some(10_000.0),
                 memory_left: Some(10_000.0),
