One package reads a site's settings for both adapters

Need: the platform's configuration holds the same settings object as the simulator's first message. Change: its reading moves out of benchlink into crates/site, with the names of use cases, kinds and zones, and the figures of connections, which the platform needs too. benchlink keeps the line of the wire alone.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -2,12 +2,12 @@
 
 mod batch;
 mod reporting;
-mod settings;
 mod values;
 mod writer;
 
 use batch::{Batch, Line, Rosters};
 use mulleinhub::{Brain, Time};
+use mulleinhub_site::Site;
 use reporting::Reporting;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
@@ -43,6 +43,17 @@
     Ok(())
 }
 
+/// A scheduler as its first message sets it up.
+fn hello(values: &mut values::Values<'_>) -> Result<(Brain, Reporting), Bad> {
+    let seed = values.whole("salt")?;
+    let config =
+        serde_json::from_str(values.rest("config")?).map_err(|e| format!("HELLO: config is no JSON: {e}"))?;
+    let site = Site::read(&config).map_err(|bad| format!("HELLO: {bad}"))?;
+    let brain = site.brain(seed);
+    let use_cases = site.use_cases.len();
+    Ok((brain, Reporting { names: site.report, of_use: site.report_of_use, use_cases }))
+}
+
 /// One scheduler's part of a batch. What came before its last end is nobody's business any more.
 fn host(
     batch: &Batch,
@@ -58,7 +69,7 @@
     let Some(first) = lines.first() else { return Ok(()) };
     let fresh = batch.name(first) == "HELLO";
     if fresh {
-        let up = settings::hello(&mut batch.values(first))?;
+        let up = hello(&mut batch.values(first))?;
         if brains.insert(instance, up).is_some() {
             return Err("HELLO for a scheduler that is up".into());
         }
--- /dev/null
+++ b/crates/site/src/lib.rs
@@ -0,0 +1,168 @@
+//! The settings object that a scheduler is given, on the simulator's wire and in the platform's configuration.
+//!
+//! For: reading it into the types of the interface, once for both adapters. Unknown keys are passed over.
+//! May not touch: any decision, any value that is not in the object.
+
+use mulleinhub::interface::*;
+use mulleinhub::{Brain, Span};
+use serde_json::Value;
+
+/// What was wrong, in words for whoever reads standard error.
+pub type Bad = String;
+
+/// What a scheduler is told of the site it serves, and of itself.
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub use_cases: Vec<UseCase>,
+    /// Sizes of the kinds of machine.
+    pub kinds: Vec<Room>,
+    pub taking: Taking,
+    pub cold: ColdRule,
+    pub listing: Listing,
+    pub home: Home,
+    pub names: Names,
+    /// The names of a load report's values, and whether x0 and x1 tell room not in use (else room not asked
+    /// for).
+    pub report: Vec<String>,
+    pub report_of_use: bool,
+    /// A connection that is not up after this counts as none.
+    pub connect_within: Span,
+    /// After so long without traffic the other side closes a connection.
+    pub idle_after: Span,
+}
+
+/// What use cases, kinds of machine and zones are called, each in the order of their numbers.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub use_cases: Vec<String>,
+    pub kinds: Vec<String>,
+    pub zones: Vec<String>,
+}
+
+impl Site {
+    /// # Errors
+    /// What is missing or can't be understood.
+    pub fn read(config: &Value) -> Result<Self, Bad> {
+        let facts = part(config, "specifics")?;
+        let rules = part(config, "rules")?;
+        let limits = part(config, "limits")?;
+        let tariffs = part(config, "tariffs")?;
+        let zone = ZoneId(number(config, "myZone")? as u32);
+        let names = config.get("feedback").and_then(|f| f.get("names")).and_then(Value::as_array);
+        let class_names =
+            list(config, "classes")?.iter().map(|class| class.get("name").and_then(Value::as_str));
+        Ok(Self {
+            use_cases: use_cases(config, facts)?,
+            kinds: kinds(facts)?,
+            taking: Taking {
+                cores: number(facts, "acceptsCores")?,
+                memory: number(facts, "acceptsMemory")?,
+                yes_when_running: facts.get("yesAt").and_then(Value::as_str) == Some("running"),
+                max_sends: number(limits, "maxAttempts")? as u32,
+                tells_pressure: facts.get("tellsPressure").and_then(Value::as_bool) == Some(true),
+                recalls: limits.get("cancel").and_then(Value::as_bool) == Some(true),
+            },
+            cold: ColdRule {
+                warm_after: span(rules, "warmAfter")?,
+                fall: span(rules, "fall")?,
+                young_limit: number(facts, "youngLimit")?,
+                schedulers: number(config, "balancers")? as u32,
+                number: number(config, "index")? as u32,
+            },
+            listing: Listing {
+                asked: config.get("discovery").and_then(Value::as_str) == Some("ask"),
+                ask_within: span(rules, "askWithin")?,
+            },
+            home: Home {
+                zone,
+                cross_zone_price: number(tariffs, "crossZone").unwrap_or(0.0),
+                machine_price: number(tariffs, "fleet").unwrap_or(0.0),
+            },
+            names: Names {
+                use_cases: class_names.map(|name| name.unwrap_or_default().to_owned()).collect(),
+                kinds: texts(config, "shapes"),
+                zones: texts(config, "localities"),
+            },
+            report: names.into_iter().flatten().filter_map(|n| n.as_str().map(String::from)).collect(),
+            report_of_use: facts.get("measuredBy").and_then(Value::as_str) == Some("used"),
+            connect_within: span(limits, "connectTimeout")?,
+            idle_after: span(limits, "keepalive")?,
+        })
+    }
+
+    pub fn brain(&self, seed: u64) -> Brain {
+        Brain::new(
+            seed,
+            self.use_cases.clone(),
+            self.kinds.clone(),
+            self.taking,
+            self.cold,
+            self.listing,
+            self.home,
+        )
+    }
+}
+
+fn texts(of: &Value, key: &str) -> Vec<String> {
+    let texts = of.get(key).and_then(Value::as_array).into_iter().flatten();
+    texts.map(|text| text.as_str().unwrap_or_default().to_owned()).collect()
+}
+
+fn part<'a>(of: &'a Value, key: &str) -> Result<&'a Value, Bad> {
+    of.get(key).ok_or_else(|| format!("the settings lack {key}"))
+}
+
+fn number(of: &Value, key: &str) -> Result<f64, Bad> {
+    part(of, key)?.as_f64().ok_or_else(|| format!("settings: {key} is no number"))
+}
+
+fn span(of: &Value, key: &str) -> Result<Span, Bad> {
+    let nanos = part(of, key)?.as_u64().ok_or_else(|| format!("settings: {key} is no span of time"))?;
+    Ok(Span::from_nanos(nanos))
+}
+
+fn list<'a>(of: &'a Value, key: &str) -> Result<&'a [Value], Bad> {
+    part(of, key)?.as_array().map(Vec::as_slice).ok_or_else(|| format!("settings: {key} is no list"))
+}
+
+fn kinds(facts: &Value) -> Result<Vec<Room>, Bad> {
+    let (cores, memory) = (list(facts, "kindCores")?, list(facts, "memoryByKind")?);
+    let size = |(c, m): (&Value, &Value)| Some(Room::new(c.as_f64()?, m.as_f64()?));
+    let sizes: Option<Vec<Room>> = cores.iter().zip(memory).map(size).collect();
+    sizes.ok_or_else(|| "settings: kindCores and memoryByKind must be numbers".into())
+}
+
+fn use_cases(config: &Value, facts: &Value) -> Result<Vec<UseCase>, Bad> {
+    let at = |key: &str, n: usize| facts.get(key).and_then(|values| values.get(n));
+    let figure = |key: &str, n: usize| at(key, n).and_then(Value::as_f64);
+    let read = |(n, class): (usize, &Value)| {
+        let group = match class.get("group").and_then(Value::as_str) {
+            Some("all") => Reach::All,
+            Some("zone") => Reach::Zone,
+            _ => Reach::Cell,
+        };
+        let effect = match class.get("effect").and_then(Value::as_str) {
+            Some("repeatable") => Effect::Replayable,
+            Some("by_key") => Effect::Referenced { group, window: span(class, "window")? },
+            _ => Effect::SingleUse,
+        };
+        let reach = match at("spreadOver", n).and_then(Value::as_str) {
+            Some("machine") => Some(Reach::Machine),
+            Some("cell") => Some(Reach::Cell),
+            Some("zone") => Some(Reach::Zone),
+            _ => None,
+        };
+        Ok(UseCase {
+            soft_limit: span(class, "target")?,
+            client_timeout: span(class, "deadline")?,
+            effect,
+            earnings: number(class, "gain")?,
+            priority: figure("precedence", n).unwrap_or(0.0) as u8,
+            kind: figure("kindByClass", n).filter(|kind| *kind >= 0.0).map(|kind| KindId(kind as usize)),
+            spread: reach.zip(figure("togetherMax", n).map(|most| most as usize)),
+            full_up_to: figure("fullUpTo", n).unwrap_or(1.0),
+            fade: figure("classFade", n).unwrap_or(0.0),
+        })
+    };
+    list(config, "classes")?.iter().enumerate().map(read).collect()
+}
