Drawn returns, the cold gate and standstills in a package of their own

Need: the platform's party must draw its returns, hold back offers to cold machines and know of its standstills just as the engine does; a copy was ruled out. Change: again.rs and cold.rs move from the engine to crates/pacing as they were; what the desk noted of promised turns becomes Standstills there, with a test of its own. The engine's behaviour is the same.

--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -1,6 +1,5 @@
 //! All that a planner holds beside the module, and the pen that carries out the module's choices.
 
-use crate::again;
 use crate::machines::{Reach, Spot};
 use crate::settings::Settings;
 use hdrhistogram::Histogram;
@@ -8,15 +7,13 @@
 use mulleinhub_interface::{Effect, Ending, MachineId, Order, Reach as Group, TaskId, Writer};
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_limits::{Act, Admission, Limits, Why};
+use mulleinhub_pacing::{STANDSTILL, Standstills, again};
 use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Mode, Shape, Spare};
 use mulleinhub_seam::{End, Link, Links, Timers, Unwritten};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-/// A turn that comes so much later than was promised follows a standstill of this process.
-const STANDSTILL: Span = Span::from_nanos(20_000_000);
-
 /// Between two turns at the most, while clients are heard.
 const HEARTBEAT: Span = Span::from_nanos(100_000_000);
 
@@ -192,14 +189,7 @@
     pub limits: Limits,
     /// Knows how many final answers are owed, and to which services.
     pub admission: Admission,
-    /// When a turn was promised at the end of the last one.
-    promised: Option<Time>,
-    /// Turns that began, early ones too.
-    turns: u64,
-    /// The last standstill: the first and last turns of the step that came after it, and how long it was.
-    last_stood: (u64, u64, Span),
-    /// There was an early turn since the last whole one.
-    early: bool,
+    stood: Standstills,
     pub hears_clients: bool,
     pub winding_down: bool,
     pub counts: Counts,
@@ -247,10 +237,7 @@
             stuck: Vec::new(),
             limits,
             admission,
-            promised: None,
-            turns: 0,
-            last_stood: (0, 0, Span::ZERO),
-            early: false,
+            stood: Standstills::default(),
             hears_clients: false,
             winding_down: false,
             counts: Counts::default(),
@@ -287,7 +274,7 @@
                 ahead_is_sure: false,
                 end: None,
                 queued: false,
-                since: (self.now, self.turns),
+                since: (self.now, self.stood.turns()),
                 in_hand: 0,
             }),
         );
@@ -298,14 +285,9 @@
     /// ask that had lain for seconds was given its whole patience anew, and answered after its client
     /// timeout.
     pub fn lain(&mut self, link: Link, clock: u64) -> Span {
-        let (first, last, length) = self.last_stood;
         let ahead = (self.now.nanos() as i64).saturating_sub(i64::try_from(clock).unwrap_or(i64::MAX));
         let Some(peer) = self.peers.get_mut(&link) else { return Span::ZERO };
-        // What was read after a standstill may be heard turns later. Met: those who waited in line then were
-        // given their whole patience anew.
-        let (since, turns) = peer.since;
-        let after_one = first <= turns + 1 && turns < last;
-        let lay = (self.now - since) + if after_one { length } else { Span::ZERO };
+        let lay = self.stood.lay(self.now, peer.since);
         let stood = if lay > STANDSTILL { lay.nanos() as i64 } else { 0 };
         // A frame read after a standstill may have lain for all of it: until one is read promptly, the worst
         // holds.
@@ -394,7 +376,7 @@
         let Some(peer) = self.peers.get_mut(&link) else { return };
         peer.frames.take_with(bytes, &mut self.spare);
         if !peer.queued {
-            peer.since = (now, self.turns);
+            peer.since = (now, self.stood.turns());
         }
         // Who sends more than is heard in a turn waits until that was heard.
         if matches!(peer.who, Who::Stranger | Who::Client(_)) && self.limits.slows(peer.frames.kept()) {
@@ -497,21 +479,10 @@
         [self.timers.next(), self.limits.wake(), heartbeat].into_iter().flatten().min()
     }
 
-    /// How much later than promised this turn comes. After an early one it is promised at once; what that one
-    /// found out holds for the rest of what lay here. Met: a process that stood still between the two.
     fn note_standstill(&mut self, now: Time) {
-        self.turns += 1;
-        let late = self.promised.take().map_or(Span::ZERO, |promised| now - promised);
-        let late = if late > STANDSTILL { late } else { Span::ZERO };
-        let (first, last, length) = self.last_stood;
-        if self.early && last + 1 == self.turns {
-            self.last_stood = (first, self.turns, length + late);
-        } else if late > Span::ZERO {
-            self.last_stood = (self.turns, self.turns, late);
-        } else {
-            return;
+        if self.stood.begin(now) {
+            self.limits.woke(now);
         }
-        self.limits.woke(now);
     }
 
     /// A turn begins: so many frames of those that woke are heard in it.
@@ -529,7 +500,7 @@
     pub fn begin_early(&mut self, now: Time) -> bool {
         self.now = now;
         self.note_standstill(now);
-        (self.early, self.promised) = (true, Some(now));
+        self.stood.is_early(now);
         !self.arrivals.is_empty() || !self.closings.is_empty()
     }
 
@@ -544,8 +515,7 @@
 
     /// The turn is over; the next one is due at the latest by then.
     pub fn end_turn(&mut self) {
-        self.promised = self.wake();
-        self.early = false;
+        self.stood.end(self.wake());
     }
 
     /// Peers that don't read are let go: what waits for them is bounded.
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -9,13 +9,13 @@
 //! Everything else may have run: half-written and written offers whose machine can't be asked, time-outs, and
 //! whatever a former life of the machine was sent.
 
-use crate::again;
 use crate::desk::{Answer, Desk, Due, Job, Late, Open, Who};
 use crate::machines::{Reach, Spot};
 use mulleinhub_interface::{
     Ears, Effect, Ending, Entry, ListKind, Loss, MachineId, Mode, Nack, Order, Report, Room, ServiceId, Span,
     TaskId, TaskKey, Time, UseCaseId,
 };
+use mulleinhub_pacing::again;
 use mulleinhub_protocol::{self as protocol, Bad, Conversation, Message, Reason, Shape, Side};
 use mulleinhub_seam::{End, Link, Unwritten};
 use std::cell::RefCell;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,8 +6,6 @@
 //! the module.
 //! May not touch: sockets, clocks, files; any choice of machine, rest, order or nack, which are the module's.
 
-mod again;
-mod cold;
 mod desk;
 mod hear;
 mod machines;
--- a/crates/engine/src/machines.rs
+++ b/crates/engine/src/machines.rs
@@ -1,8 +1,8 @@
 //! What is known of each machine's connection, and when it is tried again, ended, or given up.
 
-use crate::cold::Gate;
 use mulleinhub_interface::{CellId, KindId, MachineId, ZoneId};
 use mulleinhub_interface::{Span, Time};
+use mulleinhub_pacing::Gate;
 use mulleinhub_protocol::{Entry, Mode};
 use mulleinhub_seam::Link;
 
--- /dev/null
+++ b/crates/pacing/src/standstill.rs
@@ -0,0 +1,85 @@
+//! Whether this process stood still, told by turns that come later than they were promised.
+
+use mulleinhub_interface::{Span, Time};
+
+/// A turn that comes so much later than was promised follows a standstill of this process.
+pub const STANDSTILL: Span = Span::from_nanos(20_000_000);
+
+#[derive(Clone, Debug, Default)]
+pub struct Standstills {
+    /// When a turn was promised at the end of the last one.
+    promised: Option<Time>,
+    /// Turns that began, early ones too.
+    turns: u64,
+    /// The last standstill: the first and last turns of the step that came after it, and how long it was.
+    last: (u64, u64, Span),
+    /// There was an early turn since the last whole one.
+    early: bool,
+}
+
+impl Standstills {
+    /// A turn begins. True where it follows a standstill. After an early one it is promised at once; what that
+    /// one found out holds for the rest of what lay here. Met: a process that stood still between the two.
+    pub fn begin(&mut self, now: Time) -> bool {
+        self.turns += 1;
+        let late = self.promised.take().map_or(Span::ZERO, |promised| now - promised);
+        let late = if late > STANDSTILL { late } else { Span::ZERO };
+        let (first, last, length) = self.last;
+        if self.early && last + 1 == self.turns {
+            self.last = (first, self.turns, length + late);
+        } else if late > Span::ZERO {
+            self.last = (self.turns, self.turns, late);
+        } else {
+            return false;
+        }
+        true
+    }
+
+    /// The turn that began is an early one: the whole one is promised at once.
+    pub fn is_early(&mut self, now: Time) {
+        (self.early, self.promised) = (true, Some(now));
+    }
+
+    /// The turn is over; the next one is due at the latest by then.
+    pub fn end(&mut self, promised: Option<Time>) {
+        self.promised = promised;
+        self.early = false;
+    }
+
+    /// How many turns began: a mark for `lay`.
+    pub fn turns(&self) -> u64 {
+        self.turns
+    }
+
+    /// For how long something may have lain that was read then, after so many turns. What was read after a
+    /// standstill may be heard turns later. Met: those who waited in line then were given their whole
+    /// patience anew.
+    pub fn lay(&self, now: Time, (read_at, turns): (Time, u64)) -> Span {
+        let (first, last, length) = self.last;
+        let after_one = first <= turns + 1 && turns < last;
+        (now - read_at) + if after_one { length } else { Span::ZERO }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(ms: u64) -> Time {
+        Time::from_nanos(ms * 1_000_000)
+    }
+
+    #[test]
+    fn what_was_read_after_a_standstill_lay_for_all_of_it_and_what_comes_later_did_not() {
+        let mut stood = Standstills::default();
+        assert!(!stood.begin(at(0)));
+        stood.end(Some(at(100)));
+        let read = (at(3_100), stood.turns());
+        assert!(stood.begin(at(3_100)));
+        assert_eq!(stood.lay(at(3_100), read), Span::from_secs(3));
+        stood.end(Some(at(3_200)));
+        let read = (at(3_110), stood.turns());
+        assert!(!stood.begin(at(3_110)));
+        assert_eq!(stood.lay(at(3_115), read), Span::from_nanos(5_000_000));
+    }
+}
