--- /dev/null
+++ b/crates/limits/src/shares.rs
@@ -0,0 +1,36 @@
+//! How descriptors and memory are shared out where a process has few of both.
+
+use crate::{OWN_DESCRIPTORS, OWN_PART};
+
+/// Whoever opens connections to us is promised this part of the descriptors.
+const PROMISED_PART: usize = 3;
+/// Connections to one machine at the most: more are not in use at a time where each has one task on its way.
+const MOST_WAYS: usize = 16;
+/// Tasks in hand for each megabyte: with the longest descriptions they take half of the memory.
+const TASKS_A_MEGABYTE: usize = 32;
+
+/// Connections that may be open to one machine of so many, with so many descriptors in all.
+pub fn ways_to_a_machine(descriptors: usize, machines: usize) -> usize {
+    let own = OWN_DESCRIPTORS.min(descriptors / OWN_PART);
+    let left = descriptors.saturating_sub(own + descriptors / PROMISED_PART);
+    (left / machines.max(1)).clamp(1, MOST_WAYS)
+}
+
+/// Tasks without a final answer that may be held with so many megabytes.
+pub fn tasks_in_hand(megabytes: usize) -> usize {
+    megabytes.max(1) * TASKS_A_MEGABYTE
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn owners_and_machines_fit_beside_each_other_into_few_descriptors() {
+        for (descriptors, machines) in [(256, 17), (256, 40), (1_024, 12), (1_024, 60)] {
+            let ways = ways_to_a_machine(descriptors, machines) * machines;
+            assert!(ways + descriptors / PROMISED_PART + descriptors / OWN_PART <= descriptors + machines);
+            assert!(ways >= machines, "each machine can be reached");
+        }
+    }
+}
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -116,7 +116,7 @@
     }
 }
 
-fn start_log(format: LogFormat) {
+pub fn start_log(format: LogFormat) {
     let filter = tracing_subscriber::EnvFilter::try_from_default_env()
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
     let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -6,6 +6,8 @@
 mod conf;
 mod daemon;
 mod metrics;
+mod platform;
 
 pub use conf::{Conf, ConfText, LogFormat, conf_of_text, parse_conf, read_conf};
 pub use daemon::run;
+pub use platform::run as run_on_platform;
--- /dev/null
+++ b/crates/planner/src/platform.rs
@@ -0,0 +1,63 @@
+//! The scheduler on the platform: its configuration file, signals, logs, and the party behind real sockets.
+
+use crate::LogFormat;
+use crate::daemon::start_log;
+use mulleinhub_interface::Time;
+use mulleinhub_platform::{Conf, Platform};
+use mulleinhub_seam::Door;
+use mulleinhub_shell::{Shell, Step, span};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const OWNERS: Door = Door(0);
+/// The shell wakes by itself for whatever is due; this bounds the wait for an end that nothing tells of.
+const AT_MOST: Duration = Duration::from_millis(100);
+
+fn read(path: &Path) -> Result<Conf, String> {
+    let words = |what: String| format!("{}: {what}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|e| words(e.to_string()))?;
+    Conf::read(&text).map_err(words)
+}
+
+/// Serves until it is told to end.
+///
+/// # Errors
+/// What of the environment or the configuration can't be read, or what the system refuses, in words.
+pub fn run() -> Result<(), String> {
+    let path = std::env::var_os("LB_CONFIG").map(PathBuf::from).ok_or("LB_CONFIG is not set")?;
+    let conf = read(&path)?;
+    let listen = std::env::var("LB_LISTEN").unwrap_or_else(|_| conf.listen.clone());
+    let listen = listen.parse().map_err(|_| format!("LB_LISTEN: {listen:?} is no address and port"))?;
+    start_log(LogFormat::Text);
+    tracing::info!(name = conf.name, %listen, "starting");
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).map_or(Duration::ZERO, |since| since);
+    let origin = Time::default() + span(since);
+    let words = |what: &'static str| move |error: std::io::Error| format!("{what}: {error}");
+    let shell = Shell::new(Platform::new(conf)).map_err(words("no poll"))?;
+    let mut shell = shell.from_origin(origin);
+    shell.hear_signals(&[SIGHUP, SIGTERM, SIGINT]).map_err(words("no signals"))?;
+    shell.listen(listen, OWNERS).map_err(words("listen"))?;
+    loop {
+        let step = shell.step(AT_MOST).map_err(words("the poll failed"))?;
+        let now = shell.now();
+        match step {
+            Step::Signal(SIGHUP) => match read(&path) {
+                Ok(conf) => {
+                    tracing::info!(bulletin = conf.bulletin, "the configuration was read again");
+                    shell.party.reload(now, conf);
+                }
+                Err(fault) => tracing::error!(fault, "the configuration is faulty; the old one stays"),
+            },
+            Step::Signal(_) => {
+                tracing::info!("ending: tests fail from now on");
+                shell.party.wind_down(now);
+            }
+            Step::Went => {}
+        }
+        if shell.party.is_done(now) {
+            tracing::info!(counts = ?shell.party.counts(), "ended");
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/desk.rs
@@ -0,0 +1,617 @@
+//! All that is held beside the module: connections, tasks and what is due.
+
+use crate::bulletin::{self, Bulletin};
+use crate::conf::Conf;
+use crate::machines::{Machines, Patience, Way};
+use crate::owners::{Owner, Owners};
+use crate::tasks::Tasks;
+use mulleinhub::{Pcg, mix};
+use mulleinhub_interface::{Effect, Ending, MachineId, Mode, Span, TaskId, Time};
+use mulleinhub_limits::{Admission, Limits, tasks_in_hand, ways_to_a_machine};
+use mulleinhub_pacing::{Standstills, again};
+use mulleinhub_platform_protocol::{self as protocol, Cause, Event, kind, why};
+use mulleinhub_seam::{End, Link, Links, Timers};
+use mulleinhub_site::Site;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Between two turns at the most: by its lateness a standstill is known.
+const HEARTBEAT: Span = Span::from_nanos(100_000_000);
+/// Bytes that may wait for one peer that doesn't read.
+const MOST_UNWRITTEN: usize = 256 * 1024;
+/// Faults of peers that are logged within a second.
+const MOST_LOGGED: u32 = 5;
+/// After so long from the word to end nobody comes any more, and later set-ups are refused at once.
+pub const STILL_COMING: Span = Span::from_nanos(700_000_000);
+/// And no end before this is past.
+const NO_END_BEFORE: Span = Span::from_nanos(1_000_000_000);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    Token(u64),
+    Send(TaskId, u32),
+    /// A connection that should be up by then.
+    Up(Link),
+    Look(MachineId),
+    Release(MachineId),
+    Bulletin(Link),
+    CallBulletin,
+    Tell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Who {
+    Owner,
+    Machine,
+    Bulletin,
+}
+
+/// What was done since the start, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub placed: u64,
+    pub nacked: u64,
+    pub errored: u64,
+    pub sends: u64,
+    pub late_yes: u64,
+    pub unusable: u64,
+    pub bad_owners: u64,
+    pub bad_machines: u64,
+    pub handed: u64,
+    pub lost: u64,
+}
+
+pub struct Desk {
+    pub site: Site,
+    pub now: Time,
+    pub links: Links,
+    pub owners: Owners,
+    pub machines: Machines,
+    pub bulletin: Bulletin,
+    pub tasks: Tasks,
+    pub limits: Limits,
+    pub admission: Admission,
+    pub patience: Patience,
+    descriptors: usize,
+    /// The list that the configuration knew; told first.
+    pub saved: Vec<Event>,
+    /// Connections to machines on which something came in.
+    arrivals: VecDeque<Link>,
+    /// Owners of whom more came than is heard in a turn.
+    rest: Vec<Link>,
+    /// Ends of sends that are to be told to the module.
+    pub closings: VecDeque<(TaskId, u32, Ending)>,
+    /// Tasks that nobody wants any more, to be told to the module.
+    pub gone: Vec<TaskId>,
+    pub timers: Timers<Due>,
+    next_mark: u64,
+    pub marks: BTreeMap<u64, (TaskId, u32)>,
+    pub stood: Standstills,
+    pub chance: Pcg,
+    /// Since when it is to end.
+    pub ending: Option<Time>,
+    pub counts: Counts,
+    logged: (Time, u32),
+    stuck: Vec<Link>,
+    pub scratch: Vec<u8>,
+}
+
+impl Desk {
+    pub fn new(conf: Conf) -> Self {
+        let limits = mulleinhub_limits::Settings {
+            most: conf.descriptors,
+            most_of_a_tenant: conf.descriptors,
+            most_of_a_name: conf.descriptors,
+            // Who says nothing has a part of what owners have, and no more.
+            most_strangers: (conf.descriptors / 8).max(1),
+            opens_a_turn: 32,
+            greet_within: Span::from_nanos(2_000_000_000),
+            frame_within: Span::from_nanos(2_000_000_000),
+            idle_after: Span::from_secs(30),
+            sign_within: Span::from_secs(10),
+            steady_for: Span::from_secs(5),
+            woken_a_turn: 256,
+        };
+        let mut limits = Limits::new(limits);
+        limits.descriptors(conf.descriptors);
+        let patience = Patience::new(conf.site.idle_after, conf.site.connect_within);
+        Self {
+            limits,
+            patience,
+            admission: Admission::new(tasks_in_hand(conf.memory_mb)),
+            now: Time::default(),
+            links: Links::default(),
+            owners: Owners::default(),
+            machines: Machines::default(),
+            bulletin: Bulletin::new(conf.bulletin, conf.known.no),
+            tasks: Tasks::default(),
+            descriptors: conf.descriptors,
+            saved: conf.known.items,
+            arrivals: VecDeque::new(),
+            rest: Vec::new(),
+            closings: VecDeque::new(),
+            gone: Vec::new(),
+            timers: Timers::default(),
+            next_mark: 0,
+            marks: BTreeMap::new(),
+            stood: Standstills::default(),
+            chance: Pcg::new(mix(conf.seed, conf.site.cold.number.into())),
+            ending: None,
+            counts: Counts::default(),
+            logged: (Time::default(), 0),
+            stuck: Vec::new(),
+            scratch: Vec::with_capacity(1024),
+            site: conf.site,
+        }
+    }
+
+    // What whoever feeds the party tells.
+
+    pub fn owner_came(&mut self, now: Time, link: Link) {
+        self.now = self.now.max(now);
+        self.owners.by_link.insert(link, Owner::new((self.now, self.stood.turns())));
+        match self.limits.opened(self.now, link.0) {
+            Ok(None) => {}
+            Ok(Some(idle)) => self.drop_owner(Link(idle)),
+            Err(_) => self.drop_owner(link),
+        }
+    }
+
+    /// An owner's connection without anything open on it is ended.
+    pub fn drop_owner(&mut self, link: Link) {
+        self.limits.forget(link.0);
+        self.owners.by_link.remove(&link);
+        self.links.end(link);
+    }
+
+    pub fn who(&self, link: Link) -> Option<Who> {
+        if self.owners.by_link.contains_key(&link) {
+            Some(Who::Owner)
+        } else if self.machines.ways.contains_key(&link) {
+            Some(Who::Machine)
+        } else {
+            (self.bulletin.link == Some(link)).then_some(Who::Bulletin)
+        }
+    }
+
+    pub fn is_up(&mut self, now: Time, link: Link) {
+        self.now = self.now.max(now);
+        match self.who(link) {
+            Some(Who::Machine) => {
+                let way = self.machines.ways.get_mut(&link).expect("is one");
+                (way.up, way.used_at) = (true, now);
+                if let Some(machine) = self.machines.by_id.get_mut(&way.machine) {
+                    machine.is_there(now);
+                }
+            }
+            Some(Who::Bulletin) => {
+                self.bulletin.up = true;
+                self.bulletin.heard_at = now;
+                let call = self.bulletin.call();
+                self.links.send(link, call.as_bytes(), None);
+                self.timers.set(now + bulletin::SILENCE, Due::Bulletin(link));
+            }
+            Some(Who::Owner) | None => {}
+        }
+    }
+
+    pub fn came_in(&mut self, now: Time, link: Link, bytes: &[u8]) {
+        match self.who(link) {
+            Some(Who::Owner) => {
+                let turns = self.stood.turns();
+                let owner = self.owners.by_link.get_mut(&link).expect("is one");
+                owner.frames.take(bytes);
+                owner.heard_at = now;
+                if !owner.queued {
+                    owner.since = (now, turns);
+                }
+                if self.limits.slows(owner.frames.kept()) {
+                    self.links.pause(link, true);
+                }
+                self.limits.heard(now, link.0);
+                self.queue_owner(link);
+            }
+            Some(Who::Machine) => {
+                let way = self.machines.ways.get_mut(&link).expect("is one");
+                way.frames.take(bytes);
+                way.used_at = now;
+                if let Some(machine) = self.machines.by_id.get_mut(&way.machine) {
+                    machine.is_there(now);
+                }
+                self.queue_way(link);
+            }
+            Some(Who::Bulletin) => {
+                if let Err(bad) = self.bulletin.take(now, bytes) {
+                    self.grumble("the bulletin speaks wrongly; it is called anew", &bad.0);
+                    self.bulletin_ended(true);
+                } else if self.bulletin.is_over() {
+                    self.bulletin_ended(true);
+                }
+            }
+            None => {}
+        }
+    }
+
+    pub fn has_ended(&mut self, now: Time, link: Link, end: End) {
+        self.now = self.now.max(now);
+        match self.who(link) {
+            Some(Who::Owner) => {
+                self.owners.by_link.get_mut(&link).expect("is one").end = Some(end);
+                self.queue_owner(link);
+            }
+            Some(Who::Machine) => {
+                self.machines.ways.get_mut(&link).expect("is one").end = Some(end);
+                self.queue_way(link);
+            }
+            Some(Who::Bulletin) => {
+                self.links.forget(link);
+                self.bulletin_ended(false);
+            }
+            None => drop(self.links.forget(link)),
+        }
+    }
+
+    fn queue_owner(&mut self, link: Link) {
+        let owner = self.owners.by_link.get_mut(&link).expect("is one");
+        if std::mem::replace(&mut owner.queued, true) {
+            return;
+        }
+        let returns = !owner.open.is_empty();
+        if self.limits.speaks(self.now, link.0, returns) {
+            self.arrivals.push_back(link);
+        }
+    }
+
+    fn queue_way(&mut self, link: Link) {
+        let way = self.machines.ways.get_mut(&link).expect("is one");
+        if !std::mem::replace(&mut way.queued, true) {
+            self.arrivals.push_back(link);
+        }
+    }
+
+    /// More of it was here than is heard in one turn.
+    pub fn hear_rest_later(&mut self, link: Link) {
+        if let Some(owner) = self.owners.by_link.get_mut(&link)
+            && !std::mem::replace(&mut owner.queued, true)
+        {
+            self.rest.push(link);
+        }
+    }
+
+    /// The next connection that something came in on.
+    pub fn next_arrival(&mut self) -> Option<Link> {
+        let link = self.arrivals.pop_front().or_else(|| self.limits.next_heard().map(Link))?;
+        if let Some(owner) = self.owners.by_link.get_mut(&link) {
+            owner.queued = false;
+        } else if let Some(way) = self.machines.ways.get_mut(&link) {
+            way.queued = false;
+        }
+        Some(link)
+    }
+
+    // Turns.
+
+    pub fn begin_turn(&mut self, now: Time) {
+        self.now = now;
+        if self.stood.begin(now) {
+            self.limits.woke(now);
+        }
+        let machines = self.machines.by_id.len();
+        self.limits.begin_turn(machines * ways_to_a_machine(self.descriptors, machines));
+        for link in std::mem::take(&mut self.rest) {
+            self.limits.stands_in_line(link.0, true);
+        }
+    }
+
+    pub fn end_turn(&mut self) {
+        for link in std::mem::take(&mut self.stuck) {
+            self.grumble("ended: it doesn't read, and too much waits for it", &format!("link {}", link.0));
+            match self.who(link) {
+                Some(Who::Owner | Who::Machine) => self.has_ended(self.now, link, End::Broken),
+                Some(Who::Bulletin) | None => {}
+            }
+        }
+        self.stood.end(self.wake());
+    }
+
+    pub fn wake(&self) -> Option<Time> {
+        let at_once = !self.closings.is_empty()
+            || !self.arrivals.is_empty()
+            || !self.rest.is_empty()
+            || self.limits.any_in_line();
+        if at_once {
+            return Some(self.now);
+        }
+        [self.timers.next(), self.limits.wake(), Some(self.now + HEARTBEAT)].into_iter().flatten().min()
+    }
+
+    /// A fault of a peer, logged a few times a second at the most.
+    pub fn grumble(&mut self, what: &str, why: &str) {
+        let (since, times) = self.logged;
+        let fresh = self.now - since >= Span::from_secs(1);
+        self.logged = if fresh { (self.now, 1) } else { (since, times + 1) };
+        if self.logged.1 <= MOST_LOGGED {
+            tracing::warn!(why, "{what}");
+        }
+    }
+
+    // Writing.
+
+    pub fn send(&mut self, link: Link, write: impl FnOnce(&mut Vec<u8>)) {
+        self.send_marked(link, None, write);
+    }
+
+    fn send_marked(&mut self, link: Link, mark: Option<u64>, write: impl FnOnce(&mut Vec<u8>)) {
+        self.scratch.clear();
+        write(&mut self.scratch);
+        self.links.send(link, &self.scratch, mark);
+        if self.links.unwritten(link) > MOST_UNWRITTEN {
+            self.stuck.push(link);
+        }
+    }
+
+    /// The end of a task that stood, or of one that is not in hand.
+    pub fn tell_end(&mut self, came_on: Option<Link>, task: TaskId, cause: Cause) {
+        match self.owners.to_tell(came_on) {
+            Some(link) => {
+                self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, task.0, cause));
+            }
+            None => self.owners.owed.push_back((task, cause)),
+        }
+    }
+
+    /// What is owed to owners goes out once one of them is connected.
+    pub fn pay_owed(&mut self) {
+        while !self.owners.owed.is_empty() {
+            let Some(link) = self.owners.to_tell(None) else { return };
+            let (task, cause) = self.owners.owed.pop_front().expect("is not empty");
+            self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, task.0, cause));
+        }
+    }
+
+    /// The final answer of a task in hand is given, or none is owed any more.
+    pub fn is_answered(&mut self, id: TaskId) {
+        let Some(job) = self.tasks.by_id.get_mut(&id) else { return };
+        if std::mem::replace(&mut job.answered, true) {
+            return;
+        }
+        let service = job.order.service.0;
+        let link = job.owner;
+        self.tasks.unanswered -= 1;
+        self.admission.done(self.now, service);
+        if let Some(link) = link
+            && let Some(owner) = self.owners.by_link.get_mut(&link)
+        {
+            owner.open.remove(&id);
+            let open = owner.open.len() as u32;
+            self.limits.in_hand(link.0, open);
+        }
+    }
+
+    // Machines.
+
+    /// Asks for a connection to this machine.
+    pub fn open_way(&mut self, id: MachineId) -> Option<Link> {
+        let machine = self.machines.by_id.get_mut(&id).filter(|machine| !machine.replaced)?;
+        let link = self.links.open(&machine.address.clone());
+        machine.ways.push(link);
+        let now = self.now;
+        self.machines.ways.insert(
+            link,
+            Way {
+                machine: id,
+                frames: protocol::Frames::default(),
+                end: None,
+                queued: false,
+                up: false,
+                used_at: now,
+                open: Vec::new(),
+                given_up: VecDeque::new(),
+            },
+        );
+        self.timers.set(now + self.patience.connect, Due::Up(link));
+        self.look_after(id);
+        Some(link)
+    }
+
+    /// It is looked at from now on, as long as there is anything to look after.
+    pub fn look_after(&mut self, id: MachineId) {
+        let drawn = again::sign(self.patience.look * 2.0, self.chance.part());
+        if let Some(machine) = self.machines.by_id.get_mut(&id)
+            && !std::mem::replace(&mut machine.looked_after, true)
+        {
+            self.timers.set(self.now + drawn, Due::Look(id));
+        }
+    }
+
+    /// A connection for a set-up: one with nothing open, a new one, or a shared one.
+    fn way_for(&mut self, machine: MachineId, task: TaskId) -> Option<Link> {
+        if let Some(link) = self.machines.free_way(machine, task) {
+            return Some(link);
+        }
+        let most = ways_to_a_machine(self.descriptors, self.machines.by_id.len());
+        if self.machines.by_id.get(&machine).is_some_and(|machine| machine.ways.len() < most) {
+            return self.open_way(machine);
+        }
+        self.machines.shared_way(machine, task).or_else(|| {
+            // Each of them may still bring a late answer of this task: one that has nothing open makes room.
+            let idle = self.machines.ways_of(machine).find(|(_, way)| way.open.is_empty());
+            let (link, _) = idle?;
+            self.end_way(link);
+            self.open_way(machine)
+        })
+    }
+
+    /// Ends a connection to a machine on which nothing is open.
+    pub fn end_way(&mut self, link: Link) {
+        self.machines.forget_way(link);
+        self.links.end(link);
+    }
+
+    /// Writes the set-up of an open send. False where there is no way to the machine.
+    pub fn write_setup(&mut self, id: TaskId) -> bool {
+        let now = self.now;
+        let Some(open) = self.tasks.by_id.get(&id).and_then(|job| job.open) else { return false };
+        let Some(link) = self.way_for(open.machine, id) else { return false };
+        self.next_mark += 1;
+        let mark = self.next_mark;
+        let Some(mut job) = self.tasks.by_id.remove(&id) else { return false };
+        job.open = Some(crate::tasks::Open { link: Some(link), mark, ..open });
+        if let Some(machine) = self.machines.by_id.get_mut(&open.machine) {
+            machine.gate.wrote(now, id.0, open.number);
+        }
+        let way = self.machines.ways.get_mut(&link).expect("was chosen");
+        way.open.push(id);
+        way.used_at = now;
+        self.marks.insert(mark, (id, open.number));
+        let class = std::mem::take(&mut self.site.names.use_cases[job.order.use_case.0]);
+        let patience = (open.due - now).nanos() / 1_000_000;
+        let wanted = job.wanted.as_ref().expect("is kept until the task stands");
+        self.send_marked(link, Some(mark), |out| {
+            protocol::write_setup(
+                out,
+                id.0,
+                &class,
+                patience.max(1),
+                wanted.key.as_deref(),
+                &wanted.name,
+                &wanted.description,
+            );
+        });
+        self.site.names.use_cases[job.order.use_case.0] = class;
+        self.tasks.by_id.insert(id, job);
+        true
+    }
+
+    /// Takes the open send of a task back, or gives it up at its machine. What is given back tells what is
+    /// proven: it never left, or it may run.
+    pub fn retract(&mut self, id: TaskId) -> Retracted {
+        let Some(job) = self.tasks.by_id.get(&id) else { return Retracted::Unsent };
+        let Some(open) = job.open else { return Retracted::Unsent };
+        let cut = self.site.use_cases[job.order.use_case.0].effect == Effect::Replayable;
+        let Some(link) = open.link else {
+            if let Some(machine) = self.machines.by_id.get_mut(&open.machine) {
+                machine.waiting.retain(|waits| *waits != (id, open.number));
+            }
+            return Retracted::Unsent;
+        };
+        self.marks.remove(&open.mark);
+        let back = self.links.take_back(link, open.mark);
+        let Some(way) = self.machines.ways.get_mut(&link) else { return Retracted::MayRun };
+        way.open.retain(|task| *task != id);
+        if back {
+            return if way.up { Retracted::Unsent } else { Retracted::NoConnection };
+        }
+        way.gives_up(id, cut);
+        self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, id.0, why::ENDED));
+        Retracted::MayRun
+    }
+
+    /// Writes the set-ups that the gate held back, as far as it lets them. What waited too long for a cold
+    /// machine goes back to the module, whose budget counts it no longer.
+    pub fn release(&mut self, id: MachineId) {
+        let (now, fall) = (self.now, self.site.cold.fall);
+        let Some(machine) = self.machines.by_id.get_mut(&id).filter(|m| !m.waiting.is_empty()) else {
+            return;
+        };
+        let shut = machine.gate.shut_until(now, fall);
+        let mut waits_on = Vec::new();
+        for (task, send) in std::mem::take(&mut machine.waiting) {
+            let open = self.tasks.by_id.get(&task).and_then(|job| job.open);
+            let is_it = |open: &crate::tasks::Open| open.number == send && open.link.is_none();
+            let Some(open) = open.filter(is_it) else { continue };
+            let machine = &self.machines.by_id[&id];
+            if machine.gate.is_stale(now, fall, open.decided) || machine.entry.mode != Mode::Active {
+                self.closings.push_back((task, send, Ending::NotSent));
+            } else if shut.is_some() || open.due <= now {
+                waits_on.push((task, send));
+            } else if !self.write_setup(task) {
+                self.closings.push_back((task, send, Ending::NoConnection));
+            }
+        }
+        if let Some(until) = shut.filter(|_| !waits_on.is_empty()) {
+            self.timers.set(until, Due::Release(id));
+        }
+        self.machines.by_id.get_mut(&id).expect("is there").waiting = waits_on;
+    }
+
+    /// All that stands on a machine is over with it.
+    pub fn is_lost(&mut self, id: MachineId, before: Time) {
+        for (task, open) in self.tasks.standing_on(id) {
+            if open.placed_at.is_some_and(|at| at < before) {
+                self.counts.lost += 1;
+                let loss = Ending::Broken(mulleinhub_interface::Loss::Untold);
+                self.closings.push_back((task, open.number, loss));
+            }
+        }
+    }
+
+    // The bulletin.
+
+    pub fn call_bulletin(&mut self) {
+        if self.bulletin.link.is_some() {
+            return;
+        }
+        let link = self.links.open(&self.bulletin.address.clone());
+        self.bulletin.begins(link, self.now);
+        self.timers.set(self.now + bulletin::CONNECT, Due::Up(link));
+    }
+
+    /// Its connection is over: a new one is made at once, and later ones at a pace.
+    pub fn bulletin_ended(&mut self, ours: bool) {
+        let Some(link) = self.bulletin.link.take() else { return };
+        if ours {
+            self.links.abort(link);
+        }
+        let failures = self.bulletin.failures;
+        self.bulletin.failures += 1;
+        if failures == 0 {
+            self.call_bulletin();
+        } else {
+            let wait = again::after_failures(bulletin::AGAIN, failures - 1, self.chance.part());
+            self.timers.set(self.now + wait, Due::CallBulletin);
+        }
+    }
+
+    /// Goes over to another address, with the numbers heard so far.
+    pub fn move_bulletin(&mut self, address: String) {
+        if self.bulletin.address == address {
+            return;
+        }
+        self.bulletin.address = address;
+        if let Some(link) = self.bulletin.link.take() {
+            self.links.abort(link);
+        }
+        self.bulletin.failures = 0;
+        self.call_bulletin();
+    }
+
+    /// How many descriptors this process may have.
+    pub fn limits_descriptors(&self) -> usize {
+        self.descriptors
+    }
+
+    // The end.
+
+    /// Whether set-ups are refused at once.
+    pub fn is_closed(&self) -> bool {
+        self.ending.is_some_and(|since| self.now - since >= STILL_COMING)
+    }
+
+    /// Whether nobody comes any more and nothing that was taken is unanswered.
+    pub fn is_done(&self, now: Time) -> bool {
+        self.ending.is_some_and(|since| now - since >= NO_END_BEFORE)
+            && self.tasks.unanswered == 0
+            && self.owners.by_link.keys().all(|link| self.links.unwritten(*link) == 0)
+    }
+}
+
+/// What is proven of a send that was taken back or given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Retracted {
+    /// Not a byte left.
+    Unsent,
+    /// Nor did a connection come up for it.
+    NoConnection,
+    MayRun,
+}
--- /dev/null
+++ b/crates/platform/src/hear.rs
@@ -0,0 +1,797 @@
+//! Hearing: what each message, end and instant means, and what the module is told of it.
+//!
+//! What proves that a send never ran, which the second rule rests on: a refused connection, a set-up of which
+//! not a byte left this process, and a machine's own word. Everything else may have run: half-written and
+//! written set-ups whose connection ended, and time-outs.
+
+use crate::desk::{Desk, Due, Retracted, Who};
+use crate::machines::{Machine, id_of};
+use crate::tasks::{Job, Open, Wanted};
+use mulleinhub_interface::{
+    CellId, Ears, Effect, Ending, Entry, KindId, ListKind, Loss, MachineId, Mode, Nack, Order, Report, Room,
+    ServiceId, Span, TaskId, TaskKey, Time, UseCaseId, ZoneId,
+};
+use mulleinhub_limits::{Act, ways_to_a_machine};
+use mulleinhub_pacing::again;
+use mulleinhub_platform_protocol::{
+    self as protocol, Bad, Cause, Frame, Listed, SetUp, Unusable, Why, kind, why,
+};
+use mulleinhub_seam::{End, Link, Unwritten};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+/// So many tries in a row that were refused: the process there has died, and what stood there with it.
+const DEAD: u32 = 2;
+/// A wait so many times longer than any that is used is none.
+const ABSURD: u64 = 10;
+
+/// The first turn: the list that the configuration knew, and the call for what came since.
+pub fn begin(desk: &RefCell<Desk>, round: &mut dyn Ears) {
+    let saved = std::mem::take(&mut desk.borrow_mut().saved);
+    let mut all: BTreeMap<String, Listed> = BTreeMap::new();
+    for event in saved {
+        if event.roster.all {
+            all.clear();
+        }
+        all.extend(event.roster.targets.into_iter().map(|listed| (listed.uid.clone(), listed)));
+    }
+    let known: Vec<Listed> = all.into_values().collect();
+    list(desk, round, ListKind::Saved, &known);
+    desk.borrow_mut().call_bulletin();
+    let at = desk.borrow().now + TELL;
+    desk.borrow_mut().timers.set(at, Due::Tell);
+}
+
+/// Between two lines in the log that tell how it is.
+const TELL: Span = Span::from_secs(5);
+
+// The bulletin.
+
+pub fn bulletin(desk: &RefCell<Desk>, round: &mut dyn Ears) {
+    let events = std::mem::take(&mut desk.borrow_mut().bulletin.events);
+    for event in events {
+        let kind = if event.roster.all { ListKind::Whole } else { ListKind::Changes };
+        list(desk, round, kind, &event.roster.targets);
+    }
+}
+
+fn list(desk: &RefCell<Desk>, round: &mut dyn Ears, kind: ListKind, targets: &[Listed]) {
+    let entries: Vec<Entry> = {
+        let d = &mut *desk.borrow_mut();
+        let entries: Vec<Entry> = targets.iter().map(|listed| entry(d, listed)).collect();
+        if kind != ListKind::Changes {
+            d.machines.by_id.values_mut().for_each(|machine| machine.entry.mode = Mode::Left);
+        }
+        for (listed, entry) in targets.iter().zip(&entries) {
+            is_listed(d, &listed.endpoint, *entry);
+        }
+        entries
+    };
+    round.list(kind, &entries);
+    let d = &mut *desk.borrow_mut();
+    let tasks = &d.tasks;
+    d.machines
+        .forget_gone(|id| tasks.by_id.values().any(|job| job.open.is_some_and(|open| open.machine == id)));
+}
+
+fn entry(d: &Desk, listed: &Listed) -> Entry {
+    let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+    Entry {
+        id: id_of(&listed.uid),
+        kind: KindId(place(&d.site.names.kinds, &listed.model).unwrap_or(usize::MAX)),
+        cell: CellId(listed.pod_group),
+        zone: ZoneId(place(&d.site.names.zones, &listed.az).map_or(u32::MAX, |at| at as u32)),
+        mode: match listed.state.as_str() {
+            "in_service" => Mode::Active,
+            "terminated" => Mode::Left,
+            // Nothing new goes where the state is not understood.
+            _ => Mode::Leaving,
+        },
+        since: (listed.boot_ms > 0).then(|| Time::from_nanos(listed.boot_ms.saturating_mul(1_000_000))),
+        left: listed.room.map(|(cores, memory)| Room::new(cores, memory)),
+    }
+}
+
+/// A machine as the list tells it. A later start ended what had stood there; a machine at the address of
+/// another one ended that.
+fn is_listed(d: &mut Desk, address: &str, entry: Entry) {
+    let (now, id) = (d.now, entry.id);
+    let known = d.machines.by_id.get(&id);
+    let (moved, before) = (known.is_none_or(|m| m.address != address), known.and_then(|m| m.entry.since));
+    if moved && entry.mode != Mode::Left {
+        let others = d.machines.by_id.iter().filter(|(other, m)| **other != id && m.address == address);
+        let others: Vec<MachineId> = others.map(|(other, _)| *other).collect();
+        for other in others {
+            d.machines.by_id.get_mut(&other).expect("is there").replaced = true;
+            d.is_lost(other, now);
+        }
+    }
+    if known_restart(before, entry.since) {
+        d.is_lost(id, entry.since.expect("a start"));
+    }
+    let machine = d.machines.by_id.entry(id).or_insert_with(|| Machine::new(entry, address.to_owned(), now));
+    machine.entry = entry;
+    if moved {
+        address.clone_into(&mut machine.address);
+    }
+    if let Some(since) = entry.since {
+        let until = since + d.site.cold.warm_after;
+        if until > now {
+            machine.gate.is_cold_until(until);
+        }
+    }
+}
+
+fn known_restart(before: Option<Time>, since: Option<Time>) -> bool {
+    since.is_some() && since != before
+}
+
+// Connections.
+
+/// Every connection on which something came in, in the order of coming.
+pub fn all_that_came(desk: &RefCell<Desk>, round: &mut dyn Ears) {
+    loop {
+        let next = desk.borrow_mut().next_arrival();
+        let Some(link) = next else { return };
+        let who = desk.borrow().who(link);
+        match who {
+            Some(Who::Owner) => {
+                hear_owner(desk, round, link);
+                tell_gone(desk, round);
+            }
+            Some(Who::Machine) => hear_way(desk, round, link),
+            Some(Who::Bulletin) | None => {}
+        }
+    }
+}
+
+fn hear_owner(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link) {
+    // The frames are taken out for the while, so that messages can borrow them and the desk stays free.
+    let take = |d: &mut Desk| Some(std::mem::take(&mut d.owners.by_link.get_mut(&link)?.frames));
+    let Some(mut frames) = take(&mut desk.borrow_mut()) else { return };
+    let mut left = desk.borrow().limits.frames_a_turn();
+    while left > 0 {
+        left -= 1;
+        let heard = match frames.next_frame() {
+            Ok(None) => break,
+            Ok(Some(frame)) => of_owner(desk, round, link, &frame),
+            Err(bad) => Err(bad),
+        };
+        if let Err(bad) = heard {
+            let d = &mut *desk.borrow_mut();
+            d.counts.bad_owners += 1;
+            d.grumble("an owner speaks wrongly; its connection ends", &bad.0);
+            close_owner(d, link);
+            return;
+        }
+    }
+    let d = &mut *desk.borrow_mut();
+    let now = d.now;
+    let Some(owner) = d.owners.by_link.get_mut(&link) else { return };
+    frames.tidy();
+    let (partial, more) = (frames.kept() > 0, frames.has_next());
+    owner.frames = frames;
+    let end = owner.end;
+    if more {
+        return d.hear_rest_later(link);
+    }
+    d.links.pause(link, false);
+    d.limits.read(now, link.0, partial);
+    if end.is_some() {
+        owner_is_gone(d, link);
+    }
+}
+
+fn of_owner(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, frame: &Frame<'_>) -> Result<(), Bad> {
+    match frame.kind {
+        kind::SET_UP => set_up(desk, round, link, frame)?,
+        kind::RELEASE => given_up(&mut desk.borrow_mut(), link, TaskId(frame.task)),
+        kind::TEST => {
+            let d = &mut *desk.borrow_mut();
+            greets(d, link, false);
+            let passes = d.ending.is_none();
+            d.send(link, |out| match passes {
+                true => protocol::write_passed_test(out, frame.task),
+                false => protocol::write_failed_test(out, frame.task),
+            });
+        }
+        kind::RELEASE_HEARD | kind::PROGRESS | kind::NOTE => {}
+        other => return Err(Bad(format!("a message of type {other}"))),
+    }
+    Ok(())
+}
+
+/// It says what owners say.
+fn greets(d: &mut Desk, link: Link, proves: bool) {
+    let Some(owner) = d.owners.by_link.get_mut(&link) else { return };
+    owner.proven |= proves;
+    if !std::mem::replace(&mut owner.greeted, true) {
+        // One name for all: the platform's owners have none.
+        let _ = d.limits.greeted(link.0, &"owner".into());
+    }
+}
+
+fn set_up(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, frame: &Frame<'_>) -> Result<(), Bad> {
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
+    let id = TaskId(frame.task);
+    let read = SetUp::read(frame).and_then(|setup| usable(d, &setup).map(|case| (setup, case)));
+    if let (Ok((setup, case)), Some(uid)) = (&read, read.as_ref().ok().and_then(|(s, _)| s.figures.at)) {
+        // It may name what is held already.
+        if d.tasks.by_id.contains_key(&id) {
+            return Ok(());
+        }
+        let machine = id_of(uid);
+        if !d.machines.by_id.contains_key(&machine) {
+            return refuse_unusable(d, link, id, &Unusable("a machine that no list names"));
+        }
+        greets(d, link, true);
+        let order = order(setup, *case, Time::from_nanos(u64::MAX));
+        let open = Open {
+            number: 0,
+            machine,
+            link: None,
+            mark: 0,
+            decided: d.now,
+            due: Time::from_nanos(u64::MAX),
+            anew: false,
+            placed_at: Some(d.now),
+        };
+        let job = Job {
+            order,
+            wanted: None,
+            owner: Some(link),
+            sends: 1,
+            open: Some(open),
+            may_have_run: None,
+            answered: true,
+            abandoned: false,
+        };
+        d.tasks.by_id.insert(id, job);
+        d.counts.handed += 1;
+        if d.machines.by_id[&machine].ways.is_empty() {
+            d.open_way(machine);
+        }
+        d.look_after(machine);
+        drop(borrowed);
+        round.running(order, machine);
+        return Ok(());
+    }
+    if d.tasks.by_id.contains_key(&id) {
+        return Err(Bad("an id that is in hand already".into()));
+    }
+    let (setup, case) = match read {
+        Ok(read) => read,
+        Err(unusable) => return refuse_unusable(d, link, id, &unusable),
+    };
+    greets(d, link, true);
+    let lay = d.owners.by_link.get(&link).map_or(Span::ZERO, |owner| d.stood.lay(d.now, owner.since));
+    let longest = d.site.use_cases[case.0].client_timeout;
+    let patience = Span::from_nanos(setup.patience_ms * 1_000_000).min(longest) - lay;
+    if d.is_closed() || patience == Span::ZERO {
+        d.send(link, |out| protocol::write_refusal(out, id.0, why::FULL, 0));
+        return Ok(());
+    }
+    if let Err(away) = d.admission.ask(d.now, setup.figures.service) {
+        let away = away.nanos() / 1_000_000;
+        d.send(link, |out| protocol::write_refusal(out, id.0, why::BUSY, away));
+        return Ok(());
+    }
+    let order = order(&setup, case, d.now + patience);
+    let wanted = Wanted {
+        name: setup.name.to_owned(),
+        key: setup.key.map(str::to_owned),
+        description: setup.description.to_owned(),
+    };
+    let job = Job {
+        order,
+        wanted: Some(Box::new(wanted)),
+        owner: Some(link),
+        sends: 0,
+        open: None,
+        may_have_run: None,
+        answered: false,
+        abandoned: false,
+    };
+    d.tasks.by_id.insert(id, job);
+    d.tasks.unanswered += 1;
+    d.counts.taken += 1;
+    if let Some(owner) = d.owners.by_link.get_mut(&link) {
+        owner.open.insert(id);
+        let open = owner.open.len() as u32;
+        d.limits.in_hand(link.0, open);
+    }
+    drop(borrowed);
+    round.new_task(order);
+    Ok(())
+}
+
+/// The connection lives; "errored" promises nothing.
+fn refuse_unusable(d: &mut Desk, link: Link, id: TaskId, unusable: &Unusable) -> Result<(), Bad> {
+    d.counts.unusable += 1;
+    d.grumble("a set-up can't be used", unusable.0);
+    d.send(link, |out| protocol::write_refusal(out, id.0, why::ERROR, 0));
+    Ok(())
+}
+
+/// Which use case it is of, where all that it says can be so.
+fn usable(d: &Desk, setup: &SetUp<'_>) -> Result<UseCaseId, Unusable> {
+    let case = d.site.names.use_cases.iter().position(|name| name == setup.class);
+    let case = case.ok_or(Unusable("an unknown class"))?;
+    let use_case = &d.site.use_cases[case];
+    if matches!(use_case.effect, Effect::Referenced { .. }) && setup.key.is_none() {
+        return Err(Unusable("no key in a class that has keys"));
+    }
+    if std::str::from_utf8(setup.description).is_err() {
+        return Err(Unusable("a description that is no text"));
+    }
+    let taking = &d.site.taking;
+    let largest = d.site.kinds.iter().fold(Room::NONE, |most, size| most.at_least(*size));
+    let asked = Room::new(setup.figures.cores, setup.figures.memory);
+    if !(largest + taking.beyond(largest)).fits(asked) {
+        return Err(Unusable("more than any machine takes"));
+    }
+    let longest = use_case.client_timeout.nanos() / 1_000_000;
+    if setup.figures.at.is_none() && setup.patience_ms > longest.saturating_mul(ABSURD) {
+        return Err(Unusable("a wait beyond all reason"));
+    }
+    Ok(UseCaseId(case))
+}
+
+fn order(setup: &SetUp<'_>, use_case: UseCaseId, deadline: Time) -> Order {
+    Order {
+        id: TaskId(setup.task),
+        key: TaskKey(setup.name_number),
+        use_case,
+        service: ServiceId(setup.figures.service),
+        ask: Room::new(setup.figures.cores, setup.figures.memory),
+        deadline,
+        again: setup.again,
+    }
+}
+
+/// An owner no longer wants a task: one that waits for its answer on this very connection, or one that stands.
+fn given_up(d: &mut Desk, link: Link, id: TaskId) {
+    let Some(job) = d.tasks.by_id.get(&id) else { return };
+    let Some(open) = job.placed() else {
+        if job.owner == Some(link) {
+            abandon(d, id);
+        }
+        return;
+    };
+    d.tasks.by_id.get_mut(&id).expect("is there").abandoned = true;
+    let way = open.link.filter(|link| d.machines.ways.contains_key(link));
+    let way = way.or_else(|| d.machines.ways_of(open.machine).map(|(link, _)| link).next());
+    if let Some(way) = way.or_else(|| d.open_way(open.machine)) {
+        d.send(way, |out| protocol::write_with_cause(out, kind::RELEASE, id.0, why::CANCELLED));
+    }
+    d.gone.push(id);
+}
+
+/// Nobody waits for the answer of this task any more.
+fn abandon(d: &mut Desk, id: TaskId) {
+    if d.tasks.by_id.get(&id).is_none_or(|job| job.answered) {
+        return;
+    }
+    d.is_answered(id);
+    let job = d.tasks.by_id.get_mut(&id).expect("is there");
+    (job.abandoned, job.owner) = (true, None);
+    let Some(open) = job.open else {
+        d.tasks.by_id.remove(&id);
+        return d.gone.push(id);
+    };
+    if !d.closings.iter().any(|(task, number, _)| (*task, *number) == (id, open.number)) {
+        let ending = match d.retract(id) {
+            Retracted::Unsent => Ending::NotSent,
+            Retracted::NoConnection => Ending::NoConnection,
+            Retracted::MayRun => Ending::Recalled,
+        };
+        d.closings.push_back((id, open.number, ending));
+    }
+    d.gone.push(id);
+}
+
+/// Tells the module of the tasks that nobody wants any more.
+fn tell_gone(desk: &RefCell<Desk>, round: &mut dyn Ears) {
+    let gone = std::mem::take(&mut desk.borrow_mut().gone);
+    gone.into_iter().for_each(|id| round.abandoned(id));
+}
+
+/// A connection that speaks wrongly is ended by us. Nothing that was taken on it is left without an answer.
+fn close_owner(d: &mut Desk, link: Link) {
+    let open: Vec<TaskId> =
+        d.owners.by_link.get(&link).map_or(Vec::new(), |o| o.open.iter().copied().collect());
+    for id in open {
+        d.send(link, |out| protocol::write_refusal(out, id.0, why::ERROR, 0));
+        abandon(d, id);
+    }
+    d.drop_owner(link);
+}
+
+fn owner_is_gone(d: &mut Desk, link: Link) {
+    let open: Vec<TaskId> =
+        d.owners.by_link.get(&link).map_or(Vec::new(), |o| o.open.iter().copied().collect());
+    for id in open {
+        abandon(d, id);
+    }
+    d.owners.by_link.remove(&link);
+    d.limits.forget(link.0);
+    d.links.abort(link);
+}
+
+/// Deadlines of owners' connections, a bounded number of them in one turn.
+pub fn look_after_owners(d: &mut Desk) {
+    let (now, mut budget) = (d.now, 64);
+    while let Some((conn, act)) = d.limits.due(now, &mut budget) {
+        match act {
+            // There is no sign to ask for: a connection without a task in hand may be closed.
+            Act::AskForSign if d.owners.by_link.get(&Link(conn)).is_some_and(|o| !o.open.is_empty()) => {}
+            Act::AskForSign | Act::End(_) => close_owner(d, Link(conn)),
+        }
+    }
+    d.pay_owed();
+}
+
+// Machines.
+
+fn hear_way(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link) {
+    let take = |d: &mut Desk| Some(std::mem::take(&mut d.machines.ways.get_mut(&link)?.frames));
+    let Some(mut frames) = take(&mut desk.borrow_mut()) else { return };
+    loop {
+        let heard = match frames.next_frame() {
+            Ok(None) => break,
+            Ok(Some(frame)) => of_machine(desk, round, link, &frame),
+            Err(bad) => Err(bad),
+        };
+        if let Err(bad) = heard {
+            let d = &mut *desk.borrow_mut();
+            d.counts.bad_machines += 1;
+            d.grumble("a machine speaks wrongly; the connection ends", &bad.0);
+            way_ended(d, link, End::Broken);
+            return;
+        }
+    }
+    let d = &mut *desk.borrow_mut();
+    let Some(way) = d.machines.ways.get_mut(&link) else { return };
+    frames.tidy();
+    way.frames = frames;
+    if let Some(end) = way.end {
+        way_ended(d, link, end);
+    }
+}
+
+fn of_machine(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, frame: &Frame<'_>) -> Result<(), Bad> {
+    let id = TaskId(frame.task);
+    match frame.kind {
+        kind::ANSWER => {
+            let description = frame.param(protocol::code::DESCRIPTION);
+            let description = description.ok_or_else(|| Bad("an answer without a description".into()))?;
+            stands(desk, round, link, id, description);
+        }
+        kind::RELEASE => {
+            let cause = protocol::cause(frame).ok_or_else(|| Bad("a release without a cause".into()))?;
+            released(desk, round, link, id, cause, protocol::why(frame));
+        }
+        kind::NOTE => {
+            let placed = {
+                let d = desk.borrow();
+                let machine = d.machines.ways.get(&link).map(|way| way.machine);
+                let open = d.tasks.by_id.get(&id).and_then(Job::placed);
+                open.is_some_and(|open| Some(open.machine) == machine)
+            };
+            if placed {
+                match protocol::note(frame) {
+                    Some(("running", _)) => round.runs(id),
+                    Some(("use_cpu", cores @ Some(_))) => round.uses(id, cores, None),
+                    Some(("use_ram", memory @ Some(_))) => round.uses(id, None, memory),
+                    Some(("health", Some(share))) => round.served(id, share),
+                    Some(("ram_high", Some(share))) => round.machine_memory(id, share),
+                    _ => {}
+                }
+            }
+        }
+        kind::PROGRESS | kind::RELEASE_HEARD | kind::TESTED => {}
+        other => return Err(Bad(format!("a message of type {other}"))),
+    }
+    Ok(())
+}
+
+/// A machine says that a task stands.
+fn stands(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, id: TaskId, description: &[u8]) {
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
+    let now = d.now;
+    let job = d.tasks.by_id.get_mut(&id);
+    let open = job.as_ref().and_then(|job| job.open).filter(|open| open.link == Some(link));
+    let (Some(job), Some(open)) = (job, open) else {
+        // A yes to a send that was given up: a copy that nobody waits for is cut where it earns nothing; where
+        // a repeat would be dropped for it, its owner finds it and hands it over.
+        let Some(way) = d.machines.ways.get_mut(&link) else { return };
+        let at = way.given_up.iter().position(|(given_up, _)| *given_up == id);
+        let cut = at.and_then(|at| way.given_up.remove(at)).is_some_and(|(_, cut)| cut);
+        d.counts.late_yes += u64::from(at.is_some());
+        if cut {
+            d.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, id.0, why::CANCELLED));
+        }
+        return;
+    };
+    // A second yes is heard without harm.
+    if open.placed_at.is_some() {
+        return;
+    }
+    job.open = Some(Open { placed_at: Some(now), ..open });
+    job.wanted = None;
+    let owner = job.owner;
+    d.marks.remove(&open.mark);
+    d.is_answered(id);
+    d.counts.placed += 1;
+    if let Some(way) = d.machines.ways.get_mut(&link) {
+        way.open.retain(|task| *task != id);
+    }
+    answered_by(d, open.machine, id, open.number);
+    if let Some(owner) = owner {
+        d.send(owner, |out| protocol::write_answer(out, id.0, description));
+    }
+    d.look_after(open.machine);
+    drop(borrowed);
+    round.accepted(id);
+}
+
+/// A machine said something of a send: what was written before it has arrived too.
+fn answered_by(d: &mut Desk, machine: MachineId, id: TaskId, send: u32) {
+    let (now, fall) = (d.now, d.site.cold.fall);
+    if let Some(machine) = d.machines.by_id.get_mut(&machine) {
+        machine.gate.answered(now, fall, id.0, send);
+    }
+    d.release(machine);
+}
+
+fn released(
+    desk: &RefCell<Desk>,
+    round: &mut dyn Ears,
+    link: Link,
+    id: TaskId,
+    cause: Cause,
+    why: Option<Why>,
+) {
+    let open = {
+        let d = &mut *desk.borrow_mut();
+        d.send(link, |out| protocol::write_plain(out, kind::RELEASE_HEARD, id.0));
+        let Some(way) = d.machines.ways.get_mut(&link) else { return };
+        way.given_up.retain(|(given_up, _)| *given_up != id);
+        let machine = way.machine;
+        d.tasks.by_id.get(&id).and_then(|job| job.open).filter(|open| open.machine == machine)
+    };
+    let Some(open) = open else { return };
+    if open.placed_at.is_some() {
+        return close(desk, round, id, open.number, after_answer(cause, why), cause);
+    }
+    // Of an unanswered send only its own connection tells: another one's word is about an earlier send.
+    if open.link == Some(link) {
+        answered_by(&mut desk.borrow_mut(), open.machine, id, open.number);
+        close(desk, round, id, open.number, before_answer(cause, why), cause);
+    }
+}
+
+fn before_answer(cause: Cause, told: Option<Why>) -> Ending {
+    match cause {
+        why::FULL => Ending::Nacked(match told {
+            None => Nack::Untold,
+            Some(Why::NoCores) => Nack::NoCores,
+            Some(Why::NoMemory) => Nack::NoMemory,
+            Some(Why::LineFull) => Nack::QueueFull,
+            Some(Why::NotHere) => Nack::NotHere,
+            Some(Why::Evicted | Why::PushedOut | Why::SentAway) => Nack::HandedBack,
+        }),
+        why::ERROR => Ending::Errored,
+        why::MOOT => Ending::NotSent,
+        _ => Ending::Broken(Loss::Untold),
+    }
+}
+
+fn after_answer(cause: Cause, told: Option<Why>) -> Ending {
+    match cause {
+        why::ENDED => Ending::Ok,
+        why::CANCELLED => Ending::Recalled,
+        _ => Ending::Broken(match told {
+            Some(Why::Evicted) => Loss::Evicted,
+            Some(Why::PushedOut) => Loss::PushedOut,
+            Some(Why::SentAway) => Loss::SentAway,
+            _ => Loss::Untold,
+        }),
+    }
+}
+
+/// Ends that this side found out.
+pub fn closings(desk: &RefCell<Desk>, round: &mut dyn Ears) {
+    tell_gone(desk, round);
+    loop {
+        let next = desk.borrow_mut().closings.pop_front();
+        let Some((id, send, ending)) = next else { return };
+        close(desk, round, id, send, ending, why::RESET);
+    }
+}
+
+/// The end of a send, unless it is known already.
+fn close(desk: &RefCell<Desk>, round: &mut dyn Ears, id: TaskId, send: u32, ending: Ending, cause: Cause) {
+    let over = {
+        let d = &mut *desk.borrow_mut();
+        let Some(job) = d.tasks.by_id.get_mut(&id) else { return };
+        let Some(open) = job.open.filter(|open| open.number == send) else { return };
+        job.open = None;
+        d.marks.remove(&open.mark);
+        if let Some(way) = open.link.and_then(|link| d.machines.ways.get_mut(&link)) {
+            way.open.retain(|task| *task != id);
+        }
+        if open.placed_at.is_some() {
+            let (owner, wanted) = (job.owner, !job.abandoned);
+            d.tasks.by_id.remove(&id);
+            // Whoever ended or moved it is owed nothing.
+            if wanted && ending != Ending::Recalled {
+                d.tell_end(owner, id, cause);
+            }
+            true
+        } else {
+            if !matches!(ending, Ending::Nacked(_) | Ending::NoConnection | Ending::NotSent) {
+                job.may_have_run.get_or_insert(open.decided);
+            }
+            let abandoned = job.abandoned;
+            if abandoned {
+                d.tasks.by_id.remove(&id);
+            }
+            abandoned
+        }
+    };
+    round.closed(id, ending, over, Report::default());
+}
+
+/// A connection to a machine is over, and what that proves of the set-ups on it.
+fn way_ended(d: &mut Desk, link: Link, end: End) {
+    let unwritten = d.links.abort(link);
+    let Some(way) = d.machines.forget_way(link) else { return };
+    let (now, id) = (d.now, way.machine);
+    let drawn = d.chance.part();
+    if let Some(machine) = d.machines.by_id.get_mut(&id) {
+        machine.gate.ended(now);
+        if way.up {
+            machine.retry_at = now + again::after_end(d.patience.again, drawn);
+        } else {
+            machine.retry_at = now + again::after_failures(d.patience.again, machine.failures, drawn);
+            machine.failures += 1;
+            machine.refusals = if end == End::Refused { machine.refusals + 1 } else { 0 };
+            if machine.refusals >= DEAD {
+                d.is_lost(id, now);
+            }
+        }
+    }
+    for task in way.open {
+        let Some(job) = d.tasks.by_id.get_mut(&task) else { continue };
+        let Some(open) = job.open.filter(|open| open.link == Some(link)) else { continue };
+        let never_left = unwritten.contains(&(open.mark, Unwritten::Whole));
+        d.marks.remove(&open.mark);
+        if never_left && way.up && !open.anew {
+            // An idle connection that the other side had closed, or one reset as it came up: the same send
+            // goes out on another one.
+            job.open = Some(Open { link: None, anew: true, ..open });
+            if d.write_setup(task) {
+                continue;
+            }
+        }
+        let ending = if never_left { Ending::NoConnection } else { Ending::Broken(Loss::Untold) };
+        d.closings.push_back((task, open.number, ending));
+    }
+    d.look_after(id);
+}
+
+// Instants.
+
+pub fn due(desk: &RefCell<Desk>, due: Due) {
+    let d = &mut *desk.borrow_mut();
+    match due {
+        Due::Token(_) => {}
+        Due::Send(task, send) => timed_out(d, task, send),
+        Due::Up(link) => {
+            if d.machines.ways.get(&link).is_some_and(|way| !way.up) {
+                way_ended(d, link, End::Broken);
+            } else if d.bulletin.link == Some(link) && !d.bulletin.up {
+                d.bulletin_ended(true);
+            }
+        }
+        Due::Look(machine) => look(d, machine),
+        Due::Release(machine) => d.release(machine),
+        Due::Bulletin(link) if d.bulletin.link == Some(link) => {
+            let until = d.bulletin.heard_at + crate::bulletin::SILENCE;
+            if until <= d.now {
+                d.bulletin_ended(true);
+            } else {
+                d.timers.set(until, Due::Bulletin(link));
+            }
+        }
+        Due::Bulletin(_) => {}
+        Due::CallBulletin => d.call_bulletin(),
+        Due::Tell => {
+            tell(d);
+            let at = d.now + TELL;
+            d.timers.set(at, Due::Tell);
+        }
+    }
+}
+
+/// The wait for an answer has ended: the set-up is given up at its machine before anything else is sent.
+fn timed_out(d: &mut Desk, id: TaskId, send: u32) {
+    let open = d.tasks.by_id.get(&id).and_then(|job| job.open);
+    let Some(open) = open.filter(|open| open.number == send && open.placed_at.is_none()) else { return };
+    if d.closings.iter().any(|(task, number, _)| (*task, *number) == (id, send)) {
+        return;
+    }
+    let ending = match d.retract(id) {
+        Retracted::Unsent => Ending::NotSent,
+        Retracted::NoConnection => Ending::NoConnection,
+        Retracted::MayRun => Ending::TimedOut,
+    };
+    d.closings.push_back((id, open.number, ending));
+}
+
+/// A look at a machine: idle connections are ended before it does, one where tasks stand is kept in reach, and
+/// a silent one is found out.
+fn look(d: &mut Desk, id: MachineId) {
+    let (now, patience) = (d.now, d.patience);
+    let Some(machine) = d.machines.by_id.get_mut(&id) else { return };
+    machine.looked_after = false;
+    let (heard_at, retry_at, failures) = (machine.heard_at, machine.retry_at, machine.failures);
+    let (refusals, replaced) = (machine.refusals, machine.replaced);
+    let stands = !d.tasks.standing_on(id).is_empty();
+    let coming = d.machines.ways_of(id).any(|(_, way)| !way.up);
+    let mut up = d.machines.ways_of(id).filter(|(_, way)| way.up).count();
+    let idle = d.machines.ways_of(id).filter(|(_, way)| way.up && way.open.is_empty());
+    let idle: Vec<(Link, Time)> = idle.map(|(link, way)| (link, way.used_at)).collect();
+    let mut wants_new = stands && !coming && (up == 0 || now - heard_at >= patience.quiet);
+    for (link, used_at) in &idle {
+        if now - *used_at < patience.idle {
+            continue;
+        }
+        if stands && up == 1 {
+            wants_new |= !coming;
+        } else {
+            d.end_way(*link);
+            up -= 1;
+        }
+    }
+    if wants_new && now >= retry_at && !replaced {
+        let most = ways_to_a_machine(d.limits_descriptors(), d.machines.by_id.len());
+        let count = d.machines.by_id[&id].ways.len();
+        let oldest =
+            idle.iter().filter(|(link, _)| d.machines.ways.contains_key(link)).min_by_key(|(_, at)| *at);
+        if let (true, Some((link, _))) = (count >= most && up > 1, oldest) {
+            d.end_way(*link);
+        }
+        if count < most || up > 1 {
+            d.open_way(id);
+        }
+    }
+    let silent = now - heard_at >= patience.lost && failures > 0;
+    if stands && (silent || refusals >= DEAD || replaced) {
+        d.is_lost(id, now);
+    }
+    if stands || !d.machines.by_id[&id].ways.is_empty() {
+        d.look_after(id);
+    }
+}
+
+/// One line on how it is, to be held against what passed on the sockets.
+fn tell(d: &mut Desk) {
+    let machines = d.machines.by_id.values();
+    let in_reach = machines.clone().filter(|machine| !machine.ways.is_empty()).count();
+    tracing::info!(
+        waiting = d.tasks.unanswered,
+        standing = d.tasks.standing(),
+        machines = machines.len(),
+        in_reach,
+        ways = d.machines.ways.len(),
+        owners = d.owners.by_link.len(),
+        bulletin = d.bulletin.last,
+        owed = d.owners.owed.len(),
+        counts = ?d.counts,
+        "how it is"
+    );
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,131 @@
+//! The scheduler as the platform's party, without I/O: it hears owners, machines and the bulletin, tells the
+//! module what came in, and carries out what the module chooses.
+//!
+//! For: what stands between the platform's messages and the decisions: connections and what their ends prove,
+//! final answers and who is to hear them, machines that are out of reach. One turn is one round of the module.
+//! May not touch: sockets, clocks, files; any choice of machine, retry or refusal, which are the module's.
+
+mod bulletin;
+mod conf;
+mod desk;
+mod hear;
+mod machines;
+mod owners;
+mod pen;
+#[cfg(test)]
+mod stories;
+mod tasks;
+
+pub use conf::Conf;
+pub use desk::Counts;
+
+use desk::{Desk, Due};
+use mulleinhub::Brain;
+use mulleinhub_interface::{Mind, Time};
+use mulleinhub_seam::{Door, End, Link, Links, Party};
+use pen::Pen;
+use std::cell::RefCell;
+
+pub struct Platform {
+    mind: Brain,
+    desk: RefCell<Desk>,
+    begun: bool,
+}
+
+impl Platform {
+    pub fn new(conf: Conf) -> Self {
+        let mind = conf.site.brain(conf.seed);
+        Self { mind, desk: RefCell::new(Desk::new(conf)), begun: false }
+    }
+
+    /// The bulletin is at this address from now on; the numbers go on.
+    pub fn reload(&mut self, now: Time, conf: Conf) {
+        let desk = self.desk.get_mut();
+        desk.now = desk.now.max(now);
+        desk.move_bulletin(conf.bulletin);
+    }
+
+    /// It is to end: tests fail from now on. Told again, nothing changes.
+    pub fn wind_down(&mut self, now: Time) {
+        self.desk.get_mut().ending.get_or_insert(now);
+    }
+
+    /// Nobody comes any more, and all that was taken is answered.
+    pub fn is_done(&self, now: Time) -> bool {
+        self.desk.borrow().is_done(now)
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.desk.borrow().counts
+    }
+}
+
+impl Party for Platform {
+    fn opened(&mut self, now: Time, link: Link, _: Door) {
+        self.desk.get_mut().owner_came(now, link);
+    }
+
+    fn up(&mut self, now: Time, link: Link) {
+        self.desk.get_mut().is_up(now, link);
+    }
+
+    fn received(&mut self, now: Time, link: Link, bytes: &[u8]) {
+        self.desk.get_mut().came_in(now, link, bytes);
+    }
+
+    fn ended(&mut self, now: Time, link: Link, end: End) {
+        self.desk.get_mut().has_ended(now, link, end);
+    }
+
+    fn turn(&mut self, now: Time) {
+        let Self { mind, desk, begun } = self;
+        desk.get_mut().begin_turn(now);
+        let first = !std::mem::replace(begun, true);
+        let desk = &*desk;
+        Mind::round(mind, now, &mut Pen(desk), &mut |round| {
+            if first {
+                round.start();
+                hear::begin(desk, round);
+            }
+            hear::bulletin(desk, round);
+            hear::all_that_came(desk, round);
+            // Only now: an answer that lay waiting while this process stood still came first.
+            let mark = desk.borrow().timers.mark();
+            loop {
+                let due = desk.borrow_mut().timers.due_of(now, mark);
+                match due {
+                    Some(Due::Token(token)) => round.woken(token),
+                    Some(due) => hear::due(desk, due),
+                    None => break,
+                }
+            }
+            hear::look_after_owners(&mut desk.borrow_mut());
+            hear::closings(desk, round);
+        });
+        self.desk.get_mut().end_turn();
+    }
+
+    fn is_prompt(&self, link: Link) -> bool {
+        !matches!(self.desk.borrow().who(link), Some(desk::Who::Owner) | None)
+    }
+
+    fn wake(&self) -> Option<Time> {
+        if self.begun { self.desk.borrow().wake() } else { Some(Time::default()) }
+    }
+
+    fn links(&mut self) -> &mut Links {
+        &mut self.desk.get_mut().links
+    }
+
+    fn takes(&self, _: Door) -> usize {
+        self.desk.borrow().limits.takes()
+    }
+
+    fn pinched(&mut self, now: Time) {
+        let desk = self.desk.get_mut();
+        desk.now = desk.now.max(now);
+        for conn in desk.limits.pinched(now) {
+            desk.drop_owner(Link(conn));
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/machines.rs
@@ -0,0 +1,172 @@
+//! Machines and the connections to them.
+//!
+//! A machine is its uid. A spoilt answer spends its connection with all that is open there, so a set-up has a
+//! connection to itself while the bound on connections allows it, and set-ups share when it does not.
+
+use mulleinhub_interface::{Entry, MachineId, Mode, Span, TaskId, Time};
+use mulleinhub_pacing::Gate;
+use mulleinhub_platform_protocol::Frames;
+use mulleinhub_seam::{End, Link};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Set-ups given up on one connection that are remembered there: a yes to one of them is a late one.
+const MOST_GIVEN_UP: usize = 64;
+
+/// A connection to a machine.
+#[derive(Debug)]
+pub struct Way {
+    pub machine: MachineId,
+    pub frames: Frames,
+    pub end: Option<End>,
+    pub queued: bool,
+    pub up: bool,
+    /// When something last passed on it.
+    pub used_at: Time,
+    /// Set-ups that wait for their answers here.
+    pub open: Vec<TaskId>,
+    /// Set-ups given up here, and whether a copy that comes of one is to be cut.
+    pub given_up: VecDeque<(TaskId, bool)>,
+}
+
+impl Way {
+    pub fn gives_up(&mut self, task: TaskId, cut: bool) {
+        if self.given_up.len() == MOST_GIVEN_UP {
+            self.given_up.pop_front();
+        }
+        self.given_up.push_back((task, cut));
+    }
+
+    /// Whether a set-up of this task may be written here: the late answer of an earlier one must not be taken
+    /// for its own.
+    fn suits(&self, task: TaskId) -> bool {
+        self.end.is_none() && self.given_up.iter().all(|(given_up, _)| *given_up != task)
+    }
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub entry: Entry,
+    pub address: String,
+    /// Another machine has its address: nothing there is this one's any more.
+    pub replaced: bool,
+    pub ways: Vec<Link>,
+    /// When it last showed that it is there.
+    pub heard_at: Time,
+    /// Tries for a connection that failed since then, and when the next one may be made.
+    pub failures: u32,
+    pub refusals: u32,
+    pub retry_at: Time,
+    pub gate: Gate,
+    /// Sends that the gate holds back, as task and number.
+    pub waiting: Vec<(TaskId, u32)>,
+    /// A look at it is on its way.
+    pub looked_after: bool,
+}
+
+impl Machine {
+    pub fn new(entry: Entry, address: String, now: Time) -> Self {
+        Self {
+            entry,
+            address,
+            replaced: false,
+            ways: Vec::new(),
+            heard_at: now,
+            failures: 0,
+            refusals: 0,
+            retry_at: now,
+            gate: Gate::default(),
+            waiting: Vec::new(),
+            looked_after: false,
+        }
+    }
+
+    /// It showed that it is there.
+    pub fn is_there(&mut self, now: Time) {
+        self.heard_at = now;
+        (self.failures, self.refusals) = (0, 0);
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Machines {
+    pub by_id: BTreeMap<MachineId, Machine>,
+    pub ways: BTreeMap<Link, Way>,
+}
+
+/// The number that stands for a uid with everybody: FNV-1a over its bytes, as it must be the same for all
+/// schedulers and in all lives.
+pub fn id_of(uid: &str) -> MachineId {
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    MachineId(uid.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+}
+
+impl Machines {
+    /// An open connection for a set-up of this task, with nothing else open on it: the one used last.
+    pub fn free_way(&self, machine: MachineId, task: TaskId) -> Option<Link> {
+        let fits = |(_, way): &(Link, &Way)| way.up && way.open.is_empty() && way.suits(task);
+        self.ways_of(machine).filter(fits).max_by_key(|(link, way)| (way.used_at, *link)).map(|(l, _)| l)
+    }
+
+    /// The connection to be shared where no more may be opened: the one with the fewest open set-ups.
+    pub fn shared_way(&self, machine: MachineId, task: TaskId) -> Option<Link> {
+        let fits = |(_, way): &(Link, &Way)| way.suits(task);
+        self.ways_of(machine).filter(fits).min_by_key(|(link, way)| (way.open.len(), *link)).map(|(l, _)| l)
+    }
+
+    pub fn ways_of(&self, machine: MachineId) -> impl Iterator<Item = (Link, &Way)> {
+        let links = self.by_id.get(&machine).map_or(&[][..], |machine| &machine.ways);
+        links.iter().filter_map(|link| Some((*link, self.ways.get(link)?)))
+    }
+
+    pub fn forget_way(&mut self, link: Link) -> Option<Way> {
+        let way = self.ways.remove(&link)?;
+        if let Some(machine) = self.by_id.get_mut(&way.machine) {
+            machine.ways.retain(|other| *other != link);
+        }
+        Some(way)
+    }
+
+    /// Machines that are over, and of which nothing is left.
+    pub fn forget_gone(&mut self, still_needed: impl Fn(MachineId) -> bool) {
+        self.by_id.retain(|id, machine| {
+            machine.entry.mode != Mode::Left || !machine.ways.is_empty() || still_needed(*id)
+        });
+    }
+}
+
+/// How long a machine may be quiet, and how its connections are kept, as parts of the time after which it
+/// closes idle ones.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Between two looks at a machine.
+    pub look: Span,
+    /// After so long without a sign a new connection is tried: that costs the machine no work, as a test does.
+    pub quiet: Span,
+    /// After so long without a sign and without a new connection it is lost, with what stood there: owners must
+    /// hear of that within eight seconds of the end.
+    pub lost: Span,
+    /// A connection that is not up by then is not coming.
+    pub connect: Span,
+    /// Idle ones are closed by us before the machine does.
+    pub idle: Span,
+    /// Between two tries, at first.
+    pub again: Span,
+}
+
+const LOOK_PART: f64 = 0.03;
+const QUIET_PART: f64 = 0.1;
+const LOST_PART: f64 = 0.3;
+const IDLE_PART: f64 = 0.6;
+
+impl Patience {
+    pub fn new(idle_after: Span, connect_within: Span) -> Self {
+        Self {
+            look: idle_after * LOOK_PART,
+            quiet: idle_after * QUIET_PART,
+            lost: idle_after * LOST_PART,
+            connect: connect_within,
+            idle: idle_after * IDLE_PART,
+            again: connect_within,
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/pen.rs
@@ -0,0 +1,113 @@
+//! Carries out what the module chooses, and proves what it was told.
+//!
+//! The module holds the pen during a round in which the desk hears, so each borrows the desk for a moment only.
+
+use crate::desk::{Desk, Due, Retracted};
+use crate::tasks::Open;
+use mulleinhub_interface::{Effect, Ending, MachineId, Mode, Reach, Span, TaskId, Time, Writer};
+use mulleinhub_platform_protocol::{self as protocol, kind, why};
+use std::cell::RefCell;
+
+pub struct Pen<'a>(pub &'a RefCell<Desk>);
+
+/// A final answer that is no yes: it goes to the connection that the task came on, and the task is over.
+fn answer(desk: &mut Desk, task: TaskId, cause: u8, stay_away: Span) {
+    let job = &desk.tasks.by_id[&task];
+    let (link, owed) = (job.owner, !job.answered);
+    desk.is_answered(task);
+    desk.tasks.by_id.remove(&task);
+    if let Some(link) = link.filter(|_| owed) {
+        let away = stay_away.nanos() / 1_000_000;
+        desk.send(link, |out| protocol::write_refusal(out, task.0, cause, away));
+    }
+}
+
+impl Writer for Pen<'_> {
+    fn send(&mut self, task: TaskId, machine: MachineId, time_out: Span) {
+        let desk = &mut *self.0.borrow_mut();
+        let now = desk.now;
+        let job = desk.tasks.by_id.get_mut(&task).expect("the module sends tasks in hand");
+        assert!(job.open.is_none(), "task {}: two sends out at once", task.0);
+        assert!(now <= job.order.deadline, "task {}: a send after its client timeout", task.0);
+        assert!(!job.answered, "task {}: a send after its final answer", task.0);
+        let number = job.sends;
+        job.sends += 1;
+        let due = now + time_out;
+        job.open = Some(Open {
+            number,
+            machine,
+            link: None,
+            mark: 0,
+            decided: now,
+            due,
+            anew: false,
+            placed_at: None,
+        });
+        desk.counts.sends += 1;
+        desk.timers.set(due, Due::Send(task, number));
+        let spot = desk.machines.by_id.get_mut(&machine).expect("the module sends to listed machines");
+        assert!(
+            spot.entry.mode == Mode::Active,
+            "task {}: a send to a machine that drains or is gone",
+            task.0
+        );
+        if let Some(until) = spot.gate.shut_until(now, desk.site.cold.fall) {
+            spot.waiting.push((task, number));
+            desk.timers.set(until, Due::Release(machine));
+        } else if !desk.write_setup(task) {
+            desk.closings.push_back((task, number, Ending::NoConnection));
+        }
+    }
+
+    fn recall(&mut self, task: TaskId, send: u32) {
+        let desk = &mut *self.0.borrow_mut();
+        let Some(open) = desk.tasks.by_id.get(&task).and_then(|job| job.open) else { return };
+        // One called back in this very turn has its end on the way already.
+        let closing = desk.closings.iter().any(|(id, number, _)| (*id, *number) == (task, send));
+        if open.number != send || open.placed_at.is_some() || closing {
+            return;
+        }
+        let ending = match desk.retract(task) {
+            Retracted::Unsent => Ending::NotSent,
+            Retracted::NoConnection => Ending::NoConnection,
+            Retracted::MayRun => Ending::Recalled,
+        };
+        desk.closings.push_back((task, send, ending));
+    }
+
+    fn nack(&mut self, task: TaskId, stay_away: Span) {
+        let desk = &mut *self.0.borrow_mut();
+        let job = &desk.tasks.by_id[&task];
+        assert!(job.open.is_none(), "task {}: nacked with a send out", task.0);
+        let harmless = match desk.site.use_cases[job.order.use_case.0].effect {
+            Effect::Replayable | Effect::Referenced { group: Reach::All, .. } => true,
+            Effect::Referenced { .. } | Effect::SingleUse => job.may_have_run.is_none(),
+        };
+        assert!(harmless, "task {}: nacked though it may have run", task.0);
+        desk.counts.nacked += 1;
+        answer(desk, task, why::FULL, stay_away);
+    }
+
+    fn error(&mut self, task: TaskId) {
+        let desk = &mut *self.0.borrow_mut();
+        assert!(desk.tasks.by_id[&task].open.is_none(), "task {}: errored with a send out", task.0);
+        desk.counts.errored += 1;
+        answer(desk, task, why::ERROR, Span::ZERO);
+    }
+
+    fn move_off(&mut self, task: TaskId) {
+        let desk = &mut *self.0.borrow_mut();
+        let Some(job) = desk.tasks.by_id.get(&task).filter(|job| job.placed().is_some()) else { return };
+        if let Some(link) = desk.owners.to_tell(job.owner) {
+            desk.send(link, |out| protocol::write_plain(out, kind::MOVE, task.0));
+        }
+    }
+
+    fn wake_at(&mut self, token: u64, at: Time) {
+        self.0.borrow_mut().timers.set(at, Due::Token(token));
+    }
+
+    fn watch_list(&mut self) {
+        self.0.borrow_mut().call_bulletin();
+    }
+}
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -73,6 +73,8 @@
     /// Addresses by the names that the party uses; others are read as addresses.
     names: BTreeMap<String, SocketAddr>,
     began: Instant,
+    /// What the clock showed then.
+    origin: Time,
     signals: Option<Signals>,
     /// The last poll told as much as it can.
     full: bool,
@@ -95,6 +97,7 @@
             fresh: Vec::new(),
             names: BTreeMap::new(),
             began: Instant::now(),
+            origin: Time::default(),
             signals: None,
             full: false,
             buffer: vec![0; ONE_READ],
@@ -102,9 +105,16 @@
         })
     }
 
-    /// The time since this shell began.
+    /// Counts from this instant of another clock, for parties that are told points of it.
+    #[must_use]
+    pub fn from_origin(mut self, origin: Time) -> Self {
+        self.origin = origin;
+        self
+    }
+
+    /// The time since this shell began, from its origin on.
     pub fn now(&self) -> Time {
-        Time::from_nanos(self.began.elapsed().as_nanos() as u64)
+        self.origin + span(self.began.elapsed())
     }
 
     /// Listens at a loopback address; gives back where, for a port of 0.
@@ -348,7 +358,7 @@
                 if n < self.buffer.len() && !stream.closing {
                     self.readable.remove(&link);
                 }
-                let now = Time::from_nanos(self.began.elapsed().as_nanos() as u64);
+                let now = self.origin + span(self.began.elapsed());
                 self.party.received(now, link, &self.buffer[..n]);
                 true
             }
