A machine that refuses new connections while others are up is not taken for dead

Ruled out: starts told by the list, addresses taken over, silence (none was logged). Cause: hear.rs way_ended counted refusals alone, and machines that drain take no new connection. Change: a refusal counts only where no connection is up; with one up it is a sign of life. Losses are logged with their reason.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -536,14 +536,19 @@
     }
 
     /// All that stands on a machine is over with it.
-    pub fn is_lost(&mut self, id: MachineId, before: Time) {
+    pub fn is_lost(&mut self, id: MachineId, before: Time, why: &str) {
+        let mut lost = 0;
         for (task, open) in self.tasks.standing_on(id) {
             if open.placed_at.is_some_and(|at| at < before) {
-                self.counts.lost += 1;
+                lost += 1;
                 let loss = Ending::Broken(mulleinhub_interface::Loss::Untold);
                 self.closings.push_back((task, open.number, loss));
             }
         }
+        self.counts.lost += lost;
+        if let Some(machine) = self.machines.by_id.get(&id).filter(|_| lost > 0) {
+            tracing::warn!(why, lost, at = machine.address, ways = machine.ways.len(), "tasks are lost");
+        }
     }
 
     // The bulletin.
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -103,11 +103,11 @@
         let others: Vec<MachineId> = others.map(|(other, _)| *other).collect();
         for other in others {
             d.machines.by_id.get_mut(&other).expect("is there").replaced = true;
-            d.is_lost(other, now);
+            d.is_lost(other, now, "another machine has its address");
         }
     }
     if known_restart(before, entry.since) {
-        d.is_lost(id, entry.since.expect("a start"));
+        d.is_lost(id, entry.since.expect("a start"), "it started anew");
     }
     let machine = d.machines.by_id.entry(id).or_insert_with(|| Machine::new(entry, address.to_owned(), now));
     machine.entry = entry;
@@ -651,6 +651,7 @@
     let Some(way) = d.machines.forget_way(link) else { return };
     let (now, id) = (d.now, way.machine);
     let drawn = d.chance.part();
+    let others_up = d.machines.ways_of(id).any(|(_, other)| other.up);
     if let Some(machine) = d.machines.by_id.get_mut(&id) {
         machine.gate.ended(now);
         if way.up {
@@ -658,9 +659,15 @@
         } else {
             machine.retry_at = now + again::after_failures(d.patience.again, machine.failures, drawn);
             machine.failures += 1;
-            machine.refusals = if end == End::Refused { machine.refusals + 1 } else { 0 };
+            let refused = end == End::Refused;
+            if refused && others_up {
+                // A process that dies resets its connections. Met: machines that drain refuse new ones, and
+                // what stood there was taken for lost.
+                machine.heard_at = now;
+            }
+            machine.refusals = if refused && !others_up { machine.refusals + 1 } else { 0 };
             if machine.refusals >= DEAD {
-                d.is_lost(id, now);
+                d.is_lost(id, now, "it refuses connections");
             }
         }
     }
@@ -771,7 +778,7 @@
     }
     let silent = now - heard_at >= patience.lost && failures > 0;
     if stands && (silent || refusals >= DEAD || replaced) {
-        d.is_lost(id, now);
+        d.is_lost(id, now, "it is silent, refuses, or is replaced");
     }
     if stands || !d.machines.by_id[&id].ways.is_empty() {
         d.look_after(id);
