Sends given up leave before the next send of their task; stories and rules of the platform

Seen: the property found two sends of one task out at once: the set-up for the second machine stood before the give-up of the first, as Links handed connections to the shell in the order of their numbers, and both were written in one turn. Ruled out: the order within the pen. At fault: Links::dirty, and the platform's turn, which told ends that fell due in the turn in which they were written. Change: connections are written in the order of writing; ends that fall due are told in the next turn, at once after.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -316,6 +316,7 @@
 
     pub fn wake(&self) -> Option<Time> {
         let at_once = !self.closings.is_empty()
+            || !self.gone.is_empty()
             || !self.arrivals.is_empty()
             || !self.rest.is_empty()
             || self.limits.any_in_line();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -89,6 +89,9 @@
             }
             hear::bulletin(desk, round);
             hear::all_that_came(desk, round);
+            // Ends that fall due below are told in the next turn, which follows at once: what gives a send up is
+            // out by then, before the module's next send of that task.
+            hear::closings(desk, round);
             // Only now: an answer that lay waiting while this process stood still came first.
             let mark = desk.borrow().timers.mark();
             loop {
@@ -100,7 +103,6 @@
                 }
             }
             hear::look_after_owners(&mut desk.borrow_mut());
-            hear::closings(desk, round);
         });
         self.desk.get_mut().end_turn();
     }
--- /dev/null
+++ b/crates/platform/src/stories/mod.rs
@@ -0,0 +1,305 @@
+//! Stories of the scheduler among owners, machines and a bulletin that do what is written here.
+
+mod rig;
+mod rules;
+
+use mulleinhub_interface::Span;
+use mulleinhub_platform_protocol::{code, kind, why};
+use mulleinhub_seam::{End, Link};
+use rig::*;
+
+/// Places a task: the owner's connection, and the one to the machine.
+fn placed(rig: &mut Rig, owner: Link, task: u64, class: &str) -> Link {
+    rig.say(owner, &set_up(task, class, ""));
+    let (way, said) = rig.set_ups().pop().expect("it is sent at once");
+    assert_eq!(said.task, task);
+    rig.say(way, &yes(task));
+    assert_eq!(rig.heard_on(owner).len(), 1);
+    way
+}
+
+#[test]
+fn what_belongs_to_a_task_goes_on_unchanged_and_its_answer_and_end_come_back() {
+    let mut rig = Rig::new(3);
+    let owner = rig.owner();
+    rig.say(owner, &set_up(77, "batch", ""));
+    let (way, said) = rig.set_ups().pop().unwrap();
+    assert_eq!(said.param(code::CLASS), Some(&b"batch"[..]));
+    assert_eq!(said.param(code::KEY), Some(KEY));
+    assert_eq!(said.param(code::NAME), Some(&b"000000000000ab80"[..]));
+    assert_eq!(said.param(code::DESCRIPTION), Some(&b"wanted\r\n"[..]));
+    assert!(said.param(code::FIGURES).is_none() && said.param(code::AGAIN).is_none());
+    rig.say(way, &yes(77));
+    let answers = rig.heard_on(owner);
+    assert_eq!(answers.len(), 1);
+    assert_eq!(
+        (answers[0].kind, answers[0].param(code::DESCRIPTION)),
+        (kind::ANSWER, Some(&b"made\r\n"[..]))
+    );
+    // A second yes, and one that nobody asked for, are heard without harm.
+    rig.say(way, &[yes(77), yes(78)].concat());
+    rig.pass(ms(500));
+    rig.say(way, &release(77, why::ENDED));
+    let ends = rig.heard_on(owner);
+    assert_eq!(ends.len(), 1);
+    assert_eq!((ends[0].kind, ends[0].cause()), (kind::RELEASE, Some(why::ENDED)));
+}
+
+#[test]
+fn a_task_handed_over_is_unanswered_and_its_end_is_told_even_where_no_owner_was_there() {
+    let mut rig = Rig::new(2);
+    let owner = rig.owner();
+    rig.say(owner, &set_up(5, "batch", &format!(";at:{}", uid(2))));
+    assert!(rig.heard_on(owner).is_empty(), "no answer is owed");
+    let way = rig.on(&address(2))[0];
+    rig.end(owner, End::Closed);
+    rig.say(way, &release(5, why::ENDED));
+    rig.pass(ms(900));
+    let another = rig.owner();
+    rig.say(another, &set_up(6, "front", ""));
+    let told = rig.heard_on(another);
+    assert!(told.iter().any(|said| (said.kind, said.task) == (kind::RELEASE, 5)), "{told:?}");
+}
+
+#[test]
+fn tests_fail_once_it_is_to_end_and_it_ends_only_when_all_is_answered() {
+    let mut rig = Rig::new(6);
+    let owner = rig.owner();
+    rig.say(owner, &message(kind::TEST, 1, &[(code::CAUSE, &[0])]));
+    assert_eq!(rig.heard_on(owner)[0].cause(), Some(1));
+    rig.platform.wind_down(rig.now);
+    rig.say(owner, &message(kind::TEST, 2, &[(code::CAUSE, &[0])]));
+    assert_eq!(rig.heard_on(owner)[0].cause(), Some(0));
+    rig.pass(ms(500));
+    rig.say(owner, &set_up(9, "front", ""));
+    assert_eq!(rig.set_ups().len(), 1, "still taken");
+    rig.pass(ms(300));
+    rig.say(owner, &set_up(10, "front", ""));
+    assert_eq!(rig.heard_on(owner)[0].cause(), Some(why::FULL), "later ones are refused at once");
+    rig.platform.wind_down(rig.now);
+    rig.pass(ms(250));
+    assert!(!rig.platform.is_done(rig.now), "one is unanswered");
+    let (way, _) = rig.set_ups().pop().expect("the first machine was silent");
+    rig.say(way, &yes(9));
+    assert!(rig.platform.is_done(rig.now));
+}
+
+#[test]
+fn a_send_that_timed_out_is_given_up_first_and_a_late_copy_is_cut_where_it_earns_nothing() {
+    for (class, is_cut) in [("front", true), ("batch", false)] {
+        let mut rig = Rig::new(4);
+        let owner = rig.owner();
+        rig.say(owner, &set_up(3, class, ""));
+        let (way, _) = rig.set_ups().pop().unwrap();
+        rig.pass(ms(1_900));
+        let given_up = rig.heard_on(way);
+        assert_eq!((given_up[0].kind, given_up[0].cause()), (kind::RELEASE, Some(why::ENDED)));
+        rig.say(way, &yes(3));
+        let cut = rig.heard_on(way).iter().any(|said| said.cause() == Some(why::CANCELLED));
+        assert_eq!(cut, is_cut, "{class}");
+        rig.pass(ms(1_000));
+        let answers = rig.heard_on(owner);
+        assert_eq!(answers.len(), 1, "one final answer, in time: {answers:?}");
+    }
+}
+
+#[test]
+fn a_second_send_to_a_machine_goes_where_no_late_answer_of_the_first_can_come() {
+    let mut rig = Rig::new(1);
+    let owner = rig.owner();
+    let way = placed(&mut rig, owner, 1, "front");
+    let desk = rig.platform.desk.get_mut();
+    let (id, machine) = (mulleinhub_interface::TaskId(2), desk.machines.ways[&way].machine);
+    assert_eq!(desk.machines.free_way(machine, id), Some(way));
+    desk.machines.ways.get_mut(&way).unwrap().gives_up(id, false);
+    assert_eq!(desk.machines.free_way(machine, id), None);
+    assert_eq!(desk.machines.shared_way(machine, id), None);
+}
+
+#[test]
+fn a_spoilt_answer_spends_its_connection_alone() {
+    let mut rig = Rig::new(1);
+    let owner = rig.owner();
+    rig.say(owner, &[set_up(1, "front", ""), set_up(2, "front", "")].concat());
+    let ways = rig.set_ups();
+    assert_ne!(ways[0].0, ways[1].0, "each set-up has a connection to itself");
+    rig.say(ways[0].0, b"\xff\xff\xffnoise");
+    assert!(rig.closed.contains(&ways[0].0) && !rig.closed.contains(&ways[1].0));
+    rig.say(ways[1].0, &yes(ways[1].1.task));
+    let answers = rig.heard_on(owner);
+    assert!(answers.iter().any(|said| (said.kind, said.task) == (kind::ANSWER, ways[1].1.task)));
+}
+
+#[test]
+fn a_set_up_of_which_nothing_left_goes_out_anew_and_one_that_left_may_have_run() {
+    let mut rig = Rig::new(1);
+    let owner = rig.owner();
+    let way = placed(&mut rig, owner, 1, "front");
+    rig.stuck.insert(way);
+    rig.say(owner, &set_up(2, "front", ""));
+    assert!(rig.set_ups().is_empty(), "it waits in our own buffer");
+    rig.end(way, End::Broken);
+    let (second, said) = rig.set_ups().pop().expect("the same send on a new connection");
+    assert_eq!(said.task, 2);
+    rig.end(second, End::Broken);
+    rig.pass(ms(10));
+    assert!(rig.set_ups().is_empty(), "it left: it may have run, and its machine rests");
+}
+
+#[test]
+fn a_machine_that_refuses_while_connections_are_up_drains_and_one_that_resets_them_has_died() {
+    // Met: what stood on machines that drained was taken for lost, 93 tasks of one day.
+    let mut rig = Rig::new(1);
+    let owner = rig.owner();
+    let way = placed(&mut rig, owner, 1, "front");
+    rig.doors.insert(address(1), Entrance::Refuses);
+    rig.pass(Span::from_secs(6));
+    assert!(rig.heard_on(owner).is_empty(), "it stands");
+    rig.end(way, End::Broken);
+    rig.pass(Span::from_secs(2));
+    let ends = rig.heard_on(owner);
+    assert_eq!(ends.len(), 1, "{ends:?}");
+    assert_eq!((ends[0].kind, ends[0].task), (kind::RELEASE, 1));
+}
+
+#[test]
+fn a_machine_that_vanishes_is_found_out_and_its_tasks_are_released_within_eight_seconds() {
+    let mut rig = Rig::new(2);
+    let owner = rig.owner();
+    let way = placed(&mut rig, owner, 1, "front");
+    let gone = rig.address_of(way).to_owned();
+    rig.doors.insert(gone, Entrance::Silent);
+    rig.pass(Span::from_secs(7));
+    assert_eq!(rig.heard_on(owner).len(), 1);
+}
+
+#[test]
+fn a_later_start_or_another_machine_at_the_address_ends_what_stood_there() {
+    for (line, is_over) in [
+        (listed(1, "in_service", START.nanos() / 1_000_000 + 400), true),
+        (listed(1, "terminating", 0), false),
+        (listed(9, "in_service", 0).replace(&address(9), &address(1)), true),
+    ] {
+        let mut rig = Rig::new(1);
+        let owner = rig.owner();
+        placed(&mut rig, owner, 1, "front");
+        rig.pass(ms(500));
+        let bulletin = rig.on(BULLETIN)[0];
+        rig.say(bulletin, format!("data: {}\n\n", event(2, false, std::slice::from_ref(&line))).as_bytes());
+        assert_eq!(!rig.heard_on(owner).is_empty(), is_over, "{line}");
+    }
+}
+
+#[test]
+fn the_bulletin_is_called_anew_with_the_last_whole_number_and_nothing_is_heard_twice() {
+    let mut rig = Rig::new(1);
+    let bulletin = rig.on(BULLETIN)[0];
+    let two = event(2, false, &[listed(2, "in_service", 0)]);
+    rig.say(bulletin, format!("id: 2\ndata: {two}\n\nid: 3\ndata: {{\"no\":3,").as_bytes());
+    rig.end(bulletin, End::Broken);
+    let again = rig.on(BULLETIN)[0];
+    let call = String::from_utf8(rig.raw[&again].clone()).unwrap();
+    assert!(call.contains("Last-Event-ID: 2\r\n"), "{call}");
+    let three = event(3, false, &[listed(2, "terminated", 0)]);
+    rig.say(again, format!("HTTP/1.1 200 OK\r\n\r\ndata: {three}\n\ndata: {two}\n\n").as_bytes());
+    let known = &rig.platform.desk.get_mut().machines.by_id;
+    assert_eq!(known.len(), 1, "the second machine came and went, and did not come again");
+    // A new address: the old connection is left, the numbers go on.
+    let moved = crate::Conf::read(&conf("", "127.0.0.1:8501")).unwrap();
+    rig.platform.reload(rig.now, moved);
+    rig.turn();
+    let there = rig.on("127.0.0.1:8501")[0];
+    assert!(rig.closed.contains(&again));
+    assert!(String::from_utf8(rig.raw[&there].clone()).unwrap().contains("Last-Event-ID: 3\r\n"));
+    // Silent though open: it is called anew within the time in which its news counts as told.
+    rig.pass(ms(2_500));
+    assert!(rig.closed.contains(&there) && rig.on("127.0.0.1:8501").len() == 1);
+}
+
+#[test]
+fn what_cannot_be_used_is_refused_and_what_is_no_message_costs_its_own_connection() {
+    let mut rig = Rig::new(2);
+    let good = rig.owner();
+    rig.say(good, &set_up(1, "front", ""));
+    let (way, _) = rig.set_ups().pop().unwrap();
+    let unusable = [
+        set_up(0, "front", ""),
+        set_up(2, "nobody", ""),
+        set_up(3, "front", ";cores:1"),
+        message(kind::SET_UP, 4, &[]),
+        set_up(5, "front", ";at:s-none"),
+    ];
+    for bytes in unusable {
+        let bad = rig.owner();
+        rig.say(bad, &bytes);
+        let said = rig.heard_on(bad);
+        assert_eq!((said.len(), said[0].cause()), (1, Some(why::ERROR)));
+        assert!(!rig.closed.contains(&bad), "the connection lives");
+    }
+    let no_message = [
+        vec![0, 3, 1],
+        vec![0xff; 40_000],
+        message(200, 9, &[]),
+        vec![0, 12, kind::RELEASE, 0, 0, 0, 0, 0, 0, 0, 1, code::CAUSE, 9, 9],
+        // The id of an open request of another owner.
+        set_up(1, "batch", ""),
+    ];
+    for bytes in no_message {
+        let bad = rig.owner();
+        rig.say(bad, &bytes);
+        assert!(rig.closed.contains(&bad));
+    }
+    // Taken back by another one: untouched.
+    let bad = rig.owner();
+    rig.say(bad, &release(1, why::ENDED));
+    assert!(rig.set_ups().is_empty(), "nothing unusable was passed on");
+    rig.say(way, &yes(1));
+    assert_eq!(rig.heard_on(good)[0].kind, kind::ANSWER);
+    // Two requests under one number: the first has its one answer before the connection ends.
+    let bad = rig.owner();
+    rig.say(bad, &[set_up(8, "front", ""), set_up(8, "front", "")].concat());
+    assert_eq!(rig.heard_on(bad).len(), 1);
+    assert!(rig.closed.contains(&bad));
+}
+
+#[test]
+fn who_says_nothing_or_half_a_message_is_let_go_in_time_and_hundreds_do_not_crowd_out_owners() {
+    let mut rig = Rig::new(2);
+    let silent = rig.owner();
+    let half = rig.owner();
+    rig.say(half, &set_up(1, "front", "")[..20]);
+    rig.pass(ms(2_600));
+    assert!(rig.closed.contains(&silent) && rig.closed.contains(&half));
+    let good = rig.owner();
+    placed(&mut rig, good, 2, "front");
+    let crowd: Vec<Link> = (0..400).map(|_| rig.owner()).collect();
+    let open = crowd.iter().filter(|link| !rig.closed.contains(link)).count();
+    assert!(open <= 256 / 8, "{open}");
+    assert!(!rig.closed.contains(&good));
+    let late = rig.owner();
+    placed(&mut rig, late, 3, "front");
+}
+
+#[test]
+fn nothing_is_kept_of_what_is_over() {
+    let mut rig = Rig::new(2);
+    for n in 0..300u64 {
+        let owner = rig.owner();
+        let way = placed(&mut rig, owner, 1_000 + n, if n % 2 == 0 { "front" } else { "batch" });
+        rig.say(way, &release(1_000 + n, why::ENDED));
+        rig.end(owner, End::Closed);
+        let (new, bulletin) = (100 + n, rig.on(BULLETIN)[0]);
+        for (no, state) in [(2 + 2 * n, "in_service"), (3 + 2 * n, "terminated")] {
+            let event = event(no, false, &[listed(new, state, 0)]);
+            rig.say(bulletin, format!("data: {event}\n\n").as_bytes());
+        }
+        rig.pass(ms(100));
+    }
+    rig.pass(Span::from_secs(20));
+    let desk = rig.platform.desk.get_mut();
+    assert!(desk.tasks.by_id.is_empty() && desk.marks.is_empty() && desk.owners.by_link.is_empty());
+    assert_eq!((desk.machines.by_id.len(), desk.machines.ways.len()), (2, 0));
+    assert!(desk.timers.len() < 20 && desk.closings.is_empty(), "{}", desk.timers.len());
+    assert_eq!(desk.limits.len(), 0);
+    assert!(desk.links.held() < 2_000_000);
+}
--- /dev/null
+++ b/crates/platform/src/stories/rig.rs
@@ -0,0 +1,290 @@
+//! Owners, machines and a bulletin around one scheduler, in virtual time: they do what a story says and no more.
+
+use crate::{Conf, Platform};
+use mulleinhub_interface::{Span, Time};
+use mulleinhub_platform_protocol::{Frames, code, kind};
+use mulleinhub_seam::{Ask, Door, End, Link, Party};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A message as it was written, for looking at.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Said {
+    pub at: Time,
+    pub kind: u8,
+    pub task: u64,
+    pub params: Vec<(u8, Vec<u8>)>,
+}
+
+impl Said {
+    pub fn param(&self, code: u8) -> Option<&[u8]> {
+        self.params.iter().find(|(c, _)| *c == code).map(|(_, value)| &value[..])
+    }
+
+    pub fn cause(&self) -> Option<u8> {
+        self.param(code::CAUSE).map(|cause| cause[0])
+    }
+}
+
+/// What an address does with a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entrance {
+    Open,
+    Refuses,
+    /// It neither comes up nor is refused.
+    Silent,
+}
+
+pub struct Rig {
+    pub platform: Platform,
+    pub now: Time,
+    pub doors: BTreeMap<String, Entrance>,
+    /// Connections that the scheduler opened, by address, and whether bytes are taken from them.
+    pub opened: BTreeMap<Link, String>,
+    pub stuck: BTreeSet<Link>,
+    owners: BTreeSet<Link>,
+    frames: BTreeMap<Link, Frames>,
+    pub raw: BTreeMap<Link, Vec<u8>>,
+    heard: Vec<(Link, Said)>,
+    pub closed: BTreeSet<Link>,
+}
+
+pub const BULLETIN: &str = "127.0.0.1:8500";
+pub const START: Time = Time::from_nanos(1_700_000_000_000_000_000);
+
+pub fn ms(ms: u64) -> Span {
+    Span::from_nanos(ms * 1_000_000)
+}
+
+pub fn uid(n: u64) -> String {
+    format!("s-{n:08x}")
+}
+
+pub fn address(n: u64) -> String {
+    format!("127.0.1.{n}:5080")
+}
+
+/// One line of the list.
+pub fn listed(n: u64, state: &str, boot_ms: u64) -> String {
+    format!(
+        r#"{{"uid":"{}","endpoint":"{}","az":"hall-{}","model":"big","pod_group":{},"state":"{state}",
+        "capacity_hint":1,"boot_ms":{boot_ms},"room":[32.0,64.0]}}"#,
+        uid(n),
+        address(n),
+        n % 2,
+        n % 2
+    )
+    .replace('\n', "")
+}
+
+pub fn event(no: u64, all: bool, lines: &[String]) -> String {
+    format!(r#"{{"no":{no},"roster":{{"rev":{no},"all":{all},"targets":[{}]}}}}"#, lines.join(","))
+}
+
+pub fn conf(known: &str, bulletin: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000a7","bulletin":"{bulletin}",
+        "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},"known":{{"no":1,"items":[{known}]}},
+        "settings":{{"balancers":1,"index":0,"myZone":0,"discovery":"push","localities":["hall-0","hall-1"],
+        "shapes":["big"],
+        "classes":[{{"name":"batch","effect":"by_key","group":"cell","window":5000000000,"target":600000000,
+                     "deadline":2000000000,"gain":3}},
+                   {{"name":"front","effect":"repeatable","target":1000000000,"deadline":2500000000,"gain":9}}],
+        "limits":{{"cancel":true,"connectTimeout":250000000,"keepalive":15000000000,"maxAttempts":4}},
+        "rules":{{"askWithin":10000000000,"fall":1000000000,"warmAfter":10000000000}},
+        "specifics":{{"acceptsCores":2.0,"acceptsMemory":1.2,"kindCores":[32],"memoryByKind":[64],
+                      "kindByClass":[-1,-1],"precedence":[0,1],"spreadOver":["machine","machine"],
+                      "togetherMax":[2,1],"yesAt":"accepted","youngLimit":40,"tellsPressure":false,
+                      "fullUpTo":[1.0,0.8],"classFade":[1.0,0.2]}},
+        "tariffs":{{"fleet":0.2}}}}}}"#
+    )
+}
+
+impl Rig {
+    /// A scheduler that knows so many machines, has had its first turn, and hears the bulletin.
+    pub fn new(machines: u64) -> Self {
+        let lines: Vec<String> = (1..=machines).map(|n| listed(n, "in_service", 0)).collect();
+        let conf = Conf::read(&conf(&event(1, true, &lines), BULLETIN)).expect("a good one");
+        let mut rig = Self {
+            platform: Platform::new(conf),
+            now: START,
+            doors: BTreeMap::new(),
+            opened: BTreeMap::new(),
+            stuck: BTreeSet::new(),
+            owners: BTreeSet::new(),
+            frames: BTreeMap::new(),
+            raw: BTreeMap::new(),
+            heard: Vec::new(),
+            closed: BTreeSet::new(),
+        };
+        rig.turn();
+        let link = rig.on(BULLETIN)[0];
+        rig.say(link, b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: \n\n");
+        rig
+    }
+
+    /// One turn after another until nothing is left to do at this instant.
+    pub fn turn(&mut self) {
+        for _ in 0..50 {
+            self.platform.turn(self.now);
+            if !self.carry() && self.platform.wake().is_none_or(|wake| wake > self.now) {
+                return;
+            }
+        }
+        panic!("no rest within fifty turns of one instant");
+    }
+
+    /// Takes what the scheduler wrote and asked for; true where that brought anything back to it.
+    fn carry(&mut self) -> bool {
+        let mut back = false;
+        loop {
+            while let Some(link) = self.platform.links().next_dirty() {
+                self.take_from(link);
+            }
+            let Some(ask) = self.platform.links().next_ask() else { return back };
+            match ask {
+                Ask::Open(link, to) => {
+                    self.opened.insert(link, to.clone());
+                    match self.doors.get(&to).copied().unwrap_or(Entrance::Open) {
+                        Entrance::Open => self.platform.up(self.now, link),
+                        Entrance::Refuses => {
+                            self.opened.remove(&link);
+                            self.platform.ended(self.now, link, End::Refused);
+                        }
+                        Entrance::Silent => {
+                            self.stuck.insert(link);
+                        }
+                    }
+                    back = true;
+                }
+                Ask::End { link, .. } => {
+                    self.take_from(link);
+                    self.platform.links().drop_link(link);
+                    self.opened.remove(&link);
+                    self.closed.insert(link);
+                }
+            }
+        }
+    }
+
+    fn take_from(&mut self, link: Link) {
+        if self.stuck.contains(&link) {
+            return;
+        }
+        let bytes = self.platform.links().outgoing(link).to_vec();
+        self.platform.links().wrote(link, bytes.len());
+        if self.opened.get(&link).is_some_and(|to| to.ends_with(":8500") || to.ends_with(":8501")) {
+            return self.raw.entry(link).or_default().extend(bytes);
+        }
+        let frames = self.frames.entry(link).or_default();
+        frames.take(&bytes);
+        while let Some(frame) = frames.next_frame().expect("the scheduler speaks rightly") {
+            let params = frame.params().map(|(code, value)| (code, value.to_vec())).collect();
+            self.heard.push((link, Said { at: self.now, kind: frame.kind, task: frame.task, params }));
+        }
+    }
+
+    /// Lets time pass, in steps as short as the scheduler wants its turns.
+    pub fn pass(&mut self, span: Span) {
+        let until = self.now + span;
+        while self.now < until {
+            let wake = self.platform.wake().unwrap_or(until).max(self.now + ms(1));
+            self.now = wake.min(until);
+            self.bulletin_lives();
+            self.turn();
+        }
+    }
+
+    /// The bulletin's comment, so that it is not silent.
+    fn bulletin_lives(&mut self) {
+        let open: Vec<Link> = self.on(BULLETIN).into_iter().filter(|l| !self.stuck.contains(l)).collect();
+        for link in open {
+            self.platform.received(self.now, link, b": \n\n");
+        }
+    }
+
+    /// Connections that the scheduler has open to this address.
+    pub fn on(&self, address: &str) -> Vec<Link> {
+        self.opened.iter().filter(|(_, to)| *to == address).map(|(link, _)| *link).collect()
+    }
+
+    pub fn owner(&mut self) -> Link {
+        let link = self.platform.links().fresh();
+        self.owners.insert(link);
+        self.platform.opened(self.now, link, Door(0));
+        self.turn();
+        link
+    }
+
+    pub fn say(&mut self, link: Link, bytes: &[u8]) {
+        self.platform.received(self.now, link, bytes);
+        self.turn();
+    }
+
+    /// The other side ends this connection.
+    pub fn end(&mut self, link: Link, end: End) {
+        self.opened.remove(&link);
+        self.platform.ended(self.now, link, end);
+        self.turn();
+    }
+
+    /// What was said on connections for which this holds, and was not looked at yet.
+    pub fn heard(&mut self, which: impl Fn(Link) -> bool) -> Vec<(Link, Said)> {
+        let (taken, left) = std::mem::take(&mut self.heard).into_iter().partition(|(link, _)| which(*link));
+        self.heard = left;
+        taken
+    }
+
+    pub fn heard_on(&mut self, link: Link) -> Vec<Said> {
+        self.heard(|other| other == link).into_iter().map(|(_, said)| said).collect()
+    }
+
+    /// Set-ups that machines got and nobody looked at yet.
+    pub fn set_ups(&mut self) -> Vec<(Link, Said)> {
+        let owners = self.owners.clone();
+        let all = self.heard(|link| !owners.contains(&link));
+        let (set_ups, others): (Vec<_>, Vec<_>) =
+            all.into_iter().partition(|(_, said)| said.kind == kind::SET_UP);
+        self.heard.extend(others);
+        set_ups
+    }
+
+    pub fn address_of(&self, link: Link) -> &str {
+        &self.opened[&link]
+    }
+}
+
+/// A message of any kind.
+pub fn message(kind: u8, task: u64, params: &[(u8, &[u8])]) -> Vec<u8> {
+    let mut body = vec![kind];
+    body.extend_from_slice(&task.to_be_bytes());
+    for (code, value) in params {
+        body.push(*code);
+        body.extend_from_slice(&(value.len() as u16).to_be_bytes());
+        body.extend_from_slice(value);
+    }
+    [&(body.len() as u16).to_be_bytes()[..], &body].concat()
+}
+
+pub const KEY: &[u8] = b"5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+
+/// A set-up as owners send it; `more` goes behind the figures.
+pub fn set_up(task: u64, class: &str, more: &str) -> Vec<u8> {
+    let name = format!("{:016x}", task ^ 0xabcd);
+    let figures = format!("cores:1;memory:2;service:{:016x}{more}", task % 7);
+    let mut params: Vec<(u8, &[u8])> = vec![(code::CLASS, class.as_bytes()), (code::PATIENCE, b"2000")];
+    if class == "batch" {
+        params.push((code::KEY, KEY));
+    }
+    params.push((code::NAME, name.as_bytes()));
+    params.push((code::FIGURES, figures.as_bytes()));
+    params.push((code::DESCRIPTION, b"wanted\r\n"));
+    message(kind::SET_UP, task, &params)
+}
+
+pub fn yes(task: u64) -> Vec<u8> {
+    message(kind::ANSWER, task, &[(code::DESCRIPTION, b"made\r\n")])
+}
+
+pub fn release(task: u64, cause: u8) -> Vec<u8> {
+    message(kind::RELEASE, task, &[(code::CAUSE, &[cause])])
+}
--- a/crates/seam/src/links.rs
+++ b/crates/seam/src/links.rs
@@ -1,7 +1,7 @@
 //! The connections of one party: their outgoing bytes, and which frames of them can still be taken back.
 
 use crate::Ask;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// A connection, by a number that its party never uses again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -31,6 +31,8 @@
 struct Slot {
     out: Option<Box<Outbox>>,
     paused: bool,
+    /// It stands in `dirty`.
+    dirty: bool,
 }
 
 /// Emptied boxes that are kept for the next ones that write; what a burst took beyond that is given back.
@@ -43,7 +45,9 @@
 pub struct Links {
     next: u64,
     open: BTreeMap<Link, Slot>,
-    dirty: BTreeSet<Link>,
+    /// In the order of writing, so that what was written first is handed over first, on whatever connection. Met:
+    /// a send given up on one connection and its successor on another went out in the order of the links.
+    dirty: VecDeque<Link>,
     asks: VecDeque<Ask>,
     #[expect(clippy::vec_box, reason = "boxes go from here into slots and come back")]
     spare: Vec<Box<Outbox>>,
@@ -91,7 +95,9 @@
         if let Some(mark) = mark {
             out.marks.push_back((start, start + frame.len() as u64, mark));
         }
-        self.dirty.insert(link);
+        if !std::mem::replace(&mut slot.dirty, true) {
+            self.dirty.push_back(link);
+        }
     }
 
     /// Takes a marked frame out again if not a byte of it was handed over. True where it will never be sent.
@@ -128,7 +134,6 @@
 
     /// For the party when it is told of an end: the marked frames that were not wholly handed over.
     pub fn forget(&mut self, link: Link) -> Vec<(u64, Unwritten)> {
-        self.dirty.remove(&link);
         let Some(out) = self.open.remove(&link).and_then(|slot| slot.out) else { return Vec::new() };
         let whole = |start| if start >= out.gone { Unwritten::Whole } else { Unwritten::Part };
         out.marks.iter().map(|(start, _, mark)| (*mark, whole(*start))).collect()
@@ -142,7 +147,14 @@
 
     /// A connection that has bytes to go out and was not looked at since they came.
     pub fn next_dirty(&mut self) -> Option<Link> {
-        self.dirty.pop_first()
+        loop {
+            let link = self.dirty.pop_front()?;
+            // One that is over since then has nothing to write.
+            if let Some(slot) = self.open.get_mut(&link) {
+                slot.dirty = false;
+                return Some(link);
+            }
+        }
     }
 
     pub fn outgoing(&self, link: Link) -> &[u8] {
@@ -181,7 +193,6 @@
     /// The connection is over for both sides; nothing is told.
     pub fn drop_link(&mut self, link: Link) {
         self.open.remove(&link);
-        self.dirty.remove(&link);
     }
 }
 
@@ -205,6 +216,18 @@
         assert_eq!(links.forget(link), [(3, Unwritten::Whole)]);
     }
 
+    #[test]
+    fn what_was_written_first_is_handed_over_first() {
+        let mut links = Links::default();
+        let [one, two, three] = [(); 3].map(|()| links.fresh());
+        for link in [three, one, two, three] {
+            links.send(link, &[0; 4], None);
+        }
+        links.forget(one);
+        let order: Vec<Link> = std::iter::from_fn(|| links.next_dirty()).collect();
+        assert_eq!(order, [three, two]);
+    }
+
     #[test]
     fn a_connection_that_has_written_all_owns_no_buffer_and_a_burst_is_given_back() {
         let mut links = Links::default();
