A machine that stops and leaves one mute connection open is found out

Ruled out: releases lost on the way (the machine said nothing of them), starts, addresses, owners' connections. At fault: way_ended in hear.rs, which held a refusal beside an open connection for a sign of life since the last mend. Debug lines for each task.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -355,6 +355,7 @@
     pub fn tell_end(&mut self, came_on: Option<Link>, task: TaskId, cause: Cause) {
         match self.owners.to_tell(came_on) {
             Some(link) => {
+                tracing::debug!(task = format!("{:016x}", task.0), link = link.0, cause, "its owner is told");
                 self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, task.0, cause));
             }
             None => self.owners.owed.push_back((task, cause)),
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -249,6 +249,7 @@
         };
         d.tasks.by_id.insert(id, job);
         d.counts.handed += 1;
+        tracing::debug!(task = format!("{:016x}", id.0), at = uid, "handed over");
         if d.machines.by_id[&machine].ways.is_empty() {
             d.open_way(machine);
         }
@@ -520,6 +521,7 @@
         return;
     }
     job.open = Some(Open { placed_at: Some(now), ..open });
+    tracing::debug!(task = format!("{:016x}", id.0), way = link.0, "stands");
     job.wanted = None;
     let owner = job.owner;
     d.marks.remove(&open.mark);
@@ -614,6 +616,7 @@
 
 /// The end of a send, unless it is known already.
 fn close(desk: &RefCell<Desk>, round: &mut dyn Ears, id: TaskId, send: u32, ending: Ending, cause: Cause) {
+    tracing::debug!(task = format!("{:016x}", id.0), send, ?ending, cause, "closed");
     let over = {
         let d = &mut *desk.borrow_mut();
         let Some(job) = d.tasks.by_id.get_mut(&id) else { return };
@@ -650,8 +653,20 @@
     let unwritten = d.links.abort(link);
     let Some(way) = d.machines.forget_way(link) else { return };
     let (now, id) = (d.now, way.machine);
+    if let Some(machine) = d.machines.by_id.get(&id) {
+        tracing::debug!(
+            at = machine.address,
+            way = link.0,
+            up = way.up,
+            ?end,
+            open = way.open.len(),
+            "a connection is over"
+        );
+    }
     let drawn = d.chance.part();
-    let others_up = d.machines.ways_of(id).any(|(_, other)| other.up);
+    let others: Vec<Link> =
+        d.machines.ways_of(id).filter(|(_, other)| other.up).map(|(link, _)| link).collect();
+    let refused = end == End::Refused;
     if let Some(machine) = d.machines.by_id.get_mut(&id) {
         machine.gate.ended(now);
         if way.up {
@@ -659,18 +674,21 @@
         } else {
             machine.retry_at = now + again::after_failures(d.patience.again, machine.failures, drawn);
             machine.failures += 1;
-            let refused = end == End::Refused;
-            if refused && others_up {
-                // A process that dies resets its connections. Met: machines that drain refuse new ones, and
-                // what stood there was taken for lost.
-                machine.heard_at = now;
-            }
-            machine.refusals = if refused && !others_up { machine.refusals + 1 } else { 0 };
+            // A process that dies resets its connections. Met: machines that drain refuse new ones, and what
+            // stood there was taken for lost.
+            machine.refusals = if refused && others.is_empty() { machine.refusals + 1 } else { 0 };
             if machine.refusals >= DEAD {
                 d.is_lost(id, now, "it refuses connections");
             }
         }
     }
+    if refused {
+        // Nor is one that is up a sign of life. Met: a machine that had stopped left one open, and what had
+        // stood there was never released. A test is asked for where nothing cheaper can tell.
+        for link in others {
+            d.send(link, |out| protocol::write_with_cause(out, kind::TEST, link.0, 0));
+        }
+    }
     for task in way.open {
         let Some(job) = d.tasks.by_id.get_mut(&task) else { continue };
         let Some(open) = job.open.filter(|open| open.link == Some(link)) else { continue };
--- a/crates/platform/src/stories/mod.rs
+++ b/crates/platform/src/stories/mod.rs
@@ -153,8 +153,17 @@
     let owner = rig.owner();
     let way = placed(&mut rig, owner, 1, "front");
     rig.doors.insert(address(1), Entrance::Refuses);
-    rig.pass(Span::from_secs(6));
+    let mut tests = 0;
+    for _ in 0..60 {
+        rig.pass(ms(100));
+        for said in rig.heard_on(way) {
+            assert_eq!(said.kind, kind::TEST);
+            tests += 1;
+            rig.say(way, &message(kind::TESTED, said.task, &[(code::CAUSE, &[0])]));
+        }
+    }
     assert!(rig.heard_on(owner).is_empty(), "it stands");
+    assert!((1..6).contains(&tests), "tests cost the machine work: {tests} in six seconds");
     rig.end(way, End::Broken);
     rig.pass(Span::from_secs(2));
     let ends = rig.heard_on(owner);
@@ -162,6 +171,23 @@
     assert_eq!((ends[0].kind, ends[0].task), (kind::RELEASE, 1));
 }
 
+#[test]
+fn a_machine_that_stops_and_leaves_a_mute_connection_open_has_died_all_the_same() {
+    // Met: incident rbe0ba6, where nobody told the owners of eleven tasks.
+    let mut rig = Rig::new(1);
+    let owner = rig.owner();
+    rig.say(owner, &[set_up(1, "front", ""), set_up(2, "front", "")].concat());
+    for (way, said) in rig.set_ups() {
+        rig.say(way, &yes(said.task));
+    }
+    let ways = rig.on(&address(1));
+    assert_eq!((ways.len(), rig.heard_on(owner).len()), (2, 2));
+    rig.doors.insert(address(1), Entrance::Refuses);
+    rig.end(ways[0], End::Broken);
+    rig.pass(Span::from_secs(7));
+    assert_eq!(rig.heard_on(owner).len(), 2, "both are released");
+}
+
 #[test]
 fn a_machine_that_vanishes_is_found_out_and_its_tasks_are_released_within_eight_seconds() {
     let mut rig = Rig::new(2);
