--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -97,6 +97,7 @@
 fn is_listed(d: &mut Desk, address: &str, entry: Entry) {
     let (now, id) = (d.now, entry.id);
     let known = d.machines.by_id.get(&id);
+    tracing::debug!(machine = id.0, address, kind = entry.kind.0, left = ?entry.left, mode = ?entry.mode, "listed");
     let (moved, before) = (known.is_none_or(|m| m.address != address), known.and_then(|m| m.entry.since));
     if moved && entry.mode != Mode::Left {
         let others = d.machines.by_id.iter().filter(|(other, m)| **other != id && m.address == address);
@@ -249,7 +250,7 @@
         };
         d.tasks.by_id.insert(id, job);
         d.counts.handed += 1;
-        tracing::debug!(task = format!("{:016x}", id.0), at = uid, "handed over");
+        tracing::debug!(task = format!("{:016x}", id.0), machine = id_of(uid).0, class = setup.class, ask = ?order.ask, "handed over");
         if d.machines.by_id[&machine].ways.is_empty() {
             d.open_way(machine);
         }
@@ -297,6 +298,7 @@
     d.tasks.by_id.insert(id, job);
     d.tasks.unanswered += 1;
     d.counts.taken += 1;
+    tracing::debug!(task = format!("{:016x}", id.0), class = setup.class, ask = ?order.ask, service = order.service.0, again = order.again, "taken");
     if let Some(owner) = d.owners.by_link.get_mut(&link) {
         owner.open.insert(id);
         let open = owner.open.len() as u32;
@@ -481,6 +483,7 @@
                 open.is_some_and(|open| Some(open.machine) == machine)
             };
             if placed {
+                tracing::debug!(task = format!("{:016x}", id.0), note = ?protocol::note(frame), "note");
                 match protocol::note(frame) {
                     Some(("running", _)) => round.runs(id),
                     Some(("use_cpu", cores @ Some(_))) => round.uses(id, cores, None),
@@ -521,7 +524,7 @@
         return;
     }
     job.open = Some(Open { placed_at: Some(now), ..open });
-    tracing::debug!(task = format!("{:016x}", id.0), way = link.0, "stands");
+    tracing::debug!(task = format!("{:016x}", id.0), machine = open.machine.0, "stands");
     job.wanted = None;
     let owner = job.owner;
     d.marks.remove(&open.mark);
