Starts still under way after thrice the usual time press their machine

Covers slow machines and crowded lines of starts; hurts where all are slow alike, which the usual time follows.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -556,6 +556,21 @@
         })
     }
 
+    /// A start that is still under way after far longer than usual tells as much as one that is done so late.
+    /// Met: a slow machine on which more than a third of what was placed ended before it ever ran.
+    fn note_slow_starts(&mut self) {
+        let usual = self.b.usual_start;
+        for (_, m) in self.b.machines.iter_mut().filter(|(_, m)| m.starting > 0) {
+            let is_slow = |task: &Task| {
+                let usual = usual[usize::from(task.bare)];
+                task.starting && usual > Span::ZERO && self.now - task.sent_at > usual * SLOW
+            };
+            if m.tasks.iter().any(|(place, _)| is_slow(&self.b.tasks[*place])) {
+                m.pressed.cores = self.now + PRESSED;
+            }
+        }
+    }
+
     /// The final answer of a task without an open send: no, where that is allowed, else failure.
     fn give_up(&mut self, place: usize) {
         let use_case = self.b.use_case(place);
@@ -586,6 +601,9 @@
         });
         // The whole line is walked at ticks only, which keeps the cost of a long line down.
         let between = self.b.tick_set;
+        if !between && !self.b.taking.tells_pressure {
+            self.note_slow_starts();
+        }
         pending.retain(|place| (between && self.b.tasks[*place].waited) || !self.settle(*place));
         self.b.pending = pending;
         if !between && self.b.taking.recalls && !self.b.taking.yes_when_running {
