Long waits are cut to the time that is left before the end; stories of late and waiting starts

Need: after SIGTERM nothing may be unanswered when the last second is over, also where a client timeout is longer than the three seconds that count. The choice of the answer is the module's, so it hears by when (ends_by, five lines); sends that are out have their waits cut alike. Also: stories for the two changes to lines of starts, and the test of the shares of descriptors counts what is kept.

--- a/crates/baselines/src/lib.rs
+++ b/crates/baselines/src/lib.rs
@@ -239,6 +239,10 @@
         }
     }
 
+    fn ends_by(&mut self, at: Time) {
+        self.b.tasks.values_mut().for_each(|task| task.order.deadline = task.order.deadline.min(at));
+    }
+
     fn woken(&mut self, token: u64) {
         match token {
             0 => self.b.ticking = false,
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -301,6 +301,8 @@
     /// The end of a send. Where `over` is not set, the final answer is still to be given.
     fn closed(&mut self, task: TaskId, ending: Ending, over: bool, report: Report);
     fn abandoned(&mut self, task: TaskId);
+    /// This scheduler is to end: no final answer may come later than then.
+    fn ends_by(&mut self, at: Time);
     fn woken(&mut self, token: u64);
     fn list_failed(&mut self);
     fn list(&mut self, kind: ListKind, entries: &[Entry]);
--- a/crates/limits/src/shares.rs
+++ b/crates/limits/src/shares.rs
@@ -29,7 +29,8 @@
     fn owners_and_machines_fit_beside_each_other_into_few_descriptors() {
         for (descriptors, machines) in [(256, 17), (256, 40), (1_024, 12), (1_024, 60)] {
             let ways = ways_to_a_machine(descriptors, machines) * machines;
-            assert!(ways + descriptors / PROMISED_PART + descriptors / OWN_PART <= descriptors + machines);
+            let own = OWN_DESCRIPTORS.min(descriptors / OWN_PART);
+            assert!(ways + descriptors / PROMISED_PART + own <= descriptors, "{descriptors}, {machines}");
             assert!(ways >= machines, "each machine can be reached");
         }
     }
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -22,6 +22,9 @@
 const MOST_LOGGED: u32 = 5;
 /// After so long from the word to end nobody comes any more, and later set-ups are refused at once.
 pub const STILL_COMING: Span = Span::from_nanos(700_000_000);
+/// All that was taken must have its answer by then: the longest wait that counts, behind whoever came last, less
+/// what an answer may take on its way.
+const ANSWERED_BY: Span = Span::from_nanos(3_500_000_000);
 /// And no end before this is past.
 const NO_END_BEFORE: Span = Span::from_nanos(1_000_000_000);
 
@@ -88,8 +91,9 @@
     pub marks: BTreeMap<u64, (TaskId, u32)>,
     pub stood: Standstills,
     pub chance: Pcg,
-    /// Since when it is to end.
+    /// Since when it is to end, and whether the module has heard by when its answers are owed.
     pub ending: Option<Time>,
+    pub told_end: bool,
     pub counts: Counts,
     logged: (Time, u32),
     stuck: Vec<Link>,
@@ -137,6 +141,7 @@
             stood: Standstills::default(),
             chance: Pcg::new(mix(conf.seed, conf.site.cold.number.into())),
             ending: None,
+            told_end: false,
             counts: Counts::default(),
             logged: (Time::default(), 0),
             stuck: Vec::new(),
@@ -600,6 +605,11 @@
 
     // The end.
 
+    /// By when all answers are owed, where it is to end.
+    pub fn answered_by(&self) -> Option<Time> {
+        self.ending.map(|since| since + ANSWERED_BY)
+    }
+
     /// Whether set-ups are refused at once.
     pub fn is_closed(&self) -> bool {
         self.ending.is_some_and(|since| self.now - since >= STILL_COMING)
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -45,6 +45,23 @@
 /// Between two lines in the log that tell how it is.
 const TELL: Span = Span::from_secs(5);
 
+/// It is to end: waits are cut to the time that is left, those of sends that are out too.
+pub fn ending(desk: &RefCell<Desk>, round: &mut dyn Ears) {
+    let by = {
+        let d = &mut *desk.borrow_mut();
+        let Some(by) = d.answered_by().filter(|_| !std::mem::replace(&mut d.told_end, true)) else { return };
+        for (id, job) in d.tasks.by_id.iter_mut().filter(|(_, job)| !job.answered) {
+            job.order.deadline = job.order.deadline.min(by);
+            if let Some(open) = job.open.as_mut().filter(|open| open.due > by) {
+                open.due = by;
+                d.timers.set(by, Due::Send(*id, open.number));
+            }
+        }
+        by
+    };
+    round.ends_by(by);
+}
+
 // The bulletin.
 
 pub fn bulletin(desk: &RefCell<Desk>, round: &mut dyn Ears) {
@@ -279,7 +296,8 @@
         d.send(link, |out| protocol::write_refusal(out, id.0, why::BUSY, away));
         return Ok(());
     }
-    let order = order(&setup, case, d.now + patience);
+    let deadline = d.now + patience;
+    let order = order(&setup, case, d.answered_by().map_or(deadline, |by| deadline.min(by)));
     let wanted = Wanted {
         name: setup.name.to_owned(),
         key: setup.key.map(str::to_owned),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -88,6 +88,7 @@
                 hear::begin(desk, round);
             }
             hear::bulletin(desk, round);
+            hear::ending(desk, round);
             hear::all_that_came(desk, round);
             // Ends that fall due below are told in the next turn, which follows at once: what gives a send up is
             // out by then, before the module's next send of that task.
--- a/crates/platform/src/stories/mod.rs
+++ b/crates/platform/src/stories/mod.rs
@@ -84,6 +84,28 @@
     assert!(rig.platform.is_done(rig.now));
 }
 
+#[test]
+fn long_waits_are_cut_to_the_time_that_is_left_before_the_end() {
+    let mut rig =
+        Rig::of(2, |conf| conf.replace("2500000000", "60000000000").replace("2000000000", "60000000000"));
+    let owner = rig.owner();
+    let long = |task, class| {
+        let bytes = set_up(task, class, "");
+        let at = bytes.windows(4).position(|four| four == b"2000").unwrap();
+        [&bytes[2..at - 2], &[0, 5], b"60000", &bytes[at + 4..]].concat()
+    };
+    let framed = |body: Vec<u8>| [&(body.len() as u16).to_be_bytes()[..], &body].concat();
+    rig.say(owner, &framed(long(1, "front")));
+    rig.pass(ms(100));
+    rig.platform.wind_down(rig.now);
+    rig.turn();
+    rig.say(owner, &framed(long(2, "batch")));
+    rig.pass(ms(3_600));
+    let answers: Vec<u64> = rig.heard_on(owner).iter().map(|said| said.task).collect();
+    assert_eq!(answers.len(), 2, "{answers:?}");
+    assert!(rig.platform.is_done(rig.now));
+}
+
 #[test]
 fn a_send_that_timed_out_is_given_up_first_and_a_late_copy_is_cut_where_it_earns_nothing() {
     for (class, is_cut) in [("front", true), ("batch", false)] {
--- a/crates/platform/src/stories/rig.rs
+++ b/crates/platform/src/stories/rig.rs
@@ -102,8 +102,13 @@
 impl Rig {
     /// A scheduler that knows so many machines, has had its first turn, and hears the bulletin.
     pub fn new(machines: u64) -> Self {
+        Self::of(machines, |conf| conf)
+    }
+
+    /// With other words in the configuration.
+    pub fn of(machines: u64, change: impl Fn(String) -> String) -> Self {
         let lines: Vec<String> = (1..=machines).map(|n| listed(n, "in_service", 0)).collect();
-        let conf = Conf::read(&conf(&event(1, true, &lines), BULLETIN)).expect("a good one");
+        let conf = Conf::read(&change(conf(&event(1, true, &lines), BULLETIN))).expect("a good one");
         let mut rig = Self {
             platform: Platform::new(conf),
             now: START,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -420,6 +420,11 @@
         }
     }
 
+    /// Whoever is to end owes its answers by then. Met: waits longer than the time that is left to it.
+    pub fn ends_by(&mut self, at: Time) {
+        self.b.tasks.iter_mut().for_each(|(_, task)| task.order.deadline = task.order.deadline.min(at));
+    }
+
     pub fn woken(&mut self, token: u64) {
         match token {
             TICK => self.b.tick_set = false,
--- a/src/mind.rs
+++ b/src/mind.rs
@@ -40,6 +40,9 @@
     fn abandoned(&mut self, task: TaskId) {
         self.abandoned(task);
     }
+    fn ends_by(&mut self, at: Time) {
+        self.ends_by(at);
+    }
     fn woken(&mut self, token: u64) {
         self.woken(token);
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -623,3 +623,33 @@
         assert_eq!(sent_to(&host.ask(3, LOW, 0.1)), Some(to));
     }
 }
+
+#[test]
+fn a_start_under_way_for_far_longer_than_usual_presses_its_machine_before_it_is_done() {
+    let mut host = Host { tells_pressure: false, ..Host::new() }.up(&[machine(1, 9.0), machine(2, 2.0)]);
+    host.ask(1, LOW, 0.1);
+    host.millis += 100;
+    host.tell(|r| (r.accepted(TaskId(1)), r.runs(TaskId(1))));
+    assert_eq!(sent_to(&host.ask(2, LOW, 0.1)), Some(1));
+    host.tell(|r| r.accepted(TaskId(2)));
+    host.after(400);
+    assert_eq!(sent_to(&host.ask(3, LOW, 0.1)), Some(2), "the second start is still not done");
+}
+
+#[test]
+fn a_line_of_starts_ranks_its_machine_as_fuller() {
+    let mut host = Host::new().up(&[machine(1, 9.9), machine(2, 5.0)]);
+    let to: Vec<_> = (0..60).map(|id| sent_to(&host.ask(id, LOW, 0.001))).collect();
+    assert_eq!(to[..4], [Some(1); 4], "by far the least asked");
+    assert!(to.contains(&Some(2)), "dozens of starts wait there");
+}
+
+#[test]
+fn whoever_is_to_end_answers_by_then() {
+    let mut host = Host::new().up(&[machine(1, 0.0)]);
+    assert_eq!(host.ask(1, LOW, 0.1), []);
+    let by = host.now() + Span::from_nanos(2_000_000_000);
+    host.tell(|r| r.ends_by(by));
+    assert_eq!(host.after(1_500), []);
+    assert_eq!(host.after(400), [Said::Nack(1)], "six seconds before its client timeout");
+}
