--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,7 +66,6 @@
 /// was hot lately (a slow machine, a neighbour, a hot service) soon is again.
 const POOR: f64 = 0.3;
 /// Where machines in use have a price, one with hardly an ask is opened last, whatever else it has.
-const LINE: f64 = TIE / 2.0;
 const OPENING: f64 = 1.0 + BARE * HOMES as f64;
 const EMPTY: f64 = 0.02;
 
@@ -693,7 +692,7 @@
             let asked = m.size - free + ask;
             let mut rank =
                 CORES_WEIGHT * asked.cores / m.size.cores + MEMORY_WEIGHT * asked.memory / m.size.memory;
-            rank += m.poor.peak(self.now).unwrap_or(0.0) * POOR + m.starting as f64 * LINE;
+            rank += m.poor.peak(self.now).unwrap_or(0.0) * POOR;
             let shut = home.machine_price > 0.0 && m.size.times(EMPTY, EMPTY).fits(m.size - free);
             rank += if shut { OPENING } else { 0.0 };
             let order = mix(service.0, m.id.0) >> 1 | u64::from(away) << 63;
