Who only asked is no owner to be told of ends, and takes no owner's place

Ruled out: machines (no loss logged), slow turns. At fault: limits let go whoever was idle longest, an owner between two tasks before hundreds that had asked once and stayed (236 of 384 descriptors in use), and owners.rs held whoever had sent a readable set-up for an owner, so the end went to a bad client. Change: connections of which a task stood, or that handed one over, are let go last and are alone told of others' ends.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -159,6 +159,8 @@
     /// Its place in the wheel stands for this instant; its true deadline may be later.
     in_wheel: Time,
     in_hand: u32,
+    /// Something came of it that only a rightful client brings about.
+    of_use: bool,
     /// What came on it waits for us to hear it.
     in_line: bool,
 }
@@ -179,8 +181,8 @@
     conns: BTreeMap<u64, Box<Conn>>,
     names: BTreeMap<Arc<str>, u32>,
     tenants: BTreeMap<Arc<str>, Count>,
-    /// Those without a task in hand, longest silent first.
-    idle: BTreeSet<(Time, u64)>,
+    /// Those without a task in hand: those never known to be of use first, then longest silent first.
+    idle: BTreeSet<(bool, Time, u64)>,
     /// Those that have not greeted, the first to come first.
     strangers: BTreeSet<(Time, u64)>,
     wheel: Wheel,
@@ -324,7 +326,7 @@
             let Some(longest) = self.idle.first().copied() else {
                 return Err(self.count(Why::Full));
             };
-            room = Some(longest);
+            room = Some((longest.1, longest.2));
         }
         let room = room.map(|(_, out)| {
             self.forget(out);
@@ -341,10 +343,11 @@
             asked_at: NEVER,
             in_wheel: deadline,
             in_hand: 0,
+            of_use: false,
             in_line: false,
         };
         self.conns.insert(conn, Box::new(entry));
-        self.idle.insert((now, conn));
+        self.idle.insert((false, now, conn));
         self.strangers.insert((now, conn));
         self.wheel.put(now, deadline, conn);
         Ok(room)
@@ -391,8 +394,8 @@
             entry.steady_since = now;
         }
         if entry.in_hand == 0 && now != entry.heard {
-            self.idle.remove(&(entry.heard, conn));
-            self.idle.insert((now, conn));
+            self.idle.remove(&(entry.of_use, entry.heard, conn));
+            self.idle.insert((entry.of_use, now, conn));
         }
         (entry.heard, entry.asked_at) = (now, NEVER);
     }
@@ -414,17 +417,27 @@
     pub fn in_hand(&mut self, conn: u64, tasks: u32) {
         let Some(entry) = self.conns.get_mut(&conn) else { return };
         match (entry.in_hand, tasks) {
-            (0, 1..) => drop(self.idle.remove(&(entry.heard, conn))),
-            (1.., 0) => drop(self.idle.insert((entry.heard, conn))),
+            (0, 1..) => drop(self.idle.remove(&(entry.of_use, entry.heard, conn))),
+            (1.., 0) => drop(self.idle.insert((entry.of_use, entry.heard, conn))),
             _ => {}
         }
         entry.in_hand = tasks;
     }
 
+    /// It is of use: others are let go before it. Met: hundreds that asked once and stayed took the places of
+    /// owners whose tasks stood, and nobody was left to hear of their ends.
+    pub fn is_of_use(&mut self, conn: u64) {
+        let Some(entry) = self.conns.get_mut(&conn).filter(|entry| !entry.of_use) else { return };
+        if self.idle.remove(&(false, entry.heard, conn)) {
+            self.idle.insert((true, entry.heard, conn));
+        }
+        entry.of_use = true;
+    }
+
     /// It is over, for whatever reason.
     pub fn forget(&mut self, conn: u64) {
         let Some(entry) = self.conns.remove(&conn) else { return };
-        self.idle.remove(&(entry.heard, conn));
+        self.idle.remove(&(entry.of_use, entry.heard, conn));
         let Some(name) = entry.name else {
             self.strangers.remove(&(entry.opened, conn));
             return;
@@ -518,7 +531,7 @@
     /// are allowed from now on, until turns have been short for a while.
     pub fn pinched(&mut self, now: Time) -> Vec<u64> {
         self.pressure.cut_to(now, self.len().saturating_sub(PINCH));
-        let out: Vec<u64> = self.idle.iter().take(PINCH).map(|(_, conn)| *conn).collect();
+        let out: Vec<u64> = self.idle.iter().take(PINCH).map(|(.., conn)| *conn).collect();
         for conn in &out {
             self.forget(*conn);
             self.count(Why::MadeRoom);
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -206,7 +206,7 @@
         kind::RELEASE => given_up(&mut desk.borrow_mut(), link, TaskId(frame.task)),
         kind::TEST => {
             let d = &mut *desk.borrow_mut();
-            greets(d, link, false);
+            greets(d, link);
             let passes = d.ending.is_none();
             d.send(link, |out| match passes {
                 true => protocol::write_passed_test(out, frame.task),
@@ -220,15 +220,22 @@
 }
 
 /// It says what owners say.
-fn greets(d: &mut Desk, link: Link, proves: bool) {
+fn greets(d: &mut Desk, link: Link) {
     let Some(owner) = d.owners.by_link.get_mut(&link) else { return };
-    owner.proven |= proves;
     if !std::mem::replace(&mut owner.greeted, true) {
         // One name for all: the platform's owners have none.
         let _ = d.limits.greeted(link.0, &"owner".into());
     }
 }
 
+/// What came of it proves that it is an owner's.
+fn proves(d: &mut Desk, link: Link) {
+    if let Some(owner) = d.owners.by_link.get_mut(&link) {
+        owner.proven = true;
+        d.limits.is_of_use(link.0);
+    }
+}
+
 fn set_up(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, frame: &Frame<'_>) -> Result<(), Bad> {
     let mut borrowed = desk.borrow_mut();
     let d = &mut *borrowed;
@@ -243,7 +250,8 @@
         if !d.machines.by_id.contains_key(&machine) {
             return refuse_unusable(d, link, id, &Unusable("a machine that no list names"));
         }
-        greets(d, link, true);
+        greets(d, link);
+        proves(d, link);
         let order = order(setup, *case, Time::from_nanos(u64::MAX));
         let open = Open {
             number: 0,
@@ -283,7 +291,7 @@
         Ok(read) => read,
         Err(unusable) => return refuse_unusable(d, link, id, &unusable),
     };
-    greets(d, link, true);
+    greets(d, link);
     let lay = d.owners.by_link.get(&link).map_or(Span::ZERO, |owner| d.stood.lay(d.now, owner.since));
     let longest = d.site.use_cases[case.0].client_timeout;
     let patience = Span::from_nanos(setup.patience_ms * 1_000_000).min(longest) - lay;
@@ -553,6 +561,7 @@
     }
     answered_by(d, open.machine, id, open.number);
     if let Some(owner) = owner {
+        proves(d, owner);
         d.send(owner, |out| protocol::write_answer(out, id.0, description));
     }
     d.look_after(open.machine);
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -15,7 +15,8 @@
     pub heard_at: Time,
     /// It sent something that only an owner or the front sends, rightly.
     pub greeted: bool,
-    /// It sent a set-up that was taken: whoever may be told of any task.
+    /// A task of it stood, or it handed one over: it may be told of any task. Met: who only asked rightly need be
+    /// no owner, and ends told there were heard by nobody.
     pub proven: bool,
     /// Tasks that are to be answered here.
     pub open: BTreeSet<TaskId>,
--- a/crates/platform/src/stories/mod.rs
+++ b/crates/platform/src/stories/mod.rs
@@ -55,8 +55,12 @@
     rig.end(owner, End::Closed);
     rig.say(way, &release(5, why::ENDED));
     rig.pass(ms(900));
+    // One that only asks is not told: it need be no owner.
     let another = rig.owner();
     rig.say(another, &set_up(6, "front", ""));
+    assert!(rig.heard_on(another).is_empty());
+    let (way, _) = rig.set_ups().pop().unwrap();
+    rig.say(way, &yes(6));
     let told = rig.heard_on(another);
     assert!(told.iter().any(|said| (said.kind, said.task) == (kind::RELEASE, 5)), "{told:?}");
 }
@@ -328,6 +332,22 @@
     placed(&mut rig, late, 3, "front");
 }
 
+#[test]
+fn hundreds_that_ask_once_and_stay_take_no_owners_place_and_hear_of_no_end() {
+    let mut rig = Rig::new(2);
+    let owner = rig.owner();
+    let way = placed(&mut rig, owner, 1, "front");
+    for n in 0..400 {
+        let stays = rig.owner();
+        rig.say(stays, &set_up(100 + n, "front", ""));
+        rig.say(stays, &release(100 + n, why::ENDED));
+        rig.pass(ms(2));
+    }
+    assert!(!rig.closed.contains(&owner), "others are let go before it");
+    rig.say(way, &release(1, why::ENDED));
+    assert_eq!(rig.heard_on(owner).iter().filter(|said| said.task == 1).count(), 1);
+}
+
 #[test]
 fn nothing_is_kept_of_what_is_over() {
     let mut rig = Rig::new(2);
