What is held is bounded whoever hands over, and ends are owed for a minute

Need: memory of all that is over must go in bounded time, and no peer may fill it: tasks handed over by whoever names a machine, and ends that no owner is connected to hear, had no bound. Change: limits shares out tasks held (four times those in hand); owed ends are dropped after a minute, when nobody waits.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -15,7 +15,7 @@
 pub use admission::Admission;
 pub use lines::Lines;
 pub use pressure::{Pace, Pressure};
-pub use shares::{tasks_in_hand, ways_to_a_machine};
+pub use shares::{tasks_held, tasks_in_hand, ways_to_a_machine};
 pub use wheel::Wheel;
 
 use mulleinhub_interface::{Span, Time};
--- a/crates/limits/src/shares.rs
+++ b/crates/limits/src/shares.rs
@@ -9,6 +9,9 @@
 /// Tasks in hand for each megabyte: with the longest descriptions they take half of the memory.
 const TASKS_A_MEGABYTE: usize = 32;
 
+/// So many times as many are held as are in hand.
+const HELD: usize = 4;
+
 /// Connections that may be open to one machine of so many, with so many descriptors in all.
 pub fn ways_to_a_machine(descriptors: usize, machines: usize) -> usize {
     let own = OWN_DESCRIPTORS.min(descriptors / OWN_PART);
@@ -21,6 +24,11 @@
     megabytes.max(1) * TASKS_A_MEGABYTE
 }
 
+/// Tasks that may be held in all, those that stand too: each takes far less once its description is let go.
+pub fn tasks_held(megabytes: usize) -> usize {
+    tasks_in_hand(megabytes) * HELD
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -7,7 +7,7 @@
 use crate::tasks::Tasks;
 use mulleinhub::{Pcg, mix};
 use mulleinhub_interface::{Effect, Ending, MachineId, Mode, Span, TaskId, Time};
-use mulleinhub_limits::{Admission, Limits, tasks_in_hand, ways_to_a_machine};
+use mulleinhub_limits::{Admission, Limits, tasks_held, tasks_in_hand, ways_to_a_machine};
 use mulleinhub_pacing::{Standstills, again};
 use mulleinhub_platform_protocol::{self as protocol, Cause, Event, kind, why};
 use mulleinhub_seam::{End, Link, Links, Timers};
@@ -18,6 +18,8 @@
 const HEARTBEAT: Span = Span::from_nanos(100_000_000);
 /// Bytes that may wait for one peer that doesn't read.
 const MOST_UNWRITTEN: usize = 256 * 1024;
+/// The end of a task is owed for so long where no owner is connected to hear of it.
+const OWED_FOR: Span = Span::from_secs(60);
 /// Faults of peers that are logged within a second.
 const MOST_LOGGED: u32 = 5;
 /// After so long from the word to end nobody comes any more, and later set-ups are refused at once.
@@ -76,6 +78,8 @@
     pub admission: Admission,
     pub patience: Patience,
     descriptors: usize,
+    /// Tasks that may be held in all.
+    pub most_held: usize,
     /// The list that the configuration knew; told first.
     pub saved: Vec<Event>,
     /// Connections to machines on which something came in.
@@ -130,6 +134,7 @@
             bulletin: Bulletin::new(conf.bulletin, conf.known.no),
             tasks: Tasks::default(),
             descriptors: conf.descriptors,
+            most_held: tasks_held(conf.memory_mb),
             saved: conf.known.items,
             arrivals: VecDeque::new(),
             rest: Vec::new(),
@@ -363,15 +368,19 @@
                 tracing::debug!(task = format!("{:016x}", task.0), link = link.0, cause, "its owner is told");
                 self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, task.0, cause));
             }
-            None => self.owners.owed.push_back((task, cause)),
+            None => self.owners.owed.push_back((self.now, task, cause)),
         }
     }
 
     /// What is owed to owners goes out once one of them is connected.
     pub fn pay_owed(&mut self) {
+        // After that nobody waits for it.
+        while self.owners.owed.front().is_some_and(|(at, ..)| self.now - *at > OWED_FOR) {
+            self.owners.owed.pop_front();
+        }
         while !self.owners.owed.is_empty() {
             let Some(link) = self.owners.to_tell(None) else { return };
-            let (task, cause) = self.owners.owed.pop_front().expect("is not empty");
+            let (_, task, cause) = self.owners.owed.pop_front().expect("is not empty");
             self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, task.0, cause));
         }
     }
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -250,6 +250,9 @@
         if !d.machines.by_id.contains_key(&machine) {
             return refuse_unusable(d, link, id, &Unusable("a machine that no list names"));
         }
+        if d.tasks.by_id.len() >= d.most_held {
+            return refuse_unusable(d, link, id, &Unusable("one more than can be held"));
+        }
         greets(d, link);
         proves(d, link);
         let order = order(setup, *case, Time::from_nanos(u64::MAX));
@@ -299,6 +302,11 @@
         d.send(link, |out| protocol::write_refusal(out, id.0, why::FULL, 0));
         return Ok(());
     }
+    if d.tasks.by_id.len() >= d.most_held {
+        let away = longest.nanos() / 1_000_000;
+        d.send(link, |out| protocol::write_refusal(out, id.0, why::BUSY, away));
+        return Ok(());
+    }
     if let Err(away) = d.admission.ask(d.now, setup.figures.service) {
         let away = away.nanos() / 1_000_000;
         d.send(link, |out| protocol::write_refusal(out, id.0, why::BUSY, away));
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -41,7 +41,7 @@
 pub struct Owners {
     pub by_link: BTreeMap<Link, Owner>,
     /// Releases that found no owner connected, oldest first.
-    pub owed: VecDeque<(TaskId, Cause)>,
+    pub owed: VecDeque<(Time, TaskId, Cause)>,
 }
 
 impl Owners {
--- a/crates/platform/src/stories/mod.rs
+++ b/crates/platform/src/stories/mod.rs
@@ -348,6 +348,24 @@
     assert_eq!(rig.heard_on(owner).iter().filter(|said| said.task == 1).count(), 1);
 }
 
+#[test]
+fn what_is_held_is_bounded_whoever_hands_over_and_what_is_owed_is_not_owed_for_ever() {
+    let mut rig = Rig::of(2, |conf| conf.replace(r#""memory_mb":32"#, r#""memory_mb":1"#));
+    let owner = rig.owner();
+    let at = format!(";at:{}", uid(1));
+    (1..=200).for_each(|task| rig.say(owner, &set_up(task, "front", &at)));
+    assert_eq!(rig.platform.desk.get_mut().tasks.by_id.len(), 4 * 32);
+    assert!(rig.heard_on(owner).iter().all(|said| said.cause() == Some(why::ERROR)));
+    rig.say(owner, &set_up(500, "front", ""));
+    assert_eq!(rig.heard_on(owner)[0].cause(), Some(why::BUSY));
+    let way = rig.on(&address(1))[0];
+    rig.end(owner, End::Closed);
+    (1..=128).for_each(|task| rig.say(way, &release(task, why::ENDED)));
+    assert_eq!(rig.platform.desk.get_mut().owners.owed.len(), 128);
+    rig.pass(Span::from_secs(61));
+    assert!(rig.platform.desk.get_mut().owners.owed.is_empty());
+}
+
 #[test]
 fn nothing_is_kept_of_what_is_over() {
     let mut rig = Rig::new(2);
