A task on which a second machine errs too rests no further machine

Ruled out: the adapter (in time 100%, no loss, no descriptor short). At fault: Round::closed, Ending::Errored. Change: the first error of a task counts against its machine, later ones against the task. Covers any task that no machine can use; hurts where several machines err at random, until another task meets them.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -364,6 +364,9 @@
             Ending::NoConnection | Ending::Broken(Loss::Untold) | Ending::Nacked(Nack::QueueFull) => {
                 m.dealings.iter_mut().for_each(|dealing| dealing.bar(now, rest));
             }
+            // Where another machine erred on it too, it is the task. Met: set-ups that no machine could use, each of
+            // which had four machines rest.
+            Ending::Errored if std::mem::replace(&mut task.erred, true) => {}
             // Errors, silence, or a nack without a reason: it may be this use case alone that suffers.
             Ending::Errored | Ending::TimedOut | Ending::Recalled | Ending::Nacked(Nack::Untold) => {
                 m.dealings[case].bar(now, rest);
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,8 @@
     /// The first send that may have run: when, and to which machine's places.
     pub may_run: Option<(Time, Spot)>,
     pub turned_down: Option<usize>,
+    /// A machine erred on it.
+    pub erred: bool,
     pub cores: Peak,
     pub memory: Peak,
     pub last_use: Room,
@@ -104,6 +106,7 @@
             sent_at: now,
             may_run: None,
             turned_down: None,
+            erred: false,
             cores: Peak::new(window),
             memory: Peak::new(window),
             last_use: Room::NONE,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -645,3 +645,16 @@
     assert_eq!(host.after(1_500), []);
     assert_eq!(host.after(400), [Said::Nack(1)], "six seconds before its client timeout");
 }
+
+#[test]
+fn a_task_on_which_every_machine_errs_rests_one_machine_alone() {
+    let mut host = Host::new().up(&[machine(1, 9.0), machine(2, 9.0), machine(3, 9.0)]);
+    let first = sent_to(&host.ask(1, LOW, 0.1));
+    let second = sent_to(&host.ends(1, Ending::Errored));
+    assert!(second.is_some() && second != first);
+    host.ends(1, Ending::Errored);
+    let to: Vec<_> = (10..60).filter_map(|id| sent_to(&host.ask(id, LOW, 0.01))).collect();
+    let rests = |machine: Option<u64>| !to.contains(&machine.expect("a machine"));
+    assert!(!rests(second), "it is the task that errs");
+    assert!(rests(first), "the first may have been at fault");
+}
