--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -7,16 +7,13 @@
 use mulleinhub_interface::{Effect, Ending, MachineId, Order, Reach as Group, TaskId, Writer};
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_limits::{Act, Admission, Limits, Why};
-use mulleinhub_pacing::{STANDSTILL, Standstills, again};
+use mulleinhub_pacing::{HEARTBEAT, STANDSTILL, Standstills, again};
 use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Mode, Shape, Spare};
 use mulleinhub_seam::{End, Link, Links, Timers, Unwritten};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-/// Between two turns at the most, while clients are heard.
-const HEARTBEAT: Span = Span::from_nanos(100_000_000);
-
 /// Figures for logs, status and metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
--- a/crates/pacing/src/lib.rs
+++ b/crates/pacing/src/lib.rs
@@ -9,4 +9,4 @@
 mod standstill;
 
 pub use cold::Gate;
-pub use standstill::{STANDSTILL, Standstills};
+pub use standstill::{HEARTBEAT, STANDSTILL, Standstills};
--- a/crates/pacing/src/standstill.rs
+++ b/crates/pacing/src/standstill.rs
@@ -5,6 +5,9 @@
 /// A turn that comes so much later than was promised follows a standstill of this process.
 pub const STANDSTILL: Span = Span::from_nanos(20_000_000);
 
+/// Between two turns at the most: by its lateness a standstill is known.
+pub const HEARTBEAT: Span = Span::from_nanos(100_000_000);
+
 #[derive(Clone, Debug, Default)]
 pub struct Standstills {
     /// When a turn was promised at the end of the last one.
@@ -18,8 +21,9 @@
 }
 
 impl Standstills {
-    /// A turn begins. True where it follows a standstill. After an early one it is promised at once; what that
-    /// one found out holds for the rest of what lay here. Met: a process that stood still between the two.
+    /// A turn begins. True where it follows a standstill. After an early one it is promised at once; what
+    /// that one found out holds for the rest of what lay here. Met: a process that stood still between the
+    /// two.
     pub fn begin(&mut self, now: Time) -> bool {
         self.turns += 1;
         let late = self.promised.take().map_or(Span::ZERO, |promised| now - promised);
--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -1,5 +1,5 @@
-//! `mulleinhub-planner SETTINGS`: the daemon that plans; `mulleinhub-planner platform`: the same scheduler on the
-//! platform, which tells its settings by the environment.
+//! `mulleinhub-planner SETTINGS`: the daemon that plans; `mulleinhub-planner platform`: the same scheduler on
+//! the platform, which tells its settings by the environment.
 
 use std::process::ExitCode;
 
--- a/crates/planner/tests/platform.rs
+++ b/crates/planner/tests/platform.rs
@@ -1,6 +1,6 @@
 //! The built program on the platform: started by its environment, over real sockets, until its exit.
 
-use mulleinhub_platform_protocol::{Frames, code, kind, why, write_answer, write_with_cause};
+use mulleinhub_platform_protocol::{Frames, code, kind, why, write_answer, write_message, write_with_cause};
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -22,11 +22,16 @@
     format!(
         r#"{{"name":"n0","listen":"127.0.9.1:0","seed":"8c1f30d27a5be964","bulletin":"{bulletin}",
         "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},
-        "known":{{"no":1,"items":[{{"no":1,"roster":{{"all":true,"targets":[{{"uid":"s-1","endpoint":"{machine}",
-            "az":"hall","model":"big","pod_group":0,"state":"in_service","boot_ms":0,"room":[32.0,64.0]}}]}}}}]}},
-        "settings":{{"balancers":1,"index":0,"myZone":0,"discovery":"push","localities":["hall"],"shapes":["big"],
-        "classes":[{{"name":"front","effect":"repeatable","target":1000000000,"deadline":2500000000,"gain":9}}],
-        "limits":{{"cancel":true,"connectTimeout":250000000,"keepalive":15000000000,"maxAttempts":4}},
+        "known":{{"no":1,"items":[{{"no":1,"roster":{{"all":true,"targets":[{{"uid":"s-1",
+            "endpoint":"{machine}",
+            "az":"hall","model":"big","pod_group":0,"state":"in_service",
+            "boot_ms":0,"room":[32.0,64.0]}}]}}}}]}},
+        "settings":{{"balancers":1,"index":0,"myZone":0,"discovery":"push","localities":["hall"],
+        "shapes":["big"],
+        "classes":[{{"name":"front","effect":"repeatable","target":1000000000,"deadline":2500000000,
+                     "gain":9}}],
+        "limits":{{"cancel":true,"connectTimeout":250000000,"keepalive":15000000000,
+                   "maxAttempts":4}},
         "rules":{{"askWithin":10000000000,"fall":1000000000,"warmAfter":10000000000}},
         "specifics":{{"acceptsCores":2.0,"acceptsMemory":1.2,"kindCores":[32],"memoryByKind":[64],
                       "precedence":[0],"yesAt":"accepted","youngLimit":40,"tellsPressure":false}},
@@ -132,14 +137,7 @@
         (code::FIGURES, b"cores:1;memory:2;service:00000000b4d65521"),
         (code::DESCRIPTION, b"wanted"),
     ];
-    let mut body = vec![kind::SET_UP];
-    body.extend_from_slice(&task.to_be_bytes());
-    for (code, value) in params {
-        body.push(code);
-        body.extend_from_slice(&(value.len() as u16).to_be_bytes());
-        body.extend_from_slice(value);
-    }
-    [&(body.len() as u16).to_be_bytes()[..], &body].concat()
+    written(|out| write_message(out, kind::SET_UP, task, &params))
 }
 
 fn written(write: impl FnOnce(&mut Vec<u8>)) -> Vec<u8> {
--- a/crates/platform-protocol/examples/fuzz_platform.rs
+++ b/crates/platform-protocol/examples/fuzz_platform.rs
@@ -1,38 +1,26 @@
 //! Throws mutated streams at both decoders: `cargo run --release --example fuzz_platform -- STREAMS SEED`.
 //!
-//! Each stream is good messages, or a good answer of the bulletin, with bytes changed, dropped, doubled or swapped,
-//! read in pieces. Nothing may panic, more than one message and one piece may never be held, and what is read must
-//! be the same however the stream is cut.
+//! Each stream is good messages, or a good answer of the bulletin, with bytes changed, dropped, doubled or
+//! swapped, read in pieces. Nothing may panic, more than one message and one piece may never be held, and
+//! what is read must be the same however the stream is cut.
 
-use mulleinhub_platform_protocol::*;
-
-/// A xorshift generator: fuzzing needs many bytes soon, not good ones.
-struct Bytes(u64);
+#[path = "../../protocol/examples/bytes/mod.rs"]
+mod bytes;
 
-impl Bytes {
-    fn next(&mut self) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0
-    }
-
-    fn below(&mut self, n: usize) -> usize {
-        (self.next() % n.max(1) as u64) as usize
-    }
+use bytes::Bytes;
+use mulleinhub_platform_protocol::*;
 
-    fn spoil(&mut self, stream: &mut Vec<u8>) {
-        for _ in 0..self.below(6) {
-            if stream.is_empty() {
-                return;
-            }
-            let at = self.below(stream.len());
-            match self.below(4) {
-                0 => stream[at] = self.next() as u8,
-                1 => drop(stream.remove(at)),
-                2 => stream.insert(at, stream[at]),
-                _ => stream.truncate(at),
-            }
+fn spoil(bytes: &mut Bytes, stream: &mut Vec<u8>) {
+    for _ in 0..bytes.below(6) {
+        if stream.is_empty() {
+            return;
+        }
+        let at = bytes.below(stream.len());
+        match bytes.below(4) {
+            0 => stream[at] = bytes.next() as u8,
+            1 => drop(stream.remove(at)),
+            2 => stream.insert(at, stream[at]),
+            _ => stream.truncate(at),
         }
     }
 }
@@ -45,7 +33,7 @@
             0 => write_setup(&mut out, task, "batch", 1_500, None, "7f3a9c21e0b4d655", b"v=0\r\n"),
             1 => write_answer(&mut out, task, &[b'x'; 80]),
             2 => write_refusal(&mut out, task, why::FULL, 250),
-            3 => write_text(&mut out, kind::NOTE, task, code::NOTE, "use_cpu"),
+            3 => write_message(&mut out, kind::NOTE, task, &[(code::NOTE, b"use_cpu")]),
             _ => write_with_cause(&mut out, kind::RELEASE, task, why::ENDED),
         }
     }
@@ -59,8 +47,7 @@
         loop {
             match frames.next_frame() {
                 Ok(Some(frame)) => {
-                    let _ =
-                        (SetUp::read(&frame), note(&frame), cause(&frame), why(&frame), stay_away(&frame));
+                    let _ = (SetUp::read(&frame), note(&frame), cause(&frame), why(&frame));
                     heard.push((frame.kind, frame.task, frame.params().count()));
                 }
                 Ok(None) => break,
@@ -118,11 +105,11 @@
     for _ in 0..streams {
         let cut = 1 + bytes.below(40);
         let mut stream = messages(&mut bytes);
-        bytes.spoil(&mut stream);
+        spoil(&mut bytes, &mut stream);
         let heard = hear_messages(&stream, cut);
         assert_eq!(heard, hear_messages(&stream, stream.len().max(1)), "{stream:02x?}");
         let mut stream = answer(&mut bytes);
-        bytes.spoil(&mut stream);
+        spoil(&mut bytes, &mut stream);
         let told = hear_answer(&stream, cut);
         assert_eq!(
             told.0,
--- a/crates/platform-protocol/src/frames.rs
+++ b/crates/platform-protocol/src/frames.rs
@@ -122,7 +122,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::message::{cause, write_text, write_with_cause};
+    use crate::message::{cause, write_message, write_with_cause};
     use crate::{code, kind};
     use proptest::prelude::*;
 
@@ -156,7 +156,7 @@
             let mut bytes = Vec::new();
             for (task, cause, text) in &tasks {
                 write_with_cause(&mut bytes, kind::RELEASE, *task, *cause);
-                write_text(&mut bytes, kind::NOTE, *task, code::NOTE, text);
+                write_message(&mut bytes, kind::NOTE, *task, &[(code::NOTE, text.as_bytes())]);
             }
             let mut frames = Frames::default();
             let mut heard = Vec::new();
--- a/crates/platform-protocol/src/lib.rs
+++ b/crates/platform-protocol/src/lib.rs
@@ -14,8 +14,8 @@
 pub use bulletin::{Body, Head, Stream};
 pub use events::{Change, Event, Known, Listed, event, known};
 pub use frames::{Frame, Frames, LEAST, MOST};
-pub use message::{Cause, Why, cause, note, stay_away, why, write_failed_test, write_plain, write_setup};
-pub use message::{write_answer, write_passed_test, write_refusal, write_text, write_with_cause};
+pub use message::{Cause, Why, cause, note, why};
+pub use message::{write_answer, write_message, write_refusal, write_setup, write_with_cause};
 pub use setup::{Figures, SetUp, Unusable};
 
 /// What is wrong with what a peer sent, in words for a log.
--- a/crates/platform-protocol/src/message.rs
+++ b/crates/platform-protocol/src/message.rs
@@ -61,13 +61,8 @@
     })
 }
 
-/// The milliseconds that a refusal tells its owner to stay away.
-pub fn stay_away(frame: &Frame<'_>) -> Option<u64> {
-    frame.text(code::STAY_AWAY)?.parse().ok()
-}
-
 /// Writes a message: its length is put in once its parameters are there.
-pub(crate) fn message(out: &mut Vec<u8>, kind: u8, task: u64, params: impl FnOnce(&mut Vec<u8>)) {
+fn message(out: &mut Vec<u8>, kind: u8, task: u64, params: impl FnOnce(&mut Vec<u8>)) {
     let start = out.len();
     out.extend_from_slice(&[0, 0, kind]);
     out.extend_from_slice(&task.to_be_bytes());
@@ -76,22 +71,19 @@
     out[start..start + 2].copy_from_slice(&length.to_be_bytes());
 }
 
-pub(crate) fn param(out: &mut Vec<u8>, code: u8, value: &[u8]) {
+fn param(out: &mut Vec<u8>, code: u8, value: &[u8]) {
     out.push(code);
     out.extend_from_slice(&u16::try_from(value.len()).expect("a value is bounded").to_be_bytes());
     out.extend_from_slice(value);
 }
 
-pub fn write_plain(out: &mut Vec<u8>, kind: u8, task: u64) {
-    message(out, kind, task, |_| {});
+/// Any message of these parameters.
+pub fn write_message(out: &mut Vec<u8>, kind: u8, task: u64, params: &[(u8, &[u8])]) {
+    message(out, kind, task, |out| params.iter().for_each(|(code, value)| param(out, *code, value)));
 }
 
 pub fn write_with_cause(out: &mut Vec<u8>, kind: u8, task: u64, cause: Cause) {
-    message(out, kind, task, |out| param(out, code::CAUSE, &[cause]));
-}
-
-pub fn write_text(out: &mut Vec<u8>, kind: u8, task: u64, code: u8, text: &str) {
-    message(out, kind, task, |out| param(out, code, text.as_bytes()));
+    write_message(out, kind, task, &[(code::CAUSE, &[cause])]);
 }
 
 pub fn write_refusal(out: &mut Vec<u8>, task: u64, cause: Cause, stay_away_ms: u64) {
@@ -105,15 +97,7 @@
 
 /// The description goes on as it came.
 pub fn write_answer(out: &mut Vec<u8>, task: u64, description: &[u8]) {
-    message(out, kind::ANSWER, task, |out| param(out, code::DESCRIPTION, description));
-}
-
-pub fn write_passed_test(out: &mut Vec<u8>, task: u64) {
-    write_with_cause(out, kind::TESTED, task, 1);
-}
-
-pub fn write_failed_test(out: &mut Vec<u8>, task: u64) {
-    write_with_cause(out, kind::TESTED, task, 0);
+    write_message(out, kind::ANSWER, task, &[(code::DESCRIPTION, description)]);
 }
 
 /// A set-up for a machine, of the parts that go on unchanged and how long it is waited for.
--- a/crates/platform-protocol/src/setup.rs
+++ b/crates/platform-protocol/src/setup.rs
@@ -130,7 +130,7 @@
 mod tests {
     use super::*;
     use crate::kind;
-    use crate::message::{message, param};
+    use crate::message::write_message;
 
     const GOOD: [(u8, &[u8]); 6] = [
         (code::CLASS, b"batch"),
@@ -143,9 +143,7 @@
 
     fn read(task: u64, params: &[(u8, &[u8])]) -> Result<(), Unusable> {
         let mut out = Vec::new();
-        message(&mut out, kind::SET_UP, task, |out| {
-            params.iter().for_each(|(code, value)| param(out, *code, value));
-        });
+        write_message(&mut out, kind::SET_UP, task, params);
         SetUp::read(&Frame::read(&out[2..]).unwrap()).map(|_| ())
     }
 
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -4,18 +4,17 @@
 use crate::conf::Conf;
 use crate::machines::{Machines, Patience, Way};
 use crate::owners::{Owner, Owners};
-use crate::tasks::Tasks;
+use crate::tasks::{Open, Tasks, hex};
 use mulleinhub::{Pcg, mix};
 use mulleinhub_interface::{Effect, Ending, MachineId, Mode, Span, TaskId, Time};
 use mulleinhub_limits::{Admission, Limits, tasks_held, tasks_in_hand, ways_to_a_machine};
-use mulleinhub_pacing::{Standstills, again};
+use mulleinhub_pacing::{HEARTBEAT, Standstills, again};
 use mulleinhub_platform_protocol::{self as protocol, Cause, Event, kind, why};
 use mulleinhub_seam::{End, Link, Links, Timers};
 use mulleinhub_site::Site;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
+use std::sync::Arc;
 
-/// Between two turns at the most: by its lateness a standstill is known.
-const HEARTBEAT: Span = Span::from_nanos(100_000_000);
 /// Bytes that may wait for one peer that doesn't read.
 const MOST_UNWRITTEN: usize = 256 * 1024;
 /// The end of a task is owed for so long where no owner is connected to hear of it.
@@ -24,8 +23,8 @@
 const MOST_LOGGED: u32 = 5;
 /// After so long from the word to end nobody comes any more, and later set-ups are refused at once.
 pub const STILL_COMING: Span = Span::from_nanos(700_000_000);
-/// All that was taken must have its answer by then: the longest wait that counts, behind whoever came last, less
-/// what an answer may take on its way.
+/// All that was taken must have its answer by then: the longest wait that counts, behind whoever came last,
+/// less what an answer may take on its way.
 const ANSWERED_BY: Span = Span::from_nanos(3_500_000_000);
 /// And no end before this is past.
 const NO_END_BEFORE: Span = Span::from_nanos(1_000_000_000);
@@ -80,6 +79,8 @@
     descriptors: usize,
     /// Tasks that may be held in all.
     pub most_held: usize,
+    /// One name for all owners: the platform's have none.
+    pub owners_name: Arc<str>,
     /// The list that the configuration knew; told first.
     pub saved: Vec<Event>,
     /// Connections to machines on which something came in.
@@ -92,7 +93,6 @@
     pub gone: Vec<TaskId>,
     pub timers: Timers<Due>,
     next_mark: u64,
-    pub marks: BTreeMap<u64, (TaskId, u32)>,
     pub stood: Standstills,
     pub chance: Pcg,
     /// Since when it is to end, and whether the module has heard by when its answers are owed.
@@ -101,7 +101,7 @@
     pub counts: Counts,
     logged: (Time, u32),
     stuck: Vec<Link>,
-    pub scratch: Vec<u8>,
+    scratch: Vec<u8>,
 }
 
 impl Desk {
@@ -135,6 +135,7 @@
             tasks: Tasks::default(),
             descriptors: conf.descriptors,
             most_held: tasks_held(conf.memory_mb),
+            owners_name: "owner".into(),
             saved: conf.known.items,
             arrivals: VecDeque::new(),
             rest: Vec::new(),
@@ -142,7 +143,6 @@
             gone: Vec::new(),
             timers: Timers::default(),
             next_mark: 0,
-            marks: BTreeMap::new(),
             stood: Standstills::default(),
             chance: Pcg::new(mix(conf.seed, conf.site.cold.number.into())),
             ending: None,
@@ -188,11 +188,7 @@
         self.now = self.now.max(now);
         match self.who(link) {
             Some(Who::Machine) => {
-                let way = self.machines.ways.get_mut(&link).expect("is one");
-                (way.up, way.used_at) = (true, now);
-                if let Some(machine) = self.machines.by_id.get_mut(&way.machine) {
-                    machine.is_there(now);
-                }
+                self.machines.shows_life(now, link).up = true;
             }
             Some(Who::Bulletin) => {
                 self.bulletin.up = true;
@@ -222,12 +218,7 @@
                 self.queue_owner(link);
             }
             Some(Who::Machine) => {
-                let way = self.machines.ways.get_mut(&link).expect("is one");
-                way.frames.take(bytes);
-                way.used_at = now;
-                if let Some(machine) = self.machines.by_id.get_mut(&way.machine) {
-                    machine.is_there(now);
-                }
+                self.machines.shows_life(now, link).frames.take(bytes);
                 self.queue_way(link);
             }
             Some(Who::Bulletin) => {
@@ -306,8 +297,7 @@
         if self.stood.begin(now) {
             self.limits.woke(now);
         }
-        let machines = self.machines.by_id.len();
-        self.limits.begin_turn(machines * ways_to_a_machine(self.descriptors, machines));
+        self.limits.begin_turn(self.machines.by_id.len() * self.most_ways());
         for link in std::mem::take(&mut self.rest) {
             self.limits.stands_in_line(link.0, true);
         }
@@ -349,12 +339,12 @@
     // Writing.
 
     pub fn send(&mut self, link: Link, write: impl FnOnce(&mut Vec<u8>)) {
-        self.send_marked(link, None, write);
-    }
-
-    fn send_marked(&mut self, link: Link, mark: Option<u64>, write: impl FnOnce(&mut Vec<u8>)) {
         self.scratch.clear();
         write(&mut self.scratch);
+        self.send_scratch(link, None);
+    }
+
+    fn send_scratch(&mut self, link: Link, mark: Option<u64>) {
         self.links.send(link, &self.scratch, mark);
         if self.links.unwritten(link) > MOST_UNWRITTEN {
             self.stuck.push(link);
@@ -363,53 +353,68 @@
 
     /// The end of a task that stood, or of one that is not in hand.
     pub fn tell_end(&mut self, came_on: Option<Link>, task: TaskId, cause: Cause) {
-        match self.owners.to_tell(came_on) {
-            Some(link) => {
-                tracing::debug!(task = format!("{:016x}", task.0), link = link.0, cause, "its owner is told");
-                self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, task.0, cause));
-            }
-            None => self.owners.owed.push_back((self.now, task, cause)),
+        if !self.tell_now(came_on, task, cause) {
+            self.owners.owed.push_back((self.now, task, cause));
         }
     }
 
+    /// False where no owner is connected to hear of it.
+    fn tell_now(&mut self, came_on: Option<Link>, task: TaskId, cause: Cause) -> bool {
+        let Some(link) = self.owners.to_tell(came_on) else { return false };
+        tracing::debug!(task = hex(task), link = link.0, cause, "its owner is told");
+        self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, task.0, cause));
+        true
+    }
+
     /// What is owed to owners goes out once one of them is connected.
     pub fn pay_owed(&mut self) {
         // After that nobody waits for it.
         while self.owners.owed.front().is_some_and(|(at, ..)| self.now - *at > OWED_FOR) {
             self.owners.owed.pop_front();
         }
-        while !self.owners.owed.is_empty() {
-            let Some(link) = self.owners.to_tell(None) else { return };
-            let (_, task, cause) = self.owners.owed.pop_front().expect("is not empty");
-            self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, task.0, cause));
+        while let Some((_, task, cause)) = self.owners.owed.front().copied() {
+            if !self.tell_now(None, task, cause) {
+                return;
+            }
+            self.owners.owed.pop_front();
         }
     }
 
+    /// A task is to be answered on this connection, or no longer.
+    pub fn hand(&mut self, link: Option<Link>, id: TaskId, more: bool) {
+        let Some(link) = link else { return };
+        let Some(owner) = self.owners.by_link.get_mut(&link) else { return };
+        if more {
+            owner.open.insert(id)
+        } else {
+            owner.open.remove(&id)
+        };
+        self.limits.in_hand(link.0, owner.open.len() as u32);
+    }
+
     /// The final answer of a task in hand is given, or none is owed any more.
     pub fn is_answered(&mut self, id: TaskId) {
         let Some(job) = self.tasks.by_id.get_mut(&id) else { return };
         if std::mem::replace(&mut job.answered, true) {
             return;
         }
-        let service = job.order.service.0;
-        let link = job.owner;
+        let (service, link) = (job.order.service.0, job.owner);
         self.tasks.unanswered -= 1;
         self.admission.done(self.now, service);
-        if let Some(link) = link
-            && let Some(owner) = self.owners.by_link.get_mut(&link)
-        {
-            owner.open.remove(&id);
-            let open = owner.open.len() as u32;
-            self.limits.in_hand(link.0, open);
-        }
+        self.hand(link, id, false);
     }
 
     // Machines.
 
+    /// Connections that may be open to one machine.
+    pub fn most_ways(&self) -> usize {
+        ways_to_a_machine(self.descriptors, self.machines.by_id.len())
+    }
+
     /// Asks for a connection to this machine.
     pub fn open_way(&mut self, id: MachineId) -> Option<Link> {
         let machine = self.machines.by_id.get_mut(&id).filter(|machine| !machine.replaced)?;
-        let link = self.links.open(&machine.address.clone());
+        let link = self.links.open(&machine.address);
         machine.ways.push(link);
         let now = self.now;
         self.machines.ways.insert(
@@ -445,7 +450,7 @@
         if let Some(link) = self.machines.free_way(machine, task) {
             return Some(link);
         }
-        let most = ways_to_a_machine(self.descriptors, self.machines.by_id.len());
+        let most = self.most_ways();
         if self.machines.by_id.get(&machine).is_some_and(|machine| machine.ways.len() < most) {
             return self.open_way(machine);
         }
@@ -471,56 +476,61 @@
         let Some(link) = self.way_for(open.machine, id) else { return false };
         self.next_mark += 1;
         let mark = self.next_mark;
-        let Some(mut job) = self.tasks.by_id.remove(&id) else { return false };
-        job.open = Some(crate::tasks::Open { link: Some(link), mark, ..open });
         if let Some(machine) = self.machines.by_id.get_mut(&open.machine) {
             machine.gate.wrote(now, id.0, open.number);
         }
         let way = self.machines.ways.get_mut(&link).expect("was chosen");
         way.open.push(id);
         way.used_at = now;
-        self.marks.insert(mark, (id, open.number));
-        let class = std::mem::take(&mut self.site.names.use_cases[job.order.use_case.0]);
+        let job = self.tasks.by_id.get_mut(&id).expect("has an open send");
+        job.open = Some(Open { link: Some(link), mark, ..open });
+        let class = &self.site.names.use_cases[job.order.use_case.0];
         let patience = (open.due - now).nanos() / 1_000_000;
         let wanted = job.wanted.as_ref().expect("is kept until the task stands");
-        self.send_marked(link, Some(mark), |out| {
-            protocol::write_setup(
-                out,
-                id.0,
-                &class,
-                patience.max(1),
-                wanted.key.as_deref(),
-                &wanted.name,
-                &wanted.description,
-            );
-        });
-        self.site.names.use_cases[job.order.use_case.0] = class;
-        self.tasks.by_id.insert(id, job);
+        self.scratch.clear();
+        protocol::write_setup(
+            &mut self.scratch,
+            id.0,
+            class,
+            patience.max(1),
+            wanted.key.as_deref(),
+            &wanted.name,
+            &wanted.description,
+        );
+        self.send_scratch(link, Some(mark));
         true
     }
 
-    /// Takes the open send of a task back, or gives it up at its machine. What is given back tells what is
-    /// proven: it never left, or it may run.
-    pub fn retract(&mut self, id: TaskId) -> Retracted {
-        let Some(job) = self.tasks.by_id.get(&id) else { return Retracted::Unsent };
-        let Some(open) = job.open else { return Retracted::Unsent };
+    /// Ends the open send of a task from this side, unless its end is on its way already: it is taken back,
+    /// or given up at its machine. The module is told what is proven, or `may_run` where nothing is.
+    pub fn give_up(&mut self, id: TaskId, may_run: Ending) {
+        let Some(job) = self.tasks.by_id.get(&id) else { return };
+        let Some(open) = job.open else { return };
+        if self.closings.iter().any(|(task, send, _)| (*task, *send) == (id, open.number)) {
+            return;
+        }
         let cut = self.site.use_cases[job.order.use_case.0].effect == Effect::Replayable;
+        let ending = self.retract(id, open, cut).unwrap_or(may_run);
+        self.closings.push_back((id, open.number, ending));
+    }
+
+    /// What proves that a send never ran, once it is taken back; nothing where it may.
+    fn retract(&mut self, id: TaskId, open: Open, cut: bool) -> Option<Ending> {
         let Some(link) = open.link else {
             if let Some(machine) = self.machines.by_id.get_mut(&open.machine) {
                 machine.waiting.retain(|waits| *waits != (id, open.number));
             }
-            return Retracted::Unsent;
+            return Some(Ending::NotSent);
         };
-        self.marks.remove(&open.mark);
         let back = self.links.take_back(link, open.mark);
-        let Some(way) = self.machines.ways.get_mut(&link) else { return Retracted::MayRun };
+        let way = self.machines.ways.get_mut(&link)?;
         way.open.retain(|task| *task != id);
         if back {
-            return if way.up { Retracted::Unsent } else { Retracted::NoConnection };
+            return Some(if way.up { Ending::NotSent } else { Ending::NoConnection });
         }
         way.gives_up(id, cut);
         self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, id.0, why::ENDED));
-        Retracted::MayRun
+        None
     }
 
     /// Writes the set-ups that the gate held back, as far as it lets them. What waited too long for a cold
@@ -534,7 +544,7 @@
         let mut waits_on = Vec::new();
         for (task, send) in std::mem::take(&mut machine.waiting) {
             let open = self.tasks.by_id.get(&task).and_then(|job| job.open);
-            let is_it = |open: &crate::tasks::Open| open.number == send && open.link.is_none();
+            let is_it = |open: &Open| open.number == send && open.link.is_none();
             let Some(open) = open.filter(is_it) else { continue };
             let machine = &self.machines.by_id[&id];
             if machine.gate.is_stale(now, fall, open.decided) || machine.entry.mode != Mode::Active {
@@ -573,7 +583,7 @@
         if self.bulletin.link.is_some() {
             return;
         }
-        let link = self.links.open(&self.bulletin.address.clone());
+        let link = self.links.open(&self.bulletin.address);
         self.bulletin.begins(link, self.now);
         self.timers.set(self.now + bulletin::CONNECT, Due::Up(link));
     }
@@ -607,11 +617,6 @@
         self.call_bulletin();
     }
 
-    /// How many descriptors this process may have.
-    pub fn limits_descriptors(&self) -> usize {
-        self.descriptors
-    }
-
     // The end.
 
     /// By when all answers are owed, where it is to end.
@@ -631,13 +636,3 @@
             && self.owners.by_link.keys().all(|link| self.links.unwritten(*link) == 0)
     }
 }
-
-/// What is proven of a send that was taken back or given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Retracted {
-    /// Not a byte left.
-    Unsent,
-    /// Nor did a connection come up for it.
-    NoConnection,
-    MayRun,
-}
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -4,14 +4,14 @@
 //! not a byte left this process, and a machine's own word. Everything else may have run: half-written and
 //! written set-ups whose connection ended, and time-outs.
 
-use crate::desk::{Desk, Due, Retracted, Who};
+use crate::desk::{Desk, Due, Who};
 use crate::machines::{Machine, id_of};
-use crate::tasks::{Job, Open, Wanted};
+use crate::tasks::{Job, Open, Wanted, hex};
 use mulleinhub_interface::{
     CellId, Ears, Effect, Ending, Entry, KindId, ListKind, Loss, MachineId, Mode, Nack, Order, Report, Room,
     ServiceId, Span, TaskId, TaskKey, Time, UseCaseId, ZoneId,
 };
-use mulleinhub_limits::{Act, ways_to_a_machine};
+use mulleinhub_limits::Act;
 use mulleinhub_pacing::again;
 use mulleinhub_platform_protocol::{
     self as protocol, Bad, Cause, Frame, Listed, SetUp, Unusable, Why, kind, why,
@@ -37,9 +37,9 @@
     }
     let known: Vec<Listed> = all.into_values().collect();
     list(desk, round, ListKind::Saved, &known);
-    desk.borrow_mut().call_bulletin();
-    let at = desk.borrow().now + TELL;
-    desk.borrow_mut().timers.set(at, Due::Tell);
+    let d = &mut *desk.borrow_mut();
+    d.call_bulletin();
+    d.timers.set(d.now + TELL, Due::Tell);
 }
 
 /// Between two lines in the log that tell how it is.
@@ -114,7 +114,7 @@
 fn is_listed(d: &mut Desk, address: &str, entry: Entry) {
     let (now, id) = (d.now, entry.id);
     let known = d.machines.by_id.get(&id);
-    tracing::debug!(machine = id.0, address, kind = entry.kind.0, left = ?entry.left, mode = ?entry.mode, "listed");
+    tracing::debug!(address, ?entry, "listed");
     let (moved, before) = (known.is_none_or(|m| m.address != address), known.and_then(|m| m.entry.since));
     if moved && entry.mode != Mode::Left {
         let others = d.machines.by_id.iter().filter(|(other, m)| **other != id && m.address == address);
@@ -124,8 +124,8 @@
             d.is_lost(other, now, "another machine has its address");
         }
     }
-    if known_restart(before, entry.since) {
-        d.is_lost(id, entry.since.expect("a start"), "it started anew");
+    if let Some(since) = entry.since.filter(|since| before != Some(*since)) {
+        d.is_lost(id, since, "it started anew");
     }
     let machine = d.machines.by_id.entry(id).or_insert_with(|| Machine::new(entry, address.to_owned(), now));
     machine.entry = entry;
@@ -140,10 +140,6 @@
     }
 }
 
-fn known_restart(before: Option<Time>, since: Option<Time>) -> bool {
-    since.is_some() && since != before
-}
-
 // Connections.
 
 /// Every connection on which something came in, in the order of coming.
@@ -208,10 +204,7 @@
             let d = &mut *desk.borrow_mut();
             greets(d, link);
             let passes = d.ending.is_none();
-            d.send(link, |out| match passes {
-                true => protocol::write_passed_test(out, frame.task),
-                false => protocol::write_failed_test(out, frame.task),
-            });
+            d.send(link, |out| protocol::write_with_cause(out, kind::TESTED, frame.task, u8::from(passes)));
         }
         kind::RELEASE_HEARD | kind::PROGRESS | kind::NOTE => {}
         other => return Err(Bad(format!("a message of type {other}"))),
@@ -221,11 +214,8 @@
 
 /// It says what owners say.
 fn greets(d: &mut Desk, link: Link) {
-    let Some(owner) = d.owners.by_link.get_mut(&link) else { return };
-    if !std::mem::replace(&mut owner.greeted, true) {
-        // One name for all: the platform's owners have none.
-        let _ = d.limits.greeted(link.0, &"owner".into());
-    }
+    // Told again, it changes nothing.
+    let _ = d.limits.greeted(link.0, &d.owners_name);
 }
 
 /// What came of it proves that it is an owner's.
@@ -256,29 +246,12 @@
         greets(d, link);
         proves(d, link);
         let order = order(setup, *case, Time::from_nanos(u64::MAX));
-        let open = Open {
-            number: 0,
-            machine,
-            link: None,
-            mark: 0,
-            decided: d.now,
-            due: Time::from_nanos(u64::MAX),
-            anew: false,
-            placed_at: Some(d.now),
-        };
-        let job = Job {
-            order,
-            wanted: None,
-            owner: Some(link),
-            sends: 1,
-            open: Some(open),
-            may_have_run: None,
-            answered: true,
-            abandoned: false,
-        };
+        let open = Open { placed_at: Some(d.now), ..Open::new(0, machine, d.now, order.deadline) };
+        let job = Job { sends: 1, open: Some(open), answered: true, ..Job::new(order, link) };
         d.tasks.by_id.insert(id, job);
         d.counts.handed += 1;
-        tracing::debug!(task = format!("{:016x}", id.0), machine = id_of(uid).0, class = setup.class, ask = ?order.ask, "handed over");
+        let (class, ask) = (setup.class, order.ask);
+        tracing::debug!(task = hex(id), machine = machine.0, class, ?ask, "handed over");
         if d.machines.by_id[&machine].ways.is_empty() {
             d.open_way(machine);
         }
@@ -319,25 +292,12 @@
         key: setup.key.map(str::to_owned),
         description: setup.description.to_owned(),
     };
-    let job = Job {
-        order,
-        wanted: Some(Box::new(wanted)),
-        owner: Some(link),
-        sends: 0,
-        open: None,
-        may_have_run: None,
-        answered: false,
-        abandoned: false,
-    };
+    let job = Job { wanted: Some(Box::new(wanted)), ..Job::new(order, link) };
     d.tasks.by_id.insert(id, job);
     d.tasks.unanswered += 1;
     d.counts.taken += 1;
-    tracing::debug!(task = format!("{:016x}", id.0), class = setup.class, ask = ?order.ask, service = order.service.0, again = order.again, "taken");
-    if let Some(owner) = d.owners.by_link.get_mut(&link) {
-        owner.open.insert(id);
-        let open = owner.open.len() as u32;
-        d.limits.in_hand(link.0, open);
-    }
+    tracing::debug!(task = hex(id), class = setup.class, ?order, "taken");
+    d.hand(Some(link), id, true);
     drop(borrowed);
     round.new_task(order);
     Ok(())
@@ -387,7 +347,8 @@
     }
 }
 
-/// An owner no longer wants a task: one that waits for its answer on this very connection, or one that stands.
+/// An owner no longer wants a task: one that waits for its answer on this very connection, or one that
+/// stands.
 fn given_up(d: &mut Desk, link: Link, id: TaskId) {
     let Some(job) = d.tasks.by_id.get(&id) else { return };
     let Some(open) = job.placed() else {
@@ -413,17 +374,10 @@
     d.is_answered(id);
     let job = d.tasks.by_id.get_mut(&id).expect("is there");
     (job.abandoned, job.owner) = (true, None);
-    let Some(open) = job.open else {
+    if job.open.is_some() {
+        d.give_up(id, Ending::Recalled);
+    } else {
         d.tasks.by_id.remove(&id);
-        return d.gone.push(id);
-    };
-    if !d.closings.iter().any(|(task, number, _)| (*task, *number) == (id, open.number)) {
-        let ending = match d.retract(id) {
-            Retracted::Unsent => Ending::NotSent,
-            Retracted::NoConnection => Ending::NoConnection,
-            Retracted::MayRun => Ending::Recalled,
-        };
-        d.closings.push_back((id, open.number, ending));
     }
     d.gone.push(id);
 }
@@ -434,11 +388,14 @@
     gone.into_iter().for_each(|id| round.abandoned(id));
 }
 
+/// Tasks that are to be answered on this connection.
+fn open_on(d: &Desk, link: Link) -> Vec<TaskId> {
+    d.owners.by_link.get(&link).map_or(Vec::new(), |owner| owner.open.iter().copied().collect())
+}
+
 /// A connection that speaks wrongly is ended by us. Nothing that was taken on it is left without an answer.
 fn close_owner(d: &mut Desk, link: Link) {
-    let open: Vec<TaskId> =
-        d.owners.by_link.get(&link).map_or(Vec::new(), |o| o.open.iter().copied().collect());
-    for id in open {
+    for id in open_on(d, link) {
         d.send(link, |out| protocol::write_refusal(out, id.0, why::ERROR, 0));
         abandon(d, id);
     }
@@ -446,9 +403,7 @@
 }
 
 fn owner_is_gone(d: &mut Desk, link: Link) {
-    let open: Vec<TaskId> =
-        d.owners.by_link.get(&link).map_or(Vec::new(), |o| o.open.iter().copied().collect());
-    for id in open {
+    for id in open_on(d, link) {
         abandon(d, id);
     }
     d.owners.by_link.remove(&link);
@@ -517,7 +472,7 @@
                 open.is_some_and(|open| Some(open.machine) == machine)
             };
             if placed {
-                tracing::debug!(task = format!("{:016x}", id.0), note = ?protocol::note(frame), "note");
+                tracing::debug!(task = hex(id), note = ?protocol::note(frame), "note");
                 match protocol::note(frame) {
                     Some(("running", _)) => round.runs(id),
                     Some(("use_cpu", cores @ Some(_))) => round.uses(id, cores, None),
@@ -542,8 +497,8 @@
     let job = d.tasks.by_id.get_mut(&id);
     let open = job.as_ref().and_then(|job| job.open).filter(|open| open.link == Some(link));
     let (Some(job), Some(open)) = (job, open) else {
-        // A yes to a send that was given up: a copy that nobody waits for is cut where it earns nothing; where
-        // a repeat would be dropped for it, its owner finds it and hands it over.
+        // A yes to a send that was given up: a copy that nobody waits for is cut where it earns nothing;
+        // where a repeat would be dropped for it, its owner finds it and hands it over.
         let Some(way) = d.machines.ways.get_mut(&link) else { return };
         let at = way.given_up.iter().position(|(given_up, _)| *given_up == id);
         let cut = at.and_then(|at| way.given_up.remove(at)).is_some_and(|(_, cut)| cut);
@@ -558,10 +513,9 @@
         return;
     }
     job.open = Some(Open { placed_at: Some(now), ..open });
-    tracing::debug!(task = format!("{:016x}", id.0), machine = open.machine.0, "stands");
+    tracing::debug!(task = hex(id), machine = open.machine.0, "stands");
     job.wanted = None;
     let owner = job.owner;
-    d.marks.remove(&open.mark);
     d.is_answered(id);
     d.counts.placed += 1;
     if let Some(way) = d.machines.ways.get_mut(&link) {
@@ -596,7 +550,7 @@
 ) {
     let open = {
         let d = &mut *desk.borrow_mut();
-        d.send(link, |out| protocol::write_plain(out, kind::RELEASE_HEARD, id.0));
+        d.send(link, |out| protocol::write_message(out, kind::RELEASE_HEARD, id.0, &[]));
         let Some(way) = d.machines.ways.get_mut(&link) else { return };
         way.given_up.retain(|(given_up, _)| *given_up != id);
         let machine = way.machine;
@@ -654,13 +608,12 @@
 
 /// The end of a send, unless it is known already.
 fn close(desk: &RefCell<Desk>, round: &mut dyn Ears, id: TaskId, send: u32, ending: Ending, cause: Cause) {
-    tracing::debug!(task = format!("{:016x}", id.0), send, ?ending, cause, "closed");
+    tracing::debug!(task = hex(id), send, ?ending, cause, "closed");
     let over = {
         let d = &mut *desk.borrow_mut();
         let Some(job) = d.tasks.by_id.get_mut(&id) else { return };
         let Some(open) = job.open.filter(|open| open.number == send) else { return };
         job.open = None;
-        d.marks.remove(&open.mark);
         if let Some(way) = open.link.and_then(|link| d.machines.ways.get_mut(&link)) {
             way.open.retain(|task| *task != id);
         }
@@ -731,7 +684,6 @@
         let Some(job) = d.tasks.by_id.get_mut(&task) else { continue };
         let Some(open) = job.open.filter(|open| open.link == Some(link)) else { continue };
         let never_left = unwritten.contains(&(open.mark, Unwritten::Whole));
-        d.marks.remove(&open.mark);
         if never_left && way.up && !open.anew {
             // An idle connection that the other side had closed, or one reset as it came up: the same send
             // goes out on another one.
@@ -774,8 +726,7 @@
         Due::CallBulletin => d.call_bulletin(),
         Due::Tell => {
             tell(d);
-            let at = d.now + TELL;
-            d.timers.set(at, Due::Tell);
+            d.timers.set(d.now + TELL, Due::Tell);
         }
     }
 }
@@ -783,20 +734,13 @@
 /// The wait for an answer has ended: the set-up is given up at its machine before anything else is sent.
 fn timed_out(d: &mut Desk, id: TaskId, send: u32) {
     let open = d.tasks.by_id.get(&id).and_then(|job| job.open);
-    let Some(open) = open.filter(|open| open.number == send && open.placed_at.is_none()) else { return };
-    if d.closings.iter().any(|(task, number, _)| (*task, *number) == (id, send)) {
-        return;
+    if open.is_some_and(|open| open.number == send && open.placed_at.is_none()) {
+        d.give_up(id, Ending::TimedOut);
     }
-    let ending = match d.retract(id) {
-        Retracted::Unsent => Ending::NotSent,
-        Retracted::NoConnection => Ending::NoConnection,
-        Retracted::MayRun => Ending::TimedOut,
-    };
-    d.closings.push_back((id, open.number, ending));
 }
 
-/// A look at a machine: idle connections are ended before it does, one where tasks stand is kept in reach, and
-/// a silent one is found out.
+/// A look at a machine: idle connections are ended before it does, one where tasks stand is kept in reach,
+/// and a silent one is found out.
 fn look(d: &mut Desk, id: MachineId) {
     let (now, patience) = (d.now, d.patience);
     let Some(machine) = d.machines.by_id.get_mut(&id) else { return };
@@ -821,7 +765,7 @@
         }
     }
     if wants_new && now >= retry_at && !replaced {
-        let most = ways_to_a_machine(d.limits_descriptors(), d.machines.by_id.len());
+        let most = d.most_ways();
         let count = d.machines.by_id[&id].ways.len();
         let oldest =
             idle.iter().filter(|(link, _)| d.machines.ways.contains_key(link)).min_by_key(|(_, at)| *at);
@@ -842,7 +786,7 @@
 }
 
 /// One line on how it is, to be held against what passed on the sockets.
-fn tell(d: &mut Desk) {
+fn tell(d: &Desk) {
     let machines = d.machines.by_id.values();
     let in_reach = machines.clone().filter(|machine| !machine.ways.is_empty()).count();
     tracing::info!(
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,8 +2,9 @@
 //! module what came in, and carries out what the module chooses.
 //!
 //! For: what stands between the platform's messages and the decisions: connections and what their ends prove,
-//! final answers and who is to hear them, machines that are out of reach. One turn is one round of the module.
-//! May not touch: sockets, clocks, files; any choice of machine, retry or refusal, which are the module's.
+//! final answers and who is to hear them, machines that are out of reach. One turn is one round of the
+//! module. May not touch: sockets, clocks, files; any choice of machine, retry or refusal, which are the
+//! module's.
 
 mod bulletin;
 mod conf;
@@ -90,8 +91,8 @@
             hear::bulletin(desk, round);
             hear::ending(desk, round);
             hear::all_that_came(desk, round);
-            // Ends that fall due below are told in the next turn, which follows at once: what gives a send up is
-            // out by then, before the module's next send of that task.
+            // Ends that fall due below are told in the next turn, which follows at once: what gives a send up
+            // is out by then, before the module's next send of that task.
             hear::closings(desk, round);
             // Only now: an answer that lay waiting while this process stood still came first.
             let mark = desk.borrow().timers.mark();
--- a/crates/platform/src/machines.rs
+++ b/crates/platform/src/machines.rs
@@ -118,6 +118,16 @@
         links.iter().filter_map(|link| Some((*link, self.ways.get(link)?)))
     }
 
+    /// Something came on this connection, or it came up.
+    pub fn shows_life(&mut self, now: Time, link: Link) -> &mut Way {
+        let way = self.ways.get_mut(&link).expect("a connection to a machine");
+        way.used_at = now;
+        if let Some(machine) = self.by_id.get_mut(&way.machine) {
+            machine.is_there(now);
+        }
+        way
+    }
+
     pub fn forget_way(&mut self, link: Link) -> Option<Way> {
         let way = self.ways.remove(&link)?;
         if let Some(machine) = self.by_id.get_mut(&way.machine) {
@@ -140,10 +150,11 @@
 pub struct Patience {
     /// Between two looks at a machine.
     pub look: Span,
-    /// After so long without a sign a new connection is tried: that costs the machine no work, as a test does.
+    /// After so long without a sign a new connection is tried: that costs the machine no work, as a test
+    /// does.
     pub quiet: Span,
-    /// After so long without a sign and without a new connection it is lost, with what stood there: owners must
-    /// hear of that within eight seconds of the end.
+    /// After so long without a sign and without a new connection it is lost, with what stood there: owners
+    /// must hear of that within eight seconds of the end.
     pub lost: Span,
     /// A connection that is not up by then is not coming.
     pub connect: Span,
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -13,10 +13,8 @@
     /// When the first of what waits to be heard was read, and after how many turns.
     pub since: (Time, u64),
     pub heard_at: Time,
-    /// It sent something that only an owner or the front sends, rightly.
-    pub greeted: bool,
-    /// A task of it stood, or it handed one over: it may be told of any task. Met: who only asked rightly need be
-    /// no owner, and ends told there were heard by nobody.
+    /// A task of it stood, or it handed one over: it may be told of any task. Met: who only asked rightly
+    /// need be no owner, and ends told there were heard by nobody.
     pub proven: bool,
     /// Tasks that are to be answered here.
     pub open: BTreeSet<TaskId>,
@@ -30,7 +28,6 @@
             queued: false,
             since,
             heard_at: since.0,
-            greeted: false,
             proven: false,
             open: BTreeSet::new(),
         }
--- a/crates/platform/src/pen.rs
+++ b/crates/platform/src/pen.rs
@@ -1,8 +1,9 @@
 //! Carries out what the module chooses, and proves what it was told.
 //!
-//! The module holds the pen during a round in which the desk hears, so each borrows the desk for a moment only.
+//! The module holds the pen during a round in which the desk hears, so each borrows the desk for a moment
+//! only.
 
-use crate::desk::{Desk, Due, Retracted};
+use crate::desk::{Desk, Due};
 use crate::tasks::Open;
 use mulleinhub_interface::{Effect, Ending, MachineId, Mode, Reach, Span, TaskId, Time, Writer};
 use mulleinhub_platform_protocol::{self as protocol, kind, why};
@@ -33,16 +34,7 @@
         let number = job.sends;
         job.sends += 1;
         let due = now + time_out;
-        job.open = Some(Open {
-            number,
-            machine,
-            link: None,
-            mark: 0,
-            decided: now,
-            due,
-            anew: false,
-            placed_at: None,
-        });
+        job.open = Some(Open::new(number, machine, now, due));
         desk.counts.sends += 1;
         desk.timers.set(due, Due::Send(task, number));
         let spot = desk.machines.by_id.get_mut(&machine).expect("the module sends to listed machines");
@@ -62,17 +54,9 @@
     fn recall(&mut self, task: TaskId, send: u32) {
         let desk = &mut *self.0.borrow_mut();
         let Some(open) = desk.tasks.by_id.get(&task).and_then(|job| job.open) else { return };
-        // One called back in this very turn has its end on the way already.
-        let closing = desk.closings.iter().any(|(id, number, _)| (*id, *number) == (task, send));
-        if open.number != send || open.placed_at.is_some() || closing {
-            return;
+        if open.number == send && open.placed_at.is_none() {
+            desk.give_up(task, Ending::Recalled);
         }
-        let ending = match desk.retract(task) {
-            Retracted::Unsent => Ending::NotSent,
-            Retracted::NoConnection => Ending::NoConnection,
-            Retracted::MayRun => Ending::Recalled,
-        };
-        desk.closings.push_back((task, send, ending));
     }
 
     fn nack(&mut self, task: TaskId, stay_away: Span) {
@@ -99,7 +83,7 @@
         let desk = &mut *self.0.borrow_mut();
         let Some(job) = desk.tasks.by_id.get(&task).filter(|job| job.placed().is_some()) else { return };
         if let Some(link) = desk.owners.to_tell(job.owner) {
-            desk.send(link, |out| protocol::write_plain(out, kind::MOVE, task.0));
+            desk.send(link, |out| protocol::write_message(out, kind::MOVE, task.0, &[]));
         }
     }
 
--- a/crates/platform/src/stories/mod.rs
+++ b/crates/platform/src/stories/mod.rs
@@ -383,7 +383,7 @@
     }
     rig.pass(Span::from_secs(20));
     let desk = rig.platform.desk.get_mut();
-    assert!(desk.tasks.by_id.is_empty() && desk.marks.is_empty() && desk.owners.by_link.is_empty());
+    assert!(desk.tasks.by_id.is_empty() && desk.owners.by_link.is_empty());
     assert_eq!((desk.machines.by_id.len(), desk.machines.ways.len()), (2, 0));
     assert!(desk.timers.len() < 20 && desk.closings.is_empty(), "{}", desk.timers.len());
     assert_eq!(desk.limits.len(), 0);
--- a/crates/platform/src/stories/rig.rs
+++ b/crates/platform/src/stories/rig.rs
@@ -1,8 +1,9 @@
-//! Owners, machines and a bulletin around one scheduler, in virtual time: they do what a story says and no more.
+//! Owners, machines and a bulletin around one scheduler, in virtual time: they do what a story says and no
+//! more.
 
 use crate::{Conf, Platform};
 use mulleinhub_interface::{Span, Time};
-use mulleinhub_platform_protocol::{Frames, code, kind};
+use mulleinhub_platform_protocol::{Frames, code, kind, write_message};
 use mulleinhub_seam::{Ask, Door, End, Link, Party};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -88,7 +89,8 @@
         "shapes":["big"],
         "classes":[{{"name":"batch","effect":"by_key","group":"cell","window":5000000000,"target":600000000,
                      "deadline":2000000000,"gain":3}},
-                   {{"name":"front","effect":"repeatable","target":1000000000,"deadline":2500000000,"gain":9}}],
+                   {{"name":"front","effect":"repeatable","target":1000000000,
+                     "deadline":2500000000,"gain":9}}],
         "limits":{{"cancel":true,"connectTimeout":250000000,"keepalive":15000000000,"maxAttempts":4}},
         "rules":{{"askWithin":10000000000,"fall":1000000000,"warmAfter":10000000000}},
         "specifics":{{"acceptsCores":2.0,"acceptsMemory":1.2,"kindCores":[32],"memoryByKind":[64],
@@ -260,14 +262,9 @@
 
 /// A message of any kind.
 pub fn message(kind: u8, task: u64, params: &[(u8, &[u8])]) -> Vec<u8> {
-    let mut body = vec![kind];
-    body.extend_from_slice(&task.to_be_bytes());
-    for (code, value) in params {
-        body.push(*code);
-        body.extend_from_slice(&(value.len() as u16).to_be_bytes());
-        body.extend_from_slice(value);
-    }
-    [&(body.len() as u16).to_be_bytes()[..], &body].concat()
+    let mut out = Vec::new();
+    write_message(&mut out, kind, task, params);
+    out
 }
 
 pub const KEY: &[u8] = b"5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
--- a/crates/platform/src/tasks.rs
+++ b/crates/platform/src/tasks.rs
@@ -43,7 +43,28 @@
     pub abandoned: bool,
 }
 
+impl Open {
+    /// A send decided on now, which nothing has carried yet.
+    pub fn new(number: u32, machine: MachineId, now: Time, due: Time) -> Self {
+        Self { number, machine, link: None, mark: 0, decided: now, due, anew: false, placed_at: None }
+    }
+}
+
 impl Job {
+    /// A task that waits for its answer on this connection.
+    pub fn new(order: Order, owner: Link) -> Self {
+        Self {
+            order,
+            wanted: None,
+            owner: Some(owner),
+            sends: 0,
+            open: None,
+            may_have_run: None,
+            answered: false,
+            abandoned: false,
+        }
+    }
+
     pub fn placed(&self) -> Option<Open> {
         self.open.filter(|open| open.placed_at.is_some())
     }
@@ -69,3 +90,8 @@
         self.by_id.values().filter(|job| job.placed().is_some()).count()
     }
 }
+
+/// A task's id as the platform writes it, for the log.
+pub fn hex(id: TaskId) -> String {
+    format!("{:016x}", id.0)
+}
--- a/crates/protocol/examples/fuzz_frames.rs
+++ b/crates/protocol/examples/fuzz_frames.rs
@@ -3,23 +3,10 @@
 //! Each stream is a few good frames with bytes changed, dropped, doubled or swapped. Whatever is read must
 //! come out the same when it is written and read again.
 
-use mulleinhub_protocol::*;
-
-/// A xorshift generator: fuzzing needs many bytes soon, not good ones.
-struct Bytes(u64);
-
-impl Bytes {
-    fn next(&mut self) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0
-    }
+mod bytes;
 
-    fn below(&mut self, n: usize) -> usize {
-        (self.next() % n.max(1) as u64) as usize
-    }
-}
+use bytes::Bytes;
+use mulleinhub_protocol::*;
 
 fn good(bytes: &mut Bytes) -> Vec<u8> {
     let shape =
--- a/crates/seam/src/links.rs
+++ b/crates/seam/src/links.rs
@@ -45,8 +45,9 @@
 pub struct Links {
     next: u64,
     open: BTreeMap<Link, Slot>,
-    /// In the order of writing, so that what was written first is handed over first, on whatever connection. Met:
-    /// a send given up on one connection and its successor on another went out in the order of the links.
+    /// In the order of writing, so that what was written first is handed over first, on whatever connection.
+    /// Met: a send given up on one connection and its successor on another went out in the order of the
+    /// links.
     dirty: VecDeque<Link>,
     asks: VecDeque<Ask>,
     #[expect(clippy::vec_box, reason = "boxes go from here into slots and come back")]
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -358,7 +358,7 @@
                 if n < self.buffer.len() && !stream.closing {
                     self.readable.remove(&link);
                 }
-                let now = self.origin + span(self.began.elapsed());
+                let now = self.now();
                 self.party.received(now, link, &self.buffer[..n]);
                 true
             }
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -1,4 +1,5 @@
-//! The settings object that a scheduler is given, on the simulator's wire and in the platform's configuration.
+//! The settings object that a scheduler is given, on the simulator's wire and in the platform's
+//! configuration.
 //!
 //! For: reading it into the types of the interface, once for both adapters. Unknown keys are passed over.
 //! May not touch: any decision, any value that is not in the object.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -84,6 +84,11 @@
     }
 }
 
+/// Whether a start that takes so long is far slower than usual, where usual is known.
+fn is_slow(took: Span, usual: Span) -> bool {
+    usual > Span::ZERO && took > usual * SLOW
+}
+
 /// A pressed machine comes last, whoever causes it: neighbours, surges, our guess. A better note of the same
 /// kind ends it. Met: one that had just evicted took tasks again, as cores were calm there.
 fn pressed(now: Time, is: bool) -> Time {
@@ -259,7 +264,7 @@
             (dealing.barred_until, dealing.times) = (now, 0);
             // Far slower than usual: a slow or crowded machine, also where nothing else tells of pressure.
             let usual = &mut self.b.usual_start[usize::from(task.bare)];
-            if !self.b.taking.tells_pressure && took > *usual * SLOW && *usual > Span::ZERO {
+            if !self.b.taking.tells_pressure && is_slow(took, *usual) {
                 m.pressed.cores = now + PRESSED;
             }
             *usual = usual.toward(took, USUAL_STEP);
@@ -364,8 +369,8 @@
             Ending::NoConnection | Ending::Broken(Loss::Untold) | Ending::Nacked(Nack::QueueFull) => {
                 m.dealings.iter_mut().for_each(|dealing| dealing.bar(now, rest));
             }
-            // Where another machine erred on it too, it is the task. Met: set-ups that no machine could use, each of
-            // which had four machines rest.
+            // Where another machine erred on it too, it is the task. Met: set-ups that no machine could use,
+            // each of which had four machines rest.
             Ending::Errored if std::mem::replace(&mut task.erred, true) => {}
             // Errors, silence, or a nack without a reason: it may be this use case alone that suffers.
             Ending::Errored | Ending::TimedOut | Ending::Recalled | Ending::Nacked(Nack::Untold) => {
@@ -569,11 +574,10 @@
     fn note_slow_starts(&mut self) {
         let usual = self.b.usual_start;
         for (_, m) in self.b.machines.iter_mut().filter(|(_, m)| m.starting > 0) {
-            let is_slow = |task: &Task| {
-                let usual = usual[usize::from(task.bare)];
-                task.starting && usual > Span::ZERO && self.now - task.sent_at > usual * SLOW
+            let starts_slowly = |task: &Task| {
+                task.starting && is_slow(self.now - task.sent_at, usual[usize::from(task.bare)])
             };
-            if m.tasks.iter().any(|(place, _)| is_slow(&self.b.tasks[*place])) {
+            if m.tasks.iter().any(|(place, _)| starts_slowly(&self.b.tasks[*place])) {
                 m.pressed.cores = self.now + PRESSED;
             }
         }
