Connections to machines come out of one pool, so that a silent machine is found out

No 'connection is over' either: it was never looked at again. hear.rs look() opened a second connection to a quiet machine only where count < most_ways or up > 1; desk.rs most_ways() was (984 - 64 - 328) / 520 machines = 1, also with 277 of 592 connections in use. A machine that vanished behind its one open connection stayed 'there' for ever. Ruled out: the hand-over (the task was placed by n0 itself), the list (Leaving was heard at 15.993), owners (4 connected).

Change: limits::Pool counts connections to machines as they are open, for all machines together; owners' third and our own few are no part of it. A send for which there is no connection waits for one, and is no longer told as a machine's refusal. Hand-overs no longer open connections at one instant; the look that follows is drawn.

Test: stories/fleet.rs at 20, 400 and 1,024 machines with 256 descriptors; before, 400 connections were opened at once (and with the bound, the silent ones never found out).

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -8,14 +8,16 @@
 
 mod admission;
 mod lines;
+mod pool;
 mod pressure;
 mod shares;
 mod wheel;
 
 pub use admission::Admission;
 pub use lines::Lines;
+pub use pool::Pool;
 pub use pressure::{Pace, Pressure};
-pub use shares::{tasks_held, tasks_in_hand, ways_to_a_machine};
+pub use shares::{MOST_WAYS, tasks_held, tasks_in_hand, ways_to_machines};
 pub use wheel::Wheel;
 
 use mulleinhub_interface::{Span, Time};
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -22,6 +22,9 @@
 
 /// So many tries in a row that were refused: the process there has died, and what stood there with it.
 const DEAD: u32 = 2;
+/// Where ways are scarce, a machine where tasks stand is visited after so many times the quiet that makes one
+/// with a way be looked at: the second such visit is still within the eight seconds.
+const VISITS: f64 = 2.0;
 /// A wait so many times longer than any that is used is none.
 const ABSURD: u64 = 10;
 
@@ -252,9 +255,6 @@
         d.counts.handed += 1;
         let (class, ask) = (setup.class, order.ask);
         tracing::debug!(task = hex(id), machine = machine.0, class, ?ask, "handed over");
-        if d.machines.by_id[&machine].ways.is_empty() {
-            d.open_way(machine);
-        }
         d.look_after(machine);
         drop(borrowed);
         round.running(order, machine);
@@ -358,11 +358,7 @@
         return;
     };
     d.tasks.by_id.get_mut(&id).expect("is there").abandoned = true;
-    let way = open.link.filter(|link| d.machines.ways.contains_key(link));
-    let way = way.or_else(|| d.machines.ways_of(open.machine).map(|(link, _)| link).next());
-    if let Some(way) = way.or_else(|| d.open_way(open.machine)) {
-        d.send(way, |out| protocol::write_with_cause(out, kind::RELEASE, id.0, why::CANCELLED));
-    }
+    d.cut(open.machine, id, open.link);
     d.gone.push(id);
 }
 
@@ -642,7 +638,7 @@
 /// A connection to a machine is over, and what that proves of the set-ups on it.
 fn way_ended(d: &mut Desk, link: Link, end: End) {
     let unwritten = d.links.abort(link);
-    let Some(way) = d.machines.forget_way(link) else { return };
+    let Some(way) = d.forget_way(link) else { return };
     let (now, id) = (d.now, way.machine);
     if let Some(machine) = d.machines.by_id.get(&id) {
         tracing::debug!(
@@ -752,7 +748,13 @@
     let mut up = d.machines.ways_of(id).filter(|(_, way)| way.up).count();
     let idle = d.machines.ways_of(id).filter(|(_, way)| way.up && way.open.is_empty());
     let idle: Vec<(Link, Time)> = idle.map(|(link, way)| (link, way.used_at)).collect();
-    let mut wants_new = stands && !coming && (up == 0 || now - heard_at >= patience.quiet);
+    let quiet = now - heard_at;
+    let cuts = !d.machines.by_id[&id].cuts.is_empty();
+    // Where the pool is used up, machines where tasks stand are visited in turn, each well within the time
+    // in which owners must hear of an end that nobody could tell.
+    let in_turn = d.pool.has_room() || quiet >= patience.quiet * VISITS;
+    let mut wants_new = stands && !coming && if up == 0 { in_turn } else { quiet >= patience.quiet };
+    wants_new |= cuts && !coming;
     for (link, used_at) in &idle {
         if now - *used_at < patience.idle {
             continue;
@@ -765,22 +767,18 @@
         }
     }
     if wants_new && now >= retry_at && !replaced {
-        let most = d.most_ways();
-        let count = d.machines.by_id[&id].ways.len();
         let oldest =
             idle.iter().filter(|(link, _)| d.machines.ways.contains_key(link)).min_by_key(|(_, at)| *at);
-        if let (true, Some((link, _))) = (count >= most && up > 1, oldest) {
+        if let (true, true, Some((link, _))) = (!d.pool.has_room(), up > 1, oldest) {
             d.end_way(*link);
         }
-        if count < most || up > 1 {
-            d.open_way(id);
-        }
+        d.open_way(id);
     }
     let silent = now - heard_at >= patience.lost && failures > 0;
     if stands && (silent || refusals >= DEAD || replaced) {
         d.is_lost(id, now, "it is silent, refuses, or is replaced");
     }
-    if stands || !d.machines.by_id[&id].ways.is_empty() {
+    if stands || cuts || !d.machines.by_id[&id].ways.is_empty() {
         d.look_after(id);
     }
 }
--- a/crates/platform/src/machines.rs
+++ b/crates/platform/src/machines.rs
@@ -59,6 +59,8 @@
     pub gate: Gate,
     /// Sends that the gate holds back, as task and number.
     pub waiting: Vec<(TaskId, u32)>,
+    /// Tasks that stand there and are to be cut, once there is a way.
+    pub cuts: Vec<TaskId>,
     /// A look at it is on its way.
     pub looked_after: bool,
 }
@@ -76,6 +78,7 @@
             retry_at: now,
             gate: Gate::default(),
             waiting: Vec::new(),
+            cuts: Vec::new(),
             looked_after: false,
         }
     }
--- a/crates/platform/src/pen.rs
+++ b/crates/platform/src/pen.rs
@@ -47,7 +47,7 @@
             spot.waiting.push((task, number));
             desk.timers.set(until, Due::Release(machine));
         } else if !desk.write_setup(task) {
-            desk.closings.push_back((task, number, Ending::NoConnection));
+            desk.waits_for_way(task, number, machine);
         }
     }
 
--- a/crates/platform/src/stories/mod.rs
+++ b/crates/platform/src/stories/mod.rs
@@ -1,5 +1,6 @@
 //! Stories of the scheduler among owners, machines and a bulletin that do what is written here.
 
+mod fleet;
 mod rig;
 mod rules;
 
@@ -51,6 +52,8 @@
     let owner = rig.owner();
     rig.say(owner, &set_up(5, "batch", &format!(";at:{}", uid(2))));
     assert!(rig.heard_on(owner).is_empty(), "no answer is owed");
+    // Its return to the machine is drawn, as many come back at one instant.
+    rig.pass(ms(500));
     let way = rig.on(&address(2))[0];
     rig.end(owner, End::Closed);
     rig.say(way, &release(5, why::ENDED));
@@ -358,6 +361,7 @@
     assert!(rig.heard_on(owner).iter().all(|said| said.cause() == Some(why::ERROR)));
     rig.say(owner, &set_up(500, "front", ""));
     assert_eq!(rig.heard_on(owner)[0].cause(), Some(why::BUSY));
+    rig.pass(ms(500));
     let way = rig.on(&address(1))[0];
     rig.end(owner, End::Closed);
     (1..=128).for_each(|task| rig.say(way, &release(task, why::ENDED)));
