Who may add a worker: caps of teams kept by shares that move between schedulers

Change: package accounts, without I/O, clock or thread. A till for each team is what the planner looks at before it takes a task: a new worker reserves a stretch out of the open part, what runs is paid ahead of that, out of the open part and then the last one, and is never stopped; one that was lost, moved or evicted takes its place again.

--- /dev/null
+++ b/crates/accounts/src/lib.rs
@@ -0,0 +1,19 @@
+//! Who may add a worker: monthly caps of teams, kept by shares that move between schedulers, and holds of
+//! accounts.
+//!
+//! For: the look before a task is taken ([`Till`], one for each team), and the keeper of the books that
+//! fills the tills, writes rows, asks others for a part of their share and gives of its own ([`Keeper`]).
+//! May not touch: sockets, files, clocks, threads, and any choice of machine. The time of day is an input.
+
+mod keeper;
+mod money;
+mod month;
+mod settings;
+mod shares;
+mod till;
+
+pub use keeper::{Keeper, Look, Phase, Reply, TICK, Wanted};
+pub use money::{GIB, Prices};
+pub use month::{Month, Months};
+pub use settings::{Settings, Team};
+pub use till::{Away, News, Seen, Till, Tills};
--- /dev/null
+++ b/crates/accounts/src/till.rs
@@ -0,0 +1,390 @@
+//! The look before a task is taken: what one team may still use here, without asking anybody.
+//!
+//! Money comes in as drawn blocks, from whoever keeps the books, and goes out as workers run. A new worker
+//! reserves what it costs for a stretch out of the open part; from then on what it costs is paid as time
+//! passes, ahead of that reserve, out of the open part and then out of the last one, which new workers
+//! can't touch. So at any instant what was drawn covers what was spent and a stretch of all that runs.
+//! Where nothing is left workers run on, and what they cost is a debt.
+//!
+//! Nothing here allocates but the telling of names, whose room the keeper gives back.
+
+use crate::money::{accrued, cost};
+use mulleinhub_interface::{Span, TaskKey, Ticket, Time};
+use mulleinhub_replica::Parts;
+use std::collections::HashMap;
+
+/// Between how long and how long a refused owner is to stay away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Away {
+    pub least: Span,
+    pub most: Span,
+}
+
+impl Away {
+    pub fn drawn(self, drawn: f64) -> Span {
+        self.least + (self.most - self.least) * drawn
+    }
+}
+
+/// What became of a worker, for the books.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    Began {
+        key: u64,
+        rate: u64,
+    },
+    /// It ran under another scheduler, or in an earlier life of this one.
+    Adopted {
+        key: u64,
+        rate: u64,
+        at: Time,
+    },
+    Over {
+        key: u64,
+        comes_again: bool,
+    },
+}
+
+/// One team's.
+#[derive(Debug)]
+pub struct Till {
+    stretch: Span,
+    at: Time,
+    /// Nothing new is taken by what is known here after this instant.
+    fresh_until: Time,
+    away: Away,
+    /// New submissions are held back.
+    held: bool,
+    has: Parts,
+    /// For a stretch of each worker that is asked for or runs.
+    reserved: u64,
+    /// Spent, and not paid for yet.
+    debt: u64,
+    rate: u64,
+    spent: u64,
+    carried: u64,
+    /// Workers that ran and may come again, under whatever scheduler; true while one of them is asked for.
+    names: HashMap<u64, bool>,
+    // Since the keeper's last look.
+    asked: u64,
+    refused: u64,
+    most: u64,
+    news: Vec<News>,
+}
+
+/// What the keeper sees at a look.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    pub has: Parts,
+    pub reserved: u64,
+    pub debt: u64,
+    pub rate: u64,
+    pub spent: u64,
+    /// What new workers would have reserved that were asked for since the last look, also where refused,
+    /// and the most of one.
+    pub asked: u64,
+    pub most: u64,
+    pub refused: u64,
+}
+
+/// All tills, each behind whatever lock its host has.
+pub trait Tills {
+    fn with(&mut self, team: usize, act: &mut dyn FnMut(&mut Till));
+}
+
+impl Tills for Vec<Till> {
+    fn with(&mut self, team: usize, act: &mut dyn FnMut(&mut Till)) {
+        act(&mut self[team]);
+    }
+}
+
+impl Till {
+    pub fn new(stretch: Span, away: Away) -> Self {
+        Self {
+            stretch,
+            at: Time::default(),
+            fresh_until: Time::default(),
+            away,
+            held: false,
+            has: Parts::default(),
+            reserved: 0,
+            debt: 0,
+            rate: 0,
+            spent: 0,
+            carried: 0,
+            names: HashMap::new(),
+            asked: 0,
+            refused: 0,
+            most: 0,
+            news: Vec::new(),
+        }
+    }
+
+    // The look, and what becomes of who was taken.
+
+    /// Whether one more worker of this rate may be added.
+    ///
+    /// # Errors
+    /// For how long its owner is to stay away.
+    pub fn ask(&mut self, now: Time, team: u32, key: TaskKey, rate: u64, drawn: f64) -> Result<Ticket, Span> {
+        self.accrue(now);
+        let need = cost(rate, self.stretch);
+        let ticket = Ticket { team, key, rate, open: need, last: 0 };
+        if now > self.fresh_until {
+            self.refused += 1;
+            return Err(self.away.drawn(drawn));
+        }
+        if let Some(in_hand) = self.names.get_mut(&key.0)
+            && !*in_hand
+        {
+            // It takes its own place again: no new worker, and never refused.
+            *in_hand = true;
+            return Ok(self.reserve(ticket, need));
+        }
+        self.asked = self.asked.saturating_add(need);
+        self.most = self.most.max(need);
+        if self.held || self.has.open < need {
+            self.refused += 1;
+            return Err(self.away.drawn(drawn));
+        }
+        self.has.open -= need;
+        self.reserved += need;
+        Ok(ticket)
+    }
+
+    /// Out of the last part, then out of the open one, as far as they go.
+    fn reserve(&mut self, ticket: Ticket, need: u64) -> Ticket {
+        let last = need.min(self.has.last);
+        let open = (need - last).min(self.has.open);
+        self.has = self.has.less(Parts { open, last });
+        self.reserved += open + last;
+        Ticket { open, last, ..ticket }
+    }
+
+    fn give_back(&mut self, ticket: Ticket) {
+        self.reserved -= ticket.open + ticket.last;
+        self.has = self.has.plus(Parts { open: ticket.open, last: ticket.last });
+        self.pay();
+    }
+
+    /// It had its final answer and never ran.
+    pub fn never_ran(&mut self, now: Time, ticket: Ticket) {
+        self.accrue(now);
+        self.give_back(ticket);
+        if let Some(in_hand) = self.names.get_mut(&ticket.key.0) {
+            *in_hand = false;
+        }
+    }
+
+    /// It had its final answer and may run all the same, for a stretch at the most.
+    pub fn may_run(&mut self, now: Time, ticket: Ticket) {
+        self.accrue(now);
+        let reserve = ticket.open + ticket.last;
+        self.reserved -= reserve;
+        self.spent += reserve;
+        if let Some(in_hand) = self.names.get_mut(&ticket.key.0) {
+            *in_hand = false;
+        }
+    }
+
+    pub fn runs(&mut self, now: Time, ticket: Ticket) {
+        self.accrue(now);
+        self.rate += ticket.rate;
+        self.news.push(News::Began { key: ticket.key.0, rate: ticket.rate });
+    }
+
+    /// It ran already, and is this scheduler's from now on.
+    pub fn adopt(&mut self, now: Time, team: u32, key: TaskKey, rate: u64) -> Ticket {
+        self.accrue(now);
+        let need = cost(rate, self.stretch);
+        self.rate += rate;
+        self.news.push(News::Adopted { key: key.0, rate, at: now });
+        self.reserve(Ticket { team, key, rate, open: 0, last: 0 }, need)
+    }
+
+    pub fn over(&mut self, now: Time, ticket: Ticket, comes_again: bool) {
+        self.accrue(now);
+        self.rate -= ticket.rate;
+        self.give_back(ticket);
+        if comes_again {
+            self.names.insert(ticket.key.0, false);
+        } else {
+            self.names.remove(&ticket.key.0);
+        }
+        self.news.push(News::Over { key: ticket.key.0, comes_again });
+    }
+
+    fn accrue(&mut self, now: Time) {
+        let passed = now - self.at;
+        self.at = self.at.max(now);
+        let (cost, carried) = accrued(self.rate, passed, self.carried);
+        self.carried = carried;
+        self.spend(cost);
+    }
+
+    fn spend(&mut self, cost: u64) {
+        self.spent += cost;
+        self.debt += cost;
+        self.pay();
+    }
+
+    fn pay(&mut self) {
+        let open = self.debt.min(self.has.open);
+        let last = (self.debt - open).min(self.has.last);
+        self.has = self.has.less(Parts { open, last });
+        self.debt -= open + last;
+    }
+
+    // For the keeper.
+
+    pub fn look(&mut self, now: Time) -> Seen {
+        self.accrue(now);
+        let seen = Seen {
+            has: self.has,
+            reserved: self.reserved,
+            debt: self.debt,
+            rate: self.rate,
+            spent: self.spent,
+            asked: self.asked,
+            most: self.most,
+            refused: self.refused,
+        };
+        (self.asked, self.most, self.refused) = (0, 0, 0);
+        seen
+    }
+
+    /// What became of workers since the last call; the room of `empty` is used for what comes next.
+    pub fn take_news(&mut self, empty: Vec<News>) -> Vec<News> {
+        std::mem::replace(&mut self.news, empty)
+    }
+
+    /// What is known here holds until then.
+    pub fn refresh(&mut self, fresh_until: Time, away: Away, held: bool) {
+        (self.fresh_until, self.away, self.held) = (fresh_until, away, held);
+    }
+
+    /// A drawn block, once it is on disk.
+    pub fn credit(&mut self, parts: Parts) {
+        self.has = self.has.plus(parts);
+        self.pay();
+    }
+
+    /// Takes back what lies here unused, up to so much.
+    pub fn take_back(&mut self, most: Parts) -> Parts {
+        let taken = Parts { open: self.has.open.min(most.open), last: self.has.last.min(most.last) };
+        self.has = self.has.less(taken);
+        taken
+    }
+
+    /// What a worker cost before it was adopted.
+    pub fn charge(&mut self, now: Time, cost: u64) {
+        self.accrue(now);
+        self.spend(cost);
+    }
+
+    /// Who may come again. Those that ended here since the books were looked at stay among them.
+    pub fn set_names(&mut self, mut names: HashMap<u64, bool>) -> HashMap<u64, bool> {
+        for (key, in_hand) in &self.names {
+            if *in_hand {
+                names.insert(*key, true);
+            }
+        }
+        for news in &self.news {
+            if let News::Over { key, comes_again: true } = news {
+                names.insert(*key, false);
+            }
+        }
+        std::mem::replace(&mut self.names, names)
+    }
+
+    /// A new month begins: what was spent and what lay here belong to the old one. What is reserved is owed
+    /// to the new one, whose share has to cover it. What was spent and what was owed.
+    pub fn turn_month(&mut self, now: Time) -> (u64, u64) {
+        self.accrue(now);
+        let old = (std::mem::take(&mut self.spent), std::mem::replace(&mut self.debt, self.reserved));
+        self.has = Parts::default();
+        old
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const AWAY: Away = Away { least: Span::from_secs(1), most: Span::from_secs(3) };
+
+    fn at(ms: u64) -> Time {
+        Time::from_nanos(ms * 1_000_000)
+    }
+
+    fn till(open: u64, last: u64) -> Till {
+        let mut till = Till::new(Span::from_secs(10), AWAY);
+        till.credit(Parts { open, last });
+        till.refresh(at(1_000_000), AWAY, false);
+        till
+    }
+
+    #[test]
+    fn a_new_worker_reserves_a_stretch_and_what_it_costs_is_paid_ahead_of_that() {
+        let mut till = till(200, 50);
+        let ticket = till.ask(at(0), 0, TaskKey(1), 10, 0.0).expect("there is room");
+        assert_eq!(till.ask(at(0), 0, TaskKey(2), 11, 0.5), Err(Span::from_secs(2)));
+        till.runs(at(0), ticket);
+        let seen = till.look(at(4_000));
+        assert_eq!((seen.has.open, seen.reserved, seen.spent), (60, 100, 40));
+        assert_eq!((seen.asked, seen.most, seen.refused), (210, 110, 1));
+        till.over(at(5_000), ticket, false);
+        let seen = till.look(at(9_000));
+        assert_eq!((seen.has.open, seen.reserved, seen.spent, seen.rate), (150, 0, 50, 0));
+    }
+
+    #[test]
+    fn running_workers_use_the_last_part_and_run_on_when_all_is_gone() {
+        let mut till = till(100, 30);
+        let ticket = till.ask(at(0), 0, TaskKey(1), 10, 0.0).expect("there is room");
+        till.runs(at(0), ticket);
+        assert!(till.ask(at(0), 0, TaskKey(2), 1, 0.0).is_err(), "the last part is not for new ones");
+        let seen = till.look(at(5_000));
+        assert_eq!((seen.has, seen.debt, seen.spent), (Parts::default(), 20, 50));
+        till.credit(Parts { open: 0, last: 25 });
+        assert_eq!(till.look(at(5_000)).has.last, 5);
+        till.over(at(5_000), ticket, false);
+        assert_eq!(till.look(at(5_000)).reserved, 0);
+    }
+
+    #[test]
+    fn one_that_was_lost_takes_its_place_again_and_only_once() {
+        let mut till = till(100, 150);
+        let ticket = till.ask(at(0), 0, TaskKey(1), 10, 0.0).expect("there is room");
+        till.runs(at(0), ticket);
+        till.over(at(1_000), ticket, true);
+        till.take_back(Parts { open: 1_000, last: 0 });
+        assert!(till.ask(at(1_500), 0, TaskKey(2), 10, 0.0).is_err());
+        let again = till.ask(at(1_500), 0, TaskKey(1), 10, 0.0).expect("it ran before");
+        assert_eq!((again.open, again.last), (0, 100));
+        assert!(till.ask(at(1_500), 0, TaskKey(1), 10, 0.0).is_err(), "it is asked for already");
+        till.never_ran(at(1_600), again);
+        assert!(till.ask(at(1_700), 0, TaskKey(1), 10, 0.0).is_ok());
+    }
+
+    #[test]
+    fn nothing_new_is_taken_by_old_news() {
+        let mut till = till(1_000, 0);
+        till.refresh(at(500), AWAY, false);
+        assert!(till.ask(at(500), 0, TaskKey(1), 1, 0.0).is_ok());
+        assert!(till.ask(at(501), 0, TaskKey(2), 1, 0.0).is_err());
+    }
+
+    #[test]
+    fn a_month_turns_and_what_runs_is_owed_to_the_new_one() {
+        let mut till = till(300, 0);
+        let ticket = till.ask(at(0), 0, TaskKey(1), 10, 0.0).expect("there is room");
+        till.runs(at(0), ticket);
+        assert_eq!(till.turn_month(at(2_000)), (20, 0));
+        let seen = till.look(at(3_000));
+        assert_eq!((seen.spent, seen.debt, seen.has, seen.reserved), (10, 110, Parts::default(), 100));
+        till.credit(Parts { open: 200, last: 0 });
+        till.over(at(3_000), ticket, false);
+        assert_eq!(till.look(at(3_000)).has.open, 190);
+    }
+}
