--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -81,6 +81,40 @@
     pub cold_from: f64,
 }
 
+/// A team whose tenants count against one cap.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct TeamTerms {
+    #[n(0)]
+    pub name: String,
+    #[n(1)]
+    pub account: Option<String>,
+    /// Names of owners up to the first slash.
+    #[n(2)]
+    pub tenants: Vec<String>,
+    /// A month, in micro-units.
+    #[n(3)]
+    pub cap: Option<u64>,
+}
+
+/// What the books of a day are judged by. Money is micro-units, spans are nanoseconds.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct BooksTerms {
+    #[n(0)]
+    pub teams: Vec<TeamTerms>,
+    #[n(1)]
+    pub core_second: u64,
+    #[n(2)]
+    pub memory_second: u64,
+    /// The part of a cap that new workers may use, in millionths.
+    #[n(3)]
+    pub near: u32,
+    #[n(4)]
+    pub stretch: u64,
+    /// When a month ends, by the tap's clock.
+    #[n(5)]
+    pub month_ends: Option<u64>,
+}
+
 /// The figures that a day is judged by. Spans are nanoseconds.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Terms {
@@ -109,6 +143,8 @@
     /// A cold machine bears this multiple of the starts that it can do.
     #[n(10)]
     pub tip: f64,
+    #[n(11)]
+    pub books: Option<BooksTerms>,
 }
 
 /// Something that was done to a party, or that happened to it.
@@ -135,6 +171,11 @@
     TroubleBegins,
     #[n(8)]
     TroubleEnds,
+    /// What a planner kept on disk is gone, or is an older copy.
+    #[n(9)]
+    StoreLost,
+    #[n(10)]
+    StoreOld,
 }
 
 /// The sides of a link: who opened it, and to whom it was opened.
@@ -208,6 +249,14 @@
     },
     /// From now on the tap doesn't read what this side writes, or reads it again: bytes wait where it can't
     /// see.
+    /// An order of the operators, as it was given to a planner.
+    #[n(8)]
+    Order {
+        #[b(0)]
+        planner: &'b str,
+        #[b(1)]
+        words: &'b str,
+    },
     #[n(7)]
     Unread {
         #[n(0)]
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -2,7 +2,7 @@
 
 use comfy_table::{Table, presets::UTF8_HORIZONTAL_ONLY};
 use mulleinhub_day::Score;
-use mulleinhub_verdict::Verdict;
+use mulleinhub_verdict::{BooksVerdict, Verdict};
 
 fn table(header: &[&str]) -> Table {
     let mut table = Table::new();
@@ -91,14 +91,45 @@
 }
 
 /// A line for each rule, and its breaches.
+/// How one rule came out, in a line.
+fn state(breaches: usize, cases: u64) -> String {
+    match (breaches, cases) {
+        (0, 0) => "not met today".to_owned(),
+        (0, cases) => format!("kept ({cases} cases)"),
+        (broken, cases) => format!("BROKEN {broken} times ({cases} cases)"),
+    }
+}
+
+/// The rules of the books, a line each, and what teams spent.
+pub fn books(books: &BooksVerdict) -> String {
+    let mut text = String::new();
+    for (rule, name) in books.rules.iter().zip(BooksVerdict::NAMES) {
+        text += &format!("books {name}: {}\n", state(rule.breaches.len(), rule.cases));
+        for (why, count) in &rule.excused {
+            text += &format!("    not judged: {count} {why}\n");
+        }
+        for breach in rule.breaches.iter().take(10) {
+            text += &format!("    {breach}\n");
+        }
+        if rule.breaches.len() > 10 {
+            text += &format!("    and {} more\n", rule.breaches.len() - 10);
+        }
+    }
+    for (team, figures) in &books.figures {
+        let cap = figures.cap.map_or("none".to_owned(), |cap| cap.to_string());
+        text += &format!(
+            "team {team}: cap {cap}, spent {}, charged {}, {} new workers, left for new ones at the \
+             last {}\n",
+            figures.spent, figures.charged, figures.workers, figures.left
+        );
+    }
+    text + &format!("between planners: {} frames, {} KiB\n", books.frames, books.frame_bytes / 1024)
+}
+
 pub fn rules(verdict: &Verdict) -> String {
     let mut text = String::new();
     for (n, (rule, name)) in verdict.rules.iter().zip(Verdict::NAMES).enumerate() {
-        let state = match (rule.breaches.len(), rule.cases) {
-            (0, 0) => "not met today".to_owned(),
-            (0, cases) => format!("kept ({cases} cases)"),
-            (broken, cases) => format!("BROKEN {broken} times ({cases} cases)"),
-        };
+        let state = state(rule.breaches.len(), rule.cases);
         text += &format!("rule {} {name}: {state}\n", n + 1);
         for (why, count) in &rule.excused {
             text += &format!("    not judged: {count} {why}\n");
@@ -117,5 +148,5 @@
             text += &format!("    and {} more\n", rule.breaches.len() - 10);
         }
     }
-    text
+    text + &verdict.books.as_ref().map(books).unwrap_or_default()
 }
--- a/crates/cli/src/stage_host.rs
+++ b/crates/cli/src/stage_host.rs
@@ -1,27 +1,98 @@
 //! A day with real sockets: the stage in this process, each planner in one of its own.
 
-use mulleinhub_day::{Day, PlannerDeed, Progress, Score, Stage};
+use mulleinhub_day::{Behind, Day, Fate, PlannerDeed, Progress, Score, Stage};
 use mulleinhub_interface::Time;
 use mulleinhub_load::{PlannerProcess, Usage};
+use mulleinhub_planner::BooksText;
 use mulleinhub_runner::planner_text;
 use mulleinhub_shell::Shell;
 use rustix::process::Signal;
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::Path;
-use std::time::Duration;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// How long a planner may take to end when the day is over.
 const GOODBYE: Duration = Duration::from_millis(500);
 
+/// What a planner's settings are written from, and its files.
+struct Told {
+    n: usize,
+    listen: SocketAddr,
+    list: String,
+    members: Vec<(String, String)>,
+    state: PathBuf,
+    orders: PathBuf,
+    ahead: i64,
+}
+
+impl Told {
+    fn text(&self, day: &Day) -> String {
+        let books = day.books.as_ref().map(|books| BooksText {
+            terms: &books.terms,
+            members: self.members.clone(),
+            orders: Some(&self.orders),
+            ahead: self.ahead,
+        });
+        planner_text(day, self.n, Some(self.listen), self.list.clone(), Some(&self.state), books).show()
+    }
+
+    /// What is in the store's place: now, when it was killed last, and the time before.
+    fn stores(&self) -> [PathBuf; 3] {
+        ["books", "books.killed", "books.before"].map(|name| self.state.join(name))
+    }
+
+    /// The store of a planner that is down is lost, or is what it was when it was killed the time before.
+    fn change_store(&self, fate: Fate) -> Result<(), String> {
+        let [store, _, before] = self.stores();
+        let words = |e: std::io::Error| format!("{}: {e}", store.display());
+        if store.exists() {
+            std::fs::remove_file(&store).map_err(words)?;
+        }
+        match fate {
+            Fate::Old if before.exists() => std::fs::copy(&before, &store).map(drop).map_err(words),
+            Fate::Old | Fate::Lost => Ok(()),
+        }
+    }
+
+    /// Keeps a copy of the store of a planner that was killed.
+    fn copy_store(&self) -> Result<(), String> {
+        let [store, killed, before] = self.stores();
+        let words = |e: std::io::Error| format!("{}: {e}", store.display());
+        if killed.exists() {
+            std::fs::rename(&killed, &before).map_err(words)?;
+        }
+        if store.exists() { std::fs::copy(&store, &killed).map(drop).map_err(words) } else { Ok(()) }
+    }
+}
+
 /// One planner of the day, and what its processes used that are over.
 struct Planner {
     process: PlannerProcess,
     usage: Usage,
+    told: Told,
 }
 
 impl Planner {
+    /// An order more in its file.
+    fn give_order(&self, line: &str) -> Result<(), String> {
+        let orders = &self.told.orders;
+        let words = |e: std::io::Error| format!("{}: {e}", orders.display());
+        let mut file = File::options().append(true).open(orders).map_err(words)?;
+        writeln!(file, "{line}").map_err(words)?;
+        self.process.signal(Signal::HUP);
+        Ok(())
+    }
+
+    /// Its settings are written anew.
+    fn tell_again(&self, day: &Day) -> Result<(), String> {
+        let settings = self.told.state.with_extension("conf");
+        std::fs::write(&settings, self.told.text(day)).map_err(|e| format!("{}: {e}", settings.display()))?;
+        self.process.signal(Signal::HUP);
+        Ok(())
+    }
+
     fn used(&mut self, usage: Usage) {
         self.usage.cpu += usage.cpu;
         self.usage.most_memory = self.usage.most_memory.max(usage.most_memory);
@@ -71,24 +142,36 @@
     let mut shell = Shell::new(Stage::new(day.clone(), out)).map_err(|e| format!("poll: {e}"))?;
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let mut lists = vec![String::new(); day.planners];
-    for (door, planner, machine) in shell.party.doors() {
+    let mut members: Vec<Vec<(String, String)>> = vec![Vec::new(); day.planners];
+    for (door, planner, behind) in shell.party.doors() {
         let at = shell.listen(any, door).map_err(|e| format!("listening for planner {planner}: {e}"))?;
-        match machine {
-            Some(_) => shell.party.set_address(door, at.to_string()),
-            None => lists[planner] = at.to_string(),
+        match behind {
+            Behind::Machine(_) => shell.party.set_address(door, at.to_string()),
+            Behind::List => lists[planner] = at.to_string(),
+            Behind::Books(other) => members[planner].push((format!("planner-{}", other + 1), at.to_string())),
         }
     }
+    // What the system's clock is behind that of the day, in milliseconds.
+    let system = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as i64);
+    let begins = day.books.as_ref().map_or(0, |books| books.begins() as i64 - system);
     let mut planners = Vec::new();
-    for (n, list) in lists.into_iter().enumerate() {
+    for (n, (list, mut members)) in lists.into_iter().zip(members).enumerate() {
         let listen = free_port()?;
         let name = format!("planner-{}", n + 1);
         shell.name(name.clone(), listen);
-        let state = folder.join(format!("{name}.state"));
-        let settings = folder.join(format!("{name}.conf"));
-        let text = planner_text(&day, n, Some(listen), list, Some(&state)).show();
-        std::fs::write(&settings, text).map_err(|e| words(&settings, e))?;
-        let log = folder.join(format!("{name}.log"));
-        planners.push(Planner { process: PlannerProcess::new(settings, log, None), usage: Usage::default() });
+        if day.books.is_some() {
+            let books = free_port()?;
+            shell.name(format!("books-{}", n + 1), books);
+            members.push((name.clone(), books.to_string()));
+        }
+        let file = |end: &str| folder.join(format!("{name}.{end}"));
+        let settings = file("conf");
+        let told =
+            Told { n, listen, list, members, state: file("state"), orders: file("orders"), ahead: begins };
+        std::fs::write(&told.orders, "").map_err(|e| words(&told.orders, e))?;
+        std::fs::write(&settings, told.text(&day)).map_err(|e| words(&settings, e))?;
+        let process = PlannerProcess::new(settings, file("log"), None);
+        planners.push(Planner { process, usage: Usage::default(), told });
     }
     let mut looked = 0;
     loop {
@@ -97,9 +180,23 @@
         while let Some(deed) = shell.party.next_deed() {
             match deed {
                 PlannerDeed::Start(n) => planners[n].process.start()?,
-                PlannerDeed::Kill(n) => planners[n].kill(),
+                PlannerDeed::Kill(n) => {
+                    planners[n].kill();
+                    planners[n].told.copy_store()?;
+                }
                 PlannerDeed::Stop(n) => planners[n].process.signal(Signal::STOP),
                 PlannerDeed::Continue(n) => planners[n].process.signal(Signal::CONT),
+                PlannerDeed::Store(n, fate) => planners[n].told.change_store(fate)?,
+                PlannerDeed::Order(n, place) => {
+                    let line = shell.party.order(place).to_owned();
+                    planners[n].give_order(&line)?;
+                }
+                PlannerDeed::Clock(n, ahead) => {
+                    planners[n].told.ahead = begins + ahead;
+                    planners[n].tell_again(&day)?;
+                }
+                // Only a disk of our own could be filled without rights: virtual time plays it.
+                PlannerDeed::DiskFull(..) => {}
             }
             let now = shell.now();
             shell.party.did(now, deed);
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -10,6 +10,6 @@
 mod tap;
 mod trouble;
 
-pub use script::{CaseDay, Day, Fleet, ListModel, MachineModel, OwnerModel, Spot, parse_day};
-pub use stage::{Look, PlannerDeed, Progress, Score, Stage};
+pub use script::{BooksDay, CaseDay, Day, Fleet, ListModel, MachineModel, OwnerModel, Spot, parse_day};
+pub use stage::{Behind, Fate, Look, PlannerDeed, Progress, Score, Stage, list_door};
 pub use trouble::{Target, Trouble, What};
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -6,7 +6,9 @@
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_settings::{Args, Directive, Faults, Place, Range, Scope, Value};
 use mulleinhub_standins::{Planned, UseBook, Worth};
-use mulleinhub_terms::{Case, Kind, Rules, check, places, range_or, read_case, read_kind, read_rules};
+use mulleinhub_terms::{
+    BooksTerms, Case, Kind, Rules, check, places, range_or, read_books, read_case, read_kind, read_rules,
+};
 use std::sync::Arc;
 
 /// What a use case's tasks are like on this day.
@@ -103,6 +105,43 @@
     pub random_troubles: Range<usize>,
     /// Machines and work as a trace tells them, in place of the above.
     pub fleet: Option<Arc<Fleet>>,
+    /// Books that the planners keep together.
+    pub books: Option<BooksDay>,
+}
+
+/// The books of a day.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BooksDay {
+    pub terms: BooksTerms,
+    /// How long a planner's disk takes, in virtual time.
+    pub syncs: Range<Span>,
+    /// When a month ends, from the beginning of the day.
+    pub month_ends: Option<Span>,
+}
+
+/// An instant in the middle of a month, and one at which a month ends, in milliseconds of Unix time: the
+/// first of November 2026 in UTC.
+const MIDDLE: u64 = 1_792_022_400_000;
+const MONTH_ENDS: u64 = 1_793_491_200_000;
+
+impl BooksDay {
+    /// The time of day at which the day begins, in milliseconds of Unix time.
+    pub fn begins(&self) -> u64 {
+        self.month_ends.map_or(MIDDLE, |after| MONTH_ENDS - after.nanos() / 1_000_000)
+    }
+}
+
+fn read_books_day(directive: &Directive, faults: &mut Faults) -> BooksDay {
+    let mut scope = Scope::of(directive);
+    let terms = read_books(directive, &mut scope, faults);
+    if terms.zone != "UTC" {
+        faults.add(&directive.place, "days count their months in UTC");
+    }
+    let (low, high) = ms(2, 8);
+    let syncs = range_or(&mut scope, "syncs", low, high, faults);
+    let month_ends = scope.maybe("month-ends", faults);
+    scope.finish(faults);
+    BooksDay { terms, syncs, month_ends }
 }
 
 /// A machine of a trace: its place among the kinds and racks, and when it is up and down.
@@ -256,6 +295,7 @@
     let cross_hall_price = scope.or("cross-hall-price", 0.0, faults);
     let random_troubles = range_or(&mut scope, "random-troubles", 0, 0, faults);
     let most_in_hand = scope.maybe("most-in-hand", faults);
+    let books = scope.once("books", faults).map(|directive| read_books_day(directive, faults));
     let mut troubles = Vec::new();
     for line in scope.each("at") {
         let Some(trouble) = Trouble::read(line, faults) else { continue };
@@ -304,6 +344,7 @@
         most_in_hand,
         random_troubles,
         fleet: None,
+        books,
     };
     check(&day, &places(directives), &place, faults);
     faults.is_empty().then_some(day)
@@ -369,6 +410,14 @@
         if self.silent > 0 {
             lines.push(format!("{} connections are kept open and say almost nothing", self.silent));
         }
+        if let Some(books) = &self.books {
+            for team in &books.terms.teams {
+                let cap =
+                    team.cap.map_or("no cap".to_owned(), |cap| format!("a cap of {cap} micro-units a month"));
+                lines.push(format!("team {}: tenants {}, {cap}", team.name, team.tenants.join(", ")));
+            }
+            lines.extend(books.month_ends.map(|after| format!("a month ends after {}", span(after))));
+        }
         for case in &self.cases {
             let effect = match case.case.effect {
                 Effect::Replayable => "may run again".to_owned(),
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -2,7 +2,7 @@
 
 use crate::script::{CaseDay, Day};
 use crate::tap::{At, Parcel, Pipe, To, Way, Weather};
-use crate::trouble::{Far, Struck, Target, Trouble, What};
+use crate::trouble::{Far, Store, Struck, Target, Trouble, What};
 use mulleinhub_capture::{self as capture, Deed, Record, Recorder, Side};
 use mulleinhub_interface::{Effect, Reach, Room};
 use mulleinhub_interface::{Span, Time};
@@ -16,9 +16,38 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
 
-/// Doors of one planner begin at this many times its number; the last is the list's.
-const DOORS: u32 = 1000;
+/// Doors of one planner begin at this many times its number; the last is the list's, those before are other
+/// planners'.
+const DOORS: u32 = 4000;
 const LIST_DOOR: u32 = DOORS - 1;
+const BOOKS_DOORS: u32 = 2000;
+
+/// The list's door of a planner.
+pub fn list_door(planner: usize) -> Door {
+    Door(planner as u32 * DOORS + LIST_DOOR)
+}
+
+/// The door of a planner behind which another one keeps books.
+fn books_door(planner: usize, other: usize) -> Door {
+    Door(planner as u32 * DOORS + BOOKS_DOORS + other as u32)
+}
+
+/// What is behind a door.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behind {
+    Machine(u64),
+    List,
+    /// The books of that planner.
+    Books(usize),
+}
+
+/// What a planner finds on its disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Lost,
+    /// What was there when it was killed the time before.
+    Old,
+}
 /// Silent connections are of so many tenants.
 const SILENT_TENANTS: usize = 20;
 
@@ -29,6 +58,13 @@
     Kill(usize),
     Stop(usize),
     Continue(usize),
+    /// While it is down, its disk is changed.
+    Store(usize, Fate),
+    /// An order of the operators, by its place in `Stage::order`.
+    Order(usize, usize),
+    /// Its clock is ahead by so many milliseconds from now on.
+    Clock(usize, i64),
+    DiskFull(usize, bool),
 }
 
 /// How far a day is, for whoever watches.
@@ -418,6 +454,24 @@
             young_limit: day.rules.young_limit,
             most_sends: day.rules.most_sends,
             tip: day.machine.tip,
+            books: day.books.as_ref().map(|books| capture::BooksTerms {
+                teams: books
+                    .terms
+                    .teams
+                    .iter()
+                    .map(|team| capture::TeamTerms {
+                        name: team.name.clone(),
+                        account: team.account.clone(),
+                        tenants: team.tenants.clone(),
+                        cap: team.cap,
+                    })
+                    .collect(),
+                core_second: books.terms.core_second,
+                memory_second: books.terms.memory_second,
+                near: books.terms.near,
+                stretch: books.terms.stretch.nanos(),
+                month_ends: books.month_ends.map(Span::nanos),
+            }),
         }
     }
 
@@ -427,21 +481,32 @@
         &self.day
     }
 
-    /// Every way in: its number, the planner it is for, and the machine behind it (none: the list service).
-    pub fn doors(&self) -> Vec<(Door, usize, Option<u64>)> {
+    /// Every way in: its number, the planner it is for, and what is behind it.
+    pub fn doors(&self) -> Vec<(Door, usize, Behind)> {
+        let many = if self.day.books.is_some() { self.day.planners } else { 0 };
         let of = |planner: usize| {
             let base = planner as u32 * DOORS;
-            let machines =
-                (0..self.spots.len()).map(move |n| (Door(base + n as u32), planner, Some(n as u64 + 1)));
-            machines.chain([(Door(base + LIST_DOOR), planner, None)])
+            let machines = (0..self.spots.len())
+                .map(move |n| (Door(base + n as u32), planner, Behind::Machine(n as u64 + 1)));
+            let others = (0..many).filter(move |other| *other != planner);
+            let books = others.map(move |other| (books_door(planner, other), planner, Behind::Books(other)));
+            machines.chain([(list_door(planner), planner, Behind::List)]).chain(books)
         };
         (0..self.day.planners).flat_map(of).collect()
     }
 
+    /// The line of an order, for whoever gives it to a planner.
+    pub fn order(&self, place: usize) -> &str {
+        match self.troubles.get(place).map(|trouble| &trouble.what) {
+            Some(What::Order { line }) => line,
+            _ => "",
+        }
+    }
+
     /// Tells the list service under which address a planner reaches the machine behind a door.
     pub fn set_address(&mut self, door: Door, address: String) {
         let (planner, n) = ((door.0 / DOORS) as usize, door.0 % DOORS);
-        if let (Body::List(list), true) = (&mut self.nodes[self.list_node], n != LIST_DOOR) {
+        if let (Body::List(list), true) = (&mut self.nodes[self.list_node], n < BOOKS_DOORS) {
             list.address(&format!("planner-{}", planner + 1), u64::from(n) + 1, address);
         }
     }
@@ -457,6 +522,14 @@
             PlannerDeed::Kill(planner) => (Deed::Killed, planner),
             PlannerDeed::Stop(planner) => (Deed::Stopped, planner),
             PlannerDeed::Continue(planner) => (Deed::Continued, planner),
+            PlannerDeed::Store(planner, Fate::Lost) => (Deed::StoreLost, planner),
+            PlannerDeed::Store(planner, Fate::Old) => (Deed::StoreOld, planner),
+            PlannerDeed::Order(planner, place) => {
+                let (who, words) = (format!("planner-{}", planner + 1), self.order(place).to_owned());
+                self.recorder.record(now.max(self.now), Record::Order { planner: &who, words: &words });
+                return;
+            }
+            PlannerDeed::Clock(..) | PlannerDeed::DiskFull(..) => return,
         };
         let who = format!("planner-{}", planner + 1);
         self.recorder.record(now.max(self.now), Record::Deed { deed, who: &who, machine: None });
@@ -574,16 +647,21 @@
                 let ended: Vec<Active> = self.active.iter().filter(|a| a.trouble == n).cloned().collect();
                 self.active.retain(|active| active.trouble != n);
                 for active in ended {
-                    if self.troubles[n].what == What::Stop {
-                        let deeds = active.planners.iter().map(|planner| PlannerDeed::Continue(*planner));
-                        self.deeds.extend(deeds);
+                    let planners = active.planners.iter().copied();
+                    match self.troubles[n].what {
+                        What::Stop => self.deeds.extend(planners.map(PlannerDeed::Continue)),
+                        What::Clock { .. } => self.deeds.extend(planners.map(|p| PlannerDeed::Clock(p, 0))),
+                        What::DiskFull => {
+                            self.deeds.extend(planners.map(|p| PlannerDeed::DiskFull(p, false)))
+                        }
+                        _ => {}
                     }
                 }
                 self.strike(now);
                 if matches!(self.troubles[n].what, What::SlowSenders { .. }) {
                     self.with_crowd(|crowd| crowd.slow_senders_finish());
                 }
-                if self.troubles[n].what == What::HalfOpen {
+                if matches!(self.troubles[n].what, What::HalfOpen | What::OneWay) {
                     self.end_half_open(now, n);
                 }
             }
@@ -695,10 +773,15 @@
                     self.at(now + after, Act::MachineUp(n));
                 }
             }
-            What::Kill { down } => {
+            What::Kill { down, store } => {
                 for planner in &planners {
                     let down = self.dice.span(down.low, down.high);
                     self.deeds.push(PlannerDeed::Kill(*planner));
+                    match store {
+                        Store::Kept => {}
+                        Store::Lost => self.deeds.push(PlannerDeed::Store(*planner, Fate::Lost)),
+                        Store::Old => self.deeds.push(PlannerDeed::Store(*planner, Fate::Old)),
+                    }
                     self.at(now + down, Act::Planner(PlannerDeed::Start(*planner)));
                 }
             }
@@ -761,7 +844,15 @@
                 let part = self.draw(*part);
                 self.with_crowd(|crowd| crowd.slow_senders(now, part));
             }
+            What::Order { .. } => self.deeds.extend(planners.iter().map(|p| PlannerDeed::Order(*p, n))),
+            What::Clock { ahead, by } => {
+                let by = (self.dice.span(by.low, by.high).nanos() / 1_000_000) as i64;
+                let by = if *ahead { by } else { -by };
+                self.deeds.extend(planners.iter().map(|planner| PlannerDeed::Clock(*planner, by)));
+            }
+            What::DiskFull => self.deeds.extend(planners.iter().map(|p| PlannerDeed::DiskFull(*p, true))),
             What::Hang
+            | What::OneWay
             | What::ListSilent
             | What::Cut
             | What::Reset
@@ -905,6 +996,7 @@
 
     fn far_matches(&self, far: &Far, node: usize, machine: Option<usize>) -> bool {
         match far {
+            Far::Planner(_) | Far::Planners | Far::OtherHalf => false,
             Far::Machines => machine.is_some(),
             Far::Machine(id) => machine.is_some_and(|n| n as u64 + 1 == *id),
             Far::Rack(rack) => machine.is_some_and(|n| self.day.rack_of(n) + 1 == *rack),
@@ -913,18 +1005,46 @@
         }
     }
 
+    /// Which side of a connection between planners a target names first; nothing where it doesn't mean it.
+    fn side_of(target: &Target, planner: usize, other: usize) -> Option<usize> {
+        let Target::Link { planner: who, far } = target else { return None };
+        let sides = [(0, planner, other), (1, other, planner)];
+        let is = |(_, one, two): &(usize, usize, usize)| {
+            who.is_none_or(|p| p == one + 1)
+                && match far {
+                    Far::Planner(n) => *n == two + 1,
+                    Far::Planners => true,
+                    Far::OtherHalf => one % 2 != two % 2,
+                    _ => false,
+                }
+        };
+        sides.into_iter().find(is).map(|(side, ..)| side)
+    }
+
+    /// The weather between two planners' books.
+    fn weather_between(&self, planner: usize, other: usize) -> Weather {
+        let sides = |target: &Target| Self::side_of(target, planner, other);
+        self.weather_of(sides)
+    }
+
     /// The weather between a planner and a node; `machine` where it is one.
     fn weather(&self, planner: usize, node: usize, machine: Option<usize>) -> Weather {
         let machine = machine.filter(|n| *n < self.spots.len());
+        self.weather_of(|target| {
+            let Target::Link { planner: who, far } = target else { return None };
+            (who.is_none_or(|p| p == planner + 1) && self.far_matches(far, node, machine)).then_some(0)
+        })
+    }
+
+    fn weather_of(&self, struck: impl Fn(&Target) -> Option<usize>) -> Weather {
         let mut weather = Weather::default();
         for active in &self.active {
             let trouble = &self.troubles[active.trouble];
-            let Target::Link { planner: who, far } = &trouble.target else { continue };
-            let struck = who.is_none_or(|p| p == planner + 1) && self.far_matches(far, node, machine);
-            if !struck || trouble.struck() != Struck::Links {
+            let Some(side) = struck(&trouble.target).filter(|_| trouble.struck() == Struck::Links) else {
                 continue;
-            }
+            };
             match trouble.what {
+                What::OneWay => weather.mute = Some(side),
                 What::Cut => weather.cut = true,
                 What::HalfOpen => weather.half_open = true,
                 What::StallLink => weather.stalled = true,
@@ -949,6 +1069,9 @@
     }
 
     fn pipe_weather(&self, pipe: &Pipe) -> Weather {
+        if let Some(other) = pipe.other {
+            return self.weather_between(pipe.planner, other);
+        }
         let (node, machine) = self.far_of(pipe);
         self.weather(pipe.planner, node, machine)
     }
@@ -958,6 +1081,9 @@
         let Target::Link { planner, far } = &trouble.target else { return };
         let struck = |pipe: &&u32| {
             let pipe = &self.pipes[*pipe];
+            if let Some(other) = pipe.other {
+                return Self::side_of(&trouble.target, pipe.planner, other).is_some();
+            }
             let (node, machine) = self.far_of(pipe);
             planner.is_none_or(|p| p == pipe.planner + 1) && self.far_matches(far, node, machine)
         };
@@ -1017,6 +1143,7 @@
         self.dice.span(range.low, range.high) + extra
     }
 
+    #[expect(clippy::too_many_arguments, reason = "two ends with their names, and what lies between")]
     fn new_pipe(
         &mut self,
         now: Time,
@@ -1025,10 +1152,11 @@
         opened_name: String,
         to: To,
         planner: usize,
+        other: Option<usize>,
     ) {
         let id = self.next_pipe;
         self.next_pipe += 1;
-        let planner_side = usize::from(matches!(to, To::Outside(_)));
+        let planner_side = usize::from(matches!(to, To::Outside(_)) && other.is_none());
         self.recorder.record(now, Record::Opened { link: id, opener: &opener_name, opened: &opened_name });
         let mut pipe = Pipe {
             ends: [Some(opener), None],
@@ -1036,13 +1164,15 @@
             weather: Weather::default(),
             planner_side,
             planner,
+            other,
             cross: false,
             to,
         };
         pipe.weather = self.pipe_weather(&pipe);
         let (_, machine) = self.far_of(&pipe);
-        pipe.cross =
-            machine.is_some_and(|n| self.day.rack_of(n) % self.day.halls != planner as u32 % self.day.halls);
+        let hall = planner as u32 % self.day.halls;
+        pipe.cross = machine.is_some_and(|n| self.day.rack_of(n) % self.day.halls != hall)
+            || other.is_some_and(|other| other as u32 % self.day.halls != hall);
         self.pipes.insert(id, pipe);
         self.by_end.insert(opener, (id, 0));
         let delay = self.delay(id);
@@ -1130,7 +1260,8 @@
                 continue;
             }
             let Some(parcel) = pipe.ways[side].next() else { continue };
-            let swallowed = pipe.weather.half_open && !matches!(parcel, Parcel::Open | Parcel::Up);
+            let mute = pipe.weather.half_open || pipe.weather.mute == Some(side);
+            let swallowed = mute && !matches!(parcel, Parcel::Open | Parcel::Up);
             if !swallowed {
                 self.hand(now, id, side, parcel);
             }
@@ -1242,7 +1373,7 @@
                         address.rsplit('-').next().and_then(|n| n.parse::<usize>().ok()).unwrap_or(1);
                     let name = self.names[node].clone();
                     let to = To::Outside(address.clone());
-                    self.new_pipe(now, (At::Node(node), link), name, address, to, planner - 1);
+                    self.new_pipe(now, (At::Node(node), link), name, address, to, planner - 1, None);
                 }
                 Ask::End { link, at_once } => {
                     if let Some((id, side)) = self.by_end.get(&(At::Node(node), link)).copied() {
@@ -1311,13 +1442,19 @@
     fn opened(&mut self, now: Time, link: Link, door: Door) {
         let now = now.max(self.now);
         let (planner, n) = ((door.0 / DOORS) as usize, door.0 % DOORS);
+        if (BOOKS_DOORS..LIST_DOOR).contains(&n) {
+            let other = (n - BOOKS_DOORS) as usize;
+            let [mine, theirs] = [planner, other].map(|n| format!("books-{}", n + 1));
+            let to = To::Outside(theirs.clone());
+            return self.new_pipe(now, (At::Outside, link), mine, theirs, to, planner, Some(other));
+        }
         let (to, name) = if n == LIST_DOOR {
             (To::Node(self.list_node, 0), "list".to_owned())
         } else {
             let (rack, at) = self.spots[n as usize];
             (To::Node(rack, at as u32), format!("machine-{}", n + 1))
         };
-        self.new_pipe(now, (At::Outside, link), format!("planner-{}", planner + 1), name, to, planner);
+        self.new_pipe(now, (At::Outside, link), format!("planner-{}", planner + 1), name, to, planner, None);
     }
 
     fn up(&mut self, now: Time, link: Link) {
@@ -1381,6 +1518,9 @@
 
     fn listens(&self, door: Door) -> bool {
         let (planner, n) = ((door.0 / DOORS) as usize, door.0 % DOORS);
+        if (BOOKS_DOORS..LIST_DOOR).contains(&n) {
+            return !self.weather_between(planner, (n - BOOKS_DOORS) as usize).cut;
+        }
         let to = if n == LIST_DOOR {
             self.list_node
         } else {
--- a/crates/day/src/tap.rs
+++ b/crates/day/src/tap.rs
@@ -37,6 +37,8 @@
     pub extra: Span,
     /// Nothing is read from the planner's side.
     pub slow_reader: bool,
+    /// What comes from this side is swallowed, and nobody is told.
+    pub mute: Option<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -125,6 +127,8 @@
     /// Which side is the planner's, and where the pipe leads: for troubles.
     pub planner_side: usize,
     pub planner: usize,
+    /// Between planners: the one that was called.
+    pub other: Option<usize>,
     pub cross: bool,
     /// The address or door that side 1 is reached by.
     pub to: To,
--- a/crates/day/src/trouble.rs
+++ b/crates/day/src/trouble.rs
@@ -29,39 +29,112 @@
     Owners,
     List,
     Machines,
+    /// Other planners, with whom books are kept.
+    Planner(usize),
+    Planners,
+    /// Planners whose numbers don't leave the same rest when halved.
+    OtherHalf,
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum What {
     Hang,
-    Slow { by: Range<f64> },
-    FastErrors { part: Range<f64> },
-    Neighbour { part: Range<f64>, every: Range<Span> },
-    Unanswered { case: String, part: Range<f64>, errs: bool },
-    Heavy { case: String, part: Range<f64>, by: Range<f64> },
-    Restart { down: Range<Span> },
+    Slow {
+        by: Range<f64>,
+    },
+    FastErrors {
+        part: Range<f64>,
+    },
+    Neighbour {
+        part: Range<f64>,
+        every: Range<Span>,
+    },
+    Unanswered {
+        case: String,
+        part: Range<f64>,
+        errs: bool,
+    },
+    Heavy {
+        case: String,
+        part: Range<f64>,
+        by: Range<f64>,
+    },
+    Restart {
+        down: Range<Span>,
+    },
     Gone,
-    Drain { then_gone: Option<Range<Span>> },
-    Grow { part: Range<f64> },
-    Surge { by: Range<f64> },
-    HotService { part: Range<f64> },
-    Kill { down: Range<Span> },
+    Drain {
+        then_gone: Option<Range<Span>>,
+    },
+    Grow {
+        part: Range<f64>,
+    },
+    Surge {
+        by: Range<f64>,
+    },
+    HotService {
+        part: Range<f64>,
+    },
+    Kill {
+        down: Range<Span>,
+        store: Store,
+    },
     Stop,
-    Stalls { stop: Range<Span>, every: Range<Span> },
-    Roll { down: Range<Span>, every: Range<Span> },
-    Reconnect { part: Range<f64> },
-    AskAgain { part: Range<f64> },
+    Stalls {
+        stop: Range<Span>,
+        every: Range<Span>,
+    },
+    Roll {
+        down: Range<Span>,
+        every: Range<Span>,
+    },
+    Reconnect {
+        part: Range<f64>,
+    },
+    AskAgain {
+        part: Range<f64>,
+    },
     ListSilent,
-    ListLate { by: Range<Span> },
+    ListLate {
+        by: Range<Span>,
+    },
     Cut,
     Reset,
     HalfOpen,
     StallLink,
-    Delay { by: Range<Span> },
+    Delay {
+        by: Range<Span>,
+    },
     SlowReader,
-    Storm { part: Range<f64>, within: Range<Span> },
-    SilentBurst { part: Range<f64> },
-    SlowSenders { part: Range<f64> },
+    Storm {
+        part: Range<f64>,
+        within: Range<Span>,
+    },
+    SilentBurst {
+        part: Range<f64>,
+    },
+    SlowSenders {
+        part: Range<f64>,
+    },
+    /// The operators give an order, a line of their orders file.
+    Order {
+        line: String,
+    },
+    Clock {
+        ahead: bool,
+        by: Range<Span>,
+    },
+    DiskFull,
+    OneWay,
+}
+
+/// What a killed planner finds on its disk when it comes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Store {
+    Kept,
+    Lost,
+    /// As it was when it was killed the time before.
+    Old,
 }
 
 /// One trouble of a day, with what is left to chance.
@@ -77,7 +150,7 @@
 }
 
 /// The kinds by the words of scripts, and what each may strike.
-const KINDS: [(&str, Struck); 30] = [
+const KINDS: [(&str, Struck); 34] = [
     ("hang", Struck::Machines),
     ("slow", Struck::Machines),
     ("fast-errors", Struck::Machines),
@@ -108,6 +181,10 @@
     ("storm", Struck::Nothing),
     ("silent-burst", Struck::Nothing),
     ("slow-senders", Struck::Nothing),
+    ("order", Struck::Planners),
+    ("clock", Struck::Planners),
+    ("disk-full", Struck::Planners),
+    ("one-way", Struck::Links),
 ];
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -188,7 +265,20 @@
             "grow" => What::Grow { part: part(&mut args, "part", 1.0, 1.0, faults) },
             "surge" => What::Surge { by: option(&mut args, "by", share_range(1.5, 2.5), faults) },
             "hot-service" => What::HotService { part: part(&mut args, "part", 0.1, 0.3, faults) },
-            "kill" => What::Kill { down: option(&mut args, "down", spans(300, 3_000), faults) },
+            "kill" => {
+                let down = option(&mut args, "down", spans(300, 3_000), faults);
+                let word = if args.takes("store") { args.word() } else { None };
+                let store = match word.map(|word| word.text.as_str()) {
+                    None => Store::Kept,
+                    Some("lost") => Store::Lost,
+                    Some("old") => Store::Old,
+                    Some(other) => {
+                        faults.add(&directive.place, format!("store {other}: lost or old is wanted"));
+                        Store::Kept
+                    }
+                };
+                What::Kill { down, store }
+            }
             "stop" => What::Stop,
             "stalls" => What::Stalls {
                 stop: option(&mut args, "stop", spans(300, 2_000), faults),
@@ -213,6 +303,13 @@
                 within: option(&mut args, "within", spans(2_000, 2_000), faults),
             },
             "silent-burst" => What::SilentBurst { part: part(&mut args, "part", 1.0, 1.0, faults) },
+            "order" => What::Order { line: args.next::<String>(faults)? },
+            "clock" => {
+                let ahead = args.takes("ahead") || !args.takes("behind");
+                What::Clock { ahead, by: args.next(faults)? }
+            }
+            "disk-full" => What::DiskFull,
+            "one-way" => What::OneWay,
             "slow-senders" => What::SlowSenders { part: part(&mut args, "part", 0.01, 0.1, faults) },
             _ => unreachable!("is one of the kinds"),
         };
@@ -273,7 +370,9 @@
             11 => (What::Grow { part: share_range(0.5, 1.0) }, all, one()),
             12 => (What::Surge { by: share_range(1.4, 2.5) }, all, one()),
             13 => (What::HotService { part: share_range(0.05, 0.3) }, all, one()),
-            14 => (What::Kill { down: spans(200, 4_000) }, Target::Planner(planner), one()),
+            14 => {
+                (What::Kill { down: spans(200, 4_000), store: Store::Kept }, Target::Planner(planner), one())
+            }
             15 => (What::Stop, Target::Planner(planner), one()),
             16 => (
                 What::Stalls { stop: spans(300, 2_000), every: spans(2_000, 4_000) },
@@ -345,7 +444,20 @@
             What::Grow { part } => format!("{} of the spare machines come up, cold", share(part)),
             What::Surge { by } => format!("owners want {} times as many new tasks", times(by)),
             What::HotService { part } => format!("{} of the new tasks belong to one service", share(part)),
-            What::Kill { down } => format!("{who} killed, and started again after {}", span(down)),
+            What::Kill { down, store } => {
+                let store = match store {
+                    Store::Kept => "",
+                    Store::Lost => " without its store",
+                    Store::Old => " with its store of the kill before",
+                };
+                format!("{who} killed, and started again{store} after {}", span(down))
+            }
+            What::Order { line } => format!("the operators order at {who}: {line}"),
+            What::Clock { ahead, by } => {
+                format!("the clock of {who} is {} by {}", if *ahead { "ahead" } else { "behind" }, span(by))
+            }
+            What::DiskFull => format!("nothing can be written to the disk of {who}"),
+            What::OneWay => format!("what the first writes on {who} is swallowed, and nobody is told"),
             What::Stop => format!("{who} stopped and then continued"),
             What::Stalls { stop, every } => {
                 format!("{who} stand still for {} every {}, all at the same moment", span(stop), span(every))
@@ -430,6 +542,10 @@
             What::Storm { .. } => "storm",
             What::SilentBurst { .. } => "silent-burst",
             What::SlowSenders { .. } => "slow-senders",
+            What::Order { .. } => "order",
+            What::Clock { .. } => "clock",
+            What::DiskFull => "disk-full",
+            What::OneWay => "one-way",
         }
     }
 
@@ -446,6 +562,12 @@
     if struck == Struck::Nothing {
         return Some(Target::All);
     }
+    if struck == Struck::Links && args.takes("halves") {
+        return Some(Target::Link { planner: None, far: Far::OtherHalf });
+    }
+    if struck == Struck::Links && args.takes("planners") {
+        return Some(Target::Link { planner: None, far: Far::Planners });
+    }
     if args.takes("all") {
         return Some(match struck {
             Struck::Links => Target::Link { planner: None, far: Far::Machines },
@@ -476,14 +598,20 @@
                 Far::Owners
             } else if args.takes("list") {
                 Far::List
+            } else if args.takes("planner") {
+                Far::Planner(args.next(faults)?)
+            } else if args.takes("planners") {
+                Far::Planners
             } else {
                 Far::Machines
             };
             Some(Target::Link { planner, far })
         }
         // Left out: all of them.
-        _ if word
-            .is_none_or(|w| ["share", "by", "part", "case", "down", "chance"].contains(&w.text.as_str())) =>
+        _ if word.is_none_or(|w| {
+            ["share", "by", "part", "case", "down", "chance", "ahead", "behind", "store"]
+                .contains(&w.text.as_str())
+        }) =>
         {
             Some(match struck {
                 Struck::Links => Target::Link { planner: None, far: Far::Machines },
@@ -492,14 +620,27 @@
         }
         Struck::Machines => bad(faults, "machine N, rack N, hall N, kind NAME or all"),
         Struck::Planners => bad(faults, "planner N, hall N or all"),
-        _ => bad(faults, "planner N [machine N, rack N, owners or list] or all"),
+        _ => bad(
+            faults,
+            "planner N [machine N, rack N, owners, list, planner N or planners], planners, halves or all",
+        ),
     }
 }
 
 impl Target {
     fn words(&self, what: &What) -> String {
-        let planners =
-            matches!(what, What::Kill { .. } | What::Stop | What::Stalls { .. } | What::Roll { .. });
+        let planners = !matches!(
+            what,
+            What::Hang
+                | What::Slow { .. }
+                | What::FastErrors { .. }
+                | What::Neighbour { .. }
+                | What::Unanswered { .. }
+                | What::Heavy { .. }
+                | What::Restart { .. }
+                | What::Gone
+                | What::Drain { .. }
+        );
         match self {
             Self::All if planners => "all planners".to_owned(),
             Self::All => "all machines".to_owned(),
@@ -517,6 +658,9 @@
                     Far::Owners => "owners".to_owned(),
                     Far::List => "the list".to_owned(),
                     Far::Machines => "machines".to_owned(),
+                    Far::Planner(n) => format!("planner {n}"),
+                    Far::Planners => "other planners".to_owned(),
+                    Far::OtherHalf => "planners of the other half".to_owned(),
                 };
                 format!("the links between {planner} and {far}")
             }
--- a/crates/load/src/town.rs
+++ b/crates/load/src/town.rs
@@ -1,6 +1,6 @@
 //! Machines and a list service behind real sockets, in a thread of their own: a day's stage without owners.
 
-use mulleinhub_day::{Day, PlannerDeed, Stage, parse_day};
+use mulleinhub_day::{Behind, Day, PlannerDeed, Stage, parse_day};
 use mulleinhub_interface::Span;
 use mulleinhub_settings::{Faults, parse_text};
 use mulleinhub_shell::Shell;
@@ -44,11 +44,12 @@
             Shell::new(Stage::new(day.clone(), std::io::sink())).map_err(|e| format!("poll: {e}"))?;
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let mut lists = vec![String::new(); day.planners];
-        for (door, planner, machine) in shell.party.doors() {
+        for (door, planner, behind) in shell.party.doors() {
             let at = shell.listen(any, door).map_err(|e| format!("a machine's listener: {e}"))?;
-            match machine {
-                Some(_) => shell.party.set_address(door, at.to_string()),
-                None => lists[planner] = at.to_string(),
+            match behind {
+                Behind::Machine(_) => shell.party.set_address(door, at.to_string()),
+                Behind::List => lists[planner] = at.to_string(),
+                Behind::Books(_) => {}
             }
         }
         let over = Arc::new(AtomicBool::new(false));
--- /dev/null
+++ b/crates/peers/src/lib.rs
@@ -0,0 +1,19 @@
+//! The books between schedulers: exchange, store, and the planner's look.
+//!
+//! For: the party that exchanges columns, orders and parts of shares with other schedulers; the shards that
+//! the planner's loop looks into, each under its own lock; the store; and the threads that run the last two
+//! beside the loop. The party has no I/O of its own, so that a day in virtual time plays it, too.
+//! May not touch: the engine, the module; what a share is worth or who may have it, which `accounts` decides.
+//!
+//! Locks are taken one at a time and in no nest: the loop locks one shard for a look, the exchange one
+//! after the other, and none is held over I/O, a sync, or the taking of another.
+
+mod exchange;
+mod shelf;
+mod store;
+mod threads;
+
+pub use exchange::{Exchange, Figures, Member};
+pub use shelf::{Shelf, Teller};
+pub use store::Store;
+pub use threads::{Running, Start, start};
--- /dev/null
+++ b/crates/peers/src/shelf.rs
@@ -0,0 +1,163 @@
+//! Where the planner's loop and the keeper of the books meet: the tills, in shards each under its own lock.
+
+use mulleinhub_accounts::{Away, Prices, Settings, Till, Tills};
+use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+
+/// Teams are spread over so many locks.
+const SHARDS: usize = 16;
+/// Before the books are known, whoever asks is to come again soon.
+const FIRST: Away = Away { least: Span::from_nanos(500_000_000), most: Span::from_nanos(1_500_000_000) };
+
+type Wakes = Box<dyn Fn() + Send + Sync>;
+
+/// The tills of all teams.
+pub struct Shelf {
+    shards: Vec<Mutex<Vec<Till>>>,
+    /// Somebody was refused since the keeper looked last.
+    wanted: AtomicBool,
+    told: AtomicBool,
+    wakes: OnceLock<Wakes>,
+    status: Mutex<Vec<String>>,
+}
+
+/// A thread that died while it changed what others rely on: nothing can be made of that, so the process ends.
+fn locked<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+    lock.lock().unwrap_or_else(|_| {
+        tracing::error!("a thread of the books died with a lock in its hand; the process ends");
+        std::process::abort()
+    })
+}
+
+impl Shelf {
+    pub fn new(settings: &Settings) -> Arc<Self> {
+        let teams = settings.teams.len();
+        let shards = teams.clamp(1, SHARDS);
+        let of = |shard: usize| (shard..teams).step_by(shards).map(|_| Till::new(settings.stretch, FIRST));
+        Arc::new(Self {
+            shards: (0..shards).map(|shard| Mutex::new(of(shard).collect())).collect(),
+            wanted: AtomicBool::new(false),
+            told: AtomicBool::new(false),
+            wakes: OnceLock::new(),
+            status: Mutex::new(Vec::new()),
+        })
+    }
+
+    /// How the keeper is woken when somebody was refused.
+    pub fn wakes_by(&self, wakes: Wakes) {
+        drop(self.wakes.set(wakes));
+    }
+
+    fn till<T>(&self, team: usize, act: impl FnOnce(&mut Till) -> T) -> T {
+        let shard = &self.shards[team % self.shards.len()];
+        act(&mut locked(shard)[team / self.shards.len()])
+    }
+
+    /// Whether somebody was refused since `take_wanted`.
+    pub fn is_wanted(&self) -> bool {
+        self.wanted.load(Ordering::Acquire)
+    }
+
+    /// Whether somebody was refused since the last call.
+    pub fn take_wanted(&self) -> bool {
+        self.wanted.swap(false, Ordering::AcqRel)
+    }
+
+    /// Whether all machines have told what they hold, since the last call.
+    pub fn take_told(&self) -> bool {
+        self.told.swap(false, Ordering::AcqRel)
+    }
+
+    pub fn set_status(&self, lines: Vec<String>) {
+        *locked(&self.status) = lines;
+    }
+
+    fn wants(&self) {
+        // Once until the keeper has looked: a burst of refusals wakes it once.
+        if !self.wanted.swap(true, Ordering::AcqRel)
+            && let Some(wakes) = self.wakes.get()
+        {
+            wakes();
+        }
+    }
+}
+
+impl Tills for &Shelf {
+    fn with(&mut self, team: usize, act: &mut dyn FnMut(&mut Till)) {
+        self.till(team, |till| act(till));
+    }
+}
+
+/// The planner's side: which team an owner belongs to, what a worker costs, and one lock for each look.
+pub struct Teller {
+    shelf: Arc<Shelf>,
+    teams: BTreeMap<String, u32>,
+    prices: Prices,
+}
+
+impl Teller {
+    pub fn new(shelf: Arc<Shelf>, settings: &Settings) -> Self {
+        let tenants = settings
+            .teams
+            .iter()
+            .zip(0..)
+            .flat_map(|(team, at)| team.tenants.iter().map(move |tenant| (tenant.to_string(), at)));
+        Self { shelf, teams: tenants.collect(), prices: settings.prices }
+    }
+
+    /// An owner's tenant is its name up to the first slash.
+    fn team(&self, owner: &str) -> Option<u32> {
+        self.teams.get(owner.split('/').next().unwrap_or(owner)).copied()
+    }
+}
+
+impl Quota for Teller {
+    fn ask(
+        &mut self,
+        now: Time,
+        owner: &str,
+        key: TaskKey,
+        ask: Room,
+        drawn: f64,
+    ) -> Result<Option<Ticket>, Span> {
+        let Some(team) = self.team(owner) else { return Ok(None) };
+        let rate = self.prices.rate(ask);
+        let answer = self.shelf.till(team as usize, |till| till.ask(now, team, key, rate, drawn));
+        if answer.is_err() {
+            self.shelf.wants();
+        }
+        answer.map(Some)
+    }
+
+    fn never_ran(&mut self, now: Time, ticket: Ticket) {
+        self.shelf.till(ticket.team as usize, |till| till.never_ran(now, ticket));
+    }
+
+    fn may_run(&mut self, now: Time, ticket: Ticket) {
+        self.shelf.till(ticket.team as usize, |till| till.may_run(now, ticket));
+    }
+
+    fn runs(&mut self, now: Time, ticket: Ticket) {
+        self.shelf.till(ticket.team as usize, |till| till.runs(now, ticket));
+    }
+
+    fn adopted(&mut self, now: Time, owner: &str, key: TaskKey, ask: Room) -> Option<Ticket> {
+        let team = self.team(owner)?;
+        let rate = self.prices.rate(ask);
+        Some(self.shelf.till(team as usize, |till| till.adopt(now, team, key, rate)))
+    }
+
+    fn over(&mut self, now: Time, ticket: Ticket, comes_again: bool) {
+        self.shelf.till(ticket.team as usize, |till| till.over(now, ticket, comes_again));
+    }
+
+    fn all_told(&mut self, _: Time) {
+        self.shelf.told.store(true, Ordering::Release);
+    }
+
+    fn status(&self, _: Time) -> Vec<String> {
+        locked(&self.shelf.status).clone()
+    }
+}
--- /dev/null
+++ b/crates/peers/src/store.rs
@@ -0,0 +1,115 @@
+//! The books on disk: rows by writer, life and number, in an embedded store, committed in groups.
+
+use mulleinhub_replica::{Change, ColumnId, Digest, Kept, Name};
+use redb::{Database, DatabaseError, ReadableTable, TableDefinition};
+use std::path::{Path, PathBuf};
+
+/// Writer, life and number of a row; the digest before it, and its bytes.
+type Place = (&'static str, u64, u64);
+type Bytes = (&'static [u8; 16], &'static [u8]);
+const ROWS: TableDefinition<'_, Place, Bytes> = TableDefinition::new("rows");
+const ABOUT: TableDefinition<'_, &str, u64> = TableDefinition::new("about");
+/// Of the layout above. A later one is not touched.
+const FORMAT: u64 = 1;
+
+pub struct Store {
+    database: Database,
+    path: PathBuf,
+}
+
+impl Store {
+    /// Opens the store of a directory, or begins one, and reads all that is kept.
+    ///
+    /// # Errors
+    /// In words that say what to do: it is locked by another process, of a later version, or damaged.
+    pub fn open(dir: &Path) -> Result<(Self, Vec<Kept>), String> {
+        let path = dir.join("books");
+        let words =
+            |what: &str, error: &dyn std::fmt::Display| format!("{}: {what}: {error}", path.display());
+        let database = Database::create(&path).map_err(|error| match &error {
+            DatabaseError::DatabaseAlreadyOpen => words("another process has these books open", &error),
+            DatabaseError::Storage(redb::StorageError::Io(_)) => words("the books can't be opened", &error),
+            _ => words(
+                "the books are damaged; move the file away, and the others' copies bring them back",
+                &error,
+            ),
+        })?;
+        let store = Self { database, path: path.clone() };
+        let kept = store.read().map_err(|error| {
+            words(
+                "the books can't be read; move the file away, and the others' copies bring them back",
+                &error,
+            )
+        })?;
+        match kept {
+            Ok(kept) => Ok((store, kept)),
+            Err(format) => Err(format!(
+                "{}: the books are of format {format}, this version reads {FORMAT}: start the version that \
+                 wrote them",
+                path.display()
+            )),
+        }
+    }
+
+    #[expect(clippy::result_large_err, reason = "told in words by whoever calls it")]
+    fn read(&self) -> Result<Result<Vec<Kept>, u64>, redb::Error> {
+        let writing = self.database.begin_write()?;
+        {
+            let mut about = writing.open_table(ABOUT)?;
+            let format = about.get("format")?.map(|format| format.value());
+            match format {
+                Some(format) if format > FORMAT => return Ok(Err(format)),
+                Some(_) => {}
+                None => drop(about.insert("format", FORMAT)?),
+            }
+            writing.open_table(ROWS)?;
+        }
+        writing.commit()?;
+        let reading = self.database.begin_read()?;
+        let table = reading.open_table(ROWS)?;
+        let mut kept = Vec::new();
+        for row in table.iter()? {
+            let (key, value) = row?;
+            let (writer, life, number) = key.value();
+            let (before, bytes) = value.value();
+            let id = ColumnId { writer: Name::from(writer), life };
+            kept.push(Kept { id, number, before: Digest(*before), bytes: bytes.to_vec() });
+        }
+        Ok(Ok(kept))
+    }
+
+    /// Writes these changes and syncs them: they are there for good when this returns.
+    ///
+    /// # Errors
+    /// What the disk refuses, in words; nothing of the changes is kept then.
+    pub fn keep(&self, changes: &[Change]) -> Result<(), String> {
+        self.write(changes).map_err(|error| format!("{}: {error}", self.path.display()))
+    }
+
+    #[expect(clippy::result_large_err, reason = "told in words by whoever calls it")]
+    fn write(&self, changes: &[Change]) -> Result<(), redb::Error> {
+        let writing = self.database.begin_write()?;
+        {
+            let mut table = writing.open_table(ROWS)?;
+            for change in changes {
+                match change {
+                    Change::Row { id, number, before, bytes } => {
+                        table.insert((&*id.writer, id.life, *number), (&before.0, &**bytes))?;
+                    }
+                    Change::Trim { id, below } => {
+                        table.retain_in(
+                            (&*id.writer, id.life, 0)..(&*id.writer, id.life, *below),
+                            |_, _| false,
+                        )?;
+                    }
+                    Change::Drop { id } => {
+                        let all = (&*id.writer, id.life, 0)..=(&*id.writer, id.life, u64::MAX);
+                        table.retain_in(all, |_, _| false)?;
+                    }
+                }
+            }
+        }
+        writing.commit()?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/planner/src/books.rs
@@ -0,0 +1,143 @@
+//! The `books` block of a planner's settings, and the operators' orders file.
+
+use mulleinhub_accounts::{Months, Prices, Settings, Team};
+use mulleinhub_peers::Member;
+use mulleinhub_replica::{Name, Order, Subject, Word};
+use mulleinhub_settings::{Args, Directive, Faults, Name as NameValue, Scope, parse_text};
+use mulleinhub_terms::{BooksTerms, read_books};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Lists of members hold so many.
+const MOST_MEMBERS: usize = 1_024;
+
+/// How a planner keeps books with others.
+#[derive(Clone, Debug)]
+pub struct BooksConf {
+    pub settings: Settings,
+    pub members: Vec<Member>,
+    /// Where the other schedulers come in; nothing in virtual time.
+    pub listen: Option<SocketAddr>,
+    pub orders: Option<PathBuf>,
+    /// By how much the clock that months count by is taken to be ahead of the system's, in milliseconds.
+    pub ahead: i64,
+    pub terms: BooksTerms,
+}
+
+fn loopback(text: &str) -> Option<SocketAddr> {
+    text.parse::<SocketAddr>().ok().filter(|address| address.ip().is_loopback())
+}
+
+/// Reads a planner's `books` block. `me` is the planner's own name.
+pub fn read(directive: &Directive, me: &str, faults: &mut Faults) -> Option<BooksConf> {
+    let mut scope = Scope::of(directive);
+    let terms = read_books(directive, &mut scope, faults);
+    let mut members: Vec<Member> = Vec::new();
+    for line in scope.each("member") {
+        let mut args = Args::of(line);
+        let (name, address) = (args.next::<NameValue>(faults), args.next::<String>(faults));
+        args.finish(faults);
+        let (Some(name), Some(address)) = (name, address) else { continue };
+        if members.iter().any(|member| *member.name == *name.0) {
+            faults.add(&line.place, format!("member {} stands here for the second time", name.0));
+        }
+        // In virtual time a member is behind a door.
+        if loopback(&address).is_none() && !address.starts_with("door:") {
+            faults.add(&line.place, "a member's loopback address and port are wanted, as 127.0.0.1:7300");
+        }
+        members.push(Member { name: name.0.as_str().into(), address });
+    }
+    members.sort_by(|a, b| a.name.cmp(&b.name));
+    if members.len() > MOST_MEMBERS {
+        faults.add(&directive.place, format!("{} members, {MOST_MEMBERS} at most", members.len()));
+    }
+    let mine = members.iter().find(|member| *member.name == *me);
+    if mine.is_none() {
+        faults.add(&directive.place, format!("this planner, {me}, is none of the members"));
+    }
+    let listen = mine.and_then(|member| loopback(&member.address));
+    let orders = scope.maybe::<String>("orders", faults).map(PathBuf::from);
+    let ms = |span: mulleinhub_interface::Span| (span.nanos() / 1_000_000) as i64;
+    let ahead = scope.maybe("clock-ahead", faults).map_or(0, ms);
+    let ahead = ahead - scope.maybe("clock-behind", faults).map_or(0, ms);
+    scope.finish(faults);
+    let months = match Months::of_zone(&terms.zone) {
+        Ok(months) => months,
+        Err(words) => {
+            faults.add(&directive.place, format!("zone {:?}: {words}", terms.zone));
+            return None;
+        }
+    };
+    let name = |text: &String| Name::from(text.as_str());
+    let teams = terms.teams.iter().map(|team| Team {
+        name: name(&team.name),
+        account: team.account.as_ref().map(name),
+        tenants: team.tenants.iter().map(name).collect(),
+        cap: team.cap,
+    });
+    let settings = Settings {
+        me: me.into(),
+        members: members.iter().map(|member| member.name.clone()).collect(),
+        teams: teams.collect(),
+        prices: Prices { core_second: terms.core_second, memory_second: terms.memory_second },
+        months,
+        near: terms.near,
+        stretch: terms.stretch,
+        catch_up: terms.catch_up,
+    };
+    Some(BooksConf { settings, members, listen, orders, ahead, terms })
+}
+
+/// Reads an orders file: `cap TEAM NUMBER AMOUNT`, `hold ACCOUNT NUMBER [finish-by SECONDS]`, `clear
+/// ACCOUNT NUMBER`, a line each. The number is the order's own; amounts are micro-units, seconds are Unix
+/// time.
+///
+/// # Errors
+/// All faults, with line and cause, ready to print.
+pub fn parse_orders(file: &str, text: &str) -> Result<Vec<Order>, String> {
+    let mut faults = Faults::default();
+    let directives = parse_text(file, text, &mut faults);
+    let mut orders = Vec::new();
+    for line in &directives {
+        let mut args = Args::of(line);
+        let word = line.name.text.as_str();
+        if !["cap", "hold", "clear"].contains(&word) {
+            faults.add(&line.name.place, format!("unknown order {word} (cap, hold or clear is wanted)"));
+            continue;
+        }
+        let (name, number) = (args.next::<NameValue>(&mut faults), args.next::<u64>(&mut faults));
+        let word = match word {
+            "cap" => args.next(&mut faults).map(|amount| Word::Cap { amount }),
+            "hold" if args.takes("finish-by") => {
+                args.next(&mut faults).map(|by| Word::Held { finish_by: Some(by) })
+            }
+            "hold" => Some(Word::Held { finish_by: None }),
+            _ => Some(Word::Cleared {}),
+        };
+        args.finish(&mut faults);
+        let (Some(name), Some(number), Some(word)) = (name, number, word) else { continue };
+        let name = Name::from(name.0.as_str());
+        let subject =
+            if matches!(word, Word::Cap { .. }) { Subject::Team(name) } else { Subject::Account(name) };
+        orders.push(Order { subject, number, word });
+    }
+    if faults.is_empty() { Ok(orders) } else { Err(faults.render()) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn orders_are_read_and_faults_are_told_with_line_and_cause() {
+        let text = "cap pay 3 500000\nhold acme 4 finish-by 1790000000 # till spring\nclear acme 5\n";
+        let orders = parse_orders("orders", text).expect("they are fine");
+        assert_eq!(orders.len(), 3);
+        assert_eq!(orders[1].word, Word::Held { finish_by: Some(1_790_000_000) });
+        let words =
+            parse_orders("orders", "cap pay 3\nhodl acme 4\nclear acme 5 6\n").expect_err("they are faulty");
+        for part in ["orders:1:", "cap lacks an argument", "orders:2:", "unknown order hodl", "orders:3:"] {
+            assert!(words.contains(part), "{part}: {words}");
+        }
+    }
+}
--- a/crates/planner/src/conf.rs
+++ b/crates/planner/src/conf.rs
@@ -1,10 +1,11 @@
 //! The settings file of a planner.
 
+use crate::books::{self, BooksConf};
 use mulleinhub_engine::Settings;
 use mulleinhub_interface::Span;
 use mulleinhub_interface::{ColdRule, Home, Listing, Taking, ZoneId};
 use mulleinhub_settings::{Bytes, Directive, Faults, Name, Place, Scope, parse, parse_text};
-use mulleinhub_terms::{Case, Kind, Rules, read_case, read_kind, read_rules};
+use mulleinhub_terms::{BooksTerms, Case, Kind, Rules, read_case, read_kind, read_rules};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -26,6 +27,8 @@
     /// Where the last list is kept; nothing keeps none.
     pub state_dir: Option<PathBuf>,
     pub log: LogFormat,
+    /// Books that are kept with other schedulers; nothing keeps none.
+    pub books: Option<BooksConf>,
 }
 
 /// Addresses are loopback ones alone.
@@ -136,6 +139,11 @@
         woken_a_turn: clients.or("woken-a-turn", usual.woken_a_turn, faults).max(1),
     };
     clients.finish(faults);
+    let me = name.as_ref().map_or("", |name| name.0.as_str());
+    let books = scope.once("books", faults).and_then(|directive| books::read(directive, me, faults));
+    if books.as_ref().is_some_and(|books| books.listen.is_some()) && state_dir.is_none() {
+        faults.add(&place, "books are kept in the state directory: state-dir is missing");
+    }
     scope.finish(faults);
     for (name, span) in [("reconnect", reconnect), ("silence", silence), ("remember", remember)] {
         if span == Span::ZERO {
@@ -170,7 +178,7 @@
         most_in_hand,
         most_unwritten,
     };
-    faults.is_empty().then_some(Conf { engine, listen, shared, metrics, state_dir, log })
+    faults.is_empty().then_some(Conf { engine, listen, shared, metrics, state_dir, log, books })
 }
 
 /// Reads a settings file; what is wrong with it is the error, ready to print.
@@ -204,6 +212,33 @@
     pub tells_pressure: bool,
     pub prices: (f64, f64),
     pub most_in_hand: Option<usize>,
+    pub books: Option<BooksText<'a>>,
+}
+
+/// The `books` block of such a file.
+#[derive(Clone, Debug)]
+pub struct BooksText<'a> {
+    pub terms: &'a BooksTerms,
+    /// Names and addresses.
+    pub members: Vec<(String, String)>,
+    pub orders: Option<&'a Path>,
+    /// By how much its clock is ahead of the system's, in milliseconds.
+    pub ahead: i64,
+}
+
+impl BooksText<'_> {
+    fn show(&self) -> String {
+        let mut text = "books {\n".to_owned();
+        for (name, address) in &self.members {
+            text += &format!("    member {name} {address:?}\n");
+        }
+        if let Some(orders) = self.orders {
+            text += &format!("    orders {:?}\n", orders.display().to_string());
+        }
+        let word = if self.ahead < 0 { "clock-behind" } else { "clock-ahead" };
+        text += &format!("    {word} {}ms\n", self.ahead.unsigned_abs());
+        text + &self.terms.show() + "}\n"
+    }
 }
 
 impl ConfText<'_> {
@@ -240,6 +275,9 @@
         if let Some(most) = self.most_in_hand {
             text += &format!("links {{\n    most-in-hand {most}\n}}\n");
         }
+        if let Some(books) = &self.books {
+            text += &books.show();
+        }
         text += &format!("prices {{\n    machine {}\n    cross-hall {}\n}}\n", self.prices.0, self.prices.1);
         text
     }
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -1,11 +1,14 @@
 //! The engine behind real sockets, with signals, logs, the kept list and the metrics endpoint.
 
+use crate::books::{BooksConf, parse_orders};
 use crate::conf::{Conf, LogFormat, read_conf};
 use crate::metrics::Metrics;
 use mulleinhub_engine::Engine;
-use mulleinhub_interface::Time;
+use mulleinhub_interface::{Time, mix};
+use mulleinhub_peers::{Running, Start, Teller};
+use mulleinhub_replica::Order;
 use mulleinhub_seam::{Door, End, Link, Links, Party};
-use mulleinhub_shell::{Shell, Step};
+use mulleinhub_shell::{Clock, Shell, Step};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -146,6 +149,12 @@
     std::fs::rename(&beside, path)
 }
 
+/// Whether nothing of the books changed that waits for the next start.
+fn same_books(old: Option<&BooksConf>, new: Option<&BooksConf>) -> bool {
+    let fixed = |of: &BooksConf| (of.terms.clone(), of.members.clone(), of.listen);
+    old.map(fixed) == new.map(fixed)
+}
+
 /// Runs a planner until it is told to end.
 ///
 /// # Errors
@@ -166,11 +175,18 @@
     let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as u64);
     let saved = kept.as_deref().and_then(load);
     let mut engine = Engine::new(conf.engine.clone(), life, saved);
+    let clock = Clock::new(Time::default());
+    let mut books = None;
+    if let (Some(of), Some(dir)) = (&conf.books, &conf.state_dir) {
+        let running = start_books(of, dir, life, conf.engine.seed, clock)?;
+        engine = engine.with_quota(Box::new(Teller::new(running.shelf.clone(), &of.settings)));
+        books = Some(running);
+    }
     if let Some(most) = mulleinhub_shell::descriptors() {
         engine.descriptors(most);
     }
     let daemon = Daemon { engine, metrics: Metrics, readers: BTreeMap::new() };
-    let mut shell = Shell::new(daemon).map_err(|e| words("poll", e))?;
+    let mut shell = Shell::new(daemon).map_err(|e| words("poll", e))?.with_clock(clock);
     shell.hear_signals(&[SIGTERM, SIGINT, SIGHUP]).map_err(|e| words("signals", e))?;
     let at =
         shell.listen_at(listen, Door(0), conf.shared).map_err(|e| words(&format!("listen {listen}"), e))?;
@@ -178,10 +194,45 @@
         shell.listen(metrics, METRICS).map_err(|e| words(&format!("metrics {metrics}"), e))?;
     }
     tracing::info!(name = conf.engine.name, %at, life, "up");
-    serve(&mut shell, settings, conf, kept.as_deref())
+    serve(&mut shell, settings, conf, kept.as_deref(), books.as_ref())
+}
+
+/// The threads that keep the books, and the operators' orders as they stand.
+fn start_books(of: &BooksConf, dir: &Path, life: u64, seed: u64, clock: Clock) -> Result<Running, String> {
+    let listen = of.listen.ok_or("books: this planner's own address is missing among the members")?;
+    let orders = of.orders.as_deref().map(read_orders).transpose()?;
+    let start = Start {
+        settings: of.settings.clone(),
+        members: of.members.clone(),
+        listen,
+        state_dir: dir,
+        life,
+        seed: own_seed(seed, life, &of.settings.me),
+        ahead: of.ahead,
+    };
+    let running = mulleinhub_peers::start(start, clock)?;
+    running.order(orders.unwrap_or_default());
+    Ok(running)
 }
 
-fn serve(shell: &mut Shell<Daemon>, path: &Path, mut conf: Conf, kept: Option<&Path>) -> Result<(), String> {
+/// Of this planner in this life alone.
+fn own_seed(seed: u64, life: u64, name: &str) -> u64 {
+    name.bytes().fold(mix(seed, !life), |seed, byte| mix(seed, byte.into()))
+}
+
+fn read_orders(path: &Path) -> Result<Vec<Order>, String> {
+    let words = |error| format!("{}: {error}", path.display());
+    let text = std::fs::read_to_string(path).map_err(words)?;
+    parse_orders(&path.display().to_string(), &text)
+}
+
+fn serve(
+    shell: &mut Shell<Daemon>,
+    path: &Path,
+    mut conf: Conf,
+    kept: Option<&Path>,
+    books: Option<&Running>,
+) -> Result<(), String> {
     let longest = conf.engine.use_cases.iter().map(|case| case.client_timeout).max().unwrap_or_default();
     let longest = Duration::from_nanos(longest.nanos());
     let mut ending: Option<Instant> = None;
@@ -195,8 +246,20 @@
         match step {
             Step::Signal(SIGHUP) => match read_conf(path) {
                 Ok(new) => {
-                    let fixed = shell.party.engine.reload(&new.engine);
+                    let mut fixed = shell.party.engine.reload(&new.engine);
+                    if !same_books(conf.books.as_ref(), new.books.as_ref()) {
+                        fixed.push("books");
+                    }
                     conf = new;
+                    if let (Some(running), Some(of)) = (books, &conf.books) {
+                        running.set_ahead(of.ahead);
+                        match of.orders.as_deref().map(read_orders).transpose() {
+                            Ok(orders) => running.order(orders.unwrap_or_default()),
+                            Err(faults) => {
+                                tracing::error!(%faults, "the orders are faulty; the old ones stay")
+                            }
+                        }
+                    }
                     tracing::info!(name = conf.engine.name, "settings read again");
                     if !fixed.is_empty() {
                         tracing::warn!(
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -7,11 +7,14 @@
 
 pub use mulleinhub_baselines::Rule;
 
+mod books;
+
+use books::{Books, Disk};
 use mulleinhub_baselines::Baseline;
-use mulleinhub_day::{Day, PlannerDeed, Score, Stage};
-use mulleinhub_engine::{Counts, Engine, Settings};
-use mulleinhub_interface::Time;
-use mulleinhub_planner::{ConfText, conf_of_text};
+use mulleinhub_day::{Behind, Day, Fate, PlannerDeed, Score, Stage, list_door};
+use mulleinhub_engine::{Counts, Engine};
+use mulleinhub_interface::{Pcg, Span, Time};
+use mulleinhub_planner::{BooksText, Conf, ConfText, conf_of_text, parse_orders};
 use mulleinhub_seam::{Ask, Door, End, Link, Party};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
@@ -24,14 +27,39 @@
 #[derive(Default)]
 struct Slot {
     engine: Option<Engine>,
+    books: Option<Books>,
     stopped: bool,
     kept: Option<Vec<u8>>,
+    disk: Disk,
+    /// What was on its disk when it was killed, the last time and the time before.
+    killed: [Disk; 2],
+    disk_full: bool,
+    /// By how much its clock is ahead, in milliseconds.
+    ahead: i64,
+    /// The operators' orders file.
+    orders: String,
     life: u64,
-    /// What came while it stood still.
-    waiting: Vec<Waiting>,
+    /// What came while it stood still, for the planner or for its books.
+    waiting: Vec<(Seat, Waiting)>,
     waiting_bytes: usize,
 }
 
+/// Who in a planner's process has a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Seat {
+    planner: usize,
+    books: bool,
+}
+
+impl Slot {
+    fn party(&mut self, seat: Seat) -> Option<&mut dyn Party> {
+        match seat.books {
+            false => self.engine.as_mut().map(|engine| engine as &mut dyn Party),
+            true => self.books.as_mut().map(|books| &mut books.exchange as &mut dyn Party),
+        }
+    }
+}
+
 enum Waiting {
     Opened(Link),
     Up(Link),
@@ -43,12 +71,16 @@
 pub struct Runner<W: Write> {
     stage: Stage<W>,
     slots: Vec<Slot>,
-    settings: Vec<Settings>,
+    settings: Vec<Conf>,
     /// The wires: a planner's link and the stage's.
-    to_stage: BTreeMap<(usize, Link), Link>,
-    to_planner: BTreeMap<Link, (usize, Link)>,
+    to_stage: BTreeMap<(Seat, Link), Link>,
+    to_planner: BTreeMap<Link, (Seat, Link)>,
     /// Planners' links whose bytes the stage did not read when they were offered.
-    unread: BTreeSet<(usize, Link)>,
+    unread: BTreeSet<(Seat, Link)>,
+    /// How long each sync takes.
+    chance: Pcg,
+    begins: u64,
+    syncs: (Span, Span),
     now: Time,
     counts: Counts,
     /// In place of the module: for comparison only.
@@ -62,6 +94,7 @@
     listen: Option<std::net::SocketAddr>,
     list: String,
     state_dir: Option<&'a std::path::Path>,
+    books: Option<BooksText<'a>>,
 ) -> ConfText<'a> {
     ConfText {
         name: format!("planner-{}", planner + 1),
@@ -81,6 +114,7 @@
         tells_pressure: day.machine.tells_pressure,
         prices: (day.machine_price, day.cross_hall_price),
         most_in_hand: day.most_in_hand,
+        books,
     }
 }
 
@@ -88,16 +122,36 @@
     /// # Panics Where the settings that the day gives its planners are faulty, which is a defect of the day's
     /// own checks.
     pub fn new(day: Day, out: W) -> Self {
+        let mut stage = Stage::new(day.clone(), out);
+        let doors = stage.doors();
+        let members_of = |planner: usize| -> Vec<(String, String)> {
+            let others = doors.iter().filter(|(_, of, _)| *of == planner);
+            let books = others.filter_map(|(door, _, behind)| match behind {
+                Behind::Books(other) => Some((format!("planner-{}", other + 1), format!("door:{}", door.0))),
+                _ => None,
+            });
+            // Nobody calls itself.
+            let me = (format!("planner-{}", planner + 1), "door:".to_owned());
+            books.chain([me]).collect()
+        };
         let settings = (0..day.planners)
             .map(|planner| {
-                let list = format!("door:{}", planner * 1000 + 999);
-                let text = planner_text(&day, planner, None, list, None).show();
-                conf_of_text(&text).unwrap_or_else(|faults| panic!("{faults}")).engine
+                let list = format!("door:{}", list_door(planner).0);
+                let books = day.books.as_ref().map(|books| BooksText {
+                    terms: &books.terms,
+                    members: members_of(planner),
+                    orders: None,
+                    ahead: 0,
+                });
+                let text = planner_text(&day, planner, None, list, None, books).show();
+                conf_of_text(&text).unwrap_or_else(|faults| panic!("{faults}"))
             })
             .collect();
         let slots = (0..day.planners).map(|_| Slot::default()).collect();
-        let mut stage = Stage::new(day, out);
-        for (door, ..) in stage.doors() {
+        let begins = day.books.as_ref().map_or(0, |books| books.begins());
+        let syncs = day.books.as_ref().map_or((Span::ZERO, Span::ZERO), |b| (b.syncs.low, b.syncs.high));
+        let chance = Pcg::new(day.seed);
+        for (door, ..) in doors {
             stage.set_address(door, format!("door:{}", door.0));
         }
         Self {
@@ -107,6 +161,9 @@
             to_stage: BTreeMap::new(),
             to_planner: BTreeMap::new(),
             unread: BTreeSet::new(),
+            chance,
+            begins,
+            syncs,
             now: Time::default(),
             counts: Counts::default(),
             baseline: None,
@@ -152,7 +209,9 @@
             }
             let engines =
                 self.slots.iter().filter(|slot| !slot.stopped).filter_map(|slot| slot.engine.as_ref());
-            let next = engines.filter_map(Engine::wake).chain(self.stage.wake()).min();
+            let books = self.slots.iter().filter(|slot| !slot.stopped).filter_map(|slot| slot.books.as_ref());
+            let next = engines.filter_map(Engine::wake).chain(books.filter_map(Books::wake));
+            let next = next.chain(self.stage.wake()).min();
             let Some(next) = next else { break };
             turns = if next > self.now { 0 } else { turns + 1 };
             assert!(turns < MOST_TURNS, "the day runs in circles at {} ns", self.now.nanos());
@@ -176,10 +235,18 @@
             if let Some(kept) = engine.keep() {
                 slot.kept = Some(kept);
             }
-            self.carry_out_planner(planner);
+            self.carry_out_planner(Seat { planner, books: false });
+            let Slot { books: Some(books), disk, ahead, disk_full, .. } = &mut self.slots[planner] else {
+                continue;
+            };
+            let (low, high) = self.syncs;
+            let chance = &mut self.chance;
+            if books.turn(self.now, *ahead, disk, *disk_full, || low + (high - low) * chance.part()) {
+                self.carry_out_planner(Seat { planner, books: true });
+            }
         }
-        for (planner, link) in std::mem::take(&mut self.unread) {
-            self.carry_to_stage(planner, link);
+        for (seat, link) in std::mem::take(&mut self.unread) {
+            self.carry_to_stage(seat, link);
         }
     }
 
@@ -193,8 +260,13 @@
                 slot.life += 1;
                 slot.stopped = false;
                 let life = slot.life * 1_000 + planner as u64;
-                let (settings, kept) = (self.settings[planner].clone(), slot.kept.clone());
-                slot.engine = Some(match self.baseline {
+                let conf = &self.settings[planner];
+                let (settings, kept) = (conf.engine.clone(), slot.kept.clone());
+                let started =
+                    conf.books.as_ref().map(|books| Books::start(books, self.begins, life, &slot.disk));
+                let (books, teller) = started.unzip();
+                slot.books = books;
+                let engine = match self.baseline {
                     None => Engine::new(settings, life, kept),
                     Some(rule) => {
                         let (cases, kinds) = (settings.use_cases.clone(), settings.kinds.clone());
@@ -203,20 +275,39 @@
                             Baseline::new(rule, settings.seed ^ life, cases, kinds, taking, cold, listing);
                         Engine::with_mind(Box::new(mind), settings, life, kept)
                     }
-                });
+                };
+                slot.engine = Some(books::with(engine, teller));
+                self.give_orders(planner);
             }
             PlannerDeed::Kill(planner) => {
                 let Some(engine) = self.slots[planner].engine.take() else { return };
                 add(&mut self.counts, &engine.counts());
                 let slot = &mut self.slots[planner];
+                slot.books = None;
+                slot.killed.swap(0, 1);
+                slot.killed[0] = slot.disk.clone();
                 slot.stopped = false;
                 slot.waiting.clear();
                 slot.waiting_bytes = 0;
                 for link in self.links_of(planner) {
-                    self.unwire(planner, link);
+                    self.unwire(link);
                     self.stage.ended(self.now, link, End::Broken);
                 }
             }
+            PlannerDeed::Store(planner, fate) => {
+                let slot = &mut self.slots[planner];
+                slot.disk = match fate {
+                    Fate::Lost => Disk::default(),
+                    Fate::Old => slot.killed[1].clone(),
+                };
+            }
+            PlannerDeed::Order(planner, place) => {
+                let line = self.stage.order(place).to_owned() + "\n";
+                self.slots[planner].orders += &line;
+                self.give_orders(planner);
+            }
+            PlannerDeed::Clock(planner, ahead) => self.slots[planner].ahead = ahead,
+            PlannerDeed::DiskFull(planner, full) => self.slots[planner].disk_full = full,
             PlannerDeed::Stop(planner) => {
                 if self.slots[planner].engine.is_none() || self.slots[planner].stopped {
                     return;
@@ -228,8 +319,8 @@
                     return;
                 }
                 self.slots[planner].waiting_bytes = 0;
-                for waiting in std::mem::take(&mut self.slots[planner].waiting) {
-                    self.tell_planner(planner, waiting);
+                for (seat, waiting) in std::mem::take(&mut self.slots[planner].waiting) {
+                    self.tell_planner(seat, waiting);
                 }
                 // What waited in the stage for room goes on.
                 for link in self.links_of(planner) {
@@ -242,42 +333,60 @@
 
     /// The stage's links to this planner.
     fn links_of(&self, planner: usize) -> Vec<Link> {
-        self.to_planner.iter().filter(|(_, (p, _))| *p == planner).map(|(link, _)| *link).collect()
+        self.to_planner
+            .iter()
+            .filter(|(_, (seat, _))| seat.planner == planner)
+            .map(|(link, _)| *link)
+            .collect()
     }
 
-    fn unwire(&mut self, planner: usize, stage_link: Link) {
-        if let Some((_, link)) = self.to_planner.remove(&stage_link) {
-            self.to_stage.remove(&(planner, link));
+    fn unwire(&mut self, stage_link: Link) {
+        if let Some(end) = self.to_planner.remove(&stage_link) {
+            self.to_stage.remove(&end);
         }
     }
 
-    fn tell_planner(&mut self, planner: usize, news: Waiting) {
+    /// The orders file is read at the start, and again when it changed.
+    fn give_orders(&mut self, planner: usize) {
         let slot = &mut self.slots[planner];
-        let Some(engine) = &mut slot.engine else { return };
+        if let Some(books) = &mut slot.books {
+            let orders = parse_orders("orders", &slot.orders).unwrap_or_else(|faults| panic!("{faults}"));
+            books.exchange.order(&orders);
+            books.told = true;
+        }
+    }
+
+    fn tell_planner(&mut self, seat: Seat, news: Waiting) {
+        let now = self.now;
+        let slot = &mut self.slots[seat.planner];
         if slot.stopped {
             if let Waiting::Bytes(_, bytes) = &news {
                 slot.waiting_bytes += bytes.len();
             }
-            slot.waiting.push(news);
+            slot.waiting.push((seat, news));
             return;
         }
+        if let (true, Some(books)) = (seat.books, &mut slot.books) {
+            books.told = true;
+        }
+        let Some(party) = slot.party(seat) else { return };
         match news {
-            Waiting::Opened(link) => engine.opened(self.now, link, Door(0)),
-            Waiting::Up(link) => engine.up(self.now, link),
-            Waiting::Bytes(link, bytes) => engine.received(self.now, link, &bytes),
-            Waiting::Ended(link, end) => engine.ended(self.now, link, end),
+            Waiting::Opened(link) => party.opened(now, link, Door(0)),
+            Waiting::Up(link) => party.up(now, link),
+            Waiting::Bytes(link, bytes) => party.received(now, link, &bytes),
+            Waiting::Ended(link, end) => party.ended(now, link, end),
         }
     }
 
     fn carry_to_planner(&mut self, link: Link) {
-        let Some((planner, theirs)) = self.to_planner.get(&link).copied() else { return };
-        let slot = &self.slots[planner];
+        let Some((seat, theirs)) = self.to_planner.get(&link).copied() else { return };
+        let slot = &self.slots[seat.planner];
         let room = if slot.stopped { SOCKET.saturating_sub(slot.waiting_bytes) } else { usize::MAX };
         let waits = self.stage.links().outgoing(link);
         let bytes = waits[..waits.len().min(room)].to_vec();
         if !bytes.is_empty() {
             self.stage.links().wrote(link, bytes.len());
-            self.tell_planner(planner, Waiting::Bytes(theirs, bytes));
+            self.tell_planner(seat, Waiting::Bytes(theirs, bytes));
         }
     }
 
@@ -289,15 +398,16 @@
             let Some(ask) = self.stage.links().next_ask() else { return };
             match ask {
                 Ask::Open(link, address) => {
-                    let number = address.strip_prefix("planner-").and_then(|n| n.parse::<usize>().ok());
-                    let planner = number.map_or(usize::MAX, |n| n - 1);
-                    let up = self.slots.get_mut(planner).and_then(|slot| slot.engine.as_mut());
+                    let (whose, number) = address.rsplit_once('-').unwrap_or_default();
+                    let planner = number.parse::<usize>().map_or(usize::MAX, |n| n - 1);
+                    let seat = Seat { planner, books: whose == "books" };
+                    let up = self.slots.get_mut(planner).and_then(|slot| slot.party(seat));
                     match up {
-                        Some(engine) => {
-                            let theirs = engine.links().fresh();
-                            self.to_planner.insert(link, (planner, theirs));
-                            self.to_stage.insert((planner, theirs), link);
-                            self.tell_planner(planner, Waiting::Opened(theirs));
+                        Some(party) => {
+                            let theirs = party.links().fresh();
+                            self.to_planner.insert(link, (seat, theirs));
+                            self.to_stage.insert((seat, theirs), link);
+                            self.tell_planner(seat, Waiting::Opened(theirs));
                             self.stage.up(self.now, link);
                         }
                         None => {
@@ -311,49 +421,49 @@
                         self.carry_to_planner(link);
                     }
                     self.stage.links().drop_link(link);
-                    if let Some((planner, theirs)) = self.to_planner.get(&link).copied() {
-                        self.unwire(planner, link);
+                    if let Some((seat, theirs)) = self.to_planner.get(&link).copied() {
+                        self.unwire(link);
                         let end = if at_once { End::Broken } else { End::Closed };
-                        self.tell_planner(planner, Waiting::Ended(theirs, end));
+                        self.tell_planner(seat, Waiting::Ended(theirs, end));
                     }
                 }
             }
         }
     }
 
-    fn carry_out_planner(&mut self, planner: usize) {
+    fn carry_out_planner(&mut self, seat: Seat) {
         loop {
-            let Some(engine) = &mut self.slots[planner].engine else { return };
-            if let Some(link) = engine.links().next_dirty() {
-                self.carry_to_stage(planner, link);
+            let Some(party) = self.slots[seat.planner].party(seat) else { return };
+            if let Some(link) = party.links().next_dirty() {
+                self.carry_to_stage(seat, link);
                 continue;
             }
-            let Some(ask) = engine.links().next_ask() else { return };
+            let Some(ask) = party.links().next_ask() else { break };
             match ask {
                 Ask::Open(link, address) => {
                     let door = address.strip_prefix("door:").and_then(|n| n.parse().ok()).map(Door);
                     match door.filter(|door| self.stage.listens(*door)) {
                         Some(door) => {
                             let ours = self.stage.links().fresh();
-                            self.to_planner.insert(ours, (planner, link));
-                            self.to_stage.insert((planner, link), ours);
+                            self.to_planner.insert(ours, (seat, link));
+                            self.to_stage.insert((seat, link), ours);
                             self.stage.opened(self.now, ours, door);
-                            self.tell_planner(planner, Waiting::Up(link));
+                            self.tell_planner(seat, Waiting::Up(link));
                         }
                         None => {
-                            self.tell_planner(planner, Waiting::Ended(link, End::Refused));
+                            self.tell_planner(seat, Waiting::Ended(link, End::Refused));
                         }
                     }
                 }
                 Ask::End { link, at_once } => {
                     if !at_once {
-                        self.carry_to_stage(planner, link);
+                        self.carry_to_stage(seat, link);
                     }
-                    if let Some(engine) = &mut self.slots[planner].engine {
-                        engine.links().drop_link(link);
+                    if let Some(party) = self.slots[seat.planner].party(seat) {
+                        party.links().drop_link(link);
                     }
-                    if let Some(ours) = self.to_stage.get(&(planner, link)).copied() {
-                        self.unwire(planner, ours);
+                    if let Some(ours) = self.to_stage.get(&(seat, link)).copied() {
+                        self.unwire(ours);
                         self.stage.ended(self.now, ours, if at_once { End::Broken } else { End::Closed });
                     }
                 }
@@ -362,16 +472,16 @@
     }
 
     /// All that waits goes over, unless the stage doesn't read from this connection now.
-    fn carry_to_stage(&mut self, planner: usize, link: Link) {
-        let Some(ours) = self.to_stage.get(&(planner, link)).copied() else { return };
-        let Some(engine) = &mut self.slots[planner].engine else { return };
+    fn carry_to_stage(&mut self, seat: Seat, link: Link) {
+        let Some(ours) = self.to_stage.get(&(seat, link)).copied() else { return };
+        let Some(party) = self.slots[seat.planner].party(seat) else { return };
         if self.stage.links().is_paused(ours) {
-            self.unread.insert((planner, link));
+            self.unread.insert((seat, link));
             return;
         }
-        let bytes = engine.links().outgoing(link).to_vec();
+        let bytes = party.links().outgoing(link).to_vec();
         if !bytes.is_empty() {
-            engine.links().wrote(link, bytes.len());
+            party.links().wrote(link, bytes.len());
             self.stage.received(self.now, ours, &bytes);
         }
     }
--- a/crates/runner/tests/mutants.rs
+++ b/crates/runner/tests/mutants.rs
@@ -43,7 +43,7 @@
         Record::Ended { link, how } => Kept::Ended(*link, (*how).to_owned()),
         Record::Deed { deed, who, machine } => Kept::Deed(*deed, (*who).to_owned(), *machine),
         Record::Unread { link, side, on } => Kept::Unread(*link, *side, *on),
-        Record::Close { .. } => return None,
+        Record::Order { .. } | Record::Close { .. } => return None,
     })
 }
 
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -13,9 +13,11 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const SIGNALS: Token = Token(usize::MAX - 1);
+const WAKER: Token = Token(usize::MAX - 2);
 /// Tokens below are listeners', the others are links'.
 const LISTENERS: usize = 1 << 20;
 /// Read from one connection before the others get their turn.
@@ -33,10 +35,11 @@
 const ACCEPT_REST: Duration = Duration::from_millis(100);
 /// And why it failed is told once in this.
 const TELL_AGAIN: Duration = Duration::from_secs(60);
-/// A connection that came in and that we end is read on for so long after our last word, so that the other side
-/// hears it: one that is closed with bytes unread is reset, and what was just written goes with it.
+/// A connection that came in and that we end is read on for so long after our last word, so that the other
+/// side hears it: one that is closed with bytes unread is reset, and what was just written goes with it.
 const LINGER: Duration = Duration::from_millis(1000);
-/// Such connections at a time, as a part of the descriptors, and at the most; with more, the first ones are closed.
+/// Such connections at a time, as a part of the descriptors, and at the most; with more, the first ones are
+/// closed.
 const LINGERING_PART: usize = 64;
 const MOST_LINGERING: usize = 8;
 /// Connections that wait to be accepted, kept by the system.
@@ -63,6 +66,34 @@
     told_at: Option<Instant>,
 }
 
+/// The time since an instant, and what it showed then. Copies count alike.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    began: Instant,
+    origin: Time,
+}
+
+impl Clock {
+    pub fn new(origin: Time) -> Self {
+        Self { began: Instant::now(), origin }
+    }
+
+    pub fn now(&self) -> Time {
+        self.origin + span(self.began.elapsed())
+    }
+}
+
+/// Ends the wait of a shell's step.
+#[derive(Clone, Debug)]
+pub struct Waker(Arc<mio::Waker>);
+
+impl Waker {
+    pub fn wake(&self) {
+        // A shell that is gone has nothing to be woken for.
+        let _ = self.0.wake();
+    }
+}
+
 /// What made a step return.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -82,9 +113,8 @@
     fresh: Vec<Link>,
     /// Addresses by the names that the party uses; others are read as addresses.
     names: BTreeMap<String, SocketAddr>,
-    began: Instant,
-    /// What the clock showed then.
-    origin: Time,
+    clock: Clock,
+    waker: Option<Arc<mio::Waker>>,
     signals: Option<Signals>,
     /// Signals that came in and were not told yet. Met: of two within one poll the first was never heard.
     heard: VecDeque<i32>,
@@ -111,8 +141,8 @@
             readable: BTreeSet::new(),
             fresh: Vec::new(),
             names: BTreeMap::new(),
-            began: Instant::now(),
-            origin: Time::default(),
+            clock: Clock::new(Time::default()),
+            waker: None,
             signals: None,
             heard: VecDeque::new(),
             lingering: VecDeque::new(),
@@ -127,13 +157,33 @@
     /// Counts from this instant of another clock, for parties that are told points of it.
     #[must_use]
     pub fn from_origin(mut self, origin: Time) -> Self {
-        self.origin = origin;
+        self.clock.origin = origin;
+        self
+    }
+
+    /// Counts as another shell does.
+    #[must_use]
+    pub fn with_clock(mut self, clock: Clock) -> Self {
+        self.clock = clock;
         self
     }
 
     /// The time since this shell began, from its origin on.
     pub fn now(&self) -> Time {
-        self.origin + span(self.began.elapsed())
+        self.clock.now()
+    }
+
+    /// Ends a step's wait, from whatever thread.
+    ///
+    /// # Errors
+    /// Where the system has none for us.
+    pub fn waker(&mut self) -> std::io::Result<Waker> {
+        let waker = match &self.waker {
+            Some(waker) => waker.clone(),
+            None => Arc::new(mio::Waker::new(self.poll.registry(), WAKER)?),
+        };
+        self.waker = Some(waker.clone());
+        Ok(Waker(waker))
     }
 
     /// Listens at a loopback address; gives back where, for a port of 0.
@@ -283,6 +333,8 @@
                 if let Some(signals) = &mut self.signals {
                     self.heard.extend(signals.pending());
                 }
+            } else if token == WAKER {
+                // The poll has returned, which is all that was wanted.
             } else if token.0 < LISTENERS {
                 if let Some(listening) = self.listeners.get_mut(token.0) {
                     listening.ready = true;
@@ -500,8 +552,8 @@
         }
     }
 
-    /// Lets go what still comes on a connection that we have ended, and the connection once the other side has
-    /// ended it, too.
+    /// Lets go what still comes on a connection that we have ended, and the connection once the other side
+    /// has ended it, too.
     fn linger(&mut self, link: Link) {
         let Some(stream) = self.streams.get_mut(&link) else { return };
         for _ in 0..MOST_POLLS {
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -3,6 +3,10 @@
 //! For: reading and writing these directives, the same in every file, and checking their values.
 //! May not touch: what is done with them.
 
+mod books;
+
+pub use books::{BooksTerms, TeamTerms, read_books};
+
 use garde::Validate;
 use mulleinhub_interface::Span;
 use mulleinhub_interface::{Effect, KindId, Reach, Room, UseCase};
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -3,6 +3,7 @@
 //! A planner is held to what had been delivered to it and to what it wrote. Times are the tap's. What a
 //! killed planner held is no longer its duty; while a planner was stopped it can't be late.
 
+use crate::books::BooksVerdict;
 use crate::figures::{ERRORED, Figures, NACKED, PLACED, TAKEN, WITHDRAWN};
 use mulleinhub_capture::{CaseTerms, Deed, Effect, Reach, Record, Side, Stamped, Terms};
 use mulleinhub_protocol::{self as protocol, Ending, Message, Mode, Reason, Shape};
@@ -42,6 +43,8 @@
     pub figures: Figures,
     pub machines_lost: u64,
     pub end: u64,
+    /// Where the day keeps books.
+    pub books: Option<BooksVerdict>,
 }
 
 impl Verdict {
@@ -55,6 +58,7 @@
 
     pub fn holds(&self) -> bool {
         self.rules.iter().all(|rule| rule.breaches.is_empty())
+            && self.books.as_ref().is_none_or(BooksVerdict::holds)
     }
 }
 
@@ -215,11 +219,14 @@
                 }
             }
             Record::Deed { deed, who, machine } => self.deed(at, *deed, who, *machine),
-            Record::Close { .. } => {}
+            Record::Order { .. } | Record::Close { .. } => {}
         }
     }
 
     fn opened(&mut self, link: u32, opener: &str, opened: &str) {
+        if opened.starts_with("books-") {
+            return;
+        }
         let machine = opened.strip_prefix("machine-").and_then(|n| n.parse().ok());
         let (planner, kind, owner) = match machine {
             Some(machine) => (opener, Kind::Machine(machine), ""),
@@ -298,7 +305,7 @@
                 let words = "it fell over, and stays down".to_owned();
                 self.breach(3, Breach { at, planner: String::new(), task: None, machine, words });
             }
-            Deed::TroubleBegins | Deed::TroubleEnds => {}
+            Deed::TroubleBegins | Deed::TroubleEnds | Deed::StoreLost | Deed::StoreOld => {}
         }
     }
 
--- a/crates/verdict/src/life.rs
+++ b/crates/verdict/src/life.rs
@@ -48,6 +48,8 @@
                     Deed::MachineUp => "comes up, cold",
                     Deed::MachineDown => "goes down",
                     Deed::FellOver => "falls over",
+                    Deed::StoreLost => "loses its store",
+                    Deed::StoreOld => "has an older copy of its store",
                     Deed::TroubleBegins | Deed::TroubleEnds => return,
                 };
                 lines.push((format!("{ms:>12.3} ms  {who} {what}"), None));
