--- a/crates/accounts/src/keeper.rs
+++ b/crates/accounts/src/keeper.rs
@@ -5,14 +5,15 @@
 //! those rows, so nobody else can make it less; and no row is told, used or answered for before it is on
 //! disk.
 
-use crate::money::cost;
+use crate::money::{cost, part};
 use crate::month::Month;
 use crate::settings::Settings;
 use crate::shares::{self, Demand, Use};
-use crate::till::{Away, News, Seen, Tills};
+use crate::till::{Away, News, Place, Seen, Terms, Tills};
 use mulleinhub_interface::{Pcg, Span, Time};
 use mulleinhub_replica::{
-    Change, ColumnId, Entry, Gift, Kept, Library, Name, Parts, Presence, Purse, Roll, Subject, Word,
+    COMES_AGAIN, Change, ColumnId, Entry, Gift, Kept, Library, Loose, Name, Parts, Presence, Purse, Roll,
+    State, Subject, Word,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -100,7 +101,8 @@
     rests: BTreeMap<Name, Time>,
     seen: Seen,
     others_have: bool,
-    names_at: Option<u64>,
+    /// What holds for it, and whether its hold's tasks were written down.
+    terms: Terms,
 }
 
 pub struct Keeper {
@@ -122,6 +124,8 @@
     replies: Vec<Reply>,
     adopted: BTreeSet<u64>,
     all_told: bool,
+    /// What the names that were told last came from: changes of the books, and whom nobody hears of.
+    named: Option<(u64, Vec<Name>)>,
     room: Vec<News>,
     /// What is told to whoever is on call, in words.
     told: Vec<String>,
@@ -151,7 +155,7 @@
             rests: BTreeMap::new(),
             seen: Seen::default(),
             others_have: true,
-            names_at: None,
+            terms: Terms::default(),
         };
         Self {
             roll: Roll::new(others, beat),
@@ -171,6 +175,7 @@
             replies: Vec::new(),
             adopted: BTreeSet::new(),
             all_told: false,
+            named: None,
             room: Vec::new(),
             told,
         }
@@ -443,11 +448,11 @@
         if self.phase == Phase::CatchingUp {
             self.since.get_or_insert(now);
             if !self.has_caught_up(now) {
-                let away = UNKNOWN;
-                (0..self.desks.len()).for_each(|team| {
-                    tills.with(team, &mut |till| till.refresh(Time::default(), away, false));
-                });
-                return;
+                for team in 0..self.desks.len() {
+                    let terms = self.terms(team, utc);
+                    tills.with(team, &mut |till| till.refresh(Time::default(), UNKNOWN, terms));
+                }
+                return self.tell_names(now, utc, tills);
             }
             self.begin_to_write(month, utc, tills);
         }
@@ -545,18 +550,22 @@
 
     /// What became of workers since the last look, as rows.
     fn tell_news(&mut self, now: Time, utc: u64, tills: &mut dyn Tills) {
-        let (mut began, mut over) = (Vec::new(), Vec::new());
+        let (mut began, mut again, mut over) = (Vec::new(), Vec::new(), Vec::new());
         for team in 0..self.desks.len() {
             let mut all = std::mem::take(&mut self.room);
             tills.with(team, &mut |till| all = till.take_news(std::mem::take(&mut all)));
             let name = self.settings.teams[team].name.clone();
             for news in all.drain(..) {
                 match news {
-                    News::Began { key, rate } => began.push((key, name.clone(), rate)),
+                    News::Began { key, rate, again: came_again } => {
+                        again.extend(came_again.then_some(key));
+                        began.push((key, name.clone(), rate));
+                    }
                     News::Adopted { key, rate, at } => {
                         self.adopted.insert(key);
                         let until = utc.saturating_sub((now - at).nanos() / 1_000_000);
                         self.charge_gap(now, until, team, key, rate, tills);
+                        again.push(key);
                         began.push((key, name.clone(), rate));
                     }
                     News::Over { key, comes_again } => {
@@ -582,6 +591,9 @@
         for work in began.chunks(MOST_WORK) {
             self.library.write(&Entry::Began { at: utc, work: work.to_vec() });
         }
+        for keys in again.chunks(MOST_WORK) {
+            self.library.write(&Entry::Again { at: utc, keys: keys.to_vec() });
+        }
         for work in over.chunks(MOST_WORK) {
             self.library.write(&Entry::Over { at: utc, work: work.to_vec() });
         }
@@ -676,8 +688,49 @@
         let left = Span::from_nanos(month.ends.saturating_sub(utc).saturating_mul(1_000_000));
         let fresh = if awake { now + FRESH.min(left) } else { Time::default() };
         let has_some = self.desks[team].others_have || free.open >= self.desks[team].most;
-        let away = if awake { shares::away(has_some, left) } else { UNKNOWN };
-        tills.with(team, &mut |till| till.refresh(fresh, away, false));
+        let terms = self.terms(team, utc);
+        let away = if awake { shares::away(has_some && !terms.held && !terms.near, left) } else { UNKNOWN };
+        let mut waiting = Vec::new();
+        let begins = terms.held && !self.desks[team].terms.held;
+        tills.with(team, &mut |till| {
+            till.refresh(fresh, away, terms);
+            if begins {
+                waiting = till.waiting();
+            }
+        });
+        self.desks[team].terms = terms;
+        // What was taken before the hold goes on wherever it comes back.
+        let name = &self.settings.teams[team].name;
+        let work: Vec<(u64, Name)> = waiting.into_iter().map(|key| (key, name.clone())).collect();
+        for work in work.chunks(MOST_WORK) {
+            self.library.write(&Entry::Passes { at: utc, work: work.to_vec() });
+        }
+    }
+
+    /// What holds for a team, by the orders that are known.
+    fn terms(&self, team: usize, utc: u64) -> Terms {
+        let account = self.settings.teams[team].account.clone();
+        let bound = account.is_some();
+        let order = account.and_then(|account| self.library.orders().get(&Subject::Account(account)));
+        let (held, finish_by) = match order.map(|order| order.word) {
+            Some(Word::Held { finish_by }) => (true, finish_by),
+            _ => (false, None),
+        };
+        let finished = finish_by.is_some_and(|by| utc / 1_000 >= by);
+        let cap = self.cap(team);
+        let near = cap.is_some_and(|cap| self.spent(team).0 >= part(cap, self.settings.near));
+        Terms { capped: cap.is_some(), bound, held, finished, near }
+    }
+
+    /// What all schedulers say that they spent this month, and what of that nothing was left for.
+    fn spent(&self, team: usize) -> (u64, u64) {
+        let month = self.month.map_or(0, |month| month.number);
+        let name = &self.settings.teams[team].name;
+        let writers = self.library.writers();
+        let purses = writers.iter().map(|writer| self.library.purse(writer, name, month));
+        purses.fold((0, 0), |(spent, beyond), purse| {
+            (spent.saturating_add(purse.spent), beyond.saturating_add(purse.beyond))
+        })
     }
 
     fn ask_others(&mut self, now: Time, team: usize, month: u32, parts: Parts) {
@@ -715,32 +768,56 @@
         self.wanted.push(Wanted { to, life, team: name, month, parts });
     }
 
-    /// Who may come again in the place of a worker that ran: told to the tills where that has changed.
+    /// Who may come again, told to the tills where that has changed.
     fn tell_names(&mut self, now: Time, utc: u64, tills: &mut dyn Tills) {
+        let me = &self.settings.me;
+        let writers = self.library.writers();
+        let silent = |writer: &&Name| *writer != me && self.roll.presence(now, writer) != Presence::There;
+        let silent: Vec<Name> = writers.iter().filter(silent).cloned().collect();
         let stamp = self.library.stamp();
-        if self.desks.iter().all(|desk| desk.names_at == Some(stamp)) {
+        if self.named.as_ref().is_some_and(|(at, of)| *at == stamp && *of == silent) {
             return;
         }
-        let mut names: Vec<HashMap<u64, bool>> = vec![HashMap::new(); self.desks.len()];
         let place: BTreeMap<&Name, usize> =
             self.settings.teams.iter().enumerate().map(|(at, team)| (&team.name, at)).collect();
-        for writer in self.library.writers() {
-            let Some(state) = self.library.state_of(&writer) else { continue };
-            for (key, loose) in state.loose.iter().filter(|(_, loose)| loose.until > utc) {
-                if let Some(at) = place.get(&loose.team) {
-                    names[*at].insert(*key, false);
-                }
+        let mut names: Vec<HashMap<u64, Place>> = vec![HashMap::new(); self.desks.len()];
+        let states: Vec<(&Name, &State)> =
+            writers.iter().filter_map(|writer| Some((writer, self.library.state_of(writer)?))).collect();
+        // Who took the place of one that ran, and ended for good: nobody comes in that place any more,
+        // unless it began anew since.
+        let mut done: HashMap<u64, u64> = HashMap::new();
+        for (key, until) in states.iter().flat_map(|(_, state)| &state.done) {
+            let known = done.entry(*key).or_default();
+            *known = (*known).max(*until);
+        }
+        let mut name = |team: &Name, key: u64, ran: bool, until: u64| {
+            if done.get(&key).is_some_and(|done| until <= *done) {
+                return;
+            }
+            if let Some(at) = place.get(team) {
+                let place = names[*at].entry(key).or_insert(Place { in_hand: false, ran });
+                place.ran |= ran;
             }
-            // What runs elsewhere has its place, unless nobody can say that it is over.
-            let silent = writer != self.settings.me && self.roll.presence(now, &writer) == Presence::Gone;
+        };
+        for (writer, state) in &states {
+            let may = |(_, loose): &(&u64, &Loose)| loose.until > utc;
+            state.passes.iter().filter(may).for_each(|(key, l)| name(&l.team, *key, false, l.until));
+            state.loose.iter().filter(may).for_each(|(key, l)| name(&l.team, *key, true, l.until));
+            // What runs elsewhere has its place, unless nobody can say now that it is over.
+            let silent = silent.contains(writer);
             for (key, work) in state.running.iter().filter(|_| silent) {
-                if let Some(at) = place.get(&work.team) {
-                    names[*at].insert(*key, false);
+                name(&work.team, *key, true, work.since.saturating_add(COMES_AGAIN));
+            }
+        }
+        for (_, state) in states.iter().filter(|(writer, _)| !silent.contains(writer)) {
+            for key in state.running.keys() {
+                for names in &mut names {
+                    names.remove(key);
                 }
             }
         }
+        self.named = Some((stamp, silent));
         for (team, mut names) in names.into_iter().enumerate() {
-            self.desks[team].names_at = Some(stamp);
             tills.with(team, &mut |till| names = till.set_names(std::mem::take(&mut names)));
         }
     }
@@ -751,11 +828,11 @@
         let month = self.month.map_or(0, |month| month.number);
         let look = |(team, desk): (usize, &Desk)| {
             let name = &self.settings.teams[team].name;
-            let all = self.library.writers();
-            let purses = all.iter().map(|writer| self.library.purse(writer, name, month));
-            let (spent, beyond) =
-                purses.fold((0, 0), |(spent, beyond), p| (spent + p.spent, beyond + p.beyond));
-            let order = self.library.orders().get(&Subject::Team(name.clone()));
+            let (spent, beyond) = self.spent(team);
+            let orders = self.library.orders();
+            let order = orders.get(&Subject::Team(name.clone()));
+            let account = self.settings.teams[team].account.clone();
+            let hold = account.and_then(|account| orders.get(&Subject::Account(account)));
             Look {
                 team: name.clone(),
                 month,
@@ -764,8 +841,8 @@
                 beyond,
                 free: self.mine(team, month),
                 at_hand: desk.seen.has,
-                held: false,
-                differs: order.is_some_and(|order| order.differs),
+                held: desk.terms.held,
+                differs: order.into_iter().chain(hold).any(|order| order.differs),
             }
         };
         self.desks.iter().enumerate().map(look).collect()
--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -16,4 +16,4 @@
 pub use money::{GIB, Prices};
 pub use month::{Month, Months};
 pub use settings::{Settings, Team};
-pub use till::{Away, News, Seen, Till, Tills};
+pub use till::{Away, News, Place, Seen, Terms, Till, Tills};
--- a/crates/accounts/src/till.rs
+++ b/crates/accounts/src/till.rs
@@ -13,6 +13,9 @@
 use mulleinhub_replica::Parts;
 use std::collections::HashMap;
 
+/// Names that a till has room for beside those it holds.
+const SPARE_NAMES: usize = 256;
+
 /// Between how long and how long a refused owner is to stay away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Away {
@@ -29,9 +32,11 @@
 /// What became of a worker, for the books.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum News {
+    /// `again` where it takes the place of one that ran before.
     Began {
         key: u64,
         rate: u64,
+        again: bool,
     },
     /// It ran under another scheduler, or in an earlier life of this one.
     Adopted {
@@ -45,6 +50,30 @@
     },
 }
 
+/// What a key has that was taken or ran before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// It is asked for just now.
+    pub in_hand: bool,
+    /// It ran; else it was taken before a hold and never ran.
+    pub ran: bool,
+}
+
+/// What holds for a team.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Terms {
+    pub capped: bool,
+    /// It has an account, which orders may hold.
+    pub bound: bool,
+    /// New submissions are held back.
+    pub held: bool,
+    /// And so is what ran, as the hold's time to finish is over.
+    pub finished: bool,
+    /// All schedulers together are known to have spent the part that new workers may use. What lies here of
+    /// it is left over from workers that ended, while others' run on beyond their shares.
+    pub near: bool,
+}
+
 /// One team's.
 #[derive(Debug)]
 pub struct Till {
@@ -53,8 +82,7 @@
     /// Nothing new is taken by what is known here after this instant.
     fresh_until: Time,
     away: Away,
-    /// New submissions are held back.
-    held: bool,
+    terms: Terms,
     has: Parts,
     /// For a stretch of each worker that is asked for or runs.
     reserved: u64,
@@ -63,8 +91,10 @@
     rate: u64,
     spent: u64,
     carried: u64,
-    /// Workers that ran and may come again, under whatever scheduler; true while one of them is asked for.
-    names: HashMap<u64, bool>,
+    /// Who may come again, under whatever scheduler it ran or was taken.
+    names: HashMap<u64, Place>,
+    /// Keys that were taken here and don't run yet, and how often.
+    waiting: HashMap<u64, u32>,
     // Since the keeper's last look.
     asked: u64,
     refused: u64,
@@ -99,13 +129,13 @@
 }
 
 impl Till {
-    pub fn new(stretch: Span, away: Away) -> Self {
+    pub fn new(stretch: Span, away: Away, terms: Terms) -> Self {
         Self {
             stretch,
             at: Time::default(),
             fresh_until: Time::default(),
             away,
-            held: false,
+            terms,
             has: Parts::default(),
             reserved: 0,
             debt: 0,
@@ -113,6 +143,7 @@
             spent: 0,
             carried: 0,
             names: HashMap::new(),
+            waiting: HashMap::new(),
             asked: 0,
             refused: 0,
             most: 0,
@@ -129,27 +160,59 @@
     pub fn ask(&mut self, now: Time, team: u32, key: TaskKey, rate: u64, drawn: f64) -> Result<Ticket, Span> {
         self.accrue(now);
         let need = cost(rate, self.stretch);
-        let ticket = Ticket { team, key, rate, open: need, last: 0 };
-        if now > self.fresh_until {
+        let none = Ticket { team, key, rate, open: 0, last: 0 };
+        let place = self.names.get_mut(&key.0).filter(|place| !place.in_hand && !self.terms.finished);
+        if let Some(place) = place {
+            place.in_hand = true;
+            if place.ran {
+                // It takes its own place again: no new worker, and never refused.
+                return Ok(self.reserve(none, need));
+            }
+        } else if self.terms.held {
             self.refused += 1;
             return Err(self.away.drawn(drawn));
         }
-        if let Some(in_hand) = self.names.get_mut(&key.0)
-            && !*in_hand
-        {
-            // It takes its own place again: no new worker, and never refused.
-            *in_hand = true;
-            return Ok(self.reserve(ticket, need));
+        let taken = self.take(now, none, need);
+        match taken {
+            Some(_) => *self.waiting.entry(key.0).or_default() += 1,
+            None => self.not_in_hand(key.0),
+        }
+        taken.ok_or_else(|| {
+            self.refused += 1;
+            self.away.drawn(drawn)
+        })
+    }
+
+    /// A place for a new worker, where there is one.
+    fn take(&mut self, now: Time, none: Ticket, need: u64) -> Option<Ticket> {
+        let is_fresh = now <= self.fresh_until;
+        if !self.terms.capped {
+            return (is_fresh || !self.terms.bound).then_some(none);
         }
         self.asked = self.asked.saturating_add(need);
         self.most = self.most.max(need);
-        if self.held || self.has.open < need {
-            self.refused += 1;
-            return Err(self.away.drawn(drawn));
+        if !is_fresh || self.terms.near || self.has.open < need {
+            return None;
         }
         self.has.open -= need;
         self.reserved += need;
-        Ok(ticket)
+        Some(Ticket { open: need, ..none })
+    }
+
+    fn not_in_hand(&mut self, key: u64) {
+        if let Some(place) = self.names.get_mut(&key) {
+            place.in_hand = false;
+        }
+    }
+
+    /// It waits no longer.
+    fn waits_no_more(&mut self, key: u64) {
+        if let Some(many) = self.waiting.get_mut(&key) {
+            *many -= 1;
+            if *many == 0 {
+                self.waiting.remove(&key);
+            }
+        }
     }
 
     /// Out of the last part, then out of the open one, as far as they go.
@@ -171,9 +234,8 @@
     pub fn never_ran(&mut self, now: Time, ticket: Ticket) {
         self.accrue(now);
         self.give_back(ticket);
-        if let Some(in_hand) = self.names.get_mut(&ticket.key.0) {
-            *in_hand = false;
-        }
+        self.not_in_hand(ticket.key.0);
+        self.waits_no_more(ticket.key.0);
     }
 
     /// It had its final answer and may run all the same, for a stretch at the most.
@@ -182,15 +244,16 @@
         let reserve = ticket.open + ticket.last;
         self.reserved -= reserve;
         self.spent += reserve;
-        if let Some(in_hand) = self.names.get_mut(&ticket.key.0) {
-            *in_hand = false;
-        }
+        self.not_in_hand(ticket.key.0);
+        self.waits_no_more(ticket.key.0);
     }
 
     pub fn runs(&mut self, now: Time, ticket: Ticket) {
         self.accrue(now);
         self.rate += ticket.rate;
-        self.news.push(News::Began { key: ticket.key.0, rate: ticket.rate });
+        self.waits_no_more(ticket.key.0);
+        let again = self.names.get(&ticket.key.0).is_some_and(|place| place.ran);
+        self.news.push(News::Began { key: ticket.key.0, rate: ticket.rate, again });
     }
 
     /// It ran already, and is this scheduler's from now on.
@@ -207,7 +270,7 @@
         self.rate -= ticket.rate;
         self.give_back(ticket);
         if comes_again {
-            self.names.insert(ticket.key.0, false);
+            self.names.insert(ticket.key.0, Place { in_hand: false, ran: true });
         } else {
             self.names.remove(&ticket.key.0);
         }
@@ -233,6 +296,9 @@
         let last = (self.debt - open).min(self.has.last);
         self.has = self.has.less(Parts { open, last });
         self.debt -= open + last;
+        if !self.terms.capped {
+            self.debt = 0;
+        }
     }
 
     // For the keeper.
@@ -259,8 +325,17 @@
     }
 
     /// What is known here holds until then.
-    pub fn refresh(&mut self, fresh_until: Time, away: Away, held: bool) {
-        (self.fresh_until, self.away, self.held) = (fresh_until, away, held);
+    pub fn refresh(&mut self, fresh_until: Time, away: Away, terms: Terms) {
+        (self.fresh_until, self.away, self.terms) = (fresh_until, away, terms);
+        // The look itself finds room for one more name.
+        self.waiting.reserve(self.waiting.len() + SPARE_NAMES);
+    }
+
+    /// Keys that were taken and don't run yet.
+    pub fn waiting(&self) -> Vec<u64> {
+        let mut keys: Vec<u64> = self.waiting.keys().copied().collect();
+        keys.sort_unstable();
+        keys
     }
 
     /// A drawn block, once it is on disk.
@@ -283,15 +358,13 @@
     }
 
     /// Who may come again. Those that ended here since the books were looked at stay among them.
-    pub fn set_names(&mut self, mut names: HashMap<u64, bool>) -> HashMap<u64, bool> {
-        for (key, in_hand) in &self.names {
-            if *in_hand {
-                names.insert(*key, true);
-            }
+    pub fn set_names(&mut self, mut names: HashMap<u64, Place>) -> HashMap<u64, Place> {
+        for (key, place) in self.names.iter().filter(|(_, place)| place.in_hand) {
+            names.insert(*key, *place);
         }
         for news in &self.news {
             if let News::Over { key, comes_again: true } = news {
-                names.insert(*key, false);
+                names.insert(*key, Place { in_hand: false, ran: true });
             }
         }
         std::mem::replace(&mut self.names, names)
@@ -313,14 +386,16 @@
 
     const AWAY: Away = Away { least: Span::from_secs(1), most: Span::from_secs(3) };
 
+    const CAPPED: Terms = Terms { capped: true, bound: true, held: false, finished: false, near: false };
+
     fn at(ms: u64) -> Time {
         Time::from_nanos(ms * 1_000_000)
     }
 
     fn till(open: u64, last: u64) -> Till {
-        let mut till = Till::new(Span::from_secs(10), AWAY);
+        let mut till = Till::new(Span::from_secs(10), AWAY, CAPPED);
         till.credit(Parts { open, last });
-        till.refresh(at(1_000_000), AWAY, false);
+        till.refresh(at(1_000_000), AWAY, CAPPED);
         till
     }
 
@@ -367,14 +442,74 @@
         assert!(till.ask(at(1_700), 0, TaskKey(1), 10, 0.0).is_ok());
     }
 
+    #[test]
+    fn nothing_new_is_added_once_all_together_have_spent_the_part_for_new_ones() {
+        let mut till = till(1_000, 1_000);
+        let ran = till.ask(at(0), 0, TaskKey(1), 10, 0.0).expect("there is room");
+        till.runs(at(0), ran);
+        till.over(at(10), ran, true);
+        till.refresh(at(1_000_000), AWAY, Terms { near: true, ..CAPPED });
+        assert!(till.ask(at(20), 0, TaskKey(2), 10, 0.0).is_err());
+        assert!(till.ask(at(20), 0, TaskKey(1), 10, 0.0).is_ok(), "it takes its own place again");
+    }
+
     #[test]
     fn nothing_new_is_taken_by_old_news() {
         let mut till = till(1_000, 0);
-        till.refresh(at(500), AWAY, false);
+        till.refresh(at(500), AWAY, CAPPED);
         assert!(till.ask(at(500), 0, TaskKey(1), 1, 0.0).is_ok());
         assert!(till.ask(at(501), 0, TaskKey(2), 1, 0.0).is_err());
     }
 
+    #[test]
+    fn a_hold_keeps_new_ones_back_and_lets_go_on_what_ran_or_was_taken_before() {
+        let held = Terms { held: true, ..CAPPED };
+        let mut till = till(300, 300);
+        let [ran, taken] =
+            [1, 2].map(|key| till.ask(at(0), 0, TaskKey(key), 10, 0.0).expect("there is room"));
+        till.runs(at(0), ran);
+        assert_eq!(till.waiting(), [2]);
+        till.refresh(at(1_000_000), AWAY, held);
+        assert!(till.ask(at(10), 0, TaskKey(3), 10, 0.0).is_err());
+        till.set_names(HashMap::from([(2, Place { in_hand: false, ran: false })]));
+        till.never_ran(at(20), taken);
+        till.over(at(20), ran, true);
+        let again = till.ask(at(30), 0, TaskKey(1), 10, 0.0).expect("it ran");
+        let taken = till.ask(at(30), 0, TaskKey(2), 10, 0.0).expect("it was taken before");
+        assert_eq!((again.open, again.last, taken.open, taken.last), (0, 100, 100, 0));
+        till.never_ran(at(40), again);
+        till.refresh(at(1_000_000), AWAY, Terms { finished: true, ..held });
+        assert!(till.ask(at(50), 0, TaskKey(1), 10, 0.0).is_err(), "the time to finish is over");
+        till.refresh(at(1_000_000), AWAY, CAPPED);
+        assert!(till.ask(at(60), 0, TaskKey(3), 10, 0.0).is_ok());
+    }
+
+    #[test]
+    fn a_task_taken_before_a_hold_is_new_to_the_cap() {
+        let mut till = till(50, 500);
+        till.refresh(at(1_000_000), AWAY, Terms { held: true, ..CAPPED });
+        till.set_names(HashMap::from([(2, Place { in_hand: false, ran: false })]));
+        assert!(till.ask(at(0), 0, TaskKey(2), 10, 0.0).is_err());
+        till.credit(Parts { open: 100, last: 0 });
+        assert!(till.ask(at(0), 0, TaskKey(2), 10, 0.0).is_ok());
+    }
+
+    #[test]
+    fn a_team_without_a_cap_is_held_back_by_a_hold_alone() {
+        let mut till = Till::new(Span::from_secs(10), AWAY, Terms::default());
+        let ticket = till.ask(at(0), 0, TaskKey(1), 10, 0.0).expect("nothing is known against it");
+        till.runs(at(0), ticket);
+        assert_eq!((till.look(at(5_000)).spent, till.look(at(5_000)).debt), (50, 0));
+        let bound = Terms { bound: true, ..Terms::default() };
+        till.refresh(at(0), AWAY, bound);
+        assert!(
+            till.ask(at(5_000), 0, TaskKey(2), 10, 0.0).is_err(),
+            "whether its account is held is old news"
+        );
+        till.refresh(at(9_000), AWAY, Terms { held: true, ..bound });
+        assert!(till.ask(at(5_000), 0, TaskKey(2), 10, 0.0).is_err());
+    }
+
     #[test]
     fn a_month_turns_and_what_runs_is_owed_to_the_new_one() {
         let mut till = till(300, 0);
--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -113,6 +113,9 @@
     /// When a month ends, by the tap's clock.
     #[n(5)]
     pub month_ends: Option<u64>,
+    /// The month in which the day begins: twelve times the year, and its place in it from 0.
+    #[n(6)]
+    pub first_month: u32,
 }
 
 /// The figures that a day is judged by. Spans are nanoseconds.
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -125,6 +125,14 @@
 const MONTH_ENDS: u64 = 1_793_491_200_000;
 
 impl BooksDay {
+    /// Days begin in October 2026: twelve times the year, and the month's place in it from 0.
+    pub const FIRST_MONTH: u32 = 2026 * 12 + 9;
+
+    /// Teams with a cap, and what it is.
+    pub(crate) fn capped(&self) -> impl Iterator<Item = (String, u64)> {
+        self.terms.teams.iter().filter_map(|team| Some((team.name.clone(), team.cap?)))
+    }
+
     /// The time of day at which the day begins, in milliseconds of Unix time.
     pub fn begins(&self) -> u64 {
         self.month_ends.map_or(MIDDLE, |after| MONTH_ENDS - after.nanos() / 1_000_000)
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -1,6 +1,6 @@
 //! The stage of a day: racks, list service and owners behind taps, the script's troubles, the record.
 
-use crate::script::{CaseDay, Day};
+use crate::script::{BooksDay, CaseDay, Day};
 use crate::tap::{At, Parcel, Pipe, To, Way, Weather};
 use crate::trouble::{Far, Store, Struck, Target, Trouble, What};
 use mulleinhub_capture::{self as capture, Deed, Record, Recorder, Side};
@@ -207,15 +207,16 @@
         let mut troubles = day.troubles.clone();
         let names: Vec<String> = day.cases.iter().map(|case| case.case.name.clone()).collect();
         let Range { low, high } = day.random_troubles;
-        for _ in 0..low + dice.below(high - low + 1) {
-            troubles.push(Trouble::random(
-                &mut dice,
-                day.length,
-                &names,
-                day.planners,
-                day.racks,
-                day.silent > 0,
-            ));
+        let teams: Vec<(String, u64)> = day.books.iter().flat_map(|books| books.capped()).collect();
+        for n in 0..low + dice.below(high - low + 1) {
+            // On days with books every second one is about them.
+            let trouble = match n % 2 {
+                0 if !teams.is_empty() => {
+                    Trouble::random_between(&mut dice, day.length, day.planners, &teams)
+                }
+                _ => Trouble::random(&mut dice, day.length, &names, day.planners, day.racks, day.silent > 0),
+            };
+            troubles.push(trouble);
         }
         let worth = day.worth();
         let mut stage = Self {
@@ -471,6 +472,7 @@
                 near: books.terms.near,
                 stretch: books.terms.stretch.nanos(),
                 month_ends: books.month_ends.map(Span::nanos),
+                first_month: BooksDay::FIRST_MONTH,
             }),
         }
     }
--- a/crates/day/src/trouble.rs
+++ b/crates/day/src/trouble.rs
@@ -319,6 +319,40 @@
         Some(Self { at, length, what, target, share, chance })
     }
 
+    /// One that keeps planners' books apart, or strikes what they rest on.
+    pub fn random_between(dice: &mut Dice, length: Span, planners: usize, teams: &[(String, u64)]) -> Self {
+        let lasts = dice.span(length * 0.05, length * 0.3);
+        let begin = dice.span(length * 0.08, length - lasts * 1.5);
+        let at = Range { low: begin, high: begin };
+        let planner = 1 + dice.below(planners);
+        let other = 1 + dice.below(planners);
+        let between = |far| Target::Link { planner: Some(planner), far };
+        let halves = Target::Link { planner: None, far: Far::OtherHalf };
+        let one_of = Target::Planner(planner);
+        let down = spans(300, 6_000);
+        let (what, target) = match dice.below(12) {
+            0 => (What::Cut, between(Far::Planners)),
+            1 => (What::Cut, halves),
+            2 => (What::HalfOpen, between(Far::Planners)),
+            3 => (What::OneWay, between(Far::Planner(other))),
+            4 => (What::StallLink, halves),
+            5 => (What::Delay { by: spans(50, 800) }, between(Far::Planners)),
+            6 => (What::Kill { down, store: Store::Lost }, one_of),
+            7 => (What::Kill { down, store: Store::Old }, one_of),
+            8 => (What::Kill { down, store: Store::Kept }, Target::All),
+            9 => (What::Clock { ahead: dice.happens(0.5), by: spans(200, 3_000) }, one_of),
+            10 => (What::DiskFull, one_of),
+            _ => {
+                let (team, cap) = &teams[dice.below(teams.len())];
+                let amount = (*cap as f64 * dice.between(0.5, 1.5)) as u64;
+                let number = 1 + dice.below(9);
+                (What::Order { line: format!("cap {team} {number} {amount}") }, one_of)
+            }
+        };
+        let share = if target == Target::All { share_range(0.3, 0.8) } else { one() };
+        Self { at, length: Range { low: lasts, high: lasts }, what, target, share, chance: 1.0 }
+    }
+
     /// The use case that it names, if any.
     pub fn case(&self) -> Option<&str> {
         match &self.what {
--- a/crates/peers/src/exchange.rs
+++ b/crates/peers/src/exchange.rs
@@ -35,8 +35,11 @@
 const ROWS: Span = Span::from_secs(2);
 /// A connection that is nobody's friend and was not used for so long.
 const UNUSED: Span = Span::from_secs(10);
-/// Without a sign for so many beats, a connection is taken for dead.
+/// Without a sign for so many beats, a connection is taken for dead; for so many, or not up for so long, it
+/// is doubted.
 const SILENT_BEATS: f64 = 4.0;
+const LIVELY_BEATS: f64 = 1.5;
+const OPENS: Span = Span::from_nanos(500_000_000);
 /// One that spoke wrongly is let in again after this.
 const BARRED: Span = Span::from_secs(5);
 /// Frames of one peer that are heard in a turn, and bytes of it that may wait.
@@ -101,6 +104,8 @@
     /// It has told its figure of all, and all that it knows.
     first: bool,
     whole: bool,
+    /// It said that it ends the connection: that is no sign that it is gone.
+    said_bye: bool,
 }
 
 pub struct Exchange {
@@ -219,6 +224,12 @@
         self.links.send(link, &self.scratch, None);
     }
 
+    fn end(&mut self, link: Link, words: &str) {
+        self.write(link, &Message::Bye { words });
+        self.peers.remove(&link);
+        self.links.end(link);
+    }
+
     /// Ends the connection of a peer that spoke wrongly, and no other.
     fn cut(&mut self, link: Link, bad: &Bad) {
         self.figures.bad += 1;
@@ -226,12 +237,10 @@
         tracing::warn!(peer = ?name, %bad, "a scheduler speaks wrongly; its connection ends");
         let mut words = bad.to_string();
         words.truncate(words.floor_char_boundary(protocol::MOST_WORDS));
-        self.write(link, &Message::Bye { words: &words });
         if let Some(name) = name {
             self.barred.insert(name, self.now + BARRED);
         }
-        self.peers.remove(&link);
-        self.links.end(link);
+        self.end(link, &words);
     }
 
     fn link_to(&self, name: &Name) -> Option<Link> {
@@ -285,7 +294,8 @@
         }
         match message {
             Message::Bye { words } => {
-                tracing::warn!(peer = ?peer.name, words, "a scheduler says why it ends");
+                peer.said_bye = true;
+                tracing::info!(peer = ?peer.name, words, "a scheduler says why it ends");
                 return Ok(());
             }
             Message::Ping { nonce } => {
@@ -384,8 +394,7 @@
         {
             let end = if ours { other } else { link };
             if self.peers.get(&end).is_some_and(|peer| peer.ours) {
-                self.peers.remove(&end);
-                self.links.end(end);
+                self.end(end, "one connection is enough");
             }
         }
         if self.peers.contains_key(&link) {
@@ -725,15 +734,15 @@
                 self.failed(link);
                 self.links.abort(link);
             } else {
-                self.peers.remove(&link);
-                self.links.end(link);
+                self.end(link, "it was not used");
             }
         }
         if now >= self.redraw_at {
             self.redraw_at = now + REDRAWN * (1.0 - 0.25 * self.keeper.part());
-            let at = self.keeper.below(self.friends.len());
-            let one = self.friends.iter().nth(at).cloned();
-            self.friends.retain(|name| Some(name) != one.as_ref());
+            self.drop_friend();
+            while self.friends.len() > FAN {
+                self.drop_friend();
+            }
         }
         self.draw_friends();
         let mut calls: Vec<Name> = self.friends.iter().cloned().collect();
@@ -743,22 +752,39 @@
         calls.iter().for_each(|name| self.call(name));
     }
 
-    /// Friends are drawn among those who are there; of others one is tried at a time, as it may be back.
+    /// Nothing came on the connection to a friend for longer than usual, or it doesn't come up.
+    fn is_doubtful(&self, name: &Name) -> bool {
+        let now = self.now;
+        let lively = |peer: &Peer| match peer.greeted {
+            true => now - peer.heard <= self.beat * LIVELY_BEATS,
+            false => now - peer.since <= OPENS,
+        };
+        let mut links = self.peers.values().filter(|peer| peer.name.as_ref() == Some(name)).peekable();
+        links.peek().is_some() && !links.any(lively)
+    }
+
+    /// Friends are drawn among those who are there, where any are. Beside doubtful ones others are drawn.
+    /// Met: one whose friends were all in the half that it was cut from told nobody anything, with others
+    /// in its own half.
     fn draw_friends(&mut self) {
-        let missing = FAN.saturating_sub(self.friends.len());
+        let lively = self.friends.iter().filter(|name| !self.is_doubtful(name)).count();
+        let missing = FAN.saturating_sub(lively).min((2 * FAN).saturating_sub(self.friends.len()));
         let draws: Vec<f64> = (0..missing).map(|_| self.keeper.part()).collect();
         let now = self.now;
         let rests = |name: &Name| self.tries.get(name).is_some_and(|(_, at)| *at > now);
-        let mut there: Vec<&Name> =
-            self.addresses.keys().filter(|name| !self.friends.contains(*name)).collect();
-        there.retain(|name| !rests(name));
-        let present: Vec<&Name> = there
-            .iter()
-            .copied()
-            .filter(|name| self.keeper.roll.presence(now, name) != Presence::Gone)
-            .collect();
+        let others = self.addresses.keys().filter(|name| !self.friends.contains(*name) && !rests(name));
+        let others: Vec<&Name> = others.collect();
+        let who = |is: &dyn Fn(Presence) -> bool| -> Vec<&Name> {
+            others.iter().copied().filter(|name| is(self.keeper.roll.presence(now, name))).collect()
+        };
+        let mut among = who(&|is| is == Presence::There);
+        if among.len() < missing {
+            among = who(&|is| is != Presence::Gone);
+        }
+        if among.is_empty() {
+            among.clone_from(&others);
+        }
         let mut drawn = Vec::new();
-        let mut among = if present.is_empty() { there } else { present };
         for part in draws.into_iter().take(among.len()) {
             let at = (among.len() as f64 * part) as usize;
             drawn.push(among.swap_remove(at).clone());
@@ -766,9 +792,23 @@
         self.friends.extend(drawn);
     }
 
+    /// One friend fewer, a doubtful one where there are any.
+    fn drop_friend(&mut self) {
+        let doubtful: Vec<Name> =
+            self.friends.iter().filter(|name| self.is_doubtful(name)).cloned().collect();
+        let among = if doubtful.is_empty() { self.friends.iter().cloned().collect() } else { doubtful };
+        let at = self.keeper.below(among.len());
+        if let Some(name) = among.get(at) {
+            self.friends.remove(name);
+        }
+    }
+
     /// A connection is over that was not ended by us.
     fn failed(&mut self, link: Link) {
         let Some(peer) = self.peers.remove(&link) else { return };
+        if let Some(name) = peer.name.as_ref().filter(|_| peer.greeted && !peer.said_bye) {
+            self.keeper.roll.suspect(name);
+        }
         let Some(name) = peer.name.filter(|_| peer.ours) else { return };
         let drawn = self.keeper.part();
         let tries = self.tries.entry(name.clone()).or_default();
--- a/crates/peers/src/shelf.rs
+++ b/crates/peers/src/shelf.rs
@@ -1,6 +1,6 @@
 //! Where the planner's loop and the keeper of the books meet: the tills, in shards each under its own lock.
 
-use mulleinhub_accounts::{Away, Prices, Settings, Till, Tills};
+use mulleinhub_accounts::{Away, Prices, Settings, Terms, Till, Tills};
 use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -35,7 +35,14 @@
     pub fn new(settings: &Settings) -> Arc<Self> {
         let teams = settings.teams.len();
         let shards = teams.clamp(1, SHARDS);
-        let of = |shard: usize| (shard..teams).step_by(shards).map(|_| Till::new(settings.stretch, FIRST));
+        // Until orders are known, what the settings say.
+        let till = |team: usize| {
+            let team = &settings.teams[team];
+            let terms =
+                Terms { capped: team.cap.is_some(), bound: team.account.is_some(), ..Terms::default() };
+            Till::new(settings.stretch, FIRST, terms)
+        };
+        let of = |shard: usize| (shard..teams).step_by(shards).map(till);
         Arc::new(Self {
             shards: (0..shards).map(|shard| Mutex::new(of(shard).collect())).collect(),
             wanted: AtomicBool::new(false),
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -11,7 +11,7 @@
 
 /// Planners tell each other in their greetings, as the feature, which rows of the books they can read: the
 /// highest kind. Rows of higher kinds are kept and handed on unread.
-pub const BOOKS: u64 = 7;
+pub const BOOKS: u64 = 9;
 /// The most ends of columns, rows, beats or orders in one message, and bytes of rows.
 pub const MOST_TIPS: usize = 1024;
 pub const MOST_ROWS_BYTES: usize = 128 * 1024;
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -20,7 +20,7 @@
 pub use orders::{Order, Orders, Standing, Subject, Word};
 pub use roll::{Presence, Roll};
 pub use row::{ColumnId, Digest, Entry};
-pub use state::{Before, Gift, Loose, Parts, Purse, State, Work};
+pub use state::{Before, COMES_AGAIN, Gift, Loose, Parts, Purse, State, Work};
 
 /// What a peer or a file told that can't be, in words.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/replica/src/roll.rs
+++ b/crates/replica/src/roll.rs
@@ -33,6 +33,8 @@
     heard: Option<Time>,
     mean: Span,
     deviation: Span,
+    /// A connection to it broke, and it has not been heard of since.
+    suspected: bool,
 }
 
 /// The members of the fleet but oneself.
@@ -44,7 +46,8 @@
 
 impl Roll {
     pub fn new(members: impl IntoIterator<Item = Name>, every: Span) -> Self {
-        let fresh = Member { beat: (0, 0), heard: None, mean: every, deviation: every * LEAST_DEVIATION };
+        let deviation = every * LEAST_DEVIATION;
+        let fresh = Member { beat: (0, 0), heard: None, mean: every, deviation, suspected: false };
         Self { every, members: members.into_iter().map(|name| (name, fresh.clone())).collect() }
     }
 
@@ -61,10 +64,17 @@
             member.mean = member.mean.toward(gap, NEWEST).max(every * LEAST_DEVIATION);
             member.deviation = member.deviation.toward(off, NEWEST).max(every * LEAST_DEVIATION);
         }
-        member.beat = beat;
+        (member.beat, member.suspected) = (beat, false);
         true
     }
 
+    /// A connection to it broke: it counts as slow until it is heard of.
+    pub fn suspect(&mut self, name: &Name) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.suspected = true;
+        }
+    }
+
     /// This process stood still: what was silent meanwhile may have spoken.
     pub fn stood(&mut self, still: Span) {
         for heard in self.members.values_mut().filter_map(|member| member.heard.as_mut()) {
@@ -77,7 +87,7 @@
         let Some(heard) = member.heard else { return Presence::Gone };
         let usual = member.mean + member.deviation * DEVIATIONS;
         match now - heard {
-            silent if silent <= usual => Presence::There,
+            silent if silent <= usual && !member.suspected => Presence::There,
             silent if silent <= usual * GONE => Presence::Slow,
             _ => Presence::Gone,
         }
@@ -154,6 +164,15 @@
         assert_eq!(roll.presence(at(now + 8_000), &name), Presence::There);
     }
 
+    #[test]
+    fn one_whose_connection_broke_is_slow_until_it_is_heard_of() {
+        let (mut roll, name) = regular(20);
+        roll.suspect(&name);
+        assert_eq!(roll.presence(at(20_100), &name), Presence::Slow);
+        assert!(roll.beat(at(20_200), &name, (1, 90)));
+        assert_eq!(roll.presence(at(20_200), &name), Presence::There);
+    }
+
     #[test]
     fn beats_of_a_former_life_that_come_late_count_for_nothing() {
         let (mut roll, name) = regular(3);
--- a/crates/replica/src/row.rs
+++ b/crates/replica/src/row.rs
@@ -109,6 +109,17 @@
         work: Vec<(u64, bool)>,
     },
     Heard(Order),
+    /// Tasks that were taken before a hold and have not run: they are no new submissions wherever they come
+    /// again.
+    Passes {
+        at: u64,
+        work: Vec<(u64, Name)>,
+    },
+    /// Of the workers that began, those that took the place of one that ran before.
+    Again {
+        at: u64,
+        keys: Vec<u64>,
+    },
     /// Of a kind that a later version writes: kept and handed on unread.
     Unread(Vec<u8>),
 }
@@ -120,6 +131,8 @@
 const BEGAN: u16 = 5;
 const OVER: u16 = 6;
 const HEARD: u16 = 7;
+const PASSES: u16 = 8;
+const AGAIN: u16 = 9;
 
 fn encoded<T: Encode<()>>(kind: u16, body: T) -> Vec<u8> {
     let mut bytes = kind.to_be_bytes().to_vec();
@@ -141,6 +154,8 @@
             Self::Began { at, work } => encoded(BEGAN, (at, work)),
             Self::Over { at, work } => encoded(OVER, (at, work)),
             Self::Heard(order) => encoded(HEARD, order),
+            Self::Passes { at, work } => encoded(PASSES, (at, work)),
+            Self::Again { at, keys } => encoded(AGAIN, (at, keys)),
             Self::Unread(bytes) => bytes.clone(),
         }
     }
@@ -178,6 +193,14 @@
                 order.check()?;
                 Self::Heard(order)
             }
+            PASSES => {
+                let (at, work) = decoded(body)?;
+                Self::Passes { at, work }
+            }
+            AGAIN => {
+                let (at, keys) = decoded(body)?;
+                Self::Again { at, keys }
+            }
             _ => Self::Unread(bytes.to_vec()),
         })
     }
--- a/crates/replica/src/state.rs
+++ b/crates/replica/src/state.rs
@@ -5,7 +5,7 @@
 use crate::orders::{Orders, Standing, Subject};
 use crate::row::{Digest, Entry};
 use minicbor::{Decode, Encode};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Closed months of which the sums are kept: a year, and the month that the comparison is with.
 const MONTHS_KEPT: u32 = 13;
@@ -135,6 +135,19 @@
     /// Rows of kinds that this version can't read, in their order.
     #[n(10)]
     pub unread: Vec<minicbor::bytes::ByteVec>,
+    // The first version reads a state up to here, and leaves out what follows.
+    /// Tasks that were taken before a hold, until when they may come again.
+    #[n(11)]
+    #[cbor(default)]
+    pub passes: BTreeMap<u64, Loose>,
+    /// Workers that run in the place of one that ran before.
+    #[n(12)]
+    #[cbor(default)]
+    pub again: BTreeSet<u64>,
+    /// Of those, the ones that ended for good: nobody may come in their place any more, until then.
+    #[n(13)]
+    #[cbor(default)]
+    pub done: BTreeMap<u64, u64>,
 }
 
 impl State {
@@ -191,8 +204,14 @@
             }
             Entry::Over { at, work } => {
                 self.loose.retain(|_, loose| loose.until > *at);
+                self.passes.retain(|_, loose| loose.until > *at);
+                self.done.retain(|_, until| *until > *at);
                 for (key, comes_again) in work {
+                    let came_again = self.again.remove(key);
                     let Some(work) = self.running.remove(key) else { continue };
+                    if came_again && !*comes_again {
+                        self.done.insert(*key, at.saturating_add(COMES_AGAIN));
+                    }
                     if *comes_again {
                         self.loose
                             .insert(*key, Loose { team: work.team, until: at.saturating_add(COMES_AGAIN) });
@@ -204,6 +223,16 @@
                 orders.hear(&order.subject, order.standing());
                 self.orders = orders.into();
             }
+            Entry::Passes { at, work } => {
+                for (key, team) in work {
+                    let until = at.saturating_add(COMES_AGAIN);
+                    self.passes.insert(*key, Loose { team: team.clone(), until });
+                }
+            }
+            Entry::Again { keys, .. } => {
+                self.done.retain(|key, _| !keys.contains(key));
+                self.again.extend(keys.iter().filter(|key| self.running.contains_key(key)));
+            }
             Entry::Unread(bytes) => self.unread.push(bytes.clone().into()),
         }
         Ok(())
--- a/crates/verdict/src/books.rs
+++ b/crates/verdict/src/books.rs
@@ -14,6 +14,11 @@
 const HEALED: u64 = 8_000_000_000;
 /// Running workers may be paid out of the last part for so long before others' shares come.
 const SETTLES: u64 = 2_000_000_000;
+/// What was written while nobody read comes within this once somebody does.
+const UNSEEN: u64 = 50_000_000;
+/// That a worker was lost is known to the others after this: its own planner waits for two seconds for a
+/// machine that it can't reach.
+const SPREADS: u64 = 3_000_000_000;
 /// Clocks of schedulers differ by less: so near to a month's end a second may belong to either month.
 const MONTHS_END: u64 = 6_000_000_000;
 /// What is charged may differ from what was spent by this part, and by this long of all that runs for each
@@ -32,7 +37,7 @@
 /// What the books of a day came to.
 #[derive(Clone, Debug, Default)]
 pub struct BooksVerdict {
-    pub rules: [BooksRuling; 3],
+    pub rules: [BooksRuling; 5],
     pub figures: BTreeMap<String, TeamFigures>,
     pub frames: u64,
     pub frame_bytes: u64,
@@ -50,8 +55,13 @@
 }
 
 impl BooksVerdict {
-    pub const NAMES: [&'static str; 3] =
-        ["caps kept", "each second charged once", "copies equal after healing"];
+    pub const NAMES: [&'static str; 5] = [
+        "caps kept",
+        "holds kept",
+        "what ran goes on",
+        "each second charged once",
+        "copies equal after healing",
+    ];
 
     pub fn holds(&self) -> bool {
         self.rules.iter().all(|rule| rule.breaches.is_empty())
@@ -59,8 +69,10 @@
 }
 
 const CAPS: usize = 0;
-const CHARGED: usize = 1;
-const EQUAL: usize = 2;
+const HOLDS: usize = 1;
+const GOES_ON: usize = 2;
+const CHARGED: usize = 3;
+const EQUAL: usize = 4;
 
 enum Wire {
     Client { planner: String, owner: String },
@@ -70,6 +82,8 @@
 
 struct Link {
     wire: Wire,
+    /// Until when nobody read what the planner wrote: what comes then was written at a time nobody saw.
+    unread_until: Option<u64>,
     under_way: [VecDeque<(u32, Vec<u8>)>; 2],
 }
 
@@ -80,6 +94,30 @@
     team: usize,
     rate: u64,
     key: u64,
+    /// Who holds it, and since when.
+    planner: String,
+    since: u64,
+    /// The way to its machine was lost since: its planner may have given it up.
+    doubted: bool,
+}
+
+/// How a worker's last copy ended.
+#[derive(Clone)]
+struct Ended {
+    at: u64,
+    /// It was lost, moved or evicted.
+    comes_again: bool,
+    planner: String,
+    since: u64,
+}
+
+/// An order about an account: held, until when what ran may go on where it says so, or cleared.
+struct Hold {
+    at: u64,
+    account: String,
+    number: u64,
+    held: bool,
+    finish_by: Option<u64>,
 }
 
 /// A task that a planner took.
@@ -98,7 +136,12 @@
     spent: u128,
     rate: u64,
     most_rate: u64,
+    /// Of that, what was lost with a store before it was told.
+    unknown: u128,
     at: u64,
+    /// When each key was taken first, and how its last copy ended.
+    taken: BTreeMap<u64, u64>,
+    ended: BTreeMap<u64, Ended>,
     /// Every key that ever ran, and those new in this month: rate, first second, and last where it is over.
     known: BTreeSet<u64>,
     new: BTreeMap<u64, (u64, u64, Option<u64>)>,
@@ -133,6 +176,22 @@
     /// Offers that are out: owner and shape by planner, task and send.
     offers: BTreeMap<(String, u64, u32), (String, Shape)>,
     tasks: BTreeMap<(String, u64), Taken>,
+    /// Tasks that owners were told are placed, and where, and those that they withdrew.
+    placed: BTreeMap<(String, u64), u64>,
+    withdrawn: BTreeSet<(String, u64)>,
+    /// The key of each task that a planner took or adopted.
+    keys: BTreeMap<(String, u64), u64>,
+    /// Tasks that a planner, in its present life, has told are over.
+    given_up: BTreeSet<(String, u64)>,
+    /// When the others last got rows of a planner; and when they had got the last of one that lost its
+    /// store then.
+    told_at: BTreeMap<String, u64>,
+    untold: BTreeMap<String, u64>,
+    /// Copies that are over: planner, team, rate, since when and until when.
+    over: Vec<(String, usize, u64, u64, u64)>,
+    /// What owners hand over.
+    handed: BTreeMap<(String, u64), Shape>,
+    holds: Vec<Hold>,
     teams: Vec<Team>,
     month: u32,
     verdict: BooksVerdict,
@@ -147,6 +206,8 @@
     has: BTreeMap<(String, String, u64), u64>,
     charged: BTreeMap<(String, String, u32), u64>,
     end: u64,
+    /// The frame at hand was written at a time that nobody saw.
+    unseen: bool,
 }
 
 impl BooksJudge {
@@ -186,7 +247,12 @@
             }
             Record::Order { words, .. } => self.order(at, words),
             Record::Deed { deed, who, machine } => self.deed(at, *deed, who, *machine),
-            Record::Terms(_) | Record::Ended { .. } | Record::Unread { .. } | Record::Close { .. } => {}
+            Record::Unread { link, on, .. } => {
+                if let Some(known) = self.links.get_mut(link) {
+                    known.unread_until = Some(if *on { u64::MAX } else { at + UNSEEN });
+                }
+            }
+            Record::Terms(_) | Record::Ended { .. } | Record::Close { .. } => {}
         }
     }
 
@@ -201,12 +267,14 @@
         } else {
             return;
         };
-        self.links.insert(link, Link { wire, under_way: Default::default() });
+        self.links.insert(link, Link { wire, unread_until: None, under_way: Default::default() });
     }
 
     fn deed(&mut self, at: u64, deed: Deed, who: &str, machine: Option<u64>) {
         let keeps_apart = |words: &str| {
-            ["and planner ", "and other planners", "and planners of"].iter().any(|end| words.contains(end))
+            ["and planner ", "and other planners", "and planners of", "to the disk of"]
+                .iter()
+                .any(|end| words.contains(end))
         };
         match deed {
             Deed::Started => {
@@ -217,6 +285,8 @@
                 self.up.remove(who);
                 self.stopped.remove(who);
                 self.tasks.retain(|(planner, _), _| planner != who);
+                self.placed.retain(|(planner, _), _| planner != who);
+                self.given_up.retain(|(planner, _)| planner != who);
                 self.losses += 1;
                 self.troubled_at = Some(at);
                 self.has.retain(|(planner, ..), _| planner != who);
@@ -230,15 +300,27 @@
                 self.losses += 1;
                 self.troubled_at = Some(at);
             }
-            Deed::StoreLost | Deed::StoreOld => self.losses += 1,
+            Deed::StoreLost | Deed::StoreOld => {
+                self.losses += 1;
+                let told = self.told_at.get(who).copied().unwrap_or(0);
+                self.untold.insert(who.to_owned(), told);
+                // What its workers cost since then nobody knows any more; of those that run on, until it
+                // has them again.
+                for (planner, team, rate, since, over) in &self.over {
+                    if planner == who && *over > told {
+                        let cost = u128::from(*rate) * u128::from(over - since.max(&told));
+                        self.teams[*team].unknown += cost;
+                    }
+                }
+            }
             Deed::TroubleBegins if keeps_apart(who) => drop(self.troubles.insert(who.to_owned())),
             Deed::TroubleEnds if self.troubles.remove(who) => self.troubled_at = Some(at),
-            Deed::TroubleBegins | Deed::TroubleEnds => self.losses += 1,
+            Deed::TroubleBegins | Deed::TroubleEnds => {}
             Deed::MachineDown | Deed::FellOver => {
                 self.losses += 1;
                 let over: Vec<Copy> =
                     self.copies.keys().filter(|(on, ..)| Some(*on) == machine).copied().collect();
-                over.into_iter().for_each(|copy| self.ends(at, copy));
+                over.into_iter().for_each(|copy| self.ends(at, copy, true));
             }
             Deed::MachineUp => {}
         }
@@ -246,7 +328,9 @@
 
     /// Why the schedulers may not have known of each other then.
     fn apart(&self, at: u64) -> Option<&'static str> {
-        if !self.troubles.is_empty() || !self.stopped.is_empty() {
+        if self.unseen {
+            Some("perhaps written while nobody read")
+        } else if !self.troubles.is_empty() || !self.stopped.is_empty() {
             Some("schedulers were kept apart")
         } else if self.troubled_at.is_some_and(|then| at < then + HEALED) {
             Some("schedulers had just met again")
@@ -282,7 +366,7 @@
                 self.accrue(ends.unwrap_or(at), team);
                 self.charged_once(team, "the month that ended");
                 let team = &mut self.teams[team];
-                (team.spent, team.workers, team.left) = (0, 0, 0);
+                (team.spent, team.workers, team.left, team.unknown) = (0, 0, 0, 0);
                 team.new.clear();
             }
             self.month = 1;
@@ -326,6 +410,7 @@
 
     fn frame(&mut self, at: u64, link: u32, side: Side, bytes: &[u8], delivered: bool) {
         let Ok(message) = protocol::decode(bytes) else { return };
+        self.unseen = self.links[&link].unread_until.is_some_and(|until| at < until);
         match &self.links[&link].wire {
             Wire::Machine { planner, machine } => {
                 let (planner, machine) = (planner.clone(), *machine);
@@ -335,12 +420,21 @@
                 let (planner, owner) = (planner.clone(), owner.clone());
                 self.client_frame(at, &planner, &owner, &message);
             }
-            Wire::Client { planner, owner } => {
-                if let Message::Ask { task, shape, .. } = &message {
+            Wire::Client { planner, owner } => match &message {
+                Message::Ask { task, shape, .. } => {
                     let (planner, owner, task, shape) = (planner.clone(), owner.clone(), *task, *shape);
                     self.offers.insert((planner, task, u32::MAX), (owner, shape));
                 }
-            }
+                Message::HandOver { task, shape, .. } => {
+                    let (task, shape) = ((planner.clone(), *task), *shape);
+                    self.handed.insert(task, shape);
+                }
+                Message::Withdraw { task } => {
+                    let task = (planner.clone(), *task);
+                    self.withdrawn.insert(task);
+                }
+                _ => {}
+            },
             Wire::Books { ends } => {
                 let at_side = usize::from(side == Side::Opened);
                 let (from, to) = (ends[at_side].clone(), ends[1 - at_side].clone());
@@ -350,10 +444,34 @@
     }
 
     fn client_frame(&mut self, at: u64, planner: &str, owner: &str, message: &Message<'_>) {
-        let Message::Taken { task } = message else { return };
         let Some(team) = self.team_of(owner) else { return };
+        let task = match message {
+            Message::Taken { task } => task,
+            Message::Nacked { task, .. } => return self.nacked(at, planner, *task, team),
+            Message::Placed { task, machine } => {
+                self.placed.insert((planner.to_owned(), *task), *machine);
+                return;
+            }
+            Message::Ended { task, .. } => {
+                let of = (planner.to_owned(), *task);
+                self.placed.remove(&of);
+                let held = |copy: &Copy| copy.1 == *task;
+                let copies: Vec<Copy> = self.copies.keys().filter(|copy| held(copy)).copied().collect();
+                copies.into_iter().for_each(|copy| self.ends(at, copy, true));
+                self.given_up.insert(of.clone());
+                // From now on its planner can know that it is over, and tell the others.
+                let key = self.keys.get(&of).copied();
+                if let Some(ended) = key.and_then(|key| self.teams[team].ended.get_mut(&key)) {
+                    ended.at = ended.at.max(at);
+                }
+                return;
+            }
+            _ => return,
+        };
         let asked = self.offers.remove(&(planner.to_owned(), *task, u32::MAX));
         let Some((_, shape)) = asked else { return };
+        self.keys.insert((planner.to_owned(), *task), shape.key);
+        self.submitted(at, planner, *task, team, shape.key);
         let Some(part) = self.part(at, team) else { return };
         self.accrue(at, team);
         let excused =
@@ -362,6 +480,73 @@
         self.tasks.insert((planner.to_owned(), *task), taken);
     }
 
+    /// Whether an account is held for certain: since when, and until when what ran may go on.
+    fn held(&self, at: u64, team: usize) -> Option<(u64, Option<u64>)> {
+        let account = self.terms.as_ref()?.teams[team].account.as_ref()?;
+        let of = self.holds.iter().filter(|hold| hold.account == *account);
+        let number = of.clone().map(|hold| hold.number).max()?;
+        let newest = of.filter(|hold| hold.number == number);
+        // Of one number with different words the stricter holds, once all know both.
+        let known = |hold: &&Hold| hold.at + KNOWN <= at;
+        let held = newest.clone().filter(|hold| hold.held);
+        let since = held.clone().filter(known).map(|hold| hold.at).min()?;
+        let all_known = newest.clone().all(|hold| known(&hold));
+        let finish_by = held.filter_map(|hold| hold.finish_by).min();
+        (all_known || newest.clone().all(|hold| hold.held)).then_some((since, finish_by))
+    }
+
+    /// A planner took a task of a team.
+    fn submitted(&mut self, at: u64, planner: &str, task: u64, team: usize, key: u64) {
+        let held = self.held(at, team);
+        let first = *self.teams[team].taken.entry(key).or_insert(at);
+        let Some((since, _)) = held else { return };
+        let ran = self.teams[team].known.contains(&key);
+        let rule = &mut self.verdict.rules[HOLDS];
+        rule.cases += 1;
+        if ran || first < since + KNOWN {
+            return;
+        }
+        match self.apart(at) {
+            Some(why) => *self.verdict.rules[HOLDS].excused.entry(why).or_default() += 1,
+            None => self.verdict.rules[HOLDS].breaches.push(format!(
+                "{} ms: {planner} took task {task}, which is new, although its account is held since {} ms",
+                at / 1_000_000,
+                since / 1_000_000
+            )),
+        }
+    }
+
+    /// A planner refused a task of a team, at the door or later.
+    fn nacked(&mut self, at: u64, planner: &str, task: u64, team: usize) {
+        self.tasks.remove(&(planner.to_owned(), task));
+        let asked = self.offers.remove(&(planner.to_owned(), task, u32::MAX));
+        let Some((_, shape)) = asked else { return };
+        let held = self.held(at, team);
+        self.verdict.rules[HOLDS].cases += u64::from(held.is_some());
+        let Some(ended) = self.teams[team].ended.get(&shape.key).cloned() else { return };
+        let runs = self.copies.values().any(|copy| copy.team == team && copy.key == shape.key);
+        let finished = held.is_some_and(|(_, by)| by.is_some());
+        if !ended.comes_again || runs || finished {
+            return;
+        }
+        let untold = self.untold.get(&ended.planner).is_some_and(|since| *since <= ended.since + SPREADS);
+        let why = match self.apart(at) {
+            None if at < ended.at + SPREADS => Some("it had just ended"),
+            None if untold => Some("its planner lost its store before it could tell anybody"),
+            why => why,
+        };
+        let rule = &mut self.verdict.rules[GOES_ON];
+        rule.cases += 1;
+        match why {
+            Some(why) => *rule.excused.entry(why).or_default() += 1,
+            None => rule.breaches.push(format!(
+                "{} ms: {planner} refused task {task}, which had run until {} ms and was lost",
+                at / 1_000_000,
+                ended.at / 1_000_000
+            )),
+        }
+    }
+
     fn machine_frame(
         &mut self,
         at: u64,
@@ -375,6 +560,12 @@
                 let offer = ((*owner).to_owned(), *shape);
                 self.offers.insert((planner.to_owned(), *task, *send), offer);
             }
+            Message::Claim { task, send, owner, .. } if !delivered => {
+                if let Some(shape) = self.handed.get(&(planner.to_owned(), *task)) {
+                    let offer = ((*owner).to_owned(), *shape);
+                    self.offers.insert((planner.to_owned(), *task, *send), offer);
+                }
+            }
             // Its own words count when it says them.
             Message::Accepted { task, send } if !delivered => {
                 let offer = self.offers.remove(&(planner.to_owned(), *task, *send));
@@ -386,17 +577,38 @@
                 for held in tasks {
                     let copy = (machine, held.task, held.send);
                     match held.ended {
-                        Some(_) => self.ends(at, copy),
-                        None if !self.copies.contains_key(&copy) => {
-                            self.begins(at, planner, copy, held.owner, &held.shape);
-                        }
-                        None => {}
+                        Some(ending) => self.ends(at, copy, ending.comes_again()),
+                        None if self.given_up.contains(&(planner.to_owned(), held.task)) => {}
+                        None => match self.copies.get_mut(&copy) {
+                            Some(running) => {
+                                running.doubted = true;
+                                if let Some(told) = self.untold.get(planner).filter(|_| running.since < at) {
+                                    let since = at.saturating_sub(*told.max(&running.since));
+                                    let cost = u128::from(running.rate) * u128::from(since);
+                                    self.teams[running.team].unknown += cost;
+                                    running.since = at;
+                                }
+                            }
+                            None => self.begins(at, planner, copy, held.owner, &held.shape),
+                        },
                     }
                 }
             }
-            Message::Closed { task, send, .. } if !delivered => {
+            Message::Closed { task, send, ending, .. } if !delivered => {
                 self.offers.remove(&(planner.to_owned(), *task, *send));
-                self.ends(at, (machine, *task, *send));
+                self.ends(at, (machine, *task, *send), ending.comes_again());
+            }
+            Message::Stop { task, moves: false, .. } if !delivered => {
+                let of = (planner.to_owned(), *task);
+                let doubted = self.copies.iter().any(|(copy, running)| copy.1 == *task && running.doubted);
+                if self.placed.get(&of) == Some(&machine) && !self.withdrawn.contains(&of) && !doubted {
+                    self.placed.remove(&of);
+                    let words = format!(
+                        "{} ms: {planner} stopped task {task}, which nobody withdrew",
+                        at / 1_000_000
+                    );
+                    self.verdict.rules[GOES_ON].breaches.push(words);
+                }
             }
             _ => {}
         }
@@ -404,10 +616,20 @@
 
     fn begins(&mut self, at: u64, planner: &str, copy: Copy, owner: &str, shape: &Shape) {
         let Some(team) = self.team_of(owner) else { return };
+        if self.handed.remove(&(planner.to_owned(), copy.1)).is_some() {
+            // The same copy under another name.
+            let same = |(of, runs): &(&Copy, &Running)| of.0 == copy.0 && runs.key == shape.key;
+            let same: Vec<Copy> = self.copies.iter().filter(same).map(|(of, _)| *of).collect();
+            same.into_iter().for_each(|copy| self.ends(at, copy, true));
+        }
         self.accrue(at, team);
         let rate = self.rate(shape);
-        self.copies.insert(copy, Running { team, rate, key: shape.key });
+        let (planner, key) = (planner.to_owned(), shape.key);
+        let running = Running { team, rate, key, planner: planner.clone(), since: at, doubted: false };
+        self.copies.insert(copy, running);
+        self.keys.insert((planner.to_owned(), copy.1), shape.key);
         let is_new = self.teams[team].known.insert(shape.key);
+        self.verdict.rules[GOES_ON].cases += u64::from(!is_new);
         let of = &mut self.teams[team];
         of.rate += rate;
         of.most_rate = of.most_rate.max(of.rate);
@@ -438,7 +660,7 @@
             ));
         }
         let settles = u128::from(self.teams[team].rate) * u128::from(SETTLES);
-        if taken.spent > nanos(part) + settles {
+        if taken.spent > nanos(part) + settles + self.teams[team].unknown {
             match taken.excused {
                 Some(why) => *self.verdict.rules[CAPS].excused.entry(why).or_default() += 1,
                 None => self.verdict.rules[CAPS].breaches.push(format!(
@@ -452,10 +674,12 @@
         self.teams[taken.team].left = part.saturating_sub((taken.spent / 1_000_000_000) as u64);
     }
 
-    fn ends(&mut self, at: u64, copy: Copy) {
-        let Some(Running { team, rate, key }) = self.copies.remove(&copy) else { return };
+    fn ends(&mut self, at: u64, copy: Copy, comes_again: bool) {
+        let Some(Running { team, rate, key, planner, since, .. }) = self.copies.remove(&copy) else { return };
         self.accrue(at, team);
+        self.over.push((planner.clone(), team, rate, since, at));
         let team = &mut self.teams[team];
+        team.ended.insert(key, Ended { at, comes_again, planner, since });
         team.rate -= rate;
         if let Some((.., over)) = team.new.get_mut(&key) {
             over.get_or_insert(at);
@@ -471,6 +695,13 @@
         {
             self.teams[team].caps.push((at, number, amount));
         }
+        if let ["hold" | "clear", account, number, ref rest @ ..] = words[..]
+            && let Ok(number) = number.parse()
+        {
+            let finish_by = rest.get(1).and_then(|by| by.parse().ok());
+            let (account, held) = (account.to_owned(), words[0] == "hold");
+            self.holds.push(Hold { at, account, number, held, finish_by });
+        }
     }
 
     // The books' own exchange.
@@ -502,6 +733,9 @@
                 }
             }
             Message::Rows { writer, life, after, rows, skip, rest, .. } if delivered => {
+                if **writer == *from && !rows.is_empty() {
+                    self.told_at.insert(from.to_owned(), at);
+                }
                 let whole = rows.len() as u64 - u64::from(*rest > 0);
                 if *skip == 0 && whole > 0 {
                     let has = self.has.entry((to.to_owned(), (*writer).to_owned(), *life)).or_default();
@@ -532,18 +766,17 @@
         }
     }
 
-    /// What all planners said that they charged a team in a month: the `nth` that is heard of.
-    fn charged(&self, team: usize, nth: usize) -> u64 {
+    /// What all planners said that they charged a team in the present month.
+    fn charged(&self, team: usize) -> u64 {
         let Some(terms) = &self.terms else { return 0 };
-        let months: BTreeSet<u32> = self.charged.keys().map(|(.., month)| *month).collect();
-        let Some(month) = months.iter().nth(nth) else { return 0 };
-        let is = |(_, of, at): &&(String, String, u32)| *of == terms.teams[team].name && at == month;
+        let month = terms.first_month + self.month;
+        let is = |(_, of, at): &&(String, String, u32)| *of == terms.teams[team].name && *at == month;
         self.charged.iter().filter(|(key, _)| is(key)).map(|(_, spent)| *spent).sum()
     }
 
     fn charged_once(&mut self, team: usize, when: &str) {
         let spent = (self.teams[team].spent / 1_000_000_000) as u64;
-        let charged = self.charged(team, self.month as usize);
+        let charged = self.charged(team);
         if spent == 0 && charged == 0 {
             return;
         }
@@ -564,6 +797,7 @@
     /// How the day came out.
     pub fn finish(mut self) -> BooksVerdict {
         let end = self.end;
+        self.unseen = false;
         for team in 0..self.teams.len() {
             self.accrue(end, team);
             self.charged_once(team, "at the end");
@@ -572,7 +806,7 @@
             let figures = TeamFigures {
                 cap: terms.teams[team].cap,
                 spent: (of.spent / 1_000_000_000) as u64,
-                charged: self.charged(team, self.month as usize),
+                charged: self.charged(team),
                 workers: of.workers,
                 left: of.left,
             };
