--- a/crates/accounts/src/keeper.rs
+++ b/crates/accounts/src/keeper.rs
@@ -317,29 +317,30 @@
         (of(|parts| parts.open), of(|parts| parts.last))
     }
 
-    /// Our own, less our part of what others drew under a cap that was lowered since: all together must
-    /// come under the new one.
-    fn mine(&self, team: usize, month: u32) -> Parts {
+    /// Our own, less our part of what others drew under a cap that was lowered since: all together must come under
+    /// the new one. Beside it, what we ourselves drew too much, and whether all together did.
+    fn mine(&self, team: usize, month: u32) -> (Parts, Parts, bool) {
         let me = &self.settings.me;
-        let mine = self.free(me, team, month);
         if self.library.orders().get(&Subject::Team(self.settings.teams[team].name.clone())).is_none() {
-            return mine;
+            return (self.free(me, team, month), Parts::default(), false);
         }
         let got = self.all_got(team, month);
-        let (mut has, mut owed) = ([0i128; 2], [0i128; 2]);
+        let (mut has, mut owed, mut mine) = ([0i128; 2], [0i128; 2], [0i128; 2]);
         for member in &self.settings.members {
             let got = got.get(member).copied().unwrap_or_default();
             let (open, last) = self.balance(member, team, month, got);
             for (at, balance) in [open, last].into_iter().enumerate() {
                 has[at] += balance.max(0);
                 owed[at] += (-balance).max(0);
+                mine[at] += if member == me { balance } else { 0 };
             }
         }
-        let of = |mine: u64, at: usize| {
-            let left = i128::from(mine) * (has[at] - owed[at]).max(0) / has[at].max(1);
-            u64::try_from(left).unwrap_or(0)
+        let left = |at: usize| mine[at].max(0) * (has[at] - owed[at]).max(0) / has[at].max(1);
+        let parts = |of: &dyn Fn(usize) -> i128| {
+            let [open, last] = [of(0), of(1)].map(|amount| u64::try_from(amount).unwrap_or(0));
+            Parts { open, last }
         };
-        Parts { open: of(mine.open, 0), last: of(mine.last, 1) }
+        (parts(&left), parts(&|at| -mine[at]), owed[0] > has[0])
     }
 
     /// What each member got of a team's share, in one pass over all gifts.
@@ -379,7 +380,7 @@
             return self.replies.push(reply(Parts::default(), 0));
         };
         let me = self.settings.me.clone();
-        let free = self.mine(team, wanted.month);
+        let (free, ..) = self.mine(team, wanted.month);
         let uses = self.uses(team);
         let mut seen = Seen::default();
         tills.with(team, &mut |till| seen = till.look(now));
@@ -395,7 +396,7 @@
             self.desks[team].purse.drawn = self.desks[team].purse.drawn.less(back);
             self.write_purse(team, wanted.month);
         }
-        let free = self.mine(team, wanted.month);
+        let (free, ..) = self.mine(team, wanted.month);
         let parts = Parts { open: gives.open.min(free.open), last: gives.last.min(free.last) };
         if parts == Parts::default() {
             return self.replies.push(reply(parts, 0));
@@ -651,7 +652,7 @@
         }
         desk.seen = seen;
         let uses = self.uses(team);
-        let free = self.mine(team, month.number);
+        let (free, too_much, all_too_much) = self.mine(team, month.number);
         let at_hand = seen.has.plus(comes);
         // What is drawn: for new ones and running ones out of the open part, else for running ones out of
         // the last.
@@ -665,7 +666,11 @@
         let last = if free.open > open { 0 } else { (owed + ahead).min(free.last) };
         let draws = Parts { open, last };
         let mut back = Parts::default();
-        if draws == Parts::default() && uses.new < 1.0 && seen.has.open > block.open.saturating_mul(2) {
+        if too_much != Parts::default() {
+            // A cap was lowered: what lies here of the old one goes back first.
+            tills.with(team, &mut |till| back = till.take_back(too_much));
+        } else if draws == Parts::default() && uses.new < 1.0 && seen.has.open > block.open.saturating_mul(2)
+        {
             // Nobody asks for it here: it goes back into the share, from where it can be given away.
             let most = Parts { open: seen.has.open - block.open, last: 0 };
             tills.with(team, &mut |till| back = till.take_back(most));
@@ -688,7 +693,8 @@
         let left = Span::from_nanos(month.ends.saturating_sub(utc).saturating_mul(1_000_000));
         let fresh = if awake { now + FRESH.min(left) } else { Time::default() };
         let has_some = self.desks[team].others_have || free.open >= self.desks[team].most;
-        let terms = self.terms(team, utc);
+        let mut terms = self.terms(team, utc);
+        terms.near |= all_too_much;
         let away = if awake { shares::away(has_some && !terms.held && !terms.near, left) } else { UNKNOWN };
         let mut waiting = Vec::new();
         let begins = terms.held && !self.desks[team].terms.held;
@@ -839,7 +845,7 @@
                 cap: self.cap(team),
                 spent,
                 beyond,
-                free: self.mine(team, month),
+                free: self.mine(team, month).0,
                 at_hand: desk.seen.has,
                 held: desk.terms.held,
                 differs: order.into_iter().chain(hold).any(|order| order.differs),
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -1,11 +1,11 @@
 //! `check` and `day`.
 
 use crate::report;
-use crate::stage_host;
 use clap::{Args, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use mulleinhub_day::{Day, Progress, Score, parse_day};
 use mulleinhub_interface::Time;
+use mulleinhub_load::play_over_sockets;
 use mulleinhub_runner::{Rule, Runner};
 use mulleinhub_settings::{Directive, Faults, parse, parse_text};
 use mulleinhub_verdict::Verdict;
@@ -314,7 +314,8 @@
 /// Plays a day over sockets and tells what it came to.
 fn real(day: Day, folder: &Path, path: &Path) -> Result<ExitCode, String> {
     let watch = Watch::new(&day);
-    let (score, end, usage) = stage_host::play(day, folder, path, |now, progress| watch.see(now, progress))?;
+    let played = play_over_sockets(day, folder, path, &|_, _| None, |now, progress| watch.see(now, progress));
+    let (score, end, usage) = played?;
     watch.done();
     told(path, &score, end, Some(usage))
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,7 +4,6 @@
 mod day;
 mod load;
 mod report;
-mod stage_host;
 mod status;
 mod trace;
 
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -10,8 +10,10 @@
 mod planners;
 mod process;
 mod report;
+mod stage_host;
 mod town;
 
 pub use crowd_host::host as host_crowd;
 pub use idle::{Campaign, run};
 pub use process::{PlannerProcess, Usage};
+pub use stage_host::{Programs, play as play_over_sockets};
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -48,6 +48,11 @@
         Self { program: program.map(Path::to_owned), settings, log, child: None }
     }
 
+    /// From its next start on it is this program, or this one's own planner.
+    pub fn set_program(&mut self, program: Option<PathBuf>) {
+        self.program = program;
+    }
+
     /// Starts it, unless it runs.
     ///
     /// # Errors
--- a/crates/cli/src/stage_host.rs
+++ b/crates/load/src/stage_host.rs
@@ -1,8 +1,8 @@
 //! A day with real sockets: the stage in this process, each planner in one of its own.
 
+use crate::process::{PlannerProcess, Usage};
 use mulleinhub_day::{Behind, Day, Fate, PlannerDeed, Progress, Score, Stage};
 use mulleinhub_interface::Time;
-use mulleinhub_load::{PlannerProcess, Usage};
 use mulleinhub_planner::BooksText;
 use mulleinhub_runner::planner_text;
 use mulleinhub_shell::Shell;
@@ -126,6 +126,9 @@
     probe.local_addr().map_err(|e| format!("a free port: {e}"))
 }
 
+/// Which program a planner is started with: by its number from 0, and the instant. Nothing is this program's own.
+pub type Programs<'a> = &'a dyn Fn(usize, Time) -> Option<PathBuf>;
+
 /// Plays a day to its end; settings, logs and kept lists of the planners go to `folder`.
 ///
 /// # Errors
@@ -134,6 +137,7 @@
     day: Day,
     folder: &Path,
     capture: &Path,
+    programs: Programs<'_>,
     mut watch: impl FnMut(Time, &Progress),
 ) -> Result<(Score, Time, Usage), String> {
     let words = |what: &Path, e: std::io::Error| format!("{}: {e}", what.display());
@@ -179,7 +183,10 @@
         let now = shell.now();
         while let Some(deed) = shell.party.next_deed() {
             match deed {
-                PlannerDeed::Start(n) => planners[n].process.start()?,
+                PlannerDeed::Start(n) => {
+                    planners[n].process.set_program(programs(n, now));
+                    planners[n].process.start()?;
+                }
                 PlannerDeed::Kill(n) => {
                     planners[n].kill();
                     planners[n].told.copy_store()?;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -8,12 +8,18 @@
 //! Locks are taken one at a time and in no nest: the loop locks one shard for a look, the exchange one
 //! after the other, and none is held over I/O, a sync, or the taking of another.
 
+#[cfg(not(feature = "explored"))]
 mod exchange;
 mod shelf;
+#[cfg(not(feature = "explored"))]
 mod store;
+#[cfg(not(feature = "explored"))]
 mod threads;
 
+#[cfg(not(feature = "explored"))]
 pub use exchange::{Exchange, Figures, Member};
 pub use shelf::{Shelf, Teller};
+#[cfg(not(feature = "explored"))]
 pub use store::Store;
+#[cfg(not(feature = "explored"))]
 pub use threads::{Running, Start, start};
--- a/crates/peers/src/shelf.rs
+++ b/crates/peers/src/shelf.rs
@@ -1,10 +1,19 @@
 //! Where the planner's loop and the keeper of the books meet: the tills, in shards each under its own lock.
 
+#[cfg(feature = "explored")]
+use loom::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicBool, Ordering},
+};
 use mulleinhub_accounts::{Away, Prices, Settings, Terms, Till, Tills};
 use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+use std::sync::OnceLock;
+#[cfg(not(feature = "explored"))]
+use std::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicBool, Ordering},
+};
 
 /// Teams are spread over so many locks.
 const SHARDS: usize = 16;
--- a/crates/peers/src/store.rs
+++ b/crates/peers/src/store.rs
@@ -1,7 +1,8 @@
 //! The books on disk: rows by writer, life and number, in an embedded store, committed in groups.
 
 use mulleinhub_replica::{Change, ColumnId, Digest, Kept, Name};
-use redb::{Database, DatabaseError, ReadableTable, TableDefinition};
+use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, TableDefinition};
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 
 /// Writer, life and number of a row; the digest before it, and its bytes.
@@ -17,6 +18,11 @@
     path: PathBuf,
 }
 
+fn damaged(path: &Path, error: &dyn std::fmt::Display) -> String {
+    let what = "the books are damaged; move the file away, and the others' copies bring them back";
+    format!("{}: {what}: {error}", path.display())
+}
+
 impl Store {
     /// Opens the store of a directory, or begins one, and reads all that is kept.
     ///
@@ -24,24 +30,27 @@
     /// In words that say what to do: it is locked by another process, of a later version, or damaged.
     pub fn open(dir: &Path) -> Result<(Self, Vec<Kept>), String> {
         let path = dir.join("books");
+        // Met: a file that is cut short makes the library panic where it should tell.
+        let opened = std::panic::catch_unwind(|| Self::open_file(&path));
+        opened.unwrap_or_else(|_| Err(damaged(&path, &"it can't be made sense of")))
+    }
+
+    fn open_file(path: &Path) -> Result<(Self, Vec<Kept>), String> {
         let words =
             |what: &str, error: &dyn std::fmt::Display| format!("{}: {what}: {error}", path.display());
-        let database = Database::create(&path).map_err(|error| match &error {
+        let mut database = Database::create(path).map_err(|error| match &error {
             DatabaseError::DatabaseAlreadyOpen => words("another process has these books open", &error),
-            DatabaseError::Storage(redb::StorageError::Io(_)) => words("the books can't be opened", &error),
-            _ => words(
-                "the books are damaged; move the file away, and the others' copies bring them back",
-                &error,
-            ),
-        })?;
-        let store = Self { database, path: path.clone() };
-        let kept = store.read().map_err(|error| {
-            words(
-                "the books can't be read; move the file away, and the others' copies bring them back",
-                &error,
-            )
+            DatabaseError::Storage(redb::StorageError::Io(io))
+                if matches!(io.kind(), ErrorKind::NotFound | ErrorKind::PermissionDenied) =>
+            {
+                words("the books can't be opened", &error)
+            }
+            _ => damaged(path, &error),
         })?;
-        match kept {
+        // Met: a changed byte that was found at the first write only, by a panic.
+        database.check_integrity().map_err(|error| damaged(path, &error))?;
+        let store = Self { database, path: path.to_owned() };
+        match store.read().map_err(|error| damaged(path, &error))? {
             Ok(kept) => Ok((store, kept)),
             Err(format) => Err(format!(
                 "{}: the books are of format {format}, this version reads {FORMAT}: start the version that \
@@ -51,7 +60,6 @@
         }
     }
 
-    #[expect(clippy::result_large_err, reason = "told in words by whoever calls it")]
     fn read(&self) -> Result<Result<Vec<Kept>, u64>, redb::Error> {
         let writing = self.database.begin_write()?;
         {
@@ -86,7 +94,6 @@
         self.write(changes).map_err(|error| format!("{}: {error}", self.path.display()))
     }
 
-    #[expect(clippy::result_large_err, reason = "told in words by whoever calls it")]
     fn write(&self, changes: &[Change]) -> Result<(), redb::Error> {
         let writing = self.database.begin_write()?;
         {
--- /dev/null
+++ b/crates/peers/tests/interleavings.rs
@@ -0,0 +1,124 @@
+//! Every interleaving of the planner's loop and the keeper at the shelf, explored:
+//!
+//!     cargo test --release -p mulleinhub-peers --features explored --test interleavings
+
+#![cfg(feature = "explored")]
+
+use loom::sync::Arc;
+use loom::thread;
+use mulleinhub_accounts::{Away, Months, Prices, Seen, Settings, Team, Terms, Tills};
+use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
+use mulleinhub_peers::{Shelf, Teller};
+use mulleinhub_replica::Parts;
+
+const NEED: u64 = 100;
+const AWAY: Away = Away { least: Span::ZERO, most: Span::ZERO };
+const CAPPED: Terms = Terms { capped: true, bound: true, held: false, finished: false, near: false };
+
+fn settings() -> Settings {
+    let team = |name: &str| Team {
+        name: name.into(),
+        account: None,
+        tenants: vec![name.into()],
+        cap: Some(1_000_000),
+    };
+    Settings {
+        me: "one".into(),
+        members: vec!["one".into()],
+        teams: vec![team("pay"), team("ship")],
+        prices: Prices { core_second: 10, memory_second: 0 },
+        months: Months::of_zone("UTC").expect("is a zone"),
+        near: 1_000_000,
+        stretch: Span::from_secs(10),
+        catch_up: Span::ZERO,
+    }
+}
+
+fn shelf() -> (Arc<Shelf>, Teller) {
+    let shelf = Shelf::new(&settings());
+    let teller = Teller::new(shelf.clone(), &settings());
+    for team in 0..2 {
+        (&mut &*shelf).with(team, &mut |till| till.refresh(Time::from_nanos(u64::MAX), AWAY, CAPPED));
+    }
+    (shelf, teller)
+}
+
+fn ask(teller: &mut Teller, key: u64) -> Option<Ticket> {
+    teller.ask(Time::default(), "pay", TaskKey(key), Room::new(1.0, 1.0), 0.0).ok().flatten()
+}
+
+fn look(shelf: &Shelf) -> Seen {
+    let mut seen = Seen::default();
+    (&mut &*shelf).with(0, &mut |till| seen = till.look(Time::default()));
+    seen
+}
+
+/// Whatever was drawn is at hand, reserved or spent, however looks and blocks fall between asks and ends.
+#[test]
+fn no_money_is_made_or_lost() {
+    loom::model(|| {
+        let (shelf, mut teller) = shelf();
+        let keeper = {
+            let shelf = shelf.clone();
+            thread::spawn(move || {
+                (&mut &*shelf).with(0, &mut |till| till.credit(Parts { open: 2 * NEED, last: 0 }));
+                let mut back = Parts::default();
+                (&mut &*shelf).with(0, &mut |till| back = till.take_back(Parts { open: NEED, last: 0 }));
+                back.open
+            })
+        };
+        let one = ask(&mut teller, 1);
+        let two = ask(&mut teller, 2);
+        one.into_iter().for_each(|ticket| teller.never_ran(Time::default(), ticket));
+        let back = keeper.join().expect("it ends");
+        let seen = look(&shelf);
+        assert_eq!(seen.has.open + seen.reserved + back, 2 * NEED);
+        assert_eq!(seen.reserved, if two.is_some() { NEED } else { 0 });
+    });
+}
+
+/// A refusal is seen by the keeper's next look, or its block came before: nobody waits for a wake that is lost.
+#[test]
+fn no_refusal_is_overlooked() {
+    loom::model(|| {
+        let (shelf, mut teller) = shelf();
+        let keeper = {
+            let shelf = shelf.clone();
+            thread::spawn(move || {
+                let wanted = shelf.take_wanted();
+                let asked = look(&shelf).asked;
+                (wanted, asked)
+            })
+        };
+        let refused = ask(&mut teller, 1).is_none();
+        let (wanted, asked) = keeper.join().expect("it ends");
+        assert!(refused);
+        assert!(wanted || asked == NEED || shelf.is_wanted(), "a refusal that nobody will look at");
+        if wanted {
+            assert_eq!(asked + look(&shelf).asked, NEED, "it was woken for what it sees");
+        }
+    });
+}
+
+/// Two teams are under two locks, and the loop never holds both: it can't wait for itself.
+#[test]
+fn looks_at_two_teams_and_two_keepers_end() {
+    loom::model(|| {
+        let (shelf, mut teller) = shelf();
+        let keeper = {
+            let shelf = shelf.clone();
+            thread::spawn(move || {
+                for team in 0..2 {
+                    (&mut &*shelf).with(team, &mut |till| till.credit(Parts { open: NEED, last: 0 }));
+                }
+            })
+        };
+        let room = Room::new(1.0, 1.0);
+        let ship = teller.ask(Time::default(), "ship", TaskKey(1), room, 0.0);
+        let pay = ask(&mut teller, 2);
+        keeper.join().expect("it ends");
+        if ship.is_ok() {
+            assert!(pay.is_some(), "the first team's block came before the second's");
+        }
+    });
+}
--- /dev/null
+++ b/crates/peers/tests/net/mod.rs
@@ -0,0 +1,309 @@
+//! A few schedulers' books joined by wires that take no time, with disks that can be held up.
+
+use mulleinhub_accounts::{Months, Prices, Settings, Team};
+use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
+use mulleinhub_peers::{Exchange, Member, Shelf, Teller};
+use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message};
+use mulleinhub_replica::{Change, ColumnId, Digest, Kept, Name, Order, Subject, Word};
+use mulleinhub_seam::{Ask, Door, End, Link, Party};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+pub const STEP: Span = Span::from_nanos(10_000_000);
+/// An instant in the middle of a month, in milliseconds of Unix time.
+const MIDDLE: u64 = 1_792_022_400_000;
+
+pub struct Node {
+    pub exchange: Exchange,
+    pub teller: Teller,
+    /// Nothing is written to its disk while this holds.
+    pub disk_waits: bool,
+    pub disk: BTreeMap<(ColumnId, u64), (Digest, Vec<u8>)>,
+    waiting: Vec<(Vec<Change>, u64)>,
+}
+
+pub struct Net {
+    pub now: Time,
+    pub nodes: Vec<Option<Node>>,
+    /// Pairs between whom nothing goes.
+    pub cut: BTreeSet<(usize, usize)>,
+    wires: BTreeMap<(usize, Link), (usize, Link)>,
+    /// What goes to and comes from somebody who is no scheduler of ours.
+    pub stranger: Vec<u8>,
+    stranger_link: Option<(usize, Link)>,
+    lives: u64,
+    pub utc_off: u64,
+    /// Messages by their kind.
+    pub counted: BTreeMap<&'static str, u64>,
+    cap: u64,
+}
+
+pub fn name(n: usize) -> Name {
+    format!("s{n}").as_str().into()
+}
+
+pub fn ms(ms: u64) -> Span {
+    Span::from_nanos(ms * 1_000_000)
+}
+
+pub fn settings(n: usize, many: usize, cap: u64) -> Settings {
+    let team = |name: &str, cap| Team {
+        name: name.into(),
+        account: Some("acme".into()),
+        tenants: vec![name.into()],
+        cap,
+    };
+    Settings {
+        me: name(n),
+        members: (0..many).map(name).collect(),
+        teams: vec![team("free", None), team("pay", Some(cap))],
+        prices: Prices { core_second: 10, memory_second: 0 },
+        months: Months::of_zone("UTC").expect("is a zone"),
+        near: 900_000,
+        stretch: Span::from_secs(10),
+        catch_up: Span::from_secs(3),
+    }
+}
+
+impl Net {
+    /// So many schedulers that share a cap, all started and caught up.
+    pub fn new(many: usize, cap: u64) -> Self {
+        let mut net = Self {
+            now: Time::from_nanos(1_000_000_000),
+            nodes: (0..many).map(|_| None).collect(),
+            cut: BTreeSet::new(),
+            wires: BTreeMap::new(),
+            stranger: Vec::new(),
+            stranger_link: None,
+            lives: 0,
+            utc_off: 0,
+            counted: BTreeMap::new(),
+            cap,
+        };
+        (0..many).for_each(|n| net.start(n, BTreeMap::new()));
+        net.run(ms(1_500));
+        net
+    }
+
+    pub fn start(&mut self, n: usize, disk: BTreeMap<(ColumnId, u64), (Digest, Vec<u8>)>) {
+        self.lives += 1;
+        let many = self.nodes.len();
+        let settings = settings(n, many, self.cap);
+        let shelf: Arc<Shelf> = Shelf::new(&settings);
+        let teller = Teller::new(shelf.clone(), &settings);
+        let members = (0..many).map(|m| Member { name: name(m), address: m.to_string() }).collect();
+        let kept = |((id, number), (before, bytes)): (&(ColumnId, u64), &(Digest, Vec<u8>))| Kept {
+            id: id.clone(),
+            number: *number,
+            before: *before,
+            bytes: bytes.clone(),
+        };
+        let kept = disk.iter().map(kept).collect();
+        let exchange = Exchange::new(settings, members, self.lives, 7 + n as u64, kept, shelf);
+        self.nodes[n] = Some(Node { exchange, teller, disk_waits: false, disk, waiting: Vec::new() });
+    }
+
+    /// It dies at once; what is left of its disk.
+    pub fn kill(&mut self, n: usize) -> BTreeMap<(ColumnId, u64), (Digest, Vec<u8>)> {
+        let node = self.nodes[n].take().expect("is up");
+        let links: Vec<(usize, Link)> = self.wires.keys().filter(|(of, _)| *of == n).copied().collect();
+        for end in links {
+            if let Some((other, link)) = self.wires.remove(&end) {
+                self.wires.remove(&(other, link));
+                if let Some(node) = &mut self.nodes[other] {
+                    node.exchange.ended(self.now, link, End::Broken);
+                }
+            }
+        }
+        node.disk
+    }
+
+    pub fn node(&mut self, n: usize) -> &mut Node {
+        self.nodes[n].as_mut().expect("is up")
+    }
+
+    /// Time passes for all that are up.
+    pub fn run(&mut self, span: Span) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + STEP;
+            for n in 0..self.nodes.len() {
+                self.turn(n);
+            }
+        }
+    }
+
+    pub fn turn(&mut self, n: usize) {
+        let now = self.now;
+        let utc = MIDDLE + self.utc_off + now.nanos() / 1_000_000;
+        let Some(node) = &mut self.nodes[n] else { return };
+        node.exchange.set_clock(utc);
+        node.exchange.turn(now);
+        let changes = node.exchange.take_changes();
+        if !changes.is_empty() {
+            let last = node.exchange.last_own(&changes);
+            node.waiting.push((changes, last));
+        }
+        if !node.disk_waits {
+            for (changes, last) in std::mem::take(&mut node.waiting) {
+                for change in changes {
+                    match change {
+                        Change::Row { id, number, before, bytes } => {
+                            node.disk.insert((id, number), (before, bytes.to_vec()));
+                        }
+                        Change::Trim { id, below } => {
+                            node.disk.retain(|(of, number), _| *of != id || *number >= below);
+                        }
+                        Change::Drop { id } => node.disk.retain(|(of, _), _| *of != id),
+                    }
+                }
+                node.exchange.is_durable(last);
+            }
+        }
+        self.carry(n);
+    }
+
+    fn carry(&mut self, n: usize) {
+        loop {
+            let Some(node) = &mut self.nodes[n] else { return };
+            let links = node.exchange.links();
+            if let Some(link) = links.next_dirty() {
+                self.carry_link(n, link);
+                continue;
+            }
+            let Some(ask) = links.next_ask() else { return };
+            match ask {
+                Ask::Open(link, address) => {
+                    let other: usize = address.parse().expect("is a number");
+                    let apart = self.cut.contains(&(n.min(other), n.max(other)));
+                    let now = self.now;
+                    match self.nodes[other].as_mut().filter(|_| !apart) {
+                        Some(node) => {
+                            let theirs = node.exchange.links().fresh();
+                            node.exchange.opened(now, theirs, Door(0));
+                            self.wires.insert((n, link), (other, theirs));
+                            self.wires.insert((other, theirs), (n, link));
+                            self.node(n).exchange.up(now, link);
+                        }
+                        None => self.node(n).exchange.ended(now, link, End::Refused),
+                    }
+                }
+                Ask::End { link, .. } => {
+                    self.carry_link(n, link);
+                    self.node(n).exchange.links().drop_link(link);
+                    if let Some((other, theirs)) = self.wires.remove(&(n, link)) {
+                        self.wires.remove(&(other, theirs));
+                        let now = self.now;
+                        if let Some(node) = &mut self.nodes[other] {
+                            node.exchange.ended(now, theirs, End::Closed);
+                        }
+                    } else if self.stranger_link == Some((n, link)) {
+                        self.stranger_link = None;
+                    }
+                }
+            }
+        }
+    }
+
+    fn carry_link(&mut self, n: usize, link: Link) {
+        let now = self.now;
+        let wire = self.wires.get(&(n, link)).copied();
+        let is_strange = self.stranger_link == Some((n, link));
+        let apart = wire.is_some_and(|(other, _)| self.cut.contains(&(n.min(other), n.max(other))));
+        let links = self.node(n).exchange.links();
+        let bytes = links.outgoing(link).to_vec();
+        if bytes.is_empty() || apart {
+            return;
+        }
+        links.wrote(link, bytes.len());
+        if is_strange {
+            self.stranger.extend(bytes);
+            return;
+        }
+        let Some((other, theirs)) = wire else { return };
+        let mut frames = Frames::default();
+        frames.take(&bytes);
+        while let Ok(Some(frame)) = frames.next_frame() {
+            let kind = match protocol::decode(frame) {
+                Ok(Message::ShareAsk { .. }) => "share-ask",
+                Ok(Message::ShareGiven { .. }) => "share-given",
+                Ok(Message::Rows { .. }) => "rows",
+                Ok(Message::Tips { .. }) => "tips",
+                _ => "other",
+            };
+            *self.counted.entry(kind).or_default() += 1;
+        }
+        if let Some(node) = &mut self.nodes[other] {
+            node.exchange.received(now, theirs, &bytes);
+        }
+    }
+
+    /// Somebody who is none of ours opens a connection, greets by this name, and writes these messages.
+    pub fn stranger_says(&mut self, n: usize, name: &str, messages: &[Message<'_>]) {
+        let mut bytes = Vec::new();
+        if self.stranger_link.is_none() {
+            let now = self.now;
+            let link = self.node(n).exchange.links().fresh();
+            self.node(n).exchange.opened(now, link, Door(0));
+            self.stranger_link = Some((n, link));
+            let features = protocol::BOOKS;
+            protocol::encode(&Message::hello(Conversation::PlannerPlanner, features, name, 1, 0), &mut bytes);
+        }
+        messages.iter().for_each(|message| protocol::encode(message, &mut bytes));
+        self.stranger_writes(n, &bytes);
+    }
+
+    pub fn stranger_writes(&mut self, n: usize, bytes: &[u8]) {
+        let now = self.now;
+        if let Some((_, link)) = self.stranger_link {
+            self.node(n).exchange.received(now, link, bytes);
+        }
+        self.turn(n);
+    }
+
+    pub fn stranger_is_cut_off(&self) -> bool {
+        self.stranger_link.is_none()
+    }
+
+    /// A worker of two cores, 20 micro-units a second, 200 reserved: asked for and running at once.
+    pub fn add(&mut self, n: usize, key: u64) -> Result<Ticket, Span> {
+        let now = self.now;
+        let teller = &mut self.node(n).teller;
+        let ticket = teller.ask(now, "pay/tool", TaskKey(key), Room::new(2.0, 1.0), 0.5)?;
+        let ticket = ticket.expect("its tenant is of a team");
+        teller.runs(now, ticket);
+        Ok(ticket)
+    }
+
+    /// As many as are taken, of so many.
+    pub fn add_many(&mut self, n: usize, first: u64, many: u64) -> Vec<Ticket> {
+        (first..first + many).filter_map(|key| self.add(n, key).ok()).collect()
+    }
+
+    /// So many, while blocks are drawn; those that were added within a second.
+    pub fn fill(&mut self, n: usize, first: u64, many: u64) -> Vec<Ticket> {
+        let mut added = Vec::new();
+        for _ in 0..20 {
+            for key in first + added.len() as u64..first + many {
+                match self.add(n, key) {
+                    Ok(ticket) => added.push(ticket),
+                    Err(_) => break,
+                }
+            }
+            if added.len() as u64 == many {
+                break;
+            }
+            self.run(ms(50));
+        }
+        added
+    }
+
+    pub fn order(&mut self, n: usize, subject: Subject, number: u64, word: Word) {
+        self.node(n).exchange.order(&[Order { subject, number, word }]);
+    }
+
+    /// Of all rows on all disks: how far each scheduler knows each column.
+    pub fn all(&self) -> Vec<Digest> {
+        self.nodes.iter().flatten().map(|node| node.exchange.keeper().library().all()).collect()
+    }
+}
