What waits for a connection leaves after the turn in which that came up, not before

Cause: is_writable wrote at once, in the polls before the party's turn. After a standstill a connection that had come up meanwhile carried its set-up off, though the client's cancel or end, or the drain of that machine, lay here unread: an attempt begun seconds after its client had left. The same held for a connection that takes bytes again. Change: connections that take bytes are noted and written to once the party has had its turn; the end of the process writes to them in its own loop. Tests: the built program among peers that a test scripts (tests/host, taken out of tests/platform.rs): frozen by SIGSTOP it reads nothing, and a door whose line is full lets no connection come up until it is opened.

--- a/crates/planner/tests/platform.rs
+++ b/crates/planner/tests/platform.rs
@@ -1,170 +1,14 @@
 //! The built program on the platform: started by its environment, over real sockets, until its exit.
 
-use mulleinhub_platform_protocol::{Frames, code, kind, why, write_answer, write_message, write_with_cause};
-use rustix::process::{Pid, Signal, kill_process};
+mod host;
+
+use host::*;
+use mulleinhub_platform_protocol::{kind, why, write_answer, write_with_cause};
+use rustix::process::Signal;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-const PATIENCE: Duration = Duration::from_secs(10);
-
-fn listener(host: u8) -> TcpListener {
-    TcpListener::bind(("127.0.9.".to_owned() + &host.to_string(), 0)).expect("a free port")
-}
-
-fn address(listener: &TcpListener) -> SocketAddr {
-    listener.local_addr().expect("is bound")
-}
-
-fn conf(machine: SocketAddr, bulletin: SocketAddr) -> String {
-    format!(
-        r#"{{"name":"n0","listen":"127.0.9.1:0","seed":"8c1f30d27a5be964","bulletin":"{bulletin}",
-        "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},
-        "known":{{"no":1,"items":[{{"no":1,"roster":{{"all":true,"targets":[{{"uid":"s-1",
-            "endpoint":"{machine}",
-            "az":"hall","model":"big","pod_group":0,"state":"in_service",
-            "boot_ms":0,"room":[32.0,64.0]}}]}}}}]}},
-        "settings":{{"balancers":1,"index":0,"myZone":0,"discovery":"push","localities":["hall"],
-        "shapes":["big"],
-        "classes":[{{"name":"front","effect":"repeatable","target":1000000000,"deadline":2500000000,
-                     "gain":9}}],
-        "limits":{{"cancel":true,"connectTimeout":250000000,"keepalive":15000000000,
-                   "maxAttempts":4}},
-        "rules":{{"askWithin":10000000000,"fall":1000000000,"warmAfter":10000000000}},
-        "specifics":{{"acceptsCores":2.0,"acceptsMemory":1.2,"kindCores":[32],"memoryByKind":[64],
-                      "precedence":[0],"yesAt":"accepted","youngLimit":40,"tellsPressure":false}},
-        "tariffs":{{}}}}}}"#
-    )
-}
-
-struct Program {
-    child: Child,
-    conf: PathBuf,
-    log: PathBuf,
-    listen: SocketAddr,
-    machine: TcpListener,
-    bulletin: TcpListener,
-    _folder: tempfile::TempDir,
-}
-
-fn start(conf: &std::path::Path, listen: SocketAddr, log: std::fs::File) -> Child {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_mulleinhub-planner"));
-    command.arg("platform");
-    start_by(command, conf, listen, log)
-}
-
-fn start_by(mut command: Command, conf: &std::path::Path, listen: SocketAddr, log: std::fs::File) -> Child {
-    command.env("LB_CONFIG", conf).env("LB_LISTEN", listen.to_string()).env("LB_NAME", "n0");
-    command.stdout(Stdio::null()).stderr(log).spawn().expect("starts")
-}
-
-impl Program {
-    fn start() -> Self {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_mulleinhub-planner"));
-        command.arg("platform");
-        Self::start_by(command)
-    }
-
-    /// With so many descriptors, whatever the configuration says.
-    fn start_with(descriptors: usize) -> Self {
-        let mut command = Command::new("sh");
-        let program = env!("CARGO_BIN_EXE_mulleinhub-planner");
-        command.args(["-c", &format!("ulimit -n {descriptors} && exec {program} platform")]);
-        Self::start_by(command)
-    }
-
-    fn start_by(command: Command) -> Self {
-        let folder = tempfile::tempdir().expect("a folder");
-        let (machine, bulletin) = (listener(2), listener(3));
-        let listen = address(&listener(1));
-        let path = folder.path().join("config.json");
-        std::fs::write(&path, conf(address(&machine), address(&bulletin))).expect("is written");
-        let log = folder.path().join("log");
-        let child = start_by(command, &path, listen, std::fs::File::create(&log).expect("is made"));
-        Self { child, conf: path, log, listen, machine, bulletin, _folder: folder }
-    }
-
-    fn owner(&self) -> TcpStream {
-        let began = Instant::now();
-        loop {
-            match TcpStream::connect(self.listen) {
-                Ok(owner) => {
-                    owner.set_read_timeout(Some(PATIENCE)).expect("is set");
-                    return owner;
-                }
-                Err(error) => assert!(began.elapsed() < PATIENCE, "{error}: {}", self.log()),
-            }
-            std::thread::sleep(Duration::from_millis(5));
-        }
-    }
-
-    fn log(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_child(&self.child), signal).expect("it runs");
-    }
-
-    fn wait_for(&self, words: &str) {
-        let began = Instant::now();
-        while !self.log().contains(words) {
-            assert!(began.elapsed() < PATIENCE, "{words:?} is not in the log: {}", self.log());
-            std::thread::sleep(Duration::from_millis(5));
-        }
-    }
-
-    fn exit(&mut self) -> Option<i32> {
-        let began = Instant::now();
-        while began.elapsed() < PATIENCE {
-            if let Some(status) = self.child.try_wait().expect("it can be asked") {
-                return status.code();
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        None
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// The next message on a connection: its type, task and cause.
-fn next(stream: &mut TcpStream) -> (u8, u64, Option<u8>) {
-    let mut frames = Frames::default();
-    loop {
-        let mut byte = [0];
-        assert_eq!(stream.read(&mut byte).expect("in time"), 1, "the connection ended");
-        frames.take(&byte);
-        if let Some(frame) = frames.next_frame().expect("spoken rightly") {
-            return (frame.kind, frame.task, mulleinhub_platform_protocol::cause(&frame));
-        }
-    }
-}
-
-fn set_up(task: u64) -> Vec<u8> {
-    let params: [(u8, &[u8]); 5] = [
-        (code::CLASS, b"front"),
-        (code::PATIENCE, b"2000"),
-        (code::NAME, b"7f3a9c21e0b4d655"),
-        (code::FIGURES, b"cores:1;memory:2;service:00000000b4d65521"),
-        (code::DESCRIPTION, b"wanted"),
-    ];
-    written(|out| write_message(out, kind::SET_UP, task, &params))
-}
-
-fn written(write: impl FnOnce(&mut Vec<u8>)) -> Vec<u8> {
-    let mut out = Vec::new();
-    write(&mut out);
-    out
-}
-
 #[test]
 fn it_serves_reads_its_configuration_again_refuses_bad_bytes_and_ends_when_told() {
     let mut program = Program::start();
@@ -243,27 +87,6 @@
     assert_eq!(program.exit(), Some(0), "{}", program.log());
 }
 
-/// A machine that takes whatever it is asked, on any number of connections.
-fn takes_all(listener: TcpListener) {
-    while let Ok((mut way, _)) = listener.accept() {
-        std::thread::spawn(move || {
-            let (mut frames, mut bytes) = (Frames::default(), [0; 4096]);
-            while let Ok(n @ 1..) = way.read(&mut bytes) {
-                frames.take(&bytes[..n]);
-                let mut out = Vec::new();
-                while let Ok(Some(frame)) = frames.next_frame() {
-                    if frame.kind == kind::SET_UP {
-                        write_answer(&mut out, frame.task, b"made");
-                    }
-                }
-                if way.write_all(&out).is_err() {
-                    return;
-                }
-            }
-        });
-    }
-}
-
 #[test]
 fn with_few_descriptors_every_set_up_is_answered_and_no_machine_is_called_dead() {
     let program = Program::start_with(48);
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -111,6 +111,9 @@
     readable: BTreeSet<Link>,
     /// Those of them that became readable since they were last asked about.
     fresh: Vec<Link>,
+    /// Connections that came up, or take bytes again. They are written to once the party has had its turn.
+    /// Met: what waited for a connection left as it came up, though its client's leaving lay here unread.
+    writable: Vec<Link>,
     /// Addresses by the names that the party uses; others are read as addresses.
     names: BTreeMap<String, SocketAddr>,
     clock: Clock,
@@ -140,6 +143,7 @@
             streams: BTreeMap::new(),
             readable: BTreeSet::new(),
             fresh: Vec::new(),
+            writable: Vec::new(),
             names: BTreeMap::new(),
             clock: Clock::new(Time::default()),
             waker: None,
@@ -277,6 +281,7 @@
             self.poll_once(Some(Duration::ZERO))?;
         }
         self.party.turn(self.now());
+        self.write_to_writable();
         self.carry_out();
         self.let_lingering_go();
         Ok(self.heard.pop_front().map_or(Step::Went, Step::Signal))
@@ -313,6 +318,7 @@
             if self.poll_once(Some(left)).is_err() {
                 return;
             }
+            self.write_to_writable();
         }
     }
 
@@ -518,7 +524,13 @@
                 }
             }
         }
-        self.write_one(link);
+        self.writable.push(link);
+    }
+
+    fn write_to_writable(&mut self) {
+        for link in std::mem::take(&mut self.writable) {
+            self.write_one(link);
+        }
     }
 
     /// Writes what waits, as much as the system takes.
