A client that left is sent on nowhere, however much of what it wrote lay before its end

Cause, found by reading and forced by a test: set-ups were told to the module as they were heard, 64 messages of a connection in a turn, and nothing is read from one of which 64 KiB wait. A client that had asked often, and had left or cancelled while this process stood still, was sent on for each task whose end lay behind the 64th message or behind the pause. Change: what a connection asks is told to the module once all that lies there has been heard (hear_owner); an end found there ends it untold. Three more in the same lines: (a) a connection ended for half a message or silence after the module's wake in one turn: its tasks were taken out of hand and the module, told only in the next turn, nacked one of them: a panic in Pen::nack, so a crash after a standstill of two seconds. The module hears of them in that very round. (b) An owner whose answer took longer than 30 to 40 s was let go as silent, as its asking for a sign was passed over: client timeouts of other sites are that long. (c) A message that became whole with more than one turn's messages behind it kept its place as a slow one, and was dropped.

--- a/crates/planner/tests/crossings.rs
+++ b/crates/planner/tests/crossings.rs
@@ -29,6 +29,51 @@
 
 // A client that left is gone.
 
+#[test]
+fn of_a_client_that_left_nothing_is_sent_on_however_much_lay_before_its_end() {
+    // In one turn, in several, and more than is read at a time.
+    for tasks in [10, 200, 1_500] {
+        for leaving in Leaving::ALL {
+            let mut program = Program::start();
+            let mut client = program.owner();
+            is_heard(&mut client);
+            program.freeze();
+            let all: Vec<u8> = (1..=tasks).flat_map(set_up).collect();
+            client.write_all(&all).expect("is sent");
+            let kept = leaving.leave(client, 1..=tasks);
+            program.thaw();
+            turns(&program, 100);
+            program.kill();
+            let sent = unaccepted_set_ups(&program.machine);
+            assert!(sent.is_empty(), "{leaving:?} of {tasks}: {} sent on", sent.len());
+            drop(kept);
+        }
+    }
+}
+
+#[test]
+fn who_connects_asks_and_leaves_while_it_waits_to_be_accepted_is_not_sent_on() {
+    let mut program = Program::start();
+    turns(&program, 2);
+    program.freeze();
+    for task in 1..=40 {
+        let mut client = program.owner();
+        client.write_all(&set_up(task)).expect("is sent");
+        // The last one stays.
+        if task < 40 {
+            drop(client);
+        } else {
+            program.thaw();
+            let mut way = program.way();
+            assert_eq!(next(&mut way), (kind::SET_UP, 40, None));
+            way.write_all(&yes(40)).expect("is sent");
+            assert_eq!(next(&mut client), (kind::ANSWER, 40, None));
+        }
+    }
+    program.kill();
+    assert!(unaccepted_set_ups(&program.machine).is_empty());
+}
+
 #[test]
 fn a_connection_that_comes_up_after_its_client_left_carries_nothing_of_it() {
     for leaving in Leaving::ALL {
@@ -55,6 +100,67 @@
     }
 }
 
+#[test]
+fn a_refusal_that_crosses_the_clients_leaving_is_followed_by_no_further_attempt() {
+    for leaving in Leaving::ALL {
+        let second = listener(6);
+        let mut program = Program::of(|conf| two_machines(patient(conf), &second));
+        let mut client = program.owner();
+        client.write_all(&waits(set_up(7), "60000")).expect("is sent");
+        let (at, mut way) = accepted_by(&[&program.machine, &second]);
+        assert_eq!(next(&mut way), (kind::SET_UP, 7, None));
+        program.freeze();
+        way.write_all(&release(7, why::FULL)).expect("is sent");
+        let kept = leaving.leave(client, 7..=7);
+        program.thaw();
+        turns(&program, 6);
+        program.kill();
+        assert_eq!(set_ups(way), NONE, "{leaving:?}");
+        let other = [&second, &program.machine][at];
+        assert_eq!(unaccepted_set_ups(other), NONE, "{leaving:?}");
+        drop(kept);
+    }
+}
+
+#[test]
+fn a_time_out_that_crosses_the_clients_leaving_is_followed_by_no_further_attempt() {
+    for leaving in Leaving::ALL {
+        let second = listener(7);
+        let mut program = Program::of(|conf| two_machines(conf, &second));
+        let mut client = program.owner();
+        client.write_all(&set_up(7)).expect("is sent");
+        let (at, mut way) = accepted_by(&[&program.machine, &second]);
+        assert_eq!(next(&mut way), (kind::SET_UP, 7, None));
+        program.freeze();
+        let kept = leaving.leave(client, 7..=7);
+        // The send is recalled after a tenth of the client timeout without a word; two seconds are wanted.
+        std::thread::sleep(Duration::from_millis(500));
+        program.thaw();
+        turns(&program, 6);
+        program.kill();
+        assert_eq!(set_ups(way), NONE, "{leaving:?}");
+        assert_eq!(unaccepted_set_ups([&second, &program.machine][at]), NONE, "{leaving:?}");
+        drop(kept);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_as_its_answer_comes_is_told_no_more_and_the_machine_hears_of_it() {
+    let program = Program::start();
+    let mut client = program.owner();
+    client.write_all(&set_up(7)).expect("is sent");
+    let mut way = program.way();
+    assert_eq!(next(&mut way), (kind::SET_UP, 7, None));
+    program.freeze();
+    way.write_all(&yes(7)).expect("is sent");
+    client.write_all(&release(7, why::ENDED)).expect("is sent");
+    program.thaw();
+    // Heard in either order, the copy is cut.
+    let (of, task, _) = next(&mut way);
+    assert_eq!((of, task), (kind::RELEASE, 7));
+    is_heard_after_answers(&mut client);
+}
+
 /// As `is_heard`; an answer to a set-up may come before.
 fn is_heard_after_answers(owner: &mut TcpStream) {
     let test = mulleinhub_platform_protocol::write_with_cause;
@@ -78,6 +184,22 @@
 
 // Standstills, limits and the end.
 
+#[test]
+fn a_half_read_message_whose_time_ends_with_its_owners_task_costs_that_connection_alone() {
+    // The only machine drains, so the task waits; the half message and the task end in one turn.
+    let program = Program::of(|conf| conf.replacen("in_service", "terminating", 1));
+    let mut owner = program.owner();
+    owner.write_all(&[set_up(7), set_up(8)[..30].to_vec()].concat()).expect("is sent");
+    let mut other = program.owner();
+    is_heard(&mut other);
+    program.freeze();
+    std::thread::sleep(Duration::from_millis(2_200));
+    program.thaw();
+    let (of, task, _) = next(&mut owner);
+    assert_eq!((of, task), (kind::RELEASE, 7));
+    is_heard(&mut other);
+}
+
 #[test]
 fn whoever_was_there_before_the_end_gets_whole_answers_and_nothing_is_reset() {
     let mut program = Program::start();
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -187,23 +187,39 @@
             return;
         }
     }
-    let d = &mut *desk.borrow_mut();
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
     let now = d.now;
     let Some(owner) = d.owners.by_link.get_mut(&link) else { return };
     frames.tidy();
     let (partial, more) = (frames.kept() > 0, frames.has_next());
     owner.frames = frames;
-    let end = owner.end;
+    let (end, turned_away) = (owner.end, owner.turned_away);
     if more {
+        // What is whole by now is no slow frame.
+        d.limits.read(now, link.0, false);
         return d.hear_rest_later(link);
     }
+    let paused = d.links.is_paused(link);
     d.links.pause(link, false);
-    if owner.turned_away && !partial {
+    if turned_away && !partial {
         return d.drop_owner(link);
     }
     d.limits.read(now, link.0, partial);
     if end.is_some() {
-        owner_is_gone(d, link);
+        return owner_is_gone(d, link);
+    }
+    if paused {
+        // More may lie unread, the client's leaving too.
+        return d.hear_rest_later(link);
+    }
+    let taken = d.owners.by_link.get_mut(&link).map(|owner| std::mem::take(&mut owner.taken));
+    drop(borrowed);
+    for id in taken.unwrap_or_default() {
+        let order = desk.borrow().tasks.by_id.get(&id).filter(|job| !job.answered).map(|job| job.order);
+        if let Some(order) = order {
+            round.new_task(order);
+        }
     }
 }
 
@@ -311,8 +327,9 @@
     d.counts.taken += 1;
     tracing::debug!(task = hex(id), class = setup.class, ?order, "taken");
     d.hand(Some(link), id, true);
-    drop(borrowed);
-    round.new_task(order);
+    if let Some(owner) = d.owners.by_link.get_mut(&link) {
+        owner.taken.push(id);
+    }
     Ok(())
 }
 
@@ -392,7 +409,7 @@
 }
 
 /// Tells the module of the tasks that nobody wants any more.
-fn tell_gone(desk: &RefCell<Desk>, round: &mut dyn Ears) {
+pub fn tell_gone(desk: &RefCell<Desk>, round: &mut dyn Ears) {
     let gone = std::mem::take(&mut desk.borrow_mut().gone);
     gone.into_iter().for_each(|id| round.abandoned(id));
 }
@@ -425,8 +442,11 @@
     let (now, mut budget) = (d.now, 64);
     while let Some((conn, act)) = d.limits.due(now, &mut budget) {
         match act {
-            // There is no sign to ask for: a connection without a task in hand may be closed.
-            Act::AskForSign if d.owners.by_link.get(&Link(conn)).is_some_and(|o| !o.open.is_empty()) => {}
+            // There is no sign to ask for: a connection without a task in hand may be closed. Of one with a task
+            // in hand the answer is ours. Met: an owner that waited for longer than the silence was let go.
+            Act::AskForSign if d.owners.by_link.get(&Link(conn)).is_some_and(|o| !o.open.is_empty()) => {
+                d.limits.heard(now, conn);
+            }
             Act::AskForSign | Act::End(_) => close_owner(d, Link(conn)),
         }
     }
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -18,6 +18,10 @@
     pub proven: bool,
     /// Tasks that are to be answered here.
     pub open: BTreeSet<TaskId>,
+    /// Those of them that the module hears of once all that lies here has been heard: the client may have left
+    /// behind them. Met: a client that asked often and left during a standstill of ours was sent on, as its
+    /// end lay behind more messages than one turn hears.
+    pub taken: Vec<TaskId>,
     /// It is to make room: it is ended once a turn has passed in which nothing of it was here to be read.
     /// Met: connections were ended while a set-up lay on them unread.
     pub gives_way: bool,
@@ -35,6 +39,7 @@
             heard_at: since.0,
             proven: false,
             open: BTreeSet::new(),
+            taken: Vec::new(),
             gives_way: false,
             turned_away: false,
         }
--- a/crates/platform/src/stories/crossings.rs
+++ b/crates/platform/src/stories/crossings.rs
@@ -6,6 +6,42 @@
 use mulleinhub_seam::{End, Party};
 use std::collections::BTreeSet;
 
+#[test]
+fn an_owner_that_waits_for_longer_than_silence_may_last_is_not_let_go() {
+    // The only machine drains: the task waits for more than a minute.
+    let mut rig = Rig::knowing(START, &[listed(1, "terminating", 0)], |conf| {
+        conf.replace("2500000000", "100000000000")
+    });
+    let owner = rig.owner();
+    rig.say(owner, &waits(set_up(1, "front", ""), "100000"));
+    rig.pass(Span::from_secs(80));
+    assert!(!rig.closed.contains(&owner), "it waits");
+    let heard = rig.heard_on(owner);
+    assert!(heard.is_empty(), "it waits: {heard:?}");
+    let bulletin = rig.on(BULLETIN)[0];
+    let line = event(2, false, &[listed(1, "in_service", 0)]);
+    rig.say(bulletin, format!("data: {line}\n\n").as_bytes());
+    rig.pass(ms(200));
+    let (way, _) = rig.set_ups().pop().expect("it is sent");
+    rig.say(way, &yes(1));
+    assert_eq!(rig.heard_on(owner)[0].kind, kind::ANSWER);
+}
+
+#[test]
+fn a_message_that_becomes_whole_as_its_time_ends_is_heard_with_all_behind_it() {
+    let mut rig = Rig::new(20);
+    let owner = rig.owner();
+    let asks = |task| waits(set_up(task, "front", ""), "2500");
+    let first = asks(1);
+    rig.say(owner, &first[..30]);
+    // The rest, and more than one turn hears, in the turn in which the time is over.
+    rig.now = rig.now + ms(2_100);
+    let rest: Vec<u8> = (2..=100).flat_map(asks).collect();
+    rig.say(owner, &[&first[30..], &rest].concat());
+    assert!(!rig.closed.contains(&owner));
+    assert_eq!(rig.set_ups().len(), 100);
+}
+
 #[test]
 fn a_refusal_that_comes_twice_ends_neither_the_next_send_nor_what_stands() {
     let mut rig = Rig::new(2);
