Half a message keeps nobody's place: idle clients had taken every descriptor

Ruled out: lingering connections, the pool (none open), the wait between calls. Lines at fault: give_way (whoever had a part of a message here stayed, and nobody went in its stead, so that each newcomer added one), takes (nothing bounded those that were to make room). Test: with 64 and 256 descriptors, the list is found again, a machine reached, ten owners answered within two seconds each while the crowd stays; seen to fail without this.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -48,6 +48,8 @@
     Release(MachineId),
     /// One for whom there was no room has had its time.
     TurnedAway,
+    /// One that is to make room has had its time to end a message.
+    GiveWay,
     Bulletin(Link),
     CallBulletin,
     Tell,
@@ -201,7 +203,7 @@
     /// An idle connection is to make room, unless something of it is here when the turn has heard all.
     pub fn is_to_give_way(&mut self, link: Link) {
         if let Some(owner) = self.owners.by_link.get_mut(&link) {
-            owner.gives_way = true;
+            owner.gives_way = Some(self.now);
             self.owners.giving_way.push(link);
         }
     }
@@ -209,11 +211,16 @@
     /// All that came before this turn was read and heard: those that said nothing make room.
     pub fn give_way(&mut self) {
         for link in std::mem::take(&mut self.owners.giving_way) {
-            let Some(owner) = self.owners.by_link.get(&link).filter(|owner| owner.gives_way) else {
-                continue;
-            };
-            if owner.queued || owner.frames.kept() > 0 || !owner.open.is_empty() || owner.end.is_some() {
+            let Some(owner) = self.owners.by_link.get(&link) else { continue };
+            let Some(since) = owner.gives_way else { continue };
+            let until = since + self.limits.settings().may_speak;
+            if owner.queued || owner.frames.has_next() || !owner.open.is_empty() || owner.end.is_some() {
                 self.stays(link);
+            } else if owner.frames.kept() > 0 && until > self.now {
+                // The rest of a message may be on its way. Met: whoever sent a part of one kept its place for two
+                // seconds beyond all limits, and such clients took every descriptor there was.
+                self.owners.giving_way.push(link);
+                self.timers.set(until, Due::GiveWay);
             } else {
                 self.drop_owner(link);
             }
@@ -223,7 +230,7 @@
     /// It spoke, so it makes no room.
     fn stays(&mut self, link: Link) {
         let Some(owner) = self.owners.by_link.get_mut(&link) else { return };
-        owner.gives_way = false;
+        owner.gives_way = None;
         let (proven, open) = (owner.proven, owner.open.len() as u32);
         self.limits.stays(self.now, link.0);
         if proven {
@@ -250,7 +257,9 @@
             return 0;
         }
         let refused = self.doorway.turned_away.saturating_sub(self.owners.turned_away.len());
-        self.limits.takes().min(refused)
+        // Those who make room are still here.
+        let most = self.limits.allowed() + self.doorway.taken_a_turn + self.doorway.turned_away;
+        self.limits.takes().min(refused).min(most.saturating_sub(self.owners.by_link.len()))
     }
 
     pub fn who(&self, link: Link) -> Option<Who> {
@@ -286,9 +295,6 @@
         match self.who(link) {
             Some(Who::Owner) => {
                 let turns = self.stood.turns();
-                if self.owners.by_link[&link].gives_way {
-                    self.stays(link);
-                }
                 let owner = self.owners.by_link.get_mut(&link).expect("is one");
                 owner.frames.take(bytes);
                 owner.heard_at = now;
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -801,7 +801,7 @@
 pub fn due(desk: &RefCell<Desk>, due: Due) {
     let d = &mut *desk.borrow_mut();
     match due {
-        Due::Token(_) => {}
+        Due::Token(_) | Due::GiveWay => {}
         Due::Send(task, send) => timed_out(d, task, send),
         Due::Up(link) => {
             if d.machines.ways.get(&link).is_some_and(|way| !way.up) {
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -22,9 +22,9 @@
     /// behind them. Met: a client that asked often and left during a standstill of ours was sent on, as its
     /// end lay behind more messages than one turn hears.
     pub taken: Vec<TaskId>,
-    /// It is to make room: it is ended once a turn has passed in which nothing of it was here to be read.
-    /// Met: connections were ended while a set-up lay on them unread.
-    pub gives_way: bool,
+    /// Since when it is to make room: it is ended once a turn has passed in which nothing of it was here to be
+    /// heard. Met: connections were ended while a set-up lay on them unread.
+    pub gives_way: Option<Time>,
     /// There was no room for it: what it asks is refused, and then it is ended.
     pub turned_away: bool,
 }
@@ -40,7 +40,7 @@
             proven: false,
             open: BTreeSet::new(),
             taken: Vec::new(),
-            gives_way: false,
+            gives_way: None,
             turned_away: false,
         }
     }
