A hand-over waits for its machine to be listed, and finds an end heard before it

Cause, found by reading: (a) what a machine tells of a task whose scheduler died may come on any open connection, so on one of ours; it was dropped, its machine had said it, and the task handed over later stood here for ever; (b) a hand-over whose machine our list does not name yet, as another scheduler's was ahead of it, was refused, which tells the owner that its task is over. Change: handover.rs remembers ends of tasks not in hand by task and machine, for a minute and as many as tasks may be held; a hand-over waits for up to 2.5 s (who speaks wrongly is owed a word within three). Tests: over sockets both crossings were seen to fail without this; handed over twice, never listed and a flood of 2,000 with their ends at once hold; a story bounds what is remembered.

--- a/crates/planner/tests/crossings.rs
+++ b/crates/planner/tests/crossings.rs
@@ -316,6 +316,80 @@
 
 // Hand-overs.
 
+#[test]
+fn an_end_that_was_heard_before_its_task_was_handed_over_is_told_at_the_hand_over() {
+    let program = Program::start();
+    let mut owner = program.owner();
+    owner.write_all(&set_up(7)).expect("is sent");
+    let mut way = program.way();
+    assert_eq!(next(&mut way), (kind::SET_UP, 7, None));
+    way.write_all(&yes(7)).expect("is sent");
+    assert_eq!(next(&mut owner), (kind::ANSWER, 7, None));
+    // Of a task whose scheduler died a machine tells on any connection that is open.
+    way.write_all(&release(99, why::RESET)).expect("is sent");
+    assert_eq!(next(&mut way), (kind::RELEASE_HEARD, 99, None));
+    owner.write_all(&set_up_of(99, "front", ";at:s-1")).expect("is sent");
+    assert_eq!(next(&mut owner), (kind::RELEASE, 99, Some(why::RESET)));
+    // Once: handed over again, by whoever, it is a task like any other.
+    is_heard(&mut owner);
+}
+
+#[test]
+fn a_task_on_a_machine_that_no_list_names_yet_is_taken_over_once_one_does() {
+    let second = listener(16);
+    let program = Program::start();
+    let (mut bulletin, _) = program.call();
+    let mut owner = program.owner();
+    // Handed over twice, and by two connections.
+    let twice = [set_up_of(99, "front", ";at:s-2"), set_up_of(99, "front", ";at:s-2")].concat();
+    owner.write_all(&twice).expect("is sent");
+    let mut another = program.owner();
+    another.write_all(&set_up_of(99, "front", ";at:s-2")).expect("is sent");
+    is_heard(&mut owner);
+    is_heard(&mut another);
+    bulletin.write_all(&told(2, &[listed("s-2", address(&second), "in_service", 0)])).expect("is sent");
+    let mut way = accepted(&second);
+    way.write_all(&release(99, why::ENDED)).expect("is sent");
+    assert_eq!(next(&mut way), (kind::RELEASE_HEARD, 99, None));
+    let told = next(&mut owner);
+    assert_eq!(told, (kind::RELEASE, 99, Some(why::ENDED)));
+    is_heard(&mut another);
+}
+
+#[test]
+fn a_task_on_a_machine_that_is_never_listed_is_told_to_be_over_in_time() {
+    let program = Program::start();
+    let mut owner = program.owner();
+    let began = Instant::now();
+    owner.write_all(&set_up_of(99, "front", ";at:s-none")).expect("is sent");
+    assert_eq!(next(&mut owner), (kind::RELEASE, 99, Some(why::ERROR)));
+    assert!(began.elapsed() < Duration::from_secs(3), "who speaks wrongly is owed a word in three seconds");
+}
+
+#[test]
+fn a_flood_of_hand_overs_at_the_start_is_taken_whole_before_the_list_is_there() {
+    let mut program = Program::start();
+    let mut owner = program.owner();
+    is_heard(&mut owner);
+    program.freeze();
+    let all: Vec<u8> = (1..=2_000).flat_map(|task| set_up_of(task, "front", ";at:s-1")).collect();
+    owner.write_all(&all).expect("is sent");
+    program.thaw();
+    let mut way = program.way();
+    let ends: Vec<u8> = (1..=2_000).flat_map(|task| release(task, why::ENDED)).collect();
+    // Heard one way or the other: what is over before its hand-over was heard is told with it.
+    way.write_all(&ends).expect("is sent");
+    let mut told = std::collections::BTreeSet::new();
+    while told.len() < 2_000 {
+        let (of, task, cause) = next(&mut owner);
+        assert_eq!((of, cause), (kind::RELEASE, Some(why::ENDED)));
+        assert!(told.insert(task), "task {task} is told twice");
+    }
+    is_heard(&mut owner);
+    program.kill();
+    assert_eq!(set_ups(way), NONE);
+}
+
 // Standstills, limits and the end.
 
 #[test]
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -2,6 +2,7 @@
 
 use crate::bulletin::{self, Bulletin};
 use crate::conf::Conf;
+use crate::handover::HandOvers;
 use crate::machines::{Machines, Patience, Way};
 use crate::owners::{Owner, Owners};
 use crate::tasks::{Open, Tasks, hex};
@@ -50,6 +51,8 @@
     TurnedAway,
     /// One that is to make room has had its time to end a message.
     GiveWay,
+    /// A hand-over has waited long enough for its machine to be listed.
+    HandOver,
     Bulletin(Link),
     CallBulletin,
     Tell,
@@ -95,6 +98,7 @@
     doorway: Doorway,
     /// Tasks that may be held in all.
     pub most_held: usize,
+    pub handovers: HandOvers,
     /// One name for all owners: the platform's have none.
     pub owners_name: Arc<str>,
     /// The list that the configuration knew; told first.
@@ -155,6 +159,7 @@
             doorway,
             ways_in_all: ways_to_machines(conf.descriptors),
             most_held: tasks_held(conf.memory_mb),
+            handovers: HandOvers::default(),
             owners_name: "owner".into(),
             saved: conf.known.items,
             arrivals: VecDeque::new(),
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -93,6 +93,17 @@
         entries
     };
     round.list(kind, &entries);
+    let listed = {
+        let d = &mut *desk.borrow_mut();
+        let known = &d.machines.by_id;
+        d.handovers.listed(|id| known.contains_key(&id))
+    };
+    for waiting in listed {
+        takes_over(desk, round, waiting.order, waiting.machine, waiting.owner);
+        if waiting.given_up {
+            given_up(&mut desk.borrow_mut(), waiting.owner, waiting.order.id);
+        }
+    }
     let d = &mut *desk.borrow_mut();
     let tasks = &d.tasks;
     d.machines
@@ -264,24 +275,22 @@
             return Ok(());
         }
         let machine = id_of(uid);
-        if !d.machines.by_id.contains_key(&machine) {
-            return refuse_unusable(d, link, id, &Unusable("a machine that no list names"));
+        if d.handovers.is_waiting(id) {
+            return Ok(());
         }
-        if d.tasks.by_id.len() >= d.most_held {
+        if d.tasks.by_id.len() + d.handovers.waiting.len() >= d.most_held {
             return refuse_unusable(d, link, id, &Unusable("one more than can be held"));
         }
-        greets(d, link);
-        proves(d, link);
         let order = order(setup, *case, Time::from_nanos(u64::MAX));
-        let open = Open { placed_at: Some(d.now), ..Open::new(0, machine, d.now, order.deadline) };
-        let job = Job { sends: 1, open: Some(open), answered: true, ..Job::new(order, link) };
-        d.tasks.by_id.insert(id, job);
-        d.counts.handed += 1;
-        let (class, ask) = (setup.class, order.ask);
-        tracing::debug!(task = hex(id), machine = machine.0, class, ?ask, "handed over");
-        d.look_after(machine);
+        if !d.machines.by_id.contains_key(&machine) {
+            // Another scheduler's list may be ahead of ours. Met: owners were told that their tasks were over.
+            greets(d, link);
+            let until = d.handovers.waits(d.now, order, machine, link);
+            d.timers.set(until, Due::HandOver);
+            return Ok(());
+        }
         drop(borrowed);
-        round.running(order, machine);
+        takes_over(desk, round, order, machine, link);
         return Ok(());
     }
     if d.tasks.by_id.contains_key(&id) {
@@ -333,6 +342,29 @@
     Ok(())
 }
 
+/// A task that runs on this machine is this scheduler's charge from now on, unless its end was heard before.
+fn takes_over(desk: &RefCell<Desk>, round: &mut dyn Ears, order: Order, machine: MachineId, owner: Link) {
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
+    let id = order.id;
+    if d.tasks.by_id.contains_key(&id) {
+        return;
+    }
+    greets(d, owner);
+    proves(d, owner);
+    d.counts.handed += 1;
+    tracing::debug!(task = hex(id), machine = machine.0, ask = ?order.ask, "handed over");
+    if let Some(cause) = d.handovers.end_of(id, machine) {
+        return d.tell_end(Some(owner), id, cause);
+    }
+    let open = Open { placed_at: Some(d.now), ..Open::new(0, machine, d.now, order.deadline) };
+    let job = Job { sends: 1, open: Some(open), answered: true, ..Job::new(order, owner) };
+    d.tasks.by_id.insert(id, job);
+    d.look_after(machine);
+    drop(borrowed);
+    round.running(order, machine);
+}
+
 /// The connection lives; "errored" promises nothing.
 fn refuse_unusable(d: &mut Desk, link: Link, id: TaskId, unusable: &Unusable) -> Result<(), Bad> {
     d.counts.unusable += 1;
@@ -380,6 +412,9 @@
 /// An owner no longer wants a task: one that waits for its answer on this very connection, or one that
 /// stands.
 fn given_up(d: &mut Desk, link: Link, id: TaskId) {
+    if d.handovers.give_up(id) {
+        return;
+    }
     let Some(job) = d.tasks.by_id.get(&id) else { return };
     let Some(open) = job.placed() else {
         if job.owner == Some(link) {
@@ -608,7 +643,15 @@
         let Some(way) = d.machines.ways.get_mut(&link) else { return };
         way.given_up.retain(|(given_up, _)| *given_up != id);
         let machine = way.machine;
-        d.tasks.by_id.get(&id).and_then(|job| job.open).filter(|open| open.machine == machine)
+        let Some(job) = d.tasks.by_id.get(&id) else {
+            // A refusal is the end of a send, and whoever ended a task is owed nothing.
+            let refused = matches!(cause, why::FULL | why::BUSY | why::ERROR | why::MOOT);
+            if !refused && after_answer(cause, why) != Ending::Recalled {
+                d.handovers.has_ended(d.now, id, machine, cause, d.most_held);
+            }
+            return;
+        };
+        job.open.filter(|open| open.machine == machine)
     };
     let Some(open) = open else { return };
     if open.placed_at.is_some() {
@@ -813,6 +856,14 @@
         Due::Look(machine) => look(d, machine),
         Due::Release(machine) => d.release(machine),
         Due::TurnedAway => d.end_turned_away(),
+        Due::HandOver => {
+            while let Some(waiting) = d.handovers.overdue(d.now) {
+                // It may be an owner's, or nobody's: the machine may never have been.
+                d.counts.unusable += 1;
+                d.grumble("a set-up can't be used", "a machine that no list names");
+                d.tell_end(Some(waiting.owner), waiting.order.id, why::ERROR);
+            }
+        }
         Due::Bulletin(link) if d.bulletin.link == Some(link) => {
             let until = d.bulletin.heard_at + crate::bulletin::SILENCE;
             if until <= d.now {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod bulletin;
 mod conf;
 mod desk;
+mod handover;
 mod hear;
 mod machines;
 mod owners;
--- a/crates/platform/src/stories/crossings.rs
+++ b/crates/platform/src/stories/crossings.rs
@@ -134,6 +134,26 @@
     assert_eq!(rig.platform.desk.get_mut().bulletin.last, 2);
 }
 
+#[test]
+fn what_machines_tell_of_tasks_that_are_not_in_hand_is_remembered_within_bounds() {
+    let mut rig = Rig::of(1, |conf| conf.replace(r#""memory_mb":32"#, r#""memory_mb":1"#));
+    let owner = rig.owner();
+    rig.say(owner, &set_up(1, "front", ""));
+    let (way, _) = rig.set_ups().pop().expect("it is sent");
+    rig.say(way, &yes(1));
+    (100..1_000).for_each(|task| rig.say(way, &release(task, why::ENDED)));
+    assert_eq!(rig.platform.desk.get_mut().handovers.remembered(), 4 * 32);
+    // Of the newest it is known, and a refusal or a cancel is no end.
+    rig.say(way, &[release(2_000, why::FULL), release(2_001, why::CANCELLED)].concat());
+    rig.heard_on(owner);
+    for (task, is_over) in [(999, true), (2_000, false), (2_001, false)] {
+        rig.say(owner, &set_up(task, "front", &format!(";at:{}", uid(1))));
+        let heard = rig.heard_on(owner);
+        assert_eq!(!heard.is_empty(), is_over, "{task}");
+        assert!(heard.iter().all(|said| said.param(code::CAUSE) == Some(&[why::ENDED])));
+    }
+}
+
 #[test]
 fn a_machine_that_stopped_and_answers_on_what_it_left_open_is_over_all_the_same() {
     // Met: join+mass on centro-dados-sede, where owners heard of ends up to ten seconds late.
