What is decided and not written is taken back at a drain, a window's end or a new machine

Cause, found by reading: between the module's choice and the wire lie the cold gate, the wait for a connection and one that is coming up. In it (a) the window of repeats may end: a keyed set-up that waited for a connection went out after it, where a second copy may run; the module keeps a tenth of the window free, which is 70 ms of a window of 700; (b) a drain may be told; (c) another machine may come to the address, and got what was meant for the one before; (d) a cold machine's budget may be over: checked behind the gate, not for a connection that comes up late. Change: each send knows the last instant at which it may be written (Desk::write_by) and is taken back then if not a byte left (Links::take_back); all that is unwritten is taken back where the list closes its machine. The module hears that it was not sent, and chooses anew.

--- a/crates/pacing/src/cold.rs
+++ b/crates/pacing/src/cold.rs
@@ -60,6 +60,11 @@
         self.is_cold(now) && now - decided > fall * LATE
     }
 
+    /// From when on an offer that is decided on now comes too late for that budget.
+    pub fn stale_after(&self, now: Time, fall: Span) -> Option<Time> {
+        self.is_cold(now).then(|| now + fall * LATE)
+    }
+
     /// Until when nothing more may be written, where the way is stalled; later looks may say later.
     pub fn shut_until(&self, now: Time, fall: Span) -> Option<Time> {
         if !self.is_cold(now) {
--- a/crates/planner/tests/crossings.rs
+++ b/crates/planner/tests/crossings.rs
@@ -178,6 +178,59 @@
 
 // What is decided and not written yet.
 
+#[test]
+fn a_drain_told_before_the_connection_came_up_sends_the_task_elsewhere() {
+    let (first, second) = (listener(8), listener(10));
+    let door = ShutDoor::new(&first);
+    let mut program = Program::of(|conf| {
+        let at = conf.find(r#""endpoint":""#).expect("a machine") + 12;
+        let end = at + conf[at..].find('"').expect("its address");
+        patient(format!("{}{}{}", &conf[..at], address(&first), &conf[end..]))
+    });
+    let mut client = program.owner();
+    client.write_all(&waits(set_up(7), "60000")).expect("is sent");
+    is_heard(&mut client);
+    let (mut bulletin, _) = program.call();
+    program.freeze();
+    let lines =
+        [listed("s-1", address(&first), "terminating", 0), listed("s-2", address(&second), "in_service", 0)];
+    bulletin.write_all(&told(2, &lines)).expect("is sent");
+    let way = door.open();
+    program.thaw();
+    let mut other = accepted(&second);
+    assert_eq!(next(&mut other), (kind::SET_UP, 7, None));
+    other.write_all(&yes(7)).expect("is sent");
+    assert_eq!(next(&mut client), (kind::ANSWER, 7, None));
+    program.kill();
+    assert_eq!(set_ups(way), NONE, "the machine drains");
+}
+
+#[test]
+fn a_further_attempt_whose_window_of_repeats_ends_before_it_is_written_is_not_made() {
+    let second = listener(11);
+    let door = ShutDoor::new(&second);
+    let mut program = Program::of(patient);
+    let mut client = program.owner();
+    client.write_all(&waits(set_up_of(7, "batch", ""), "60000")).expect("is sent");
+    let mut way = program.way();
+    assert_eq!(next(&mut way), (kind::SET_UP, 7, None));
+    let since = Instant::now();
+    let (mut bulletin, _) = program.call();
+    bulletin.write_all(&told(2, &[listed("s-2", address(&second), "in_service", 0)])).expect("is sent");
+    // It may have run.
+    drop(way);
+    program.wait_for("a connection is over");
+    is_heard(&mut client);
+    assert!(since.elapsed() < Duration::from_millis(2_500), "too slow a machine for this test");
+    program.freeze();
+    std::thread::sleep(Duration::from_millis(3_200).saturating_sub(since.elapsed()));
+    let way = door.open();
+    program.thaw();
+    assert_eq!(next(&mut client), (kind::RELEASE, 7, Some(why::ERROR)));
+    program.kill();
+    assert_eq!(set_ups(way), NONE, "three seconds after the first attempt it may run twice");
+}
+
 // The list.
 
 #[test]
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -43,6 +43,8 @@
 pub enum Due {
     Token(u64),
     Send(TaskId, u32),
+    /// The last instant at which this send may be written.
+    Write(TaskId, u32),
     /// A connection that should be up by then.
     Up(Link),
     Look(MachineId),
@@ -601,6 +603,9 @@
     pub fn write_setup(&mut self, id: TaskId) -> bool {
         let now = self.now;
         let Some(open) = self.tasks.by_id.get(&id).and_then(|job| job.open) else { return false };
+        if open.write_by < now {
+            return false;
+        }
         let Some(link) = self.way_for(open.machine, id) else { return false };
         self.next_mark += 1;
         let mark = self.next_mark;
@@ -643,6 +648,54 @@
         self.closings.push_back((id, open.number, ending));
     }
 
+    /// Takes a send back if not a byte of it was written; the module hears that it was not sent.
+    pub fn take_back(&mut self, id: TaskId, send: u32) {
+        let open = self.tasks.by_id.get(&id).and_then(|job| job.open);
+        let Some(open) = open.filter(|open| open.number == send && open.placed_at.is_none()) else { return };
+        if self.closings.iter().any(|(task, send, _)| (*task, *send) == (id, open.number)) {
+            return;
+        }
+        if let Some(link) = open.link {
+            if !self.links.take_back(link, open.mark) {
+                return;
+            }
+            if let Some(way) = self.machines.ways.get_mut(&link) {
+                way.open.retain(|task| *task != id);
+            }
+        } else if let Some(machine) = self.machines.by_id.get_mut(&open.machine) {
+            machine.waiting.retain(|waits| *waits != (id, send));
+        }
+        self.closings.push_back((id, send, Ending::NotSent));
+    }
+
+    /// Takes back what was decided for this machine and not written yet: it drains, is gone, or another one has
+    /// its address. Met: a set-up that waited for its connection left after the drain was told.
+    pub fn take_back_all(&mut self, id: MachineId) {
+        let Some(machine) = self.machines.by_id.get(&id) else { return };
+        let mut sends = machine.waiting.clone();
+        for (_, way) in self.machines.ways_of(id) {
+            let number = |task: &TaskId| Some((*task, self.tasks.by_id.get(task)?.open?.number));
+            sends.extend(way.open.iter().filter_map(number));
+        }
+        sends.into_iter().for_each(|(task, send)| self.take_back(task, send));
+    }
+
+    /// Until when a send that is decided on now may be written: a further one of a task that machines drop
+    /// repeats of within their window, one to a cold machine within what its budget was dealt for. Met: what
+    /// waited for a connection left after the window had ended.
+    pub fn write_by(&self, id: TaskId, machine: MachineId) -> Time {
+        let never = Time::from_nanos(u64::MAX);
+        let (Some(job), Some(machine)) = (self.tasks.by_id.get(&id), self.machines.by_id.get(&machine))
+        else {
+            return never;
+        };
+        let window = match (self.site.use_cases[job.order.use_case.0].effect, job.may_have_run) {
+            (Effect::Referenced { window, .. }, Some(first)) => first + window,
+            _ => never,
+        };
+        machine.gate.stale_after(self.now, self.site.cold.fall).map_or(window, |cold| cold.min(window))
+    }
+
     /// What proves that a send never ran, once it is taken back; nothing where it may.
     fn retract(&mut self, id: TaskId, open: Open, cut: bool) -> Option<Ending> {
         let Some(link) = open.link else {
@@ -676,7 +729,8 @@
             let is_it = |open: &Open| open.number == send && open.link.is_none();
             let Some(open) = open.filter(is_it) else { continue };
             let machine = &self.machines.by_id[&id];
-            if machine.gate.is_stale(now, fall, open.decided) || machine.entry.mode != Mode::Active {
+            let stale = machine.gate.is_stale(now, fall, open.decided) || open.write_by < now;
+            if stale || machine.entry.mode != Mode::Active {
                 self.closings.push_back((task, send, Ending::NotSent));
             } else if shut.is_some() || open.due <= now {
                 waits_on.push((task, send));
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -96,6 +96,13 @@
     let listed = {
         let d = &mut *desk.borrow_mut();
         let known = &d.machines.by_id;
+        let closed = |(_, machine): &(&MachineId, &Machine)| {
+            (machine.entry.mode != Mode::Active || machine.replaced)
+                && !(machine.ways.is_empty() && machine.waiting.is_empty())
+        };
+        let closed: Vec<MachineId> = known.iter().filter(closed).map(|(id, _)| *id).collect();
+        closed.into_iter().for_each(|id| d.take_back_all(id));
+        let known = &d.machines.by_id;
         d.handovers.listed(|id| known.contains_key(&id))
     };
     for waiting in listed {
@@ -141,6 +148,11 @@
         for other in others {
             d.machines.by_id.get_mut(&other).expect("is there").replaced = true;
             d.is_lost(other, now, "another machine has its address");
+            // What is not written yet must not reach the one that is there now.
+            d.take_back_all(other);
+            let idle = d.machines.ways_of(other).filter(|(_, way)| way.open.is_empty());
+            let idle: Vec<Link> = idle.map(|(link, _)| link).collect();
+            idle.into_iter().for_each(|link| d.end_way(link));
         }
     }
     if let Some(since) = entry.since.filter(|since| before != Some(*since)) {
@@ -846,6 +858,7 @@
     match due {
         Due::Token(_) | Due::GiveWay => {}
         Due::Send(task, send) => timed_out(d, task, send),
+        Due::Write(task, send) => d.take_back(task, send),
         Due::Up(link) => {
             if d.machines.ways.get(&link).is_some_and(|way| !way.up) {
                 way_ended(d, link, End::Broken);
--- a/crates/platform/src/pen.rs
+++ b/crates/platform/src/pen.rs
@@ -34,9 +34,14 @@
         let number = job.sends;
         job.sends += 1;
         let due = now + time_out;
-        job.open = Some(Open::new(number, machine, now, due));
         desk.counts.sends += 1;
         desk.timers.set(due, Due::Send(task, number));
+        let write_by = desk.write_by(task, machine);
+        if write_by < due {
+            desk.timers.set(write_by, Due::Write(task, number));
+        }
+        let job = desk.tasks.by_id.get_mut(&task).expect("was there");
+        job.open = Some(Open { write_by, ..Open::new(number, machine, now, due) });
         let spot = desk.machines.by_id.get_mut(&machine).expect("the module sends to listed machines");
         assert!(
             spot.entry.mode == Mode::Active,
--- a/crates/platform/src/stories/crossings.rs
+++ b/crates/platform/src/stories/crossings.rs
@@ -112,6 +112,51 @@
     assert_eq!(rig.platform.desk.get_mut().tasks.by_id.len(), answers.saturating_sub(ends));
 }
 
+#[test]
+fn a_whole_list_that_drops_a_machine_takes_back_what_waits_for_it_and_keeps_what_is_out() {
+    let mut rig = Rig::new(1);
+    rig.doors.insert(address(1), Entrance::Silent);
+    let owner = rig.owner();
+    rig.say(owner, &set_up(1, "front", ""));
+    let held_back = rig.on(&address(1))[0];
+    rig.doors.remove(&address(1));
+    let bulletin = rig.on(BULLETIN)[0];
+    rig.say(bulletin, format!("data: {}\n\n", event(2, true, &[listed(2, "in_service", 0)])).as_bytes());
+    let (way, said) = rig.set_ups().pop().expect("it goes to the machine that is listed");
+    assert_eq!((said.task, rig.address_of(way)), (1, &address(2)[..]));
+    rig.comes_up(held_back);
+    assert!(rig.set_ups().is_empty(), "nothing of it is left there");
+    // And what is out when its machine is dropped has its answer still.
+    rig.say(bulletin, format!("data: {}\n\n", event(3, true, &[listed(3, "in_service", 0)])).as_bytes());
+    rig.say(way, &yes(1));
+    assert_eq!(rig.heard_on(owner)[0].kind, kind::ANSWER);
+    rig.say(way, &release(1, why::ENDED));
+    assert_eq!(rig.heard_on(owner)[0].kind, kind::RELEASE);
+}
+
+#[test]
+fn a_machine_that_comes_at_the_address_of_another_gets_nothing_that_waited_for_that_one() {
+    let mut rig = Rig::new(1);
+    rig.doors.insert(address(1), Entrance::Silent);
+    let owner = rig.owner();
+    rig.say(owner, &set_up(1, "front", ""));
+    let held_back = rig.on(&address(1))[0];
+    let bulletin = rig.on(BULLETIN)[0];
+    let line = listed(9, "in_service", 0).replace(&address(9), &address(1));
+    // The old one is not told to be gone yet.
+    rig.say(bulletin, format!("data: {}\n\n", event(2, false, &[line])).as_bytes());
+    if rig.opened.contains_key(&held_back) {
+        rig.comes_up(held_back);
+    }
+    assert!(rig.set_ups().iter().all(|(way, _)| *way != held_back));
+    // It is the new one's task only if it is sent to that one.
+    rig.doors.remove(&address(1));
+    rig.pass(ms(500));
+    for (way, said) in rig.set_ups() {
+        assert!(way != held_back && said.task == 1);
+    }
+}
+
 #[test]
 fn a_whole_list_at_the_start_of_a_connection_begins_the_numbers_anew_and_an_event_told_twice_does_not() {
     let mut rig = Rig::new(1);
--- a/crates/platform/src/tasks.rs
+++ b/crates/platform/src/tasks.rs
@@ -23,6 +23,8 @@
     /// When the module decided on it, and when the wait for an answer ends.
     pub decided: Time,
     pub due: Time,
+    /// It is not written later than this.
+    pub write_by: Time,
     /// It was written anew, as its first connection was reset before a byte of it had left.
     pub anew: bool,
     pub placed_at: Option<Time>,
@@ -46,7 +48,18 @@
 impl Open {
     /// A send decided on now, which nothing has carried yet.
     pub fn new(number: u32, machine: MachineId, now: Time, due: Time) -> Self {
-        Self { number, machine, link: None, mark: 0, decided: now, due, anew: false, placed_at: None }
+        let write_by = Time::from_nanos(u64::MAX);
+        Self {
+            number,
+            machine,
+            link: None,
+            mark: 0,
+            decided: now,
+            due,
+            write_by,
+            anew: false,
+            placed_at: None,
+        }
     }
 }
 
