The last words of a peer that resets as we write are heard; a rest is no quiet

Cause, found by reading: (a) a write that failed dropped the connection with all that lay unread on it: answers and ends that a machine had told before it died, hand-overs and cancels of an owner that closed; (b) while accepting rests for want of descriptors the listener is not ready, so is_quiet could let a process end with clients waiting outside. Change: after a failed write the connection is read to its end, which then tells; not where it is paused or already ending. A rest counts as not quiet.

--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -291,7 +291,8 @@
     pub fn is_quiet(&mut self) -> bool {
         let links = self.party.links();
         self.heard.is_empty()
-            && self.listeners.iter().all(|listening| !listening.ready)
+            // One that rests for want of descriptors may have many waiting outside.
+            && self.listeners.iter().all(|listening| !listening.ready && listening.rests_until.is_none())
             && self.readable.iter().all(|link| links.is_paused(*link))
     }
 
@@ -549,7 +550,16 @@
                 Ok(n) => self.party.links().wrote(link, n),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return self.gone(link, End::Broken),
+                Err(_) if stream.ending || self.party.links().is_paused(link) => {
+                    return self.gone(link, End::Broken);
+                }
+                Err(_) => {
+                    // What the other side said before lies here still, and its end behind it. Met in a test: the
+                    // last words of a peer that reset its connection were lost where we wrote to it first.
+                    stream.closing = true;
+                    self.readable.insert(link);
+                    return;
+                }
             }
         }
         if stream.ending {
--- a/crates/shell/tests/descriptors.rs
+++ b/crates/shell/tests/descriptors.rs
@@ -60,6 +60,8 @@
     }
     let calls = shell.calls;
     assert!(shell.party.pinches > 0, "the limit was met");
+    // Clients wait outside, which an end of the process must not overlook.
+    assert!(!shell.is_quiet());
     // It rests between tries: a second at the limit is some tens of calls, not thousands.
     for _ in 0..10 {
         shell.step(Duration::from_millis(100)).expect("polls");
--- a/crates/shell/tests/ends.rs
+++ b/crates/shell/tests/ends.rs
@@ -15,14 +15,20 @@
     links: Links,
     spoke: Vec<Link>,
     ends_them: bool,
+    heard: Vec<u8>,
+    ended: Vec<End>,
+    /// Resets its connection, with last words before, in the middle of the next turn, and is then written to.
+    resets: Option<TcpStream>,
 }
 
 const WORD: &[u8] = b"refused, come again later";
+const LAST: &[u8] = b"my last words";
 
 impl Party for Host {
     fn opened(&mut self, _: Time, _: Link, _: Door) {}
     fn up(&mut self, _: Time, _: Link) {}
-    fn received(&mut self, _: Time, link: Link, _: &[u8]) {
+    fn received(&mut self, _: Time, link: Link, bytes: &[u8]) {
+        self.heard.extend_from_slice(bytes);
         if !self.spoke.contains(&link) {
             self.spoke.push(link);
             self.links.send(link, WORD, None);
@@ -31,10 +37,18 @@
             }
         }
     }
-    fn ended(&mut self, _: Time, link: Link, _: End) {
+    fn ended(&mut self, _: Time, link: Link, end: End) {
+        self.ended.push(end);
         self.links.forget(link);
     }
-    fn turn(&mut self, _: Time) {}
+    fn turn(&mut self, _: Time) {
+        if let Some(mut peer) = self.resets.take() {
+            peer.write_all(LAST).expect("is sent");
+            rustix::net::sockopt::set_socket_linger(&peer, Some(Duration::ZERO)).expect("is set");
+            drop(peer);
+            self.links.send(self.spoke[0], WORD, None);
+        }
+    }
     fn wake(&self) -> Option<Time> {
         None
     }
@@ -107,3 +121,20 @@
     assert_eq!(hearing.join().expect("is heard").expect("no reset"), WORD);
     assert!(TcpStream::connect(at).is_err(), "nobody is taken any more");
 }
+
+#[test]
+fn the_last_words_of_a_peer_that_resets_as_we_write_are_heard_and_then_its_end() {
+    let (mut shell, at) = shell(false);
+    let mut peer = TcpStream::connect(at).expect("is taken");
+    peer.write_all(b"first").expect("is written");
+    while shell.party.spoke.is_empty() {
+        shell.step(Duration::from_millis(20)).expect("polls");
+    }
+    shell.party.resets = Some(peer);
+    for _ in 0..5 {
+        shell.step(Duration::from_millis(5)).expect("polls");
+    }
+    assert_eq!(shell.party.heard, [b"first", LAST].concat());
+    assert_eq!(shell.party.ended.len(), 1, "{:?}", shell.party.ended);
+    assert_eq!(shell.connections(), 0);
+}
