A start waits for an address that is still held, and lists without zones are read

Cause, found by reading: (a) the life before may still be saying its last words when the next one starts; listening then failed, which is a refused start; (b) a list of a deployment without zones, kinds or cells, or with a cell below nought, could not be read at all. Change: five seconds of tries for the address, at twenty milliseconds; absent fields are empty, cells only have to differ.

--- a/crates/planner/src/platform.rs
+++ b/crates/planner/src/platform.rs
@@ -7,14 +7,19 @@
 use mulleinhub_seam::Door;
 use mulleinhub_shell::{Shell, Step, span};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const OWNERS: Door = Door(0);
 /// At the end, owners have so long to take their last answers.
 const LAST_WORDS: Duration = Duration::from_millis(150);
 /// The shell wakes by itself for whatever is due; this bounds the wait for an end that nothing tells of.
 const AT_MOST: Duration = Duration::from_millis(100);
+/// A start waits so long for its address, and looks so often.
+const ADDRESS_WITHIN: Duration = Duration::from_secs(5);
+const ADDRESS_AGAIN: Duration = Duration::from_millis(20);
 
 fn read(path: &Path) -> Result<Conf, String> {
     let words = |what: String| format!("{}: {what}", path.display());
@@ -22,6 +27,19 @@
     Conf::read(&text).map_err(words)
 }
 
+/// Listens there; waits for an address that the life before this one may still hold, as it ends.
+fn listen_once_free(shell: &mut Shell<Platform>, at: SocketAddr) -> std::io::Result<()> {
+    let until = Instant::now() + ADDRESS_WITHIN;
+    loop {
+        match shell.listen(at, OWNERS) {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < until => {
+                std::thread::sleep(ADDRESS_AGAIN);
+            }
+            done => return done.map(drop),
+        }
+    }
+}
+
 /// Serves until it is told to end.
 ///
 /// # Errors
@@ -42,7 +60,7 @@
     let shell = Shell::new(Platform::new(conf)).map_err(words("no poll"))?;
     let mut shell = shell.from_origin(origin);
     shell.hear_signals(&[SIGHUP, SIGTERM, SIGINT]).map_err(words("no signals"))?;
-    shell.listen(listen, OWNERS).map_err(words("listen"))?;
+    listen_once_free(&mut shell, listen).map_err(words("listen"))?;
     // It is done only if a second look, without waiting, finds nothing new either.
     let mut was_done = false;
     loop {
--- a/crates/planner/tests/acceptance.rs
+++ b/crates/planner/tests/acceptance.rs
@@ -161,3 +161,15 @@
         assert!(ready >= 9, "{ready} of 10 with discovery {discovery}, {known} events known");
     }
 }
+
+#[test]
+fn a_start_whose_address_is_still_held_waits_for_it() {
+    // The listener stands for the life before, which ends as the next one starts.
+    let before = listener(22);
+    let at = address(&before);
+    let program = Program::at(at);
+    program.wait_for("starting");
+    std::thread::sleep(Duration::from_millis(300));
+    drop(before);
+    assert!(is_ready(at, Instant::now() + Duration::from_secs(4)), "{}", program.log());
+}
--- a/crates/planner/tests/host/mod.rs
+++ b/crates/planner/tests/host/mod.rs
@@ -114,10 +114,21 @@
         Self::start_by(command, change)
     }
 
+    /// One that is to listen at this address.
+    pub fn at(listen: SocketAddr) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mulleinhub-planner"));
+        command.arg("platform");
+        Self::start_at(command, listen, |conf| conf)
+    }
+
     fn start_by(command: Command, change: impl Fn(String) -> String) -> Self {
+        let listen = address(&listener(1));
+        Self::start_at(command, listen, change)
+    }
+
+    fn start_at(command: Command, listen: SocketAddr, change: impl Fn(String) -> String) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let (machine, bulletin) = (listener(2), listener(3));
-        let listen = address(&listener(1));
         let path = folder.path().join("config.json");
         std::fs::write(&path, change(conf(address(&machine), address(&bulletin)))).expect("is written");
         let log = folder.path().join("log");
--- a/crates/platform-protocol/src/events.rs
+++ b/crates/platform-protocol/src/events.rs
@@ -23,9 +23,13 @@
 pub struct Listed {
     pub uid: String,
     pub endpoint: String,
+    /// Absent, as the two below, where a deployment has none.
+    #[serde(default)]
     pub az: String,
+    #[serde(default)]
     pub model: String,
-    pub pod_group: u32,
+    #[serde(default)]
+    pub pod_group: i64,
     pub state: String,
     /// The Unix millisecond of a late start, or 0.
     #[serde(default)]
@@ -55,3 +59,6 @@
 pub fn known(value: serde_json::Value) -> Result<Known, Bad> {
     serde_json::from_value(value).map_err(|e| Bad(format!("known: {e}")))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -122,7 +122,8 @@
     Entry {
         id: id_of(&listed.uid),
         kind: KindId(place(&d.site.names.kinds, &listed.model).unwrap_or(usize::MAX)),
-        cell: CellId(listed.pod_group),
+        // A number that only has to differ.
+        cell: CellId(listed.pod_group as u32),
         zone: ZoneId(place(&d.site.names.zones, &listed.az).map_or(u32::MAX, |at| at as u32)),
         mode: match listed.state.as_str() {
             "in_service" => Mode::Active,
