--- a/crates/platform/src/stories/crossings.rs
+++ b/crates/platform/src/stories/crossings.rs
@@ -3,7 +3,7 @@
 use super::rig::*;
 use mulleinhub_interface::Span;
 use mulleinhub_platform_protocol::{code, kind, why};
-use mulleinhub_seam::{End, Party};
+use mulleinhub_seam::{End, Link, Party};
 use std::collections::BTreeSet;
 
 #[test]
@@ -300,3 +300,67 @@
     }
     assert!(rig.now - over > ms(6_000), "one that drains keeps its tasks for a while");
 }
+
+/// Its client leaves while a send waits: by a cancel, or by its end.
+fn leaves(rig: &mut Rig, owner: Link, task: u64, cancels: bool) {
+    if cancels {
+        rig.say(owner, &release(task, why::ENDED));
+    } else {
+        rig.end(owner, End::Closed);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_its_send_waits_for_a_descriptor_is_not_sent_on_once_there_is_one() {
+    for cancels in [true, false] {
+        let mut rig = Rig::new(1);
+        rig.doors.insert(address(1), Entrance::Untried);
+        let owner = rig.owner();
+        rig.say(owner, &set_up(1, "front", ""));
+        rig.pass(ms(120));
+        leaves(&mut rig, owner, 1, cancels);
+        rig.doors.remove(&address(1));
+        rig.pass(Span::from_secs(3));
+        assert!(rig.set_ups().is_empty());
+        assert!(rig.platform.desk.get_mut().tasks.by_id.is_empty());
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_its_send_waits_behind_the_cold_gate_is_not_sent_on_when_it_opens() {
+    for cancels in [true, false] {
+        let boot = START.nanos() / 1_000_000 - 1_000;
+        let mut rig = Rig::knowing(START, &[listed(1, "in_service", boot)], |conf| conf);
+        // Its earlier life's sends are out of the window.
+        rig.pass(ms(1_600));
+        let (first, owner) = (rig.owner(), rig.owner());
+        rig.say(first, &set_up(1, "batch", ""));
+        let (way, _) = rig.set_ups().pop().expect("it is sent");
+        // Silent for longer than an offer to a cold machine may be: the gate is shut.
+        rig.now = rig.now + ms(600);
+        rig.say(owner, &set_up(2, "front", ""));
+        assert!(rig.set_ups().is_empty(), "it waits behind the gate");
+        leaves(&mut rig, owner, 2, cancels);
+        rig.say(way, &yes(1));
+        rig.pass(Span::from_secs(3));
+        assert!(rig.set_ups().is_empty());
+    }
+}
+
+#[test]
+fn a_hand_over_that_its_owner_ends_before_its_machine_is_listed_is_cut_there() {
+    let mut rig = Rig::new(1);
+    let owner = rig.owner();
+    rig.say(owner, &set_up(5, "front", &format!(";at:{}", uid(2))));
+    rig.say(owner, &release(5, why::ENDED));
+    let bulletin = rig.on(BULLETIN)[0];
+    let line = event(2, false, &[listed(2, "in_service", 0)]);
+    rig.say(bulletin, format!("data: {line}\n\n").as_bytes());
+    rig.pass(ms(500));
+    let cuts = rig.heard(|link| link != owner);
+    let cut = cuts.iter().find(|(_, said)| said.task == 5).expect("its machine hears of it");
+    assert_eq!((cut.1.kind, cut.1.cause()), (kind::RELEASE, Some(why::CANCELLED)));
+    rig.say(cut.0, &release(5, why::CANCELLED));
+    assert!(rig.heard_on(owner).is_empty(), "whoever ended it is owed nothing");
+    assert!(rig.platform.desk.get_mut().tasks.by_id.is_empty());
+}
