--- a/crates/platform/src/stories/ramp.rs
+++ b/crates/platform/src/stories/ramp.rs
@@ -73,7 +73,7 @@
                 one.rig.say(bulletin, text.as_bytes());
             }
             if self.chance.part() < tasks {
-                let class = if self.next_task % 3 == 0 { "batch" } else { "front" };
+                let class = if self.next_task.is_multiple_of(3) { "batch" } else { "front" };
                 let task = set_up(self.next_task, class, "");
                 self.next_task += 1;
                 one.rig.say(one.owner, &task);
