--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -17,7 +17,7 @@
 pub use lines::Lines;
 pub use pool::Pool;
 pub use pressure::{Pace, Pressure};
-pub use shares::{Doorway, MOST_WAYS, tasks_held, tasks_in_hand, ways_to_machines};
+pub use shares::{Doorway, MOST_CONNECTIONS, connections_to_machines, tasks_held, tasks_in_hand};
 pub use wheel::Wheel;
 
 use mulleinhub_interface::{Span, Time};
--- a/crates/limits/src/shares.rs
+++ b/crates/limits/src/shares.rs
@@ -5,7 +5,7 @@
 /// Whoever opens connections to us is promised this part of the descriptors.
 const PROMISED_PART: usize = 3;
 /// Connections to one machine at the most: more are not in use at a time where each has one task on its way.
-pub const MOST_WAYS: usize = 16;
+pub const MOST_CONNECTIONS: usize = 16;
 /// Tasks in hand for each megabyte: with the longest descriptions they take half of the memory.
 const TASKS_A_MEGABYTE: usize = 32;
 
@@ -38,7 +38,7 @@
 
 /// Descriptors for connections to machines, all together: what owners are promised and our own few are no
 /// part of it.
-pub fn ways_to_machines(descriptors: usize) -> usize {
+pub fn connections_to_machines(descriptors: usize) -> usize {
     descriptors.saturating_sub(own(descriptors) + descriptors / PROMISED_PART).max(1)
 }
 
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -1,15 +1,15 @@
 //! All that is held beside the module: connections, tasks and what is due.
 
-use crate::bulletin::{self, Bulletin};
 use crate::conf::Conf;
 use crate::handover::HandOvers;
-use crate::machines::{Machines, Patience, Way};
+use crate::machines::{Connection, Machines, Patience};
 use crate::owners::{Owner, Owners};
 use crate::tasks::{Open, Tasks, hex};
+use crate::watch::{self, Watch};
 use mulleinhub::{Pcg, mix};
 use mulleinhub_interface::{Effect, Ending, MachineId, Mode, Span, TaskId, Time};
 use mulleinhub_limits::{
-    Admission, Doorway, Limits, MOST_WAYS, Pool, tasks_held, tasks_in_hand, ways_to_machines,
+    Admission, Doorway, Limits, MOST_CONNECTIONS, Pool, connections_to_machines, tasks_held, tasks_in_hand,
 };
 use mulleinhub_pacing::{HEARTBEAT, Standstills, again};
 use mulleinhub_platform_protocol::{self as protocol, Cause, Event, kind, why};
@@ -37,7 +37,7 @@
 
 /// Between two looks for a connection where none may be opened, as a part of the time that one takes to
 /// come up.
-const WAY_PART: f64 = 0.2;
+const CONNECTION_PART: f64 = 0.2;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
@@ -55,8 +55,8 @@
     GiveWay,
     /// A hand-over has waited long enough for its machine to be listed.
     HandOver,
-    Bulletin(Link),
-    CallBulletin,
+    Watch(Link),
+    OpenWatch,
     Tell,
 }
 
@@ -64,7 +64,7 @@
 pub enum Who {
     Owner,
     Machine,
-    Bulletin,
+    Watch,
 }
 
 /// What was done since the start, for the log.
@@ -89,14 +89,14 @@
     pub links: Links,
     pub owners: Owners,
     pub machines: Machines,
-    pub bulletin: Bulletin,
+    pub watch: Watch,
     pub tasks: Tasks,
     pub limits: Limits,
     pub admission: Admission,
     pub patience: Patience,
     /// Descriptors of connections to machines.
     pub pool: Pool,
-    ways_in_all: usize,
+    connections_in_all: usize,
     doorway: Doorway,
     /// Tasks that may be held in all.
     pub most_held: usize,
@@ -155,11 +155,11 @@
             links: Links::default(),
             owners: Owners::default(),
             machines: Machines::default(),
-            bulletin: Bulletin::new(conf.bulletin, conf.known.no),
+            watch: Watch::new(conf.bulletin, conf.known.no),
             tasks: Tasks::default(),
-            pool: Pool::new(ways_to_machines(conf.descriptors)),
+            pool: Pool::new(connections_to_machines(conf.descriptors)),
             doorway,
-            ways_in_all: ways_to_machines(conf.descriptors),
+            connections_in_all: connections_to_machines(conf.descriptors),
             most_held: tasks_held(conf.memory_mb),
             handovers: HandOvers::default(),
             owners_name: "owner".into(),
@@ -272,10 +272,10 @@
     pub fn who(&self, link: Link) -> Option<Who> {
         if self.owners.by_link.contains_key(&link) {
             Some(Who::Owner)
-        } else if self.machines.ways.contains_key(&link) {
+        } else if self.machines.connections.contains_key(&link) {
             Some(Who::Machine)
         } else {
-            (self.bulletin.link == Some(link)).then_some(Who::Bulletin)
+            (self.watch.link == Some(link)).then_some(Who::Watch)
         }
     }
 
@@ -285,14 +285,14 @@
             Some(Who::Machine) => {
                 self.pool.used(now, link.0);
                 self.machines.comes_up(now, link);
-                tracing::debug!(way = link.0, "a connection is up");
+                tracing::debug!(connection = link.0, "a connection is up");
             }
-            Some(Who::Bulletin) => {
-                self.bulletin.up = true;
-                self.bulletin.heard_at = now;
-                let call = self.bulletin.call();
+            Some(Who::Watch) => {
+                self.watch.up = true;
+                self.watch.heard_at = now;
+                let call = self.watch.call();
                 self.links.send(link, call.as_bytes(), None);
-                self.timers.set(now + bulletin::SILENCE, Due::Bulletin(link));
+                self.timers.set(now + watch::SILENCE, Due::Watch(link));
             }
             Some(Who::Owner) | None => {}
         }
@@ -316,17 +316,17 @@
             }
             Some(Who::Machine) => {
                 self.pool.used(now, link.0);
-                let way = self.machines.ways.get_mut(&link).expect("is one");
-                way.used_at = now;
-                way.frames.take(bytes);
-                self.queue_way(link);
+                let connection = self.machines.connections.get_mut(&link).expect("is one");
+                connection.used_at = now;
+                connection.frames.take(bytes);
+                self.queue_machine(link);
             }
-            Some(Who::Bulletin) => {
-                if let Err(bad) = self.bulletin.take(now, bytes) {
+            Some(Who::Watch) => {
+                if let Err(bad) = self.watch.take(now, bytes) {
                     self.grumble("the bulletin speaks wrongly; it is called anew", &bad.0);
-                    self.bulletin_ended(true);
-                } else if self.bulletin.is_over() {
-                    self.bulletin_ended(true);
+                    self.watch_ended(true);
+                } else if self.watch.is_over() {
+                    self.watch_ended(true);
                 }
             }
             None => {}
@@ -341,12 +341,12 @@
                 self.queue_owner(link);
             }
             Some(Who::Machine) => {
-                self.machines.ways.get_mut(&link).expect("is one").end = Some(end);
-                self.queue_way(link);
+                self.machines.connections.get_mut(&link).expect("is one").end = Some(end);
+                self.queue_machine(link);
             }
-            Some(Who::Bulletin) => {
+            Some(Who::Watch) => {
                 self.links.forget(link);
-                self.bulletin_ended(false);
+                self.watch_ended(false);
             }
             None => drop(self.links.forget(link)),
         }
@@ -363,9 +363,9 @@
         }
     }
 
-    fn queue_way(&mut self, link: Link) {
-        let way = self.machines.ways.get_mut(&link).expect("is one");
-        if !std::mem::replace(&mut way.queued, true) {
+    fn queue_machine(&mut self, link: Link) {
+        let connection = self.machines.connections.get_mut(&link).expect("is one");
+        if !std::mem::replace(&mut connection.queued, true) {
             self.arrivals.push_back(link);
         }
     }
@@ -384,8 +384,8 @@
         let link = self.arrivals.pop_front().or_else(|| self.limits.next_heard().map(Link))?;
         if let Some(owner) = self.owners.by_link.get_mut(&link) {
             owner.queued = false;
-        } else if let Some(way) = self.machines.ways.get_mut(&link) {
-            way.queued = false;
+        } else if let Some(connection) = self.machines.connections.get_mut(&link) {
+            connection.queued = false;
         }
         Some(link)
     }
@@ -397,7 +397,7 @@
         if self.stood.begin(now) {
             self.limits.woke(now);
         }
-        self.limits.begin_turn(self.ways_in_all);
+        self.limits.begin_turn(self.connections_in_all);
         for link in std::mem::take(&mut self.rest) {
             self.limits.stands_in_line(link.0, true);
         }
@@ -408,7 +408,7 @@
             self.grumble("ended: it doesn't read, and too much waits for it", &format!("link {}", link.0));
             match self.who(link) {
                 Some(Who::Owner | Who::Machine) => self.has_ended(self.now, link, End::Broken),
-                Some(Who::Bulletin) | None => {}
+                Some(Who::Watch) | None => {}
             }
         }
         self.stood.end(self.wake());
@@ -516,26 +516,28 @@
         if self.pool.has_room() {
             return true;
         }
-        let ways = &self.machines.ways;
-        let is_idle = |way: &Way| way.up && way.end.is_none() && !way.queued && way.open.is_empty();
+        let connections = &self.machines.connections;
+        let is_idle = |connection: &Connection| {
+            connection.up && connection.end.is_none() && !connection.queued && connection.open.is_empty()
+        };
         let since = Time::default() + (self.now - (Time::default() + self.patience.connect));
-        let longest = self.pool.to_let_go(since, |conn| ways.get(&Link(conn)).is_some_and(is_idle));
+        let longest = self.pool.to_let_go(since, |conn| connections.get(&Link(conn)).is_some_and(is_idle));
         let Some(longest) = longest else { return false };
-        self.end_way(Link(longest));
+        self.end_connection(Link(longest));
         true
     }
 
     /// Asks for a connection to this machine; none where none may be opened.
-    pub fn open_way(&mut self, id: MachineId) -> Option<Link> {
+    pub fn open_connection(&mut self, id: MachineId) -> Option<Link> {
         if self.machines.by_id.get(&id).is_none_or(|machine| machine.replaced) || !self.makes_room() {
             return None;
         }
         let machine = self.machines.by_id.get_mut(&id)?;
         let link = self.links.open(&machine.address);
-        machine.ways.push(link);
+        machine.connections.push(link);
         let (now, cuts) = (self.now, std::mem::take(&mut machine.cuts));
         self.pool.opened(now, link.0);
-        self.machines.ways.insert(link, Way::new(id, now));
+        self.machines.connections.insert(link, Connection::new(id, now));
         for task in cuts {
             self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, task.0, why::CANCELLED));
         }
@@ -544,12 +546,14 @@
         Some(link)
     }
 
-    /// Cuts a task that stands on a machine: at once where there is a way, else on the next one.
+    /// Cuts a task that stands on a machine: at once where there is a connection, else on the next one.
     pub fn cut(&mut self, id: MachineId, task: TaskId, came_on: Option<Link>) {
-        let way = came_on.filter(|link| self.machines.ways.contains_key(link));
-        let way = way.or_else(|| self.machines.ways_of(id).map(|(link, _)| link).next());
-        if let Some(way) = way.or_else(|| self.open_way(id)) {
-            self.send(way, |out| protocol::write_with_cause(out, kind::RELEASE, task.0, why::CANCELLED));
+        let connection = came_on.filter(|link| self.machines.connections.contains_key(link));
+        let connection = connection.or_else(|| self.machines.connections_of(id).map(|(link, _)| link).next());
+        if let Some(connection) = connection.or_else(|| self.open_connection(id)) {
+            self.send(connection, |out| {
+                protocol::write_with_cause(out, kind::RELEASE, task.0, why::CANCELLED)
+            });
         } else if let Some(machine) = self.machines.by_id.get_mut(&id) {
             machine.cuts.push(task);
             self.look_after(id);
@@ -570,53 +574,58 @@
     }
 
     /// A connection for a set-up: one with nothing open, a new one, or a shared one.
-    fn way_for(&mut self, machine: MachineId, task: TaskId) -> Option<Link> {
+    fn connection_for(&mut self, machine: MachineId, task: TaskId) -> Option<Link> {
         let since = Time::default() + (self.now - (Time::default() + self.patience.idle));
-        if let Some(link) = self.machines.free_way(machine, task, since) {
+        if let Some(link) = self.machines.free_connection(machine, task, since) {
             return Some(link);
         }
-        if self.machines.by_id.get(&machine).is_some_and(|machine| machine.ways.len() < MOST_WAYS)
-            && let Some(link) = self.open_way(machine)
+        if self
+            .machines
+            .by_id
+            .get(&machine)
+            .is_some_and(|machine| machine.connections.len() < MOST_CONNECTIONS)
+            && let Some(link) = self.open_connection(machine)
         {
             return Some(link);
         }
-        self.machines.shared_way(machine, task).or_else(|| {
+        self.machines.shared_connection(machine, task).or_else(|| {
             // Each of them may still bring a late answer of this task: one that has nothing open makes room.
-            let idle = self.machines.ways_of(machine).find(|(_, way)| way.open.is_empty());
+            let idle =
+                self.machines.connections_of(machine).find(|(_, connection)| connection.open.is_empty());
             let (link, _) = idle?;
-            self.end_way(link);
-            self.open_way(machine)
+            self.end_connection(link);
+            self.open_connection(machine)
         })
     }
 
-    pub fn forget_way(&mut self, link: Link) -> Option<Way> {
+    pub fn forget_connection(&mut self, link: Link) -> Option<Connection> {
         self.pool.over(link.0);
-        self.machines.forget_way(link)
+        self.machines.forget_connection(link)
     }
 
     /// Ends a connection to a machine on which nothing is open.
-    pub fn end_way(&mut self, link: Link) {
-        self.forget_way(link);
+    pub fn end_connection(&mut self, link: Link) {
+        self.forget_connection(link);
         self.links.end(link);
     }
 
-    /// Writes the set-up of an open send. False where there is no way to the machine.
+    /// Writes the set-up of an open send. False where there is no connection to the machine.
     pub fn write_setup(&mut self, id: TaskId) -> bool {
         let now = self.now;
         let Some(open) = self.tasks.by_id.get(&id).and_then(|job| job.open) else { return false };
         if open.write_by < now {
             return false;
         }
-        let Some(link) = self.way_for(open.machine, id) else { return false };
+        let Some(link) = self.connection_for(open.machine, id) else { return false };
         self.next_mark += 1;
         let mark = self.next_mark;
         if let Some(machine) = self.machines.by_id.get_mut(&open.machine) {
             machine.gate.wrote(now, id.0, open.number);
         }
         self.pool.used(now, link.0);
-        let way = self.machines.ways.get_mut(&link).expect("was chosen");
-        way.open.push(id);
-        way.used_at = now;
+        let connection = self.machines.connections.get_mut(&link).expect("was chosen");
+        connection.open.push(id);
+        connection.used_at = now;
         let job = self.tasks.by_id.get_mut(&id).expect("has an open send");
         job.open = Some(Open { link: Some(link), mark, ..open });
         let class = &self.site.names.use_cases[job.order.use_case.0];
@@ -660,8 +669,8 @@
             if !self.links.take_back(link, open.mark) {
                 return;
             }
-            if let Some(way) = self.machines.ways.get_mut(&link) {
-                way.open.retain(|task| *task != id);
+            if let Some(connection) = self.machines.connections.get_mut(&link) {
+                connection.open.retain(|task| *task != id);
             }
         } else if let Some(machine) = self.machines.by_id.get_mut(&open.machine) {
             machine.waiting.retain(|waits| *waits != (id, send));
@@ -674,9 +683,9 @@
     pub fn take_back_all(&mut self, id: MachineId) {
         let Some(machine) = self.machines.by_id.get(&id) else { return };
         let mut sends = machine.waiting.clone();
-        for (_, way) in self.machines.ways_of(id) {
+        for (_, connection) in self.machines.connections_of(id) {
             let number = |task: &TaskId| Some((*task, self.tasks.by_id.get(task)?.open?.number));
-            sends.extend(way.open.iter().filter_map(number));
+            sends.extend(connection.open.iter().filter_map(number));
         }
         sends.into_iter().for_each(|(task, send)| self.take_back(task, send));
     }
@@ -706,12 +715,12 @@
             return Some(Ending::NotSent);
         };
         let back = self.links.take_back(link, open.mark);
-        let way = self.machines.ways.get_mut(&link)?;
-        way.open.retain(|task| *task != id);
+        let connection = self.machines.connections.get_mut(&link)?;
+        connection.open.retain(|task| *task != id);
         if back {
-            return Some(if way.up { Ending::NotSent } else { Ending::NoConnection });
+            return Some(if connection.up { Ending::NotSent } else { Ending::NoConnection });
         }
-        way.gives_up(id, cut);
+        connection.gives_up(id, cut);
         self.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, id.0, why::ENDED));
         None
     }
@@ -736,7 +745,7 @@
             } else if shut.is_some() || open.due <= now {
                 waits_on.push((task, send));
             } else if !self.write_setup(task) {
-                self.waits_for_way(task, send, id);
+                self.waits_for_connection(task, send, id);
             }
         }
         if let Some(until) = shut.filter(|_| !waits_on.is_empty()) {
@@ -747,13 +756,13 @@
 
     /// No connection may be opened for this send: that is a bound of ours, and proves nothing of the machine.
     /// It waits until one comes free, as long as the module waits for it.
-    pub fn waits_for_way(&mut self, task: TaskId, send: u32, id: MachineId) {
+    pub fn waits_for_connection(&mut self, task: TaskId, send: u32, id: MachineId) {
         let machine = self.machines.by_id.get_mut(&id).expect("a machine that is sent to");
         if machine.replaced {
             return self.closings.push_back((task, send, Ending::NoConnection));
         }
         machine.waiting.push((task, send));
-        self.timers.set(self.now + self.patience.connect * WAY_PART, Due::Release(id));
+        self.timers.set(self.now + self.patience.connect * CONNECTION_PART, Due::Release(id));
     }
 
     /// All that stands on a machine is over with it.
@@ -774,7 +783,7 @@
                 lost,
                 quiet,
                 at = machine.address,
-                ways = machine.ways.len(),
+                connections = machine.connections.len(),
                 "tasks are lost"
             );
         }
@@ -782,42 +791,42 @@
 
     // The bulletin.
 
-    pub fn call_bulletin(&mut self) {
-        if self.bulletin.link.is_some() {
+    pub fn open_watch(&mut self) {
+        if self.watch.link.is_some() {
             return;
         }
-        let link = self.links.open(&self.bulletin.address);
-        self.bulletin.begins(link, self.now);
-        self.timers.set(self.now + bulletin::CONNECT, Due::Up(link));
+        let link = self.links.open(&self.watch.address);
+        self.watch.begins(link, self.now);
+        self.timers.set(self.now + watch::CONNECT, Due::Up(link));
     }
 
     /// Its connection is over: a new one is made at once, and later ones at a pace.
-    pub fn bulletin_ended(&mut self, ours: bool) {
-        let Some(link) = self.bulletin.link.take() else { return };
+    pub fn watch_ended(&mut self, ours: bool) {
+        let Some(link) = self.watch.link.take() else { return };
         if ours {
             self.links.abort(link);
         }
-        let failures = self.bulletin.failures;
-        self.bulletin.failures += 1;
+        let failures = self.watch.failures;
+        self.watch.failures += 1;
         if failures == 0 {
-            self.call_bulletin();
+            self.open_watch();
         } else {
-            let wait = again::after_failures(bulletin::AGAIN, failures - 1, self.chance.part());
-            self.timers.set(self.now + wait, Due::CallBulletin);
+            let wait = again::after_failures(watch::AGAIN, failures - 1, self.chance.part());
+            self.timers.set(self.now + wait, Due::OpenWatch);
         }
     }
 
     /// Goes over to another address, with the numbers heard so far.
-    pub fn move_bulletin(&mut self, address: String) {
-        if self.bulletin.address == address {
+    pub fn move_watch(&mut self, address: String) {
+        if self.watch.address == address {
             return;
         }
-        self.bulletin.address = address;
-        if let Some(link) = self.bulletin.link.take() {
+        self.watch.address = address;
+        if let Some(link) = self.watch.link.take() {
             self.links.abort(link);
         }
-        self.bulletin.failures = 0;
-        self.call_bulletin();
+        self.watch.failures = 0;
+        self.open_watch();
     }
 
     // The end.
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -46,7 +46,7 @@
     let known: Vec<Listed> = all.into_values().collect();
     list(desk, round, ListKind::Saved, &known);
     let d = &mut *desk.borrow_mut();
-    d.call_bulletin();
+    d.open_watch();
     d.timers.set(d.now + TELL, Due::Tell);
 }
 
@@ -73,7 +73,7 @@
 // The bulletin.
 
 pub fn bulletin(desk: &RefCell<Desk>, round: &mut dyn Ears) {
-    let events = std::mem::take(&mut desk.borrow_mut().bulletin.events);
+    let events = std::mem::take(&mut desk.borrow_mut().watch.events);
     for event in events {
         let kind = if event.roster.all { ListKind::Whole } else { ListKind::Changes };
         list(desk, round, kind, &event.roster.targets);
@@ -98,7 +98,7 @@
         let known = &d.machines.by_id;
         let closed = |(_, machine): &(&MachineId, &Machine)| {
             (machine.entry.mode != Mode::Active || machine.replaced)
-                && !(machine.ways.is_empty() && machine.waiting.is_empty())
+                && !(machine.connections.is_empty() && machine.waiting.is_empty())
         };
         let closed: Vec<MachineId> = known.iter().filter(closed).map(|(id, _)| *id).collect();
         closed.into_iter().for_each(|id| d.take_back_all(id));
@@ -151,9 +151,9 @@
             d.is_lost(other, now, "another machine has its address");
             // What is not written yet must not reach the one that is there now.
             d.take_back_all(other);
-            let idle = d.machines.ways_of(other).filter(|(_, way)| way.open.is_empty());
+            let idle = d.machines.connections_of(other).filter(|(_, connection)| connection.open.is_empty());
             let idle: Vec<Link> = idle.map(|(link, _)| link).collect();
-            idle.into_iter().for_each(|link| d.end_way(link));
+            idle.into_iter().for_each(|link| d.end_connection(link));
         }
     }
     if let Some(since) = entry.since.filter(|since| before != Some(*since)) {
@@ -185,8 +185,8 @@
                 hear_owner(desk, round, link);
                 tell_gone(desk, round);
             }
-            Some(Who::Machine) => hear_way(desk, round, link),
-            Some(Who::Bulletin) | None => {}
+            Some(Who::Machine) => hear_machine(desk, round, link),
+            Some(Who::Watch) | None => {}
         }
     }
 }
@@ -504,8 +504,8 @@
 
 // Machines.
 
-fn hear_way(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link) {
-    let take = |d: &mut Desk| Some(std::mem::take(&mut d.machines.ways.get_mut(&link)?.frames));
+fn hear_machine(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link) {
+    let take = |d: &mut Desk| Some(std::mem::take(&mut d.machines.connections.get_mut(&link)?.frames));
     let Some(mut frames) = take(&mut desk.borrow_mut()) else { return };
     loop {
         let heard = match frames.next_frame() {
@@ -517,16 +517,16 @@
             let d = &mut *desk.borrow_mut();
             d.counts.bad_machines += 1;
             d.grumble("a machine speaks wrongly; the connection ends", &bad.0);
-            way_ended(d, link, End::Broken);
+            connection_ended(d, link, End::Broken);
             return;
         }
     }
     let d = &mut *desk.borrow_mut();
-    let Some(way) = d.machines.ways.get_mut(&link) else { return };
+    let Some(connection) = d.machines.connections.get_mut(&link) else { return };
     frames.tidy();
-    way.frames = frames;
-    if let Some(end) = way.end {
-        way_ended(d, link, end);
+    connection.frames = frames;
+    if let Some(end) = connection.end {
+        connection_ended(d, link, end);
     }
 }
 
@@ -569,7 +569,7 @@
         kind::NOTE => {
             let placed = {
                 let d = desk.borrow();
-                let machine = d.machines.ways.get(&link).map(|way| way.machine);
+                let machine = d.machines.connections.get(&link).map(|connection| connection.machine);
                 let open = d.tasks.by_id.get(&id).and_then(Job::placed);
                 open.is_some_and(|open| Some(open.machine) == machine)
             };
@@ -601,9 +601,9 @@
     let (Some(job), Some(open)) = (job, open) else {
         // A yes to a send that was given up: a copy that nobody waits for is cut where it earns nothing;
         // where a repeat would be dropped for it, its owner finds it and hands it over.
-        let Some(way) = d.machines.ways.get_mut(&link) else { return };
-        let at = way.given_up.iter().position(|(given_up, _)| *given_up == id);
-        let cut = at.and_then(|at| way.given_up.remove(at)).is_some_and(|(_, cut)| cut);
+        let Some(connection) = d.machines.connections.get_mut(&link) else { return };
+        let at = connection.given_up.iter().position(|(given_up, _)| *given_up == id);
+        let cut = at.and_then(|at| connection.given_up.remove(at)).is_some_and(|(_, cut)| cut);
         d.counts.late_yes += u64::from(at.is_some());
         if cut {
             d.send(link, |out| protocol::write_with_cause(out, kind::RELEASE, id.0, why::CANCELLED));
@@ -620,8 +620,8 @@
     let owner = job.owner;
     d.is_answered(id);
     d.counts.placed += 1;
-    if let Some(way) = d.machines.ways.get_mut(&link) {
-        way.open.retain(|task| *task != id);
+    if let Some(connection) = d.machines.connections.get_mut(&link) {
+        connection.open.retain(|task| *task != id);
     }
     answered_by(d, open.machine, id, open.number);
     if let Some(owner) = owner {
@@ -653,9 +653,9 @@
     let open = {
         let d = &mut *desk.borrow_mut();
         d.send(link, |out| protocol::write_message(out, kind::RELEASE_HEARD, id.0, &[]));
-        let Some(way) = d.machines.ways.get_mut(&link) else { return };
-        way.given_up.retain(|(given_up, _)| *given_up != id);
-        let machine = way.machine;
+        let Some(connection) = d.machines.connections.get_mut(&link) else { return };
+        connection.given_up.retain(|(given_up, _)| *given_up != id);
+        let machine = connection.machine;
         let Some(job) = d.tasks.by_id.get(&id) else {
             // A refusal is the end of a send, and whoever ended a task is owed nothing.
             let refused = matches!(cause, why::FULL | why::BUSY | why::ERROR | why::MOOT);
@@ -728,10 +728,10 @@
         let Some(job) = d.tasks.by_id.get_mut(&id) else { return };
         let Some(open) = job.open.filter(|open| open.number == send) else { return };
         job.open = None;
-        if let Some(way) = open.link.and_then(|link| d.machines.ways.get_mut(&link)) {
-            way.open.retain(|task| *task != id);
+        if let Some(connection) = open.link.and_then(|link| d.machines.connections.get_mut(&link)) {
+            connection.open.retain(|task| *task != id);
             if open.placed_at.is_none() {
-                way.has_refused(id);
+                connection.has_refused(id);
             }
         }
         if open.placed_at.is_some() {
@@ -757,31 +757,31 @@
 }
 
 /// A connection to a machine is over, and what that proves of the set-ups on it.
-fn way_ended(d: &mut Desk, link: Link, end: End) {
+fn connection_ended(d: &mut Desk, link: Link, end: End) {
     let unwritten = d.links.abort(link);
-    let Some(way) = d.forget_way(link) else { return };
-    let (now, id) = (d.now, way.machine);
+    let Some(connection) = d.forget_connection(link) else { return };
+    let (now, id) = (d.now, connection.machine);
     if let Some(machine) = d.machines.by_id.get(&id) {
         tracing::debug!(
             at = machine.address,
-            way = link.0,
-            up = way.up,
+            connection = link.0,
+            up = connection.up,
             ?end,
-            open = way.open.len(),
+            open = connection.open.len(),
             "a connection is over"
         );
     }
     let drawn = d.chance.part();
     let others: Vec<Link> =
-        d.machines.ways_of(id).filter(|(_, other)| other.up).map(|(link, _)| link).collect();
+        d.machines.connections_of(id).filter(|(_, other)| other.up).map(|(link, _)| link).collect();
     let refused = end == End::Refused;
     if let Some(machine) = d.machines.by_id.get_mut(&id) {
         machine.gate.ended(now);
-        machine.was_not_there(&way, now, d.patience.idle);
+        machine.was_not_there(&connection, now, d.patience.idle);
         if end == End::Untried {
             // A want of ours proves nothing of the machine.
             machine.retry_at = now + d.patience.look;
-        } else if way.up {
+        } else if connection.up {
             machine.retry_at = now + again::after_end(d.patience.again, drawn);
         } else {
             machine.retry_at = now + again::after_failures(d.patience.again, machine.failures, drawn);
@@ -803,16 +803,16 @@
     if refused {
         asks_for_sign(d, id, &others);
     }
-    for task in way.open {
+    for task in connection.open {
         let Some(job) = d.tasks.by_id.get_mut(&task) else { continue };
         let Some(open) = job.open.filter(|open| open.link == Some(link)) else { continue };
         if end == End::Untried {
             job.open = Some(Open { link: None, ..open });
-            d.waits_for_way(task, open.number, id);
+            d.waits_for_connection(task, open.number, id);
             continue;
         }
         let never_left = unwritten.contains(&(open.mark, Unwritten::Whole));
-        if never_left && way.up && !open.anew {
+        if never_left && connection.up && !open.anew {
             // An idle connection that the other side had closed, or one reset as it came up: the same send
             // goes out on another one.
             job.open = Some(Open { link: None, anew: true, ..open });
@@ -832,7 +832,8 @@
 fn asks_for_sign(d: &mut Desk, id: MachineId, up: &[Link]) {
     let now = d.now;
     let Some(machine) = d.machines.by_id.get_mut(&id) else { return };
-    let used_last = up.iter().max_by_key(|link| d.machines.ways.get(link).map(|way| way.used_at));
+    let used_last =
+        up.iter().max_by_key(|link| d.machines.connections.get(link).map(|connection| connection.used_at));
     if let Some(link) = used_last.filter(|_| machine.asked_at <= machine.heard_at) {
         machine.asked_at = now;
         d.send(*link, |out| protocol::write_with_cause(out, kind::TEST, link.0, 0));
@@ -844,7 +845,7 @@
 /// and the ends of what had stood there were told too late; of 1,786 machines none told anything more after
 /// that.
 fn fails(d: &mut Desk, link: Link) {
-    let Some(id) = d.machines.ways.get(&link).map(|way| way.machine) else { return };
+    let Some(id) = d.machines.connections.get(&link).map(|connection| connection.machine) else { return };
     let (asked_at, heard_at) =
         d.machines.by_id.get(&id).map_or_else(Default::default, |m| (m.asked_at, m.heard_at));
     if asked_at > heard_at {
@@ -861,10 +862,10 @@
         Due::Send(task, send) => timed_out(d, task, send),
         Due::Write(task, send) => d.take_back(task, send),
         Due::Up(link) => {
-            if d.machines.ways.get(&link).is_some_and(|way| !way.up) {
-                way_ended(d, link, End::Broken);
-            } else if d.bulletin.link == Some(link) && !d.bulletin.up {
-                d.bulletin_ended(true);
+            if d.machines.connections.get(&link).is_some_and(|connection| !connection.up) {
+                connection_ended(d, link, End::Broken);
+            } else if d.watch.link == Some(link) && !d.watch.up {
+                d.watch_ended(true);
             }
         }
         Due::Look(machine) => look(d, machine),
@@ -878,16 +879,16 @@
                 d.tell_end(Some(waiting.owner), waiting.order.id, why::ERROR);
             }
         }
-        Due::Bulletin(link) if d.bulletin.link == Some(link) => {
-            let until = d.bulletin.heard_at + crate::bulletin::SILENCE;
+        Due::Watch(link) if d.watch.link == Some(link) => {
+            let until = d.watch.heard_at + crate::watch::SILENCE;
             if until <= d.now {
-                d.bulletin_ended(true);
+                d.watch_ended(true);
             } else {
-                d.timers.set(until, Due::Bulletin(link));
+                d.timers.set(until, Due::Watch(link));
             }
         }
-        Due::Bulletin(_) => {}
-        Due::CallBulletin => d.call_bulletin(),
+        Due::Watch(_) => {}
+        Due::OpenWatch => d.open_watch(),
         Due::Tell => {
             tell(d);
             d.timers.set(d.now + TELL, Due::Tell);
@@ -912,10 +913,11 @@
     let (heard_at, retry_at, failures) = (machine.heard_at, machine.retry_at, machine.failures);
     let (refusals, replaced) = (machine.refusals, machine.replaced);
     let stands = !d.tasks.standing_on(id).is_empty();
-    let coming = d.machines.ways_of(id).any(|(_, way)| !way.up);
-    let mut up = d.machines.ways_of(id).filter(|(_, way)| way.up).count();
-    let idle = d.machines.ways_of(id).filter(|(_, way)| way.up && way.open.is_empty());
-    let idle: Vec<(Link, Time)> = idle.map(|(link, way)| (link, way.used_at)).collect();
+    let coming = d.machines.connections_of(id).any(|(_, connection)| !connection.up);
+    let mut up = d.machines.connections_of(id).filter(|(_, connection)| connection.up).count();
+    let idle =
+        d.machines.connections_of(id).filter(|(_, connection)| connection.up && connection.open.is_empty());
+    let idle: Vec<(Link, Time)> = idle.map(|(link, connection)| (link, connection.used_at)).collect();
     let quiet = now - heard_at;
     let cuts = !d.machines.by_id[&id].cuts.is_empty();
     // Where the pool is used up, machines where tasks stand are visited in turn, each well within the time
@@ -930,24 +932,26 @@
         if stands && up == 1 {
             wants_new |= !coming;
         } else {
-            d.end_way(*link);
+            d.end_connection(*link);
             up -= 1;
         }
     }
     let last_tries = quiet >= patience.lost - patience.quiet * LAST_TRIES;
     if wants_new && (now >= retry_at || last_tries) && !replaced {
-        let oldest =
-            idle.iter().filter(|(link, _)| d.machines.ways.contains_key(link)).min_by_key(|(_, at)| *at);
+        let oldest = idle
+            .iter()
+            .filter(|(link, _)| d.machines.connections.contains_key(link))
+            .min_by_key(|(_, at)| *at);
         if let (true, true, Some((link, _))) = (!d.pool.has_room(), up > 1, oldest) {
-            d.end_way(*link);
+            d.end_connection(*link);
         }
-        d.open_way(id);
+        d.open_connection(id);
     }
     let silent = now - heard_at >= patience.lost && failures > 0;
     if stands && (silent || refusals >= DEAD || replaced) {
         d.is_lost(id, now, "it is silent, refuses, or is replaced");
     }
-    if stands || cuts || !d.machines.by_id[&id].ways.is_empty() {
+    if stands || cuts || !d.machines.by_id[&id].connections.is_empty() {
         d.look_after(id);
     }
 }
@@ -955,15 +959,15 @@
 /// One line on how it is, to be held against what passed on the sockets.
 fn tell(d: &Desk) {
     let machines = d.machines.by_id.values();
-    let in_reach = machines.clone().filter(|machine| !machine.ways.is_empty()).count();
+    let in_reach = machines.clone().filter(|machine| !machine.connections.is_empty()).count();
     tracing::info!(
         waiting = d.tasks.unanswered,
         standing = d.tasks.standing(),
         machines = machines.len(),
         in_reach,
-        ways = d.machines.ways.len(),
+        connections = d.machines.connections.len(),
         owners = d.owners.by_link.len(),
-        bulletin = d.bulletin.last,
+        bulletin = d.watch.last,
         owed = d.owners.owed.len(),
         counts = ?d.counts,
         "how it is"
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,7 +6,6 @@
 //! module. May not touch: sockets, clocks, files; any choice of machine, retry or refusal, which are the
 //! module's.
 
-mod bulletin;
 mod conf;
 mod desk;
 mod handover;
@@ -17,6 +16,7 @@
 #[cfg(test)]
 mod stories;
 mod tasks;
+mod watch;
 
 pub use conf::Conf;
 pub use desk::Counts;
@@ -44,7 +44,7 @@
     pub fn reload(&mut self, now: Time, conf: Conf) {
         let desk = self.desk.get_mut();
         desk.now = desk.now.max(now);
-        desk.move_bulletin(conf.bulletin);
+        desk.move_watch(conf.bulletin);
     }
 
     /// It is to end: tests fail from now on. Told again, nothing changes.
--- a/crates/platform/src/machines.rs
+++ b/crates/platform/src/machines.rs
@@ -14,7 +14,7 @@
 
 /// A connection to a machine.
 #[derive(Debug)]
-pub struct Way {
+pub struct Connection {
     pub machine: MachineId,
     pub frames: Frames,
     pub end: Option<End>,
@@ -35,7 +35,7 @@
     pub refused: VecDeque<TaskId>,
 }
 
-impl Way {
+impl Connection {
     pub fn new(machine: MachineId, now: Time) -> Self {
         Self {
             machine,
@@ -80,7 +80,7 @@
     pub address: String,
     /// Another machine has its address: nothing there is this one's any more.
     pub replaced: bool,
-    pub ways: Vec<Link>,
+    pub connections: Vec<Link>,
     /// When it last showed that it is there.
     pub heard_at: Time,
     /// Tries for a connection that failed since then, and when the next one may be made.
@@ -92,7 +92,7 @@
     pub gate: Gate,
     /// Sends that the gate holds back, as task and number.
     pub waiting: Vec<(TaskId, u32)>,
-    /// Tasks that stand there and are to be cut, once there is a way.
+    /// Tasks that stand there and are to be cut, once there is a connection.
     pub cuts: Vec<TaskId>,
     /// A look at it is on its way.
     pub looked_after: bool,
@@ -104,7 +104,7 @@
             entry,
             address,
             replaced: false,
-            ways: Vec::new(),
+            connections: Vec::new(),
             heard_at: now,
             failures: 0,
             refusals: 0,
@@ -120,9 +120,9 @@
     /// A connection that had come up was ended by the other side without a word, sooner than one that is idle:
     /// nobody was there. Met: join+mass on centro-dados-sede, where a machine that had stopped let one come up
     /// once more, and owners heard of the ends there half a second late.
-    pub fn was_not_there(&mut self, way: &Way, now: Time, idle: Span) {
-        let (came_up, before) = way.came_up;
-        if way.up && !way.heard && now - came_up < idle && self.heard_at == came_up {
+    pub fn was_not_there(&mut self, connection: &Connection, now: Time, idle: Span) {
+        let (came_up, before) = connection.came_up;
+        if connection.up && !connection.heard && now - came_up < idle && self.heard_at == came_up {
             self.heard_at = before;
             self.failures += 1;
         }
@@ -138,7 +138,7 @@
 #[derive(Debug, Default)]
 pub struct Machines {
     pub by_id: BTreeMap<MachineId, Machine>,
-    pub ways: BTreeMap<Link, Way>,
+    pub connections: BTreeMap<Link, Connection>,
 }
 
 /// The number that stands for a uid with everybody: FNV-1a over its bytes, as it must be the same for all
@@ -151,54 +151,64 @@
 impl Machines {
     /// An open connection for a set-up of this task, with nothing else open on it: the one used last, and since
     /// then. Met: where machines close idle connections soon, a set-up was written as its machine closed.
-    pub fn free_way(&self, machine: MachineId, task: TaskId, since: Time) -> Option<Link> {
-        let fits =
-            |(_, way): &(Link, &Way)| way.up && way.used_at > since && way.open.is_empty() && way.suits(task);
-        self.ways_of(machine).filter(fits).max_by_key(|(link, way)| (way.used_at, *link)).map(|(l, _)| l)
+    pub fn free_connection(&self, machine: MachineId, task: TaskId, since: Time) -> Option<Link> {
+        let fits = |(_, connection): &(Link, &Connection)| {
+            connection.up
+                && connection.used_at > since
+                && connection.open.is_empty()
+                && connection.suits(task)
+        };
+        self.connections_of(machine)
+            .filter(fits)
+            .max_by_key(|(link, connection)| (connection.used_at, *link))
+            .map(|(l, _)| l)
     }
 
     /// The connection to be shared where no more may be opened: the one with the fewest open set-ups.
-    pub fn shared_way(&self, machine: MachineId, task: TaskId) -> Option<Link> {
-        let fits = |(_, way): &(Link, &Way)| way.suits(task);
-        self.ways_of(machine).filter(fits).min_by_key(|(link, way)| (way.open.len(), *link)).map(|(l, _)| l)
+    pub fn shared_connection(&self, machine: MachineId, task: TaskId) -> Option<Link> {
+        let fits = |(_, connection): &(Link, &Connection)| connection.suits(task);
+        self.connections_of(machine)
+            .filter(fits)
+            .min_by_key(|(link, connection)| (connection.open.len(), *link))
+            .map(|(l, _)| l)
     }
 
-    pub fn ways_of(&self, machine: MachineId) -> impl Iterator<Item = (Link, &Way)> {
-        let links = self.by_id.get(&machine).map_or(&[][..], |machine| &machine.ways);
-        links.iter().filter_map(|link| Some((*link, self.ways.get(link)?)))
+    pub fn connections_of(&self, machine: MachineId) -> impl Iterator<Item = (Link, &Connection)> {
+        let links = self.by_id.get(&machine).map_or(&[][..], |machine| &machine.connections);
+        links.iter().filter_map(|link| Some((*link, self.connections.get(link)?)))
     }
 
     /// The machine said something on this connection.
     pub fn shows_life(&mut self, now: Time, link: Link) {
-        let way = self.ways.get_mut(&link).expect("a connection to a machine");
-        (way.used_at, way.heard) = (now, true);
-        if let Some(machine) = self.by_id.get_mut(&way.machine) {
+        let connection = self.connections.get_mut(&link).expect("a connection to a machine");
+        (connection.used_at, connection.heard) = (now, true);
+        if let Some(machine) = self.by_id.get_mut(&connection.machine) {
             machine.is_there(now);
         }
     }
 
     /// This connection came up.
     pub fn comes_up(&mut self, now: Time, link: Link) {
-        let way = self.ways.get_mut(&link).expect("a connection to a machine");
-        (way.used_at, way.up) = (now, true);
-        if let Some(machine) = self.by_id.get_mut(&way.machine) {
-            way.came_up = (now, machine.heard_at);
+        let connection = self.connections.get_mut(&link).expect("a connection to a machine");
+        (connection.used_at, connection.up) = (now, true);
+        if let Some(machine) = self.by_id.get_mut(&connection.machine) {
+            connection.came_up = (now, machine.heard_at);
             machine.is_there(now);
         }
     }
 
-    pub fn forget_way(&mut self, link: Link) -> Option<Way> {
-        let way = self.ways.remove(&link)?;
-        if let Some(machine) = self.by_id.get_mut(&way.machine) {
-            machine.ways.retain(|other| *other != link);
+    pub fn forget_connection(&mut self, link: Link) -> Option<Connection> {
+        let connection = self.connections.remove(&link)?;
+        if let Some(machine) = self.by_id.get_mut(&connection.machine) {
+            machine.connections.retain(|other| *other != link);
         }
-        Some(way)
+        Some(connection)
     }
 
     /// Machines that are over, and of which nothing is left.
     pub fn forget_gone(&mut self, still_needed: impl Fn(MachineId) -> bool) {
         self.by_id.retain(|id, machine| {
-            machine.entry.mode != Mode::Left || !machine.ways.is_empty() || still_needed(*id)
+            machine.entry.mode != Mode::Left || !machine.connections.is_empty() || still_needed(*id)
         });
     }
 }
--- a/crates/platform/src/pen.rs
+++ b/crates/platform/src/pen.rs
@@ -52,7 +52,7 @@
             spot.waiting.push((task, number));
             desk.timers.set(until, Due::Release(machine));
         } else if !desk.write_setup(task) {
-            desk.waits_for_way(task, number, machine);
+            desk.waits_for_connection(task, number, machine);
         }
     }
 
@@ -97,6 +97,6 @@
     }
 
     fn watch_list(&mut self) {
-        self.0.borrow_mut().call_bulletin();
+        self.0.borrow_mut().open_watch();
     }
 }
--- a/crates/platform/src/stories/crossings.rs
+++ b/crates/platform/src/stories/crossings.rs
@@ -22,8 +22,8 @@
     let line = event(2, false, &[listed(1, "in_service", 0)]);
     rig.say(bulletin, format!("data: {line}\n\n").as_bytes());
     rig.pass(ms(200));
-    let (way, _) = rig.set_ups().pop().expect("it is sent");
-    rig.say(way, &yes(1));
+    let (connection, _) = rig.set_ups().pop().expect("it is sent");
+    rig.say(connection, &yes(1));
     assert_eq!(rig.heard_on(owner)[0].kind, kind::ANSWER);
 }
 
@@ -53,8 +53,8 @@
         rig.say(first, &release(1, why::ERROR));
         rig.pass(ms(idle));
         rig.say(owner, &set_up(2, "batch", ""));
-        let (way, said) = rig.set_ups().pop().expect("it is sent");
-        assert_eq!((said.task, way == first), (2, idle < 600), "{idle} ms idle");
+        let (connection, said) = rig.set_ups().pop().expect("it is sent");
+        assert_eq!((said.task, connection == first), (2, idle < 600), "{idle} ms idle");
     }
 }
 
@@ -90,12 +90,12 @@
                 let mut rig = Rig::new(3);
                 let owner = rig.owner();
                 rig.say(owner, &set_up(1, class, ""));
-                let (way, _) = rig.set_ups().pop().expect("it is sent");
+                let (connection, _) = rig.set_ups().pop().expect("it is sent");
                 // The instant of the time-out, without a turn before it.
                 rig.now = rig.now + ms(2_000);
                 for event in order {
                     match event {
-                        0 => rig.platform.received(rig.now, way, &release(1, cause)),
+                        0 => rig.platform.received(rig.now, connection, &release(1, cause)),
                         _ => rig.platform.received(rig.now, owner, &release(1, why::ENDED)),
                     }
                 }
@@ -114,11 +114,11 @@
     let mut rig = Rig::new(1);
     let owner = rig.owner();
     rig.say(owner, &set_up(1, "front", ""));
-    let (way, _) = rig.set_ups().pop().expect("it is sent");
+    let (connection, _) = rig.set_ups().pop().expect("it is sent");
     rig.now = rig.now + ms(1_990);
     rig.platform.turn(rig.now);
     // Given up in that turn; the yes comes before the module has heard of it.
-    rig.platform.received(rig.now, way, &yes(1));
+    rig.platform.received(rig.now, connection, &yes(1));
     rig.turn();
     rig.pass(Span::from_secs(2));
     let heard = rig.heard_on(owner);
@@ -138,15 +138,15 @@
     rig.doors.remove(&address(1));
     let bulletin = rig.on(BULLETIN)[0];
     rig.say(bulletin, format!("data: {}\n\n", event(2, true, &[listed(2, "in_service", 0)])).as_bytes());
-    let (way, said) = rig.set_ups().pop().expect("it goes to the machine that is listed");
-    assert_eq!((said.task, rig.address_of(way)), (1, &address(2)[..]));
+    let (connection, said) = rig.set_ups().pop().expect("it goes to the machine that is listed");
+    assert_eq!((said.task, rig.address_of(connection)), (1, &address(2)[..]));
     rig.comes_up(held_back);
     assert!(rig.set_ups().is_empty(), "nothing of it is left there");
     // And what is out when its machine is dropped has its answer still.
     rig.say(bulletin, format!("data: {}\n\n", event(3, true, &[listed(3, "in_service", 0)])).as_bytes());
-    rig.say(way, &yes(1));
+    rig.say(connection, &yes(1));
     assert_eq!(rig.heard_on(owner)[0].kind, kind::ANSWER);
-    rig.say(way, &release(1, why::ENDED));
+    rig.say(connection, &release(1, why::ENDED));
     assert_eq!(rig.heard_on(owner)[0].kind, kind::RELEASE);
 }
 
@@ -164,12 +164,12 @@
     if rig.opened.contains_key(&held_back) {
         rig.comes_up(held_back);
     }
-    assert!(rig.set_ups().iter().all(|(way, _)| *way != held_back));
+    assert!(rig.set_ups().iter().all(|(connection, _)| *connection != held_back));
     // It is the new one's task only if it is sent to that one.
     rig.doors.remove(&address(1));
     rig.pass(ms(500));
-    for (way, said) in rig.set_ups() {
-        assert!(way != held_back && said.task == 1);
+    for (connection, said) in rig.set_ups() {
+        assert!(connection != held_back && said.task == 1);
     }
 }
 
@@ -192,7 +192,7 @@
     say(&mut rig, again, event(1, true, &[listed(3, "in_service", 0)]));
     say(&mut rig, again, event(2, false, &[listed(4, "in_service", 0)]));
     assert_eq!(known(&mut rig), [address(3), address(4)].into());
-    assert_eq!(rig.platform.desk.get_mut().bulletin.last, 2);
+    assert_eq!(rig.platform.desk.get_mut().watch.last, 2);
 }
 
 #[test]
@@ -200,12 +200,12 @@
     let mut rig = Rig::of(1, |conf| conf.replace(r#""memory_mb":32"#, r#""memory_mb":1"#));
     let owner = rig.owner();
     rig.say(owner, &set_up(1, "front", ""));
-    let (way, _) = rig.set_ups().pop().expect("it is sent");
-    rig.say(way, &yes(1));
-    (100..1_000).for_each(|task| rig.say(way, &release(task, why::ENDED)));
+    let (connection, _) = rig.set_ups().pop().expect("it is sent");
+    rig.say(connection, &yes(1));
+    (100..1_000).for_each(|task| rig.say(connection, &release(task, why::ENDED)));
     assert_eq!(rig.platform.desk.get_mut().handovers.remembered(), 4 * 32);
     // Of the newest it is known, and a refusal or a cancel is no end.
-    rig.say(way, &[release(2_000, why::FULL), release(2_001, why::CANCELLED)].concat());
+    rig.say(connection, &[release(2_000, why::FULL), release(2_001, why::CANCELLED)].concat());
     rig.heard_on(owner);
     for (task, is_over) in [(999, true), (2_000, false), (2_001, false)] {
         rig.say(owner, &set_up(task, "front", &format!(";at:{}", uid(1))));
@@ -221,10 +221,10 @@
     let mut rig = Rig::new(1);
     let owner = rig.owner();
     rig.say(owner, &set_up(1, "front", ""));
-    let (way, _) = rig.set_ups().pop().expect("it is sent");
-    rig.say(way, &yes(1));
+    let (connection, _) = rig.set_ups().pop().expect("it is sent");
+    rig.say(connection, &yes(1));
     rig.pass(ms(1_000));
-    rig.say(way, &message(kind::NOTE, 1, &[(code::NOTE, b"use_cpu"), (code::FIGURE, b"0.5")]));
+    rig.say(connection, &message(kind::NOTE, 1, &[(code::NOTE, b"use_cpu"), (code::FIGURE, b"0.5")]));
     assert_eq!(rig.heard_on(owner).len(), 1);
     let over = rig.now;
     rig.doors.insert(address(1), Entrance::Refuses);
@@ -234,13 +234,13 @@
     while rig.heard_on(owner).is_empty() {
         assert!(rig.now - over < ms(8_000), "its owner must have heard by now");
         rig.pass(ms(50));
-        for said in rig.heard_on(way) {
+        for said in rig.heard_on(connection) {
             if said.kind == kind::TEST {
                 passed += 1;
-                rig.say(way, &message(kind::TESTED, said.task, &[(code::CAUSE, &[1])]));
+                rig.say(connection, &message(kind::TESTED, said.task, &[(code::CAUSE, &[1])]));
             } else if said.kind == kind::SET_UP {
                 refused += 1;
-                rig.say(way, &release(said.task, why::FULL));
+                rig.say(connection, &release(said.task, why::FULL));
             }
         }
         asked += 1;
@@ -257,11 +257,11 @@
     let mut rig = Rig::new(1);
     let owner = rig.owner();
     rig.say(owner, &set_up(1, "front", ""));
-    let (way, _) = rig.set_ups().pop().expect("it is sent");
-    rig.say(way, &yes(1));
+    let (connection, _) = rig.set_ups().pop().expect("it is sent");
+    rig.say(connection, &yes(1));
     rig.heard_on(owner);
     rig.doors.insert(address(1), Entrance::Refuses);
-    rig.end(way, End::Broken);
+    rig.end(connection, End::Broken);
     let mut tries = 0;
     while rig.heard_on(owner).is_empty() {
         let failures = rig.platform.desk.get_mut().machines.by_id.values().map(|m| m.failures).sum();
@@ -282,15 +282,15 @@
     let mut rig = Rig::new(1);
     let owner = rig.owner();
     rig.say(owner, &set_up(1, "front", ""));
-    let (way, _) = rig.set_ups().pop().expect("it is sent");
-    rig.say(way, &yes(1));
+    let (connection, _) = rig.set_ups().pop().expect("it is sent");
+    rig.say(connection, &yes(1));
     rig.heard_on(owner);
     // It stops and leaves that one open; one more comes up and is closed at once, then all are refused.
     let over = rig.now;
     while rig.on(&address(1)).len() < 2 {
         rig.pass(ms(20));
     }
-    let late = rig.on(&address(1)).into_iter().find(|link| *link != way).expect("a second one");
+    let late = rig.on(&address(1)).into_iter().find(|link| *link != connection).expect("a second one");
     assert!(rig.now - over > ms(2_500), "it was tried as the machine was quiet");
     rig.doors.insert(address(1), Entrance::Refuses);
     rig.end(late, End::Closed);
@@ -335,13 +335,13 @@
         rig.pass(ms(1_600));
         let (first, owner) = (rig.owner(), rig.owner());
         rig.say(first, &set_up(1, "batch", ""));
-        let (way, _) = rig.set_ups().pop().expect("it is sent");
+        let (connection, _) = rig.set_ups().pop().expect("it is sent");
         // Silent for longer than an offer to a cold machine may be: the gate is shut.
         rig.now = rig.now + ms(600);
         rig.say(owner, &set_up(2, "front", ""));
         assert!(rig.set_ups().is_empty(), "it waits behind the gate");
         leaves(&mut rig, owner, 2, cancels);
-        rig.say(way, &yes(1));
+        rig.say(connection, &yes(1));
         rig.pass(Span::from_secs(3));
         assert!(rig.set_ups().is_empty());
     }
--- a/crates/platform/src/stories/fleet.rs
+++ b/crates/platform/src/stories/fleet.rs
@@ -26,14 +26,14 @@
     let until = rig.now + span;
     while rig.now < until {
         rig.pass(ms(50));
-        let ways = rig.opened.values().filter(|to| !to.ends_with(":8500")).count();
-        assert!(ways <= DESCRIPTORS - OTHERS, "{ways} connections to machines");
+        let connections = rig.opened.values().filter(|to| !to.ends_with(":8500")).count();
+        assert!(connections <= DESCRIPTORS - OTHERS, "{connections} connections to machines");
     }
 }
 
 #[test]
 fn a_machine_that_falls_silent_among_more_than_there_are_descriptors_for_is_found_out() {
-    // Met: herd+mass and roll+mass, where one way to each of 400 was all that was allowed: a machine that had
+    // Met: herd+mass and roll+mass, where one connection to each of 400 was all that was allowed: a machine that had
     // vanished behind its open connection was never looked at again.
     for machines in [20, 400, 1_024] {
         let (mut rig, owner) = fleet(machines);
@@ -141,12 +141,12 @@
     assert!(heard.is_empty() && sent.is_empty(), "one stands, the other waits: {heard:?} {sent:?}");
     rig.doors.remove(&address(1));
     rig.pass(ms(60));
-    let (way, said) = rig.set_ups().pop().expect("the same send, once there is a descriptor");
+    let (connection, said) = rig.set_ups().pop().expect("the same send, once there is a descriptor");
     assert_eq!((said.task, rig.platform.counts().sends), (2, 1));
-    rig.say(way, &yes(2));
+    rig.say(connection, &yes(2));
     assert_eq!(rig.heard_on(owner)[0].kind, kind::ANSWER);
     // And for longer: what stands is not called lost for it, before silence tells.
-    rig.end(way, mulleinhub_seam::End::Closed);
+    rig.end(connection, mulleinhub_seam::End::Closed);
     rig.doors.insert(address(1), Entrance::Untried);
     rig.pass(Span::from_secs(6));
     assert!(rig.heard_on(owner).is_empty(), "they stand");
--- a/crates/platform/src/stories/mod.rs
+++ b/crates/platform/src/stories/mod.rs
@@ -14,11 +14,11 @@
 /// Places a task: the owner's connection, and the one to the machine.
 fn placed(rig: &mut Rig, owner: Link, task: u64, class: &str) -> Link {
     rig.say(owner, &set_up(task, class, ""));
-    let (way, said) = rig.set_ups().pop().expect("it is sent at once");
+    let (connection, said) = rig.set_ups().pop().expect("it is sent at once");
     assert_eq!(said.task, task);
-    rig.say(way, &yes(task));
+    rig.say(connection, &yes(task));
     assert_eq!(rig.heard_on(owner).len(), 1);
-    way
+    connection
 }
 
 #[test]
@@ -26,13 +26,13 @@
     let mut rig = Rig::new(3);
     let owner = rig.owner();
     rig.say(owner, &set_up(77, "batch", ""));
-    let (way, said) = rig.set_ups().pop().unwrap();
+    let (connection, said) = rig.set_ups().pop().unwrap();
     assert_eq!(said.param(code::CLASS), Some(&b"batch"[..]));
     assert_eq!(said.param(code::KEY), Some(KEY));
     assert_eq!(said.param(code::NAME), Some(&b"000000000000ab80"[..]));
     assert_eq!(said.param(code::DESCRIPTION), Some(&b"wanted\r\n"[..]));
     assert!(said.param(code::FIGURES).is_none() && said.param(code::AGAIN).is_none());
-    rig.say(way, &yes(77));
+    rig.say(connection, &yes(77));
     let answers = rig.heard_on(owner);
     assert_eq!(answers.len(), 1);
     assert_eq!(
@@ -40,9 +40,9 @@
         (kind::ANSWER, Some(&b"made\r\n"[..]))
     );
     // A second yes, and one that nobody asked for, are heard without harm.
-    rig.say(way, &[yes(77), yes(78)].concat());
+    rig.say(connection, &[yes(77), yes(78)].concat());
     rig.pass(ms(500));
-    rig.say(way, &release(77, why::ENDED));
+    rig.say(connection, &release(77, why::ENDED));
     let ends = rig.heard_on(owner);
     assert_eq!(ends.len(), 1);
     assert_eq!((ends[0].kind, ends[0].cause()), (kind::RELEASE, Some(why::ENDED)));
@@ -56,16 +56,16 @@
     assert!(rig.heard_on(owner).is_empty(), "no answer is owed");
     // Its return to the machine is drawn, as many come back at one instant.
     rig.pass(ms(500));
-    let way = rig.on(&address(2))[0];
+    let connection = rig.on(&address(2))[0];
     rig.end(owner, End::Closed);
-    rig.say(way, &release(5, why::ENDED));
+    rig.say(connection, &release(5, why::ENDED));
     rig.pass(ms(900));
     // One that only asks is not told: it need be no owner.
     let another = rig.owner();
     rig.say(another, &set_up(6, "front", ""));
     assert!(rig.heard_on(another).is_empty());
-    let (way, _) = rig.set_ups().pop().unwrap();
-    rig.say(way, &yes(6));
+    let (connection, _) = rig.set_ups().pop().unwrap();
+    rig.say(connection, &yes(6));
     let told = rig.heard_on(another);
     assert!(told.iter().any(|said| (said.kind, said.task) == (kind::RELEASE, 5)), "{told:?}");
 }
@@ -88,8 +88,8 @@
     rig.platform.wind_down(rig.now);
     rig.pass(ms(250));
     assert!(!rig.platform.is_done(rig.now), "one is unanswered");
-    let (way, _) = rig.set_ups().pop().expect("the first machine was silent");
-    rig.say(way, &yes(9));
+    let (connection, _) = rig.set_ups().pop().expect("the first machine was silent");
+    rig.say(connection, &yes(9));
     assert!(rig.platform.is_done(rig.now));
 }
 
@@ -121,12 +121,12 @@
         let mut rig = Rig::new(4);
         let owner = rig.owner();
         rig.say(owner, &set_up(3, class, ""));
-        let (way, _) = rig.set_ups().pop().unwrap();
+        let (connection, _) = rig.set_ups().pop().unwrap();
         rig.pass(ms(1_900));
-        let given_up = rig.heard_on(way);
+        let given_up = rig.heard_on(connection);
         assert_eq!((given_up[0].kind, given_up[0].cause()), (kind::RELEASE, Some(why::ENDED)));
-        rig.say(way, &yes(3));
-        let cut = rig.heard_on(way).iter().any(|said| said.cause() == Some(why::CANCELLED));
+        rig.say(connection, &yes(3));
+        let cut = rig.heard_on(connection).iter().any(|said| said.cause() == Some(why::CANCELLED));
         assert_eq!(cut, is_cut, "{class}");
         rig.pass(ms(1_000));
         let answers = rig.heard_on(owner);
@@ -138,13 +138,13 @@
 fn a_second_send_to_a_machine_goes_where_no_late_answer_of_the_first_can_come() {
     let mut rig = Rig::new(1);
     let owner = rig.owner();
-    let way = placed(&mut rig, owner, 1, "front");
+    let connection = placed(&mut rig, owner, 1, "front");
     let desk = rig.platform.desk.get_mut();
-    let (id, machine) = (mulleinhub_interface::TaskId(2), desk.machines.ways[&way].machine);
-    assert_eq!(desk.machines.free_way(machine, id, Time::default()), Some(way));
-    desk.machines.ways.get_mut(&way).unwrap().gives_up(id, false);
-    assert_eq!(desk.machines.free_way(machine, id, Time::default()), None);
-    assert_eq!(desk.machines.shared_way(machine, id), None);
+    let (id, machine) = (mulleinhub_interface::TaskId(2), desk.machines.connections[&connection].machine);
+    assert_eq!(desk.machines.free_connection(machine, id, Time::default()), Some(connection));
+    desk.machines.connections.get_mut(&connection).unwrap().gives_up(id, false);
+    assert_eq!(desk.machines.free_connection(machine, id, Time::default()), None);
+    assert_eq!(desk.machines.shared_connection(machine, id), None);
 }
 
 #[test]
@@ -152,24 +152,24 @@
     let mut rig = Rig::new(1);
     let owner = rig.owner();
     rig.say(owner, &[set_up(1, "front", ""), set_up(2, "front", "")].concat());
-    let ways = rig.set_ups();
-    assert_ne!(ways[0].0, ways[1].0, "each set-up has a connection to itself");
-    rig.say(ways[0].0, b"\xff\xff\xffnoise");
-    assert!(rig.closed.contains(&ways[0].0) && !rig.closed.contains(&ways[1].0));
-    rig.say(ways[1].0, &yes(ways[1].1.task));
+    let connections = rig.set_ups();
+    assert_ne!(connections[0].0, connections[1].0, "each set-up has a connection to itself");
+    rig.say(connections[0].0, b"\xff\xff\xffnoise");
+    assert!(rig.closed.contains(&connections[0].0) && !rig.closed.contains(&connections[1].0));
+    rig.say(connections[1].0, &yes(connections[1].1.task));
     let answers = rig.heard_on(owner);
-    assert!(answers.iter().any(|said| (said.kind, said.task) == (kind::ANSWER, ways[1].1.task)));
+    assert!(answers.iter().any(|said| (said.kind, said.task) == (kind::ANSWER, connections[1].1.task)));
 }
 
 #[test]
 fn a_set_up_of_which_nothing_left_goes_out_anew_and_one_that_left_may_have_run() {
     let mut rig = Rig::new(1);
     let owner = rig.owner();
-    let way = placed(&mut rig, owner, 1, "front");
-    rig.stuck.insert(way);
+    let connection = placed(&mut rig, owner, 1, "front");
+    rig.stuck.insert(connection);
     rig.say(owner, &set_up(2, "front", ""));
     assert!(rig.set_ups().is_empty(), "it waits in our own buffer");
-    rig.end(way, End::Broken);
+    rig.end(connection, End::Broken);
     let (second, said) = rig.set_ups().pop().expect("the same send on a new connection");
     assert_eq!(said.task, 2);
     rig.end(second, End::Broken);
@@ -184,21 +184,21 @@
     for passes in [1, 0] {
         let mut rig = Rig::new(1);
         let owner = rig.owner();
-        let way = placed(&mut rig, owner, 1, "front");
+        let connection = placed(&mut rig, owner, 1, "front");
         rig.doors.insert(address(1), Entrance::Refuses);
         let mut tests = 0;
         for _ in 0..60 {
             rig.pass(ms(100));
-            for said in rig.heard_on(way) {
+            for said in rig.heard_on(connection) {
                 assert_eq!(said.kind, kind::TEST);
                 tests += 1;
-                rig.say(way, &message(kind::TESTED, said.task, &[(code::CAUSE, &[passes])]));
+                rig.say(connection, &message(kind::TESTED, said.task, &[(code::CAUSE, &[passes])]));
             }
         }
         assert!((1..4).contains(&tests), "tests cost the machine work: {tests} in six seconds");
         if passes == 1 {
             assert!(rig.heard_on(owner).is_empty(), "it stands");
-            rig.end(way, End::Broken);
+            rig.end(connection, End::Broken);
             rig.pass(Span::from_secs(2));
         }
         let ends = rig.heard_on(owner);
@@ -213,13 +213,13 @@
     let mut rig = Rig::new(1);
     let owner = rig.owner();
     rig.say(owner, &[set_up(1, "front", ""), set_up(2, "front", "")].concat());
-    for (way, said) in rig.set_ups() {
-        rig.say(way, &yes(said.task));
+    for (connection, said) in rig.set_ups() {
+        rig.say(connection, &yes(said.task));
     }
-    let ways = rig.on(&address(1));
-    assert_eq!((ways.len(), rig.heard_on(owner).len()), (2, 2));
+    let connections = rig.on(&address(1));
+    assert_eq!((connections.len(), rig.heard_on(owner).len()), (2, 2));
     rig.doors.insert(address(1), Entrance::Refuses);
-    rig.end(ways[0], End::Broken);
+    rig.end(connections[0], End::Broken);
     rig.pass(ms(7_900));
     assert_eq!(rig.heard_on(owner).len(), 2, "both are released");
 }
@@ -228,8 +228,8 @@
 fn a_machine_that_vanishes_is_found_out_and_its_tasks_are_released_within_eight_seconds() {
     let mut rig = Rig::new(2);
     let owner = rig.owner();
-    let way = placed(&mut rig, owner, 1, "front");
-    let gone = rig.address_of(way).to_owned();
+    let connection = placed(&mut rig, owner, 1, "front");
+    let gone = rig.address_of(connection).to_owned();
     rig.doors.insert(gone, Entrance::Silent);
     rig.pass(ms(7_900));
     assert_eq!(rig.heard_on(owner).len(), 1);
@@ -241,13 +241,13 @@
     for seconds_before in [1, 4, 9, 17] {
         let mut rig = Rig::new(2);
         let owner = rig.owner();
-        let way = placed(&mut rig, owner, 1, "front");
-        let cut_off = rig.address_of(way).to_owned();
+        let connection = placed(&mut rig, owner, 1, "front");
+        let cut_off = rig.address_of(connection).to_owned();
         // The machine tells how its task fares once a second.
         for _ in 0..seconds_before {
             rig.pass(Span::from_secs(1));
-            let way = rig.on(&cut_off)[0];
-            rig.say(way, &message(kind::NOTE, 1, &[(code::NOTE, b"use_cpu"), (code::FIGURE, b"0.5")]));
+            let connection = rig.on(&cut_off)[0];
+            rig.say(connection, &message(kind::NOTE, 1, &[(code::NOTE, b"use_cpu"), (code::FIGURE, b"0.5")]));
         }
         rig.pass(ms(900));
         rig.doors.insert(cut_off.clone(), Entrance::Silent);
@@ -306,7 +306,7 @@
     let mut rig = Rig::new(2);
     let good = rig.owner();
     rig.say(good, &set_up(1, "front", ""));
-    let (way, _) = rig.set_ups().pop().unwrap();
+    let (connection, _) = rig.set_ups().pop().unwrap();
     let unusable = [
         set_up(0, "front", ""),
         set_up(2, "nobody", ""),
@@ -337,7 +337,7 @@
     let bad = rig.owner();
     rig.say(bad, &release(1, why::ENDED));
     assert!(rig.set_ups().is_empty(), "nothing unusable was passed on");
-    rig.say(way, &yes(1));
+    rig.say(connection, &yes(1));
     assert_eq!(rig.heard_on(good)[0].kind, kind::ANSWER);
     // Two requests under one number: the first has its one answer before the connection ends.
     let bad = rig.owner();
@@ -375,7 +375,7 @@
 fn hundreds_that_ask_once_and_stay_take_no_owners_place_and_hear_of_no_end() {
     let mut rig = Rig::new(2);
     let owner = rig.owner();
-    let way = placed(&mut rig, owner, 1, "front");
+    let connection = placed(&mut rig, owner, 1, "front");
     for n in 0..400 {
         let stays = rig.owner();
         rig.say(stays, &set_up(100 + n, "front", ""));
@@ -383,7 +383,7 @@
         rig.pass(ms(2));
     }
     assert!(!rig.closed.contains(&owner), "others are let go before it");
-    rig.say(way, &release(1, why::ENDED));
+    rig.say(connection, &release(1, why::ENDED));
     assert_eq!(rig.heard_on(owner).iter().filter(|said| said.task == 1).count(), 1);
 }
 
@@ -398,9 +398,9 @@
     rig.say(owner, &set_up(500, "front", ""));
     assert_eq!(rig.heard_on(owner)[0].cause(), Some(why::BUSY));
     rig.pass(ms(500));
-    let way = rig.on(&address(1))[0];
+    let connection = rig.on(&address(1))[0];
     rig.end(owner, End::Closed);
-    (1..=128).for_each(|task| rig.say(way, &release(task, why::ENDED)));
+    (1..=128).for_each(|task| rig.say(connection, &release(task, why::ENDED)));
     assert_eq!(rig.platform.desk.get_mut().owners.owed.len(), 128);
     rig.pass(Span::from_secs(61));
     assert!(rig.platform.desk.get_mut().owners.owed.is_empty());
@@ -411,8 +411,8 @@
     let mut rig = Rig::new(2);
     for n in 0..300u64 {
         let owner = rig.owner();
-        let way = placed(&mut rig, owner, 1_000 + n, if n % 2 == 0 { "front" } else { "batch" });
-        rig.say(way, &release(1_000 + n, why::ENDED));
+        let connection = placed(&mut rig, owner, 1_000 + n, if n % 2 == 0 { "front" } else { "batch" });
+        rig.say(connection, &release(1_000 + n, why::ENDED));
         rig.end(owner, End::Closed);
         let (new, bulletin) = (100 + n, rig.on(BULLETIN)[0]);
         for (no, state) in [(2 + 2 * n, "in_service"), (3 + 2 * n, "terminated")] {
@@ -424,7 +424,7 @@
     rig.pass(Span::from_secs(20));
     let desk = rig.platform.desk.get_mut();
     assert!(desk.tasks.by_id.is_empty() && desk.owners.by_link.is_empty());
-    assert_eq!((desk.machines.by_id.len(), desk.machines.ways.len()), (2, 0));
+    assert_eq!((desk.machines.by_id.len(), desk.machines.connections.len()), (2, 0));
     assert!(desk.timers.len() < 20 && desk.closings.is_empty(), "{}", desk.timers.len());
     assert_eq!(desk.limits.len(), 0);
     assert!(desk.links.held() < 2_000_000);
--- a/crates/platform/src/stories/ramp.rs
+++ b/crates/platform/src/stories/ramp.rs
@@ -102,15 +102,16 @@
                     one.rig.comes_up(link);
                 }
             }
-            for (way, said) in one.rig.set_ups() {
-                let machine = (1..=9).find(|n| address(*n) == one.rig.address_of(way)).expect("a machine");
+            for (connection, said) in one.rig.set_ups() {
+                let machine =
+                    (1..=9).find(|n| address(*n) == one.rig.address_of(connection)).expect("a machine");
                 self.calls.entry(machine).or_default().push(said.at);
                 match self.chance.below(5) {
                     // A silent one now and then, and one that was lost.
                     0 => {}
-                    1 => one.rig.say(way, &release(said.task, why::FULL)),
-                    2 => one.rig.say(way, &release(said.task, why::ERROR)),
-                    _ => one.rig.say(way, &yes(said.task)),
+                    1 => one.rig.say(connection, &release(said.task, why::FULL)),
+                    2 => one.rig.say(connection, &release(said.task, why::ERROR)),
+                    _ => one.rig.say(connection, &yes(said.task)),
                 }
             }
         }
--- a/crates/platform/src/stories/rules.rs
+++ b/crates/platform/src/stories/rules.rs
@@ -45,7 +45,7 @@
     tasks: BTreeMap<u64, Known>,
     /// When each machine was told to drain.
     drains: BTreeMap<u64, Time>,
-    ways: BTreeMap<Link, u64>,
+    connections: BTreeMap<Link, u64>,
     seen: Seen,
 }
 
@@ -54,11 +54,11 @@
     fn look(&mut self) {
         for (link, address) in &self.rig.opened {
             if address.starts_with("127.0.1.") {
-                self.ways.insert(*link, machine_of(address));
+                self.connections.insert(*link, machine_of(address));
             }
         }
         for (link, said) in self.rig.heard(|_| true) {
-            let machine = self.ways.get(&link).copied();
+            let machine = self.connections.get(&link).copied();
             match (machine, said.kind) {
                 (Some(machine), kind::SET_UP) => self.sent(link, machine, said.task, said.at),
                 (Some(_), kind::RELEASE) => {
@@ -224,7 +224,7 @@
         rig: Rig::new(6),
         tasks: BTreeMap::new(),
         drains: BTreeMap::new(),
-        ways: BTreeMap::new(),
+        connections: BTreeMap::new(),
         seen: Seen::default(),
     };
     let mut owners: Vec<Link> = (0..4).map(|_| judge.rig.owner()).collect();
--- a/crates/platform/src/bulletin.rs
+++ b/crates/platform/src/watch.rs
@@ -17,7 +17,7 @@
 const UNREAD: u32 = 3;
 
 #[derive(Debug, Default)]
-pub struct Bulletin {
+pub struct Watch {
     pub address: String,
     pub link: Option<Link>,
     pub up: bool,
@@ -40,7 +40,7 @@
     pub events: Vec<Event>,
 }
 
-impl Bulletin {
+impl Watch {
     pub fn new(address: String, last: u64) -> Self {
         Self { address, last, ..Self::default() }
     }
