What a machine said before a standstill of ours counts from before it as a sign of life

Cause, found by reading: a note that lay here unread through a standstill moved the last sign of life to when it was read. Of a machine that stopped meanwhile owners were told by that much too late: eight seconds are given, 7.5 are used, and standstills last up to two. Change: signs count from the earliest instant at which they may have been said; a connection that came up from the turn that knows of the standstill. A sign never moves the last one back. Test: a story, seen to fail without this.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -111,6 +111,8 @@
     rest: Vec<Link>,
     /// Ends of sends that are to be told to the module.
     pub closings: VecDeque<(TaskId, u32, Ending)>,
+    /// Connections to machines that came up since the last turn.
+    came_up: Vec<Link>,
     /// Tasks that nobody wants any more, to be told to the module.
     pub gone: Vec<TaskId>,
     pub timers: Timers<Due>,
@@ -167,6 +169,7 @@
             arrivals: VecDeque::new(),
             rest: Vec::new(),
             closings: VecDeque::new(),
+            came_up: Vec::new(),
             gone: Vec::new(),
             timers: Timers::default(),
             next_mark: 0,
@@ -284,8 +287,7 @@
         match self.who(link) {
             Some(Who::Machine) => {
                 self.pool.used(now, link.0);
-                self.machines.comes_up(now, link);
-                tracing::debug!(connection = link.0, "a connection is up");
+                self.came_up.push(link);
             }
             Some(Who::Watch) => {
                 self.watch.up = true;
@@ -398,11 +400,23 @@
             self.limits.woke(now);
         }
         self.limits.begin_turn(self.connections_in_all);
+        let up_at = self.said_at();
+        for link in std::mem::take(&mut self.came_up) {
+            self.machines.comes_up(now, up_at, link);
+            tracing::debug!(connection = link.0, "a connection is up");
+        }
         for link in std::mem::take(&mut self.rest) {
             self.limits.stands_in_line(link.0, true);
         }
     }
 
+    /// When what was read before this turn was said at the earliest. Met in a story: what a machine had said
+    /// before it stopped lay here through a standstill of ours, and counted from when it was read.
+    pub fn said_at(&self) -> Time {
+        let lay = self.stood.lay(self.now, (self.now, self.stood.turns() - 1));
+        Time::default() + ((self.now - Time::default()) - lay)
+    }
+
     pub fn end_turn(&mut self) {
         for link in std::mem::take(&mut self.stuck) {
             self.grumble("ended: it doesn't read, and too much waits for it", &format!("link {}", link.0));
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -533,9 +533,9 @@
     let mut borrowed = desk.borrow_mut();
     let d = &mut *borrowed;
     match frame.kind {
-        kind::ANSWER | kind::NOTE => d.machines.shows_life(d.now, link),
+        kind::ANSWER | kind::NOTE => d.machines.shows_life(d.said_at(), link),
         kind::RELEASE if d.tasks.by_id.get(&id).is_some_and(|job| job.placed().is_some()) => {
-            d.machines.shows_life(d.now, link);
+            d.machines.shows_life(d.said_at(), link);
         }
         // A refusal says nothing of what stands, nor does a test, passed or failed. Met: machines that had stopped
         // passed tests, and refused set-ups, on what they had left open, and owners heard of ends there too late;
--- a/crates/platform/src/machines.rs
+++ b/crates/platform/src/machines.rs
@@ -125,9 +125,9 @@
         }
     }
 
-    /// It showed that it is there.
-    pub fn is_there(&mut self, now: Time) {
-        self.heard_at = now;
+    /// It showed that it is there, at this instant or later.
+    pub fn is_there(&mut self, at: Time) {
+        self.heard_at = self.heard_at.max(at);
         (self.failures, self.refusals) = (0, 0);
     }
 }
@@ -175,22 +175,22 @@
         links.iter().filter_map(|link| Some((*link, self.connections.get(link)?)))
     }
 
-    /// The machine said something on this connection.
-    pub fn shows_life(&mut self, now: Time, link: Link) {
+    /// The machine said something on this connection, at this instant or later.
+    pub fn shows_life(&mut self, said_at: Time, link: Link) {
         let connection = self.connections.get_mut(&link).expect("a connection to a machine");
-        (connection.used_at, connection.heard) = (now, true);
+        connection.heard = true;
         if let Some(machine) = self.by_id.get_mut(&connection.machine) {
-            machine.is_there(now);
+            machine.is_there(said_at);
         }
     }
 
-    /// This connection came up.
-    pub fn comes_up(&mut self, now: Time, link: Link) {
-        let connection = self.connections.get_mut(&link).expect("a connection to a machine");
+    /// This connection came up, at this instant or later.
+    pub fn comes_up(&mut self, now: Time, up_at: Time, link: Link) {
+        let Some(connection) = self.connections.get_mut(&link) else { return };
         (connection.used_at, connection.up) = (now, true);
         if let Some(machine) = self.by_id.get_mut(&connection.machine) {
-            connection.came_up = (now, machine.heard_at);
-            machine.is_there(now);
+            connection.came_up = (up_at, machine.heard_at);
+            machine.is_there(up_at);
         }
     }
 
--- a/crates/platform/src/stories/crossings.rs
+++ b/crates/platform/src/stories/crossings.rs
@@ -363,3 +363,24 @@
     assert!(rig.heard_on(owner).is_empty(), "whoever ended it is owed nothing");
     assert!(rig.platform.desk.get_mut().tasks.by_id.is_empty());
 }
+
+#[test]
+fn what_a_machine_said_before_a_standstill_of_ours_counts_from_before_it() {
+    // Its last note lies here for two seconds, unread; it has stopped since.
+    let mut rig = Rig::new(1);
+    let owner = rig.owner();
+    rig.say(owner, &set_up(1, "front", ""));
+    let (connection, _) = rig.set_ups().pop().expect("it is sent");
+    rig.say(connection, &yes(1));
+    rig.heard_on(owner);
+    rig.pass(ms(1_000));
+    let over = rig.now;
+    rig.doors.insert(address(1), Entrance::Refuses);
+    rig.now = rig.now + ms(2_000);
+    rig.say(connection, &message(kind::NOTE, 1, &[(code::NOTE, b"use_cpu"), (code::FIGURE, b"0.5")]));
+    while rig.heard_on(owner).is_empty() {
+        assert!(rig.now - over < ms(8_000), "its owner must have heard by now");
+        rig.pass(ms(20));
+    }
+    assert!(rig.now - over > ms(7_000), "one that drains keeps its tasks for a while");
+}
