--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -227,8 +227,8 @@
             if owner.queued || owner.frames.has_next() || !owner.open.is_empty() || owner.end.is_some() {
                 self.stays(link);
             } else if owner.frames.kept() > 0 && until > self.now {
-                // The rest of a message may be on its way. Met: whoever sent a part of one kept its place for two
-                // seconds beyond all limits, and such clients took every descriptor there was.
+                // The rest of a message may be on its way. Met: whoever sent a part of one kept its place for
+                // two seconds beyond all limits, and such clients took every descriptor there was.
                 self.owners.giving_way.push(link);
                 self.timers.set(until, Due::GiveWay);
             } else {
@@ -692,8 +692,8 @@
         self.closings.push_back((id, send, Ending::NotSent));
     }
 
-    /// Takes back what was decided for this machine and not written yet: it drains, is gone, or another one has
-    /// its address. Met: a set-up that waited for its connection left after the drain was told.
+    /// Takes back what was decided for this machine and not written yet: it drains, is gone, or another one
+    /// has its address. Met: a set-up that waited for its connection left after the drain was told.
     pub fn take_back_all(&mut self, id: MachineId) {
         let Some(machine) = self.machines.by_id.get(&id) else { return };
         let mut sends = machine.waiting.clone();
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -1,16 +1,16 @@
-//! Hand-overs that cross something: the end of a task heard before its hand-over, and a hand-over heard before
-//! the list names its machine.
+//! Hand-overs that cross something: the end of a task heard before its hand-over, and a hand-over heard
+//! before the list names its machine.
 
 use mulleinhub_interface::{MachineId, Order, Span, TaskId, Time};
 use mulleinhub_platform_protocol::Cause;
 use mulleinhub_seam::Link;
 use std::collections::{BTreeMap, VecDeque};
 
-/// For so long a hand-over waits until a list names its machine: lists reach schedulers up to some two seconds
-/// apart, and whoever speaks wrongly is owed a word within three.
+/// For so long a hand-over waits until a list names its machine: lists reach schedulers up to some two
+/// seconds apart, and whoever speaks wrongly is owed a word within three.
 const LISTED_WITHIN: Span = Span::from_nanos(2_500_000_000);
-/// For so long the end of a task that is not in hand may matter: until its scheduler is known to have died, and
-/// its owner has waited and asked.
+/// For so long the end of a task that is not in hand may matter: until its scheduler is known to have died,
+/// and its owner has waited and asked.
 const MATTERS_FOR: Span = Span::from_secs(60);
 
 /// A task that runs on a machine which no list has named yet.
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -294,7 +294,8 @@
         }
         let order = order(setup, *case, Time::from_nanos(u64::MAX));
         if !d.machines.by_id.contains_key(&machine) {
-            // Another scheduler's list may be ahead of ours. Met: owners were told that their tasks were over.
+            // Another scheduler's list may be ahead of ours. Met: owners were told that their tasks were
+            // over.
             greets(d, link);
             let until = d.handovers.waits(d.now, order, machine, link);
             d.timers.set(until, Due::HandOver);
@@ -488,8 +489,9 @@
     let (now, mut budget) = (d.now, 64);
     while let Some((conn, act)) = d.limits.due(now, &mut budget) {
         match act {
-            // There is no sign to ask for: a connection without a task in hand may be closed. Of one with a task
-            // in hand the answer is ours. Met: an owner that waited for longer than the silence was let go.
+            // There is no sign to ask for: a connection without a task in hand may be closed. Of one with a
+            // task in hand the answer is ours. Met: an owner that waited for longer than the silence was let
+            // go.
             Act::AskForSign if d.owners.by_link.get(&Link(conn)).is_some_and(|o| !o.open.is_empty()) => {
                 d.limits.heard(now, conn);
             }
@@ -537,9 +539,10 @@
         kind::RELEASE if d.tasks.by_id.get(&id).is_some_and(|job| job.placed().is_some()) => {
             d.machines.shows_life(d.said_at(), link);
         }
-        // A refusal says nothing of what stands, nor does a test, passed or failed. Met: machines that had stopped
-        // passed tests, and refused set-ups, on what they had left open, and owners heard of ends there too late;
-        // machines that drained failed them, and hundreds of tasks of a day were released while they stood.
+        // A refusal says nothing of what stands, nor does a test, passed or failed. Met: machines that had
+        // stopped passed tests, and refused set-ups, on what they had left open, and owners heard of ends
+        // there too late; machines that drained failed them, and hundreds of tasks of a day were released
+        // while they stood.
         _ => {}
     }
     drop(borrowed);
@@ -785,8 +788,8 @@
             machine.failures += 1;
             // A process that dies resets its connections. Met: machines that drain refuse new ones, and what
             // stood there was taken for lost.
-            // A try that comes to nothing says nothing. Met: one between two refusals, and the second counted as
-            // the first.
+            // A try that comes to nothing says nothing. Met: one between two refusals, and the second counted
+            // as the first.
             machine.refusals = match (refused, others.is_empty()) {
                 (true, true) => machine.refusals + 1,
                 (true, false) => 0,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -106,8 +106,8 @@
                 }
             }
             hear::look_after_owners(&mut desk.borrow_mut());
-            // In this very round. Met: a connection was ended for half a message, and the module answered the task
-            // that had waited there, which was no longer in hand.
+            // In this very round. Met: a connection was ended for half a message, and the module answered the
+            // task that had waited there, which was no longer in hand.
             hear::tell_gone(desk, round);
         });
         self.desk.get_mut().end_turn();
--- a/crates/platform/src/machines.rs
+++ b/crates/platform/src/machines.rs
@@ -30,8 +30,8 @@
     pub open: Vec<TaskId>,
     /// Set-ups given up here, and whether a copy that comes of one is to be cut.
     pub given_up: VecDeque<(TaskId, bool)>,
-    /// Those that had their end here before they stood. Met in a story: a refusal that came twice was taken for
-    /// one of the next send of that task on the same connection.
+    /// Those that had their end here before they stood. Met in a story: a refusal that came twice was taken
+    /// for one of the next send of that task on the same connection.
     pub refused: VecDeque<TaskId>,
 }
 
@@ -114,9 +114,9 @@
         }
     }
 
-    /// A connection that had come up was ended by the other side without a word, sooner than one that is idle:
-    /// nobody was there. Met: join+mass on centro-dados-sede, where a machine that had stopped let one come up
-    /// once more, and owners heard of the ends there half a second late.
+    /// A connection that had come up was ended by the other side without a word, sooner than one that is
+    /// idle: nobody was there. Met: join+mass on centro-dados-sede, where a machine that had stopped let one
+    /// come up once more, and owners heard of the ends there half a second late.
     pub fn was_not_there(&mut self, connection: &Connection, now: Time, idle: Span) {
         let (came_up, before) = connection.came_up;
         if connection.up && !connection.heard && now - came_up < idle && self.heard_at == came_up {
@@ -146,8 +146,9 @@
 }
 
 impl Machines {
-    /// An open connection for a set-up of this task, with nothing else open on it: the one used last, and since
-    /// then. Met: where machines close idle connections soon, a set-up was written as its machine closed.
+    /// An open connection for a set-up of this task, with nothing else open on it: the one used last, and
+    /// since then. Met: where machines close idle connections soon, a set-up was written as its machine
+    /// closed.
     pub fn free_connection(&self, machine: MachineId, task: TaskId, since: Time) -> Option<Link> {
         let fits = |(_, connection): &(Link, &Connection)| {
             connection.up
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -18,12 +18,12 @@
     pub proven: bool,
     /// Tasks that are to be answered here.
     pub open: BTreeSet<TaskId>,
-    /// Those of them that the module hears of once all that lies here has been heard: the client may have left
-    /// behind them. Met: a client that asked often and left during a standstill of ours was sent on, as its
-    /// end lay behind more messages than one turn hears.
+    /// Those of them that the module hears of once all that lies here has been heard: the client may have
+    /// left behind them. Met: a client that asked often and left during a standstill of ours was sent on, as
+    /// its end lay behind more messages than one turn hears.
     pub taken: Vec<TaskId>,
-    /// Since when it is to make room: it is ended once a turn has passed in which nothing of it was here to be
-    /// heard. Met: connections were ended while a set-up lay on them unread.
+    /// Since when it is to make room: it is ended once a turn has passed in which nothing of it was here to
+    /// be heard. Met: connections were ended while a set-up lay on them unread.
     pub gives_way: Option<Time>,
     /// There was no room for it: what it asks is refused, and then it is ended.
     pub turned_away: bool,
--- a/crates/platform/src/stories/fleet.rs
+++ b/crates/platform/src/stories/fleet.rs
@@ -33,8 +33,8 @@
 
 #[test]
 fn a_machine_that_falls_silent_among_more_than_there_are_descriptors_for_is_found_out() {
-    // Met: herd+mass and roll+mass, where one connection to each of 400 was all that was allowed: a machine that had
-    // vanished behind its open connection was never looked at again.
+    // Met: herd+mass and roll+mass, where one connection to each of 400 was all that was allowed: a machine
+    // that had vanished behind its open connection was never looked at again.
     for machines in [20, 400, 1_024] {
         let (mut rig, owner) = fleet(machines);
         pass_within_bounds(&mut rig, Span::from_secs(4));
--- a/crates/platform/src/stories/ramp.rs
+++ b/crates/platform/src/stories/ramp.rs
@@ -1,6 +1,6 @@
-//! What cold machines get from all schedulers together: at most N + 2 x root of N + 2 calls in every window of
-//! the rule, N being what the settings say that one always bears. Many schedulers over one late list, some of
-//! which start anew in the middle of it, connections that are held back and let go together, and refusals.
+//! What cold machines get from all schedulers together: at most N + 2 x root of N + 2 calls in every window
+//! of the rule, N being what the settings say that one always bears. Many schedulers over one late list, some
+//! of which start anew in the middle of it, connections that are held back and let go together, and refusals.
 
 use super::rig::*;
 use mulleinhub::{Pcg, mix};
--- a/crates/platform/src/stories/rig.rs
+++ b/crates/platform/src/stories/rig.rs
@@ -252,7 +252,8 @@
         self.turn();
     }
 
-    /// A connection that was held back comes up: what waits for it leaves once the scheduler has had its turn.
+    /// A connection that was held back comes up: what waits for it leaves once the scheduler has had its
+    /// turn.
     pub fn comes_up(&mut self, link: Link) {
         self.platform.up(self.now, link);
         self.platform.turn(self.now);
--- a/crates/platform/src/stories/rules.rs
+++ b/crates/platform/src/stories/rules.rs
@@ -148,7 +148,8 @@
         }
     }
 
-    /// Connections to one machine are held back for a while, or come up: then the client's leaving may lie here.
+    /// Connections to one machine are held back for a while, or come up: then the client's leaving may lie
+    /// here.
     fn holds_back(&mut self, owners: &mut [Link], chance: &mut Pcg) {
         let stuck: Vec<Link> = self.rig.stuck.iter().copied().collect();
         let machine = address(1 + chance.below(6) as u64);
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -12,8 +12,8 @@
 pub const CONNECT: Span = Span::from_nanos(500_000_000);
 /// A connection that lives for so long without a fault was no failed try: a comment comes each second.
 const LIVES: Span = Span::from_secs(1);
-/// So often an event is asked for again that can't be read. After that it is passed over, so that what follows it
-/// is not lost too.
+/// So often an event is asked for again that can't be read. After that it is passed over, so that what
+/// follows it is not lost too.
 const UNREAD: u32 = 3;
 
 #[derive(Debug, Default)]
@@ -58,13 +58,13 @@
         )
     }
 
-    /// Takes what came; numbers heard before are passed over, but for a whole list that a connection begins with:
-    /// there the numbers start anew.
+    /// Takes what came; numbers heard before are passed over, but for a whole list that a connection begins
+    /// with: there the numbers start anew.
     ///
     /// # Errors
-    /// Where it is no stream of events, or one that leaves some out. What was whole before is kept, and nothing
-    /// counts that came behind. Met: an event that could not be read was never asked for again, as good ones
-    /// with later numbers followed it.
+    /// Where it is no stream of events, or one that leaves some out. What was whole before is kept, and
+    /// nothing counts that came behind. Met: an event that could not be read was never asked for again, as
+    /// good ones with later numbers followed it.
     pub fn take(&mut self, now: Time, bytes: &[u8]) -> Result<(), Bad> {
         self.heard_at = now;
         let behind;
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -554,8 +554,9 @@
                     return self.gone(link, End::Broken);
                 }
                 Err(_) => {
-                    // What the other side said before lies here still, and its end behind it. Met in a test: the
-                    // last words of a peer that reset its connection were lost where we wrote to it first.
+                    // What the other side said before lies here still, and its end behind it. Met in a test:
+                    // the last words of a peer that reset its connection were lost where we wrote to it
+                    // first.
                     stream.closing = true;
                     self.readable.insert(link);
                     return;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -738,8 +738,9 @@
         pick
     }
 
-    /// Where tasks of this service are, for use cases that spread over more than one machine. Met: counted anew for
-    /// each machine, which took all of a scheduler's part of a core where services spread over zones of 133.
+    /// Where tasks of this service are, for use cases that spread over more than one machine. Met: counted
+    /// anew for each machine, which took all of a scheduler's part of a core where services spread over zones
+    /// of 133.
     fn find_held(&self, service: ServiceId, use_case: &UseCase, held: &mut Vec<(Spot, usize)>) {
         held.clear();
         if use_case.spread.is_some_and(|(reach, _)| reach != Reach::Machine) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -683,8 +683,9 @@
 
 #[test]
 fn services_that_spread_over_zones_cost_little_more_than_those_that_spread_over_machines() {
-    // Met: in a fleet of 400 in three zones a pick looked at each machine for each machine, and a scheduler with
-    // a fifth of a core answered seconds late. The least of several times, as others use this machine too.
+    // Met: in a fleet of 400 in three zones a pick looked at each machine for each machine, and a scheduler
+    // with a fifth of a core answered seconds late. The least of several times, as others use this machine
+    // too.
     let fleet: Vec<Entry> =
         (1..=400).map(|n| Entry { zone: ZoneId(n as u32 % 3), ..machine(n, 1_000.0) }).collect();
     let least = |reach| {
