Peers: the exchange is split into modules with one job each

A second set of logs per scheduler needs a replication state of its own.

Change: a directory `exchange/`. Per peer, the state of replicating one set of logs stands in `LogCursor`, that of heartbeats and orders in cursors of their own. Private names are the field's (neighbors, heads, push, receive, banned_until); heartbeats and retries are small structs in place of tuples. Public names, messages and the order of random draws are as before.

The tests of peers and runner pass, untouched.

--- /dev/null
+++ b/crates/peers/src/exchange/cursor.rs
@@ -0,0 +1,267 @@
+//! The replication cursor: the state of replicating one set of logs with one peer.
+//!
+//! It records which of our heads (ends of logs) the peer was told, which it is known to have, which of its
+//! logs are ahead of ours, and which entries it was asked for. It does no I/O and knows neither the peer
+//! nor the connection, so that a peer can have one cursor for each set of logs.
+
+use super::MAX_ITEMS;
+use mulleinhub_interface::{Span, Time};
+use mulleinhub_protocol::Bad;
+use mulleinhub_replica::{ColumnId, Digest, Library, Tip};
+use std::borrow::Cow;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Least time between two pushes to one peer, so that many changes go together.
+const PUSH_GAP: Span = Span::from_nanos(20_000_000);
+/// A request for rows that is not answered for so long is given up, and the rows are asked for elsewhere.
+const REQUEST_TIMEOUT: Span = Span::from_secs(2);
+/// Longest row that is assembled from pieces, in bytes.
+const MAX_ASSEMBLED_ROW: usize = 16 << 20;
+/// The instant of the last push, where the next one must not wait for the gap. It differs from
+/// `Time::default()`, which stands for no push at all.
+const LONG_AGO: Span = Span::from_nanos(1);
+
+/// Asks for the rows of a log that follow `after`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct RowRequest {
+    /// The log.
+    pub(super) id: ColumnId,
+    /// Number of the last row that the asker has, or nought.
+    pub(super) after: u64,
+    /// The asker's digest at `after`.
+    pub(super) digest: Digest,
+    /// Bytes of the next row that the asker has already.
+    pub(super) skip: u64,
+}
+
+/// Rows as a peer sent them: whole ones, or a piece of a single long one.
+#[derive(Debug)]
+pub(super) struct ReceivedRows<'b> {
+    /// The log.
+    pub(super) id: ColumnId,
+    /// Number of the row before the first.
+    pub(super) after: u64,
+    /// The sender's digest at `after`.
+    pub(super) digest: Digest,
+    /// The rows' bytes.
+    pub(super) rows: Vec<&'b [u8]>,
+    /// Offset at which the first row's bytes begin.
+    pub(super) skip: u64,
+    /// Bytes of the last row that are still to come.
+    pub(super) rest: u64,
+}
+
+/// What received rows amount to, together with the pieces that came before.
+#[derive(Debug)]
+pub(super) enum Assembled<'b> {
+    /// They were not asked for, or so long ago that something else was asked for since.
+    Unasked,
+    /// A piece of a row; the next piece is to be asked for.
+    Incomplete,
+    /// The peer has no rows for us after all.
+    Nothing,
+    /// Whole rows.
+    Complete(Vec<Cow<'b, [u8]>>),
+}
+
+/// Heads that a peer has not been told.
+#[derive(Debug)]
+pub(super) struct NewHeads {
+    /// The heads, oldest change first.
+    pub(super) heads: Vec<Tip>,
+    /// No more are waiting.
+    pub(super) whole: bool,
+}
+
+/// A request for rows that is under way.
+#[derive(Debug)]
+struct PendingRequest {
+    id: ColumnId,
+    since: Time,
+    /// The bytes so far of a row that is longer than a piece.
+    partial: Vec<u8>,
+}
+
+/// What one peer was told, has, and was asked for, of one set of logs.
+#[derive(Debug, Default)]
+pub(super) struct LogCursor {
+    /// The peer was told our changes up to this stamp of the library.
+    told: u64,
+    /// When it was last told heads; `Time::default()` for never.
+    told_at: Time,
+    /// The peer has these logs up to these numbers.
+    knows: BTreeMap<ColumnId, u64>,
+    /// Heads of the peer that are ahead of ours.
+    newer: BTreeMap<ColumnId, Tip>,
+    /// What the peer was asked for last.
+    asked: Option<PendingRequest>,
+    /// The peer has sent its digest of all heads.
+    first: bool,
+    /// The peer has sent all heads that it has.
+    whole: bool,
+}
+
+impl LogCursor {
+    // Pushing heads.
+
+    /// Whether a push may go now: the peer has sent its digest, and the last push is long enough ago.
+    pub(super) fn may_push(&self, now: Time) -> bool {
+        self.first && (self.is_untold() || now - self.told_at >= PUSH_GAP)
+    }
+
+    /// Whether nothing at all was pushed so far.
+    pub(super) fn is_untold(&self) -> bool {
+        self.told_at == Time::default()
+    }
+
+    /// Whether changes up to `stamp` include some that are to be pushed.
+    pub(super) fn is_behind(&self, stamp: u64) -> bool {
+        self.first && self.told < stamp
+    }
+
+    /// The earliest instant of the next push.
+    pub(super) fn next_push_at(&self) -> Time {
+        self.told_at + PUSH_GAP
+    }
+
+    /// The next push does not wait for the gap.
+    pub(super) fn push_without_gap(&mut self) {
+        self.told_at = Time::default() + LONG_AGO;
+    }
+
+    /// A push went out.
+    pub(super) fn pushed(&mut self, now: Time) {
+        self.told_at = now;
+    }
+
+    /// The heads that changed since the last call and that the peer is not known to have, as many as fit
+    /// into one message. They count as told.
+    pub(super) fn take_new_heads(&mut self, library: &Library) -> NewHeads {
+        let mut heads: Vec<Tip> = Vec::new();
+        for (stamp, head) in library.tips_after(self.told) {
+            if heads.len() >= MAX_ITEMS {
+                return NewHeads { heads, whole: false };
+            }
+            self.told = stamp;
+            if self.knows.get(&head.id).is_none_or(|known| *known < head.number) {
+                self.knows.insert(head.id.clone(), head.number);
+                heads.push(head);
+            }
+        }
+        NewHeads { heads, whole: true }
+    }
+
+    // Receiving heads.
+
+    /// The peer sent its digest of all heads, and these heads; `whole` where it has no others.
+    pub(super) fn receive_heads(&mut self, library: &Library, all: Digest, heads: Vec<Tip>, whole: bool) {
+        if library.all() == all {
+            // The peer has what we have: nothing of that need be pushed.
+            self.told = library.stamp();
+            self.whole = true;
+        }
+        self.first = true;
+        self.whole |= whole;
+        for head in heads {
+            self.knows.insert(head.id.clone(), head.number);
+            if library.wants(&head) {
+                self.newer.insert(head.id.clone(), head);
+            }
+        }
+    }
+
+    /// The peer has sent all heads that it has, and none is ahead of ours.
+    pub(super) fn is_exhausted(&self) -> bool {
+        self.whole && self.newer.is_empty()
+    }
+
+    // Requesting rows.
+
+    /// The log that the peer was asked for, while the answer can still be expected.
+    pub(super) fn pending_log(&self, now: Time) -> Option<&ColumnId> {
+        let pending = self.asked.as_ref().filter(|asked| now - asked.since < REQUEST_TIMEOUT);
+        pending.map(|asked| &asked.id)
+    }
+
+    /// The next request to this peer, where none is under way: for a log of which it has more than we, and
+    /// which is not asked for elsewhere.
+    pub(super) fn next_request(
+        &mut self,
+        now: Time,
+        library: &Library,
+        pending_elsewhere: &BTreeSet<ColumnId>,
+    ) -> Option<RowRequest> {
+        if self.pending_log(now).is_some() {
+            return None;
+        }
+        self.asked = None;
+        self.newer.retain(|_, head| library.wants(head));
+        let id = self.newer.keys().find(|id| !pending_elsewhere.contains(*id)).cloned()?;
+        self.asked = Some(PendingRequest { id: id.clone(), since: now, partial: Vec::new() });
+        Some(self.request_for(library, id))
+    }
+
+    /// The request for the rows of a log that follow what is here.
+    pub(super) fn request_for(&self, library: &Library, id: ColumnId) -> RowRequest {
+        let (after, digest) = match self.newer.get(&id) {
+            Some(head) => library.asks_after(head),
+            None => library.known_of(&id),
+        };
+        let skip = self.asked.as_ref().map_or(0, |asked| asked.partial.len() as u64);
+        RowRequest { id, after, digest, skip }
+    }
+
+    // Receiving rows.
+
+    /// Joins received rows with the pieces that came before them. The request is over with that, unless
+    /// more pieces are to come.
+    ///
+    /// # Errors
+    /// Where a piece doesn't follow those that came before, or the row gets too long.
+    pub(super) fn assemble<'b>(
+        &mut self,
+        now: Time,
+        received: &ReceivedRows<'b>,
+    ) -> Result<Assembled<'b>, Bad> {
+        let Some(mut asked) = self.asked.take_if(|asked| asked.id == received.id) else {
+            return Ok(Assembled::Unasked);
+        };
+        if received.skip as usize != asked.partial.len() {
+            if received.skip != 0 {
+                let (skip, here) = (received.skip, asked.partial.len());
+                return Err(Bad(format!("a row from byte {skip}, {here} are here")));
+            }
+            asked.partial.clear();
+        }
+        let Some((first, others)) = received.rows.split_first() else {
+            self.newer.remove(&received.id);
+            return Ok(Assembled::Nothing);
+        };
+        let mut rows: Vec<Cow<'b, [u8]>> = Vec::with_capacity(received.rows.len());
+        if received.rest > 0 || !asked.partial.is_empty() {
+            asked.partial.extend_from_slice(first);
+            if asked.partial.len() > MAX_ASSEMBLED_ROW {
+                return Err(Bad("a row without end".into()));
+            }
+            if received.rest > 0 {
+                asked.since = now;
+                self.asked = Some(asked);
+                return Ok(Assembled::Incomplete);
+            }
+            rows.push(Cow::Owned(asked.partial));
+        } else {
+            rows.push(Cow::Borrowed(first));
+        }
+        rows.extend(others.iter().map(|row| Cow::Borrowed(*row)));
+        Ok(Assembled::Complete(rows))
+    }
+
+    /// Rows of a log were taken into the library, `new` of them unknown before. Where nothing more can be
+    /// had from this peer, its head counts as ahead of ours no longer.
+    pub(super) fn rows_taken(&mut self, library: &Library, id: &ColumnId, new: usize) {
+        let is_done = |head: &Tip| new == 0 || !library.wants(head);
+        if self.newer.get(id).is_some_and(is_done) {
+            self.newer.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/src/exchange/heartbeat.rs
@@ -0,0 +1,117 @@
+//! Heartbeats: how members learn of each other that they are alive.
+//!
+//! Each member counts its heartbeats; the newest count known of each member goes from peer to peer with the
+//! heads of the logs.
+
+use super::Exchange;
+use mulleinhub_accounts::Keeper;
+use mulleinhub_interface::{Span, Time};
+use mulleinhub_protocol as protocol;
+use mulleinhub_replica::Name;
+use mulleinhub_seam::Link;
+use std::collections::BTreeMap;
+
+/// Least time between two heartbeats of a member.
+const MIN_INTERVAL: Span = Span::from_secs(1);
+/// With more members than this, the interval grows with their number, as each heartbeat goes to all.
+const MEMBERS_AT_MIN_INTERVAL: usize = 100;
+
+/// A count of heartbeats in one incarnation of a member. A later incarnation is newer, whatever its count.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Heartbeat {
+    /// The incarnation.
+    pub(super) life: u64,
+    /// Heartbeats in it.
+    pub(super) count: u64,
+}
+
+/// A member with its newest known heartbeat.
+#[derive(Clone, Debug)]
+pub(super) struct MemberHeartbeat {
+    /// The member.
+    pub(super) name: Name,
+    /// Its newest heartbeat.
+    pub(super) heartbeat: Heartbeat,
+}
+
+impl MemberHeartbeat {
+    /// As it goes over the wire.
+    pub(super) fn message(&self) -> protocol::Beat<'_> {
+        protocol::Beat { name: &self.name, life: self.heartbeat.life, count: self.heartbeat.count }
+    }
+}
+
+/// What one peer knows of the members' heartbeats.
+#[derive(Debug, Default)]
+pub(super) struct HeartbeatCursor {
+    pushed_at: Time,
+    known: BTreeMap<Name, Heartbeat>,
+}
+
+impl HeartbeatCursor {
+    /// Whether heartbeats are to be pushed again.
+    pub(super) fn is_due(&self, now: Time, interval: Span) -> bool {
+        now - self.pushed_at >= interval
+    }
+
+    /// The peer told a heartbeat, and so knows it.
+    fn learn(&mut self, name: Name, heartbeat: Heartbeat) {
+        let known = self.known.entry(name).or_default();
+        *known = (*known).max(heartbeat);
+    }
+
+    /// Those heartbeats that the peer doesn't know. They count as pushed.
+    pub(super) fn take_newer(
+        &mut self,
+        now: Time,
+        heartbeats: impl Iterator<Item = MemberHeartbeat>,
+    ) -> Vec<MemberHeartbeat> {
+        self.pushed_at = now;
+        let mut newer = Vec::new();
+        for member in heartbeats {
+            let known = self.known.get(&member.name).copied().unwrap_or_default();
+            if member.heartbeat > known {
+                self.known.insert(member.name.clone(), member.heartbeat);
+                newer.push(member);
+            }
+        }
+        newer
+    }
+}
+
+/// The time between two heartbeats of a member, given the number of members.
+pub(super) fn interval(members: usize) -> Span {
+    MIN_INTERVAL * (members as f64 / MEMBERS_AT_MIN_INTERVAL as f64).max(1.0)
+}
+
+/// The newest heartbeats that are known here: of the other members, then our own.
+pub(super) fn newest(keeper: &Keeper, own_count: u64) -> impl Iterator<Item = MemberHeartbeat> {
+    let others = keeper.roll.members().map(|name| {
+        let (life, count) = keeper.roll.beat_of(name);
+        MemberHeartbeat { name: name.clone(), heartbeat: Heartbeat { life, count } }
+    });
+    let own = Heartbeat { life: keeper.life(), count: own_count };
+    others.chain([MemberHeartbeat { name: keeper.settings().me.clone(), heartbeat: own }])
+}
+
+impl Exchange {
+    /// Takes in the heartbeats that a peer told.
+    pub(super) fn receive_heartbeats(&mut self, link: Link, heartbeats: &[protocol::Beat<'_>]) {
+        for told in heartbeats {
+            let name = Name::from(told.name);
+            let heartbeat = Heartbeat { life: told.life, count: told.count };
+            self.keeper.roll.beat(self.now, &name, (heartbeat.life, heartbeat.count));
+            if let Some(peer) = self.peers.get_mut(&link) {
+                peer.heartbeats.learn(name, heartbeat);
+            }
+        }
+    }
+
+    /// Counts our own heartbeat where one is due.
+    pub(super) fn count_heartbeat(&mut self) {
+        if self.now >= self.next_heartbeat_at {
+            self.heartbeats += 1;
+            self.next_heartbeat_at = self.now + self.heartbeat_interval;
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/src/exchange/mod.rs
@@ -0,0 +1,295 @@
+//! The exchange between schedulers: anti-entropy of their logs, membership, orders and share transfers.
+//!
+//! Each scheduler keeps connections to a few neighbors, drawn anew now and then. On each connection both
+//! sides first tell a digest of the heads of all logs; where the digests differ, the heads, and from then on
+//! those that change. Rows go to whoever asks for them, in pieces. Orders and share transfers go ahead of
+//! rows. A peer that doesn't read is told nothing more until it does, and costs the others nothing.
+//!
+//! - `peer`: a connection and what its peer knows
+//! - `cursor`: the state of replicating one set of logs with one peer
+//! - `receive`: decoding, greeting, dispatch
+//! - `replication`: heads and rows
+//! - `orders`, `heartbeat`, `share_transfer`: what else goes over a connection
+//! - `connections`, `neighbors`: which connections there are
+//! - `status`: lines for the operators
+
+mod connections;
+mod cursor;
+mod heartbeat;
+mod neighbors;
+mod orders;
+mod peer;
+mod receive;
+mod replication;
+mod share_transfer;
+mod status;
+
+use self::peer::Peer;
+use crate::shelf::Shelf;
+use mulleinhub_accounts::{Keeper, Settings};
+use mulleinhub_interface::{Span, Time};
+use mulleinhub_pacing::STANDSTILL;
+use mulleinhub_replica::{Change, Kept, Name, Order};
+use mulleinhub_seam::{Door, End, Link, Links, Party};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Heads, heartbeats or orders in one message.
+const MAX_ITEMS: usize = 512;
+/// A peer with more unwritten bytes than this is told nothing more until they are written.
+const MAX_UNREAD: usize = 256 * 1024;
+
+/// A scheduler that books are exchanged with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its name, by which all members know it.
+    pub name: Name,
+    /// Where it listens.
+    pub address: String,
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Bytes received.
+    pub bytes_in: u64,
+    /// Bytes written.
+    pub bytes_out: u64,
+    /// Rows received that were new.
+    pub rows_in: u64,
+    /// Peers that broke the protocol and were cut off.
+    pub bad: u64,
+    /// Forked logs that were found.
+    pub forks: u64,
+    /// Asks for parts of others' shares.
+    pub asks: u64,
+    /// Parts of shares that were received.
+    pub gifts: u64,
+}
+
+/// When a member is called again after failures.
+#[derive(Debug, Default)]
+struct Retry {
+    /// Connections that didn't come up since the last one that did.
+    failures: u32,
+    /// It is not called before this instant.
+    not_before: Time,
+}
+
+/// The exchange of one scheduler with all others: a party without I/O of its own.
+pub struct Exchange {
+    keeper: Keeper,
+    shelf: Arc<Shelf>,
+    links: Links,
+    /// The other members and where they listen.
+    addresses: BTreeMap<Name, String>,
+    peers: BTreeMap<Link, Peer>,
+    /// Connections on which something came that is not yet decoded.
+    arrived: BTreeSet<Link>,
+    neighbors: BTreeSet<Name>,
+    redraw_at: Time,
+    retries: BTreeMap<Name, Retry>,
+    banned_until: BTreeMap<Name, Time>,
+    heartbeat_interval: Span,
+    /// Our own heartbeats in this life.
+    heartbeats: u64,
+    next_heartbeat_at: Time,
+    status_at: Time,
+    /// The time of day, in milliseconds of Unix time.
+    utc: u64,
+    now: Time,
+    /// When the next turn was asked for.
+    promised: Option<Time>,
+    /// Another turn is wanted at once.
+    turn_again: bool,
+    /// The first turn has been.
+    begun: bool,
+    figures: Figures,
+    /// Space for encoding a message.
+    scratch: Vec<u8>,
+}
+
+impl Exchange {
+    /// `life` is greater at each start.
+    pub fn new(
+        settings: Settings,
+        members: Vec<Member>,
+        life: u64,
+        seed: u64,
+        kept: Vec<Kept>,
+        shelf: Arc<Shelf>,
+    ) -> Self {
+        let heartbeat_interval = heartbeat::interval(members.len());
+        let me = settings.me.clone();
+        let others = members.into_iter().filter(|member| member.name != me);
+        Self {
+            keeper: Keeper::new(settings, life, seed, kept, heartbeat_interval),
+            shelf,
+            links: Links::default(),
+            addresses: others.map(|member| (member.name, member.address)).collect(),
+            peers: BTreeMap::new(),
+            arrived: BTreeSet::new(),
+            neighbors: BTreeSet::new(),
+            redraw_at: Time::default(),
+            retries: BTreeMap::new(),
+            banned_until: BTreeMap::new(),
+            heartbeat_interval,
+            heartbeats: 0,
+            next_heartbeat_at: Time::default(),
+            status_at: Time::default(),
+            utc: 0,
+            now: Time::default(),
+            promised: None,
+            turn_again: false,
+            begun: false,
+            figures: Figures::default(),
+            scratch: Vec::new(),
+        }
+    }
+
+    /// The ledger.
+    pub fn keeper(&self) -> &Keeper {
+        &self.keeper
+    }
+
+    /// Counts since the start.
+    pub fn figures(&self) -> Figures {
+        self.figures
+    }
+
+    /// The time of day for the next turn, in milliseconds of Unix time.
+    pub fn set_clock(&mut self, utc: u64) {
+        self.utc = utc;
+    }
+
+    /// What is to be kept; `is_durable` tells when it is.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        self.keeper.take_changes()
+    }
+
+    /// The last of our own rows among changes.
+    pub fn last_own(&self, changes: &[Change]) -> u64 {
+        let own = self.keeper.library().own();
+        let mine = changes.iter().filter_map(|change| match change {
+            Change::Row { id, number, .. } if id == own => Some(*number),
+            _ => None,
+        });
+        mine.max().unwrap_or(0)
+    }
+
+    /// Our own rows up to this one are on disk.
+    pub fn is_durable(&mut self, number: u64) {
+        self.keeper.is_durable(number);
+        self.turn_again = true;
+    }
+
+    /// Orders of the operators, from their file.
+    pub fn order(&mut self, orders: &[Order]) {
+        orders.iter().for_each(|order| self.keeper.order(order));
+        self.turn_again = true;
+    }
+
+    /// Whether nobody is connected.
+    pub fn is_alone(&self) -> bool {
+        !self.peers.values().any(|peer| peer.greeted)
+    }
+
+    /// Where this turn comes much later than it was asked for, the process was paused: that is no silence of
+    /// the others.
+    fn excuse_pause(&mut self) {
+        let late = self.promised.map_or(Span::ZERO, |promised| self.now - promised);
+        if late > STANDSTILL {
+            self.keeper.stood(self.now, late);
+            self.peers.values_mut().for_each(|peer| peer.excuse_pause(late));
+        }
+    }
+
+    /// Lets the ledger act where it is time to, or where the planner asks for it.
+    fn tick_ledger(&mut self) {
+        let shelf = self.shelf.clone();
+        if shelf.take_told() {
+            self.keeper.all_told();
+        }
+        if shelf.take_wanted() || self.keeper.due().is_none_or(|due| due <= self.now) {
+            self.keeper.tick(self.now, self.utc, &mut &*shelf);
+        }
+        for words in self.keeper.take_told() {
+            tracing::error!("{words}");
+        }
+    }
+
+    /// Pushes what is new to each peer, and requests what we lack.
+    fn replicate(&mut self) {
+        let greeted = self.peers.iter().filter(|(_, peer)| peer.greeted);
+        let links: Vec<Link> = greeted.map(|(link, _)| *link).collect();
+        for link in links {
+            self.push(link);
+            self.request_rows(link);
+        }
+    }
+
+    /// The earliest instant at which something can be pushed. A peer that doesn't read is told more once it
+    /// has read.
+    fn next_push_at(&self) -> Option<Time> {
+        let stamp = self.keeper.library().stamp();
+        let waits = |(link, peer): &(&Link, &Peer)| {
+            peer.greeted && peer.fleet.is_behind(stamp) && self.links.unwritten(**link) <= MAX_UNREAD
+        };
+        self.peers.iter().filter(waits).map(|(_, peer)| peer.fleet.next_push_at()).min()
+    }
+}
+
+impl Party for Exchange {
+    fn opened(&mut self, now: Time, link: Link, _: Door) {
+        self.now = self.now.max(now);
+        self.peers.insert(link, Peer::accepted(self.now));
+    }
+
+    fn up(&mut self, now: Time, link: Link) {
+        self.now = self.now.max(now);
+        self.write_hello(link, now);
+    }
+
+    fn received(&mut self, now: Time, link: Link, bytes: &[u8]) {
+        self.now = self.now.max(now);
+        self.figures.bytes_in += bytes.len() as u64;
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.frames.take(bytes);
+            self.arrived.insert(link);
+        }
+    }
+
+    fn ended(&mut self, now: Time, link: Link, _: End) {
+        self.now = self.now.max(now);
+        self.links.forget(link);
+        self.failed(link);
+    }
+
+    fn turn(&mut self, now: Time) {
+        self.now = self.now.max(now);
+        self.turn_again = false;
+        self.excuse_pause();
+        self.begun = true;
+        self.receive_all();
+        self.count_heartbeat();
+        self.note_caught_up();
+        self.tick_ledger();
+        self.transfer_shares();
+        self.update_connections();
+        self.replicate();
+        self.update_status();
+        self.promised = self.wake();
+    }
+
+    fn wake(&self) -> Option<Time> {
+        if self.turn_again || !self.begun {
+            return Some(self.now);
+        }
+        let due = [self.next_push_at(), self.keeper.due(), Some(self.next_heartbeat_at)];
+        due.into_iter().flatten().min()
+    }
+
+    fn links(&mut self) -> &mut Links {
+        &mut self.links
+    }
+}
--- /dev/null
+++ b/crates/peers/src/exchange/neighbors.rs
@@ -0,0 +1,84 @@
+//! Neighbors: the few members to whom connections are kept, drawn at random and redrawn now and then.
+
+use super::Exchange;
+use mulleinhub_interface::Span;
+use mulleinhub_replica::{Name, Presence};
+
+/// Neighbors that are kept.
+const NEIGHBORS: usize = 3;
+/// Neighbors at the most, where others are drawn beside doubtful ones.
+const MAX_NEIGHBORS: usize = 2 * NEIGHBORS;
+/// One of them is drawn anew this often, so that two halves of the fleet that have met nobody of each other
+/// meet.
+const REDRAW_INTERVAL: Span = Span::from_secs(20);
+/// Part of that interval that is drawn at random.
+const REDRAW_JITTER: f64 = 0.25;
+
+impl Exchange {
+    /// Drops a neighbor where it is time to, and draws those that are missing.
+    pub(super) fn update_neighbors(&mut self) {
+        if self.now >= self.redraw_at {
+            self.redraw_at = self.now + REDRAW_INTERVAL * (1.0 - REDRAW_JITTER * self.keeper.part());
+            self.drop_neighbor();
+            while self.neighbors.len() > NEIGHBORS {
+                self.drop_neighbor();
+            }
+        }
+        self.draw_neighbors();
+    }
+
+    /// Nothing came on the connection to a neighbor for longer than usual, or it doesn't come up.
+    fn is_doubtful(&self, name: &Name) -> bool {
+        let mut connections = self.peers.values().filter(|peer| peer.is(name)).peekable();
+        let is_connected = connections.peek().is_some();
+        is_connected && !connections.any(|peer| peer.is_lively(self.now, self.heartbeat_interval))
+    }
+
+    /// Draws the neighbors that are missing, among the members that are alive where there are enough.
+    /// Doubtful neighbors don't count, so that others are drawn beside them. The failure defended against: a
+    /// member whose neighbors were all in the half that it was cut off from could tell nobody anything,
+    /// though there were others in its own half.
+    fn draw_neighbors(&mut self) {
+        let lively = self.neighbors.iter().filter(|name| !self.is_doubtful(name)).count();
+        let room = MAX_NEIGHBORS.saturating_sub(self.neighbors.len());
+        let missing = NEIGHBORS.saturating_sub(lively).min(room);
+        let draws: Vec<f64> = (0..missing).map(|_| self.keeper.part()).collect();
+        let mut candidates = self.candidates(missing);
+        let mut drawn = Vec::new();
+        for part in draws.into_iter().take(candidates.len()) {
+            let at = (candidates.len() as f64 * part) as usize;
+            drawn.push(candidates.swap_remove(at).clone());
+        }
+        self.neighbors.extend(drawn);
+    }
+
+    /// Members that can become neighbors: those alive; all that are not dead, where fewer than `wanted` are
+    /// alive; all others, where there are none of these.
+    fn candidates(&self, wanted: usize) -> Vec<&Name> {
+        let is_new = |name: &&Name| !self.neighbors.contains(*name) && !self.waits_to_retry(name);
+        let others: Vec<&Name> = self.addresses.keys().filter(is_new).collect();
+        let present = |is_wanted: fn(Presence) -> bool| -> Vec<&Name> {
+            let is_wanted = |name: &&Name| is_wanted(self.keeper.roll.presence(self.now, name));
+            others.iter().copied().filter(is_wanted).collect()
+        };
+        let mut candidates = present(|presence| presence == Presence::There);
+        if candidates.len() < wanted {
+            candidates = present(|presence| presence != Presence::Gone);
+        }
+        if candidates.is_empty() {
+            return others;
+        }
+        candidates
+    }
+
+    /// Drops a neighbor at random, a doubtful one where there are any.
+    fn drop_neighbor(&mut self) {
+        let doubtful: Vec<&Name> = self.neighbors.iter().filter(|name| self.is_doubtful(name)).collect();
+        let droppable = if doubtful.is_empty() { self.neighbors.iter().collect() } else { doubtful };
+        let droppable: Vec<Name> = droppable.into_iter().cloned().collect();
+        let at = self.keeper.below(droppable.len());
+        if let Some(name) = droppable.get(at) {
+            self.neighbors.remove(name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/src/exchange/orders.rs
@@ -0,0 +1,100 @@
+//! Orders of the operators (caps, holds): they are pushed to all peers at once, ahead of the logs.
+
+use super::{Exchange, MAX_ITEMS};
+use mulleinhub_protocol::{self as protocol, Bad, Message, OrderWord};
+use mulleinhub_replica::{Order, Orders, Standing, Subject, Word};
+use mulleinhub_seam::Link;
+use std::collections::BTreeMap;
+
+/// What one peer knows of the orders.
+#[derive(Debug, Default)]
+pub(super) struct OrderCursor {
+    /// The peer was told the orders up to this stamp of the library.
+    told: u64,
+    known: BTreeMap<Subject, Standing>,
+}
+
+impl OrderCursor {
+    /// The peer told an order, and so knows it.
+    fn learn(&mut self, subject: Subject, standing: Standing) {
+        self.known.insert(subject, standing);
+    }
+
+    /// Those orders that the peer doesn't know. They count as told.
+    fn take_new(&mut self, stamp: u64, orders: &Orders) -> Vec<(Subject, Standing)> {
+        self.told = stamp;
+        let new = orders.iter().filter(|(subject, standing)| self.known.get(subject) != Some(standing));
+        let new: Vec<(Subject, Standing)> =
+            new.map(|(subject, standing)| (subject.clone(), *standing)).collect();
+        self.known.extend(new.iter().cloned());
+        new
+    }
+}
+
+/// An order as it goes over the wire.
+fn order_message<'a>(subject: &'a Subject, standing: &Standing) -> protocol::OrderTold<'a> {
+    let (account, name) = match subject {
+        Subject::Account(name) => (true, name),
+        Subject::Team(name) => (false, name),
+    };
+    let (word, figure) = match standing.word {
+        Word::Cleared {} => (OrderWord::Cleared, None),
+        Word::Held { finish_by } => (OrderWord::Held, finish_by),
+        Word::Cap { amount } => (OrderWord::Cap, Some(amount)),
+    };
+    protocol::OrderTold { account, name, number: standing.number, word, figure, differs: standing.differs }
+}
+
+/// The order that came over the wire.
+fn order_of(told: &protocol::OrderTold<'_>) -> Result<Order, Bad> {
+    let name = told.name.into();
+    let subject = if told.account { Subject::Account(name) } else { Subject::Team(name) };
+    let word = match (told.word, told.figure) {
+        (OrderWord::Cleared, _) => Word::Cleared {},
+        (OrderWord::Held, finish_by) => Word::Held { finish_by },
+        (OrderWord::Cap, Some(amount)) => Word::Cap { amount },
+        (OrderWord::Cap, None) => return Err(Bad("a cap without a figure".into())),
+    };
+    let order = Order { subject, number: told.number, word };
+    order.check().map_err(|bad| Bad(bad.0))?;
+    Ok(order)
+}
+
+impl Exchange {
+    /// Takes in orders that a peer told.
+    pub(super) fn receive_orders(
+        &mut self,
+        link: Link,
+        orders: &[protocol::OrderTold<'_>],
+    ) -> Result<(), Bad> {
+        orders.iter().try_for_each(|told| self.receive_order(link, told))
+    }
+
+    fn receive_order(&mut self, link: Link, told: &protocol::OrderTold<'_>) -> Result<(), Bad> {
+        let order = order_of(told)?;
+        let standing = Standing { differs: told.differs, ..order.standing() };
+        let Order { subject, number, word } = order;
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.orders.learn(subject.clone(), standing);
+        }
+        if self.keeper.library_mut().hear_order(&subject, standing) {
+            tracing::info!(?subject, number, ?word, "an order was heard");
+        }
+        Ok(())
+    }
+
+    /// Pushes the orders that a peer doesn't know.
+    pub(super) fn push_orders(&mut self, link: Link) {
+        let library = self.keeper.library();
+        let stamp = library.orders_stamp();
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        if !peer.greeted || peer.orders.told >= stamp {
+            return;
+        }
+        let new = peer.orders.take_new(stamp, library.orders());
+        for orders in new.chunks(MAX_ITEMS) {
+            let orders = orders.iter().map(|(subject, standing)| order_message(subject, standing)).collect();
+            self.write(link, &Message::Orders { orders });
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/src/exchange/peer.rs
@@ -0,0 +1,90 @@
+//! A connection to another scheduler: its state, and what its peer knows.
+
+use super::cursor::LogCursor;
+use super::heartbeat::HeartbeatCursor;
+use super::orders::OrderCursor;
+use mulleinhub_interface::{Span, Time};
+use mulleinhub_protocol::Frames;
+use mulleinhub_replica::Name;
+
+/// Longest wait for the greeting on a new connection.
+const GREETING_TIMEOUT: Span = Span::from_secs(3);
+/// A connection of ours to somebody who is no neighbor ends once it was not used for so long.
+const IDLE_TIMEOUT: Span = Span::from_secs(10);
+/// A connection on which nothing came for so many heartbeat intervals is taken for dead.
+const DEAD_INTERVALS: f64 = 4.0;
+/// A connection on which something came within so many heartbeat intervals is lively.
+const LIVELY_INTERVALS: f64 = 1.5;
+/// A connection that is being opened is lively for so long.
+const OPENING_IS_LIVELY: Span = Span::from_nanos(500_000_000);
+
+/// A connection to another scheduler.
+#[derive(Debug, Default)]
+pub(super) struct Peer {
+    /// The member at the other end, once it is known.
+    pub(super) name: Option<Name>,
+    /// We opened the connection.
+    pub(super) opened_by_us: bool,
+    /// Both have said who they are.
+    pub(super) greeted: bool,
+    /// Bytes that came and are not yet decoded.
+    pub(super) frames: Frames,
+    /// When the connection was opened.
+    pub(super) opened_at: Time,
+    /// When the last message came.
+    pub(super) received_at: Time,
+    /// When the connection last served for more than signs of life.
+    pub(super) used_at: Time,
+    /// Replication of the fleet log: the logs that all members copy.
+    pub(super) fleet: LogCursor,
+    /// What the peer knows of the members' heartbeats.
+    pub(super) heartbeats: HeartbeatCursor,
+    /// What the peer knows of the operators' orders.
+    pub(super) orders: OrderCursor,
+    /// It said that it ends the connection: that is no sign that it is gone.
+    pub(super) said_bye: bool,
+}
+
+impl Peer {
+    /// A connection that somebody opened to us.
+    pub(super) fn accepted(now: Time) -> Self {
+        Self { opened_at: now, received_at: now, used_at: now, ..Self::default() }
+    }
+
+    /// A connection that we open to a member.
+    pub(super) fn opening(now: Time, name: Name) -> Self {
+        Self { name: Some(name), opened_by_us: true, ..Self::accepted(now) }
+    }
+
+    /// The other end is this member, as far as is known.
+    pub(super) fn is(&self, name: &Name) -> bool {
+        self.name.as_ref() == Some(name)
+    }
+
+    /// Nothing came for so long that the connection is taken for dead, or the greeting didn't come.
+    pub(super) fn is_dead(&self, now: Time, heartbeat_interval: Span) -> bool {
+        match self.greeted {
+            true => now - self.received_at > heartbeat_interval * DEAD_INTERVALS,
+            false => now - self.opened_at > GREETING_TIMEOUT,
+        }
+    }
+
+    /// Something came lately, or the connection was opened a moment ago.
+    pub(super) fn is_lively(&self, now: Time, heartbeat_interval: Span) -> bool {
+        match self.greeted {
+            true => now - self.received_at <= heartbeat_interval * LIVELY_INTERVALS,
+            false => now - self.opened_at <= OPENING_IS_LIVELY,
+        }
+    }
+
+    /// A connection of ours that is up and was not used for long.
+    pub(super) fn is_idle(&self, now: Time) -> bool {
+        self.opened_by_us && self.greeted && now - self.used_at > IDLE_TIMEOUT
+    }
+
+    /// This process was paused: what was silent meanwhile may have spoken.
+    pub(super) fn excuse_pause(&mut self, pause: Span) {
+        self.received_at = self.received_at + pause;
+        self.opened_at = self.opened_at + pause;
+    }
+}
--- /dev/null
+++ b/crates/peers/src/exchange/replication.rs
@@ -0,0 +1,207 @@
+//! Replication of the logs: pushing and receiving heads, requesting, serving and receiving rows.
+//!
+//! What is known of a peer stands in its [`LogCursor`](super::cursor::LogCursor), what is known of the logs
+//! in the library; here both meet, and become messages.
+
+use super::cursor::{Assembled, NewHeads, ReceivedRows, RowRequest};
+use super::heartbeat::{self, MemberHeartbeat};
+use super::{Exchange, MAX_ITEMS, MAX_UNREAD};
+use mulleinhub_accounts::Phase;
+use mulleinhub_protocol::{self as protocol, Bad, Message};
+use mulleinhub_replica::{ColumnId, Digest, Tip};
+use mulleinhub_seam::Link;
+use std::collections::BTreeSet;
+
+/// Bytes of rows in one message. A single row may be longer: it goes in several pieces.
+const PIECE: usize = 64 * 1024;
+
+/// The part of a long row that goes in one message.
+struct RowPart {
+    /// Offset of its first byte.
+    skip: usize,
+    /// Bytes that follow it.
+    rest: usize,
+}
+
+/// The digest that came over the wire.
+pub(super) fn digest_of(bytes: &[u8]) -> Digest {
+    // Its length was checked when it was decoded.
+    Digest(bytes.try_into().unwrap_or_default())
+}
+
+/// The head that came over the wire.
+fn head_of(told: &protocol::Tip<'_>) -> Tip {
+    let id = ColumnId { writer: told.writer.into(), life: told.life };
+    Tip { id, number: told.number, digest: digest_of(told.digest) }
+}
+
+/// A head as it goes over the wire.
+fn head_message(head: &Tip) -> protocol::Tip<'_> {
+    protocol::Tip { writer: &head.id.writer, life: head.id.life, number: head.number, digest: &head.digest.0 }
+}
+
+/// Cuts rows to what fits into one message, where the first of them is longer than that: its next piece,
+/// from byte `skip` on, and no other row. The asker has the bytes before `skip` of the row that it asks for:
+/// `is_asked_for` tells whether that is the first of these.
+fn cut_long_row(rows: &mut Vec<&[u8]>, skip: usize, is_asked_for: bool) -> RowPart {
+    let Some(first) = rows.first_mut() else { return RowPart { skip, rest: 0 } };
+    let skip = if is_asked_for && skip < first.len() { skip } else { 0 };
+    let end = first.len().min(skip + PIECE);
+    let rest = first.len() - end;
+    *first = &first[skip..end];
+    if rest > 0 {
+        rows.truncate(1);
+    }
+    RowPart { skip, rest }
+}
+
+impl Exchange {
+    // Heads.
+
+    /// Writes our digest of all heads, which begins the replication on a connection.
+    pub(super) fn write_digest(&mut self, link: Link) {
+        let all = self.keeper.library().all();
+        let (tips, beats) = (Vec::new(), Vec::new());
+        self.write(link, &Message::Tips { all: &all.0, tips, beats, whole: false });
+    }
+
+    /// Takes in the heads that a peer told; `all` is its digest of all.
+    pub(super) fn receive_heads(&mut self, link: Link, all: Digest, told: &[protocol::Tip<'_>], whole: bool) {
+        let me = &self.keeper.settings().me;
+        let is_known = |head: &Tip| self.addresses.contains_key(&head.id.writer) || head.id.writer == *me;
+        let heads = told.iter().map(head_of).filter(is_known).collect();
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        peer.fleet.receive_heads(self.keeper.library(), all, heads, whole);
+    }
+
+    /// Pushes what is new to a peer: orders, heads, heartbeats. A peer that doesn't read gets nothing.
+    pub(super) fn push(&mut self, link: Link) {
+        if self.links.unwritten(link) > MAX_UNREAD {
+            return;
+        }
+        self.push_orders(link);
+        let now = self.now;
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        if !peer.greeted || !peer.fleet.may_push(now) {
+            return;
+        }
+        let new = peer.fleet.take_new_heads(self.keeper.library());
+        let is_first = peer.fleet.is_untold();
+        let mut heartbeats = Vec::new();
+        if is_first || peer.heartbeats.is_due(now, self.heartbeat_interval) {
+            let newest = heartbeat::newest(&self.keeper, self.heartbeats);
+            heartbeats = peer.heartbeats.take_newer(now, newest);
+        }
+        if new.heads.is_empty() && heartbeats.is_empty() && !is_first {
+            return;
+        }
+        peer.fleet.pushed(now);
+        self.turn_again |= !new.whole;
+        self.write_heads(link, &new, &heartbeats);
+    }
+
+    /// Pushes to a peer without waiting for the gap between two pushes.
+    pub(super) fn push_now(&mut self, link: Link) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.fleet.push_without_gap();
+        }
+        self.push(link);
+    }
+
+    /// Writes heads and heartbeats; heartbeats that don't fit into the message with the heads go before it.
+    fn write_heads(&mut self, link: Link, new: &NewHeads, heartbeats: &[MemberHeartbeat]) {
+        let all = self.keeper.library().all();
+        for heartbeats in heartbeats.chunks(MAX_ITEMS).skip(1) {
+            let beats = heartbeats.iter().map(MemberHeartbeat::message).collect();
+            self.write(link, &Message::Tips { all: &all.0, tips: Vec::new(), beats, whole: false });
+        }
+        let tips = new.heads.iter().map(head_message).collect();
+        let beats = heartbeats.iter().take(MAX_ITEMS).map(MemberHeartbeat::message).collect();
+        self.write(link, &Message::Tips { all: &all.0, tips, beats, whole: new.whole });
+    }
+
+    /// Tells the ledger, while it is catching up, which members have told all and have nothing that we lack.
+    pub(super) fn note_caught_up(&mut self) {
+        if self.keeper.phase() != Phase::CatchingUp {
+            return;
+        }
+        for peer in self.peers.values().filter(|peer| peer.fleet.is_exhausted()) {
+            if let Some(name) = &peer.name {
+                self.keeper.met(name);
+            }
+        }
+    }
+
+    // Rows.
+
+    /// Asks a peer for rows that it has and we lack. One log at a time is asked of each peer, and no log of
+    /// two.
+    pub(super) fn request_rows(&mut self, link: Link) {
+        let now = self.now;
+        let pending = self.peers.values().filter_map(|peer| peer.fleet.pending_log(now));
+        let pending: BTreeSet<ColumnId> = pending.cloned().collect();
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        if let Some(request) = peer.fleet.next_request(now, self.keeper.library(), &pending) {
+            self.write_request(link, &request);
+        }
+    }
+
+    fn write_request(&mut self, link: Link, request: &RowRequest) {
+        let RowRequest { id: ColumnId { writer, life }, after, digest, skip } = request;
+        let (life, after, skip) = (*life, *after, *skip);
+        self.write(link, &Message::Want { writer, life, after, digest: &digest.0, skip });
+    }
+
+    /// Answers a peer that asks for rows: with none where we have none for it.
+    pub(super) fn serve_rows(&mut self, link: Link, request: &RowRequest) {
+        let RowRequest { id, after, digest, skip } = request;
+        let ColumnId { writer, life } = id;
+        let Some(piece) = self.keeper.library().rows_after(id, *after, *digest, PIECE) else {
+            let (life, after, digest, rows) = (*life, *after, &digest.0, Vec::new());
+            return self.write(link, &Message::Rows { writer, life, after, digest, rows, skip: 0, rest: 0 });
+        };
+        let mut rows: Vec<&[u8]> = piece.rows.iter().map(|row| &**row).collect();
+        let part = cut_long_row(&mut rows, *skip as usize, piece.after == *after);
+        let rows = rows.into_iter().map(protocol::RowBytes).collect();
+        let (life, after, digest) = (*life, piece.after, &piece.digest.0);
+        let (skip, rest) = (part.skip as u64, part.rest as u64);
+        self.write(link, &Message::Rows { writer, life, after, digest, rows, skip, rest });
+        self.mark_used(link);
+    }
+
+    /// Takes in rows that a peer sent.
+    ///
+    /// # Errors
+    /// Where they don't follow what was sent before, or the library refuses them.
+    pub(super) fn receive_rows(&mut self, link: Link, received: &ReceivedRows<'_>) -> Result<(), Bad> {
+        let Some(peer) = self.peers.get_mut(&link) else { return Ok(()) };
+        match peer.fleet.assemble(self.now, received)? {
+            Assembled::Unasked | Assembled::Nothing => Ok(()),
+            Assembled::Incomplete => {
+                let request = peer.fleet.request_for(self.keeper.library(), received.id.clone());
+                self.write_request(link, &request);
+                Ok(())
+            }
+            Assembled::Complete(rows) => {
+                let rows: Vec<&[u8]> = rows.iter().map(|row| &**row).collect();
+                self.take_rows(link, received, &rows)
+            }
+        }
+    }
+
+    /// Takes whole rows into the library.
+    fn take_rows(&mut self, link: Link, received: &ReceivedRows<'_>, rows: &[&[u8]]) -> Result<(), Bad> {
+        let ReceivedRows { id, after, digest, .. } = received;
+        let taken = self.keeper.library_mut().take(id, *after, *digest, rows).map_err(|bad| Bad(bad.0))?;
+        self.figures.rows_in += taken.new as u64;
+        if taken.forked && taken.new > 0 {
+            self.figures.forks += 1;
+            tracing::error!(writer = %id.writer, life = id.life, "a column has forked: both branches count");
+        }
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.fleet.rows_taken(self.keeper.library(), id, taken.new);
+        }
+        self.mark_used(link);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/peers/src/exchange/status.rs
@@ -0,0 +1,63 @@
+//! Status lines for the operators.
+
+use super::Exchange;
+use mulleinhub_accounts::Look;
+use mulleinhub_interface::Span;
+use mulleinhub_replica::Presence;
+
+/// Time between two updates of the status lines.
+const STATUS_INTERVAL: Span = Span::from_secs(1);
+
+impl Exchange {
+    /// Hands out new status lines where it is time to.
+    pub(super) fn update_status(&mut self) {
+        if self.now < self.status_at {
+            return;
+        }
+        self.status_at = self.now + STATUS_INTERVAL;
+        let mut lines = vec![self.summary_line()];
+        lines.extend(self.keeper.looks().iter().map(team_line));
+        let logs = self.keeper.library().columns();
+        let forked = logs.filter(|(_, log)| log.is_forked());
+        lines.extend(forked.map(|(id, _)| format!("column {} life {} HAS FORKED", id.writer, id.life)));
+        self.shelf.set_status(lines);
+    }
+
+    /// Phase, connections, membership and size of the logs.
+    fn summary_line(&self) -> String {
+        let (now, keeper, membership) = (self.now, &self.keeper, &self.keeper.roll);
+        let count = |presence: Presence| {
+            membership.members().filter(|name| membership.presence(now, name) == presence).count()
+        };
+        let newest = membership.members().filter_map(|name| membership.silent(now, name)).min();
+        let news = newest.map_or("none".to_owned(), |span| format!("{:.1} s", span.over(Span::from_secs(1))));
+        format!(
+            "books {:?}, connections {}, members there {} slow {} gone {}, newest news {news}, rows here {}",
+            keeper.phase(),
+            self.peers.values().filter(|peer| peer.greeted).count(),
+            count(Presence::There),
+            count(Presence::Slow),
+            count(Presence::Gone),
+            keeper.library().columns().map(|(_, log)| log.kept()).sum::<usize>(),
+        )
+    }
+}
+
+/// What is known of a team's account.
+fn team_line(look: &Look) -> String {
+    format!(
+        "team {} month {}-{:02} cap {} spent {} beyond {} free here {} + {} at hand {} + {}{}{}",
+        look.team,
+        look.month / 12,
+        look.month % 12 + 1,
+        look.cap.map_or("none".to_owned(), |cap| cap.to_string()),
+        look.spent,
+        look.beyond,
+        look.free.open,
+        look.free.last,
+        look.at_hand.open,
+        look.at_hand.last,
+        if look.held { ", held" } else { "" },
+        if look.differs { ", ORDERS DIFFER" } else { "" },
+    )
+}
