Protocol: a list of machines may come in numbered pieces of one version

Cause: a list went in one message, of 2,000 machines at most; a longer one was refused for ever, and a frame over 256 KiB was an assertion that ended the process. `try_encode` gives a typed error for a message that is too long; `encode` writes a `bye` that says so. Frames of other kinds keep their bytes.

--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -2,7 +2,7 @@
 
 use crate::message::Message;
 
-/// No frame is longer, without its length. A list of a thousand machines fits.
+/// No frame is longer, without its length. Longer lists of machines or of held tasks go in several messages.
 pub const MOST_FRAME: usize = 256 * 1024;
 
 /// Why a peer's bytes are no frames, in words that name the place.
@@ -17,14 +17,45 @@
 
 impl std::error::Error for Bad {}
 
+/// A message that is longer than a frame may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TooLong {
+    /// Bytes of the message.
+    pub bytes: usize,
+}
+
+impl std::fmt::Display for TooLong {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "a message of {} bytes can't be sent ({MOST_FRAME} at most)", self.bytes)
+    }
+}
+
+impl std::error::Error for TooLong {}
+
 /// Puts one message as a frame behind what `out` holds.
-pub fn encode(message: &Message<'_>, out: &mut Vec<u8>) {
+///
+/// # Errors
+/// Where it is longer than a frame may be; `out` is as it was.
+pub fn try_encode(message: &Message<'_>, out: &mut Vec<u8>) -> Result<(), TooLong> {
     let at = out.len();
     out.extend_from_slice(&[0; 4]);
     minicbor::encode(message, &mut *out).expect("a vector takes all");
-    let len = out.len() - at - 4;
-    assert!(len <= MOST_FRAME, "a frame of {len} bytes can't be sent");
-    out[at..at + 4].copy_from_slice(&(len as u32).to_be_bytes());
+    let bytes = out.len() - at - 4;
+    if bytes > MOST_FRAME {
+        out.truncate(at);
+        return Err(TooLong { bytes });
+    }
+    out[at..at + 4].copy_from_slice(&(bytes as u32).to_be_bytes());
+    Ok(())
+}
+
+/// Puts one message as a frame behind what `out` holds, for messages whose parts are bounded. One that is too
+/// long after all is replaced by a `bye` that says so: its reader learns that it can't know what was told.
+pub fn encode(message: &Message<'_>, out: &mut Vec<u8>) {
+    if let Err(too_long) = try_encode(message, out) {
+        let words = too_long.to_string();
+        try_encode(&Message::Bye { words: &words }, out).expect("a few words fit");
+    }
 }
 
 /// Emptied buffers for the next connections on which something comes in: those of idle ones.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,7 +5,12 @@
 //! May not touch: sockets, the decisions, what a message leads to.
 
 mod frame;
+mod list;
 mod message;
 
-pub use frame::{Bad, Frames, MOST_FRAME, Spare, decode, encode};
+pub use frame::{Bad, Frames, MOST_FRAME, Spare, TooLong, decode, encode, try_encode};
+pub use list::{
+    LIST_PIECES, ListReader, MOST_ADDRESS_BYTES, MOST_LISTED, MOST_RESTARTS, WholeList, cut, cut_held,
+    decode_list, encode_in_one, encode_list,
+};
 pub use message::*;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -540,6 +540,21 @@
         #[b(2)]
         entries: Vec<Entry<'b>>,
     },
+    /// A part of a list that is too long for one message, for planners whose greeting has `LIST_PIECES`. The
+    /// pieces of a list have its version and are numbered from 0; none counts before the last one is there.
+    #[n(52)]
+    ListPiece {
+        #[n(0)]
+        kind: ListKind,
+        #[n(1)]
+        version: u64,
+        #[n(2)]
+        number: u32,
+        #[n(3)]
+        last: bool,
+        #[b(4)]
+        entries: Vec<Entry<'b>>,
+    },
     /// What a planner knows of the books: a figure over the ends of all columns, those that changed since
     /// it told last, and the newest signs of life. `whole` where with this all was told that it knows.
     #[n(70)]
@@ -684,7 +699,7 @@
                     S::Opened,
                 )
                 | (M::Watch {}, C::PlannerList, S::Opener)
-                | (M::List { .. }, C::PlannerList, S::Opened)
+                | (M::List { .. } | M::ListPiece { .. }, C::PlannerList, S::Opened)
                 | (
                     M::Tips { .. }
                         | M::Want { .. }
@@ -751,13 +766,15 @@
             Self::Holds { tasks, .. } => {
                 tasks.iter().try_for_each(|t| shape(&t.shape).and_then(|()| words("a name", t.owner)))
             }
-            Self::List { entries, .. } if entries.len() > MOST_ENTRIES => {
+            Self::List { entries, .. } | Self::ListPiece { entries, .. } if entries.len() > MOST_ENTRIES => {
                 Err(Bad(format!("{} machines in one message, {MOST_ENTRIES} at most", entries.len())))
             }
-            Self::List { entries, .. } => entries.iter().try_for_each(|e| {
-                words("an address", e.address)?;
-                amount("cores", e.cores_left).and_then(|()| amount("memory", e.memory_left))
-            }),
+            Self::List { entries, .. } | Self::ListPiece { entries, .. } => {
+                entries.iter().try_for_each(|e| {
+                    words("an address", e.address)?;
+                    amount("cores", e.cores_left).and_then(|()| amount("memory", e.memory_left))
+                })
+            }
             Self::Tips { all, tips, beats, .. } => {
                 many("ends of columns", tips.len())?;
                 many("signs of life", beats.len())?;
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -69,6 +69,16 @@
             Message::Holds { tasks: vec![held], last: true },
             "000000258318278186010286070119012cfb3fe0000000000000fb4000000000000000f4616ff6f5f5",
         ),
+        (
+            Message::ListPiece {
+                kind: ListKind::Whole,
+                version: 2,
+                number: 300,
+                last: true,
+                entries: vec![entry.clone()],
+            },
+            "00000026861834010219012cf5818a0161610001000102f6fb3ff0000000000000fb4000000000000000",
+        ),
         (
             Message::List { kind: ListKind::Changes, version: 2, entries: vec![entry] },
             "000000228418330002818a0161610001000102f6fb3ff0000000000000fb4000000000000000",
@@ -237,6 +247,17 @@
         (Message::Recall { task: 1, send: 0 }, Conversation::PlannerMachine, Side::Opener),
         (Message::Accepted { task: 1, send: 0 }, Conversation::PlannerMachine, Side::Opened),
         (Message::Watch {}, Conversation::PlannerList, Side::Opener),
+        (
+            Message::ListPiece {
+                kind: ListKind::Whole,
+                version: 1,
+                number: 0,
+                last: true,
+                entries: Vec::new(),
+            },
+            Conversation::PlannerList,
+            Side::Opened,
+        ),
     ];
     let conversations =
         [Conversation::ClientPlanner, Conversation::PlannerMachine, Conversation::PlannerList];
