A planner reads, keeps and uses a list of 10,000 machines, and says where it can't

Change: planner and stand-in speak pieces; the stand-in tells a few at a time, begins anew where the list changes, and refuses an older planner in words where one message is too short. A list that can't be read is a fault in log, status, `/ready` and metrics, and a planner without any list nacks at once. The kept list is written in pieces where it is long. A status is cut to a frame and counts tasks in one pass. Held tasks are cut by bytes.

--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -182,7 +182,10 @@
             day.length = mulleinhub_interface::Span::read(length)
                 .map_err(|words| format!("--length {length}: {words}"))?;
         }
-        Ok(day)
+        match day.too_large() {
+            Some(words) => Err(words),
+            None => Ok(day),
+        }
     }
 
     /// The command that plays this seed again.
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -1,5 +1,6 @@
 //! The script of a day.
 
+use crate::stage::{MOST_MACHINES, MOST_PLANNERS};
 use crate::trouble::Trouble;
 use garde::Validate;
 use mulleinhub_interface::Effect;
@@ -355,10 +356,23 @@
         books,
     };
     check(&day, &places(directives), &place, faults);
+    if let Some(words) = day.too_large() {
+        faults.add(&place, words);
+    }
     faults.is_empty().then_some(day)
 }
 
 impl Day {
+    /// Why the stage has no room for this many machines or planners.
+    pub fn too_large(&self) -> Option<String> {
+        let machines = self.machines.saturating_add(self.spare_machines);
+        if machines > MOST_MACHINES {
+            return Some(format!("{machines} machines, {MOST_MACHINES} at most"));
+        }
+        let planners = self.planners;
+        (planners > MOST_PLANNERS).then(|| format!("{planners} planners, {MOST_PLANNERS} at most"))
+    }
+
     /// What service is worth on this day: by use case, and by size over the mean ask's.
     pub fn worth(&self) -> Worth {
         let asks = self.cases.iter().flat_map(|case| case.asks.iter().map(move |ask| (case.share, *ask)));
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -18,9 +18,12 @@
 
 /// Doors of one planner begin at this many times its number; the last is the list's, those before are other
 /// planners'.
-const DOORS: u32 = 4000;
+const DOORS: u32 = 1 << 15;
 const LIST_DOOR: u32 = DOORS - 1;
-const BOOKS_DOORS: u32 = 2000;
+const BOOKS_DOORS: u32 = 3 * (DOORS / 4);
+/// A day may have so many machines, each with a door at every planner, and so many planners.
+pub(crate) const MOST_MACHINES: usize = BOOKS_DOORS as usize;
+pub(crate) const MOST_PLANNERS: usize = (LIST_DOOR - BOOKS_DOORS) as usize;
 
 /// The list's door of a planner.
 pub fn list_door(planner: usize) -> Door {
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -8,7 +8,7 @@
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_limits::{Act, Admission, Limits, Why};
 use mulleinhub_pacing::{HEARTBEAT, STANDSTILL, Standstills, again};
-use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message, Mode, Shape, Spare};
+use mulleinhub_protocol::{self as protocol, Conversation, Frames, ListReader, Message, Mode, Shape, Spare};
 use mulleinhub_seam::{End, Link, Links, Timers, Unwritten};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
@@ -138,6 +138,24 @@
     pub wanted: bool,
 }
 
+/// Why there is no newer list of machines, until one is read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListFault {
+    /// What the list service told can't be read.
+    Unreadable(String),
+    /// The list service ended the conversation, and said why.
+    Refused(String),
+}
+
+impl std::fmt::Display for ListFault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unreadable(why) => write!(f, "the list can't be read: {why}"),
+            Self::Refused(why) => write!(f, "the list service refuses: {why}"),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
     Token(u64),
@@ -171,6 +189,9 @@
     pub list_version: u64,
     pub list_wanted: bool,
     pub list_known: bool,
+    /// Puts the pieces of a list together that come on the list's connection.
+    pub list_reader: ListReader,
+    pub list_fault: Option<ListFault>,
     list_changed: bool,
     pub jobs: BTreeMap<TaskId, Job>,
     pub late: BTreeMap<(TaskId, u32), Late>,
@@ -184,7 +205,8 @@
     next_mark: u64,
     /// The newest connection of each client, by its name.
     pub clients: BTreeMap<Arc<str>, Link>,
-    stuck: Vec<Link>,
+    /// Connections to be ended after the round, and why.
+    stuck: Vec<(Link, &'static str)>,
     pub limits: Limits,
     /// Knows how many final answers are owed, and to which services.
     pub admission: Admission,
@@ -225,6 +247,8 @@
             list_version: 0,
             list_wanted: true,
             list_known: false,
+            list_reader: ListReader::default(),
+            list_fault: None,
             list_changed: false,
             jobs: BTreeMap::new(),
             late: BTreeMap::new(),
@@ -368,7 +392,11 @@
             _ => return,
         };
         let (name, life) = (self.settings.name.clone(), self.life);
-        self.write(link, &Message::hello(conversation, 0, &name, life, now.nanos()));
+        let features = match conversation {
+            Conversation::PlannerList => protocol::LIST_PIECES,
+            _ => 0,
+        };
+        self.write(link, &Message::hello(conversation, features, &name, life, now.nanos()));
         if matches!(conversation, Conversation::PlannerList) && self.list_wanted {
             self.write(link, &Message::Watch {});
         }
@@ -522,8 +550,8 @@
 
     /// Peers that don't read are let go: what waits for them is bounded.
     pub fn after_round(&mut self) {
-        for link in std::mem::take(&mut self.stuck) {
-            tracing::warn!(link = link.0, "ended: it doesn't read, and too much waits for it");
+        for (link, why) in std::mem::take(&mut self.stuck) {
+            tracing::warn!(link = link.0, why, "a connection is ended");
             self.end_of_ours(link);
         }
     }
@@ -551,10 +579,14 @@
 
     fn write_marked(&mut self, link: Link, message: &Message<'_>, mark: Option<u64>) {
         self.scratch.clear();
-        protocol::encode(message, &mut self.scratch);
+        if let Err(too_long) = protocol::try_encode(message, &mut self.scratch) {
+            tracing::error!(link = link.0, %too_long, "a message is not sent");
+            self.stuck.push((link, "what it is to be told is too long for a frame"));
+            return;
+        }
         self.links.send(link, &self.scratch, mark);
         if self.links.unwritten(link) > self.settings.most_unwritten {
-            self.stuck.push(link);
+            self.stuck.push((link, "it doesn't read, and too much waits for it"));
         }
     }
 
@@ -760,7 +792,25 @@
         self.list_changed = true;
     }
 
-    /// The last list as a frame, where it changed.
+    /// Why this planner is not to be given tasks now; nothing where it is ready for them.
+    pub fn not_ready(&self) -> Option<String> {
+        let fault = self.list_fault.as_ref();
+        match (fault, self.list_known) {
+            _ if self.winding_down => Some("it ends and takes nothing new".to_owned()),
+            (Some(fault), false) => Some(format!("{fault}; no list is known")),
+            (Some(fault @ ListFault::Unreadable(_)), true) => {
+                Some(format!("{fault}; the last one, version {}, is used", self.list_version))
+            }
+            (None, false) => match self.list_reader.coming() {
+                Some((version, pieces)) => Some(format!("{pieces} pieces of list version {version} came")),
+                None => Some("no list has come yet".to_owned()),
+            },
+            (_, true) if !self.hears_clients => Some("machines are asked what they hold".to_owned()),
+            (_, true) => None,
+        }
+    }
+
+    /// The last list as frames, where it changed.
     pub fn list_to_keep(&mut self) -> Option<Vec<u8>> {
         if !std::mem::take(&mut self.list_changed) {
             return None;
@@ -768,7 +818,7 @@
         let now = self.now;
         let entry = |m: &'_ Spot| (m.id.0, m.address.clone(), m.since.map(|at| (now - at).nanos()), m.left);
         let held: Vec<_> = self.machines.values().map(|m| (entry(m), m)).collect();
-        let entries = held
+        let entries: Vec<_> = held
             .iter()
             .map(|((machine, address, up_for, left), m)| protocol::Entry {
                 machine: *machine,
@@ -783,10 +833,9 @@
                 memory_left: left.map(|left| left.1),
             })
             .collect();
-        let list = Message::List { kind: protocol::ListKind::Whole, version: self.list_version, entries };
-        let mut frame = Vec::new();
-        protocol::encode(&list, &mut frame);
-        Some(frame)
+        let mut frames = Vec::new();
+        protocol::encode_list(protocol::ListKind::Whole, self.list_version, &entries, &mut frames);
+        Some(frames)
     }
 
     /// Opens the door for clients: all machines of the first list have told what they hold, or can't be
@@ -799,6 +848,15 @@
         }
     }
 
+    /// How many tasks have an open send, by machine.
+    pub fn jobs_by_machine(&self) -> BTreeMap<MachineId, usize> {
+        let mut jobs = BTreeMap::new();
+        for open in self.jobs.values().filter_map(|job| job.open) {
+            *jobs.entry(open.machine).or_default() += 1;
+        }
+        jobs
+    }
+
     /// The tasks with an open send on this machine.
     pub fn jobs_on(&self, machine: MachineId) -> Vec<(TaskId, Open)> {
         let on = |(id, job): (&TaskId, &Job)| {
--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -9,7 +9,7 @@
 //! Everything else may have run: half-written and written offers whose machine can't be asked, time-outs, and
 //! whatever a former life of the machine was sent.
 
-use crate::desk::{Answer, Desk, Due, Job, Late, Open, Who};
+use crate::desk::{Answer, Desk, Due, Job, Late, ListFault, Open, Who};
 use crate::machines::{Reach, Spot};
 use mulleinhub_interface::{
     Ears, Effect, Ending, Entry, ListKind, Loss, MachineId, Mode, Nack, Order, Report, Room, ServiceId, Span,
@@ -25,14 +25,10 @@
 
 /// The first turn: the list of the last life, and the calls for a newer one.
 pub fn begin(desk: &RefCell<Desk>, round: &mut dyn Ears, saved: Option<Vec<u8>>) {
-    if let Some(frame) = saved {
-        match protocol::decode(&frame) {
-            Ok(Message::List { version, entries, .. }) => {
-                list(desk, round, ListKind::Saved, version, &entries)
-            }
-            Ok(_) => tracing::error!("the kept list holds another message; going on without it"),
-            Err(bad) => tracing::error!(%bad, "the kept list can't be read; going on without it"),
-        }
+    match saved.as_deref().map(protocol::decode_list) {
+        Some(Ok(kept)) => list(desk, round, ListKind::Saved, kept.version, &kept.entries()),
+        Some(Err(bad)) => tracing::error!(%bad, "the kept list can't be read; going on without it"),
+        None => {}
     }
     let desk = &mut *desk.borrow_mut();
     if !desk.settings.listing.asked {
@@ -87,7 +83,7 @@
             Err(bad) => Err(bad),
         };
         if let Err(bad) = heard {
-            refuse(&mut desk.borrow_mut(), link, &bad);
+            refuse(desk, round, link, &bad);
             break;
         }
         let desk = desk.borrow();
@@ -118,21 +114,54 @@
 }
 
 /// A peer that speaks wrongly is told why and let go, alone.
-fn refuse(desk: &mut Desk, link: Link, bad: &Bad) {
-    desk.counts.bad_frames += 1;
+fn refuse(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, bad: &Bad) {
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
+    d.counts.bad_frames += 1;
     tracing::warn!(link = link.0, %bad, "a peer speaks wrongly; its connection ends");
     let mut words = bad.to_string();
     words.truncate(words.floor_char_boundary(protocol::MOST_WORDS));
-    let Some(peer) = desk.peers.get_mut(&link) else { return };
+    let Some(peer) = d.peers.get_mut(&link) else { return };
     match peer.who {
-        Who::Stranger | Who::Client(_) => desk.let_go(link, &words),
-        Who::Machine(_) | Who::List => {
+        Who::Stranger | Who::Client(_) => d.let_go(link, &words),
+        Who::Machine(_) => {
             peer.end = Some(End::Broken);
-            desk.write(link, &Message::Bye { words: &words });
+            d.write(link, &Message::Bye { words: &words });
+        }
+        Who::List => {
+            d.write(link, &Message::Bye { words: &words });
+            d.peers.remove(&link);
+            d.links.end(link);
+            list_fails(d, ListFault::Unreadable(words));
+            drop(borrowed);
+            list_ended(desk, round);
         }
     }
 }
 
+/// The list service told nothing that can be used.
+fn list_fails(desk: &mut Desk, fault: ListFault) {
+    let known = desk.list_known.then_some(desk.list_version);
+    tracing::error!(%fault, ?known, "no newer list of machines; the list service is asked again");
+    desk.list_fault = Some(fault);
+}
+
+/// The connection to the list service is over: it is asked again after a while.
+fn list_ended(desk: &RefCell<Desk>, round: &mut dyn Ears) {
+    let mut borrowed = desk.borrow_mut();
+    let d = &mut *borrowed;
+    d.list_link = None;
+    d.list_reader.clear();
+    if d.settings.listing.asked {
+        drop(borrowed);
+        return round.list_failed();
+    }
+    let (drawn, failures) = (d.chance.part(), d.list_failures);
+    d.list_failures += 1;
+    let at = d.now + again::after_failures(d.settings.reconnect, failures, drawn);
+    d.timers.set(at, Due::List);
+}
+
 fn hear(desk: &RefCell<Desk>, round: &mut dyn Ears, link: Link, message: &Message<'_>) -> Heard {
     let mut borrowed = desk.borrow_mut();
     let d = &mut *borrowed;
@@ -180,6 +209,9 @@
         Message::Pong { .. } => return Ok(()),
         Message::Bye { words } => {
             tracing::warn!(link = link.0, words, "a peer says why it ends");
+            if matches!(peer.who, Who::List) {
+                list_fails(d, ListFault::Refused((*words).to_owned()));
+            }
             return Ok(());
         }
         Message::Welcome { .. } => {}
@@ -197,19 +229,14 @@
             drop(borrowed);
             hear_client(desk, round, link, &name, message)
         }
-        Who::List => {
-            if let Message::List { kind, version, entries } = message {
-                let kind = match kind {
-                    protocol::ListKind::Changes => ListKind::Changes,
-                    protocol::ListKind::Whole => ListKind::Whole,
-                };
-                drop(borrowed);
-                list(desk, round, kind, *version, entries);
-            } else {
-                peer.greeted = true;
-            }
+        Who::List if matches!(message, Message::Welcome { .. }) => {
+            peer.greeted = true;
             Ok(())
         }
+        Who::List => {
+            drop(borrowed);
+            hear_list(desk, round, message)
+        }
         Who::Stranger => Err(Bad("a message before the greeting".into())),
     }
 }
@@ -374,6 +401,12 @@
         d.write(link, &Message::Nacked { task, stay_away: 0 });
         return Ok(None);
     }
+    if !d.list_known && d.list_fault.is_some() {
+        // No machine is known, and the list service is not asked again before this.
+        let stay_away = d.settings.reconnect.nanos();
+        d.write(link, &Message::Nacked { task, stay_away });
+        return Ok(None);
+    }
     let order = order(id, shape, d.now + patience);
     let asked = match &mut d.quota {
         Some(quota) => quota.ask(d.now, name, order.key, order.ask, d.chance.part()),
@@ -437,8 +470,12 @@
     Ok(())
 }
 
+/// Bytes of a status, which goes in one frame; lines beyond are counted only.
+const MOST_STATUS: usize = protocol::MOST_FRAME / 4 * 3;
+
 pub fn status(d: &Desk) -> String {
     let counts = d.counts();
+    let jobs = d.jobs_by_machine();
     let machine = |m: &Spot| {
         let reach = match m.reach {
             Reach::Down => "down",
@@ -446,7 +483,7 @@
             Reach::Ready(_) => "ready",
         };
         let (cores, memory) = m.left.unwrap_or_default();
-        let on = d.jobs_on(m.id).len();
+        let on = jobs.get(&m.id).copied().unwrap_or_default();
         format!("machine {} {reach} {:?} tasks {on} left {cores:.1} cores {memory:.1} memory", m.id.0, m.mode)
     };
     let mut lines = vec![
@@ -468,9 +505,26 @@
             counts.machines_ready, counts.machines, d.list_version
         ),
     ];
+    lines.push(d.not_ready().map_or_else(|| "ready".to_owned(), |why| format!("not ready: {why}")));
     lines.extend(d.quota.iter().flat_map(|quota| quota.status(d.now)));
     lines.extend(d.machines.values().map(machine));
-    lines.join("\n")
+    // Who asks may not have read it all before more is written.
+    joined(&lines, MOST_STATUS.min(d.settings.most_unwritten / 2))
+}
+
+/// The lines in so many bytes, and how many more there are.
+fn joined(lines: &[String], most: usize) -> String {
+    let mut text = String::new();
+    for (n, line) in lines.iter().enumerate() {
+        if text.len() + line.len() > most {
+            return format!("{text}\nand {} lines more", lines.len() - n);
+        }
+        if n > 0 {
+            text.push('\n');
+        }
+        text.push_str(line);
+    }
+    text
 }
 
 // Machines.
@@ -861,16 +915,8 @@
     match peer.who {
         Who::Stranger | Who::Client(_) => unreachable!("is dealt with above"),
         Who::List => {
-            d.list_link = None;
-            if d.settings.listing.asked {
-                drop(borrowed);
-                round.list_failed();
-            } else {
-                let (drawn, failures) = (d.chance.part(), d.list_failures);
-                d.list_failures += 1;
-                let at = d.now + again::after_failures(d.settings.reconnect, failures, drawn);
-                d.timers.set(at, Due::List);
-            }
+            drop(borrowed);
+            list_ended(desk, round);
         }
         Who::Machine(id) => {
             let (now, reconnect, lost_after) = (d.now, d.settings.reconnect, d.settings.lost_after);
@@ -1000,6 +1046,30 @@
 
 // The list.
 
+fn hear_list(desk: &RefCell<Desk>, round: &mut dyn Ears, message: &Message<'_>) -> Heard {
+    match message {
+        Message::List { kind, version, entries } => {
+            desk.borrow().list_reader.no_pieces()?;
+            list(desk, round, told_kind(*kind), *version, entries);
+        }
+        Message::ListPiece { kind, version, number, last, entries } => {
+            let whole = desk.borrow_mut().list_reader.take(*kind, *version, *number, *last, entries)?;
+            if let Some(whole) = whole {
+                list(desk, round, told_kind(whole.kind), whole.version, &whole.entries());
+            }
+        }
+        _ => return Err(Bad("not a message of a list service".into())),
+    }
+    Ok(())
+}
+
+fn told_kind(kind: protocol::ListKind) -> ListKind {
+    match kind {
+        protocol::ListKind::Changes => ListKind::Changes,
+        protocol::ListKind::Whole => ListKind::Whole,
+    }
+}
+
 fn list(
     desk: &RefCell<Desk>,
     round: &mut dyn Ears,
@@ -1015,6 +1085,7 @@
         d.list_failures = 0;
         if kind != ListKind::Saved {
             d.list_changes();
+            d.list_fault = None;
         }
         if kind == ListKind::Whole {
             let named: std::collections::BTreeSet<u64> = entries.iter().map(|entry| entry.machine).collect();
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -72,6 +72,11 @@
         hear::status(&self.desk.borrow())
     }
 
+    /// Why this planner is not to be given tasks now, in words; nothing where it is ready for them.
+    pub fn not_ready(&self) -> Option<String> {
+        self.desk.borrow().not_ready()
+    }
+
     /// Takes nothing new from now on. It is idle once all in hand have their final answer.
     pub fn wind_down(&mut self) {
         self.desk.borrow_mut().winding_down = true;
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -1,6 +1,7 @@
 //! The hard cases of connections, as short stories: what the planner writes when its peers behave badly.
 
 mod host;
+mod list;
 mod quota;
 mod same_moment;
 
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -34,7 +34,11 @@
         let (status, body) = match path {
             b"/metrics" => ("200 OK", self.metrics.text(&self.engine)),
             b"/health" => ("200 OK", "well\n".to_owned()),
-            _ => ("404 Not Found", "only /metrics and /health are here\n".to_owned()),
+            b"/ready" => match self.engine.not_ready() {
+                None => ("200 OK", "ready\n".to_owned()),
+                Some(why) => ("503 Service Unavailable", format!("not ready: {why}\n")),
+            },
+            _ => ("404 Not Found", "only /metrics, /health and /ready are here\n".to_owned()),
         };
         let head = format!(
             "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\n\
--- a/crates/planner/src/metrics.rs
+++ b/crates/planner/src/metrics.rs
@@ -59,6 +59,7 @@
             ("running", "Tasks placed", counts.running as u64),
             ("machines", "Machines listed", counts.machines as u64),
             ("machines_ready", "Machines connected", counts.machines_ready as u64),
+            ("ready", "1 where tasks may be given to this planner", u64::from(engine.not_ready().is_none())),
             ("clients", "Connections of clients", open as u64),
             ("client_deadlines", "Deadlines held for them", deadlines as u64),
             ("client_buffer_bytes", "Bytes of buffers held for connections", engine.buffers() as u64),
--- a/crates/planner/tests/daemon.rs
+++ b/crates/planner/tests/daemon.rs
@@ -28,12 +28,15 @@
 }
 
 fn settings(listen: SocketAddr, metrics: SocketAddr, extra: &str) -> String {
+    settings_with(listen, metrics, free(), extra)
+}
+
+fn settings_with(listen: SocketAddr, metrics: SocketAddr, list: SocketAddr, extra: &str) -> String {
     format!(
-        "name p1\nlisten {listen}\nmetrics {metrics}\nlist \"{}\"\n\
+        "name p1\nlisten {listen}\nmetrics {metrics}\nlist \"{list}\"\n\
          kind small {{\n cores 4\n memory 8GiB\n}}\n\
          use-case web {{\n soft-limit 300ms\n client-timeout 1500ms\n effect replayable\n}}\n\
-         links {{\n start-wait 100ms\n}}\n{extra}",
-        free()
+         links {{\n start-wait 100ms\n}}\n{extra}"
     )
 }
 
@@ -44,10 +47,14 @@
 
     /// With so many descriptors at the most.
     fn start_with(listen: SocketAddr, extra: &str, descriptors: u32) -> Self {
-        let folder = tempfile::tempdir().expect("a folder");
         let metrics = free();
+        Self::start_as(listen, metrics, &settings(listen, metrics, extra), descriptors)
+    }
+
+    fn start_as(listen: SocketAddr, metrics: SocketAddr, text: &str, descriptors: u32) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
         let path = folder.path().join("planner.conf");
-        std::fs::write(&path, settings(listen, metrics, extra)).expect("is written");
+        std::fs::write(&path, text).expect("is written");
         let log = folder.path().join("log");
         let out = std::fs::File::create(&log).expect("is made");
         let child = Command::new("sh")
@@ -85,6 +92,78 @@
     }
 }
 
+/// What the planner answers to whoever asks its metrics port.
+fn get(metrics: SocketAddr, path: &str) -> String {
+    let mut http = TcpStream::connect(metrics).expect("listens");
+    http.write_all(format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).expect("is written");
+    let mut text = String::new();
+    http.read_to_string(&mut text).expect("is read");
+    text
+}
+
+/// Asks until the answer has these words.
+fn get_until(metrics: SocketAddr, path: &str, words: &str) -> String {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let text = get(metrics, path);
+        if text.contains(words) {
+            return text;
+        }
+        assert!(Instant::now() < until, "{path} has no {words}: {text}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A list service that tells these frames to each planner that connects, and then reads on.
+fn list_service(frames: Vec<u8>) -> SocketAddr {
+    let host = Ipv4Addr::new(127, 0, 7, 250);
+    let listener = TcpListener::bind((host, 0)).expect("a free port");
+    let at = listener.local_addr().expect("has one");
+    std::thread::spawn(move || {
+        let mut told = Vec::new();
+        let welcome = Message::Welcome {
+            version: 1,
+            features: protocol::LIST_PIECES,
+            name: "list",
+            life: 1,
+            silence: None,
+        };
+        protocol::encode(&welcome, &mut told);
+        told.extend(frames);
+        for tcp in listener.incoming() {
+            let Ok(mut tcp) = tcp else { return };
+            let told = told.clone();
+            std::thread::spawn(move || {
+                let _ = tcp.write_all(&told);
+                let _ = std::io::copy(&mut tcp, &mut std::io::sink());
+            });
+        }
+    });
+    at
+}
+
+/// The frames of a list of so many machines, none of which can be reached.
+fn list_of(machines: u64) -> Vec<u8> {
+    let closed = free().to_string();
+    let entry = |machine| protocol::Entry {
+        machine,
+        address: &closed,
+        kind: 0,
+        cell: 0,
+        zone: 0,
+        // Such a machine is not connected to: the tests that use this are about the list alone.
+        mode: protocol::Mode::Leaving,
+        life: 1,
+        up_for: None,
+        cores_left: Some(4.0),
+        memory_left: Some(8.0),
+    };
+    let entries: Vec<_> = (1..=machines).map(entry).collect();
+    let mut frames = Vec::new();
+    protocol::encode_list(protocol::ListKind::Whole, 7, &entries, &mut frames);
+    frames
+}
+
 struct Client {
     tcp: TcpStream,
     frames: Frames,
@@ -244,3 +323,50 @@
     let (one, two) = (open(&one), open(&two));
     assert!(one + two == clients.len() && one >= 10 && two >= 10, "{one} and {two}");
 }
+
+#[test]
+fn it_tells_that_it_is_not_ready_where_its_list_can_not_be_read_and_nacks_at_once() {
+    let (listen, metrics) = (free(), free());
+    // The last piece is lost, and the first comes again.
+    let mut frames = list_of(10_000);
+    let first = u32::from_be_bytes(*frames.first_chunk().expect("a length")) as usize + 4;
+    let piece = frames[..first].to_vec();
+    frames.truncate(first);
+    frames.extend(piece);
+    let text = settings_with(listen, metrics, list_service(frames), "");
+    let daemon = Daemon::start_as(listen, metrics, &text, 1_000);
+    assert!(daemon.logs("the list can't be read: piece 0 of list version 7 where 1 comes next"));
+    let told = get_until(metrics, "/ready", "can't be read");
+    assert!(told.starts_with("HTTP/1.1 503 ") && told.ends_with("; no list is known\n"), "{told}");
+    assert!(get(metrics, "/health").starts_with("HTTP/1.1 200 OK"), "the process itself is well");
+    assert!(get(metrics, "/metrics").contains("mulleinhub_ready 0"));
+    let mut client = Client::meets(listen);
+    client.asks(1);
+    assert!(client.hears().starts_with("Nacked { task: 1"), "not at its deadline");
+    client.says(&Message::StatusAsk {});
+    assert!(client.hears().contains("not ready: the list can't be read"));
+}
+
+#[test]
+fn it_keeps_a_list_of_ten_thousand_machines_on_its_disk_and_starts_with_it() {
+    let (listen, metrics) = (free(), free());
+    let folder = tempfile::tempdir().expect("a folder");
+    let state = format!("state-dir {}\n", folder.path().join("state").display());
+    let text = settings_with(listen, metrics, list_service(list_of(10_000)), &state);
+    let daemon = Daemon::start_as(listen, metrics, &text, 1_000);
+    assert!(daemon.logs("up name"));
+    get_until(metrics, "/metrics", "mulleinhub_machines 10000");
+    let kept = folder.path().join("state/list");
+    let until = Instant::now() + PATIENCE;
+    while !kept.exists() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let bytes = std::fs::read(&kept).expect("is kept");
+    assert_eq!(protocol::decode_list(&bytes).expect("is a list").entries().len(), 10_000);
+    drop(daemon);
+    // The list service is away, and the list is there.
+    let text = settings_with(listen, metrics, free(), &state);
+    let daemon = Daemon::start_as(listen, metrics, &text, 1_000);
+    assert!(daemon.logs("up name"));
+    get_until(metrics, "/metrics", "mulleinhub_machines 10000");
+}
--- a/crates/runner/tests/days.rs
+++ b/crates/runner/tests/days.rs
@@ -90,3 +90,27 @@
     assert!(one == play(day("bad-day.day", 7)).0, "the same seed gives another capture");
     assert!(one != play(day("bad-day.day", 8)).0, "another seed gives the same capture");
 }
+
+#[test]
+fn a_day_with_ten_thousand_machines_places_all_its_tasks() {
+    let mut day = day("throughput.day", 1);
+    (day.machines, day.racks) = (10_000, 1_000);
+    (day.rate, day.length) = (20.0, mulleinhub_interface::Span::from_secs(8));
+    day.troubles.clear();
+    let (score, counts, capture) = Runner::new(day, Vec::new()).play(|_, _| ()).expect("a vector takes all");
+    let verdict = judge(&capture[..]).expect("is whole");
+    assert!(verdict.rules.iter().all(|rule| rule.breaches.is_empty()));
+    assert!(counts.taken > 150 && counts.placed == counts.taken, "{counts:?}");
+    assert_eq!((counts.bad_frames, score.owners.nacked, score.owners.errored), (0, 0, 0));
+}
+
+#[test]
+fn a_day_that_the_stage_has_no_room_for_is_refused_in_words() {
+    let mut day = day("throughput.day", 1);
+    day.machines = 30_000;
+    assert_eq!(day.too_large().as_deref(), Some("30000 machines, 24576 at most"));
+    (day.machines, day.planners) = (10, 9_000);
+    assert_eq!(day.too_large().as_deref(), Some("9000 planners, 8191 at most"));
+    day.planners = 1_000;
+    assert_eq!(day.too_large(), None);
+}
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -2,6 +2,11 @@
 //!
 //! Guessed: it looks at all machines once a period; what it saw is told `late` afterwards; a machine that
 //! went without a word stays listed for a while and then counts as left.
+//!
+//! What is too long for one message goes in pieces, a few at a time, as far as the planner reads. Where the
+//! list changes meanwhile, the telling begins anew, a few times; then all pieces are written at once. A planner
+//! that reads no pieces gets changes in several messages, and is refused where the whole list doesn't fit in
+//! one.
 
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{
@@ -10,6 +15,13 @@
 use mulleinhub_seam::{Door, End, Link, Links, Party};
 use std::collections::{BTreeMap, VecDeque};
 
+/// No piece is written for a planner for which so many bytes wait.
+const MOST_WAITING: usize = 128 * 1024;
+/// While pieces are still to be written it looks so often whether the planner has read.
+const PIECE_PAUSE: Span = Span::from_nanos(1_000_000);
+/// A telling begins so often anew with a list that changed, and is written at once then.
+const MOST_RESTARTS: u32 = 3;
+
 #[derive(Clone, Debug)]
 pub struct ListSettings {
     pub late: Span,
@@ -48,20 +60,42 @@
     /// The version in which it changed last.
     changed: u64,
     gone_since: Option<Time>,
+    /// For planners that were told no other.
+    address: String,
 }
 
 struct Watcher {
     name: Option<String>,
     frames: Frames,
+    reads_pieces: bool,
     /// The version that it was told last; nothing while it doesn't watch.
     told: Option<u64>,
+    /// A list that is told in pieces, as far as it is.
+    telling: Option<Telling>,
+}
+
+/// How far a list is told.
+#[derive(Clone, Copy)]
+struct Telling {
+    version: u64,
+    /// The number of the next piece.
+    number: u32,
+    /// The last machine of the piece before.
+    after: Option<u64>,
+    restarts: u32,
+}
+
+impl Telling {
+    fn new(version: u64, restarts: u32) -> Self {
+        Self { version, number: 0, after: None, restarts }
+    }
 }
 
 pub struct ListService {
     settings: ListSettings,
     pub plight: ListPlight,
     /// The address of each machine, as the planner of this name reaches it.
-    addresses: BTreeMap<(String, u64), String>,
+    addresses: BTreeMap<String, BTreeMap<u64, String>>,
     seen: VecDeque<(Time, Vec<Fact>)>,
     lines: BTreeMap<u64, Line>,
     version: u64,
@@ -71,6 +105,7 @@
     backlog: f64,
     backlog_at: Time,
     pub lines_told: u64,
+    now: Time,
 }
 
 impl ListService {
@@ -87,11 +122,12 @@
             backlog: 0.0,
             backlog_at: Time::default(),
             lines_told: 0,
+            now: Time::default(),
         }
     }
 
     pub fn address(&mut self, planner: &str, machine: u64, address: String) {
-        self.addresses.insert((planner.to_owned(), machine), address);
+        self.addresses.entry(planner.to_owned()).or_default().insert(machine, address);
     }
 
     /// It looked at all machines; told later.
@@ -130,55 +166,140 @@
         let same = before.is_some_and(|line| line.fact == fact && line.mode == mode);
         let changed = if same { before.map_or(0, |line| line.changed) } else { self.version + 1 };
         self.version = self.version.max(changed);
-        self.lines.insert(fact.machine, Line { fact, mode, changed, gone_since });
+        let address = format!("machine-{}", fact.machine);
+        self.lines.insert(fact.machine, Line { fact, mode, changed, gone_since, address });
     }
 
     fn tell(&mut self, now: Time) {
         if self.plight.silent {
             return;
         }
-        let due: Vec<(Link, u64)> = self
-            .watchers
-            .iter()
-            .filter_map(|(link, w)| Some((*link, w.told.filter(|told| *told < self.version)?)))
-            .collect();
-        for (link, told) in due {
-            let lines: Vec<&Line> = self.lines.values().filter(|line| line.changed > told).collect();
-            let Some(watcher) = self.watchers.get(&link) else { continue };
-            let name = watcher.name.clone().unwrap_or_default();
-            let address = |machine: u64| {
-                let known = self.addresses.get(&(name.clone(), machine));
-                known.cloned().unwrap_or_else(|| format!("machine-{machine}"))
+        let due = |w: &Watcher| w.told.is_some_and(|told| told < self.version);
+        let due: Vec<Link> = self.watchers.iter().filter(|(_, w)| due(w)).map(|(link, _)| *link).collect();
+        for link in due {
+            if self.watchers[&link].telling.is_some() {
+                self.tell_on(now, link);
+            } else {
+                self.tell_one(now, link);
+            }
+        }
+    }
+
+    /// Begins to tell a planner what changed since it was told last: all of it, where it fits in one message.
+    fn tell_one(&mut self, now: Time, link: Link) {
+        let watcher = &self.watchers[&link];
+        let Some(told) = watcher.told else { return };
+        let reads_pieces = watcher.reads_pieces;
+        let entries = self.entries(now, link, told, None, usize::MAX);
+        let (kind, version) = (kind_after(told), self.version);
+        let mut frames = Vec::new();
+        let fits = protocol::encode_in_one(kind, version, &entries, &mut frames);
+        let many = entries.len();
+        match fits {
+            Ok(()) => self.has_told(link, &frames, many),
+            Err(_) if reads_pieces => {
+                if let Some(watcher) = self.watchers.get_mut(&link) {
+                    watcher.telling = Some(Telling::new(version, 0));
+                }
+                return self.tell_on(now, link);
+            }
+            Err(_) if kind == ListKind::Changes => {
+                for part in protocol::cut(&entries) {
+                    let changes = Message::List { kind, version, entries: part.to_vec() };
+                    protocol::encode(&changes, &mut frames);
+                }
+                self.has_told(link, &frames, many);
+            }
+            Err(Bad(why)) => {
+                return self.refuse(link, &format!("{why}; a planner that reads pieces gets it"));
+            }
+        }
+        if let Some(watcher) = self.watchers.get_mut(&link) {
+            watcher.told = Some(version);
+        }
+    }
+
+    /// Goes on with a list that is told in pieces, as far as the planner reads.
+    fn tell_on(&mut self, now: Time, link: Link) {
+        loop {
+            let Some(Watcher { told: Some(told), telling: Some(telling), .. }) = self.watchers.get(&link)
+            else {
+                return;
             };
-            let addresses: Vec<String> = lines.iter().map(|line| address(line.fact.machine)).collect();
-            let entries: Vec<Entry<'_>> = lines
-                .iter()
-                .zip(&addresses)
-                .map(|(Line { fact, mode, .. }, address)| Entry {
-                    machine: fact.machine,
-                    address,
-                    kind: fact.kind,
-                    cell: fact.cell,
-                    zone: fact.zone,
-                    mode: *mode,
-                    life: fact.life,
-                    up_for: fact.started.map(|at| (now - at).nanos()),
-                    cores_left: Some(fact.cores_left),
-                    memory_left: Some(fact.memory_left),
-                })
-                .collect();
-            let kind = if told == 0 { ListKind::Whole } else { ListKind::Changes };
-            self.lines_told += entries.len() as u64;
-            self.backlog += entries.len() as f64;
-            let mut frame = Vec::new();
-            protocol::encode(&Message::List { kind, version: self.version, entries }, &mut frame);
-            self.links.send(link, &frame, None);
-            if let Some(watcher) = self.watchers.get_mut(&link) {
-                watcher.told = Some(self.version);
+            let (told, mut telling) = (*told, *telling);
+            if telling.version != self.version {
+                telling = Telling::new(self.version, telling.restarts + 1);
+            }
+            let at_once = telling.restarts >= MOST_RESTARTS;
+            if !at_once && self.links.unwritten(link) >= MOST_WAITING {
+                return;
+            }
+            let is_last = self.tell_piece(now, link, told, &mut telling);
+            let Some(watcher) = self.watchers.get_mut(&link) else { return };
+            watcher.telling = (!is_last).then_some(telling);
+            if is_last {
+                watcher.told = Some(telling.version);
+                return;
             }
         }
     }
 
+    /// Writes the next piece. True where it was the last one.
+    fn tell_piece(&mut self, now: Time, link: Link, told: u64, telling: &mut Telling) -> bool {
+        // One entry more than a piece can have shows whether there is another.
+        let entries = self.entries(now, link, told, telling.after, protocol::MOST_ENTRIES + 1);
+        let piece = protocol::cut(&entries).next().unwrap_or_default().to_vec();
+        let (many, last) = (piece.len(), piece.len() == entries.len());
+        let Telling { version, number, .. } = *telling;
+        telling.after = piece.last().map(|entry| entry.machine);
+        telling.number += 1;
+        let piece = Message::ListPiece { kind: kind_after(told), version, number, last, entries: piece };
+        let mut frame = Vec::new();
+        protocol::encode(&piece, &mut frame);
+        self.has_told(link, &frame, many);
+        last
+    }
+
+    /// The entries, for the planner behind a link, of machines behind `after` that changed since a version.
+    fn entries(&self, now: Time, link: Link, told: u64, after: Option<u64>, most: usize) -> Vec<Entry<'_>> {
+        let name = self.watchers.get(&link).and_then(|watcher| watcher.name.as_deref()).unwrap_or_default();
+        let addresses = self.addresses.get(name);
+        let from = after.map_or(0, |machine| machine.saturating_add(1));
+        let lines = self.lines.range(from..).map(|(_, line)| line);
+        lines
+            .filter(|line| line.changed > told)
+            .take(most)
+            .map(|Line { fact, mode, address, .. }| Entry {
+                machine: fact.machine,
+                address: addresses.and_then(|known| known.get(&fact.machine)).unwrap_or(address),
+                kind: fact.kind,
+                cell: fact.cell,
+                zone: fact.zone,
+                mode: *mode,
+                life: fact.life,
+                up_for: fact.started.map(|at| (now - at).nanos()),
+                cores_left: Some(fact.cores_left),
+                memory_left: Some(fact.memory_left),
+            })
+            .collect()
+    }
+
+    fn has_told(&mut self, link: Link, frames: &[u8], lines: usize) {
+        self.lines_told += lines as u64;
+        self.backlog += lines as f64;
+        self.links.send(link, frames, None);
+    }
+
+    /// Ends a conversation, with the reason before.
+    fn refuse(&mut self, link: Link, words: &str) {
+        let mut frame = Vec::new();
+        let words = &words[..words.floor_char_boundary(protocol::MOST_WORDS)];
+        protocol::encode(&Message::Bye { words }, &mut frame);
+        self.links.send(link, &frame, None);
+        self.watchers.remove(&link);
+        self.links.end(link);
+    }
+
     fn hear(&mut self, now: Time, link: Link, message: &Message<'_>) -> Result<(), Bad> {
         if !message.belongs(Conversation::PlannerList, Side::Opener) {
             return Err(Bad("not a message for the list service".into()));
@@ -186,11 +307,12 @@
         let Some(watcher) = self.watchers.get_mut(&link) else { return Ok(()) };
         let mut frame = Vec::new();
         match message {
-            Message::Hello { conversation: Conversation::PlannerList, name, .. } => {
+            Message::Hello { conversation: Conversation::PlannerList, name, features, .. } => {
                 watcher.name = Some((*name).to_owned());
-                let version = protocol::VERSION;
+                watcher.reads_pieces = features & protocol::LIST_PIECES != 0;
+                let (version, features) = (protocol::VERSION, protocol::LIST_PIECES);
                 protocol::encode(
-                    &Message::Welcome { version, features: 0, name: "list", life: 1, silence: None },
+                    &Message::Welcome { version, features, name: "list", life: 1, silence: None },
                     &mut frame,
                 );
             }
@@ -214,7 +336,8 @@
 
 impl Party for ListService {
     fn opened(&mut self, _: Time, link: Link, _: Door) {
-        self.watchers.insert(link, Watcher { name: None, frames: Frames::default(), told: None });
+        let (frames, reads_pieces) = (Frames::default(), false);
+        self.watchers.insert(link, Watcher { name: None, frames, reads_pieces, told: None, telling: None });
     }
 
     fn up(&mut self, _: Time, _: Link) {}
@@ -237,11 +360,7 @@
             }
         };
         if let Some(Bad(words)) = bad {
-            let mut frame = Vec::new();
-            protocol::encode(&Message::Bye { words: &words }, &mut frame);
-            self.links.send(link, &frame, None);
-            self.watchers.remove(&link);
-            self.links.end(link);
+            self.refuse(link, &words);
         } else if let Some(watcher) = self.watchers.get_mut(&link) {
             watcher.frames = frames;
         }
@@ -253,15 +372,23 @@
     }
 
     fn turn(&mut self, now: Time) {
+        self.now = now;
         self.apply(now);
         self.tell(now);
     }
 
     fn wake(&self) -> Option<Time> {
-        self.seen.front().map(|(at, _)| *at)
+        let tells = !self.plight.silent && self.watchers.values().any(|watcher| watcher.telling.is_some());
+        let pieces = tells.then_some(self.now + PIECE_PAUSE);
+        self.seen.front().map(|(at, _)| *at).into_iter().chain(pieces).min()
     }
 
     fn links(&mut self) -> &mut Links {
         &mut self.links
     }
 }
+
+/// A planner that was told nothing yet is told the whole list.
+fn kind_after(told: u64) -> ListKind {
+    if told == 0 { ListKind::Whole } else { ListKind::Changes }
+}
--- a/crates/standins/src/rack.rs
+++ b/crates/standins/src/rack.rs
@@ -260,21 +260,13 @@
                 runs: false,
             }
         }));
-        let mut parts: Vec<Vec<u8>> = Vec::new();
-        let mut rest = tasks.as_slice();
-        loop {
-            let (part, more) = rest.split_at(rest.len().min(500));
-            rest = more;
-            let mut frame = Vec::new();
-            protocol::encode(&Message::Holds { tasks: part.to_vec(), last: rest.is_empty() }, &mut frame);
-            parts.push(frame);
-            if rest.is_empty() {
-                break;
-            }
-        }
-        for part in parts {
-            self.links.send(link, &part, None);
+        let mut frames = Vec::new();
+        let mut parts = protocol::cut_held(&tasks).peekable();
+        while let Some(part) = parts.next() {
+            let last = parts.peek().is_none();
+            protocol::encode(&Message::Holds { tasks: part.to_vec(), last }, &mut frames);
         }
+        self.links.send(link, &frames, None);
     }
 
     /// The standing copy of a key in this group: which machine, and where there.
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -6,8 +6,8 @@
 use crate::books::BooksVerdict;
 use crate::figures::{ERRORED, Figures, NACKED, PLACED, TAKEN, WITHDRAWN};
 use mulleinhub_capture::{CaseTerms, Deed, Effect, Reach, Record, Side, Stamped, Terms};
-use mulleinhub_protocol::{self as protocol, Ending, Message, Mode, Reason, Shape};
-use std::collections::{BTreeMap, VecDeque};
+use mulleinhub_protocol::{self as protocol, Ending, ListReader, Message, Mode, Reason, Shape};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Frames that come within this of the end of an unread stretch were written at a time nobody saw.
 const UNSEEN: u64 = 50_000_000;
@@ -72,6 +72,8 @@
 struct Wire {
     planner: String,
     kind: Kind,
+    /// Pieces of a list that came on it and that is not whole yet.
+    list: ListReader,
     /// The owner's name, on client links.
     owner: String,
     open: bool,
@@ -238,6 +240,7 @@
             Wire {
                 planner: planner.to_owned(),
                 kind,
+                list: ListReader::default(),
                 owner: owner.to_owned(),
                 open: true,
                 greeted_at: None,
@@ -369,11 +372,17 @@
                 }
             }
             (Kind::Machine(machine), Side::Opened, true) => self.told(at, link, &planner, machine, &message),
-            (Kind::List, Side::Opened, true) => {
-                if let Message::List { kind, entries, .. } = message {
-                    self.listed(at, &planner, kind, &entries);
+            (Kind::List, Side::Opened, true) => match message {
+                Message::List { kind, entries, .. } => self.listed(at, &planner, kind, &entries),
+                Message::ListPiece { kind, version, number, last, entries } => {
+                    // A planner is held to a list from its last piece on.
+                    let Some(wire) = self.wires.get_mut(&link) else { return };
+                    if let Ok(Some(whole)) = wire.list.take(kind, version, number, last, &entries) {
+                        self.listed(at, &planner, whole.kind, &whole.entries());
+                    }
                 }
-            }
+                _ => {}
+            },
             _ => {}
         }
     }
@@ -782,7 +791,8 @@
             }
         }
         if kind == protocol::ListKind::Whole {
-            let named = |machine: &u64| entries.iter().any(|entry| entry.machine == *machine);
+            let listed: BTreeSet<u64> = entries.iter().map(|entry| entry.machine).collect();
+            let named = |machine: &u64| listed.contains(machine);
             let all: Vec<u64> =
                 self.verdict.terms.iter().flat_map(|t| &t.machines).map(|m| m.machine).collect();
             for machine in all.iter().filter(|machine| !named(machine)) {
