The platform's side reads a whole list of 10,000 machines

Each machine that is new or moves was held against all others by address: a list of 10,000 took 50 million comparisons in one turn.

--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -18,7 +18,7 @@
 };
 use mulleinhub_seam::{End, Link, Unwritten};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// So many tries in a row that were refused: the process there has died, and what stood there with it.
 const DEAD: u32 = 2;
@@ -85,8 +85,9 @@
         if kind != ListKind::Changes {
             d.machines.by_id.values_mut().for_each(|machine| machine.entry.mode = Mode::Left);
         }
+        let mut by_address = None;
         for (listed, entry) in targets.iter().zip(&entries) {
-            is_listed(d, &listed.endpoint, *entry);
+            is_listed(d, &mut by_address, &listed.endpoint, *entry);
         }
         entries
     };
@@ -134,16 +135,30 @@
     }
 }
 
+/// Machines by their addresses, also by those that they had at the beginning of the list that is being heard.
+type ByAddress = BTreeMap<String, BTreeSet<MachineId>>;
+
+fn by_address(d: &Desk) -> ByAddress {
+    let mut by_address = ByAddress::new();
+    for (id, machine) in &d.machines.by_id {
+        by_address.entry(machine.address.clone()).or_default().insert(*id);
+    }
+    by_address
+}
+
 /// A machine as the list tells it. A later start ended what had stood there; a machine at the address of
-/// another one ended that.
-fn is_listed(d: &mut Desk, address: &str, entry: Entry) {
+/// another one ended that. Where any address is new, all are looked up by an index that is made once.
+fn is_listed(d: &mut Desk, index: &mut Option<ByAddress>, address: &str, entry: Entry) {
     let (now, id) = (d.now, entry.id);
     let known = d.machines.by_id.get(&id);
     tracing::debug!(address, ?entry, "listed");
     let (moved, before) = (known.is_none_or(|m| m.address != address), known.and_then(|m| m.entry.since));
     if moved && entry.mode != Mode::Left {
-        let others = d.machines.by_id.iter().filter(|(other, m)| **other != id && m.address == address);
-        let others: Vec<MachineId> = others.map(|(other, _)| *other).collect();
+        let at_address = index.get_or_insert_with(|| by_address(d)).get(address);
+        let is_there = |other: &&MachineId| {
+            **other != id && d.machines.by_id.get(*other).is_some_and(|machine| machine.address == address)
+        };
+        let others: Vec<MachineId> = at_address.into_iter().flatten().filter(is_there).copied().collect();
         for other in others {
             d.machines.by_id.get_mut(&other).expect("is there").replaced = true;
             d.is_lost(other, now, "another machine has its address");
@@ -162,6 +177,9 @@
     if moved {
         address.clone_into(&mut machine.address);
     }
+    if let (true, Some(index)) = (moved, index) {
+        index.entry(address.to_owned()).or_default().insert(id);
+    }
     if let Some(since) = entry.since {
         let until = since + d.site.cold.warm_after;
         if until > now {
--- a/crates/platform/src/stories/mod.rs
+++ b/crates/platform/src/stories/mod.rs
@@ -2,6 +2,7 @@
 
 mod crossings;
 mod fleet;
+mod large_lists;
 mod ramp;
 mod rig;
 mod rules;
