--- a/crates/engine/examples/ordinary_path.rs
+++ b/crates/engine/examples/ordinary_path.rs
@@ -1,5 +1,5 @@
 //! What one dull task costs: `cargo run --release -p mulleinhub-engine --example ordinary_path -- TASKS
-//! IN_HAND`.
+//! IN_HAND [MACHINES]`.
 //!
 //! Drives one engine without sockets through tasks that are asked for, accepted, run and end, with so many in
 //! hand, and prints allocations, bytes and CPU time a task, after a warm-up that isn't counted.
@@ -16,7 +16,8 @@
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
-const MACHINES: u64 = 100;
+/// Unless another number is given.
+const MACHINES: usize = 100;
 
 fn settings() -> Settings {
     Settings {
@@ -83,7 +84,8 @@
     fn turn(&mut self) {
         self.engine.turn(self.now);
         while let Some(link) = self.engine.links().next_dirty() {
-            let place = self.machines.iter().position(|machine| *machine == link);
+            // Links are numbered in the order in which they were asked for.
+            let place = self.machines.binary_search(&link).ok();
             let bytes = self.engine.links().outgoing(link);
             let (mut at, len) = (0, bytes.len());
             while at < len {
@@ -97,7 +99,7 @@
         }
     }
 
-    fn up() -> Self {
+    fn up(many: usize) -> Self {
         let mut engine = Engine::new(settings(), 1, None);
         let now = Time::from_nanos(1_000_000_000);
         engine.turn(now);
@@ -108,7 +110,7 @@
         let mut bench = Self { engine, now, machines, client, bytes, offers };
         bench.engine.up(now, list);
         bench.tell(list, &Message::Welcome { version: 1, features: 0, name: "list", life: 1, silence: None });
-        let entries = (1..=MACHINES)
+        let entries: Vec<_> = (1..=many as u64)
             .map(|machine| protocol::Entry {
                 machine,
                 address: "m",
@@ -122,7 +124,9 @@
                 memory_left: Some(10_000.0),
             })
             .collect();
-        bench.tell(list, &Message::List { kind: protocol::ListKind::Whole, version: 1, entries });
+        let mut frames = Vec::new();
+        protocol::encode_list(protocol::ListKind::Whole, 1, &entries, &mut frames);
+        bench.engine.received(now, list, &frames);
         bench.turn();
         while let Some(ask) = bench.engine.links().next_ask() {
             if let Ask::Open(link, _) = ask {
@@ -166,7 +170,8 @@
 fn main() {
     let mut args = std::env::args().skip(1).map(|arg| arg.parse::<usize>().expect("a whole number"));
     let (tasks, in_hand) = (args.next().unwrap_or(50_000), args.next().unwrap_or(1_000));
-    let mut bench = Bench::up();
+    let machines = args.next().unwrap_or(MACHINES);
+    let mut bench = Bench::up(machines);
     let mut held = VecDeque::new();
     let warm = in_hand + 5_000;
     for id in 0..warm as u64 {
@@ -180,7 +185,7 @@
     let (took, change) = (began.elapsed(), region.change());
     let each = |n: usize| n as f64 / tasks as f64;
     println!(
-        "{tasks} tasks, {in_hand} in hand, {MACHINES} machines: \
+        "{tasks} tasks, {in_hand} in hand, {machines} machines: \
          {:.1} allocations, {:.0} bytes allocated, {:.2} us a task",
         each(change.allocations + change.reallocations),
         each(change.bytes_allocated),
--- a/crates/engine/tests/list/mod.rs
+++ b/crates/engine/tests/list/mod.rs
@@ -239,3 +239,21 @@
     host.now = host.now + Span::from_secs(1);
     assert!(host.engine.not_ready().is_some());
 }
+
+#[test]
+fn a_planner_that_starts_anew_takes_over_39000_tasks_on_ten_thousand_machines() {
+    const RUNNING: u64 = 39_000;
+    let (mut host, link) = that_watches(None);
+    hears(&mut host, link, &told(ListKind::Whole, 5, FLEET));
+    for id in 1..=FLEET {
+        let tasks = (0..RUNNING).filter(|task| task % FLEET + 1 == id).map(|task| {
+            let shape = shape(task, REPLAYABLE);
+            protocol::Held { task, send: 0, shape, owner: "owner", ended: None, runs: true }
+        });
+        host.meets(id, 100 + id, tasks.collect());
+    }
+    let counts = host.engine.counts();
+    assert_eq!((counts.running, counts.machines_ready), (RUNNING as usize, FLEET as usize));
+    assert!(says(&places(&mut host, RUNNING), "owner", &format!("placed {RUNNING}")));
+    assert!(host.engine.status().contains("in hand pending 0 sent 0 placed 39001"));
+}
