--- a/crates/protocol/src/list.rs
+++ b/crates/protocol/src/list.rs
@@ -1,16 +1,16 @@
 //! Lists of machines that are too long for one message: how they are cut into pieces and put together again.
 //!
-//! A list is told whole in one `list` message where it fits, and in `list-piece` messages otherwise. All pieces
-//! of one list have its version; they are numbered from 0, and the last one is marked. A reader uses none of
-//! them before it has all. A sender whose list changes before it has sent the last piece either goes on with
+//! A list is told whole in one `list` message where it fits, and in `list-piece` messages otherwise. All
+//! pieces of one list have its version; they are numbered from 0, and the last one is marked. A reader uses
+//! none of them before it has all. A sender whose list changes before it has sent the last piece either goes on with
 //! the old list or begins again with piece 0 of a higher version; the reader then drops the pieces of the old
 //! one, so that it never takes a list that is half old, half new.
 
 use crate::frame::{Bad, Frames, decode, encode, try_encode};
 use crate::message::{Entry, Held, ListKind, MOST_ENTRIES, MOST_HELD, Message};
 
-/// The feature of a planner in its greeting to a list service that reads `list-piece`, and of a list service in
-/// its welcome that writes it.
+/// The feature of a planner in its greeting to a list service that reads `list-piece`, and of a list service
+/// in its welcome that writes it.
 pub const LIST_PIECES: u64 = 1 << 1;
 /// The most machines in a list, over all its pieces.
 pub const MOST_LISTED: usize = 65_536;
@@ -20,8 +20,8 @@
 pub const MOST_RESTARTS: u32 = 8;
 /// Entries of so many encoded bytes go into one piece at the most.
 const PIECE_BYTES: usize = 64 * 1024;
-/// No entry takes more encoded bytes beside its address: eleven heads of arrays, texts and numbers, the longest
-/// of them nine bytes.
+/// No entry takes more encoded bytes beside its address: eleven heads of arrays, texts and numbers, the
+/// longest of them nine bytes.
 const MOST_ENTRY_BYTES: usize = 11 * 9;
 /// The same of a held task: the heads of its six fields, of the six in its shape and of both arrays.
 const MOST_HELD_BYTES: usize = 14 * 9;
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -4,8 +4,8 @@
 //! went without a word stays listed for a while and then counts as left.
 //!
 //! What is too long for one message goes in pieces, a few at a time, as far as the planner reads. Where the
-//! list changes meanwhile, the telling begins anew, a few times; then all pieces are written at once. A planner
-//! that reads no pieces gets changes in several messages, and is refused where the whole list doesn't fit in
+//! list changes meanwhile, the telling begins anew, a few times; then all pieces are written at once. A
+//! planner that reads no pieces gets changes in several messages, and is refused where the whole list doesn't fit in
 //! one.
 
 use mulleinhub_interface::{Span, Time};
