A hand-over that its owner ended is told of no end when no list names its machine

Change: one that was given up is passed over. `take_back` and `give_up` ask alike whether a send's end is on its way (`is_closing`).

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -659,12 +659,17 @@
         true
     }
 
+    /// Whether the end of this send is on its way to the module already.
+    fn is_closing(&self, id: TaskId, send: u32) -> bool {
+        self.closings.iter().any(|(task, number, _)| (*task, *number) == (id, send))
+    }
+
     /// Ends the open send of a task from this side, unless its end is on its way already: it is taken back,
     /// or given up at its machine. The module is told what is proven, or `may_run` where nothing is.
     pub fn give_up(&mut self, id: TaskId, may_run: Ending) {
         let Some(job) = self.tasks.by_id.get(&id) else { return };
         let Some(open) = job.open else { return };
-        if self.closings.iter().any(|(task, send, _)| (*task, *send) == (id, open.number)) {
+        if self.is_closing(id, open.number) {
             return;
         }
         let cut = self.site.use_cases[job.order.use_case.0].effect == Effect::Replayable;
@@ -676,7 +681,7 @@
     pub fn take_back(&mut self, id: TaskId, send: u32) {
         let open = self.tasks.by_id.get(&id).and_then(|job| job.open);
         let Some(open) = open.filter(|open| open.number == send && open.placed_at.is_none()) else { return };
-        if self.closings.iter().any(|(task, send, _)| (*task, *send) == (id, open.number)) {
+        if self.is_closing(id, open.number) {
             return;
         }
         if let Some(link) = open.link {
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -843,6 +843,10 @@
         Due::TurnedAway => d.end_turned_away(),
         Due::HandOver => {
             while let Some(waiting) = d.handovers.overdue(d.now) {
+                // Whoever ended it is owed nothing.
+                if waiting.given_up {
+                    continue;
+                }
                 // It may be an owner's, or nobody's: the machine may never have been.
                 d.counts.unusable += 1;
                 d.grumble("a set-up can't be used", "a machine that no list names");
--- a/crates/platform/src/stories/crossings.rs
+++ b/crates/platform/src/stories/crossings.rs
@@ -354,6 +354,19 @@
     assert!(rig.platform.desk.get_mut().tasks.by_id.is_empty());
 }
 
+#[test]
+fn a_hand_over_that_its_owner_ends_and_whose_machine_is_never_listed_is_told_of_no_end() {
+    let mut rig = Rig::new(1);
+    let owner = rig.owner();
+    for task in [5, 6] {
+        rig.say(owner, &set_up(task, "front", &format!(";at:{}", uid(2))));
+    }
+    rig.say(owner, &release(5, why::ENDED));
+    rig.pass(Span::from_secs(3));
+    let told: Vec<u64> = rig.heard_on(owner).iter().map(|said| said.task).collect();
+    assert_eq!(told, [6], "whoever ended it is owed nothing, the other one hears in time");
+}
+
 #[test]
 fn what_a_machine_said_before_a_standstill_of_ours_counts_from_before_it() {
     // Its last note lies here for two seconds, unread; it has stopped since.
