--- a/crates/planner/tests/host/mod.rs
+++ b/crates/planner/tests/host/mod.rs
@@ -3,6 +3,8 @@
 //! frozen reads nothing, and a shut door lets no connection come up.
 #![allow(dead_code, reason = "each test file uses its part")]
 
+pub mod fleet;
+
 use mulleinhub_platform_protocol::{Frames, code, kind, why, write_answer, write_message, write_with_cause};
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{Read, Write};
@@ -122,6 +124,14 @@
         Self::start_at(command, listen, |conf| conf)
     }
 
+    /// The next life of one that has ended: at the same address, with the same configuration.
+    pub fn next_life(&self) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mulleinhub-planner"));
+        command.arg("platform");
+        let conf = std::fs::read_to_string(&self.conf).expect("is read");
+        Self::start_at(command, self.listen, |_| conf.clone())
+    }
+
     fn start_by(command: Command, change: impl Fn(String) -> String) -> Self {
         let listen = address(&listener(1));
         Self::start_at(command, listen, change)
--- a/crates/platform/src/stories/ramp.rs
+++ b/crates/platform/src/stories/ramp.rs
@@ -168,7 +168,7 @@
 #[test]
 fn a_cold_machine_gets_its_budget_from_all_schedulers_together() {
     let mut used = 0;
-    for schedulers in [1, 2, 16, 20, 30] {
+    for schedulers in [1, 2, 16, 20, 30, 48] {
         for seed in 0..3 {
             used += play(schedulers, 40, 0.0, seed);
         }
@@ -178,7 +178,7 @@
 
 #[test]
 fn schedulers_that_start_anew_and_forgot_what_they_sent_do_not_send_it_twice() {
-    for schedulers in [1, 2, 16, 20, 30] {
+    for schedulers in [1, 2, 16, 20, 30, 48] {
         for seed in 10..13 {
             play(schedulers, 40, 0.7, seed);
         }
@@ -186,3 +186,9 @@
     // Fewer than one for each scheduler.
     play(30, 12, 0.7, 20);
 }
+
+#[test]
+fn a_fleet_of_hundreds_of_schedulers_keeps_the_budget_of_a_cold_machine_too() {
+    // Far fewer calls than there are schedulers, some of which start anew.
+    assert!(play(350, 40, 0.3, 30) > 0, "cold machines are used");
+}
