Set-ups in a row whose pieces never end where they do are no slow message

Seen: an owner that sent 120 set-ups in a row, in pieces that each ended in the middle of one, was cut off after two seconds; 41 of them got no answer (new test, over loopback). Cause: `hear_owner` in crates/platform/src/hear.rs told Limits::read only that a part of a message is here, and Limits keeps the earliest instant of that, also where the earlier message became whole meanwhile. Change: where any message was heard, what is left is a part of another one, whose time begins anew. Result: 120 of 120 are answered. crates/engine/src/hear.rs has the same call in our own protocol and is not changed here.

--- a/crates/planner/tests/symptoms.rs
+++ b/crates/planner/tests/symptoms.rs
@@ -289,6 +289,27 @@
     clients.into_iter().for_each(|client| is_served(client.ends(), SERVED_WITHIN));
 }
 
+#[test]
+fn set_ups_in_a_row_whose_pieces_never_end_where_they_do_are_no_slow_message() {
+    // For longer than one message may take, a part of the next one is always here.
+    let program = Program::start();
+    let _machine = Machine::behind(&program.machine, Conduct::Serves);
+    let mut owner = program.owner();
+    is_heard(&mut owner);
+    let tasks = (1 << 32) + 1..(1 << 32) + 121;
+    let all: Vec<u8> = tasks.clone().flat_map(set_up).collect();
+    let length = set_up(1 << 32).len();
+    let mut hears = owner.try_clone().expect("is shared");
+    let heard = std::thread::spawn(move || tasks.filter_map(|task| answer_to(&mut hears, task)).count());
+    // The first piece is half a set-up, all others end in the middle of one.
+    owner.write_all(&all[..length / 2]).expect("is sent");
+    for piece in all[length / 2..].chunks(length) {
+        std::thread::sleep(ms(25));
+        owner.write_all(piece).expect("is sent");
+    }
+    assert_eq!(heard.join().expect("counts"), 120);
+}
+
 #[test]
 fn a_cold_machine_under_two_dozen_processes_gets_no_more_than_its_budget() {
     const PROCESSES: usize = 24;
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -194,6 +194,7 @@
     let take = |d: &mut Desk| Some(std::mem::take(&mut d.owners.by_link.get_mut(&link)?.frames));
     let Some(mut frames) = take(&mut desk.borrow_mut()) else { return };
     let mut left = desk.borrow().limits.frames_a_turn();
+    let mut heard_any = false;
     while left > 0 {
         left -= 1;
         let heard = match frames.next_frame() {
@@ -201,6 +202,7 @@
             Ok(Some(frame)) => of_owner(desk, round, link, &frame),
             Err(bad) => Err(bad),
         };
+        heard_any = true;
         if let Err(bad) = heard {
             let d = &mut *desk.borrow_mut();
             d.counts.bad_owners += 1;
@@ -216,6 +218,11 @@
     frames.tidy();
     let (partial, more) = (frames.kept() > 0, frames.has_next());
     owner.frames = frames;
+    if heard_any && partial {
+        // What is here now is a part of another message. Met: pieces of set-ups in a row, none of which ended
+        // with a set-up, were taken for one slow message, and the connection ended.
+        d.limits.read(now, link.0, false);
+    }
     let (end, turned_away) = (owner.end, owner.turned_away);
     if more {
         // What is whole by now is no slow frame.
