New owners whose first set-up comes in pieces are not cut off in the middle of it

Seen (new tests, over loopback): of 84 new owners, as many as have places, that wrote their first set-ups in pieces 200 ms apart, 52 were cut off without an answer; and one that began its first set-up 1.7 s after it connected was cut off at two seconds. Cause: whoever has not greeted counts among an eighth of the descriptors, and beyond that the oldest makes room; `give_way` in crates/platform/src/desk.rs let a part of a message keep its place for 20 ms only, also where there was room. And `look_after_owners` in hear.rs ended a connection for want of a greeting in the middle of one. Ruled out: the total of owners' places (85 of 256 were not full). Change: while owners' places are not all taken, a part of a message keeps its place for the two seconds that a message has; these two seconds count from its first byte, also where the time for a greeting ends before. Where places are full, the 20 ms stay.

--- a/crates/planner/tests/symptoms.rs
+++ b/crates/planner/tests/symptoms.rs
@@ -289,6 +289,42 @@
     clients.into_iter().for_each(|client| is_served(client.ends(), SERVED_WITHIN));
 }
 
+#[test]
+fn as_many_new_clients_as_owners_are_promised_write_in_pieces_at_once_and_each_has_its_answer() {
+    // A third of the descriptors is the owners'. Each of them is new, and none has said a whole word yet.
+    let program = Program::start();
+    let _machine = Machine::behind(&program.machine, Conduct::Serves);
+    is_heard(&mut program.owner());
+    let asks = |n: u64| {
+        let (mut owner, task) = (program.owner(), (1 << 32) + n);
+        let whole = set_up(task);
+        owner.write_all(&whole[..60]).expect("is sent");
+        std::thread::spawn(move || {
+            std::thread::sleep(ms(200));
+            write_in_pieces(&mut owner, &whole[60..], 60, ms(150)).ok()?;
+            answer_to(&mut owner, task)
+        })
+    };
+    let waits: Vec<_> = (0..256 / 3 - 1).map(asks).collect();
+    let answers: Vec<_> = waits.into_iter().map(|one| one.join().expect("asks")).collect();
+    let unanswered = answers.iter().filter(|answer| answer.is_none()).count();
+    assert_eq!(unanswered, 0, "of {}", answers.len());
+    assert!(answers.iter().all(|answer| *answer == Some(Answer::Placed)), "{answers:?}");
+}
+
+#[test]
+fn a_first_request_that_begins_late_and_comes_in_pieces_has_its_answer() {
+    // A connection that says nothing for two seconds is ended; a message has two seconds from its first byte.
+    let program = Program::start();
+    let _machine = Machine::behind(&program.machine, Conduct::Serves);
+    let mut owner = program.owner();
+    is_heard(&mut program.owner());
+    std::thread::sleep(ms(1_700));
+    let task = (1 << 32) + 1;
+    write_in_pieces(&mut owner, &set_up(task), 60, ms(400)).expect("is sent");
+    assert_eq!(answer_to(&mut owner, task), Some(Answer::Placed));
+}
+
 #[test]
 fn set_ups_in_a_row_whose_pieces_never_end_where_they_do_are_no_slow_message() {
     // For longer than one message may take, a part of the next one is always here.
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -224,7 +224,12 @@
             let Some(owner) = self.owners.by_link.get(&link) else { continue };
             let Some(since) = owner.gives_way else { continue };
             let until = since + self.limits.settings().may_speak;
-            if owner.queued || owner.frames.has_next() || !owner.open.is_empty() || owner.end.is_some() {
+            let speaks =
+                owner.queued || owner.frames.has_next() || !owner.open.is_empty() || owner.end.is_some();
+            // Met: of as many new owners as there were places for, all beyond an eighth of the descriptors
+            // were ended in the middle of their first set-up, which came in pieces.
+            let has_room = self.owners.by_link.len() <= self.limits.allowed();
+            if speaks || (has_room && self.is_within_a_message(link)) {
                 self.stays(link);
             } else if owner.frames.kept() > 0 && until > self.now {
                 // The rest of a message may be on its way. Met: whoever sent a part of one kept its place for
@@ -237,12 +242,21 @@
         }
     }
 
+    /// Whether a part of a message is here that still has time to become whole.
+    pub fn is_within_a_message(&self, link: Link) -> bool {
+        let since = self.owners.by_link.get(&link).and_then(|owner| owner.partial_since);
+        since.is_some_and(|since| self.now - since < self.limits.settings().frame_within)
+    }
+
     /// It spoke, so it makes no room.
-    fn stays(&mut self, link: Link) {
+    pub fn stays(&mut self, link: Link) {
         let Some(owner) = self.owners.by_link.get_mut(&link) else { return };
         owner.gives_way = None;
-        let (proven, open) = (owner.proven, owner.open.len() as u32);
+        let (proven, open, partial_since) = (owner.proven, owner.open.len() as u32, owner.partial_since);
         self.limits.stays(self.now, link.0);
+        if let Some(since) = partial_since {
+            self.limits.read(since, link.0, true);
+        }
         if proven {
             // There is no bound on one name here.
             let _ = self.limits.greeted(link.0, &self.owners_name);
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -223,6 +223,8 @@
         // with a set-up, were taken for one slow message, and the connection ended.
         d.limits.read(now, link.0, false);
     }
+    let since = owner.partial_since.filter(|_| !heard_any).unwrap_or(now);
+    owner.partial_since = partial.then_some(since);
     let (end, turned_away) = (owner.end, owner.turned_away);
     if more {
         // What is whole by now is no slow frame.
@@ -502,6 +504,10 @@
             Act::AskForSign if d.owners.by_link.get(&Link(conn)).is_some_and(|o| !o.open.is_empty()) => {
                 d.limits.heard(now, conn);
             }
+            // A message has its own time. Met: a first set-up that began late was cut off in its middle.
+            Act::End(mulleinhub_limits::Why::NoGreeting) if d.is_within_a_message(Link(conn)) => {
+                d.stays(Link(conn));
+            }
             Act::AskForSign | Act::End(_) => close_owner(d, Link(conn)),
         }
     }
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -10,6 +10,8 @@
     pub frames: Frames,
     pub end: Option<End>,
     pub queued: bool,
+    /// Since when a part of a message has been here, if one is.
+    pub partial_since: Option<Time>,
     /// When the first of what waits to be heard was read, and after how many turns.
     pub since: (Time, u64),
     pub heard_at: Time,
@@ -35,6 +37,7 @@
             frames: Frames::default(),
             end: None,
             queued: false,
+            partial_since: None,
             since,
             heard_at: since.0,
             proven: false,
