Tests of clients that left wait until the system has carried their end over

Checked: the ends were not at the program's sockets yet when it was let go, as loopback carries what was written later when all cores are in use. Change: a client that leaves waits until the system's table of sockets shows its end, its cancel or its reset at the other side, or a full buffer there. The order is forced now where it was likely; no check is eased.

--- a/crates/planner/tests/crossings.rs
+++ b/crates/planner/tests/crossings.rs
@@ -61,7 +61,7 @@
         client.write_all(&set_up(task)).expect("is sent");
         // The last one stays.
         if task < 40 {
-            drop(client);
+            Leaving::Fin.leave(client, task..=task);
         } else {
             program.thaw();
             let mut way = program.way();
--- a/crates/planner/tests/host/mod.rs
+++ b/crates/planner/tests/host/mod.rs
@@ -433,21 +433,77 @@
 impl Leaving {
     pub const ALL: [Self; 4] = [Self::Fin, Self::Rst, Self::HalfClose, Self::Cancel];
 
-    /// Leaves these tasks. What is given back is to be kept until the test is over.
+    /// Leaves these tasks. What is given back is to be kept until the test is over. The system has carried it
+    /// to the other side by then, as far as that takes it unread. Met: on a busy machine it had not, and a frozen program that was let go read
+    /// the set-ups without the end behind them.
     pub fn leave(self, mut owner: TcpStream, tasks: impl Iterator<Item = u64>) -> Option<TcpStream> {
-        match self {
-            Self::Fin => return None,
+        let (own, peer) = (owner.local_addr().expect("is bound"), owner.peer_addr().expect("is up"));
+        let kept = match self {
+            Self::Fin => {
+                drop(owner);
+                None
+            }
             Self::Rst => {
                 let socket = rustix::net::sockopt::set_socket_linger(&owner, Some(Duration::ZERO));
                 socket.expect("is set");
-                return None;
+                drop(owner);
+                None
+            }
+            Self::HalfClose => {
+                owner.shutdown(std::net::Shutdown::Write).expect("is shut");
+                Some(owner)
             }
-            Self::HalfClose => owner.shutdown(std::net::Shutdown::Write).expect("is shut"),
             Self::Cancel => {
                 let all: Vec<u8> = tasks.flat_map(|task| release(task, why::ENDED)).collect();
                 owner.write_all(&all).expect("is sent");
+                Some(owner)
             }
+        };
+        let is_there = || match (self, Socket::of(own, peer), Socket::of(peer, own)) {
+            // It lies behind more than the other side's system takes.
+            (.., Some(theirs)) if theirs.unread > Socket::MUCH => true,
+            (Self::Cancel, ours, _) => ours.is_none_or(|ours| ours.unacknowledged == 0),
+            (.., theirs) => theirs.is_none_or(|theirs| theirs.state != Socket::ESTABLISHED),
+        };
+        let began = Instant::now();
+        while !is_there() {
+            assert!(began.elapsed() < PATIENCE, "{self:?} is not carried to the other side");
+            std::thread::sleep(Duration::from_millis(1));
         }
-        Some(owner)
+        kept
+    }
+}
+
+/// One side of a connection, as the system's table of sockets has it.
+struct Socket {
+    state: u8,
+    /// Bytes written that the other side's system has not acknowledged.
+    unacknowledged: u64,
+    /// Bytes that came and were not read.
+    unread: u64,
+}
+
+impl Socket {
+    const ESTABLISHED: u8 = 1;
+    const MUCH: u64 = 60_000;
+
+    fn of(local: SocketAddr, remote: SocketAddr) -> Option<Self> {
+        let written = |at: SocketAddr| match at {
+            SocketAddr::V4(at) => format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port()),
+            SocketAddr::V6(at) => panic!("{at}: only loopback of version 4 is used here"),
+        };
+        let (local, remote) = (written(local), written(remote));
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("is read");
+        // Number, local, remote, state, bytes to be acknowledged and to be read.
+        table.lines().map(|line| line.split_whitespace().collect::<Vec<&str>>()).find_map(|words| {
+            let [_, of_local, of_remote, state, queues, ..] = words[..] else { return None };
+            let (unacknowledged, unread) = queues.split_once(':')?;
+            let number = |hex| u64::from_str_radix(hex, 16).expect("a number");
+            (of_local == local && of_remote == remote).then(|| Self {
+                state: u8::from_str_radix(state, 16).expect("a number"),
+                unacknowledged: number(unacknowledged),
+                unread: number(unread),
+            })
+        })
     }
 }
