--- a/crates/planner/tests/host/mod.rs
+++ b/crates/planner/tests/host/mod.rs
@@ -434,8 +434,8 @@
     pub const ALL: [Self; 4] = [Self::Fin, Self::Rst, Self::HalfClose, Self::Cancel];
 
     /// Leaves these tasks. What is given back is to be kept until the test is over. The system has carried it
-    /// to the other side by then, as far as that takes it unread. Met: on a busy machine it had not, and a frozen program that was let go read
-    /// the set-ups without the end behind them.
+    /// to the other side by then, as far as that takes it unread. Met: on a busy machine it had not, and a
+    /// frozen program that was let go read the set-ups without the end behind them.
     pub fn leave(self, mut owner: TcpStream, tasks: impl Iterator<Item = u64>) -> Option<TcpStream> {
         let (own, peer) = (owner.local_addr().expect("is bound"), owner.peer_addr().expect("is up"));
         let kept = match self {
