--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -212,6 +212,7 @@
     let take = |d: &mut Desk| Some(std::mem::take(&mut d.owners.by_link.get_mut(&link)?.frames));
     let Some(mut frames) = take(&mut desk.borrow_mut()) else { return };
     let mut left = desk.borrow().limits.frames_a_turn();
+    let mut heard_any = false;
     while left > 0 {
         left -= 1;
         let heard = match frames.next_frame() {
@@ -219,6 +220,7 @@
             Ok(Some(frame)) => of_owner(desk, round, link, &frame),
             Err(bad) => Err(bad),
         };
+        heard_any = true;
         if let Err(bad) = heard {
             let d = &mut *desk.borrow_mut();
             d.counts.bad_owners += 1;
@@ -234,6 +236,13 @@
     frames.tidy();
     let (partial, more) = (frames.kept() > 0, frames.has_next());
     owner.frames = frames;
+    if heard_any && partial {
+        // What is here now is a part of another message. Met: pieces of set-ups in a row, none of which ended
+        // with a set-up, were taken for one slow message, and the connection ended.
+        d.limits.read(now, link.0, false);
+    }
+    let since = owner.partial_since.filter(|_| !heard_any).unwrap_or(now);
+    owner.partial_since = partial.then_some(since);
     let (end, turned_away) = (owner.end, owner.turned_away);
     if more {
         // What is whole by now is no slow frame.
@@ -513,6 +522,10 @@
             Act::AskForSign if d.owners.by_link.get(&Link(conn)).is_some_and(|o| !o.open.is_empty()) => {
                 d.limits.heard(now, conn);
             }
+            // A message has its own time. Met: a first set-up that began late was cut off in its middle.
+            Act::End(mulleinhub_limits::Why::NoGreeting) if d.is_within_a_message(Link(conn)) => {
+                d.stays(Link(conn));
+            }
             Act::AskForSign | Act::End(_) => close_owner(d, Link(conn)),
         }
     }
@@ -861,6 +874,10 @@
         Due::TurnedAway => d.end_turned_away(),
         Due::HandOver => {
             while let Some(waiting) = d.handovers.overdue(d.now) {
+                // Whoever ended it is owed nothing.
+                if waiting.given_up {
+                    continue;
+                }
                 // It may be an owner's, or nobody's: the machine may never have been.
                 d.counts.unusable += 1;
                 d.grumble("a set-up can't be used", "a machine that no list names");
