Scale: hollow ledgers in virtual time, played from one instant to the next

Cause: what a scheduler's ledger costs at many members can't be measured with processes on one machine. Change: crates/scale/src/ledgers plays many real ledgers (exchange, quotas, admission) in one thread, with round trips, breaks, cuts, disks, load, changes and failures from a profile; counts bytes and messages at the wires, processor time of the members alone, and memory by the allocator.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,5 +4,7 @@
 //! one profile make a result file. Slopes are fitted to result files, and the capacity page is written from
 //! both.
 
+pub mod ledgers;
+pub mod meter;
 pub mod profile;
 pub mod results;
