--- a/crates/scale/src/ledgers/load.rs
+++ b/crates/scale/src/ledgers/load.rs
@@ -17,6 +17,8 @@
 /// A member that failed is back after this, and its tasks are told by their machines after that.
 const DOWN: Span = Span::from_secs(10);
 const ADOPTED_AFTER: Span = Span::from_secs(1);
+/// Changes come by up to so much later than evenly.
+const CHANGE_SPREAD: Span = Span::from_nanos(100_000_000);
 const SECOND: Span = Span::from_secs(1);
 const MINUTE: Span = Span::from_secs(60);
 
@@ -150,7 +152,9 @@
             Cue::Retry(n) => self.try_start(n, fleet),
             Cue::End(n) => self.end(n, fleet),
             Cue::Change(n) => {
-                fleet.cue(nth(self.filled, n + 1, self.plan.size.changes, SECOND), Cue::Change(n + 1));
+                // Looks at quotas come at even intervals: changes don't, or all would meet the same instant.
+                let at = nth(self.filled, n + 1, self.plan.size.changes, SECOND);
+                fleet.cue(at + CHANGE_SPREAD * self.chance.part(), Cue::Change(n + 1));
                 return self.change(n, fleet).map(Note::Changed);
             }
             Cue::Fail(n) => return self.fail(n, fleet).map(Note::Killed),
--- a/crates/scale/src/ledgers/member.rs
+++ b/crates/scale/src/ledgers/member.rs
@@ -1,4 +1,5 @@
-//! One hollow scheduler: the real ledger (exchange, keeper of quotas, admission) and what stands for its disk.
+//! One hollow scheduler: the real ledger (exchange, keeper of quotas, admission), and what stands for its
+//! disk.
 //!
 //! All that knows the types of the ledger stands here.
 
--- a/crates/scale/src/ledgers/mod.rs
+++ b/crates/scale/src/ledgers/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Of each scheduler the ledger is real: the exchange with the others, the keeper of quotas and the admission
 //! that the planner asks. In place of the rest stand: a driver that starts and ends tasks and gives changes
-//! ([`load`]), wires ([`network`]) and disks ([`fleet`]). Counts of messages and bytes follow from profile and
-//! seed alone. Processor time is that of the members' own code, without system calls, sockets and store.
+//! ([`load`]), wires ([`network`]) and disks ([`fleet`]). Counts of messages and bytes follow from profile
+//! and seed alone. Processor time is that of the members' own code, without system calls, sockets and store.
 //!
 //! Metrics are those of one member, on the mean over all and over the measured span. [`Metric::StartUp`] is
 //! the longest start of one member: of those that came back after a failure, or, in profiles without
--- a/crates/scale/src/ledgers/watch.rs
+++ b/crates/scale/src/ledgers/watch.rs
@@ -1,4 +1,5 @@
-//! What is measured of a fleet beside counts: times until changes are in force, members ready, cuts caught up.
+//! What is measured of a fleet beside counts: times until changes are in force, members ready, cuts caught
+//! up.
 
 use crate::ledgers::fleet::{Counts, Fleet, Turned};
 use crate::ledgers::load::Cue;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -5,6 +5,7 @@
 //! both.
 
 pub mod ledgers;
+pub mod limits;
 pub mod meter;
 pub mod profile;
 pub mod results;
