Scale: profiles of the ledger, and balances that don't fall together

Cause: with many tasks at the start each member's teams wrote their balances at one instant, so bytes fell as running tasks rose.

--- a/crates/scale/src/ledgers/load.rs
+++ b/crates/scale/src/ledgers/load.rs
@@ -17,6 +17,8 @@
 /// A member that failed is back after this, and its tasks are told by their machines after that.
 const DOWN: Span = Span::from_secs(10);
 const ADOPTED_AFTER: Span = Span::from_secs(1);
+/// Between two balances that a member writes of a team.
+const BALANCES_APART: Span = Span::from_secs(1);
 /// Changes come by up to so much later than evenly.
 const CHANGE_SPREAD: Span = Span::from_nanos(100_000_000);
 const SECOND: Span = Span::from_secs(1);
@@ -112,11 +114,7 @@
         let size = plan.size;
         let caught_up = BEGIN + profile.warm_up * CATCHING_UP;
         fleet.cue(caught_up, Cue::FirstChanges);
-        if size.running > 0 {
-            let rate = f64::from(size.running);
-            let span = filled - caught_up;
-            (0..u64::from(size.running)).for_each(|n| fleet.cue(nth(caught_up, n, rate, span), Cue::Fill(n)));
-        }
+        load.cue_fill(caught_up, fleet);
         if size.starts > 0.0 {
             fleet.cue(nth(filled, 0, size.starts, SECOND), Cue::Start(0));
         }
@@ -135,6 +133,28 @@
         load
     }
 
+    /// The tasks that run from the start come evenly. A member writes a team's balance at even intervals from
+    /// its first task on: so that these don't fall together where many tasks come, each team's tasks at each
+    /// member come later by a span of its own.
+    fn cue_fill(&self, caught_up: Time, fleet: &mut Fleet) {
+        let running = u64::from(self.plan.size.running);
+        let span = self.filled - caught_up - BALANCES_APART;
+        for n in 0..running {
+            let Some((member, team)) = self.place(n) else { return };
+            let mut own = Pcg::new(mix(self.seed, mix(member as u64, team as u64)));
+            let later = BALANCES_APART * own.part();
+            fleet.cue(nth(caught_up, n, running as f64, span) + later, Cue::Fill(n));
+        }
+    }
+
+    /// The member and the team whose turn it is with the n-th task.
+    fn place(&self, n: u64) -> Option<(usize, usize)> {
+        let size = self.plan.size;
+        let (schedulers, teams) = (u64::from(size.schedulers), u64::from(size.teams));
+        let team = (n / schedulers).checked_rem(teams)?;
+        Some(((n % schedulers) as usize, team as usize))
+    }
+
     pub fn act(&mut self, cue: Cue, fleet: &mut Fleet) -> Option<Note> {
         match cue {
             Cue::FirstChanges => {
@@ -175,17 +195,12 @@
 
     // Tasks.
 
-    /// The n-th task, at the member and of the team whose turn it is.
+    /// The n-th task.
     fn start(&mut self, n: u64, fleet: &mut Fleet) {
-        let size = self.plan.size;
-        if size.teams == 0 {
-            return;
-        }
-        let (schedulers, teams) = (u64::from(size.schedulers), u64::from(size.teams));
-        let (member, team) = ((n % schedulers) as usize, (n / schedulers % teams) as usize);
+        let Some((member, team)) = self.place(n) else { return };
         self.tasks.insert(n, Task { member, team, state: TaskState::Waits });
         self.try_start(n, fleet);
-        if n >= u64::from(size.running)
+        if n >= u64::from(self.plan.size.running)
             && let Some(life) = self.plan.task_life()
         {
             fleet.cue(fleet.now() + life, Cue::End(n));
--- /dev/null
+++ b/scale/profiles/ledger-schedulers-load.profile
@@ -0,0 +1,14 @@
+# The same under work, of which every member learns.
+name ledger-schedulers-load
+host hollow-ledgers
+seed 1
+length 10s
+warm-up 6s
+regions 5
+zones 15
+teams 2
+running 300
+starts 10
+changes 1
+vary schedulers 2 6 20 60
+hold-out 80
