Scale: all profiles of the repository are checked by a test

Cause: a profile that no longer reads, or whose sizes lie too close for a slope, should not be found only when it is run. Change: a test reads scale/profiles; a run says that replicas isn't played.

--- a/crates/scale/src/ledgers/mod.rs
+++ b/crates/scale/src/ledgers/mod.rs
@@ -85,6 +85,10 @@
         let mut fleet = Fleet::new(profile, plan);
         let load = Load::new(profile, plan, &mut fleet);
         let watch = Watch::new(&mut fleet);
+        let mut remarks = Vec::new();
+        if profile.replicas.is_some() {
+            remarks.push("replicas isn't played: this ledger knows one form alone".to_owned());
+        }
         Self {
             plan: *plan,
             fleet,
@@ -95,7 +99,7 @@
             begun,
             bound,
             is_partial: false,
-            remarks: Vec::new(),
+            remarks,
         }
     }
 
--- a/crates/scale/tests/profile.rs
+++ b/crates/scale/tests/profile.rs
@@ -1,6 +1,7 @@
 //! Profiles are read whole, and what is wrong with one is told all at once, with place and cause.
 
 use mulleinhub_interface::Span;
+use mulleinhub_scale::limits;
 use mulleinhub_scale::profile::{Cut, Variable, parse};
 use mulleinhub_scale::results::Host;
 
@@ -122,3 +123,31 @@
     let told = faults("name a\nhost hollow-ledgers\nlength 10s\nvary teams 10 many\n");
     assert!(told.contains("many: a number is wanted"), "{told}");
 }
+
+/// Slopes are fitted over sizes that are so far apart.
+const LEAST_SPREAD: f64 = 30.0;
+const LEAST_SIZES: usize = 4;
+
+#[test]
+fn all_profiles_of_the_repository_are_whole_and_those_of_ledgers_have_sizes_far_apart() {
+    let directory = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scale/profiles");
+    let mut ledgers = 0;
+    for entry in std::fs::read_dir(directory).expect("the directory is there") {
+        let path = entry.expect("can be read").path();
+        let text = std::fs::read_to_string(&path).expect("can be read");
+        let profile = parse(&path.display().to_string(), &text).unwrap_or_else(|faults| panic!("{faults}"));
+        assert_eq!(Some(profile.name.as_str()), path.file_stem().and_then(|stem| stem.to_str()));
+        if profile.host != Host::HollowLedgers {
+            continue;
+        }
+        ledgers += 1;
+        // Bounds are those of any machine that has 4 GB.
+        assert_eq!(limits::check_against(&profile, 4 << 30), Ok(()), "{}", profile.name);
+        if let Some(vary) = &profile.vary {
+            let spread = vary.values[vary.values.len() - 1] / vary.values[0];
+            assert!(vary.values.len() >= LEAST_SIZES && spread >= LEAST_SPREAD, "{}", profile.name);
+            assert!(vary.held_out.is_some(), "{}", profile.name);
+        }
+    }
+    assert!(ledgers >= 11, "{ledgers}");
+}
--- a/scale/profiles/ledger-changes.profile
+++ b/scale/profiles/ledger-changes.profile
@@ -2,9 +2,9 @@
 name ledger-changes
 host hollow-ledgers
 seed 1
-length 120s
+length 100s
 warm-up 30s
-schedulers 30
+schedulers 20
 regions 5
 zones 15
 teams 10
--- a/scale/profiles/ledger-schedulers.profile
+++ b/scale/profiles/ledger-schedulers.profile
@@ -8,5 +8,5 @@
 zones 15
 teams 2
 changes 0.2
-vary schedulers 3 10 30 100
-hold-out 150
+vary schedulers 3 10 30 90
+hold-out 130
--- a/scale/profiles/ledger-start-together.profile
+++ b/scale/profiles/ledger-start-together.profile
@@ -7,5 +7,5 @@
 regions 5
 zones 15
 teams 2
-vary schedulers 3 10 30 100
-hold-out 150
+vary schedulers 3 10 30 90
+hold-out 130
