--- a/scale/profiles/ledger-schedulers-load.profile
+++ b/scale/profiles/ledger-schedulers-load.profile
@@ -2,8 +2,8 @@
 name ledger-schedulers-load
 host hollow-ledgers
 seed 1
-length 10s
-warm-up 6s
+length 5s
+warm-up 5s
 regions 5
 zones 15
 teams 2
@@ -11,4 +11,4 @@
 starts 10
 changes 1
 vary schedulers 2 6 20 60
-hold-out 80
+hold-out 70
