--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,4 +4,8 @@
 //! one profile make a result file. Slopes are fitted to result files, and the capacity page is written from
 //! both.
 
+pub mod ledgers;
+pub mod limits;
+pub mod meter;
+pub mod profile;
 pub mod results;
