Scale: slopes, target, records, plots and the page's tables

Change: fit.rs fits constant, linear and quadratic terms by least squares (SVD) to runs that are not held out and refuses sizes that don't carry a fit; targets.rs reads the operators' size; reckon.rs adds the slopes up at the target; tables.rs and page.rs write the page's blocks and figures and find what disagrees; plot.rs draws a slope; record.rs holds bytes and messages to recorded ones.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,4 +4,12 @@
 //! one profile make a result file. Slopes are fitted to result files, and the capacity page is written from
 //! both.
 
+pub mod fit;
+pub mod page;
+pub mod plot;
+pub mod reckon;
+pub mod record;
 pub mod results;
+pub mod tables;
+pub mod targets;
+pub mod units;
--- /dev/null
+++ b/crates/scale/src/reckon.rs
@@ -0,0 +1,333 @@
+//! What a role needs at the target size, reckoned from slopes: the prediction of one profile, and the
+//! differences that the other profiles' slopes give for the variables which that profile keeps fixed.
+
+use crate::fit::{Fit, Term, fit};
+use crate::results::{Host, Metric, Results, Role};
+use crate::targets::{Target, Variable};
+use crate::units::{METRICS, ROLES, Unit, unit};
+
+/// Ends the names of profiles that run the ledger's form with replica sets.
+pub const REPLICAS: &str = "-replicas";
+
+/// The form of the ledger that a profile runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Form {
+    /// Every member copies every log.
+    CopiedToAll,
+    /// Work logs are held by a replica set.
+    ReplicaSets,
+}
+
+pub const FORMS: [Form; 2] = [Form::CopiedToAll, Form::ReplicaSets];
+
+impl Form {
+    /// The form of a profile, by its name.
+    #[must_use]
+    pub fn of(profile: &str) -> Self {
+        if profile.ends_with(REPLICAS) { Self::ReplicaSets } else { Self::CopiedToAll }
+    }
+
+    #[must_use]
+    pub fn words(self) -> &'static str {
+        match self {
+            Self::CopiedToAll => "copied to all",
+            Self::ReplicaSets => "replica sets",
+        }
+    }
+
+    /// What prose markers call the reckoned figures of this form, where a profile's name stands.
+    #[must_use]
+    pub fn marker(self) -> &'static str {
+        match self {
+            Self::CopiedToAll => "reckoned",
+            Self::ReplicaSets => "reckoned-replicas",
+        }
+    }
+}
+
+/// Who spends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spender {
+    Role(Role),
+    /// The ledger member and the placing of one scheduler: control with placing.
+    ControlWithPlacing,
+}
+
+/// What is spent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Quantity {
+    Metric(Metric),
+    /// Bytes in and bytes out.
+    BytesBothWays,
+}
+
+impl Quantity {
+    #[must_use]
+    pub fn unit(self) -> Unit {
+        match self {
+            Self::Metric(metric) => unit(metric),
+            Self::BytesBothWays => Unit::BytesPerSecond,
+        }
+    }
+}
+
+/// What one number of schedulers makes of a need.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Need {
+    pub schedulers: u32,
+    pub value: f64,
+}
+
+/// A need at the target size.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reckoned {
+    pub form: Form,
+    pub host: Host,
+    pub spender: Spender,
+    pub quantity: Quantity,
+    /// For each number of schedulers of the target.
+    pub needs: Vec<Need>,
+    /// What one scheduler may spend, where the operators say.
+    pub budget: Option<f64>,
+    /// The profiles that it is reckoned from, the base first.
+    pub profiles: Vec<String>,
+    /// Variables beyond the largest run: name, largest value run, and the target's.
+    pub beyond: Vec<Beyond>,
+    /// Variables that no slope covers, kept as the base has them.
+    pub unvaried: Vec<Unvaried>,
+    /// The variable whose slope gives the most at the chosen number of schedulers, and the term of it.
+    pub drives: Option<(Variable, Term)>,
+}
+
+/// A slope that is followed further than it was run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Beyond {
+    pub variable: Variable,
+    pub largest: f64,
+    pub target: f64,
+}
+
+/// A variable that the base profile keeps fixed and no other profile changes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Unvaried {
+    pub variable: Variable,
+    /// None where the base profile changes it along with its own variable.
+    pub fixed: Option<f64>,
+    pub target: f64,
+}
+
+impl Reckoned {
+    /// Need over budget at each number of schedulers, where there is a budget.
+    #[must_use]
+    pub fn ratios(&self) -> Option<Vec<f64>> {
+        let budget = self.budget?;
+        Some(self.needs.iter().map(|need| need.value / budget).collect())
+    }
+
+    /// The need at a number of schedulers.
+    #[must_use]
+    pub fn at(&self, schedulers: u32) -> Option<f64> {
+        self.needs.iter().find(|need| need.schedulers == schedulers).map(|need| need.value)
+    }
+}
+
+/// A profile's slope of one metric of a role.
+struct Slope<'a> {
+    results: &'a Results,
+    variable: Variable,
+    fit: Fit,
+}
+
+impl Slope<'_> {
+    /// What the profile keeps a variable at; none where its runs differ in it.
+    fn fixed(&self, variable: Variable) -> Option<f64> {
+        let mut values = self.results.runs.iter().map(|run| variable.value(&run.size));
+        let first = values.next()?;
+        values.all(|value| value == first).then_some(first)
+    }
+}
+
+/// All needs that the results give at the target size, in the order of the page.
+#[must_use]
+pub fn reckon(target: &Target, results: &[Results]) -> Vec<Reckoned> {
+    let mut all = Vec::new();
+    for form in FORMS {
+        let of_form: Vec<&Results> = results.iter().filter(|one| Form::of(&one.profile) == form).collect();
+        let mut here = roles(target, &of_form, form);
+        let with_placing = control_with_placing(&here, &all);
+        here.extend(with_placing);
+        let both_ways = both_ways(&here);
+        here.extend(both_ways);
+        all.extend(here);
+    }
+    all
+}
+
+fn roles(target: &Target, results: &[&Results], form: Form) -> Vec<Reckoned> {
+    let mut all = Vec::new();
+    for host in [Host::HollowLedgers, Host::HollowPlanners, Host::RealPlanners] {
+        let of_host: Vec<&Results> = results.iter().copied().filter(|one| one.host == host).collect();
+        for role in ROLES {
+            for metric in METRICS.into_iter().filter(|metric| *metric != Metric::Started) {
+                all.extend(reckon_metric(target, &of_host, form, host, role, metric));
+            }
+        }
+    }
+    all
+}
+
+/// One metric of a role, from the profiles of one host and form.
+fn reckon_metric(
+    target: &Target,
+    results: &[&Results],
+    form: Form,
+    host: Host,
+    role: Role,
+    metric: Metric,
+) -> Option<Reckoned> {
+    let slopes = slopes(results, role, metric);
+    let (base, others) = slopes.split_first()?;
+    let value = |schedulers| combined(target, schedulers, base, others);
+    let needs = target.schedulers.iter().map(|n| Need { schedulers: *n, value: value(*n) }).collect();
+    let chosen = target.size(target.chosen);
+    let used = |slope: &&Slope| {
+        slope.variable == base.variable
+            || base.fixed(slope.variable).is_some_and(|at| at != slope.variable.value(&chosen))
+    };
+    let used: Vec<&Slope> = slopes.iter().filter(used).collect();
+    let has_budget = matches!(role, Role::Scheduler | Role::LedgerMember) || unit(metric) == Unit::Seconds;
+    Some(Reckoned {
+        form,
+        host,
+        spender: Spender::Role(role),
+        quantity: Quantity::Metric(metric),
+        needs,
+        budget: target.budget(metric).filter(|_| has_budget),
+        profiles: used.iter().map(|slope| slope.results.profile.clone()).collect(),
+        beyond: beyond(target, &used),
+        unvaried: unvaried(target, base, &slopes),
+        drives: drives(target, base, &used),
+    })
+}
+
+/// One slope for each variable, in the order of `Variable::ALL`; of several, that of the first profile by
+/// name.
+fn slopes<'a>(results: &[&'a Results], role: Role, metric: Metric) -> Vec<Slope<'a>> {
+    let mut sorted = results.to_vec();
+    sorted.sort_by(|one, other| one.profile.cmp(&other.profile));
+    let of = |variable: Variable| {
+        let varies = |one: &&&Results| one.vary == variable.word();
+        sorted.iter().filter(varies).find_map(|results| {
+            let fit = fit(results, role, metric).ok()?;
+            Some(Slope { results, variable, fit })
+        })
+    };
+    Variable::ALL.into_iter().filter_map(of).collect()
+}
+
+/// The base's prediction, and for each variable that it keeps fixed the difference between the target's
+/// value and the base's by the slope of the profile that changes it.
+fn combined(target: &Target, schedulers: u32, base: &Slope, others: &[Slope]) -> f64 {
+    let size = target.size(schedulers);
+    let difference = |slope: &Slope| {
+        let Some(fixed) = base.fixed(slope.variable) else { return 0.0 };
+        let curve = &slope.fit.curve;
+        curve.predict(slope.variable.value(&size)) - curve.predict(fixed)
+    };
+    let differences: f64 = others.iter().map(difference).sum();
+    base.fit.curve.predict(base.variable.value(&size)) + differences
+}
+
+/// The slopes that are followed further than they were run, at the largest number of schedulers.
+fn beyond(target: &Target, used: &[&Slope]) -> Vec<Beyond> {
+    let most = target.schedulers.iter().copied().max().unwrap_or(target.chosen);
+    let size = target.size(most);
+    let beyond = used.iter().map(|slope| Beyond {
+        variable: slope.variable,
+        largest: slope.fit.largest(),
+        target: slope.variable.value(&size),
+    });
+    beyond.filter(|beyond| beyond.target > beyond.largest).collect()
+}
+
+fn unvaried(target: &Target, base: &Slope, slopes: &[Slope]) -> Vec<Unvaried> {
+    let size = target.size(target.chosen);
+    let is_covered = |variable: &Variable| slopes.iter().any(|slope| slope.variable == *variable);
+    let missing = Variable::ALL.into_iter().filter(|variable| !is_covered(variable));
+    let unvaried = missing.map(|variable| Unvaried {
+        variable,
+        fixed: base.fixed(variable),
+        target: variable.value(&size),
+    });
+    unvaried.filter(|unvaried| unvaried.fixed != Some(unvaried.target)).collect()
+}
+
+/// The variable that adds the most at the target, and its dominant term.
+fn drives(target: &Target, base: &Slope, used: &[&Slope]) -> Option<(Variable, Term)> {
+    let size = target.size(target.chosen);
+    let adds = |slope: &Slope| {
+        let curve = &slope.fit.curve;
+        let from =
+            if slope.variable == base.variable { 0.0 } else { base.fixed(slope.variable).unwrap_or(0.0) };
+        curve.predict(slope.variable.value(&size)) - curve.predict(from)
+    };
+    let changing = used.iter().filter(|slope| !slope.fit.unchanged);
+    let most = changing.max_by(|one, other| adds(one).total_cmp(&adds(other)))?;
+    Some((most.variable, most.fit.curve.dominant(most.variable.value(&size))))
+}
+
+/// The sums of ledger member and placing, where both were run. Placing doesn't depend on the ledger's form:
+/// where a form has no placing of its own, that of the forms `before` is taken.
+fn control_with_placing(here: &[Reckoned], before: &[Reckoned]) -> Vec<Reckoned> {
+    let metrics = METRICS.into_iter().filter(|metric| unit(*metric) != Unit::Seconds);
+    let sum = |metric: Metric| {
+        let control = find(here, Role::LedgerMember, metric)?;
+        let placing =
+            find(here, Role::Scheduler, metric).or_else(|| find(before, Role::Scheduler, metric))?;
+        Some(Reckoned { spender: Spender::ControlWithPlacing, ..added(control, placing) })
+    };
+    metrics.filter_map(sum).collect()
+}
+
+fn find(all: &[Reckoned], role: Role, metric: Metric) -> Option<&Reckoned> {
+    let is = |one: &&Reckoned| one.spender == Spender::Role(role) && one.quantity == Quantity::Metric(metric);
+    all.iter().find(is)
+}
+
+/// For each spender and host the sum of bytes in and bytes out: the stricter reading of the budget.
+fn both_ways(here: &[Reckoned]) -> Vec<Reckoned> {
+    let into = here.iter().filter(|one| one.quantity == Quantity::Metric(Metric::BytesIn));
+    let sum = |bytes_in: &Reckoned| {
+        let matches = |one: &&Reckoned| {
+            one.quantity == Quantity::Metric(Metric::BytesOut)
+                && (one.spender, one.host) == (bytes_in.spender, bytes_in.host)
+        };
+        let bytes_out = here.iter().find(matches)?;
+        Some(Reckoned { quantity: Quantity::BytesBothWays, ..added(bytes_in, bytes_out) })
+    };
+    into.filter_map(sum).collect()
+}
+
+/// The sum of two needs; the larger one says what drives it.
+fn added(one: &Reckoned, other: &Reckoned) -> Reckoned {
+    let add = |(one, other): (&Need, &Need)| Need { value: one.value + other.value, ..*one };
+    let mut sum = one.clone();
+    sum.needs = one.needs.iter().zip(&other.needs).map(add).collect();
+    sum.budget = one.budget.or(other.budget);
+    extend_new(&mut sum.profiles, &other.profiles);
+    extend_new(&mut sum.beyond, &other.beyond);
+    extend_new(&mut sum.unvaried, &other.unvaried);
+    let last = |needs: &[Need]| needs.last().map_or(0.0, |need| need.value);
+    if last(&other.needs) > last(&one.needs) {
+        sum.drives = other.drives;
+    }
+    sum
+}
+
+fn extend_new<T: Clone + PartialEq>(all: &mut Vec<T>, more: &[T]) {
+    for one in more {
+        if !all.contains(one) {
+            all.push(one.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/tables.rs
@@ -0,0 +1,462 @@
+//! The generated blocks of the capacity page: tables in Markdown from results, slopes and the target.
+
+use crate::fit::{Fit, fit};
+use crate::reckon::{Beyond, FORMS, Form, Quantity, REPLICAS, Reckoned, Spender, Unvaried, reckon};
+use crate::results::{Metric, Results, Role, Run};
+use crate::targets::{Target, Variable};
+use crate::units::{METRICS, ROLES, host_words, name, number, size, unit};
+
+/// A generated block of the page.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Block {
+    Runs,
+    Slopes,
+    HeldOut,
+    Target,
+    Ranking,
+    BeforeAfter,
+    Times,
+}
+
+/// All blocks, by the names that markers have.
+pub const BLOCKS: [(&str, Block); 7] = [
+    ("runs", Block::Runs),
+    ("slopes", Block::Slopes),
+    ("held-out", Block::HeldOut),
+    ("target", Block::Target),
+    ("ranking", Block::Ranking),
+    ("before-after", Block::BeforeAfter),
+    ("times", Block::Times),
+];
+
+/// What a page is written from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Evidence {
+    pub target: Target,
+    /// Sorted by profile.
+    pub results: Vec<Results>,
+}
+
+impl Block {
+    /// The lines between the block's markers.
+    #[must_use]
+    pub fn write(self, evidence: &Evidence) -> String {
+        match self {
+            Self::Runs => runs(evidence),
+            Self::Slopes => slopes(evidence),
+            Self::HeldOut => held_out(evidence),
+            Self::Target => target(evidence),
+            Self::Ranking => ranking(evidence),
+            Self::BeforeAfter => before_after(evidence),
+            Self::Times => times(evidence),
+        }
+    }
+}
+
+/// A table in Markdown.
+struct Table {
+    text: String,
+    rows: usize,
+}
+
+impl Table {
+    fn new<const N: usize>(head: [&str; N]) -> Self {
+        let text = format!("| {} |\n|{}\n", head.join(" | "), " --- |".repeat(N));
+        Self { text, rows: 0 }
+    }
+
+    fn row<const N: usize>(&mut self, cells: [String; N]) {
+        self.text.push_str(&format!("| {} |\n", cells.join(" | ")));
+        self.rows += 1;
+    }
+
+    /// The table, or what is said in place of one without rows.
+    fn or(self, otherwise: &str) -> String {
+        if self.rows == 0 { format!("{otherwise}\n") } else { self.text }
+    }
+}
+
+/// What the page says of sizes that no run or file gives.
+const NOTHING: &str = "-";
+
+fn yes(is: bool, words: &str) -> String {
+    if is { words.to_owned() } else { NOTHING.to_owned() }
+}
+
+fn code(text: &str) -> String {
+    format!("`{text}`")
+}
+
+fn runs(evidence: &Evidence) -> String {
+    let head =
+        ["profile", "host", "version", "seed", "varied", "sizes (held out in brackets)", "measured", "fixed"];
+    let mut table = Table::new(head);
+    for results in &evidence.results {
+        let sizes: Vec<String> = results.runs.iter().map(run_size).collect();
+        table.row([
+            code(&results.profile),
+            host_words(results.host).to_owned(),
+            results.version.clone(),
+            results.seed.to_string(),
+            if results.vary.is_empty() { NOTHING.to_owned() } else { results.vary.clone() },
+            sizes.join(", "),
+            measured_for(results),
+            fixed(results),
+        ]);
+    }
+    table.or("No results are committed yet.")
+}
+
+fn run_size(run: &Run) -> String {
+    if run.held_out { format!("({})", size(run.varied)) } else { size(run.varied) }
+}
+
+/// The seconds of each run, once where all are the same.
+fn measured_for(results: &Results) -> String {
+    let least = results.runs.iter().map(|run| run.seconds).fold(f64::INFINITY, f64::min);
+    let most = results.runs.iter().map(|run| run.seconds).fold(0.0, f64::max);
+    if least < most {
+        format!("{} to {} s", number(least), number(most))
+    } else {
+        format!("{} s", number(most))
+    }
+}
+
+/// What the runs of a profile have in common.
+fn fixed(results: &Results) -> String {
+    let Some(first) = results.runs.first() else { return NOTHING.to_owned() };
+    let is_fixed = |variable: &Variable| {
+        let value = variable.value(&first.size);
+        value != 0.0 && results.runs.iter().all(|run| variable.value(&run.size) == value)
+    };
+    let shown = |variable: Variable| format!("{} {}", size(variable.value(&first.size)), variable.word());
+    let fixed: Vec<String> = Variable::ALL.into_iter().filter(is_fixed).map(shown).collect();
+    if fixed.is_empty() { NOTHING.to_owned() } else { fixed.join(", ") }
+}
+
+/// The metrics of each role that any run of the results has, in the order of the page.
+#[must_use]
+pub fn measured(results: &Results) -> Vec<(Role, Metric)> {
+    let all = ROLES.into_iter().flat_map(|role| METRICS.into_iter().map(move |metric| (role, metric)));
+    let has =
+        |(role, metric): &(Role, Metric)| results.runs.iter().any(|run| run.value(*role, *metric).is_some());
+    all.filter(has).collect()
+}
+
+/// The value at which a profile's slopes are judged: the target's.
+#[must_use]
+pub fn target_value(target: &Target, results: &Results) -> Option<f64> {
+    let variable = Variable::of(&results.vary)?;
+    Some(variable.value(&target.size(target.chosen)))
+}
+
+fn slopes(evidence: &Evidence) -> String {
+    let head = [
+        "profile",
+        "role",
+        "metric",
+        "constant",
+        "for each",
+        "for each squared",
+        "residual",
+        "at the target, most from",
+        "quadratic",
+    ];
+    let mut table = Table::new(head);
+    for results in &evidence.results {
+        for (role, metric) in measured(results) {
+            let at = target_value(&evidence.target, results);
+            let first = [code(&results.profile), name(role), name(metric)];
+            match fit(results, role, metric) {
+                Ok(fit) => table.row(slope(first, metric, &fit, at)),
+                Err(refused) => {
+                    let [profile, role, metric] = first;
+                    let empty = || NOTHING.to_owned();
+                    let why = format!("no fit: {refused}");
+                    table.row([profile, role, metric, empty(), empty(), empty(), empty(), empty(), why]);
+                }
+            }
+        }
+    }
+    table.or("No results are committed yet.")
+}
+
+fn slope(first: [String; 3], metric: Metric, fit: &Fit, at: Option<f64>) -> [String; 9] {
+    let [profile, role, name] = first;
+    let show = |value| unit(metric).show(value);
+    if fit.unchanged {
+        let empty = || NOTHING.to_owned();
+        let constant = show(fit.curve.constant);
+        return [
+            profile,
+            role,
+            name,
+            constant,
+            empty(),
+            empty(),
+            empty(),
+            "constant".into(),
+            "doesn't change".into(),
+        ];
+    }
+    let dominant = at.map_or(NOTHING.to_owned(), |at| {
+        let beyond = if at > fit.largest() { ", beyond the largest run" } else { "" };
+        format!("{} (at {}{beyond})", fit.curve.dominant(at), size(at))
+    });
+    let quadratic = at.is_some_and(|at| fit.curve.quadratic_matters(at));
+    [
+        profile,
+        role,
+        name,
+        show(fit.curve.constant),
+        show(fit.curve.linear),
+        show(fit.curve.quadratic),
+        format!("{} ({}%)", show(fit.residual), number(fit.relative_residual * 100.0)),
+        dominant,
+        yes(quadratic, "matters at the target"),
+    ]
+}
+
+fn held_out(evidence: &Evidence) -> String {
+    let mut table = Table::new([
+        "profile",
+        "role",
+        "metric",
+        "at",
+        "predicted",
+        "measured",
+        "predicted / measured",
+        "finding",
+    ]);
+    for results in &evidence.results {
+        for (role, metric) in measured(results) {
+            let Ok(fit) = fit(results, role, metric) else { continue };
+            for run in &fit.held_out {
+                table.row([
+                    code(&results.profile),
+                    name(role),
+                    name(metric),
+                    size(run.varied),
+                    unit(metric).show(run.predicted),
+                    unit(metric).show(run.measured),
+                    run.ratio().map_or(NOTHING.to_owned(), number),
+                    yes(run.is_apart(), "**more than 20% apart**"),
+                ]);
+            }
+        }
+    }
+    table.or("No run was held out of a fit yet.")
+}
+
+const HOW_RECKONED: &str = "\
+These figures are reckoned, not measured: no run here had the whole size. Each begins with the prediction of one profile
+(the first of its row, with all other variables as that profile fixes them) and adds, for every variable that another
+profile changes, the difference between the target's value and the fixed one by that profile's slope. It is right as far as
+the variables add up; where one multiplies another, it is too low.
+";
+
+fn target(evidence: &Evidence) -> String {
+    let reckoned = reckon(&evidence.target, &evidence.results);
+    if reckoned.is_empty() {
+        return "Nothing is reckoned yet: no results with slopes are committed.\n".to_owned();
+    }
+    let mut text = HOW_RECKONED.to_owned();
+    for form in FORMS {
+        let of_form: Vec<&Reckoned> = reckoned.iter().filter(|one| one.form == form).collect();
+        if !of_form.is_empty() {
+            text.push_str(&format!("\nLedger: {}.\n\n", form.words()));
+            text.push_str(&target_table(&evidence.target, &of_form));
+        }
+    }
+    text
+}
+
+fn target_table(target: &Target, reckoned: &[&Reckoned]) -> String {
+    let needs = format!("need at {} schedulers", at_each(target));
+    let head = ["role", "metric", &needs, "budget", "need / budget", "from", "limits of it"];
+    let mut table = Table::new(head);
+    for one in reckoned {
+        table.row([
+            spender(one.spender),
+            quantity(one.quantity),
+            each_need(one),
+            one.budget.map_or(NOTHING.to_owned(), |budget| one.quantity.unit().show(budget)),
+            each_ratio(one),
+            one.profiles.iter().map(|profile| code(profile)).collect::<Vec<_>>().join(" "),
+            limits(one),
+        ]);
+    }
+    table.or("Nothing is reckoned yet.")
+}
+
+fn at_each(target: &Target) -> String {
+    let shown: Vec<String> = target.schedulers.iter().map(|n| size(f64::from(*n))).collect();
+    shown.join(" / ")
+}
+
+fn each_need(one: &Reckoned) -> String {
+    let shown: Vec<String> = one.needs.iter().map(|need| one.quantity.unit().show(need.value)).collect();
+    shown.join(" / ")
+}
+
+fn each_ratio(one: &Reckoned) -> String {
+    let Some(ratios) = one.ratios() else { return NOTHING.to_owned() };
+    ratios.into_iter().map(number).collect::<Vec<_>>().join(" / ")
+}
+
+fn spender(spender: Spender) -> String {
+    match spender {
+        Spender::Role(role) => name(role),
+        Spender::ControlWithPlacing => "control with placing".to_owned(),
+    }
+}
+
+fn quantity(quantity: Quantity) -> String {
+    match quantity {
+        Quantity::Metric(metric) => name(metric),
+        Quantity::BytesBothWays => "bytes in and out".to_owned(),
+    }
+}
+
+/// Where a reckoned figure goes beyond what was run.
+fn limits(one: &Reckoned) -> String {
+    let mut words: Vec<String> = one.beyond.iter().map(beyond).collect();
+    words.extend(one.unvaried.iter().map(unvaried));
+    if one.needs.iter().any(|need| need.value < 0.0) {
+        words.push("the slopes give less than nothing: not usable".to_owned());
+    }
+    if words.is_empty() { NOTHING.to_owned() } else { words.join("; ") }
+}
+
+fn beyond(beyond: &Beyond) -> String {
+    format!("{} run to {} of {}", beyond.variable.word(), size(beyond.largest), size(beyond.target))
+}
+
+fn unvaried(unvaried: &Unvaried) -> String {
+    let word = unvaried.variable.word();
+    match unvaried.fixed {
+        Some(fixed) => format!("{word} kept at {} of {}", size(fixed), size(unvaried.target)),
+        None => format!("{word} changes along with the base"),
+    }
+}
+
+fn ranking(evidence: &Evidence) -> String {
+    let target = &evidence.target;
+    let reckoned = reckon(target, &evidence.results);
+    let ratio = |one: &Reckoned| Some(one.at(target.chosen)? / one.budget?);
+    let mut ranked: Vec<(f64, &Reckoned)> =
+        reckoned.iter().filter_map(|one| Some((ratio(one)?, one))).collect();
+    ranked.sort_by(|one, other| other.0.total_cmp(&one.0));
+    let each = format!("need / budget at {}", at_each(target));
+    let chosen = format!("need at {}", size(f64::from(target.chosen)));
+    let head = ["rank", "ledger", "role", "metric", &chosen, "budget", &each, "driven by"];
+    let mut table = Table::new(head);
+    for (at, (_, one)) in ranked.iter().enumerate() {
+        let show =
+            |value: Option<f64>| value.map_or(NOTHING.to_owned(), |value| one.quantity.unit().show(value));
+        table.row([
+            (at + 1).to_string(),
+            one.form.words().to_owned(),
+            spender(one.spender),
+            quantity(one.quantity),
+            show(one.at(target.chosen)),
+            show(one.budget),
+            each_ratio(one),
+            one.drives.map_or(NOTHING.to_owned(), |(variable, term)| format!("{}, {term}", variable.word())),
+        ]);
+    }
+    let table = table.or("Nothing is ranked yet: no results with slopes are committed.");
+    if ranked.is_empty() { table } else { format!("Reckoned, as the table before.\n\n{table}") }
+}
+
+fn before_after(evidence: &Evidence) -> String {
+    let head = ["profile", "varied", "role", "metric", "copied to all", "replica sets", "after / before"];
+    let mut table = Table::new(head);
+    for after in evidence.results.iter().filter(|one| Form::of(&one.profile) == Form::ReplicaSets) {
+        let plain = after.profile.trim_end_matches(REPLICAS);
+        let Some(before) = evidence.results.iter().find(|one| one.profile == plain) else { continue };
+        for (one, other) in pairs(before, after) {
+            for (role, metric) in measured(before) {
+                let (Some(was), Some(is)) = (one.value(role, metric), other.value(role, metric)) else {
+                    continue;
+                };
+                table.row([
+                    code(plain),
+                    format!("{} {}", size(one.varied), before.vary).trim_end().to_owned(),
+                    name(role),
+                    name(metric),
+                    unit(metric).show(was),
+                    unit(metric).show(is),
+                    if was == 0.0 { NOTHING.to_owned() } else { number(is / was) },
+                ]);
+            }
+        }
+    }
+    table.or("No profile has been run in both forms of the ledger yet.")
+}
+
+/// Runs of the same value of the variable.
+fn pairs<'a>(before: &'a Results, after: &'a Results) -> Vec<(&'a Run, &'a Run)> {
+    let same = |run: &'a Run| {
+        let other = after.runs.iter().find(|other| other.varied == run.varied)?;
+        Some((run, other))
+    };
+    before.runs.iter().filter_map(same).collect()
+}
+
+/// The times of a run, in the order of the table.
+const TIMES: [Metric; 7] = [
+    Metric::ChangeP50,
+    Metric::ChangeP99,
+    Metric::ChangeMax,
+    Metric::StartUp,
+    Metric::StartUpProcessor,
+    Metric::CatchUp,
+    Metric::CatchUpBytes,
+];
+
+fn times(evidence: &Evidence) -> String {
+    let head = [
+        "profile",
+        "role",
+        "varied",
+        "change p50",
+        "change p99",
+        "change max",
+        "start-up",
+        "processor to start",
+        "catch-up",
+        "bytes to catch up",
+    ];
+    let mut table = Table::new(head);
+    for results in &evidence.results {
+        for run in &results.runs {
+            for role in ROLES {
+                let values = TIMES.map(|metric| run.value(role, metric));
+                if values.iter().all(Option::is_none) {
+                    continue;
+                }
+                let [p50, p99, max, start, start_processor, catch_up, catch_up_bytes] =
+                    std::array::from_fn(|at| {
+                        values[at].map_or(NOTHING.to_owned(), |v| unit(TIMES[at]).show(v))
+                    });
+                let varied = format!("{} {}", size(run.varied), results.vary).trim_end().to_owned();
+                let first = [code(&results.profile), name(role), varied];
+                let [profile, role, varied] = first;
+                table.row([
+                    profile,
+                    role,
+                    varied,
+                    p50,
+                    p99,
+                    max,
+                    start,
+                    start_processor,
+                    catch_up,
+                    catch_up_bytes,
+                ]);
+            }
+        }
+    }
+    table.or("No times have been measured yet.")
+}
