--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod day;
 mod load;
 mod report;
+mod scale;
 mod status;
 mod trace;
 
@@ -28,6 +29,9 @@
     /// Loads planners with rising numbers and measures them
     #[command(subcommand)]
     Load(load::LoadCommand),
+    /// What each role costs as the fleet grows: runs, slopes, and the capacity page
+    #[command(subcommand)]
+    Scale(scale::ScaleCommand),
     /// Judges the five rules from a capture
     Verdict { capture: PathBuf },
     /// Looks into a capture
@@ -56,6 +60,7 @@
         Command::Check { file } => day::check(&file),
         Command::Day(command) => day::run(command),
         Command::Load(command) => load::run(command),
+        Command::Scale(command) => scale::run(command),
         Command::Crowd { number, rate, planners } => {
             mulleinhub_load::host_crowd(number, &planners, rate).map(|()| ExitCode::SUCCESS)
         }
