--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fit;
 pub mod page;
 pub mod plot;
+pub mod profile;
 pub mod reckon;
 pub mod record;
 pub mod results;
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -5,10 +5,11 @@
 //! `<!-- scale:end -->`. For what is reckoned at the target size, PROFILE is `reckoned` or
 //! `reckoned-replicas`, and VARIED a number of schedulers of the target.
 
+use crate::profile::Variable;
 use crate::reckon::{FORMS, Quantity, Spender, reckon};
 use crate::results::{Metric, Results, ResultsError, Role};
 use crate::tables::{BLOCKS, Block, Evidence};
-use crate::targets::{Target, TargetError, Variable};
+use crate::targets::{Target, TargetError};
 use crate::units::{by_name, unit};
 use std::path::{Path, PathBuf};
 
--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -2,8 +2,9 @@
 //! differences that the other profiles' slopes give for the variables which that profile keeps fixed.
 
 use crate::fit::{Fit, Term, fit};
+use crate::profile::Variable;
 use crate::results::{Host, Metric, Results, Role};
-use crate::targets::{Target, Variable};
+use crate::targets::Target;
 use crate::units::{METRICS, ROLES, Unit, unit};
 
 /// Ends the names of profiles that run the ledger's form with replica sets.
--- a/crates/scale/src/tables.rs
+++ b/crates/scale/src/tables.rs
@@ -1,9 +1,10 @@
 //! The generated blocks of the capacity page: tables in Markdown from results, slopes and the target.
 
 use crate::fit::{Fit, fit};
+use crate::profile::Variable;
 use crate::reckon::{Beyond, FORMS, Form, Quantity, REPLICAS, Reckoned, Spender, Unvaried, reckon};
 use crate::results::{Metric, Results, Role, Run};
-use crate::targets::{Target, Variable};
+use crate::targets::Target;
 use crate::units::{METRICS, ROLES, host_words, name, number, size, unit};
 
 /// A generated block of the page.
--- a/crates/scale/src/targets.rs
+++ b/crates/scale/src/targets.rs
@@ -1,6 +1,6 @@
-//! The operators' size and budgets, read from the line-based file `scale/target`, and the variables that a
-//! profile may change.
+//! The operators' size and budgets, read from the line-based file `scale/target`.
 
+use crate::profile::Variable;
 use crate::results::{Metric, Size};
 use mulleinhub_interface::Span;
 use mulleinhub_settings::{Args, Bytes, Directive, Faults, Place, Scope, Share, Value, parse_text};
@@ -9,72 +9,6 @@
 const SECONDS_A_DAY: f64 = 86_400.0;
 const MINUTES_A_DAY: f64 = 1_440.0;
 
-/// A variable that a profile may change.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Variable {
-    Schedulers,
-    Workers,
-    Running,
-    Starts,
-    Teams,
-    Changes,
-    Failures,
-    Regions,
-    Zones,
-}
-
-impl Variable {
-    pub const ALL: [Self; 9] = [
-        Self::Schedulers,
-        Self::Workers,
-        Self::Running,
-        Self::Starts,
-        Self::Teams,
-        Self::Changes,
-        Self::Failures,
-        Self::Regions,
-        Self::Zones,
-    ];
-
-    /// The word of the profile's file and of results.
-    #[must_use]
-    pub fn word(self) -> &'static str {
-        match self {
-            Self::Schedulers => "schedulers",
-            Self::Workers => "workers",
-            Self::Running => "running",
-            Self::Starts => "starts",
-            Self::Teams => "teams",
-            Self::Changes => "changes",
-            Self::Failures => "failures",
-            Self::Regions => "regions",
-            Self::Zones => "zones",
-        }
-    }
-
-    /// The variable of this word.
-    #[must_use]
-    pub fn of(word: &str) -> Option<Self> {
-        Self::ALL.into_iter().find(|variable| variable.word() == word)
-    }
-
-    /// This variable's part of a size.
-    #[must_use]
-    pub fn value(self, size: &Size) -> f64 {
-        match self {
-            Self::Schedulers => f64::from(size.schedulers),
-            Self::Workers => f64::from(size.workers),
-            Self::Running => f64::from(size.running),
-            Self::Starts => size.starts,
-            Self::Teams => f64::from(size.teams),
-            Self::Changes => size.changes,
-            Self::Failures => size.failures,
-            Self::Regions => f64::from(size.regions),
-            Self::Zones => f64::from(size.zones),
-        }
-    }
-}
-
 /// The name of a variable with its unit, for the axis of a plot.
 #[must_use]
 pub fn axis_name(word: &str) -> &str {
--- a/crates/scale/tests/targets.rs
+++ b/crates/scale/tests/targets.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::{TARGET, target};
+use mulleinhub_scale::profile::Variable;
 use mulleinhub_scale::results::Metric;
-use mulleinhub_scale::targets::{Target, TargetError, Variable};
+use mulleinhub_scale::targets::{Target, TargetError};
 use std::path::Path;
 
 fn refused(text: &str) -> String {
