--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -4,6 +4,7 @@
 use mulleinhub_scale::fit::{Fit, fit};
 use mulleinhub_scale::page::{self, read_results};
 use mulleinhub_scale::plot::{self, Picture};
+use mulleinhub_scale::profile;
 use mulleinhub_scale::record::Record;
 use mulleinhub_scale::results::{Metric, Results, Role};
 use mulleinhub_scale::tables::{Evidence, measured, target_value};
@@ -220,8 +221,9 @@
 }
 
 /// Reads a profile and runs it on its host.
-fn play(profile: &Path, seed: Option<u64>) -> Result<Results, String> {
-    std::fs::read_to_string(profile).map_err(|cause| words(profile, &cause))?;
-    let _ = seed;
-    Err(words(profile, &"this build can't run profiles"))
+fn play(path: &Path, seed: Option<u64>) -> Result<Results, String> {
+    let text = std::fs::read_to_string(path).map_err(|cause| words(path, &cause))?;
+    let mut profile = profile::parse(&path.display().to_string(), &text)?;
+    profile.seed = seed.unwrap_or(profile.seed);
+    Err(format!("profile {}: this build has no host {}", profile.name, name(profile.host)))
 }
