Scale: quadratic terms like noise are left out, and limits stand below the table

Cause: a trial with made results, three per cent of noise and runs to 300 starts a second put 1 MB/s of a bent curve on the page at 4,900: followed so far, the noise's quadratic term ruled the prediction. Rounding left figures of 1e-13.

Change: a quadratic term that Student's t doesn't tell from noise (95%) is left out for a line, and named with its error; rounding is no term and no residual; the target's limits are numbered notes; results are sorted by profile.

--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -142,6 +142,10 @@
             text.push_str(", and the quadratic term matters");
         }
     }
+    if let Some(left_out) = fit.left_out {
+        let (term, error) = (show(left_out.term), show(left_out.standard_error));
+        text.push_str(&format!(", a quadratic term of {term} left out as like noise (error {error})"));
+    }
     for run in &fit.held_out {
         let (predicted, measured) = (show(run.predicted), show(run.measured));
         let at = size(run.varied);
--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -16,6 +16,13 @@
 const NEGLIGIBLE: f64 = 1e-12;
 /// Constant, linear and quadratic.
 const TERMS: usize = 3;
+/// Student's t for one degree of freedom, two, and so on: a quadratic term that is less than so many times its
+/// standard error is told from noise with less than 95% confidence.
+const STUDENT: [f64; 10] = [12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23];
+/// The same for more of them.
+const STUDENT_MANY: f64 = 2.2;
+/// Parts of the largest value that come from rounding alone.
+const ROUNDING: f64 = 1e-9;
 
 /// One value of a metric, at one value of the variable.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -107,12 +114,20 @@
     }
 }
 
+/// A quadratic term that its standard error doesn't tell from noise, so that the curve is a line fitted without it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LeftOut {
+    pub term: f64,
+    pub standard_error: f64,
+}
+
 /// A fitted metric of a role.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fit {
     pub curve: Curve,
     /// All fitted values are the same: the curve has its constant term alone.
     pub unchanged: bool,
+    pub left_out: Option<LeftOut>,
     /// Root mean square of what is left over.
     pub residual: f64,
     /// The residual over the mean of the fitted values.
@@ -187,8 +202,8 @@
     }
     check(&points, &held_out)?;
     let unchanged = is_unchanged(&points);
-    let curve = if unchanged {
-        Curve { constant: mean(&points), ..Curve::default() }
+    let (curve, left_out) = if unchanged {
+        (Curve { constant: mean(&points), ..Curve::default() }, None)
     } else {
         least_squares(&points)?
     };
@@ -201,7 +216,7 @@
         measured: point.measured,
     };
     let held_out = held_out.iter().map(compare).collect();
-    Ok(Fit { curve, unchanged, residual, relative_residual, points, held_out })
+    Ok(Fit { curve, unchanged, left_out, residual, relative_residual, points, held_out })
 }
 
 fn points(runs: &[&Run], role: Role, metric: Metric) -> Vec<Point> {
@@ -243,22 +258,53 @@
     points.iter().map(|point| point.measured).sum::<f64>() / points.len() as f64
 }
 
-/// The curve with the least sum of squares. The variable is divided by its largest value first, so that
-/// the columns of the three terms are of one magnitude.
-fn least_squares(points: &[Point]) -> Result<Curve, Refused> {
+/// The curve with the least sum of squares; a line where the quadratic term is not told from noise: it would
+/// rule every prediction beyond the runs.
+fn least_squares(points: &[Point]) -> Result<(Curve, Option<LeftOut>), Refused> {
+    let (curve, standard_error) = solve(points, TERMS)?;
+    let freedom = points.len() - TERMS;
+    let confident = STUDENT.get(freedom - 1).copied().unwrap_or(STUDENT_MANY);
+    if curve.quadratic == 0.0 || curve.quadratic.abs() >= confident * standard_error {
+        return Ok((curve, None));
+    }
+    let (line, _) = solve(points, TERMS - 1)?;
+    Ok((line, Some(LeftOut { term: curve.quadratic, standard_error })))
+}
+
+/// The curve of the first `terms` terms with the least sum of squares, and the standard error of the last of
+/// them. The variable is divided by its largest value first, so that the columns are of one magnitude.
+fn solve(points: &[Point], terms: usize) -> Result<(Curve, f64), Refused> {
     let scale = points.iter().map(|point| point.varied).fold(0.0, f64::max);
     let column = |row: usize, term: usize| (points[row].varied / scale).powi(term as i32);
-    let design = DMatrix::from_fn(points.len(), TERMS, column);
+    let design = DMatrix::from_fn(points.len(), terms, column);
     let measured = DVector::from_iterator(points.len(), points.iter().map(|point| point.measured));
-    let decomposed = design.svd(true, true);
+    let decomposed = design.clone().svd(true, true);
     let threshold = NEGLIGIBLE * decomposed.singular_values.max();
-    let terms = decomposed
-        .solve(&measured, threshold)
-        .map_err(|cause| Refused::Unsolved { cause: cause.to_owned() })?;
-    Ok(Curve { constant: terms[0], linear: terms[1] / scale, quadratic: terms[2] / (scale * scale) })
+    let unsolved = |cause: &str| Refused::Unsolved { cause: cause.to_owned() };
+    let solution = decomposed.solve(&measured, threshold).map_err(unsolved)?;
+    // There are at least four sizes.
+    let freedom = (points.len() - terms) as f64;
+    let variance = (&design * &solution - &measured).norm_squared() / freedom;
+    let directions = decomposed.v_t.as_ref().ok_or_else(|| unsolved("no directions"))?;
+    let spread: f64 = directions
+        .column(terms - 1)
+        .iter()
+        .zip(decomposed.singular_values.iter())
+        .filter(|(_, singular)| **singular > threshold)
+        .map(|(part, singular)| (part / singular).powi(2))
+        .sum();
+    let largest = measured.amax();
+    let term = |at: usize| {
+        let value = solution.get(at).copied().unwrap_or_default();
+        if value.abs() <= ROUNDING * largest { 0.0 } else { value }
+    };
+    let curve = Curve { constant: term(0), linear: term(1) / scale, quadratic: term(2) / (scale * scale) };
+    Ok((curve, (variance * spread).sqrt() / scale.powi(terms as i32 - 1)))
 }
 
 fn residual(curve: &Curve, points: &[Point]) -> f64 {
     let square = |point: &Point| (curve.predict(point.varied) - point.measured).powi(2);
-    (points.iter().map(square).sum::<f64>() / points.len() as f64).sqrt()
+    let residual = (points.iter().map(square).sum::<f64>() / points.len() as f64).sqrt();
+    let largest = points.iter().map(|point| point.measured.abs()).fold(0.0, f64::max);
+    if residual <= ROUNDING * largest { 0.0 } else { residual }
 }
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -74,7 +74,7 @@
 }
 
 impl Evidence {
-    /// Reads the target and all result files of a directory, in the order of their names.
+    /// Reads the target and all result files of a directory, in the order of profiles.
     ///
     /// # Errors
     /// With the file, and the place in it where there is one.
@@ -84,6 +84,7 @@
         for path in result_files(directory)? {
             results.push(read_results(&path)?);
         }
+        results.sort_by(|one, other| one.profile.cmp(&other.profile));
         Ok(Self { target, results })
     }
 }
--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -96,6 +96,8 @@
     pub beyond: Vec<Beyond>,
     /// Variables that no slope covers, kept as the base has them.
     pub unvaried: Vec<Unvaried>,
+    /// It is the sum of two others, which say where they go beyond what was run.
+    pub is_sum: bool,
     /// The variable whose slope gives the most at the chosen number of schedulers, and the term of it.
     pub drives: Option<(Variable, Term)>,
 }
@@ -207,6 +209,7 @@
         profiles: used.iter().map(|slope| slope.results.profile.clone()).collect(),
         beyond: beyond(target, &used),
         unvaried: unvaried(target, base, &slopes),
+        is_sum: false,
         drives: drives(target, base, &used),
     })
 }
@@ -315,20 +318,17 @@
     let mut sum = one.clone();
     sum.needs = one.needs.iter().zip(&other.needs).map(add).collect();
     sum.budget = one.budget.or(other.budget);
-    extend_new(&mut sum.profiles, &other.profiles);
-    extend_new(&mut sum.beyond, &other.beyond);
-    extend_new(&mut sum.unvaried, &other.unvaried);
+    for profile in &other.profiles {
+        if !sum.profiles.contains(profile) {
+            sum.profiles.push(profile.clone());
+        }
+    }
+    sum.is_sum = true;
+    sum.beyond.clear();
+    sum.unvaried.clear();
     let last = |needs: &[Need]| needs.last().map_or(0.0, |need| need.value);
     if last(&other.needs) > last(&one.needs) {
         sum.drives = other.drives;
     }
     sum
 }
-
-fn extend_new<T: Clone + PartialEq>(all: &mut Vec<T>, more: &[T]) {
-    for one in more {
-        if !all.contains(one) {
-            all.push(one.clone());
-        }
-    }
-}
--- a/crates/scale/src/tables.rs
+++ b/crates/scale/src/tables.rs
@@ -1,6 +1,6 @@
 //! The generated blocks of the capacity page: tables in Markdown from results, slopes and the target.
 
-use crate::fit::{Fit, fit};
+use crate::fit::{Fit, LeftOut, fit};
 use crate::profile::Variable;
 use crate::reckon::{Beyond, FORMS, Form, Quantity, REPLICAS, Reckoned, Spender, Unvaried, reckon};
 use crate::results::{Metric, Results, Role, Run};
@@ -214,10 +214,20 @@
         show(fit.curve.quadratic),
         format!("{} ({}%)", show(fit.residual), number(fit.relative_residual * 100.0)),
         dominant,
-        yes(quadratic, "matters at the target"),
+        quadratic_note(metric, fit, quadratic, at),
     ]
 }
 
+/// What is to be known of the quadratic term.
+fn quadratic_note(metric: Metric, fit: &Fit, matters: bool, at: Option<f64>) -> String {
+    let Some(LeftOut { term, standard_error }) = fit.left_out else {
+        return yes(matters, "matters at the target");
+    };
+    let show = |value| unit(metric).show(value);
+    let would = at.map_or(String::new(), |at| format!(", at the target {}", show(term * at * at)));
+    format!("left out, like noise: {} with error {}{would}", show(term), show(standard_error))
+}
+
 fn held_out(evidence: &Evidence) -> String {
     let mut table = Table::new([
         "profile",
@@ -274,8 +284,9 @@
 
 fn target_table(target: &Target, reckoned: &[&Reckoned]) -> String {
     let needs = format!("need at {} schedulers", at_each(target));
-    let head = ["role", "metric", &needs, "budget", "need / budget", "from", "limits of it"];
+    let head = ["role", "metric", &needs, "budget", "need / budget", "from", "limits"];
     let mut table = Table::new(head);
+    let mut notes: Vec<String> = Vec::new();
     for one in reckoned {
         table.row([
             spender(one.spender),
@@ -284,10 +295,28 @@
             one.budget.map_or(NOTHING.to_owned(), |budget| one.quantity.unit().show(budget)),
             each_ratio(one),
             one.profiles.iter().map(|profile| code(profile)).collect::<Vec<_>>().join(" "),
-            limits(one),
+            note(limits(one), &mut notes),
         ]);
     }
-    table.or("Nothing is reckoned yet.")
+    let mut text = table.or("Nothing is reckoned yet.");
+    if !notes.is_empty() {
+        text.push_str("\nLimits:\n\n");
+    }
+    for (at, words) in notes.iter().enumerate() {
+        text.push_str(&format!("{}. {words}\n", at + 1));
+    }
+    text
+}
+
+/// The number of a note below the table; words that are there already are not said twice.
+fn note(words: Option<String>, notes: &mut Vec<String>) -> String {
+    let Some(words) = words else { return NOTHING.to_owned() };
+    let known = notes.iter().position(|note| *note == words);
+    let at = known.unwrap_or_else(|| {
+        notes.push(words);
+        notes.len() - 1
+    });
+    format!("({})", at + 1)
 }
 
 fn at_each(target: &Target) -> String {
@@ -320,13 +349,17 @@
 }
 
 /// Where a reckoned figure goes beyond what was run.
-fn limits(one: &Reckoned) -> String {
-    let mut words: Vec<String> = one.beyond.iter().map(beyond).collect();
+fn limits(one: &Reckoned) -> Option<String> {
+    let mut words: Vec<String> = Vec::new();
+    if one.is_sum {
+        words.push("a sum: the limits of both its parts".to_owned());
+    }
+    words.extend(one.beyond.iter().map(beyond));
     words.extend(one.unvaried.iter().map(unvaried));
     if one.needs.iter().any(|need| need.value < 0.0) {
         words.push("the slopes give less than nothing: not usable".to_owned());
     }
-    if words.is_empty() { NOTHING.to_owned() } else { words.join("; ") }
+    (!words.is_empty()).then(|| words.join("; "))
 }
 
 fn beyond(beyond: &Beyond) -> String {
--- a/crates/scale/tests/fit.rs
+++ b/crates/scale/tests/fit.rs
@@ -46,6 +46,36 @@
     assert!(near(fit.curve.predict(1000.0), 12_040.0, 1e5));
 }
 
+#[test]
+fn what_rounding_leaves_is_neither_a_term_nor_a_residual() {
+    let line = bytes_in(&over_schedulers("made", |n| 200.0 + 12.0 * n)).expect("is fitted");
+    assert_eq!((line.curve.quadratic, line.residual, line.left_out), (0.0, 0.0, None));
+    let parabola = bytes_in(&over_schedulers("made", |n| 0.25 * n * n)).expect("is fitted");
+    assert_eq!((parabola.curve.constant, parabola.curve.linear, parabola.residual), (0.0, 0.0, 0.0));
+}
+
+#[test]
+fn a_quadratic_term_like_noise_is_left_out_and_a_clear_one_stays() {
+    let noise = [1.03, 0.98, 1.02, 0.97, 1.01];
+    let noisy = |of: fn(f64) -> f64| {
+        let mut made = over_schedulers("made", of);
+        for (run, noise) in made.runs.iter_mut().zip(noise) {
+            run.samples[0].value *= noise;
+        }
+        bytes_in(&made).expect("is fitted")
+    };
+    let line = noisy(|n| 500.0 + 180.0 * n);
+    let left_out = line.left_out.expect("noise alone bends it");
+    // Five sizes and three terms leave two degrees of freedom.
+    assert!(left_out.term.abs() < 4.3 * left_out.standard_error, "{left_out:?}");
+    assert_eq!(line.curve.quadratic, 0.0);
+    let far = line.curve.predict(4_900.0);
+    assert!((far - 882_500.0).abs() < 0.05 * 882_500.0, "{far}");
+    let parabola = noisy(|n| 500.0 + 3.0 * n + n * n);
+    assert_eq!(parabola.left_out, None);
+    assert!((parabola.curve.quadratic - 1.0).abs() < 0.1, "{:?}", parabola.curve);
+}
+
 #[test]
 fn a_quadratic_term_matters_from_a_tenth_of_the_prediction_on() {
     let of = |quadratic: f64| Curve { constant: 0.0, linear: 1.0, quadratic };
