Scale: what depends on a scheduler's own part of the starts is reckoned by that part

Cause: a planner's slope over starts is run with some dozens of schedulers that share them; read at 4,900 it gave a scheduler the starts of the fleet, several times too much at 350.

Change: slopes of placing, and of ledgers with replica sets, are read at the part that one scheduler has at the target; those of logs copied to all at the whole. For replica sets the page says also what it were if all paid for all.

--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -5,9 +5,10 @@
 use mulleinhub_scale::page::{self, read_results};
 use mulleinhub_scale::plot::{self, Picture};
 use mulleinhub_scale::profile;
+use mulleinhub_scale::reckon::target_value;
 use mulleinhub_scale::record::Record;
 use mulleinhub_scale::results::{Metric, Results, Role};
-use mulleinhub_scale::tables::{Evidence, measured, target_value};
+use mulleinhub_scale::tables::{Evidence, measured};
 use mulleinhub_scale::targets::{Target, axis_name};
 use mulleinhub_scale::units::{name, number, size, unit};
 use std::path::{Path, PathBuf};
@@ -113,7 +114,8 @@
             match fit(&results, role, metric) {
                 Err(refused) => println!("{head}: no fit: {refused}"),
                 Ok(fit) => {
-                    println!("{head}: {}", told(&fit, metric, target_value(&target, &results)));
+                    let at = target_value(&target, target.chosen, &results, role);
+                    println!("{head}: {}", told(&fit, metric, at));
                     if let Some(plots) = &files.plots {
                         draw(plots, &results, role, metric, &fit, &target)?;
                     }
@@ -173,7 +175,7 @@
         x_name: axis_name(&results.vary).to_owned(),
         y_name: unit(metric).axis().to_owned(),
         fit,
-        target: target_value(target, results),
+        target: target_value(target, target.chosen, results, role),
         budget: target.budget(metric).filter(|_| has_budget),
     };
     plot::draw(&path, &picture).map_err(|error| error.to_string())
--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -3,7 +3,7 @@
 
 use crate::fit::{Fit, Term, fit};
 use crate::profile::Variable;
-use crate::results::{Host, Metric, Results, Role};
+use crate::results::{Host, Metric, Results, Role, Size};
 use crate::targets::Target;
 use crate::units::{METRICS, ROLES, Unit, unit};
 
@@ -72,6 +72,54 @@
     }
 }
 
+/// Of which tasks a role pays for the starts and the names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Share {
+    /// Of those of the whole fleet.
+    Fleet,
+    /// Of one scheduler's part, where they are spread evenly.
+    OwnPart,
+}
+
+impl Share {
+    /// What holds for a role: ledger members that copy every log pay for all tasks; those with replica sets for
+    /// what their writers have, and who places for what it places.
+    #[must_use]
+    pub fn of(role: Role, form: Form) -> Self {
+        match (role, form) {
+            (Role::LedgerMember, Form::CopiedToAll) => Self::Fleet,
+            _ => Self::OwnPart,
+        }
+    }
+
+    /// A value of a variable in a fleet of `schedulers`, as the value in a profile's fleet of `there` that costs
+    /// one scheduler the same.
+    fn moved(self, variable: Variable, value: f64, schedulers: f64, there: Option<f64>) -> f64 {
+        let is_shared = matches!(variable, Variable::Starts | Variable::Running);
+        match (self, there) {
+            (Self::OwnPart, Some(there)) if is_shared => value * there / schedulers,
+            _ => value,
+        }
+    }
+}
+
+/// The value of a profile's variable at which its slope gives what one scheduler needs at the target.
+#[must_use]
+pub fn target_value(target: &Target, schedulers: u32, results: &Results, role: Role) -> Option<f64> {
+    let variable = Variable::of(&results.vary)?;
+    let share = Share::of(role, Form::of(&results.profile));
+    let value = variable.value(&target.size(schedulers));
+    let there = fixed(results, Variable::Schedulers);
+    Some(share.moved(variable, value, f64::from(schedulers), there))
+}
+
+/// What a profile keeps a variable at; none where its runs differ in it.
+fn fixed(results: &Results, variable: Variable) -> Option<f64> {
+    let mut values = results.runs.iter().map(|run| variable.value(&run.size));
+    let first = values.next()?;
+    values.all(|value| value == first).then_some(first)
+}
+
 /// What one number of schedulers makes of a need.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Need {
@@ -88,6 +136,8 @@
     pub quantity: Quantity,
     /// For each number of schedulers of the target.
     pub needs: Vec<Need>,
+    /// The same if every member paid for all tasks, where it is reckoned that it doesn't: no more than that.
+    pub at_most: Option<Vec<Need>>,
     /// What one scheduler may spend, where the operators say.
     pub budget: Option<f64>,
     /// The profiles that it is reckoned from, the base first.
@@ -142,11 +192,14 @@
 }
 
 impl Slope<'_> {
-    /// What the profile keeps a variable at; none where its runs differ in it.
     fn fixed(&self, variable: Variable) -> Option<f64> {
-        let mut values = self.results.runs.iter().map(|run| variable.value(&run.size));
-        let first = values.next()?;
-        values.all(|value| value == first).then_some(first)
+        fixed(self.results, variable)
+    }
+
+    /// The slope's value for a value of its variable in a fleet of `schedulers`.
+    fn predict(&self, share: Share, value: f64, schedulers: f64) -> f64 {
+        let there = self.fixed(Variable::Schedulers);
+        self.fit.curve.predict(share.moved(self.variable, value, schedulers, there))
     }
 }
 
@@ -190,8 +243,10 @@
 ) -> Option<Reckoned> {
     let slopes = slopes(results, role, metric);
     let (base, others) = slopes.split_first()?;
-    let value = |schedulers| combined(target, schedulers, base, others);
-    let needs = target.schedulers.iter().map(|n| Need { schedulers: *n, value: value(*n) }).collect();
+    let share = Share::of(role, form);
+    let needs = needs(target, share, base, others);
+    let at_most = self::needs(target, Share::Fleet, base, others);
+    let may_be_more = role == Role::LedgerMember && at_most != needs;
     let chosen = target.size(target.chosen);
     let used = |slope: &&Slope| {
         slope.variable == base.variable
@@ -205,12 +260,13 @@
         spender: Spender::Role(role),
         quantity: Quantity::Metric(metric),
         needs,
+        at_most: may_be_more.then_some(at_most),
         budget: target.budget(metric).filter(|_| has_budget),
         profiles: used.iter().map(|slope| slope.results.profile.clone()).collect(),
-        beyond: beyond(target, &used),
+        beyond: beyond(target, role, &used),
         unvaried: unvaried(target, base, &slopes),
         is_sum: false,
-        drives: drives(target, base, &used),
+        drives: drives(target, share, base, &used),
     })
 }
 
@@ -229,27 +285,41 @@
     Variable::ALL.into_iter().filter_map(of).collect()
 }
 
+fn needs(target: &Target, share: Share, base: &Slope, others: &[Slope]) -> Vec<Need> {
+    let need = |schedulers: &u32| Need {
+        schedulers: *schedulers,
+        value: combined(target, share, *schedulers, base, others),
+    };
+    target.schedulers.iter().map(need).collect()
+}
+
 /// The base's prediction, and for each variable that it keeps fixed the difference between the target's
 /// value and the base's by the slope of the profile that changes it.
-fn combined(target: &Target, schedulers: u32, base: &Slope, others: &[Slope]) -> f64 {
+fn combined(target: &Target, share: Share, schedulers: u32, base: &Slope, others: &[Slope]) -> f64 {
     let size = target.size(schedulers);
-    let difference = |slope: &Slope| {
-        let Some(fixed) = base.fixed(slope.variable) else { return 0.0 };
-        let curve = &slope.fit.curve;
-        curve.predict(slope.variable.value(&size)) - curve.predict(fixed)
-    };
-    let differences: f64 = others.iter().map(difference).sum();
-    base.fit.curve.predict(base.variable.value(&size)) + differences
+    let here = f64::from(schedulers);
+    let differences: f64 = others.iter().map(|slope| difference(share, &size, here, base, slope)).sum();
+    base.predict(share, base.variable.value(&size), here) + differences
+}
+
+/// What a slope adds to the base from the value that the base keeps to that of a size.
+fn difference(share: Share, size: &Size, here: f64, base: &Slope, slope: &Slope) -> f64 {
+    let Some(fixed) = base.fixed(slope.variable) else { return 0.0 };
+    // Where the base changes the number of schedulers, its prediction is already for the size's own.
+    let there = base.fixed(Variable::Schedulers).unwrap_or(here);
+    slope.predict(share, slope.variable.value(size), here) - slope.predict(share, fixed, there)
 }
 
-/// The slopes that are followed further than they were run, at the largest number of schedulers.
-fn beyond(target: &Target, used: &[&Slope]) -> Vec<Beyond> {
-    let most = target.schedulers.iter().copied().max().unwrap_or(target.chosen);
-    let size = target.size(most);
+/// The slopes that are followed further than they were run, at any number of schedulers.
+fn beyond(target: &Target, role: Role, used: &[&Slope]) -> Vec<Beyond> {
+    let furthest = |slope: &Slope| {
+        let values = target.schedulers.iter().filter_map(|n| target_value(target, *n, slope.results, role));
+        values.fold(0.0, f64::max)
+    };
     let beyond = used.iter().map(|slope| Beyond {
         variable: slope.variable,
         largest: slope.fit.largest(),
-        target: slope.variable.value(&size),
+        target: furthest(slope),
     });
     beyond.filter(|beyond| beyond.target > beyond.largest).collect()
 }
@@ -266,18 +336,22 @@
     unvaried.filter(|unvaried| unvaried.fixed != Some(unvaried.target)).collect()
 }
 
-/// The variable that adds the most at the target, and its dominant term.
-fn drives(target: &Target, base: &Slope, used: &[&Slope]) -> Option<(Variable, Term)> {
+/// The variable that adds the most at the chosen number of schedulers, and its dominant term.
+fn drives(target: &Target, share: Share, base: &Slope, used: &[&Slope]) -> Option<(Variable, Term)> {
     let size = target.size(target.chosen);
+    let here = f64::from(target.chosen);
     let adds = |slope: &Slope| {
-        let curve = &slope.fit.curve;
-        let from =
-            if slope.variable == base.variable { 0.0 } else { base.fixed(slope.variable).unwrap_or(0.0) };
-        curve.predict(slope.variable.value(&size)) - curve.predict(from)
+        if slope.variable == base.variable {
+            base.predict(share, base.variable.value(&size), here) - base.fit.curve.predict(0.0)
+        } else {
+            difference(share, &size, here, base, slope)
+        }
     };
     let changing = used.iter().filter(|slope| !slope.fit.unchanged);
     let most = changing.max_by(|one, other| adds(one).total_cmp(&adds(other)))?;
-    Some((most.variable, most.fit.curve.dominant(most.variable.value(&size))))
+    let there = most.fixed(Variable::Schedulers);
+    let at = share.moved(most.variable, most.variable.value(&size), here, there);
+    Some((most.variable, most.fit.curve.dominant(at)))
 }
 
 /// The sums of ledger member and placing, where both were run. Placing doesn't depend on the ledger's form:
@@ -317,6 +391,7 @@
     let add = |(one, other): (&Need, &Need)| Need { value: one.value + other.value, ..*one };
     let mut sum = one.clone();
     sum.needs = one.needs.iter().zip(&other.needs).map(add).collect();
+    sum.at_most = None;
     sum.budget = one.budget.or(other.budget);
     for profile in &other.profiles {
         if !sum.profiles.contains(profile) {
--- a/crates/scale/src/tables.rs
+++ b/crates/scale/src/tables.rs
@@ -2,7 +2,9 @@
 
 use crate::fit::{Fit, LeftOut, fit};
 use crate::profile::Variable;
-use crate::reckon::{Beyond, FORMS, Form, Quantity, REPLICAS, Reckoned, Spender, Unvaried, reckon};
+use crate::reckon::{
+    Beyond, FORMS, Form, Quantity, REPLICAS, Reckoned, Spender, Unvaried, reckon, target_value,
+};
 use crate::results::{Metric, Results, Role, Run};
 use crate::targets::Target;
 use crate::units::{METRICS, ROLES, host_words, name, number, size, unit};
@@ -144,13 +146,6 @@
     all.filter(has).collect()
 }
 
-/// The value at which a profile's slopes are judged: the target's.
-#[must_use]
-pub fn target_value(target: &Target, results: &Results) -> Option<f64> {
-    let variable = Variable::of(&results.vary)?;
-    Some(variable.value(&target.size(target.chosen)))
-}
-
 fn slopes(evidence: &Evidence) -> String {
     let head = [
         "profile",
@@ -166,7 +161,8 @@
     let mut table = Table::new(head);
     for results in &evidence.results {
         for (role, metric) in measured(results) {
-            let at = target_value(&evidence.target, results);
+            let chosen = evidence.target.chosen;
+            let at = target_value(&evidence.target, chosen, results, role);
             let first = [code(&results.profile), name(role), name(metric)];
             match fit(results, role, metric) {
                 Ok(fit) => table.row(slope(first, metric, &fit, at)),
@@ -263,7 +259,9 @@
 These figures are reckoned, not measured: no run here had the whole size. Each begins with the prediction of one profile
 (the first of its row, with all other variables as that profile fixes them) and adds, for every variable that another
 profile changes, the difference between the target's value and the fixed one by that profile's slope. It is right as far as
-the variables add up; where one multiplies another, it is too low.
+the variables add up; where one multiplies another, it is too low. Placing pays for a scheduler's own part of starts and
+running tasks, spread evenly: its slopes are read there. A ledger member whose logs are copied to all pays for the whole
+fleet's. With replica sets it is reckoned to pay for its part, and the limits say what it were if it paid for all.
 ";
 
 fn target(evidence: &Evidence) -> String {
@@ -356,6 +354,10 @@
     }
     words.extend(one.beyond.iter().map(beyond));
     words.extend(one.unvaried.iter().map(unvaried));
+    if let Some(at_most) = &one.at_most {
+        let shown: Vec<String> = at_most.iter().map(|need| one.quantity.unit().show(need.value)).collect();
+        words.push(format!("if every start and name were paid for by all: {}", shown.join(" / ")));
+    }
     if one.needs.iter().any(|need| need.value < 0.0) {
         words.push("the slopes give less than nothing: not usable".to_owned());
     }
--- a/crates/scale/src/units.rs
+++ b/crates/scale/src/units.rs
@@ -137,7 +137,9 @@
     if value.abs() < SMALLEST_PLAIN {
         return format!("{value:.2e}");
     }
-    let magnitude = value.abs().log10().floor() as i32;
+    // Of the rounded figure: 0.09999 is shown as 0.100.
+    let rounded = format!("{value:.0$e}", DIGITS as usize - 1);
+    let magnitude: i32 = rounded.split_once('e').and_then(|(_, power)| power.parse().ok()).unwrap_or(0);
     let decimals = (DIGITS - 1 - magnitude).max(0) as usize;
     grouped(&format!("{value:.decimals$}"))
 }
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -126,6 +126,49 @@
     assert!((at_350 - 3_700.0).abs() < 1e-6, "another form's slopes are not mixed in: {at_350}");
 }
 
+#[test]
+fn placing_and_replica_sets_pay_for_a_schedulers_part_of_the_starts() {
+    // A start costs 180 bytes, shared among the 30 schedulers of the profile.
+    let own_part = |starts: f64| 500.0 + 180.0 * starts / 30.0;
+    let mut planners = over_starts("planners-starts", own_part);
+    planners.host = Host::HollowPlanners;
+    for run in &mut planners.runs {
+        run.samples[0].role = Role::Scheduler;
+    }
+    let replicas = over_starts("ledgers-starts-replicas", own_part);
+    let reckoned = reckon(&target(), &[planners, replicas]);
+    for form in [Form::CopiedToAll, Form::ReplicaSets] {
+        let bytes = of(&reckoned, form, Metric::BytesIn);
+        for need in &bytes.needs {
+            let wanted = 500.0 + 180.0 * 4_900.0 / f64::from(need.schedulers);
+            assert!((need.value - wanted).abs() < 1e-6 * wanted, "{form:?} {need:?} {wanted}");
+        }
+        // At 100 schedulers a part is 49 starts, as of 1,470 in the profile's fleet of 30.
+        let [beyond] = bytes.beyond[..] else { panic!("{:?}", bytes.beyond) };
+        assert!((beyond.target - 1_470.0).abs() < 1e-6, "{beyond:?}");
+    }
+    assert_eq!(of(&reckoned, Form::CopiedToAll, Metric::BytesIn).at_most, None);
+    let at_most = of(&reckoned, Form::ReplicaSets, Metric::BytesIn).at_most.clone().expect("may be more");
+    assert!((at_most[1].value - own_part(4_900.0)).abs() < 1e-3, "{at_most:?}");
+}
+
+#[test]
+fn figures_are_shown_in_three_digits() {
+    use mulleinhub_scale::units::number;
+    for (value, shown) in [
+        (0.0, "0"),
+        (0.099_999_6, "0.100"),
+        (9.999, "10.0"),
+        (999.6, "1,000"),
+        (1_234_567.0, "1,234,567"),
+        (0.5, "0.500"),
+        (-17.25, "-17.2"),
+        (0.000_123, "1.23e-4"),
+    ] {
+        assert_eq!(number(value), shown, "{value}");
+    }
+}
+
 #[test]
 fn control_with_placing_is_the_sum_and_both_ways_counts_in_and_out() {
     let mut ledgers = over_schedulers("ledgers", |n| 10.0 * n);
