--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -5,6 +5,8 @@
 //! both.
 
 pub mod fit;
+pub mod ledgers;
+pub mod meter;
 pub mod page;
 pub mod plot;
 pub mod profile;
