Scale: schedulers with hollow workers, in virtual time and as processes

One party now stands for the list service, hollow workers and clients, and counts bytes and messages at its edge. Real engines are joined to it by wires with the profile's round trips, or real processes over loopback. Processor time is taken around the engines' turns, memory from the allocator's count.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,5 +4,6 @@
 //! one profile make a result file. Slopes are fitted to result files, and the capacity page is written from
 //! both.
 
+pub mod planners;
 pub mod profile;
 pub mod results;
--- /dev/null
+++ b/crates/scale/src/planners/meter.rs
@@ -0,0 +1,60 @@
+//! What one scheduler's work costs this thread: processor time, and memory by the allocator's count.
+
+use rustix::time::{ClockId, clock_gettime};
+use stats_alloc::INSTRUMENTED_SYSTEM;
+
+/// Sums over all pieces of work that were measured.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Meter {
+    nanos: u64,
+    /// Bytes taken and not given back.
+    bytes: i64,
+}
+
+/// Processor time of this thread, in nanoseconds.
+fn thread_nanos() -> u64 {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    time.tv_sec as u64 * 1_000_000_000 + time.tv_nsec as u64
+}
+
+/// Bytes that are held by the whole process.
+fn held_bytes() -> i64 {
+    let stats = INSTRUMENTED_SYSTEM.stats();
+    stats.bytes_allocated as i64 - stats.bytes_deallocated as i64
+}
+
+/// Whether the program counts what it allocates, which only its `main` can choose.
+fn is_counted() -> bool {
+    INSTRUMENTED_SYSTEM.stats().allocations > 0
+}
+
+impl Meter {
+    /// Does a piece of work.
+    pub fn measure<T>(&mut self, work: impl FnOnce() -> T) -> T {
+        let (nanos, bytes) = (thread_nanos(), held_bytes());
+        let done = work();
+        self.nanos += thread_nanos() - nanos;
+        self.bytes += held_bytes() - bytes;
+        done
+    }
+
+    /// Does something that belongs to its host: only the memory that it takes or gives back is counted.
+    pub fn hold<T>(&mut self, work: impl FnOnce() -> T) -> T {
+        let bytes = held_bytes();
+        let done = work();
+        self.bytes += held_bytes() - bytes;
+        done
+    }
+
+    /// Nanoseconds of processor time.
+    #[must_use]
+    pub fn processor(&self) -> u64 {
+        self.nanos
+    }
+
+    /// Bytes that are held; nothing where the program doesn't count them.
+    #[must_use]
+    pub fn memory(&self) -> Option<u64> {
+        is_counted().then(|| u64::try_from(self.bytes).unwrap_or(0))
+    }
+}
--- /dev/null
+++ b/crates/scale/src/planners/real_host.rs
@@ -0,0 +1,172 @@
+//! Schedulers in processes of their own, over loopback sockets, with hollow workers in this process.
+//!
+//! Round trips of the profile are not played: loopback has its own, far shorter ones.
+
+use super::measured::{Measured, flows_between, start_ups, started_between};
+use super::scenario::Scenario;
+use super::settings::{self, ProcessPlaces, scheduler_name};
+use super::surroundings::{LIST_DOOR, Surroundings};
+use super::traffic::SchedulerTraffic;
+use mulleinhub_interface::Time;
+use mulleinhub_load::PlannerProcess;
+use mulleinhub_seam::Door;
+use mulleinhub_shell::Shell;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// The most processes of one run.
+pub const MOST_PROCESSES: usize = 200;
+/// Descriptors that are left for what is no connection of the run.
+const SPARE_DESCRIPTORS: usize = 100;
+/// The longest wait of one step.
+const STEP: Duration = Duration::from_millis(5);
+/// How often it is looked whether a process has ended by itself.
+const LOOKS: u64 = 200_000_000;
+
+/// A look at the counts of a run.
+struct Look {
+    at: Time,
+    traffic: Vec<SchedulerTraffic>,
+    /// Processor seconds of each scheduler so far.
+    processor: Vec<f64>,
+    resident: Vec<u64>,
+}
+
+struct RealHost<'a> {
+    scenario: &'a Scenario,
+    shell: Shell<Surroundings>,
+    processes: Vec<PlannerProcess>,
+    start_up_processor: Vec<Option<f64>>,
+    looked: u64,
+}
+
+/// Plays a run; nothing as `program` is this program with its command `planner`.
+///
+/// # Errors
+/// Where the system refuses something, a process ends by itself, or the run doesn't fit.
+pub fn play(scenario: &Scenario, program: Option<&Path>) -> Result<Measured, String> {
+    check_fits(scenario)?;
+    let folder = tempfile::tempdir().map_err(|e| format!("a folder for settings: {e}"))?;
+    let mut host = RealHost::new(scenario, folder.path(), program)?;
+    host.step_until(scenario.schedulers_start())?;
+    for process in &mut host.processes {
+        process.start()?;
+    }
+    host.step_until(scenario.from)?;
+    let start_up = start_ups(scenario, &host.shell.party)?;
+    let before = host.look();
+    host.step_until(scenario.until)?;
+    let after = host.look();
+    let running = host.shell.party.running();
+    host.step_until(scenario.over())?;
+    let surroundings = &host.shell.party;
+    let spent = before.processor.iter().zip(&after.processor);
+    Ok(Measured {
+        seconds: (after.at - before.at).nanos() as f64 / 1e9,
+        flows: flows_between(&before.traffic, &after.traffic),
+        started: started_between(&before.traffic, &after.traffic),
+        total: surroundings.traffic().to_vec(),
+        processor: spent.map(|(before, after)| after - before).collect(),
+        memory: None,
+        resident: Some(after.resident),
+        start_up,
+        start_up_processor: host.start_up_processor.iter().map(|seconds| seconds.unwrap_or(0.0)).collect(),
+        counts: None,
+        clients: surroundings.clients().map(|client| client.counts).collect(),
+        running,
+    })
+}
+
+fn check_fits(scenario: &Scenario) -> Result<(), String> {
+    let (schedulers, workers) = (scenario.schedulers(), scenario.workers());
+    if schedulers > MOST_PROCESSES {
+        return Err(format!("schedulers: {schedulers} processes, {MOST_PROCESSES} at most"));
+    }
+    let wanted = workers + workers * schedulers + 2 * schedulers + SPARE_DESCRIPTORS;
+    match mulleinhub_shell::descriptors() {
+        Some(most) if wanted > most => Err(format!(
+            "{workers} listeners and {schedulers} x {workers} connections want {wanted} descriptors, \
+             {most} are allowed"
+        )),
+        _ => Ok(()),
+    }
+}
+
+/// A port that was free a moment ago.
+fn free_port() -> Result<SocketAddr, String> {
+    let probe = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(|e| format!("a free port: {e}"))?;
+    probe.local_addr().map_err(|e| format!("a free port: {e}"))
+}
+
+impl<'a> RealHost<'a> {
+    fn new(scenario: &'a Scenario, folder: &Path, program: Option<&Path>) -> Result<Self, String> {
+        let mut shell = Shell::new(Surroundings::new(scenario)).map_err(|e| format!("poll: {e}"))?;
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let listening = |e: std::io::Error| format!("a listener: {e}");
+        for worker in 0..scenario.workers() {
+            let address = shell.listen(any, Door(worker as u32)).map_err(listening)?;
+            shell.party.set_address(worker, &address.to_string());
+        }
+        let list = shell.listen(any, LIST_DOOR).map_err(listening)?.to_string();
+        let mut processes = Vec::new();
+        for number in 0..scenario.schedulers() {
+            let listen = free_port()?;
+            shell.name(scheduler_name(number), listen);
+            let file = |end: &str| folder.join(format!("{}.{end}", scheduler_name(number)));
+            let places = ProcessPlaces { listen, state_dir: &file("state") };
+            let text = settings::text(scenario, number, &list, Some(&places));
+            let path: PathBuf = file("conf");
+            std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+            processes.push(PlannerProcess::new(path, file("log"), program));
+        }
+        let start_up_processor = vec![None; processes.len()];
+        Ok(Self { scenario, shell, processes, start_up_processor, looked: 0 })
+    }
+
+    fn step_until(&mut self, until: Time) -> Result<(), String> {
+        while self.shell.now() < until {
+            let left = Duration::from_nanos((until - self.shell.now()).nanos());
+            self.shell.step(STEP.min(left)).map_err(|e| format!("poll: {e}"))?;
+            self.note_ready();
+            let looks = self.shell.now().nanos() / LOOKS;
+            if looks > self.looked {
+                self.looked = looks;
+                self.check_processes()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn note_ready(&mut self) {
+        let ready = self.shell.party.ready();
+        for (ready, (noted, process)) in ready.zip(self.start_up_processor.iter_mut().zip(&self.processes)) {
+            if ready.is_some() && noted.is_none() {
+                *noted = Some(process.usage().cpu.as_secs_f64());
+            }
+        }
+    }
+
+    fn check_processes(&mut self) -> Result<(), String> {
+        for (number, process) in self.processes.iter_mut().enumerate() {
+            if let Some(status) = process.ended() {
+                let log = std::fs::read_to_string(&process.log).unwrap_or_default();
+                let last = log.lines().last().unwrap_or_default();
+                let number = number + 1;
+                let many = self.scenario.schedulers();
+                return Err(format!("scheduler {number} of {many} ended by itself ({status}): {last}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn look(&self) -> Look {
+        let usage: Vec<_> = self.processes.iter().map(PlannerProcess::usage).collect();
+        Look {
+            at: self.shell.now(),
+            traffic: self.shell.party.traffic().to_vec(),
+            processor: usage.iter().map(|usage| usage.cpu.as_secs_f64()).collect(),
+            resident: usage.iter().map(|usage| usage.resident * 1024).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/planners/scenario.rs
@@ -0,0 +1,132 @@
+//! One run of a profile, as both hosts play it: who is where, and when what begins.
+
+use crate::profile::{Profile, RoundTrips, RunPlan};
+use crate::results::Size;
+use mulleinhub_interface::{Span, Time};
+
+/// Workers of one rack.
+const WORKERS_A_RACK: usize = 40;
+/// Schedulers start once the list service has seen all workers.
+const SCHEDULERS_START: Time = Time::from_nanos(2_000_000_000);
+/// Tasks that run from the beginning are asked for from then on,
+const FILL_BEGINS: Time = Time::from_nanos(4_500_000_000);
+/// and until so long before what is measured; from then on tasks start and end at an even pace.
+const SETTLES: Span = Span::from_nanos(2_500_000_000);
+/// After what is measured, answers that are still to come get so long.
+const DRAIN: Span = Span::from_secs(2);
+/// The shortest warm-up in which tasks can be asked for.
+const LEAST_WARM_UP: Span = Span::from_secs(8);
+
+/// One run: sizes, places and times.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub seed: u64,
+    pub size: Size,
+    pub round_trips: RoundTrips,
+    /// What is measured begins then, and ends then.
+    pub from: Time,
+    pub until: Time,
+}
+
+impl Scenario {
+    /// # Errors
+    /// Where the profile asks for something that planners' hosts don't play.
+    pub fn new(profile: &Profile, plan: &RunPlan) -> Result<Self, String> {
+        let faulty = |words: &str| Err(format!("profile {}: {words}", profile.name));
+        let size = plan.size;
+        if size.workers == 0 {
+            return faulty("workers: schedulers without workers have nothing to do");
+        }
+        if !profile.cuts.is_empty() || profile.drops > 0.0 {
+            return faulty("cut and drops are played by hollow-ledgers alone");
+        }
+        if size.changes > 0.0 || size.failures > 0.0 || profile.replicas.is_some() {
+            return faulty("changes, failures and replicas are played by hollow-ledgers alone");
+        }
+        if size.running > 0 && profile.warm_up < LEAST_WARM_UP {
+            return faulty("warm-up: tasks that run need 8s at least");
+        }
+        let from = Time::default() + profile.warm_up;
+        Ok(Self {
+            seed: profile.seed,
+            size,
+            round_trips: profile.round_trips,
+            from,
+            until: from + profile.length,
+        })
+    }
+
+    #[must_use]
+    pub fn schedulers(&self) -> usize {
+        self.size.schedulers as usize
+    }
+
+    #[must_use]
+    pub fn workers(&self) -> usize {
+        self.size.workers as usize
+    }
+
+    /// When the run is over: nothing is asked for after what is measured, and all answers have come.
+    #[must_use]
+    pub fn over(&self) -> Time {
+        self.until + DRAIN
+    }
+
+    /// Seconds that are measured.
+    #[must_use]
+    pub fn seconds(&self) -> f64 {
+        (self.until - self.from).nanos() as f64 / 1e9
+    }
+
+    #[must_use]
+    pub fn schedulers_start(&self) -> Time {
+        SCHEDULERS_START
+    }
+
+    /// The zone of a scheduler or worker, by its number.
+    #[must_use]
+    pub fn zone(&self, number: usize) -> u32 {
+        (number % self.size.zones.max(1) as usize) as u32
+    }
+
+    /// The rack of a worker. The workers of a rack are of one zone.
+    #[must_use]
+    pub fn rack(&self, worker: usize) -> u32 {
+        let zones = self.size.zones.max(1) as usize;
+        let of_its_zone = worker / zones / WORKERS_A_RACK;
+        (of_its_zone * zones + worker % zones) as u32
+    }
+
+    /// One way between two zones.
+    #[must_use]
+    pub fn one_way(&self, a: u32, b: u32) -> Span {
+        let regions = self.size.regions.max(1);
+        let there_and_back = if a == b {
+            self.round_trips.zone
+        } else if a % regions == b % regions {
+            self.round_trips.region
+        } else {
+            self.round_trips.between_regions
+        };
+        there_and_back * 0.5
+    }
+
+    /// When the tasks that run from the beginning are asked for: first and last.
+    #[must_use]
+    pub fn fill(&self) -> (Time, Time) {
+        (FILL_BEGINS, self.steady_from())
+    }
+
+    /// From then on tasks start and end at an even pace.
+    #[must_use]
+    pub fn steady_from(&self) -> Time {
+        Time::default() + (self.from - Time::default() - SETTLES)
+    }
+
+    /// How long a task runs; nothing where none ends.
+    #[must_use]
+    pub fn life(&self) -> Option<Span> {
+        let seconds = f64::from(self.size.running) / self.size.starts;
+        (self.size.starts > 0.0).then(|| Span::from_secs(1) * seconds)
+    }
+}
--- /dev/null
+++ b/crates/scale/src/planners/virtual_host.rs
@@ -0,0 +1,469 @@
+//! Engines and their surroundings in virtual time, on one thread, joined by wires with round trips.
+//!
+//! A wire has one delay, keeps the order of what goes over it, and is never full. Turns take no virtual time:
+//! what a turn costs is measured as processor time of this thread, around the engine's own work alone.
+
+use super::meter::Meter;
+use super::scenario::Scenario;
+use super::settings;
+use super::surroundings::{LIST_DOOR, Surroundings};
+use super::traffic::SchedulerTraffic;
+use mulleinhub_engine::{Counts, Engine};
+use mulleinhub_interface::{Span, Time};
+use mulleinhub_planner::conf_of_text;
+use mulleinhub_seam::{Ask, Door, End, Link, Links, Party};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap};
+
+/// Turns at one instant after which the run is taken to go round in circles.
+const MOST_TURNS_AT_ONCE: u32 = 1_000_000;
+/// Addresses in virtual time are as long as those of loopback sockets, so that lists have the same bytes.
+const FIRST_PORT: usize = 10_000;
+/// No address has a greater port.
+const LAST_PORT: usize = 65_534;
+const LIST_ADDRESS: &str = "127.0.0.1:9999";
+
+/// The address of a worker in virtual time.
+fn worker_address(worker: usize) -> String {
+    format!("127.0.0.1:{}", FIRST_PORT + worker)
+}
+
+/// The most workers that have an address.
+pub const MOST_WORKERS: usize = LAST_PORT - FIRST_PORT;
+
+fn door_of(address: &str) -> Option<Door> {
+    if address == LIST_ADDRESS {
+        return Some(LIST_DOOR);
+    }
+    let port: usize = address.strip_prefix("127.0.0.1:")?.parse().ok()?;
+    Some(Door(port.checked_sub(FIRST_PORT)? as u32))
+}
+
+/// What is on its way.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Parcel {
+    Opened(DoorNumber),
+    Up,
+    Bytes(Vec<u8>),
+    Ended(HowEnded),
+}
+
+type DoorNumber = u32;
+
+/// `End` in an order, which the queue needs and never looks at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum HowEnded {
+    Closed,
+    Broken,
+}
+
+impl From<HowEnded> for End {
+    fn from(how: HowEnded) -> Self {
+        match how {
+            HowEnded::Closed => Self::Closed,
+            HowEnded::Broken => Self::Broken,
+        }
+    }
+}
+
+/// What a scheduler asks its host for.
+enum Wish {
+    Open(Link, Door),
+    End { link: Link, at_once: bool },
+}
+
+/// The next of a scheduler's asks. One for an address that is none of this run is passed over.
+fn next_ask(links: &mut Links) -> Option<Wish> {
+    loop {
+        match links.next_ask()? {
+            Ask::End { link, at_once } => return Some(Wish::End { link, at_once }),
+            Ask::Open(link, address) => {
+                if let Some(door) = door_of(&address) {
+                    return Some(Wish::Open(link, door));
+                }
+            }
+        }
+    }
+}
+
+/// Which end of a wire something goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Toward {
+    Scheduler,
+    Surroundings,
+}
+
+/// A connection between a scheduler and its surroundings.
+#[derive(Clone, Copy, Debug)]
+struct Wire {
+    scheduler: usize,
+    /// The link of either end, once it has one; none after its end was told.
+    at_scheduler: Option<Link>,
+    at_surroundings: Option<Link>,
+    one_way: Span,
+}
+
+/// Due then, in the order of sending.
+type Delivery = Reverse<(Time, u64, usize, Toward, Parcel)>;
+
+struct Scheduler {
+    engine: Engine,
+    meter: Meter,
+    /// The wire of each of its links.
+    wires: Vec<Option<usize>>,
+    /// What came in since its last turn.
+    inbox: Vec<(Link, Parcel)>,
+    wake: Option<Time>,
+    started: bool,
+}
+
+/// A look at the counts of a run.
+#[derive(Clone, Debug)]
+pub struct Look {
+    pub traffic: Vec<SchedulerTraffic>,
+    /// Processor time of each scheduler so far, in nanoseconds.
+    pub processor: Vec<u64>,
+    pub counts: Vec<Counts>,
+}
+
+/// A run in virtual time.
+pub struct VirtualHost {
+    scenario: Scenario,
+    schedulers: Vec<Scheduler>,
+    surroundings: Surroundings,
+    wires: Vec<Wire>,
+    /// The wire of each link of the surroundings.
+    outer_wires: Vec<Option<usize>>,
+    queue: BinaryHeap<Delivery>,
+    sent: u64,
+    wakes: BTreeSet<(Time, usize)>,
+    touched: BTreeSet<usize>,
+    now: Time,
+    /// Processor time until each scheduler was ready, in nanoseconds.
+    start_up_processor: Vec<Option<u64>>,
+}
+
+fn place<T: Copy>(places: &mut Vec<Option<T>>, link: Link, value: T) {
+    let at = link.0 as usize;
+    if places.len() <= at {
+        places.resize(at + 1, None);
+    }
+    places[at] = Some(value);
+}
+
+impl VirtualHost {
+    /// # Errors
+    /// Where there are more workers than addresses.
+    pub fn new(scenario: &Scenario) -> Result<Self, String> {
+        if scenario.workers() > MOST_WORKERS {
+            return Err(format!("workers: {} at most have addresses in virtual time", MOST_WORKERS));
+        }
+        let schedulers = (0..scenario.schedulers()).map(|n| Scheduler::new(scenario, n));
+        let schedulers: Vec<Scheduler> = schedulers.collect::<Result<_, String>>()?;
+        let wakes = (0..schedulers.len()).map(|n| (scenario.schedulers_start(), n)).collect();
+        let mut surroundings = Surroundings::new(scenario);
+        for worker in 0..scenario.workers() {
+            surroundings.set_address(worker, &worker_address(worker));
+        }
+        Ok(Self {
+            surroundings,
+            scenario: scenario.clone(),
+            start_up_processor: vec![None; schedulers.len()],
+            schedulers,
+            wires: Vec::new(),
+            outer_wires: Vec::new(),
+            queue: BinaryHeap::new(),
+            sent: 0,
+            wakes,
+            touched: BTreeSet::new(),
+            now: Time::default(),
+        })
+    }
+
+    /// Plays on up to an instant.
+    ///
+    /// # Panics
+    /// Where the run goes round in circles, which is a defect of a party.
+    pub fn play_until(&mut self, until: Time) {
+        let mut turns = 0;
+        while let Some(next) = self.next_instant().filter(|next| *next < until) {
+            turns = if next > self.now { 0 } else { turns + 1 };
+            assert!(turns < MOST_TURNS_AT_ONCE, "the run goes round in circles at {} ns", self.now.nanos());
+            self.now = self.now.max(next);
+            self.turn();
+        }
+        self.now = until;
+    }
+
+    /// What was counted so far.
+    #[must_use]
+    pub fn look(&self) -> Look {
+        Look {
+            traffic: self.surroundings.traffic().to_vec(),
+            processor: self.schedulers.iter().map(|scheduler| scheduler.meter.processor()).collect(),
+            counts: self.schedulers.iter().map(|scheduler| scheduler.engine.counts()).collect(),
+        }
+    }
+
+    /// Bytes that each scheduler holds, by the allocator's count; nothing where it doesn't count.
+    pub fn memory(&self) -> Option<Vec<u64>> {
+        self.schedulers.iter().map(|scheduler| scheduler.meter.memory()).collect()
+    }
+
+    /// Processor time of each scheduler until it was ready, in nanoseconds, where it is.
+    #[must_use]
+    pub fn start_up_processor(&self) -> &[Option<u64>] {
+        &self.start_up_processor
+    }
+
+    #[must_use]
+    pub fn surroundings(&self) -> &Surroundings {
+        &self.surroundings
+    }
+
+    fn next_instant(&self) -> Option<Time> {
+        let delivery = self.queue.peek().map(|Reverse((at, ..))| *at);
+        let wake = self.wakes.first().map(|(at, _)| *at);
+        [delivery, wake, self.surroundings.wake()].into_iter().flatten().min()
+    }
+
+    fn turn(&mut self) {
+        self.deliver();
+        self.surroundings.turn(self.now);
+        self.carry_from_surroundings();
+        while self.wakes.first().is_some_and(|(at, _)| *at <= self.now) {
+            let Some((_, scheduler)) = self.wakes.pop_first() else { break };
+            self.schedulers[scheduler].wake = None;
+            self.touched.insert(scheduler);
+        }
+        for scheduler in std::mem::take(&mut self.touched) {
+            self.turn_of(scheduler);
+        }
+        self.note_ready();
+    }
+
+    fn turn_of(&mut self, number: usize) {
+        let scheduler = &mut self.schedulers[number];
+        if self.now < self.scenario.schedulers_start() {
+            return;
+        }
+        scheduler.started = true;
+        scheduler.turn(self.now);
+        let wake = scheduler.engine.wake();
+        if let Some(before) = std::mem::replace(&mut scheduler.wake, wake) {
+            self.wakes.remove(&(before, number));
+        }
+        self.wakes.extend(wake.map(|at| (at, number)));
+        self.carry_from_scheduler(number);
+    }
+
+    /// Hands over all that is due by now.
+    fn deliver(&mut self) {
+        while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= self.now) {
+            let Some(Reverse((_, _, wire, toward, parcel))) = self.queue.pop() else { return };
+            match toward {
+                Toward::Surroundings => self.deliver_to_surroundings(wire, parcel),
+                Toward::Scheduler => self.deliver_to_scheduler(wire, parcel),
+            }
+        }
+    }
+
+    /// It waits for the scheduler's turn, which is at this instant.
+    fn deliver_to_scheduler(&mut self, wire: usize, parcel: Parcel) {
+        let number = self.wires[wire].scheduler;
+        let scheduler = &mut self.schedulers[number];
+        if matches!(parcel, Parcel::Opened(_)) {
+            let link = scheduler.hold(Links::fresh);
+            place(&mut scheduler.wires, link, wire);
+            self.wires[wire].at_scheduler = Some(link);
+        }
+        let Some(link) = self.wires[wire].at_scheduler else { return };
+        if matches!(parcel, Parcel::Ended(_)) {
+            self.wires[wire].at_scheduler = None;
+        }
+        let is_opened = matches!(parcel, Parcel::Opened(_));
+        self.schedulers[number].inbox.push((link, parcel));
+        self.touched.insert(number);
+        if is_opened {
+            self.send(wire, Toward::Surroundings, Parcel::Up);
+        }
+    }
+
+    fn deliver_to_surroundings(&mut self, wire: usize, parcel: Parcel) {
+        if let Parcel::Opened(door) = parcel {
+            let link = self.surroundings.links().fresh();
+            self.wires[wire].at_surroundings = Some(link);
+            place(&mut self.outer_wires, link, wire);
+            self.surroundings.opened(self.now, link, Door(door));
+            self.send(wire, Toward::Scheduler, Parcel::Up);
+            return;
+        }
+        let Some(link) = self.wires[wire].at_surroundings else { return };
+        match parcel {
+            Parcel::Opened(_) => {}
+            Parcel::Up => self.surroundings.up(self.now, link),
+            Parcel::Bytes(bytes) => self.surroundings.received(self.now, link, &bytes),
+            Parcel::Ended(how) => {
+                self.wires[wire].at_surroundings = None;
+                self.surroundings.ended(self.now, link, how.into());
+            }
+        }
+    }
+
+    fn send(&mut self, wire: usize, toward: Toward, parcel: Parcel) {
+        let at = self.now + self.wires[wire].one_way;
+        self.sent += 1;
+        self.queue.push(Reverse((at, self.sent, wire, toward, parcel)));
+    }
+
+    fn wire_of_outer(&self, link: Link) -> Option<usize> {
+        self.outer_wires.get(link.0 as usize).copied().flatten()
+    }
+
+    fn carry_from_surroundings(&mut self) {
+        loop {
+            if let Some(link) = self.surroundings.links().next_dirty() {
+                self.carry_outer(link);
+                continue;
+            }
+            let Some(ask) = self.surroundings.links().next_ask() else { return };
+            match ask {
+                Ask::Open(link, address) => self.client_opens(link, &address),
+                Ask::End { link, at_once } => {
+                    self.carry_outer(link);
+                    self.surroundings.links().drop_link(link);
+                    if let Some(wire) = self.wire_of_outer(link) {
+                        self.wires[wire].at_surroundings = None;
+                        let how = if at_once { HowEnded::Broken } else { HowEnded::Closed };
+                        self.send(wire, Toward::Scheduler, Parcel::Ended(how));
+                    }
+                }
+            }
+        }
+    }
+
+    fn carry_outer(&mut self, link: Link) {
+        let bytes = self.surroundings.links().outgoing(link).to_vec();
+        if let (false, Some(wire)) = (bytes.is_empty(), self.wire_of_outer(link)) {
+            self.surroundings.links().wrote(link, bytes.len());
+            self.send(wire, Toward::Scheduler, Parcel::Bytes(bytes));
+        }
+    }
+
+    /// A client opens a connection to its scheduler, which is of its own zone.
+    fn client_opens(&mut self, link: Link, address: &str) {
+        let scheduler = settings::scheduler_number(address);
+        let started = |number: &usize| self.schedulers.get(*number).is_some_and(|s| s.started);
+        let Some(scheduler) = scheduler.filter(started) else {
+            self.surroundings.links().drop_link(link);
+            self.surroundings.ended(self.now, link, End::Refused);
+            return;
+        };
+        let zone = self.scenario.zone(scheduler);
+        let wire = self.new_wire(scheduler, None, Some(link), self.scenario.one_way(zone, zone));
+        place(&mut self.outer_wires, link, wire);
+        self.send(wire, Toward::Scheduler, Parcel::Opened(0));
+    }
+
+    fn new_wire(
+        &mut self,
+        scheduler: usize,
+        at_scheduler: Option<Link>,
+        at_surroundings: Option<Link>,
+        one_way: Span,
+    ) -> usize {
+        self.wires.push(Wire { scheduler, at_scheduler, at_surroundings, one_way });
+        self.wires.len() - 1
+    }
+
+    fn carry_from_scheduler(&mut self, number: usize) {
+        loop {
+            if let Some(link) = self.schedulers[number].hold(Links::next_dirty) {
+                self.carry_inner(number, link);
+                continue;
+            }
+            match self.schedulers[number].hold(next_ask) {
+                None => return,
+                Some(Wish::Open(link, door)) => self.scheduler_opens(number, link, door),
+                Some(Wish::End { link, at_once }) => {
+                    self.carry_inner(number, link);
+                    self.schedulers[number].hold(|links| links.drop_link(link));
+                    if let Some(wire) = self.schedulers[number].wire(link) {
+                        self.wires[wire].at_scheduler = None;
+                        let how = if at_once { HowEnded::Broken } else { HowEnded::Closed };
+                        self.send(wire, Toward::Surroundings, Parcel::Ended(how));
+                    }
+                }
+            }
+        }
+    }
+
+    fn carry_inner(&mut self, number: usize, link: Link) {
+        let scheduler = &mut self.schedulers[number];
+        let bytes = scheduler.engine.links().outgoing(link).to_vec();
+        if let (false, Some(wire)) = (bytes.is_empty(), scheduler.wire(link)) {
+            scheduler.hold(|links| links.wrote(link, bytes.len()));
+            self.send(wire, Toward::Surroundings, Parcel::Bytes(bytes));
+        }
+    }
+
+    /// A scheduler opens a connection to a worker, or to the list service, which stands in the first zone.
+    fn scheduler_opens(&mut self, number: usize, link: Link, door: Door) {
+        let scenario = &self.scenario;
+        let there = if door == LIST_DOOR { 0 } else { scenario.zone(door.0 as usize) };
+        let one_way = scenario.one_way(scenario.zone(number), there);
+        let wire = self.new_wire(number, Some(link), None, one_way);
+        place(&mut self.schedulers[number].wires, link, wire);
+        self.send(wire, Toward::Surroundings, Parcel::Opened(door.0));
+    }
+
+    fn note_ready(&mut self) {
+        let ready = self.surroundings.ready();
+        let of = self.start_up_processor.iter_mut().zip(&self.schedulers);
+        for (ready, (noted, scheduler)) in ready.zip(of) {
+            if ready.is_some() {
+                noted.get_or_insert(scheduler.meter.processor());
+            }
+        }
+    }
+}
+
+impl Scheduler {
+    fn new(scenario: &Scenario, number: usize) -> Result<Self, String> {
+        let conf = conf_of_text(&settings::text(scenario, number, LIST_ADDRESS, None))?;
+        let mut meter = Meter::default();
+        let life = 1_000 + number as u64;
+        let engine = meter.measure(|| Engine::new(conf.engine, life, None));
+        Ok(Self { engine, meter, wires: Vec::new(), inbox: Vec::new(), wake: None, started: false })
+    }
+
+    fn wire(&self, link: Link) -> Option<usize> {
+        self.wires.get(link.0 as usize).copied().flatten()
+    }
+
+    /// Does something with its connections as whoever feeds it; what that takes or gives back of memory is
+    /// the scheduler's.
+    fn hold<T>(&mut self, work: impl FnOnce(&mut Links) -> T) -> T {
+        let links = self.engine.links();
+        self.meter.hold(|| work(links))
+    }
+
+    /// Tells all that came in, and has a turn.
+    fn turn(&mut self, now: Time) {
+        let inbox = std::mem::take(&mut self.inbox);
+        let engine = &mut self.engine;
+        self.meter.measure(|| {
+            for (link, parcel) in &inbox {
+                match parcel {
+                    Parcel::Opened(door) => engine.opened(now, *link, Door(*door)),
+                    Parcel::Up => engine.up(now, *link),
+                    Parcel::Bytes(bytes) => engine.received(now, *link, bytes),
+                    Parcel::Ended(how) => engine.ended(now, *link, (*how).into()),
+                }
+            }
+            engine.turn(now);
+            // A process writes it to its disk; here it is only made.
+            drop(engine.keep());
+        });
+    }
+}
