--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,9 +9,15 @@
 mod trace;
 
 use clap::{CommandFactory, Parser, Subcommand};
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use std::alloc::System;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Counts what is allocated, for `scale run`.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
 #[derive(Parser)]
 #[command(name = "mulleinhub", version, about = "A cluster scheduler of which many copies run side by side")]
 struct Cli {
--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -1,7 +1,9 @@
 //! `scale`: profiles run, slopes fitted, the capacity page written and checked.
 
 use clap::{Args, Subcommand};
+use mulleinhub_interface::Span;
 use mulleinhub_scale::fit::{Fit, fit};
+use mulleinhub_scale::hosts;
 use mulleinhub_scale::page::{self, read_results};
 use mulleinhub_scale::plot::{self, Picture};
 use mulleinhub_scale::profile;
@@ -11,8 +13,10 @@
 use mulleinhub_scale::tables::{Evidence, measured};
 use mulleinhub_scale::targets::{Target, axis_name};
 use mulleinhub_scale::units::{name, number, size, unit};
+use mulleinhub_settings::Value;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 #[derive(Subcommand)]
 pub enum ScaleCommand {
@@ -35,6 +39,9 @@
     /// The directory for PROFILE.json and PROFILE.csv
     #[arg(long, default_value = ".")]
     out: PathBuf,
+    /// A run of ledgers that takes longer is given up, and the profile has no results
+    #[arg(long, default_value = "15min", value_parser = span)]
+    at_most: Duration,
 }
 
 #[derive(Args)]
@@ -72,6 +79,9 @@
     /// Writes the figures in place of comparing
     #[arg(long)]
     record: bool,
+    /// A run that takes longer is given up
+    #[arg(long, default_value = "1min", value_parser = span)]
+    at_most: Duration,
 }
 
 pub fn run(command: ScaleCommand) -> Result<ExitCode, String> {
@@ -89,7 +99,7 @@
 
 fn run_profile(run: &Run) -> Result<ExitCode, String> {
     std::fs::create_dir_all(&run.out).map_err(|cause| words(&run.out, &cause))?;
-    let results = play(&run.profile, run.seed)?;
+    let results = play(&run.profile, run.seed, run.at_most)?;
     for one in &results.runs {
         let held_out = if one.held_out { ", held out" } else { "" };
         println!("{} at {} {}{held_out}", results.profile, size(one.varied), results.vary);
@@ -207,7 +217,7 @@
 fn check_profile(check: &Check) -> Result<ExitCode, String> {
     let text = |error: mulleinhub_scale::record::RecordError| error.to_string();
     let recorded = if check.record { None } else { Some(Record::read(&check.figures).map_err(text)?) };
-    let results = play(&check.profile, None)?;
+    let results = play(&check.profile, None, check.at_most)?;
     let now = Record::of(&results).map_err(text)?;
     let Some(recorded) = recorded else {
         std::fs::write(&check.figures, now.text()).map_err(|cause| words(&check.figures, &cause))?;
@@ -227,9 +237,13 @@
 }
 
 /// Reads a profile and runs it on its host.
-fn play(path: &Path, seed: Option<u64>) -> Result<Results, String> {
+fn play(path: &Path, seed: Option<u64>, at_most: Duration) -> Result<Results, String> {
     let text = std::fs::read_to_string(path).map_err(|cause| words(path, &cause))?;
     let mut profile = profile::parse(&path.display().to_string(), &text)?;
     profile.seed = seed.unwrap_or(profile.seed);
-    Err(format!("profile {}: this build has no host {}", profile.name, name(profile.host)))
+    hosts::run(&profile, at_most, &mut |words| eprintln!("{words}")).map_err(|error| error.to_string())
+}
+
+fn span(text: &str) -> Result<Duration, String> {
+    Span::read(text).map(|span| Duration::from_nanos(span.nanos()))
 }
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -5,9 +5,11 @@
 //! both.
 
 pub mod fit;
+pub mod hosts;
 pub mod ledgers;
 pub mod meter;
 pub mod page;
+pub mod planners;
 pub mod plot;
 pub mod profile;
 pub mod reckon;
