--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -102,7 +102,12 @@
     let results = play(&run.profile, run.seed, run.at_most)?;
     for one in &results.runs {
         let held_out = if one.held_out { ", held out" } else { "" };
-        println!("{} at {} {}{held_out}", results.profile, size(one.varied), results.vary);
+        let at = if results.vary.is_empty() {
+            String::new()
+        } else {
+            format!(" at {} {}", size(one.varied), results.vary)
+        };
+        println!("{}{at}{held_out}", results.profile);
         for sample in &one.samples {
             let shown = unit(sample.metric).show(sample.value);
             println!("  {} {}: {shown}", name(sample.role), name(sample.metric));
--- a/crates/scale/src/tables.rs
+++ b/crates/scale/src/tables.rs
@@ -95,14 +95,15 @@
         ["profile", "host", "version", "seed", "varied", "sizes (held out in brackets)", "measured", "fixed"];
     let mut table = Table::new(head);
     for results in &evidence.results {
-        let sizes: Vec<String> = results.runs.iter().map(run_size).collect();
+        let is_varied = !results.vary.is_empty();
+        let sizes: Vec<String> = results.runs.iter().filter(|_| is_varied).map(run_size).collect();
         table.row([
             code(&results.profile),
             host_words(results.host).to_owned(),
             results.version.clone(),
             results.seed.to_string(),
-            if results.vary.is_empty() { NOTHING.to_owned() } else { results.vary.clone() },
-            sizes.join(", "),
+            if is_varied { results.vary.clone() } else { NOTHING.to_owned() },
+            if is_varied { sizes.join(", ") } else { NOTHING.to_owned() },
             measured_for(results),
             fixed(results),
         ]);
@@ -114,6 +115,15 @@
     if run.held_out { format!("({})", size(run.varied)) } else { size(run.varied) }
 }
 
+/// The value of the variable with its name, for results that have one.
+fn varied(results: &Results, run: &Run) -> String {
+    if results.vary.is_empty() {
+        NOTHING.to_owned()
+    } else {
+        format!("{} {}", size(run.varied), results.vary)
+    }
+}
+
 /// The seconds of each run, once where all are the same.
 fn measured_for(results: &Results) -> String {
     let least = results.runs.iter().map(|run| run.seconds).fold(f64::INFINITY, f64::min);
@@ -418,7 +428,7 @@
                 };
                 table.row([
                     code(plain),
-                    format!("{} {}", size(one.varied), before.vary).trim_end().to_owned(),
+                    varied(before, one),
                     name(role),
                     name(metric),
                     unit(metric).show(was),
@@ -476,9 +486,7 @@
                     std::array::from_fn(|at| {
                         values[at].map_or(NOTHING.to_owned(), |v| unit(TIMES[at]).show(v))
                     });
-                let varied = format!("{} {}", size(run.varied), results.vary).trim_end().to_owned();
-                let first = [code(&results.profile), name(role), varied];
-                let [profile, role, varied] = first;
+                let [profile, role, varied] = [code(&results.profile), name(role), varied(results, run)];
                 table.row([
                     profile,
                     role,
