Scale: the list costs a scheduler all starts, workers and clients its own part

Cause: a run of planners showed that the list tells every scheduler of every start, while offers and answers are its own; read as its own part, the list's bytes came out several times too small.

Change: a scheduler's traffic is reckoned as the sum of list (whole fleet), workers and clients (own part); where the own part may be too little, the limits give what it were if all paid for all.

--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -82,12 +82,13 @@
 }
 
 impl Share {
-    /// What holds for a role: ledger members that copy every log pay for all tasks; those with replica sets for
-    /// what their writers have, and who places for what it places.
+    /// What holds for a role: ledger members that copy every log pay for all tasks, and so does who hears of
+    /// every worker's changes from the list; ledger members with replica sets pay for what their writers have,
+    /// and who places for what it places.
     #[must_use]
     pub fn of(role: Role, form: Form) -> Self {
         match (role, form) {
-            (Role::LedgerMember, Form::CopiedToAll) => Self::Fleet,
+            (Role::Discovery, _) | (Role::LedgerMember, Form::CopiedToAll) => Self::Fleet,
             _ => Self::OwnPart,
         }
     }
@@ -210,6 +211,7 @@
     for form in FORMS {
         let of_form: Vec<&Results> = results.iter().filter(|one| Form::of(&one.profile) == form).collect();
         let mut here = roles(target, &of_form, form);
+        placing_by_parts(&mut here);
         let with_placing = control_with_placing(&here, &all);
         here.extend(with_placing);
         let both_ways = both_ways(&here);
@@ -246,7 +248,8 @@
     let share = Share::of(role, form);
     let needs = needs(target, share, base, others);
     let at_most = self::needs(target, Share::Fleet, base, others);
-    let may_be_more = role == Role::LedgerMember && at_most != needs;
+    let more = |(most, need): (&Need, &Need)| most.value > need.value;
+    let may_be_more = at_most.iter().zip(&needs).any(more);
     let chosen = target.size(target.chosen);
     let used = |slope: &&Slope| {
         slope.variable == base.variable
@@ -354,6 +357,29 @@
     Some((most.variable, most.fit.curve.dominant(at)))
 }
 
+/// A scheduler's traffic is that with the list, with workers and with clients, which depend on other starts:
+/// where all three are there, their sum takes the place of what was reckoned for the whole.
+fn placing_by_parts(here: &mut [Reckoned]) {
+    let metrics = [Metric::BytesIn, Metric::BytesOut, Metric::MessagesIn, Metric::MessagesOut];
+    for at in 0..here.len() {
+        let whole = &here[at];
+        let is_traffic = metrics.map(Quantity::Metric).contains(&whole.quantity);
+        if whole.spender != Spender::Role(Role::Scheduler) || !is_traffic {
+            continue;
+        }
+        let part = |role: Role| {
+            let is = |one: &&Reckoned| {
+                (one.spender, one.quantity, one.host) == (Spender::Role(role), whole.quantity, whole.host)
+            };
+            here.iter().find(is)
+        };
+        let parts = [Role::Discovery, Role::Worker, Role::Client].map(part);
+        let [Some(discovery), Some(worker), Some(client)] = parts else { continue };
+        let sum = added(&added(discovery, worker), client);
+        here[at] = Reckoned { spender: whole.spender, budget: whole.budget, ..sum };
+    }
+}
+
 /// The sums of ledger member and placing, where both were run. Placing doesn't depend on the ledger's form:
 /// where a form has no placing of its own, that of the forms `before` is taken.
 fn control_with_placing(here: &[Reckoned], before: &[Reckoned]) -> Vec<Reckoned> {
--- a/crates/scale/src/tables.rs
+++ b/crates/scale/src/tables.rs
@@ -269,9 +269,10 @@
 These figures are reckoned, not measured: no run here had the whole size. Each begins with the prediction of one profile
 (the first of its row, with all other variables as that profile fixes them) and adds, for every variable that another
 profile changes, the difference between the target's value and the fixed one by that profile's slope. It is right as far as
-the variables add up; where one multiplies another, it is too low. Placing pays for a scheduler's own part of starts and
-running tasks, spread evenly: its slopes are read there. A ledger member whose logs are copied to all pays for the whole
-fleet's. With replica sets it is reckoned to pay for its part, and the limits say what it were if it paid for all.
+the variables add up; where one multiplies another, it is too low. Workers and clients cost a scheduler its own part of
+starts and running tasks, spread evenly: their slopes are read there. The list, and logs that are copied to all, cost it the
+whole fleet's; a scheduler's traffic is the sum of list, workers and clients. With replica sets a ledger member is reckoned to
+pay for its part. Where that may be too little, the limits say what it were if every scheduler paid for all.
 ";
 
 fn target(evidence: &Evidence) -> String {
@@ -360,13 +361,13 @@
 fn limits(one: &Reckoned) -> Option<String> {
     let mut words: Vec<String> = Vec::new();
     if one.is_sum {
-        words.push("a sum: the limits of both its parts".to_owned());
+        words.push("a sum: the limits of its parts".to_owned());
     }
     words.extend(one.beyond.iter().map(beyond));
     words.extend(one.unvaried.iter().map(unvaried));
     if let Some(at_most) = &one.at_most {
         let shown: Vec<String> = at_most.iter().map(|need| one.quantity.unit().show(need.value)).collect();
-        words.push(format!("if every start and name were paid for by all: {}", shown.join(" / ")));
+        words.push(format!("if every scheduler paid for all starts and names: {}", shown.join(" / ")));
     }
     if one.needs.iter().any(|need| need.value < 0.0) {
         words.push("the slopes give less than nothing: not usable".to_owned());
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -147,9 +147,34 @@
         let [beyond] = bytes.beyond[..] else { panic!("{:?}", bytes.beyond) };
         assert!((beyond.target - 1_470.0).abs() < 1e-6, "{beyond:?}");
     }
-    assert_eq!(of(&reckoned, Form::CopiedToAll, Metric::BytesIn).at_most, None);
-    let at_most = of(&reckoned, Form::ReplicaSets, Metric::BytesIn).at_most.clone().expect("may be more");
-    assert!((at_most[1].value - own_part(4_900.0)).abs() < 1e-3, "{at_most:?}");
+    // Were every start paid for by all, it would be the profile's slope at 4,900.
+    for form in [Form::CopiedToAll, Form::ReplicaSets] {
+        let at_most = of(&reckoned, form, Metric::BytesIn).at_most.clone().expect("may be more");
+        assert!((at_most[1].value - own_part(4_900.0)).abs() < 1e-3, "{at_most:?}");
+    }
+    let to_all = reckon(&target(), &[over_starts("ledgers-starts", own_part)]);
+    assert_eq!(of(&to_all, Form::CopiedToAll, Metric::BytesIn).at_most, None, "all pay for all already");
+}
+
+#[test]
+fn a_schedulers_traffic_is_that_with_the_list_for_all_starts_and_the_rest_for_its_own() {
+    let roles = [(Role::Discovery, 30.0), (Role::Worker, 180.0 / 30.0), (Role::Client, 60.0 / 30.0)];
+    let sum: f64 = roles.iter().map(|(_, a_start)| a_start).sum();
+    let mut planners = over_starts("planners-starts", |_| 0.0);
+    planners.host = Host::HollowPlanners;
+    for run in &mut planners.runs {
+        let varied = run.varied;
+        run.samples = vec![sample(Role::Scheduler, Metric::BytesIn, sum * varied)];
+        run.samples.extend(roles.map(|(role, a_start)| sample(role, Metric::BytesIn, a_start * varied)));
+    }
+    let reckoned = reckon(&target(), &[planners]);
+    let is = |one: &&Reckoned| one.spender == Spender::Role(Role::Scheduler);
+    let scheduler = reckoned.iter().find(is).expect("is reckoned");
+    for need in &scheduler.needs {
+        let wanted = 30.0 * 4_900.0 + 240.0 * 4_900.0 / f64::from(need.schedulers);
+        assert!((need.value - wanted).abs() < 1e-6 * wanted, "{need:?} {wanted}");
+    }
+    assert_eq!(scheduler.budget, Some(17_000.0));
 }
 
 #[test]
