--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fit;
 pub mod hosts;
 pub mod ledgers;
+pub mod limits;
 pub mod meter;
 pub mod page;
 pub mod planners;
