--- a/crates/scale/src/hosts.rs
+++ b/crates/scale/src/hosts.rs
@@ -1,6 +1,7 @@
 //! Runs a profile at all its sizes, on the host that it names.
 
 use crate::ledgers::{self, Outcome};
+use crate::limits::{self, Refused};
 use crate::planners;
 use crate::profile::{Profile, RunPlan};
 use crate::results::{Host, Results, Run};
@@ -16,6 +17,8 @@
         varied: f64,
         bound: Duration,
     },
+    /// A run doesn't fit this machine.
+    Refused(Refused),
     /// The profile wants a form of the ledger that this build doesn't have.
     NoReplicas {
         profile: String,
@@ -34,6 +37,7 @@
                 "profile {profile}: the run at {varied} was not over after {} s: no results are kept",
                 bound.as_secs()
             ),
+            Self::Refused(refused) => write!(f, "{refused}"),
             Self::NoReplicas { profile } => {
                 write!(f, "profile {profile}: the ledger of this build has no replica sets")
             }
@@ -48,8 +52,9 @@
 /// otherwise than the profile says.
 ///
 /// # Errors
-/// Where the profile can't be played here, or a run isn't over in time.
+/// Where the profile can't be played here, a run doesn't fit the machine, or one isn't over in time.
 pub fn run(profile: &Profile, bound: Duration, remark: &mut dyn FnMut(&str)) -> Result<Results, HostError> {
+    limits::check(profile).map_err(HostError::Refused)?;
     match profile.host {
         Host::HollowLedgers => run_ledgers(profile, bound, remark),
         Host::HollowPlanners | Host::RealPlanners => planners::run(profile)
