Scale: placing is reckoned by its part of the work, not by a slope over schedulers

Cause: a trial with the planners' profiles put negative bytes on the page: with a fixed fleet what one scheduler places falls as their number grows, and no polynomial follows that.

Change: for placing the number of schedulers counts by its part of starts and running tasks alone; slopes over schedulers are the ledger's. What it were if all paid for all has a column of its own, sums too.

--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -267,12 +267,18 @@
         budget: target.budget(metric).filter(|_| has_budget),
         profiles: used.iter().map(|slope| slope.results.profile.clone()).collect(),
         beyond: beyond(target, role, &used),
-        unvaried: unvaried(target, base, &slopes),
+        unvaried: unvaried(target, role, base, &slopes),
         is_sum: false,
         drives: drives(target, share, base, &used),
     })
 }
 
+/// Whether the number of schedulers is a variable of its own for a role. Placing knows of the others only by
+/// its part of the work: over schedulers with a fixed fleet it follows that part, which is no polynomial.
+fn depends_on(role: Role, variable: Variable) -> bool {
+    variable != Variable::Schedulers || role == Role::LedgerMember
+}
+
 /// One slope for each variable, in the order of `Variable::ALL`; of several, that of the first profile by
 /// name.
 fn slopes<'a>(results: &[&'a Results], role: Role, metric: Metric) -> Vec<Slope<'a>> {
@@ -285,7 +291,7 @@
             Some(Slope { results, variable, fit })
         })
     };
-    Variable::ALL.into_iter().filter_map(of).collect()
+    Variable::ALL.into_iter().filter(|variable| depends_on(role, *variable)).filter_map(of).collect()
 }
 
 fn needs(target: &Target, share: Share, base: &Slope, others: &[Slope]) -> Vec<Need> {
@@ -327,10 +333,11 @@
     beyond.filter(|beyond| beyond.target > beyond.largest).collect()
 }
 
-fn unvaried(target: &Target, base: &Slope, slopes: &[Slope]) -> Vec<Unvaried> {
+fn unvaried(target: &Target, role: Role, base: &Slope, slopes: &[Slope]) -> Vec<Unvaried> {
     let size = target.size(target.chosen);
     let is_covered = |variable: &Variable| slopes.iter().any(|slope| slope.variable == *variable);
-    let missing = Variable::ALL.into_iter().filter(|variable| !is_covered(variable));
+    let of_role = Variable::ALL.into_iter().filter(|variable| depends_on(role, *variable));
+    let missing = of_role.filter(|variable| !is_covered(variable));
     let unvaried = missing.map(|variable| Unvaried {
         variable,
         fixed: base.fixed(variable),
@@ -412,12 +419,21 @@
     into.filter_map(sum).collect()
 }
 
+fn add(needs: &[Need], others: &[Need]) -> Vec<Need> {
+    let add = |(one, other): (&Need, &Need)| Need { value: one.value + other.value, ..*one };
+    needs.iter().zip(others).map(add).collect()
+}
+
 /// The sum of two needs; the larger one says what drives it.
 fn added(one: &Reckoned, other: &Reckoned) -> Reckoned {
-    let add = |(one, other): (&Need, &Need)| Need { value: one.value + other.value, ..*one };
     let mut sum = one.clone();
-    sum.needs = one.needs.iter().zip(&other.needs).map(add).collect();
-    sum.at_most = None;
+    sum.needs = add(&one.needs, &other.needs);
+    sum.at_most = match (&one.at_most, &other.at_most) {
+        (None, None) => None,
+        (most, others) => {
+            Some(add(most.as_ref().unwrap_or(&one.needs), others.as_ref().unwrap_or(&other.needs)))
+        }
+    };
     sum.budget = one.budget.or(other.budget);
     for profile in &other.profiles {
         if !sum.profiles.contains(profile) {
--- a/crates/scale/src/tables.rs
+++ b/crates/scale/src/tables.rs
@@ -3,7 +3,7 @@
 use crate::fit::{Fit, LeftOut, fit};
 use crate::profile::Variable;
 use crate::reckon::{
-    Beyond, FORMS, Form, Quantity, REPLICAS, Reckoned, Spender, Unvaried, reckon, target_value,
+    Beyond, FORMS, Form, Need, Quantity, REPLICAS, Reckoned, Spender, Unvaried, reckon, target_value,
 };
 use crate::results::{Metric, Results, Role, Run};
 use crate::targets::Target;
@@ -270,9 +270,10 @@
 (the first of its row, with all other variables as that profile fixes them) and adds, for every variable that another
 profile changes, the difference between the target's value and the fixed one by that profile's slope. It is right as far as
 the variables add up; where one multiplies another, it is too low. Workers and clients cost a scheduler its own part of
-starts and running tasks, spread evenly: their slopes are read there. The list, and logs that are copied to all, cost it the
-whole fleet's; a scheduler's traffic is the sum of list, workers and clients. With replica sets a ledger member is reckoned to
-pay for its part. Where that may be too little, the limits say what it were if every scheduler paid for all.
+starts and running tasks, spread evenly: their slopes are read there, and the number of schedulers matters to placing by that
+part alone. The list, and logs that are copied to all, cost it the whole fleet's; a scheduler's traffic is the sum of list,
+workers and clients. With replica sets a ledger member is reckoned to pay for its part. Where that may be too little, the
+column `at most` says what it were if every scheduler paid for all.
 ";
 
 fn target(evidence: &Evidence) -> String {
@@ -293,14 +294,15 @@
 
 fn target_table(target: &Target, reckoned: &[&Reckoned]) -> String {
     let needs = format!("need at {} schedulers", at_each(target));
-    let head = ["role", "metric", &needs, "budget", "need / budget", "from", "limits"];
+    let head = ["role", "metric", &needs, "at most", "budget", "need / budget", "from", "limits"];
     let mut table = Table::new(head);
     let mut notes: Vec<String> = Vec::new();
     for one in reckoned {
         table.row([
             spender(one.spender),
             quantity(one.quantity),
-            each_need(one),
+            each(one.quantity, &one.needs),
+            one.at_most.as_ref().map_or(NOTHING.to_owned(), |needs| each(one.quantity, needs)),
             one.budget.map_or(NOTHING.to_owned(), |budget| one.quantity.unit().show(budget)),
             each_ratio(one),
             one.profiles.iter().map(|profile| code(profile)).collect::<Vec<_>>().join(" "),
@@ -333,8 +335,8 @@
     shown.join(" / ")
 }
 
-fn each_need(one: &Reckoned) -> String {
-    let shown: Vec<String> = one.needs.iter().map(|need| one.quantity.unit().show(need.value)).collect();
+fn each(quantity: Quantity, needs: &[Need]) -> String {
+    let shown: Vec<String> = needs.iter().map(|need| quantity.unit().show(need.value)).collect();
     shown.join(" / ")
 }
 
@@ -365,10 +367,6 @@
     }
     words.extend(one.beyond.iter().map(beyond));
     words.extend(one.unvaried.iter().map(unvaried));
-    if let Some(at_most) = &one.at_most {
-        let shown: Vec<String> = at_most.iter().map(|need| one.quantity.unit().show(need.value)).collect();
-        words.push(format!("if every scheduler paid for all starts and names: {}", shown.join(" / ")));
-    }
     if one.needs.iter().any(|need| need.value < 0.0) {
         words.push("the slopes give less than nothing: not usable".to_owned());
     }
