Scale: schedulers that fail and return beside hollow workers

Starts were measured of schedulers that hold nothing and start together; what a start after a restart costs, with its tasks on the workers, was not.

Schedulers of both hosts now fail and return while it is measured, at the profile's rate: engines with the list that they kept, processes with their state directory. Clients ask what became of their tasks.

--- a/crates/scale/src/planners/measured.rs
+++ b/crates/scale/src/planners/measured.rs
@@ -6,7 +6,7 @@
 use super::traffic::{Flow, Peer, SchedulerTraffic};
 use crate::results::{Metric, Role, Run, Sample, Size};
 use mulleinhub_engine::Counts;
-use mulleinhub_interface::Span;
+use mulleinhub_interface::{Span, Time};
 
 /// The figures of one run. Each list has a place for each scheduler.
 #[derive(Clone, Debug)]
@@ -23,7 +23,8 @@
     /// Bytes by the allocator's count, where the program counts them, and resident ones, where it is a process.
     pub memory: Option<Vec<u64>>,
     pub resident: Option<Vec<u64>>,
-    /// From the start of a scheduler until it is ready, and its processor seconds until then.
+    /// From the start of a scheduler until it is ready, and its processor seconds until then: of those that
+    /// came back after a failure, or of all that started together, where none fails.
     pub start_up: Vec<Span>,
     pub start_up_processor: Vec<f64>,
     /// What engines count of themselves over the whole run, where they can be looked into.
@@ -51,22 +52,29 @@
     runs(after) - runs(before)
 }
 
-/// How long each scheduler took to be ready.
-///
 /// # Errors
-/// Where one is not ready, as then nothing that follows can be measured.
-pub fn start_ups(scenario: &Scenario, surroundings: &Surroundings) -> Result<Vec<Span>, String> {
-    let reached = surroundings.workers_reached();
-    let of = |(number, (ready, reached)): (usize, (Option<_>, usize))| match ready {
-        Some(at) => Ok(at - scenario.schedulers_start()),
-        None => Err(format!(
-            "scheduler {} of {} is not ready when measuring begins: it has reached {reached} of {} workers",
-            number + 1,
-            scenario.schedulers(),
-            scenario.workers()
-        )),
-    };
-    surroundings.ready().zip(reached).enumerate().map(of).collect()
+/// Where a scheduler is not ready, as then nothing that follows can be measured.
+pub fn check_ready(scenario: &Scenario, surroundings: &Surroundings, when: &str) -> Result<(), String> {
+    let start_ups = surroundings.start_ups();
+    let Some(number) = start_ups.iter().position(|start_up| !start_up.is_ready) else { return Ok(()) };
+    let reached = start_ups[number].workers_greeted;
+    Err(format!(
+        "scheduler {} of {} is not ready when {when}: it has reached {reached} of {} workers",
+        number + 1,
+        scenario.schedulers(),
+        scenario.workers()
+    ))
+}
+
+/// How long starts took, of those that results tell.
+pub fn start_ups(scenario: &Scenario, surroundings: &Surroundings) -> Vec<Span> {
+    let told = |began: Time| is_told_start(scenario, began);
+    surroundings.done_starts().iter().filter(|done| told(done.began)).map(|done| done.took).collect()
+}
+
+/// Whether results tell of a start that began then.
+pub fn is_told_start(scenario: &Scenario, began: Time) -> bool {
+    !scenario.has_failures() || began >= scenario.from
 }
 
 fn mean(values: impl ExactSizeIterator<Item = f64>) -> f64 {
@@ -103,7 +111,8 @@
         if let Some(resident) = &self.resident {
             add(Metric::Resident, mean(resident.iter().map(|bytes| *bytes as f64)));
         }
-        add(Metric::StartUp, mean(self.start_up.iter().map(|span| span.nanos() as f64 / 1e9)));
+        let longest = self.start_up.iter().copied().max().unwrap_or_default();
+        add(Metric::StartUp, longest.nanos() as f64 / 1e9);
         add(Metric::StartUpProcessor, mean(self.start_up_processor.iter().copied()));
         add(Metric::Started, self.started as f64 / self.seconds);
         samples
--- a/crates/scale/src/planners/meter.rs
+++ b/crates/scale/src/planners/meter.rs
@@ -46,6 +46,11 @@
         done
     }
 
+    /// What was held is given back outside of any measure.
+    pub fn forget_memory(&mut self) {
+        self.bytes = 0;
+    }
+
     /// Nanoseconds of processor time.
     #[must_use]
     pub fn processor(&self) -> u64 {
--- a/crates/scale/src/planners/mod.rs
+++ b/crates/scale/src/planners/mod.rs
@@ -8,7 +8,8 @@
 //! All samples are means over the schedulers, seen from the scheduler: in is what comes to it. `Scheduler` has
 //! the sums of its traffic, its processor time, memory and start; `Discovery`, `Worker` and `Client` have the
 //! traffic of one scheduler with the list service, with all workers together, and with its clients. `StartUp`
-//! lasts until all workers are reached and the client is greeted. Processor time is that of the engine's own
+//! lasts until all workers are reached and the client is greeted: the longest of those that came back after a
+//! failure, with its tasks on the workers, or of all that started together, where the profile has no failures. Processor time is that of the engine's own
 //! turns in virtual time; of a process it is all of it, the system's work on its sockets included.
 //!
 //! A run goes so: the list service sees all workers, all schedulers start at one instant, tasks are asked for
@@ -35,7 +36,7 @@
 
 use crate::profile::{Profile, RunPlan};
 use crate::results::{Host, Results, Run};
-use measured::{flows_between, start_ups, started_between};
+use measured::{check_ready, flows_between, start_ups, started_between};
 use scenario::Scenario;
 use std::path::Path;
 use virtual_host::VirtualHost;
@@ -105,12 +106,13 @@
 fn in_virtual_time(scenario: &Scenario) -> Result<Measured, String> {
     let mut host = VirtualHost::new(scenario)?;
     host.play_until(scenario.from);
-    let start_up = start_ups(scenario, host.surroundings())?;
+    check_ready(scenario, host.surroundings(), "measuring begins")?;
     let before = host.look();
     host.play_until(scenario.until);
     let after = host.look();
     let (memory, running) = (host.memory(), host.surroundings().running());
     host.play_until(scenario.over());
+    check_ready(scenario, host.surroundings(), "the run ends")?;
     let end = host.look();
     let seconds = |nanos: u64| nanos as f64 / 1e9;
     let spent = before.processor.iter().zip(&after.processor);
@@ -123,8 +125,8 @@
         processor: spent.map(|(before, after)| seconds(after - before)).collect(),
         memory,
         resident: None,
-        start_up,
-        start_up_processor: host.start_up_processor().iter().map(|n| seconds(n.unwrap_or(0))).collect(),
+        start_up: start_ups(scenario, surroundings),
+        start_up_processor: host.start_up_processor().iter().map(|nanos| seconds(*nanos)).collect(),
         counts: Some(end.counts),
         clients: surroundings.clients().map(|client| client.counts).collect(),
         running,
--- a/crates/scale/src/planners/real_host.rs
+++ b/crates/scale/src/planners/real_host.rs
@@ -2,8 +2,8 @@
 //!
 //! Round trips of the profile are not played: loopback has its own, far shorter ones.
 
-use super::measured::{Measured, flows_between, start_ups, started_between};
-use super::scenario::Scenario;
+use super::measured::{Measured, check_ready, flows_between, is_told_start, start_ups, started_between};
+use super::scenario::{Deed, Scenario};
 use super::settings::{self, ProcessPlaces, scheduler_name};
 use super::surroundings::{LIST_DOOR, Surroundings};
 use super::traffic::SchedulerTraffic;
@@ -11,6 +11,7 @@
 use mulleinhub_load::PlannerProcess;
 use mulleinhub_seam::Door;
 use mulleinhub_shell::Shell;
+use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -33,11 +34,21 @@
     resident: Vec<u64>,
 }
 
+/// One scheduler over its lives.
+struct Process {
+    planner: PlannerProcess,
+    /// Processor seconds of its former lives.
+    spent: f64,
+    starting: bool,
+}
+
 struct RealHost<'a> {
     scenario: &'a Scenario,
     shell: Shell<Surroundings>,
-    processes: Vec<PlannerProcess>,
-    start_up_processor: Vec<Option<f64>>,
+    processes: Vec<Process>,
+    deeds: VecDeque<(Time, Deed, usize)>,
+    /// Processor seconds of each start that is done and told.
+    start_up_processor: Vec<f64>,
     looked: u64,
 }
 
@@ -49,17 +60,14 @@
     check_fits(scenario)?;
     let folder = tempfile::tempdir().map_err(|e| format!("a folder for settings: {e}"))?;
     let mut host = RealHost::new(scenario, folder.path(), program)?;
-    host.step_until(scenario.schedulers_start())?;
-    for process in &mut host.processes {
-        process.start()?;
-    }
     host.step_until(scenario.from)?;
-    let start_up = start_ups(scenario, &host.shell.party)?;
+    check_ready(scenario, &host.shell.party, "measuring begins")?;
     let before = host.look();
     host.step_until(scenario.until)?;
     let after = host.look();
     let running = host.shell.party.running();
     host.step_until(scenario.over())?;
+    check_ready(scenario, &host.shell.party, "the run ends")?;
     let surroundings = &host.shell.party;
     let spent = before.processor.iter().zip(&after.processor);
     Ok(Measured {
@@ -70,8 +78,8 @@
         processor: spent.map(|(before, after)| after - before).collect(),
         memory: None,
         resident: Some(after.resident),
-        start_up,
-        start_up_processor: host.start_up_processor.iter().map(|seconds| seconds.unwrap_or(0.0)).collect(),
+        start_up: start_ups(scenario, surroundings),
+        start_up_processor: host.start_up_processor.clone(),
         counts: None,
         clients: surroundings.clients().map(|client| client.counts).collect(),
         running,
@@ -118,16 +126,18 @@
             let text = settings::text(scenario, number, &list, Some(&places));
             let path: PathBuf = file("conf");
             std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
-            processes.push(PlannerProcess::new(path, file("log"), program));
+            let planner = PlannerProcess::new(path, file("log"), program);
+            processes.push(Process { planner, spent: 0.0, starting: false });
         }
-        let start_up_processor = vec![None; processes.len()];
-        Ok(Self { scenario, shell, processes, start_up_processor, looked: 0 })
+        let deeds = scenario.deeds();
+        Ok(Self { scenario, shell, processes, deeds, start_up_processor: Vec::new(), looked: 0 })
     }
 
     fn step_until(&mut self, until: Time) -> Result<(), String> {
         while self.shell.now() < until {
             let left = Duration::from_nanos((until - self.shell.now()).nanos());
             self.shell.step(STEP.min(left)).map_err(|e| format!("poll: {e}"))?;
+            self.do_deeds()?;
             self.note_ready();
             let looks = self.shell.now().nanos() / LOOKS;
             if looks > self.looked {
@@ -138,19 +148,42 @@
         Ok(())
     }
 
+    fn do_deeds(&mut self) -> Result<(), String> {
+        let now = self.shell.now();
+        while let Some((_, deed, number)) = self.deeds.pop_front_if(|(at, ..)| *at <= now) {
+            let process = &mut self.processes[number];
+            match deed {
+                Deed::Start => {
+                    process.planner.start()?;
+                    process.starting = true;
+                    let now = self.shell.now();
+                    self.shell.party.starts(now, number);
+                }
+                Deed::Fail => {
+                    process.spent += process.planner.usage().cpu.as_secs_f64();
+                    process.planner.kill();
+                }
+            }
+        }
+        Ok(())
+    }
+
     fn note_ready(&mut self) {
-        let ready = self.shell.party.ready();
-        for (ready, (noted, process)) in ready.zip(self.start_up_processor.iter_mut().zip(&self.processes)) {
-            if ready.is_some() && noted.is_none() {
-                *noted = Some(process.usage().cpu.as_secs_f64());
+        let start_ups = self.shell.party.start_ups().iter();
+        for (start_up, process) in start_ups.zip(&mut self.processes) {
+            if !start_up.is_ready || !std::mem::take(&mut process.starting) {
+                continue;
+            }
+            if is_told_start(self.scenario, start_up.began) {
+                self.start_up_processor.push(process.planner.usage().cpu.as_secs_f64());
             }
         }
     }
 
     fn check_processes(&mut self) -> Result<(), String> {
         for (number, process) in self.processes.iter_mut().enumerate() {
-            if let Some(status) = process.ended() {
-                let log = std::fs::read_to_string(&process.log).unwrap_or_default();
+            if let Some(status) = process.planner.ended() {
+                let log = std::fs::read_to_string(&process.planner.log).unwrap_or_default();
                 let last = log.lines().last().unwrap_or_default();
                 let number = number + 1;
                 let many = self.scenario.schedulers();
@@ -161,11 +194,16 @@
     }
 
     fn look(&self) -> Look {
-        let usage: Vec<_> = self.processes.iter().map(PlannerProcess::usage).collect();
+        let usage: Vec<_> = self.processes.iter().map(|process| process.planner.usage()).collect();
+        let spent = self.processes.iter().map(|process| process.spent);
         Look {
             at: self.shell.now(),
             traffic: self.shell.party.traffic().to_vec(),
-            processor: usage.iter().map(|usage| usage.cpu.as_secs_f64()).collect(),
+            processor: usage
+                .iter()
+                .zip(spent)
+                .map(|(usage, spent)| spent + usage.cpu.as_secs_f64())
+                .collect(),
             resident: usage.iter().map(|usage| usage.resident * 1024).collect(),
         }
     }
--- a/crates/scale/src/planners/scenario.rs
+++ b/crates/scale/src/planners/scenario.rs
@@ -3,20 +3,30 @@
 use crate::profile::{Profile, RoundTrips, RunPlan};
 use crate::results::Size;
 use mulleinhub_interface::{Span, Time};
+use std::collections::VecDeque;
 
 /// Workers of one rack.
 const WORKERS_A_RACK: usize = 40;
-/// Schedulers start once the list service has seen all workers.
-const SCHEDULERS_START: Time = Time::from_nanos(2_000_000_000);
+/// Schedulers start, and clients look for them, once the list service has seen all workers.
+pub const SCHEDULERS_START: Time = Time::from_nanos(2_000_000_000);
 /// Tasks that run from the beginning are asked for from then on,
 const FILL_BEGINS: Time = Time::from_nanos(4_500_000_000);
 /// and until so long before what is measured; from then on tasks start and end at an even pace.
 const SETTLES: Span = Span::from_nanos(2_500_000_000);
 /// After what is measured, answers that are still to come get so long.
 const DRAIN: Span = Span::from_secs(2);
+/// A scheduler that fails is down for so long.
+const DOWN: Span = Span::from_secs(1);
 /// The shortest warm-up in which tasks can be asked for.
 const LEAST_WARM_UP: Span = Span::from_secs(8);
 
+/// What happens to a scheduler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Deed {
+    Start,
+    Fail,
+}
+
 /// One run: sizes, places and times.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -40,8 +50,8 @@
         if !profile.cuts.is_empty() || profile.drops > 0.0 {
             return faulty("cut and drops are played by hollow-ledgers alone");
         }
-        if size.changes > 0.0 || size.failures > 0.0 || profile.replicas.is_some() {
-            return faulty("changes, failures and replicas are played by hollow-ledgers alone");
+        if size.changes > 0.0 || profile.replicas.is_some() {
+            return faulty("changes and replicas are played by hollow-ledgers alone");
         }
         if size.running > 0 && profile.warm_up < LEAST_WARM_UP {
             return faulty("warm-up: tasks that run need 8s at least");
@@ -78,9 +88,28 @@
         (self.until - self.from).nanos() as f64 / 1e9
     }
 
+    /// What happens to which scheduler, in the order of time: all start at one instant, and while it is
+    /// measured they fail and return, one after the other.
+    #[must_use]
+    pub fn deeds(&self) -> VecDeque<(Time, Deed, usize)> {
+        let starts = (0..self.schedulers()).map(|number| (SCHEDULERS_START, Deed::Start, number));
+        let mut deeds: Vec<_> = starts.collect();
+        let failures = self.size.failures / 60.0 * self.seconds();
+        for nth in 0..failures.round() as usize {
+            let part = (nth as f64 + 0.5) / failures;
+            let at = self.from + (self.until - self.from) * part;
+            let number = nth % self.schedulers();
+            deeds.push((at, Deed::Fail, number));
+            deeds.push((at + DOWN, Deed::Start, number));
+        }
+        deeds.sort_unstable();
+        deeds.into()
+    }
+
+    /// Whether schedulers fail and return.
     #[must_use]
-    pub fn schedulers_start(&self) -> Time {
-        SCHEDULERS_START
+    pub fn has_failures(&self) -> bool {
+        self.size.failures > 0.0
     }
 
     /// The zone of a scheduler or worker, by its number.
--- a/crates/scale/src/planners/surroundings.rs
+++ b/crates/scale/src/planners/surroundings.rs
@@ -3,7 +3,7 @@
 //! The same party stands behind real sockets and in virtual time, and counts the traffic at its edge.
 
 use super::client::{Client, Task};
-use super::scenario::Scenario;
+use super::scenario::{SCHEDULERS_START, Scenario};
 use super::settings::{CLIENT_TIMEOUT_SECONDS, WORKER_MEMORY, scheduler_name, scheduler_number};
 use super::traffic::{Peer, SchedulerTraffic};
 use super::worker::{SendId, Worker};
@@ -77,10 +77,18 @@
 
 /// How far a scheduler is with its start.
 #[derive(Clone, Copy, Debug, Default)]
-struct StartUp {
-    workers_greeted: usize,
+pub struct StartUp {
+    pub began: Time,
+    pub workers_greeted: usize,
     client_greeted: bool,
-    ready: Option<Time>,
+    pub is_ready: bool,
+}
+
+/// A start that is done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DoneStart {
+    pub began: Time,
+    pub took: Span,
 }
 
 /// The list service, workers and clients of a run.
@@ -98,6 +106,7 @@
     timers: Timers<Due>,
     traffic: Vec<SchedulerTraffic>,
     start_ups: Vec<StartUp>,
+    done_starts: Vec<DoneStart>,
     begun: bool,
     scratch: Vec<u8>,
 }
@@ -123,6 +132,7 @@
             timers: Timers::default(),
             traffic: vec![SchedulerTraffic::default(); schedulers],
             start_ups: vec![StartUp::default(); schedulers],
+            done_starts: Vec::new(),
             begun: false,
             scratch: Vec::new(),
         }
@@ -140,14 +150,19 @@
         &self.traffic
     }
 
-    /// When each scheduler had reached all workers and greeted its client, where it has.
-    pub fn ready(&self) -> impl Iterator<Item = Option<Time>> {
-        self.start_ups.iter().map(|start_up| start_up.ready)
+    /// A scheduler starts now.
+    pub fn starts(&mut self, now: Time, scheduler: usize) {
+        self.start_ups[scheduler] = StartUp { began: now, ..StartUp::default() };
+    }
+
+    /// How far each scheduler is with its last start.
+    pub fn start_ups(&self) -> &[StartUp] {
+        &self.start_ups
     }
 
-    /// How many workers each scheduler has reached.
-    pub fn workers_reached(&self) -> impl Iterator<Item = usize> {
-        self.start_ups.iter().map(|start_up| start_up.workers_greeted)
+    /// All starts that are done: the scheduler had reached all workers and greeted its client.
+    pub fn done_starts(&self) -> &[DoneStart] {
+        &self.done_starts
     }
 
     /// What the clients saw.
@@ -490,6 +505,7 @@
                 self.clients[client].greeted = true;
                 self.start_ups[client].client_greeted = true;
                 self.look_whether_ready(now, client);
+                self.learn_all(now, client);
             }
             Message::Ping { nonce } => self.client_writes(client, &Message::Pong { nonce: *nonce }),
             Message::Placed { task, .. } => self.client_is_served(now, client, *task),
@@ -497,6 +513,7 @@
                 let wait = ASKS_AGAIN.max(Span::from_nanos(*stay_away));
                 self.timers.set(now + wait, Due::AsksAgain(client, *task));
             }
+            Message::Unknown { task } => self.asks_again(now, client, *task),
             Message::Errored { task } => self.timers.set(now + ASKS_AGAIN, Due::AsksAgain(client, *task)),
             Message::Ended { task, ending } if ending.comes_again() => self.asks_again(now, client, *task),
             Message::Ended { task, .. } => drop(self.clients[client].tasks.remove(task)),
@@ -504,6 +521,18 @@
         }
     }
 
+    /// A client that comes back asks what became of its tasks, and withdraws those whose life is over.
+    fn learn_all(&mut self, now: Time, client: usize) {
+        let tasks: Vec<(u64, Option<Time>)> =
+            self.clients[client].tasks.iter().map(|(id, task)| (*id, task.until)).collect();
+        for (id, until) in tasks {
+            self.client_writes(client, &Message::Learn { task: id });
+            if until.is_some_and(|until| until <= now) {
+                self.client_writes(client, &Message::Withdraw { task: id });
+            }
+        }
+    }
+
     fn client_is_served(&mut self, now: Time, client: usize, id: u64) {
         let client_state = &mut self.clients[client];
         let Some(task) = client_state.tasks.get_mut(&id) else { return };
@@ -518,15 +547,17 @@
 
     fn look_whether_ready(&mut self, now: Time, scheduler: usize) {
         let start_up = &mut self.start_ups[scheduler];
-        if start_up.client_greeted && start_up.workers_greeted == self.workers.len() {
-            start_up.ready.get_or_insert(now);
+        let is_ready = start_up.client_greeted && start_up.workers_greeted == self.workers.len();
+        if is_ready && !std::mem::replace(&mut start_up.is_ready, true) {
+            let began = start_up.began;
+            self.done_starts.push(DoneStart { began, took: now - began });
         }
     }
 
     fn begin(&mut self, now: Time) {
         self.timers.set(now, Due::ListLooks);
         for client in 0..self.clients.len() {
-            self.timers.set(self.scenario.schedulers_start(), Due::Connect(client));
+            self.timers.set(SCHEDULERS_START, Due::Connect(client));
             self.wants_next(now, client);
         }
     }
@@ -571,7 +602,8 @@
         let role = self.connection(link).map(|connection| connection.role);
         let Some(Role::Client(client)) = role else { return };
         let name = self.clients[client].name();
-        self.write(link, &Message::hello(Conversation::ClientPlanner, 0, &name, 1, now.nanos()));
+        let features = if self.clients[client].tasks.is_empty() { 0 } else { protocol::HAS_TASKS };
+        self.write(link, &Message::hello(Conversation::ClientPlanner, features, &name, 1, now.nanos()));
     }
 
     fn received(&mut self, now: Time, link: Link, bytes: &[u8]) {
--- a/crates/scale/src/planners/virtual_host.rs
+++ b/crates/scale/src/planners/virtual_host.rs
@@ -3,17 +3,18 @@
 //! A wire has one delay, keeps the order of what goes over it, and is never full. Turns take no virtual time:
 //! what a turn costs is measured as processor time of this thread, around the engine's own work alone.
 
+use super::measured::is_told_start;
 use super::meter::Meter;
-use super::scenario::Scenario;
+use super::scenario::{Deed, Scenario};
 use super::settings;
 use super::surroundings::{LIST_DOOR, Surroundings};
 use super::traffic::SchedulerTraffic;
-use mulleinhub_engine::{Counts, Engine};
+use mulleinhub_engine::{Counts, Engine, Settings as EngineSettings};
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_planner::conf_of_text;
 use mulleinhub_seam::{Ask, Door, End, Link, Links, Party};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap};
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 
 /// Turns at one instant after which the run is taken to go round in circles.
 const MOST_TURNS_AT_ONCE: u32 = 1_000_000;
@@ -31,6 +32,11 @@
 /// The most workers that have an address.
 pub const MOST_WORKERS: usize = LAST_PORT - FIRST_PORT;
 
+/// Lives of one scheduler count on from here.
+fn first_life(number: usize) -> u64 {
+    (number as u64 + 1) * 1_000
+}
+
 fn door_of(address: &str) -> Option<Door> {
     if address == LIST_ADDRESS {
         return Some(LIST_DOOR);
@@ -108,13 +114,19 @@
 
 struct Scheduler {
     engine: Engine,
+    settings: EngineSettings,
     meter: Meter,
     /// The wire of each of its links.
     wires: Vec<Option<usize>>,
     /// What came in since its last turn.
     inbox: Vec<(Link, Parcel)>,
     wake: Option<Time>,
-    started: bool,
+    is_up: bool,
+    lives: u64,
+    /// The list that its last life kept.
+    kept: Option<Vec<u8>>,
+    /// Processor time when it started, in nanoseconds; nothing once its start is done.
+    starting: Option<u64>,
 }
 
 /// A look at the counts of a run.
@@ -139,8 +151,9 @@
     wakes: BTreeSet<(Time, usize)>,
     touched: BTreeSet<usize>,
     now: Time,
-    /// Processor time until each scheduler was ready, in nanoseconds.
-    start_up_processor: Vec<Option<u64>>,
+    deeds: VecDeque<(Time, Deed, usize)>,
+    /// Processor time of each start that is done and told, in nanoseconds.
+    start_up_processor: Vec<u64>,
 }
 
 fn place<T: Copy>(places: &mut Vec<Option<T>>, link: Link, value: T) {
@@ -160,7 +173,6 @@
         }
         let schedulers = (0..scenario.schedulers()).map(|n| Scheduler::new(scenario, n));
         let schedulers: Vec<Scheduler> = schedulers.collect::<Result<_, String>>()?;
-        let wakes = (0..schedulers.len()).map(|n| (scenario.schedulers_start(), n)).collect();
         let mut surroundings = Surroundings::new(scenario);
         for worker in 0..scenario.workers() {
             surroundings.set_address(worker, &worker_address(worker));
@@ -168,13 +180,14 @@
         Ok(Self {
             surroundings,
             scenario: scenario.clone(),
-            start_up_processor: vec![None; schedulers.len()],
+            deeds: scenario.deeds(),
+            start_up_processor: Vec::new(),
             schedulers,
             wires: Vec::new(),
             outer_wires: Vec::new(),
             queue: BinaryHeap::new(),
             sent: 0,
-            wakes,
+            wakes: BTreeSet::new(),
             touched: BTreeSet::new(),
             now: Time::default(),
         })
@@ -210,9 +223,9 @@
         self.schedulers.iter().map(|scheduler| scheduler.meter.memory()).collect()
     }
 
-    /// Processor time of each scheduler until it was ready, in nanoseconds, where it is.
+    /// Processor time of each start that results tell, in nanoseconds.
     #[must_use]
-    pub fn start_up_processor(&self) -> &[Option<u64>] {
+    pub fn start_up_processor(&self) -> &[u64] {
         &self.start_up_processor
     }
 
@@ -224,10 +237,17 @@
     fn next_instant(&self) -> Option<Time> {
         let delivery = self.queue.peek().map(|Reverse((at, ..))| *at);
         let wake = self.wakes.first().map(|(at, _)| *at);
-        [delivery, wake, self.surroundings.wake()].into_iter().flatten().min()
+        let deed = self.deeds.front().map(|(at, ..)| *at);
+        [delivery, wake, deed, self.surroundings.wake()].into_iter().flatten().min()
     }
 
     fn turn(&mut self) {
+        while let Some((_, deed, number)) = self.deeds.pop_front_if(|(at, ..)| *at <= self.now) {
+            match deed {
+                Deed::Start => self.start(number),
+                Deed::Fail => self.fail(number),
+            }
+        }
         self.deliver();
         self.surroundings.turn(self.now);
         self.carry_from_surroundings();
@@ -242,12 +262,34 @@
         self.note_ready();
     }
 
+    fn start(&mut self, number: usize) {
+        let scheduler = &mut self.schedulers[number];
+        scheduler.is_up = true;
+        scheduler.starting = Some(scheduler.meter.processor());
+        self.surroundings.starts(self.now, number);
+        self.touched.insert(number);
+    }
+
+    /// Its process ends at once; what it kept is there for its next life.
+    fn fail(&mut self, number: usize) {
+        for wire in 0..self.wires.len() {
+            if self.wires[wire].scheduler == number && self.wires[wire].at_scheduler.take().is_some() {
+                self.send(wire, Toward::Surroundings, Parcel::Ended(HowEnded::Broken));
+            }
+        }
+        let scheduler = &mut self.schedulers[number];
+        if let Some(before) = scheduler.wake.take() {
+            self.wakes.remove(&(before, number));
+        }
+        self.touched.remove(&number);
+        scheduler.fail();
+    }
+
     fn turn_of(&mut self, number: usize) {
         let scheduler = &mut self.schedulers[number];
-        if self.now < self.scenario.schedulers_start() {
+        if !scheduler.is_up {
             return;
         }
-        scheduler.started = true;
         scheduler.turn(self.now);
         let wake = scheduler.engine.wake();
         if let Some(before) = std::mem::replace(&mut scheduler.wake, wake) {
@@ -272,6 +314,9 @@
     fn deliver_to_scheduler(&mut self, wire: usize, parcel: Parcel) {
         let number = self.wires[wire].scheduler;
         let scheduler = &mut self.schedulers[number];
+        if matches!(parcel, Parcel::Opened(_)) && !scheduler.is_up {
+            return self.send(wire, Toward::Surroundings, Parcel::Ended(HowEnded::Closed));
+        }
         if matches!(parcel, Parcel::Opened(_)) {
             let link = scheduler.hold(Links::fresh);
             place(&mut scheduler.wires, link, wire);
@@ -353,8 +398,8 @@
     /// A client opens a connection to its scheduler, which is of its own zone.
     fn client_opens(&mut self, link: Link, address: &str) {
         let scheduler = settings::scheduler_number(address);
-        let started = |number: &usize| self.schedulers.get(*number).is_some_and(|s| s.started);
-        let Some(scheduler) = scheduler.filter(started) else {
+        let is_up = |number: &usize| self.schedulers.get(*number).is_some_and(|s| s.is_up);
+        let Some(scheduler) = scheduler.filter(is_up) else {
             self.surroundings.links().drop_link(link);
             self.surroundings.ended(self.now, link, End::Refused);
             return;
@@ -418,11 +463,14 @@
     }
 
     fn note_ready(&mut self) {
-        let ready = self.surroundings.ready();
-        let of = self.start_up_processor.iter_mut().zip(&self.schedulers);
-        for (ready, (noted, scheduler)) in ready.zip(of) {
-            if ready.is_some() {
-                noted.get_or_insert(scheduler.meter.processor());
+        let start_ups = self.surroundings.start_ups().iter();
+        for (start_up, scheduler) in start_ups.zip(&mut self.schedulers) {
+            if !start_up.is_ready {
+                continue;
+            }
+            let Some(before) = scheduler.starting.take() else { continue };
+            if is_told_start(&self.scenario, start_up.began) {
+                self.start_up_processor.push(scheduler.meter.processor() - before);
             }
         }
     }
@@ -430,11 +478,34 @@
 
 impl Scheduler {
     fn new(scenario: &Scenario, number: usize) -> Result<Self, String> {
-        let conf = conf_of_text(&settings::text(scenario, number, LIST_ADDRESS, None))?;
+        let settings = conf_of_text(&settings::text(scenario, number, LIST_ADDRESS, None))?.engine;
         let mut meter = Meter::default();
-        let life = 1_000 + number as u64;
-        let engine = meter.measure(|| Engine::new(conf.engine, life, None));
-        Ok(Self { engine, meter, wires: Vec::new(), inbox: Vec::new(), wake: None, started: false })
+        let engine = meter.measure(|| Engine::new(settings.clone(), first_life(number), None));
+        Ok(Self {
+            engine,
+            settings,
+            meter,
+            wires: Vec::new(),
+            inbox: Vec::new(),
+            wake: None,
+            is_up: false,
+            lives: first_life(number),
+            kept: None,
+            starting: None,
+        })
+    }
+
+    /// Its next life has its settings and the list that it kept, and knows nothing else.
+    fn fail(&mut self) {
+        self.is_up = false;
+        self.starting = None;
+        self.wires.clear();
+        self.inbox.clear();
+        self.lives += 1;
+        self.meter.forget_memory();
+        let (settings, life, kept) = (self.settings.clone(), self.lives, self.kept.clone());
+        let next = self.meter.measure(|| Engine::new(settings, life, kept));
+        drop(std::mem::replace(&mut self.engine, next));
     }
 
     fn wire(&self, link: Link) -> Option<usize> {
@@ -452,7 +523,7 @@
     fn turn(&mut self, now: Time) {
         let inbox = std::mem::take(&mut self.inbox);
         let engine = &mut self.engine;
-        self.meter.measure(|| {
+        let kept = self.meter.measure(|| {
             for (link, parcel) in &inbox {
                 match parcel {
                     Parcel::Opened(door) => engine.opened(now, *link, Door(*door)),
@@ -462,8 +533,12 @@
                 }
             }
             engine.turn(now);
-            // A process writes it to its disk; here it is only made.
-            drop(engine.keep());
+            engine.keep()
         });
+        // A process writes it to its disk.
+        if let Some(kept) = kept {
+            self.kept = Some(kept.clone());
+            self.meter.hold(|| drop(kept));
+        }
     }
 }
--- a/crates/scale/tests/planners.rs
+++ b/crates/scale/tests/planners.rs
@@ -110,6 +110,15 @@
     assert!((500..20_000).contains(&each), "{each} bytes for a worker");
 }
 
+/// The list of so many comes in pieces.
+#[test]
+fn a_scheduler_reaches_more_workers_than_one_message_lists() {
+    let measured = play(&profile("host hollow-planners\nschedulers 1\nworkers 2500\nrunning 50"));
+    assert_eq!(measured.running, 50);
+    let counts = measured.counts.expect("engines can be looked into");
+    assert_eq!((counts[0].machines, counts[0].machines_ready), (2500, 2500));
+}
+
 /// Round trips lengthen a start: the greeting of a worker and what it holds take two of them.
 #[test]
 fn round_trips_between_regions_are_played() {
@@ -124,6 +133,20 @@
     assert!((150_000_000..350_000_000).contains(&longer), "{longer} ns longer");
 }
 
+/// Workers tell a scheduler that comes back what they hold for it, and its client learns that all still runs.
+#[test]
+fn tasks_run_on_while_their_schedulers_fail_and_return() {
+    for host in ["hollow-planners", "real-planners"] {
+        let lines = format!("host {host}\nschedulers 3\nworkers 30\nrunning 90\nfailures 40");
+        let measured = play(&profile(&lines));
+        assert_eq!((measured.start_up.len(), measured.start_up_processor.len()), (4, 4), "{host}");
+        assert_eq!(measured.running, 90, "{host}");
+        for client in &measured.clients {
+            assert_eq!((client.wanted, client.served, client.asked_again), (30, 30, 0), "{host}");
+        }
+    }
+}
+
 #[test]
 fn three_real_schedulers_and_their_twins_in_virtual_time_count_alike() {
     let lines = "schedulers 3\nworkers 40\nrunning 120\nstarts 20\nround-trip zone 0.1ms\n\
