Scale: lives of tasks are drawn, so that the pace of ends is even

New tasks all lived equally long, so tasks that started together ended together: the list told fewer changed workers once the first of them ended, and 5 s and 10 s of the target's run differed by 20% in the list's bytes (210 and 172 kB a second).

Lives are exponential.

--- a/crates/scale/src/planners/client.rs
+++ b/crates/scale/src/planners/client.rs
@@ -87,14 +87,11 @@
         (id, Task { shape, until, placed: false })
     }
 
-    /// Tasks of the beginning end one after the other, so that as many end as start.
+    /// Lives are drawn from an exponential distribution, so that as many tasks end as start from the instant
+    /// on at which the first may end.
     fn end_of_life(&mut self, now: Time, scenario: &Scenario) -> Option<Time> {
         let life = scenario.life()?;
-        let steady = scenario.steady_from();
-        if now < steady {
-            return Some(steady + self.dice.span(Span::ZERO, life));
-        }
-        Some(now + life)
+        Some(now.max(scenario.steady_from()) + self.dice.wait(life))
     }
 
     /// When it wants the next task after one at `now`; nothing where it wants no more.
