Scale: curves that bend down aren't followed beyond the runs

Cause: a trial of ledgers over starts bent down within its runs; followed to 4,900 it gave bytes below nothing, and the ranking put the greatest cost last.

Change: where the quadratic term is negative and the target lies beyond the runs, the least-squares line is followed, and the limits say so. Runs of ledgers tell how long each took.

--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -125,6 +125,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fit {
     pub curve: Curve,
+    /// The line with the least sum of squares; the curve itself where that has no quadratic term.
+    pub line: Curve,
     /// All fitted values are the same: the curve has its constant term alone.
     pub unchanged: bool,
     pub left_out: Option<LeftOut>,
@@ -138,6 +140,13 @@
 }
 
 impl Fit {
+    /// What to follow up to a value of the variable: a curve that bends down is not followed beyond the runs,
+    /// as it would come to cost less than nothing; its line is.
+    #[must_use]
+    pub fn followed_to(&self, varied: f64) -> &Curve {
+        if self.curve.quadratic < 0.0 && varied > self.largest() { &self.line } else { &self.curve }
+    }
+
     /// The largest value of the variable that was run, held out or not.
     #[must_use]
     pub fn largest(&self) -> f64 {
@@ -207,6 +216,7 @@
     } else {
         least_squares(&points)?
     };
+    let line = if curve.quadratic == 0.0 { curve } else { solve(&points, TERMS - 1)?.0 };
     let residual = residual(&curve, &points);
     let size = points.iter().map(|point| point.measured.abs()).sum::<f64>() / points.len() as f64;
     let relative_residual = if size > 0.0 { residual / size } else { 0.0 };
@@ -216,7 +226,7 @@
         measured: point.measured,
     };
     let held_out = held_out.iter().map(compare).collect();
-    Ok(Fit { curve, unchanged, left_out, residual, relative_residual, points, held_out })
+    Ok(Fit { curve, line, unchanged, left_out, residual, relative_residual, points, held_out })
 }
 
 fn points(runs: &[&Run], role: Role, metric: Metric) -> Vec<Point> {
--- a/crates/scale/src/hosts.rs
+++ b/crates/scale/src/hosts.rs
@@ -48,8 +48,8 @@
 
 impl std::error::Error for HostError {}
 
-/// Plays all runs of a profile. `bound` is the most real time of one run of ledgers; `remark` hears what went
-/// otherwise than the profile says.
+/// Plays all runs of a profile. `bound` is the most real time of one run of ledgers; `remark` hears how long
+/// each took, and what went otherwise than the profile says.
 ///
 /// # Errors
 /// Where the profile can't be played here, a run doesn't fit the machine, or one isn't over in time.
@@ -90,7 +90,8 @@
     bound: Duration,
     remark: &mut dyn FnMut(&str),
 ) -> Result<Run, HostError> {
-    let Outcome { run, remarks, is_partial, .. } = ledgers::play(profile, plan, bound);
+    let Outcome { run, remarks, is_partial, took, .. } = ledgers::play(profile, plan, bound);
+    remark(&format!("{} at {}: took {:.1} s", profile.name, plan.varied, took.as_secs_f64()));
     for words in &remarks {
         remark(&format!("{} at {}: {words}", profile.name, plan.varied));
     }
--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -1,7 +1,7 @@
 //! What a role needs at the target size, reckoned from slopes: the prediction of one profile, and the
 //! differences that the other profiles' slopes give for the variables which that profile keeps fixed.
 
-use crate::fit::{Fit, Term, fit};
+use crate::fit::{Curve, Fit, Term, fit};
 use crate::profile::Variable;
 use crate::results::{Host, Metric, Results, Role, Size};
 use crate::targets::Target;
@@ -147,6 +147,8 @@
     pub beyond: Vec<Beyond>,
     /// Variables that no slope covers, kept as the base has them.
     pub unvaried: Vec<Unvaried>,
+    /// Variables whose curves bend down and are followed along a line.
+    pub straightened: Vec<Variable>,
     /// It is the sum of two others, which say where they go beyond what was run.
     pub is_sum: bool,
     /// The variable whose slope gives the most at the chosen number of schedulers, and the term of it.
@@ -190,6 +192,8 @@
     results: &'a Results,
     variable: Variable,
     fit: Fit,
+    /// The furthest value of the variable that the target asks for.
+    furthest: f64,
 }
 
 impl Slope<'_> {
@@ -200,7 +204,12 @@
     /// The slope's value for a value of its variable in a fleet of `schedulers`.
     fn predict(&self, share: Share, value: f64, schedulers: f64) -> f64 {
         let there = self.fixed(Variable::Schedulers);
-        self.fit.curve.predict(share.moved(self.variable, value, schedulers, there))
+        self.curve().predict(share.moved(self.variable, value, schedulers, there))
+    }
+
+    /// What is followed up to the target.
+    fn curve(&self) -> &Curve {
+        self.fit.followed_to(self.furthest)
     }
 }
 
@@ -243,7 +252,7 @@
     role: Role,
     metric: Metric,
 ) -> Option<Reckoned> {
-    let slopes = slopes(results, role, metric);
+    let slopes = slopes(target, results, role, metric);
     let (base, others) = slopes.split_first()?;
     let share = Share::of(role, form);
     let needs = needs(target, share, base, others);
@@ -266,7 +275,8 @@
         at_most: may_be_more.then_some(at_most),
         budget: target.budget(metric).filter(|_| has_budget),
         profiles: used.iter().map(|slope| slope.results.profile.clone()).collect(),
-        beyond: beyond(target, role, &used),
+        beyond: beyond(&used),
+        straightened: straightened(&used),
         unvaried: unvaried(target, role, base, &slopes),
         is_sum: false,
         drives: drives(target, share, base, &used),
@@ -281,14 +291,14 @@
 
 /// One slope for each variable, in the order of `Variable::ALL`; of several, that of the first profile by
 /// name.
-fn slopes<'a>(results: &[&'a Results], role: Role, metric: Metric) -> Vec<Slope<'a>> {
+fn slopes<'a>(target: &Target, results: &[&'a Results], role: Role, metric: Metric) -> Vec<Slope<'a>> {
     let mut sorted = results.to_vec();
     sorted.sort_by(|one, other| one.profile.cmp(&other.profile));
     let of = |variable: Variable| {
         let varies = |one: &&&Results| one.vary == variable.word();
         sorted.iter().filter(varies).find_map(|results| {
             let fit = fit(results, role, metric).ok()?;
-            Some(Slope { results, variable, fit })
+            Some(Slope { results, variable, fit, furthest: furthest(target, results, role) })
         })
     };
     Variable::ALL.into_iter().filter(|variable| depends_on(role, *variable)).filter_map(of).collect()
@@ -319,20 +329,27 @@
     slope.predict(share, slope.variable.value(size), here) - slope.predict(share, fixed, there)
 }
 
+/// The furthest value of a profile's variable that any number of schedulers of the target asks for.
+fn furthest(target: &Target, results: &Results, role: Role) -> f64 {
+    let values = target.schedulers.iter().filter_map(|n| target_value(target, *n, results, role));
+    values.fold(0.0, f64::max)
+}
+
 /// The slopes that are followed further than they were run, at any number of schedulers.
-fn beyond(target: &Target, role: Role, used: &[&Slope]) -> Vec<Beyond> {
-    let furthest = |slope: &Slope| {
-        let values = target.schedulers.iter().filter_map(|n| target_value(target, *n, slope.results, role));
-        values.fold(0.0, f64::max)
-    };
+fn beyond(used: &[&Slope]) -> Vec<Beyond> {
     let beyond = used.iter().map(|slope| Beyond {
         variable: slope.variable,
         largest: slope.fit.largest(),
-        target: furthest(slope),
+        target: slope.furthest,
     });
     beyond.filter(|beyond| beyond.target > beyond.largest).collect()
 }
 
+fn straightened(used: &[&Slope]) -> Vec<Variable> {
+    let is_line = |slope: &&&Slope| *slope.curve() != slope.fit.curve;
+    used.iter().filter(is_line).map(|slope| slope.variable).collect()
+}
+
 fn unvaried(target: &Target, role: Role, base: &Slope, slopes: &[Slope]) -> Vec<Unvaried> {
     let size = target.size(target.chosen);
     let is_covered = |variable: &Variable| slopes.iter().any(|slope| slope.variable == *variable);
@@ -352,7 +369,7 @@
     let here = f64::from(target.chosen);
     let adds = |slope: &Slope| {
         if slope.variable == base.variable {
-            base.predict(share, base.variable.value(&size), here) - base.fit.curve.predict(0.0)
+            base.predict(share, base.variable.value(&size), here) - base.curve().predict(0.0)
         } else {
             difference(share, &size, here, base, slope)
         }
@@ -361,7 +378,7 @@
     let most = changing.max_by(|one, other| adds(one).total_cmp(&adds(other)))?;
     let there = most.fixed(Variable::Schedulers);
     let at = share.moved(most.variable, most.variable.value(&size), here, there);
-    Some((most.variable, most.fit.curve.dominant(at)))
+    Some((most.variable, most.curve().dominant(at)))
 }
 
 /// A scheduler's traffic is that with the list, with workers and with clients, which depend on other starts:
@@ -443,6 +460,7 @@
     sum.is_sum = true;
     sum.beyond.clear();
     sum.unvaried.clear();
+    sum.straightened.clear();
     let last = |needs: &[Need]| needs.last().map_or(0.0, |need| need.value);
     if last(&other.needs) > last(&one.needs) {
         sum.drives = other.drives;
--- a/crates/scale/src/tables.rs
+++ b/crates/scale/src/tables.rs
@@ -272,8 +272,8 @@
 the variables add up; where one multiplies another, it is too low. Workers and clients cost a scheduler its own part of
 starts and running tasks, spread evenly: their slopes are read there, and the number of schedulers matters to placing by that
 part alone. The list, and logs that are copied to all, cost it the whole fleet's; a scheduler's traffic is the sum of list,
-workers and clients. With replica sets a ledger member is reckoned to pay for its part. Where that may be too little, the
-column `at most` says what it were if every scheduler paid for all.
+workers and clients. With replica sets a ledger member is reckoned to pay for its part. A curve that
+bends down is followed along its line beyond the runs. Where a part may be too little, the column `at most` says what it were if every scheduler paid for all.
 ";
 
 fn target(evidence: &Evidence) -> String {
@@ -366,6 +366,8 @@
         words.push("a sum: the limits of its parts".to_owned());
     }
     words.extend(one.beyond.iter().map(beyond));
+    let line = |variable: &Variable| format!("{} bends down: along a line", variable.word());
+    words.extend(one.straightened.iter().map(line));
     words.extend(one.unvaried.iter().map(unvaried));
     if one.needs.iter().any(|need| need.value < 0.0) {
         words.push("the slopes give less than nothing: not usable".to_owned());
--- a/crates/scale/tests/fit.rs
+++ b/crates/scale/tests/fit.rs
@@ -76,6 +76,18 @@
     assert!((parabola.curve.quadratic - 1.0).abs() < 0.1, "{:?}", parabola.curve);
 }
 
+#[test]
+fn a_curve_that_bends_down_is_followed_along_its_line_beyond_the_runs_alone() {
+    let down = bytes_in(&over_schedulers("made", |n| 1_000.0 + 100.0 * n - 0.1 * n * n)).expect("is fitted");
+    assert!(down.curve.quadratic < 0.0, "{:?}", down.curve);
+    assert_eq!(down.followed_to(350.0), &down.curve, "350 was run");
+    assert_eq!(down.followed_to(351.0), &down.line);
+    assert_eq!(down.line.quadratic, 0.0);
+    assert!(down.followed_to(4_900.0).predict(4_900.0) > down.curve.predict(350.0));
+    let up = bytes_in(&over_schedulers("made", |n| 1_000.0 + 100.0 * n + 0.1 * n * n)).expect("is fitted");
+    assert_eq!(up.followed_to(4_900.0), &up.curve);
+}
+
 #[test]
 fn a_quadratic_term_matters_from_a_tenth_of_the_prediction_on() {
     let of = |quadratic: f64| Curve { constant: 0.0, linear: 1.0, quadratic };
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -176,6 +176,20 @@
     assert!((at_350 - 10.0 * 30.0 * 4_900.0 / 350.0).abs() < 1e-6, "{at_350}");
 }
 
+#[test]
+fn a_curve_that_bends_down_costs_no_less_beyond_the_runs_and_the_page_says_so() {
+    let starts = over_starts("ledgers-starts", |starts| 65_000.0 + 140.0 * starts - 0.05 * starts * starts);
+    let results = vec![starts];
+    let reckoned = reckon(&target(), &results);
+    let bytes = of(&reckoned, Form::CopiedToAll, Metric::BytesIn);
+    let at_350 = bytes.at(350).expect("is reckoned for");
+    assert!(at_350 > 65_000.0 + 140.0 * 1_000.0 - 0.05 * 1e6, "{at_350}");
+    assert_eq!(bytes.straightened.iter().map(|one| one.word()).collect::<Vec<_>>(), ["starts"]);
+    let page = "<!-- scale:begin target -->\n<!-- scale:end target -->\n";
+    let page = write(page, &Evidence { target: target(), results }).expect("is written");
+    assert!(page.contains("starts bends down: along a line"), "{page}");
+}
+
 #[test]
 fn a_schedulers_traffic_is_that_with_the_list_for_all_starts_and_the_rest_for_its_own() {
     let roles = [(Role::Discovery, 30.0), (Role::Worker, 180.0 / 30.0), (Role::Client, 60.0 / 30.0)];
