Scale: of several profiles of one variable the one run the furthest is reckoned with

Cause: profiles to 300 and to 3,000 starts a second vary the same variable, and the first name was taken, which had to be followed further beyond its runs.

Change: the profile with the largest run is taken, of equal ones the first by name.

--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -289,17 +289,19 @@
     variable != Variable::Schedulers || role == Role::LedgerMember
 }
 
-/// One slope for each variable, in the order of `Variable::ALL`; of several, that of the first profile by
-/// name.
+/// One slope for each variable, in the order of `Variable::ALL`; of several, that of the profile that was run
+/// the furthest, and of equal ones the first by name.
 fn slopes<'a>(target: &Target, results: &[&'a Results], role: Role, metric: Metric) -> Vec<Slope<'a>> {
     let mut sorted = results.to_vec();
     sorted.sort_by(|one, other| one.profile.cmp(&other.profile));
+    let slope = |results: &'a Results, variable: Variable| {
+        let fit = fit(results, role, metric).ok()?;
+        Some(Slope { results, variable, fit, furthest: furthest(target, results, role) })
+    };
     let of = |variable: Variable| {
-        let varies = |one: &&&Results| one.vary == variable.word();
-        sorted.iter().filter(varies).find_map(|results| {
-            let fit = fit(results, role, metric).ok()?;
-            Some(Slope { results, variable, fit, furthest: furthest(target, results, role) })
-        })
+        let varies = sorted.iter().filter(|one| one.vary == variable.word());
+        let slopes = varies.filter_map(|results| slope(results, variable));
+        slopes.reduce(|best, next| if next.fit.largest() > best.fit.largest() { next } else { best })
     };
     Variable::ALL.into_iter().filter(|variable| depends_on(role, *variable)).filter_map(of).collect()
 }
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -190,6 +190,21 @@
     assert!(page.contains("starts bends down: along a line"), "{page}");
 }
 
+#[test]
+fn of_several_profiles_of_a_variable_the_one_that_was_run_the_furthest_counts() {
+    let near = over_starts("a-near", |starts| 100.0 * starts);
+    let mut far = over_starts("b-far", |starts| 50.0 * starts);
+    let twin = far.clone();
+    for run in &mut far.runs {
+        run.varied *= 4.9;
+        run.size.starts *= 4.9;
+    }
+    let reckoned = reckon(&target(), &[far, near.clone()]);
+    assert_eq!(of(&reckoned, Form::CopiedToAll, Metric::BytesIn).profiles, ["b-far"]);
+    let reckoned = reckon(&target(), &[twin, near]);
+    assert_eq!(of(&reckoned, Form::CopiedToAll, Metric::BytesIn).profiles, ["a-near"], "the first of equals");
+}
+
 #[test]
 fn a_schedulers_traffic_is_that_with_the_list_for_all_starts_and_the_rest_for_its_own() {
     let roles = [(Role::Discovery, 30.0), (Role::Worker, 180.0 / 30.0), (Role::Client, 60.0 / 30.0)];
