Scale: of several profiles of one variable the one nearest to the target is reckoned with

Change: the largest run nearest to the target is taken; of starts and running tasks a scheduler's part is compared.

--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -289,8 +289,19 @@
     variable != Variable::Schedulers || role == Role::LedgerMember
 }
 
-/// One slope for each variable, in the order of `Variable::ALL`; of several, that of the profile that was run
-/// the furthest, and of equal ones the first by name.
+/// How far the largest run of a profile is from the target. Of starts and running tasks each scheduler's part
+/// is compared: a slope over few schedulers with much work each is another one than over many with little, as
+/// what one of them does in an instant is told together.
+fn distance(target: &Target, slope: &Slope) -> f64 {
+    let size = target.size(target.chosen);
+    let there = slope.fixed(Variable::Schedulers);
+    let chosen = f64::from(target.chosen);
+    let wanted = Share::OwnPart.moved(slope.variable, slope.variable.value(&size), chosen, there);
+    (slope.fit.largest() / wanted).ln().abs()
+}
+
+/// One slope for each variable, in the order of `Variable::ALL`; of several, that of the profile whose largest
+/// run is nearest to the target, and of equal ones the first by name.
 fn slopes<'a>(target: &Target, results: &[&'a Results], role: Role, metric: Metric) -> Vec<Slope<'a>> {
     let mut sorted = results.to_vec();
     sorted.sort_by(|one, other| one.profile.cmp(&other.profile));
@@ -301,7 +312,11 @@
     let of = |variable: Variable| {
         let varies = sorted.iter().filter(|one| one.vary == variable.word());
         let slopes = varies.filter_map(|results| slope(results, variable));
-        slopes.reduce(|best, next| if next.fit.largest() > best.fit.largest() { next } else { best })
+        slopes.reduce(
+            |best, next| {
+                if distance(target, &next) < distance(target, &best) { next } else { best }
+            },
+        )
     };
     Variable::ALL.into_iter().filter(|variable| depends_on(role, *variable)).filter_map(of).collect()
 }
