--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,13 +4,20 @@
 mod day;
 mod load;
 mod report;
+mod scale;
 mod status;
 mod trace;
 
 use clap::{CommandFactory, Parser, Subcommand};
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use std::alloc::System;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Counts what is allocated, for `scale run`.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
 #[derive(Parser)]
 #[command(name = "mulleinhub", version, about = "A cluster scheduler of which many copies run side by side")]
 struct Cli {
@@ -28,6 +35,9 @@
     /// Loads planners with rising numbers and measures them
     #[command(subcommand)]
     Load(load::LoadCommand),
+    /// What each role costs as the fleet grows: runs, slopes, and the capacity page
+    #[command(subcommand)]
+    Scale(scale::ScaleCommand),
     /// Judges the five rules from a capture
     Verdict { capture: PathBuf },
     /// Looks into a capture
@@ -56,6 +66,7 @@
         Command::Check { file } => day::check(&file),
         Command::Day(command) => day::run(command),
         Command::Load(command) => load::run(command),
+        Command::Scale(command) => scale::run(command),
         Command::Crowd { number, rate, planners } => {
             mulleinhub_load::host_crowd(number, &planners, rate).map(|()| ExitCode::SUCCESS)
         }
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,8 +4,18 @@
 //! one profile make a result file. Slopes are fitted to result files, and the capacity page is written from
 //! both.
 
+pub mod fit;
+pub mod hosts;
 pub mod ledgers;
 pub mod limits;
 pub mod meter;
+pub mod page;
+pub mod planners;
+pub mod plot;
 pub mod profile;
+pub mod reckon;
+pub mod record;
 pub mod results;
+pub mod tables;
+pub mod targets;
+pub mod units;
