Scale: each real scheduler listens at a loopback address of its own

A run of a dozen real schedulers failed once: the port that was free a moment ago was taken by a connection to another before its scheduler listened there ("Address already in use").

Ports are now drawn at 127.0.1.N, as the load campaigns do. tests/planners.rs passes, 13 tests.

--- a/crates/scale/src/planners/real_host.rs
+++ b/crates/scale/src/planners/real_host.rs
@@ -101,9 +101,11 @@
     }
 }
 
-/// A port that was free a moment ago.
-fn free_port() -> Result<SocketAddr, String> {
-    let probe = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(|e| format!("a free port: {e}"))?;
+/// A port that was free a moment ago, at a loopback address of the scheduler's own. Met at a common address:
+/// one of the many connections to others took the port before its scheduler listened there.
+fn free_port(number: usize) -> Result<SocketAddr, String> {
+    let own = Ipv4Addr::new(127, 0, 1, 1 + number as u8);
+    let probe = TcpListener::bind((own, 0)).map_err(|e| format!("a free port: {e}"))?;
     probe.local_addr().map_err(|e| format!("a free port: {e}"))
 }
 
@@ -119,7 +121,7 @@
         let list = shell.listen(any, LIST_DOOR).map_err(listening)?.to_string();
         let mut processes = Vec::new();
         for number in 0..scenario.schedulers() {
-            let listen = free_port()?;
+            let listen = free_port(number)?;
             shell.name(scheduler_name(number), listen);
             let file = |end: &str| folder.join(format!("{}.{end}", scheduler_name(number)));
             let places = ProcessPlaces { listen, state_dir: &file("state") };
