Clients whose messages come in pieces keep their connections in our own protocol too

Of 40 new clients, as many as had places, with half of a greeting each, 35 were cut off at the bound on strangers though places were free; so were those whose whole greetings waited in our own line. 3. A greeting that began 4.5 s after its connection was cut off in its middle at 5 s.

Cause: (1) `hear_link` in engine/src/hear.rs told Limits::read only that a part is here, and Limits keeps its earliest instant; where more is left than a turn hears it told nothing. (2) `opened` in limits/src/lib.rs let the first stranger make room, whatever of its greeting was here. (3) `deadline` and `due` there ended for want of a greeting also within one. Ruled out: the platform's way of (2), `give_way`, is not in our protocol.

Change, in Limits for both parties: `frame_heard` begins a part's time anew; strangers of whose greeting something is here make room only where all places are taken, and the others of them before anybody greeted; a greeting that has begun has a frame's time. The platform's own copies of (1) and (3) go; its `give_way` stays, since whoever is to make room there is still heard for 20 ms after Limits has forgotten it.

A greeting that never becomes whole now holds its place for `frame_within` (10 s), not 5 s.

--- a/crates/engine/src/hear.rs
+++ b/crates/engine/src/hear.rs
@@ -73,6 +73,7 @@
         return;
     };
     let mut left = desk.borrow().limits.frames_a_turn();
+    let mut heard_any = false;
     loop {
         if left == 0 {
             break;
@@ -86,6 +87,7 @@
             refuse(desk, round, link, &bad);
             break;
         }
+        heard_any = true;
         let desk = desk.borrow();
         let Some(peer) = desk.peers.get(&link) else { return };
         left -= usize::from(matches!(peer.who, Who::Stranger | Who::Client(_)));
@@ -97,6 +99,9 @@
         let partial = frames.kept() > 0;
         peer.frames = frames;
         let end = peer.end;
+        if heard_any {
+            desk.limits.frame_heard(link.0);
+        }
         if left == 0 && partial && peer.frames.peek().is_some() {
             desk.hear_rest_later(link);
             return;
--- a/crates/engine/tests/stories.rs
+++ b/crates/engine/tests/stories.rs
@@ -2,6 +2,7 @@
 
 mod host;
 mod list;
+mod pieces;
 mod quota;
 mod same_moment;
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -167,6 +167,8 @@
     /// Its place in the wheel stands for this instant; its true deadline may be later.
     in_wheel: Time,
     in_hand: u32,
+    /// It hasn't greeted, and a part of its greeting is here, or all of it unheard.
+    is_greeting: bool,
     /// Something came of it that only a rightful client brings about.
     of_use: bool,
     /// What came on it waits for us to hear it.
@@ -191,8 +193,8 @@
     tenants: BTreeMap<Arc<str>, Count>,
     /// Those without a task in hand: those never known to be of use first, then longest silent first.
     idle: BTreeSet<(bool, Time, u64)>,
-    /// Those that have not greeted, the first to come first.
-    strangers: BTreeSet<(Time, u64)>,
+    /// Those that have not greeted: those of whose greeting nothing is here first, then the first to come.
+    strangers: BTreeSet<(bool, Time, u64)>,
     wheel: Wheel,
     pub pressure: Pressure,
     pace: Pace,
@@ -312,8 +314,19 @@
     /// Until when nobody more is to be taken: all places of those that have not spoken are taken by such as
     /// have hardly come.
     pub fn waits_until(&self) -> Option<Time> {
-        let full = self.strangers.len() >= self.settings.most_strangers;
-        self.strangers.first().filter(|_| full).map(|(opened, _)| *opened + self.settings.may_speak)
+        if self.strangers.len() < self.settings.most_strangers {
+            return None;
+        }
+        self.stranger_to_make_room().map(|(opened, _)| opened + self.settings.may_speak)
+    }
+
+    /// The one that makes room where too many have not greeted, and when it came. While places are free, one
+    /// within its greeting keeps its own. Met: of as many new clients as there were places for, which sent
+    /// their greetings in pieces, those beyond the most strangers were ended in the middle of them.
+    fn stranger_to_make_room(&self) -> Option<(Time, u64)> {
+        let is_full = self.conns.len() >= self.allowed();
+        let (is_greeting, opened, conn) = self.strangers.first().copied()?;
+        (is_full || !is_greeting).then_some((opened, conn))
     }
 
     /// How many frames of one connection are heard in one turn.
@@ -335,7 +348,7 @@
         let mut room = None;
         if self.strangers.len() >= self.settings.most_strangers {
             // Met: who opens and never greets took the places of those who had.
-            room = self.strangers.first().copied();
+            room = self.stranger_to_make_room();
         } else if self.conns.len() >= self.allowed() {
             // One that has been silent longest; never one with a task in hand.
             let longest =
@@ -365,12 +378,13 @@
             asked_at: NEVER,
             in_wheel: deadline,
             in_hand: 0,
+            is_greeting: false,
             of_use: false,
             in_line: false,
         };
         self.conns.insert(conn, Box::new(entry));
         self.idle.insert((false, now, conn));
-        self.strangers.insert((now, conn));
+        self.strangers.insert((false, now, conn));
         self.wheel.put(now, deadline, conn);
     }
 
@@ -401,7 +415,7 @@
             self.forget(conn);
             return Err(self.count(why));
         }
-        self.strangers.remove(&(entry.opened, conn));
+        self.strangers.remove(&(entry.is_greeting, entry.opened, conn));
         entry.name = Some(name.clone());
         *self.names.entry(name.clone()).or_default() += 1;
         match self.tenants.get_mut(tenant(name)) {
@@ -429,10 +443,12 @@
     }
 
     /// All that came was read; `partial` where a part of a frame is left. The rest of it must come in time,
-    /// whatever comes of it a byte at a time.
+    /// whatever comes of it a byte at a time. Where a whole frame was heard before it, `frame_heard` says so.
     pub fn read(&mut self, now: Time, conn: u64, partial: bool) {
         let Some(entry) = self.conns.get_mut(&conn) else { return };
         entry.partial_since = if partial { entry.partial_since.min(now) } else { NEVER };
+        self.note_greeting(conn, partial);
+        let Some(entry) = self.conns.get_mut(&conn) else { return };
         // Nothing is moved in the wheel, unless the new deadline is sooner than its place there.
         let deadline = entry.deadline(conn, &self.settings, self.woke);
         if deadline < entry.in_wheel {
@@ -441,6 +457,25 @@
         }
     }
 
+    /// A whole frame was heard: a part that is left belongs to another one, whose time begins anew. Met: parts
+    /// of frames in a row, none of which ended where a frame does, were taken for one slow frame.
+    pub fn frame_heard(&mut self, conn: u64) {
+        if let Some(entry) = self.conns.get_mut(&conn) {
+            entry.partial_since = NEVER;
+        }
+    }
+
+    /// Whether something is here of the greeting of one that has not greeted.
+    fn note_greeting(&mut self, conn: u64, is_here: bool) {
+        let Some(entry) = self.conns.get_mut(&conn) else { return };
+        if entry.name.is_some() || entry.is_greeting == is_here {
+            return;
+        }
+        self.strangers.remove(&(entry.is_greeting, entry.opened, conn));
+        self.strangers.insert((is_here, entry.opened, conn));
+        entry.is_greeting = is_here;
+    }
+
     /// It has so many tasks in hand now.
     pub fn in_hand(&mut self, conn: u64, tasks: u32) {
         let Some(entry) = self.conns.get_mut(&conn) else { return };
@@ -467,7 +502,7 @@
         let Some(entry) = self.conns.remove(&conn) else { return };
         self.idle.remove(&(entry.of_use, entry.heard, conn));
         let Some(name) = entry.name else {
-            self.strangers.remove(&(entry.opened, conn));
+            self.strangers.remove(&(entry.is_greeting, entry.opened, conn));
             return;
         };
         if let Some(of_name) = self.names.get_mut(&name) {
@@ -510,6 +545,7 @@
 
     /// It is to be heard in a later turn.
     pub fn stands_in_line(&mut self, conn: u64, returns: bool) {
+        self.note_greeting(conn, true);
         let name = self.conns.get_mut(&conn).and_then(|entry| {
             entry.in_line = true;
             entry.name.as_deref()
@@ -591,7 +627,7 @@
                 self.wheel.put(now, deadline, conn);
                 continue;
             }
-            let why = if entry.name.is_none() && entry.opened + self.settings.greet_within <= now {
+            let why = if entry.greets_until(&self.settings) <= now {
                 Some(Why::NoGreeting)
             } else if entry.partial_since != NEVER && entry.partial_since + self.settings.frame_within <= now
             {
@@ -630,16 +666,22 @@
 }
 
 impl Conn {
+    /// Until when its greeting must begin. One that has begun has a frame's time. Met: one that began late was
+    /// cut off in its middle.
+    fn greets_until(&self, settings: &Settings) -> Time {
+        match self.name {
+            None if self.partial_since == NEVER => self.opened + settings.greet_within,
+            _ => NEVER,
+        }
+    }
+
     /// When something must have come, as things stand.
     fn deadline(&self, conn: u64, settings: &Settings, woke: Time) -> Time {
         let silence = match self.asked_at {
             asked if asked != NEVER => asked.max(woke) + settings.sign_within,
             _ => self.heard + settings.idle_after * (1.0 - DRAWN * draw(conn, self.heard)),
         };
-        let greeting = match self.name {
-            None => self.opened + settings.greet_within,
-            Some(_) => silence,
-        };
+        let greeting = self.greets_until(settings);
         // Beyond the clock's end, where there is none.
         let frame = self.partial_since + settings.frame_within;
         silence.min(greeting).min(frame)
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -243,13 +243,13 @@
     }
 
     /// Whether a part of a message is here that still has time to become whole.
-    pub fn is_within_a_message(&self, link: Link) -> bool {
+    fn is_within_a_message(&self, link: Link) -> bool {
         let since = self.owners.by_link.get(&link).and_then(|owner| owner.partial_since);
         since.is_some_and(|since| self.now - since < self.limits.settings().frame_within)
     }
 
     /// It spoke, so it makes no room.
-    pub fn stays(&mut self, link: Link) {
+    fn stays(&mut self, link: Link) {
         let Some(owner) = self.owners.by_link.get_mut(&link) else { return };
         owner.gives_way = None;
         let (proven, open, partial_since) = (owner.proven, owner.open.len() as u32, owner.partial_since);
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -236,10 +236,8 @@
     frames.tidy();
     let (partial, more) = (frames.kept() > 0, frames.has_next());
     owner.frames = frames;
-    if heard_any && partial {
-        // What is here now is a part of another message. Met: pieces of set-ups in a row, none of which ended
-        // with a set-up, were taken for one slow message, and the connection ended.
-        d.limits.read(now, link.0, false);
+    if heard_any {
+        d.limits.frame_heard(link.0);
     }
     let since = owner.partial_since.filter(|_| !heard_any).unwrap_or(now);
     owner.partial_since = partial.then_some(since);
@@ -522,10 +520,6 @@
             Act::AskForSign if d.owners.by_link.get(&Link(conn)).is_some_and(|o| !o.open.is_empty()) => {
                 d.limits.heard(now, conn);
             }
-            // A message has its own time. Met: a first set-up that began late was cut off in its middle.
-            Act::End(mulleinhub_limits::Why::NoGreeting) if d.is_within_a_message(Link(conn)) => {
-                d.stays(Link(conn));
-            }
             Act::AskForSign | Act::End(_) => close_owner(d, Link(conn)),
         }
     }
