Limits: clients within their greetings don't hold up those that come after them

Cause: `stranger_to_make_room` in limits/src/lib.rs counted clients within their greetings to the bound on strangers, but let those of whose greeting nothing had come go first. In a crowd of half messages the bound was always met and the one to go always fresh, so that one connection was taken in 20 ms in place of eight. Ruled out: the platform's `give_way`, which is as it was.

Change: while places are free the bound counts those alone of whose greeting nothing is here; where all are taken, it counts both, and the first to come goes.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -167,8 +167,6 @@
     /// Its place in the wheel stands for this instant; its true deadline may be later.
     in_wheel: Time,
     in_hand: u32,
-    /// It hasn't greeted, and a part of its greeting is here, or all of it unheard.
-    is_greeting: bool,
     /// Something came of it that only a rightful client brings about.
     of_use: bool,
     /// What came on it waits for us to hear it.
@@ -193,8 +191,10 @@
     tenants: BTreeMap<Arc<str>, Count>,
     /// Those without a task in hand: those never known to be of use first, then longest silent first.
     idle: BTreeSet<(bool, Time, u64)>,
-    /// Those that have not greeted: those of whose greeting nothing is here first, then the first to come.
-    strangers: BTreeSet<(bool, Time, u64)>,
+    /// Those that have not greeted, the first to come first: of whose greeting nothing is here.
+    strangers: BTreeSet<(Time, u64)>,
+    /// And of whose greeting a part is here, or all of it unheard.
+    greeting: BTreeSet<(Time, u64)>,
     wheel: Wheel,
     pub pressure: Pressure,
     pace: Pace,
@@ -230,6 +230,7 @@
             tenants: BTreeMap::new(),
             idle: BTreeSet::new(),
             strangers: BTreeSet::new(),
+            greeting: BTreeSet::new(),
             wheel: Wheel::default(),
             pressure,
             pace,
@@ -314,19 +315,24 @@
     /// Until when nobody more is to be taken: all places of those that have not spoken are taken by such as
     /// have hardly come.
     pub fn waits_until(&self) -> Option<Time> {
-        if self.strangers.len() < self.settings.most_strangers {
-            return None;
-        }
         self.stranger_to_make_room().map(|(opened, _)| opened + self.settings.may_speak)
     }
 
-    /// The one that makes room where too many have not greeted, and when it came. While places are free, one
-    /// within its greeting keeps its own. Met: of as many new clients as there were places for, which sent
-    /// their greetings in pieces, those beyond the most strangers were ended in the middle of them.
+    /// The one that makes room where too many have not greeted, and when it came. While places are free, those
+    /// within their greetings keep theirs, and don't count. Met: of as many new clients as there were places
+    /// for, which sent their greetings in pieces, those beyond the most strangers were ended in the middle of
+    /// them.
     fn stranger_to_make_room(&self) -> Option<(Time, u64)> {
-        let is_full = self.conns.len() >= self.allowed();
-        let (is_greeting, opened, conn) = self.strangers.first().copied()?;
-        (is_full || !is_greeting).then_some((opened, conn))
+        let most = self.settings.most_strangers;
+        let silent = self.strangers.first().copied();
+        if self.strangers.len() >= most {
+            return silent;
+        }
+        let are_too_many = self.strangers.len() + self.greeting.len() >= most;
+        if !are_too_many || self.conns.len() < self.allowed() {
+            return None;
+        }
+        silent.into_iter().chain(self.greeting.first().copied()).min()
     }
 
     /// How many frames of one connection are heard in one turn.
@@ -345,11 +351,9 @@
     /// Why it can't be taken.
     pub fn opened(&mut self, now: Time, conn: u64) -> Result<Option<u64>, Why> {
         self.taken += 1;
-        let mut room = None;
-        if self.strangers.len() >= self.settings.most_strangers {
-            // Met: who opens and never greets took the places of those who had.
-            room = self.stranger_to_make_room();
-        } else if self.conns.len() >= self.allowed() {
+        // Met: who opens and never greets took the places of those who had.
+        let mut room = self.stranger_to_make_room();
+        if room.is_none() && self.conns.len() >= self.allowed() {
             // One that has been silent longest; never one with a task in hand.
             let longest =
                 self.idle.first().filter(|(_, heard, _)| *heard + self.settings.may_speak <= now).copied();
@@ -378,13 +382,12 @@
             asked_at: NEVER,
             in_wheel: deadline,
             in_hand: 0,
-            is_greeting: false,
             of_use: false,
             in_line: false,
         };
         self.conns.insert(conn, Box::new(entry));
         self.idle.insert((false, now, conn));
-        self.strangers.insert((false, now, conn));
+        self.strangers.insert((now, conn));
         self.wheel.put(now, deadline, conn);
     }
 
@@ -415,7 +418,8 @@
             self.forget(conn);
             return Err(self.count(why));
         }
-        self.strangers.remove(&(entry.is_greeting, entry.opened, conn));
+        self.strangers.remove(&(entry.opened, conn));
+        self.greeting.remove(&(entry.opened, conn));
         entry.name = Some(name.clone());
         *self.names.entry(name.clone()).or_default() += 1;
         match self.tenants.get_mut(tenant(name)) {
@@ -467,13 +471,14 @@
 
     /// Whether something is here of the greeting of one that has not greeted.
     fn note_greeting(&mut self, conn: u64, is_here: bool) {
-        let Some(entry) = self.conns.get_mut(&conn) else { return };
-        if entry.name.is_some() || entry.is_greeting == is_here {
-            return;
+        let Some(entry) = self.conns.get(&conn).filter(|entry| entry.name.is_none()) else { return };
+        let (from, to) = match is_here {
+            true => (&mut self.strangers, &mut self.greeting),
+            false => (&mut self.greeting, &mut self.strangers),
+        };
+        if from.remove(&(entry.opened, conn)) {
+            to.insert((entry.opened, conn));
         }
-        self.strangers.remove(&(entry.is_greeting, entry.opened, conn));
-        self.strangers.insert((is_here, entry.opened, conn));
-        entry.is_greeting = is_here;
     }
 
     /// It has so many tasks in hand now.
@@ -502,7 +507,8 @@
         let Some(entry) = self.conns.remove(&conn) else { return };
         self.idle.remove(&(entry.of_use, entry.heard, conn));
         let Some(name) = entry.name else {
-            self.strangers.remove(&(entry.is_greeting, entry.opened, conn));
+            self.strangers.remove(&(entry.opened, conn));
+            self.greeting.remove(&(entry.opened, conn));
             return;
         };
         if let Some(of_name) = self.names.get_mut(&name) {
