Engine: hear.rs is split into modules with one job each

Need: one file of over 1,100 lines held frames, greetings, clients' requests, machines' messages, the list of machines, the proofs of ended connections, timers and status lines.

Change: a directory `receive/`, with a module for each; functions of more than one job are cut in their steps. Private names are the field's (receive, dispatch, greeting, inventory, disconnected, outcome, on_timer), and the borrowed desk is `desk`, the shared one `shared`. No message, log line, timer or order of random draws is another.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,10 +7,10 @@
 //! May not touch: sockets, clocks, files; any choice of machine, rest, order or nack, which are the module's.
 
 mod desk;
-mod hear;
 mod machines;
 #[cfg(test)]
 mod properties;
+mod receive;
 mod settings;
 
 pub use desk::{Counts, Times};
@@ -69,7 +69,7 @@
 
     /// How it is, in lines for a person.
     pub fn status(&self) -> String {
-        hear::status(&self.desk.borrow())
+        receive::status(&self.desk.borrow())
     }
 
     /// Why this planner is not to be given tasks now, in words; nothing where it is ready for them.
@@ -176,8 +176,8 @@
         }
         let desk = &*desk;
         mind.round(now, &mut Pen(desk), &mut |round| {
-            hear::all_that_came(desk, round);
-            hear::closings(desk, round);
+            receive::receive_pending(desk, round);
+            receive::close_pending(desk, round);
         });
         self.desk.get_mut().after_round();
     }
@@ -198,21 +198,21 @@
         mind.round(now, &mut Pen(desk), &mut |round| {
             if first {
                 round.start();
-                hear::begin(desk, round, saved.take());
+                receive::start(desk, round, saved.take());
             }
-            hear::all_that_came(desk, round);
+            receive::receive_pending(desk, round);
             // Only now: an answer that lay waiting while this process stood still came first.
             let mark = desk.borrow().timers.mark();
             loop {
                 let due = desk.borrow_mut().due(mark);
                 match due {
                     Some(Due::Token(token)) => round.woken(token),
-                    Some(Due::Send(task, send)) => hear::timed_out(desk, round, task, send),
-                    Some(other) => hear::look_after(desk, round, other),
+                    Some(Due::Send(task, send)) => receive::on_time_out(desk, round, task, send),
+                    Some(other) => receive::on_timer(desk, round, other),
                     None => break,
                 }
             }
-            hear::closings(desk, round);
+            receive::close_pending(desk, round);
             desk.borrow_mut().look_after_clients();
         });
         self.desk.get_mut().after_round();
