Limits: a test of who makes room among clients within their greetings

Need: that a crowd of half greetings holds nobody up was shown by a test over loopback alone.

Change: a test of Limits itself: while places are free, those within their greetings neither count to the bound on strangers nor make others wait; where none is free, the first to come makes room.

--- a/crates/limits/tests/limits.rs
+++ b/crates/limits/tests/limits.rs
@@ -95,6 +95,27 @@
     assert_eq!((limits.len(), limits.waits_until()), (3, Some(at(22))));
 }
 
+#[test]
+fn those_within_their_greetings_hold_nobody_up_while_places_are_free_and_make_room_when_none_is() {
+    let mut limits = Limits::new(Settings {
+        most: 6,
+        most_strangers: 2,
+        may_speak: Span::from_nanos(20_000_000),
+        ..Settings::default()
+    });
+    for conn in 1..=4 {
+        assert_eq!(limits.opened(at(conn), conn), Ok(None));
+        limits.read(at(conn), conn, true);
+    }
+    assert_eq!(limits.opened(at(5), 5), Ok(None));
+    assert_eq!(limits.waits_until(), None, "one alone has said nothing");
+    assert_eq!(limits.opened(at(6), 6), Ok(None));
+    assert_eq!(limits.waits_until(), Some(at(25)), "two have, and the first of them makes room");
+    limits.read(at(7), 5, true);
+    assert_eq!(limits.waits_until(), Some(at(21)), "all places are taken: the first of all makes room");
+    assert_eq!(limits.opened(at(21), 7), Ok(Some(1)));
+}
+
 #[test]
 fn one_name_has_so_many_connections_and_gets_their_places_back() {
     let mut limits = limits(10);
