--- a/crates/engine/src/receive/inventory.rs
+++ b/crates/engine/src/receive/inventory.rs
@@ -1,5 +1,5 @@
-//! The inventory of a machine: the tasks that it reports after a greeting, and what it proves of those that it
-//! lacks.
+//! The inventory of a machine: the tasks that it reports after a greeting, and what it proves of those
+//! that it lacks.
 
 use super::outcome::{accepted, accepted_late, close, module_ending, started};
 use super::task::{check_use_case, new_job, order};
--- a/crates/engine/src/receive/machine_list.rs
+++ b/crates/engine/src/receive/machine_list.rs
@@ -143,8 +143,8 @@
     }
 }
 
-/// Takes unwritten offers back from machines that take nothing new: the third rule counts what goes out on the
-/// wire.
+/// Takes unwritten offers back from machines that take nothing new: the third rule counts what goes out
+/// on the wire.
 fn take_back_from_closed(desk: &mut Desk) {
     let closed: Vec<MachineId> = desk
         .machines
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -318,8 +318,8 @@
         self.stranger_to_make_room().map(|(opened, _)| opened + self.settings.may_speak)
     }
 
-    /// The one that makes room where too many have not greeted, and when it came. While places are free, those
-    /// within their greetings keep theirs, and don't count. Met: of as many new clients as there were places
+    /// The one that makes room where too many have not greeted, and when it came. While places are free,
+    /// those within their greetings keep theirs, and don't count. Met: of as many new clients as there were places
     /// for, which sent their greetings in pieces, those beyond the most strangers were ended in the middle of
     /// them.
     fn stranger_to_make_room(&self) -> Option<(Time, u64)> {
@@ -461,8 +461,8 @@
         }
     }
 
-    /// A whole frame was heard: a part that is left belongs to another one, whose time begins anew. Met: parts
-    /// of frames in a row, none of which ended where a frame does, were taken for one slow frame.
+    /// A whole frame was heard: a part that is left belongs to another one, whose time begins anew. Met:
+    /// parts of frames in a row, none of which ended where a frame does, were taken for one slow frame.
     pub fn frame_heard(&mut self, conn: u64) {
         if let Some(entry) = self.conns.get_mut(&conn) {
             entry.partial_since = NEVER;
@@ -672,8 +672,8 @@
 }
 
 impl Conn {
-    /// Until when its greeting must begin. One that has begun has a frame's time. Met: one that began late was
-    /// cut off in its middle.
+    /// Until when its greeting must begin. One that has begun has a frame's time. Met: one that began late
+    /// was cut off in its middle.
     fn greets_until(&self, settings: &Settings) -> Time {
         match self.name {
             None if self.partial_since == NEVER => self.opened + settings.greet_within,
