--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -319,9 +319,9 @@
     }
 
     /// The one that makes room where too many have not greeted, and when it came. While places are free,
-    /// those within their greetings keep theirs, and don't count. Met: of as many new clients as there were places
-    /// for, which sent their greetings in pieces, those beyond the most strangers were ended in the middle of
-    /// them.
+    /// those within their greetings keep theirs, and don't count. Met: of as many new clients as there were
+    /// places for, which sent their greetings in pieces, those beyond the most strangers were ended in the
+    /// middle of them.
     fn stranger_to_make_room(&self) -> Option<(Time, u64)> {
         let most = self.settings.most_strangers;
         let silent = self.strangers.first().copied();
