--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -191,8 +191,10 @@
     tenants: BTreeMap<Arc<str>, Count>,
     /// Those without a task in hand: those never known to be of use first, then longest silent first.
     idle: BTreeSet<(bool, Time, u64)>,
-    /// Those that have not greeted, the first to come first.
+    /// Those that have not greeted, the first to come first: of whose greeting nothing is here.
     strangers: BTreeSet<(Time, u64)>,
+    /// And of whose greeting a part is here, or all of it unheard.
+    greeting: BTreeSet<(Time, u64)>,
     wheel: Wheel,
     pub pressure: Pressure,
     pace: Pace,
@@ -228,6 +230,7 @@
             tenants: BTreeMap::new(),
             idle: BTreeSet::new(),
             strangers: BTreeSet::new(),
+            greeting: BTreeSet::new(),
             wheel: Wheel::default(),
             pressure,
             pace,
@@ -312,8 +315,24 @@
     /// Until when nobody more is to be taken: all places of those that have not spoken are taken by such as
     /// have hardly come.
     pub fn waits_until(&self) -> Option<Time> {
-        let full = self.strangers.len() >= self.settings.most_strangers;
-        self.strangers.first().filter(|_| full).map(|(opened, _)| *opened + self.settings.may_speak)
+        self.stranger_to_make_room().map(|(opened, _)| opened + self.settings.may_speak)
+    }
+
+    /// The one that makes room where too many have not greeted, and when it came. While places are free,
+    /// those within their greetings keep theirs, and don't count. Met: of as many new clients as there were
+    /// places for, which sent their greetings in pieces, those beyond the most strangers were ended in the
+    /// middle of them.
+    fn stranger_to_make_room(&self) -> Option<(Time, u64)> {
+        let most = self.settings.most_strangers;
+        let silent = self.strangers.first().copied();
+        if self.strangers.len() >= most {
+            return silent;
+        }
+        let are_too_many = self.strangers.len() + self.greeting.len() >= most;
+        if !are_too_many || self.conns.len() < self.allowed() {
+            return None;
+        }
+        silent.into_iter().chain(self.greeting.first().copied()).min()
     }
 
     /// How many frames of one connection are heard in one turn.
@@ -332,11 +351,9 @@
     /// Why it can't be taken.
     pub fn opened(&mut self, now: Time, conn: u64) -> Result<Option<u64>, Why> {
         self.taken += 1;
-        let mut room = None;
-        if self.strangers.len() >= self.settings.most_strangers {
-            // Met: who opens and never greets took the places of those who had.
-            room = self.strangers.first().copied();
-        } else if self.conns.len() >= self.allowed() {
+        // Met: who opens and never greets took the places of those who had.
+        let mut room = self.stranger_to_make_room();
+        if room.is_none() && self.conns.len() >= self.allowed() {
             // One that has been silent longest; never one with a task in hand.
             let longest =
                 self.idle.first().filter(|(_, heard, _)| *heard + self.settings.may_speak <= now).copied();
@@ -402,6 +419,7 @@
             return Err(self.count(why));
         }
         self.strangers.remove(&(entry.opened, conn));
+        self.greeting.remove(&(entry.opened, conn));
         entry.name = Some(name.clone());
         *self.names.entry(name.clone()).or_default() += 1;
         match self.tenants.get_mut(tenant(name)) {
@@ -429,10 +447,12 @@
     }
 
     /// All that came was read; `partial` where a part of a frame is left. The rest of it must come in time,
-    /// whatever comes of it a byte at a time.
+    /// whatever comes of it a byte at a time. Where a whole frame was heard before it, `frame_heard` says so.
     pub fn read(&mut self, now: Time, conn: u64, partial: bool) {
         let Some(entry) = self.conns.get_mut(&conn) else { return };
         entry.partial_since = if partial { entry.partial_since.min(now) } else { NEVER };
+        self.note_greeting(conn, partial);
+        let Some(entry) = self.conns.get_mut(&conn) else { return };
         // Nothing is moved in the wheel, unless the new deadline is sooner than its place there.
         let deadline = entry.deadline(conn, &self.settings, self.woke);
         if deadline < entry.in_wheel {
@@ -441,6 +461,26 @@
         }
     }
 
+    /// A whole frame was heard: a part that is left belongs to another one, whose time begins anew. Met:
+    /// parts of frames in a row, none of which ended where a frame does, were taken for one slow frame.
+    pub fn frame_heard(&mut self, conn: u64) {
+        if let Some(entry) = self.conns.get_mut(&conn) {
+            entry.partial_since = NEVER;
+        }
+    }
+
+    /// Whether something is here of the greeting of one that has not greeted.
+    fn note_greeting(&mut self, conn: u64, is_here: bool) {
+        let Some(entry) = self.conns.get(&conn).filter(|entry| entry.name.is_none()) else { return };
+        let (from, to) = match is_here {
+            true => (&mut self.strangers, &mut self.greeting),
+            false => (&mut self.greeting, &mut self.strangers),
+        };
+        if from.remove(&(entry.opened, conn)) {
+            to.insert((entry.opened, conn));
+        }
+    }
+
     /// It has so many tasks in hand now.
     pub fn in_hand(&mut self, conn: u64, tasks: u32) {
         let Some(entry) = self.conns.get_mut(&conn) else { return };
@@ -468,6 +508,7 @@
         self.idle.remove(&(entry.of_use, entry.heard, conn));
         let Some(name) = entry.name else {
             self.strangers.remove(&(entry.opened, conn));
+            self.greeting.remove(&(entry.opened, conn));
             return;
         };
         if let Some(of_name) = self.names.get_mut(&name) {
@@ -510,6 +551,7 @@
 
     /// It is to be heard in a later turn.
     pub fn stands_in_line(&mut self, conn: u64, returns: bool) {
+        self.note_greeting(conn, true);
         let name = self.conns.get_mut(&conn).and_then(|entry| {
             entry.in_line = true;
             entry.name.as_deref()
@@ -591,7 +633,7 @@
                 self.wheel.put(now, deadline, conn);
                 continue;
             }
-            let why = if entry.name.is_none() && entry.opened + self.settings.greet_within <= now {
+            let why = if entry.greets_until(&self.settings) <= now {
                 Some(Why::NoGreeting)
             } else if entry.partial_since != NEVER && entry.partial_since + self.settings.frame_within <= now
             {
@@ -630,16 +672,22 @@
 }
 
 impl Conn {
+    /// Until when its greeting must begin. One that has begun has a frame's time. Met: one that began late
+    /// was cut off in its middle.
+    fn greets_until(&self, settings: &Settings) -> Time {
+        match self.name {
+            None if self.partial_since == NEVER => self.opened + settings.greet_within,
+            _ => NEVER,
+        }
+    }
+
     /// When something must have come, as things stand.
     fn deadline(&self, conn: u64, settings: &Settings, woke: Time) -> Time {
         let silence = match self.asked_at {
             asked if asked != NEVER => asked.max(woke) + settings.sign_within,
             _ => self.heard + settings.idle_after * (1.0 - DRAWN * draw(conn, self.heard)),
         };
-        let greeting = match self.name {
-            None => self.opened + settings.greet_within,
-            Some(_) => silence,
-        };
+        let greeting = self.greets_until(settings);
         // Beyond the clock's end, where there is none.
         let frame = self.partial_since + settings.frame_within;
         silence.min(greeting).min(frame)
