Replica sets, announced work, and the declaration of work logs

Cause: names of running work go to all members; a log that only a few copy needs a choice of those few, and rows by which they tell what ran at one that is gone. Nothing uses it yet.

--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -8,19 +8,26 @@
 
 mod column;
 mod library;
+mod log_kind;
 mod name;
 mod orders;
+mod replica_set;
 mod roll;
 mod row;
 mod state;
 
 pub use column::Column;
 pub use library::{Change, Kept, Library, Piece, Taken, Tip};
+pub use log_kind::{Changes, KINDS, KeptLogs, Kind, Reached};
 pub use name::Name;
 pub use orders::{Order, Orders, Standing, Subject, Word};
+pub use replica_set::{Site, replicas};
 pub use roll::{Presence, Roll};
 pub use row::{ColumnId, Digest, Entry};
-pub use state::{Before, COMES_AGAIN, Gift, Loose, Parts, Purse, State, Work};
+pub use state::{
+    Announced, Before, COMES_AGAIN, Gift, Loose, Parts, Purse, READS_WORK_LOGS, State, TAKEN_BACK,
+    WRITES_WORK_LOG, Work,
+};
 
 /// What a peer or a file told that can't be, in words.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/replica/src/library.rs
+++ b/crates/replica/src/library.rs
@@ -442,6 +442,33 @@
         }
     }
 
+    /// Columns of lives that a later one is known to have taken over whole, whatever their months.
+    pub fn drop_taken_over(&mut self) {
+        let taken = |id: &&ColumnId| {
+            let Some(before) = self.state_of(&id.writer).and_then(|state| state.before) else { return false };
+            let tip = self.column(id).map_or(0, |column| column.tip().0);
+            Some(id.life) < self.newest(&id.writer)
+                && (before.life > id.life || (before.life == id.life && before.number >= tip))
+        };
+        let taken: Vec<ColumnId> = self.columns.keys().filter(taken).cloned().collect();
+        taken.into_iter().for_each(|id| self.drop_column(id));
+    }
+
+    /// All columns of a writer, of which nothing is wanted any more.
+    pub fn drop_writer(&mut self, writer: &Name) {
+        let ids: Vec<ColumnId> = self.lives(writer).map(|(id, _)| id.clone()).collect();
+        ids.into_iter().for_each(|id| self.drop_column(id));
+    }
+
+    fn drop_column(&mut self, id: ColumnId) {
+        if let Some(shelf) = self.columns.remove(&id) {
+            self.by_stamp.remove(&shelf.stamp);
+            self.all = shelf.told.into_iter().fold(self.all, Digest::xor);
+            self.stamps += 1;
+        }
+        self.changes.push(Change::Drop { id });
+    }
+
     // What all columns come to.
 
     pub fn orders(&self) -> &Orders {
--- a/crates/replica/src/row.rs
+++ b/crates/replica/src/row.rs
@@ -3,7 +3,7 @@
 use crate::Bad;
 use crate::name::Name;
 use crate::orders::Order;
-use crate::state::{Gift, Parts, Purse, State};
+use crate::state::{Gift, Parts, Purse, State, Work};
 use minicbor::{Decode, Encode};
 use sha2::{Digest as _, Sha256};
 
@@ -30,7 +30,8 @@
 }
 
 impl Digest {
-    fn of(parts: &[&[u8]]) -> Self {
+    /// Of these bytes one after the other.
+    pub(crate) fn of(parts: &[&[u8]]) -> Self {
         let mut hash = Sha256::new();
         parts.iter().for_each(|part| hash.update(part));
         Self(std::array::from_fn({
@@ -120,6 +121,14 @@
         at: u64,
         keys: Vec<u64>,
     },
+    /// Work that ran at a member that isn't there, as a copy of its work log says up to a row of it. Rows
+    /// of one number go on from each other; another number takes the place of what was announced before.
+    /// `TAKEN_BACK` for a number takes it back.
+    Announced {
+        of: ColumnId,
+        number: u64,
+        work: Vec<(u64, Work)>,
+    },
     /// Of a kind that a later version writes: kept and handed on unread.
     Unread(Vec<u8>),
 }
@@ -133,6 +142,7 @@
 const HEARD: u16 = 7;
 const PASSES: u16 = 8;
 const AGAIN: u16 = 9;
+const ANNOUNCED: u16 = 10;
 
 fn encoded<T: Encode<()>>(kind: u16, body: T) -> Vec<u8> {
     let mut bytes = kind.to_be_bytes().to_vec();
@@ -156,6 +166,7 @@
             Self::Heard(order) => encoded(HEARD, order),
             Self::Passes { at, work } => encoded(PASSES, (at, work)),
             Self::Again { at, keys } => encoded(AGAIN, (at, keys)),
+            Self::Announced { of, number, work } => encoded(ANNOUNCED, (of, number, work)),
             Self::Unread(bytes) => bytes.clone(),
         }
     }
@@ -201,6 +212,10 @@
                 let (at, keys) = decoded(body)?;
                 Self::Again { at, keys }
             }
+            ANNOUNCED => {
+                let (of, number, work) = decoded(body)?;
+                Self::Announced { of, number, work }
+            }
             _ => Self::Unread(bytes.to_vec()),
         })
     }
--- a/crates/replica/src/state.rs
+++ b/crates/replica/src/state.rs
@@ -96,6 +96,26 @@
     pub until: u64,
 }
 
+/// Work of a member that wasn't there, as one that holds a copy of its work log announced it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Announced {
+    /// The life of that member whose work log it is.
+    #[n(0)]
+    pub life: u64,
+    /// The last row of that log which the copy had.
+    #[n(1)]
+    pub number: u64,
+    #[n(2)]
+    pub work: BTreeMap<u64, Work>,
+}
+
+/// In place of the number of a row: what was announced is taken back.
+pub const TAKEN_BACK: u64 = u64::MAX;
+/// In `State::forms`: the writer can read work logs, and what others announce of them.
+pub const READS_WORK_LOGS: u64 = 1;
+/// In `State::forms`: ordinary work of this life stands in its work log, not here.
+pub const WRITES_WORK_LOG: u64 = 2;
+
 /// The column of the same writer that this one goes on from, as far as it was known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Before {
@@ -148,6 +168,15 @@
     #[n(13)]
     #[cbor(default)]
     pub done: BTreeMap<u64, u64>,
+    // The second version reads a state up to here, and leaves out what follows.
+    /// What the writer announced of others' work logs, by the writers of those.
+    #[n(14)]
+    #[cbor(default)]
+    pub announced: BTreeMap<Name, Announced>,
+    /// Which forms of the log the writer reads and writes in this life. Nothing, of versions that had one.
+    #[n(15)]
+    #[cbor(default)]
+    pub forms: u64,
 }
 
 impl State {
@@ -233,11 +262,31 @@
                 self.done.retain(|key, _| !keys.contains(key));
                 self.again.extend(keys.iter().filter(|key| self.running.contains_key(key)));
             }
+            Entry::Announced { of, number: TAKEN_BACK, .. } => {
+                self.announced.remove(&of.writer);
+            }
+            Entry::Announced { of, number, work } => {
+                let known = self.announced.entry(of.writer.clone()).or_default();
+                if (known.life, known.number) != (of.life, *number) {
+                    *known = Announced { life: of.life, number: *number, work: BTreeMap::new() };
+                }
+                known.work.extend(work.iter().cloned());
+            }
             Entry::Unread(bytes) => self.unread.push(bytes.clone().into()),
         }
         Ok(())
     }
 
+    /// The writer can read work logs, and announcements of what stood in them.
+    pub fn reads_work_logs(&self) -> bool {
+        self.forms & READS_WORK_LOGS != 0
+    }
+
+    /// Ordinary work of this life stands in the writer's work log.
+    pub fn writes_work_log(&self) -> bool {
+        self.forms & WRITES_WORK_LOG != 0
+    }
+
     /// Whether it says at least what an earlier state of the same column said.
     pub fn covers(&self, earlier: &Self) -> bool {
         let kept = self.month.saturating_sub(1);
--- a/crates/replica/tests/columns.rs
+++ b/crates/replica/tests/columns.rs
@@ -2,10 +2,11 @@
 //! one.
 
 use mulleinhub_replica::{
-    Change, ColumnId, Entry, Gift, Kept, Library, Name, Order, Parts, Purse, Subject, Tip, Word,
+    Announced, Change, ColumnId, Entry, Gift, Kept, Library, Name, Order, Parts, Purse, READS_WORK_LOGS,
+    State, Subject, TAKEN_BACK, Tip, Word, Work,
 };
 use proptest::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const PIECE: usize = 64 * 1024;
 
@@ -176,6 +177,102 @@
     assert_eq!(three.purse(&"one".into(), &"pay".into(), 1).spent, 5);
 }
 
+fn work(since: u64) -> Work {
+    Work { team: "pay".into(), rate: 20, since }
+}
+
+fn announces(library: &mut Library, life: u64, number: u64, keys: &[u64]) {
+    let work = keys.iter().map(|key| (*key, work(*key))).collect();
+    let number = library.write(&Entry::Announced { of: id("dead", life), number, work });
+    library.is_durable(number);
+}
+
+fn announced(library: &Library) -> Option<(u64, u64, Vec<u64>)> {
+    let announced = library.state_of(&"one".into())?.announced.get("dead")?;
+    Some((announced.life, announced.number, announced.work.keys().copied().collect()))
+}
+
+#[test]
+fn what_was_announced_is_replaced_by_a_later_number_and_taken_back() {
+    let mut one = opened("one", 1);
+    let mut two = opened("two", 1);
+    announces(&mut one, 4, 9, &[1, 2]);
+    announces(&mut one, 4, 9, &[3]);
+    tell(&one, &mut two);
+    assert_eq!(announced(&two), Some((4, 9, vec![1, 2, 3])), "rows of one number go on");
+    announces(&mut one, 4, 12, &[3, 5]);
+    tell(&one, &mut two);
+    assert_eq!(announced(&two), Some((4, 12, vec![3, 5])));
+    // Summed up, and taken over by the next life.
+    for n in 0..3_000 {
+        spent(&mut one, n);
+    }
+    let mut late = opened("late", 1);
+    tell(&one, &mut late);
+    assert_eq!(announced(&late), Some((4, 12, vec![3, 5])));
+    let mut next = Library::new(id("one", 2));
+    tell(&late, &mut next);
+    assert_eq!(next.taken_over().announced.len(), 1);
+    announces(&mut one, 4, TAKEN_BACK, &[]);
+    tell(&one, &mut two);
+    assert_eq!(announced(&two), None);
+}
+
+/// A state as the version before the work logs reads it.
+#[derive(Debug, PartialEq, minicbor::Decode)]
+struct Earlier {
+    #[n(3)]
+    month: u32,
+    #[n(12)]
+    again: BTreeSet<u64>,
+    #[n(13)]
+    done: BTreeMap<u64, u64>,
+}
+
+#[test]
+fn a_sum_is_read_by_the_version_before_and_one_of_that_version_by_us() {
+    let mut state = State { month: 7, forms: READS_WORK_LOGS, ..State::default() };
+    state.announced.insert("dead".into(), Announced { life: 4, number: 9, work: [(1, work(1))].into() });
+    state.done.insert(3, 9);
+    let bytes = minicbor::to_vec(&state).expect("a vector takes all");
+    let earlier: Earlier = minicbor::decode(&bytes).expect("it leaves out what it doesn't know");
+    assert_eq!(earlier, Earlier { month: 7, again: BTreeSet::new(), done: [(3, 9)].into() });
+    // Fourteen fields, as it writes them.
+    let fourteen =
+        minicbor::to_vec(State { announced: BTreeMap::new(), forms: 0, ..state }).expect("is taken");
+    let mut fourteen = fourteen[..fourteen.len() - 2].to_vec();
+    assert_eq!(fourteen[0], 0x80 | 16, "an array of sixteen");
+    fourteen[0] = 0x80 | 14;
+    let read: State = minicbor::decode(&fourteen).expect("what is missing is nothing");
+    assert_eq!((read.month, read.forms, read.reads_work_logs()), (7, 0, false));
+}
+
+#[test]
+fn lives_that_are_taken_over_whole_are_dropped_and_others_are_kept() {
+    let mut one = opened("one", 1);
+    spent(&mut one, 5);
+    let mut holder = opened("two", 1);
+    tell(&one, &mut holder);
+    // It knew all of its last life.
+    let mut next = Library::new(id("one", 2));
+    tell(&one, &mut next);
+    let state = next.taken_over();
+    let number = next.open(state);
+    next.is_durable(number);
+    next.drop_taken_over();
+    assert!(next.column(&id("one", 1)).is_none() && next.column(&id("one", 2)).is_some());
+    // A row that the next life didn't know of stays until one after it.
+    let number = spent(&mut one, 6);
+    tell(&one, &mut holder);
+    tell(&next, &mut holder);
+    holder.drop_taken_over();
+    assert_eq!(holder.known_of(&id("one", 1)).0, number);
+    let before = holder.all();
+    holder.drop_writer(&"one".into());
+    assert!(holder.column(&id("one", 1)).is_none() && holder.column(&id("one", 2)).is_none());
+    assert!(holder.all() != before && holder.tips_after(0).all(|(_, tip)| &*tip.id.writer == "two"));
+}
+
 #[test]
 fn many_rows_are_summed_up_and_whoever_comes_late_gets_the_sum() {
     let mut one = opened("one", 1);
