A piece of rows holds no more rows than a message may

Cause: rows were cut to 64 KiB a piece, not to 1,024 rows. Small rows (workers that began and ended) made pieces of 1,727 rows, which the receiver refuses as malformed: a member that missed so many, as in an hour's cut, cut its peers off for ever and never caught up. Change: at most MOST_TIPS rows of a piece are sent; the asker asks for the rest.

--- a/crates/peers/src/exchange/replication.rs
+++ b/crates/peers/src/exchange/replication.rs
@@ -160,7 +160,9 @@
             let (life, after, digest, rows) = (*life, *after, &digest.0, Vec::new());
             return self.write(link, &Message::Rows { writer, life, after, digest, rows, skip: 0, rest: 0 });
         };
-        let mut rows: Vec<&[u8]> = piece.rows.iter().map(|row| &**row).collect();
+        // Small rows may be more than a message holds, though their bytes are few. The asker asks again.
+        let rows = piece.rows.iter().take(protocol::MOST_TIPS);
+        let mut rows: Vec<&[u8]> = rows.map(|row| &**row).collect();
         let part = cut_long_row(&mut rows, *skip as usize, piece.after == *after);
         let rows = rows.into_iter().map(protocol::RowBytes).collect();
         let (life, after, digest) = (*life, piece.after, &piece.digest.0);
