--- a/crates/accounts/src/keeper.rs
+++ b/crates/accounts/src/keeper.rs
@@ -5,24 +5,28 @@
 //! those rows, so nobody else can make it less; and no row is told, used or answered for before it is on
 //! disk.
 
+mod copies;
+mod work;
+
+use crate::announce::{self, Announcer};
 use crate::money::{cost, part};
 use crate::month::Month;
+use crate::names::{self, Known};
+use crate::pace::{self, LEAST_PERIOD, Pace};
 use crate::settings::Settings;
 use crate::shares::{self, Demand, Use};
-use crate::till::{Away, News, Place, Seen, Terms, Tills};
+use crate::till::{Away, News, Seen, Terms, Tills};
 use mulleinhub_interface::{Pcg, Span, Time};
 use mulleinhub_replica::{
-    COMES_AGAIN, Change, ColumnId, Entry, Gift, Kept, Library, Loose, Name, Parts, Presence, Purse, Roll,
-    State, Subject, Word,
+    Changes, ColumnId, Entry, Gift, KeptLogs, Kind, Library, Name, Parts, Presence, Purse, Reached, Roll,
+    State, Subject, Word, replicas,
 };
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Between two looks at the tills.
 pub const TICK: Span = Span::from_nanos(100_000_000);
 /// What a till knows holds for so long after a look. A keeper that stands still takes nothing new.
 const FRESH: Span = Span::from_nanos(1_000_000_000);
-/// What was spent is written down this often, where nothing else is: a crash leaves so much to be reckoned.
-const WRITE: Span = Span::from_secs(1);
 /// An ask without an answer is given up after this, and whoever had nothing is left alone for that long and
 /// drawn up to twice as long.
 const ANSWER: Span = Span::from_secs(1);
@@ -40,6 +44,8 @@
 const LEAST_BLOCK: u64 = 64;
 /// Workers in one row.
 const MOST_WORK: usize = 1_000;
+/// Holders are ranked for so many replicas where our own settings ask for none.
+const USUAL_REPLICAS: usize = 2;
 
 /// Whether this scheduler has begun to write in this life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,7 +113,17 @@
 
 pub struct Keeper {
     settings: Settings,
+    /// The fleet logs.
     library: Library,
+    /// Our own work log, and those of which we hold a copy.
+    work: Library,
+    /// Ordinary work of this life stands in our work log.
+    is_split: bool,
+    /// We neither read nor write work logs, as versions before them.
+    is_older: bool,
+    announcer: Announcer,
+    /// When balances are written together, in Unix time.
+    balances_at: u64,
     pub roll: Roll,
     phase: Phase,
     since: Option<Time>,
@@ -125,7 +141,7 @@
     adopted: BTreeSet<u64>,
     all_told: bool,
     /// What the names that were told last came from: changes of the books, and whom nobody hears of.
-    named: Option<(u64, Vec<Name>)>,
+    named: Option<(u64, u64, Vec<Name>)>,
     room: Vec<News>,
     /// What is told to whoever is on call, in words.
     told: Vec<String>,
@@ -133,16 +149,24 @@
 
 impl Keeper {
     /// `life` is greater at each start; `kept` is what earlier lives left on disk.
-    pub fn new(settings: Settings, life: u64, seed: u64, kept: Vec<Kept>, beat: Span) -> Self {
+    pub fn new(settings: Settings, life: u64, seed: u64, kept: KeptLogs, beat: Span) -> Self {
         let own = ColumnId { writer: settings.me.clone(), life };
-        let mut library = Library::new(own);
-        let told = library.restore(kept);
+        let mut library = Library::new(own.clone());
+        let mut told = library.restore(kept.fleet);
+        let mut work = Library::new(own);
+        told.extend(work.restore(kept.work));
         let ours = library.newest(&settings.me);
         let kept = ours.and_then(|life| {
             let id = ColumnId { writer: settings.me.clone(), life };
             library.column(&id).map(|column| (life, column.tip().0))
         });
-        library.live_after(ours.unwrap_or(0));
+        let newest = ours.max(work.newest(&settings.me)).unwrap_or(0);
+        library.live_after(newest);
+        work.live_after(newest);
+        let mut settings = settings;
+        for name in &settings.members {
+            settings.sites.entry(name.clone()).or_default();
+        }
         let others = settings.members.iter().filter(|name| **name != settings.me).cloned();
         let desk = |_| Desk {
             purse: Purse::default(),
@@ -162,6 +186,11 @@
             desks: settings.teams.iter().map(desk).collect(),
             settings,
             library,
+            work,
+            is_split: false,
+            is_older: false,
+            announcer: Announcer::default(),
+            balances_at: 0,
             phase: Phase::CatchingUp,
             since: None,
             met: BTreeSet::new(),
@@ -193,6 +222,55 @@
         &mut self.library
     }
 
+    /// It neither declares nor reads nor writes work logs, as versions before them: for trials of fleets of
+    /// both.
+    #[must_use]
+    pub fn without_work_logs(mut self) -> Self {
+        let me = self.settings.me.clone();
+        self.is_older = true;
+        self.work = Library::new(ColumnId { writer: me, life: self.life() });
+        self
+    }
+
+    /// The logs of a kind.
+    pub fn logs(&self, kind: Kind) -> &Library {
+        match kind {
+            Kind::Fleet => &self.library,
+            Kind::Work => &self.work,
+        }
+    }
+
+    pub fn logs_mut(&mut self, kind: Kind) -> &mut Library {
+        match kind {
+            Kind::Fleet => &mut self.library,
+            Kind::Work => &mut self.work,
+        }
+    }
+
+    /// Whether ordinary work of this life stands in our work log.
+    pub fn is_split(&self) -> bool {
+        self.is_split
+    }
+
+    /// Whether we read work logs at all.
+    pub fn reads_work_logs(&self) -> bool {
+        !self.is_older
+    }
+
+    /// The members of whose work logs we hold a copy.
+    pub fn copies(&self) -> impl Iterator<Item = &Name> {
+        let me = &self.settings.me;
+        let newest = |id: &ColumnId| self.work.newest(&id.writer) == Some(id.life);
+        let columns = self.work.columns().map(|(id, _)| id);
+        columns.filter(move |id| id.writer != *me && newest(id)).map(|id| &id.writer)
+    }
+
+    /// Who holds our work log, the first choice first, of those that `is_usable` says yes to.
+    pub fn replicas(&self, is_usable: impl Fn(&Name) -> bool) -> Vec<Name> {
+        let many = if self.is_split { self.settings.replicas.unwrap_or(0) } else { 0 };
+        replicas(&self.settings.me, &self.settings.sites, many, is_usable)
+    }
+
     pub fn phase(&self) -> Phase {
         self.phase
     }
@@ -211,13 +289,14 @@
 
     // What whoever hosts the books tells.
 
-    pub fn take_changes(&mut self) -> Vec<Change> {
-        self.library.take_changes()
+    pub fn take_changes(&mut self) -> Changes {
+        Changes { fleet: self.library.take_changes(), work: self.work.take_changes() }
     }
 
-    /// Our rows up to this one are on disk.
-    pub fn is_durable(&mut self, number: u64) {
-        self.library.is_durable(number);
+    /// Our rows up to these are on disk.
+    pub fn is_durable(&mut self, reached: Reached) {
+        self.library.is_durable(reached.fleet);
+        self.work.is_durable(reached.work);
     }
 
     /// All machines told what they hold of our earlier lives, or can't be asked: what they don't hold is
@@ -461,11 +540,15 @@
         if month.number > known {
             self.turn_month(now, month, tills);
         }
+        self.fall_back_for_older(utc);
         self.tell_news(now, utc, tills);
+        let (fleet, all_due) = self.pace(utc);
         for team in 0..self.desks.len() {
-            self.look_after(now, utc, team, tills);
+            self.look_after(now, utc, team, fleet, all_due, tills);
         }
+        self.announce(now, utc);
         self.tell_names(now, utc, tills);
+        self.work.drop_taken_over();
     }
 
     fn has_caught_up(&self, now: Time) -> bool {
@@ -479,7 +562,10 @@
     /// Begins a life. What earlier ones did not use is ours only if we kept all that they wrote.
     fn begin_to_write(&mut self, month: Month, utc: u64, tills: &mut dyn Tills) {
         let me = self.settings.me.clone();
-        self.library.live_after(self.library.newest(&me).unwrap_or(0));
+        let newest = self.library.newest(&me).max(self.work.newest(&me)).unwrap_or(0);
+        let life = self.life().max(newest + 1);
+        self.library.live_after(life - 1);
+        self.work.live_after(life - 1);
         let mut state = self.library.taken_over();
         let known = state.before.map(|before| (before.life, before.number));
         let whole = known == self.kept;
@@ -511,7 +597,7 @@
             state.orders.insert(subject.clone(), *standing);
         }
         let begins = state.month < number;
-        self.library.open(state);
+        self.open_logs(state);
         if begins {
             self.library.write(&Entry::Month(number));
         }
@@ -549,68 +635,21 @@
         self.library.drop_old();
     }
 
-    /// What became of workers since the last look, as rows.
-    fn tell_news(&mut self, now: Time, utc: u64, tills: &mut dyn Tills) {
-        let (mut began, mut again, mut over) = (Vec::new(), Vec::new(), Vec::new());
-        for team in 0..self.desks.len() {
-            let mut all = std::mem::take(&mut self.room);
-            tills.with(team, &mut |till| all = till.take_news(std::mem::take(&mut all)));
-            let name = self.settings.teams[team].name.clone();
-            for news in all.drain(..) {
-                match news {
-                    News::Began { key, rate, again: came_again } => {
-                        again.extend(came_again.then_some(key));
-                        began.push((key, name.clone(), rate));
-                    }
-                    News::Adopted { key, rate, at } => {
-                        self.adopted.insert(key);
-                        let until = utc.saturating_sub((now - at).nanos() / 1_000_000);
-                        self.charge_gap(now, until, team, key, rate, tills);
-                        again.push(key);
-                        began.push((key, name.clone(), rate));
-                    }
-                    News::Over { key, comes_again } => {
-                        self.adopted.remove(&key);
-                        over.push((key, comes_again));
-                    }
-                }
-            }
-            self.room = all;
-        }
-        if std::mem::take(&mut self.all_told) {
-            // What our earlier lives ran and no machine holds is over; its owner may come again.
-            let me = self.settings.me.clone();
-            let running = self.library.state_of(&me).map(|state| &state.running);
-            let began: BTreeSet<u64> = began.iter().map(|(key, ..)| *key).collect();
-            let here = |key: &u64| self.adopted.contains(key) || began.contains(key);
-            let gone =
-                running.into_iter().flatten().filter(|(key, _)| !here(key)).map(|(key, _)| (*key, true));
-            let gone: Vec<(u64, bool)> = gone.collect();
-            over.extend(gone);
-        }
-        // One that ended within a look had begun before.
-        for work in began.chunks(MOST_WORK) {
-            self.library.write(&Entry::Began { at: utc, work: work.to_vec() });
-        }
-        for keys in again.chunks(MOST_WORK) {
-            self.library.write(&Entry::Again { at: utc, keys: keys.to_vec() });
-        }
-        for work in over.chunks(MOST_WORK) {
-            self.library.write(&Entry::Over { at: utc, work: work.to_vec() });
-        }
-    }
-
     /// A worker ran on while nobody counted: what it cost since then is charged by whoever has it now.
     fn charge_gap(&mut self, now: Time, until: u64, team: usize, key: u64, rate: u64, tills: &mut dyn Tills) {
         let Some(month) = self.month else { return };
         let name = &self.settings.teams[team].name;
-        let counted = |writer: &Name| {
-            let state = self.library.state_of(writer)?;
-            let work = state.running.get(&key).filter(|work| work.team == *name)?;
+        let states = self.fleet_states();
+        let announced = announce::newest(states.iter().map(|(_, state)| *state));
+        let counted = |(writer, state): &(Name, &State)| {
+            let in_copy = || self.work.state_of(writer).and_then(|state| state.running.get(&key));
+            let in_announced = || announced.get(writer).and_then(|announced| announced.work.get(&key));
+            let work = state.running.get(&key).or_else(in_copy).or_else(in_announced);
+            let work = work.filter(|work| work.team == *name)?;
             let at = [month.number, month.number - 1].map(|number| state.purse(name, number).at);
             Some(work.since.max(at[0].max(at[1])))
         };
-        let Some(since) = self.library.writers().iter().filter_map(counted).max() else { return };
+        let Some(since) = states.iter().filter_map(counted).max() else { return };
         let span = |from: u64, to: u64| Span::from_nanos(to.saturating_sub(from).saturating_mul(1_000_000));
         let here = cost(rate, span(since.max(month.begins), until));
         tills.with(team, &mut |till| till.charge(now, here));
@@ -630,10 +669,48 @@
         self.library.write(&Entry::Purse { team: name, month, purse })
     }
 
+    /// How often the balances of most teams are written in this life, and whether all are due now.
+    fn pace(&mut self, utc: u64) -> (Pace, bool) {
+        if !self.is_split {
+            return (Pace::QUICK, false);
+        }
+        let is_active = |team: &usize| {
+            let uses = self.uses(*team);
+            uses.new >= 1.0 || uses.running > 0
+        };
+        let teams = (0..self.desks.len()).filter(is_active).count();
+        let fleet = Pace::of_fleet(self.settings.members.len(), teams);
+        let all_due = utc >= self.balances_at;
+        if all_due {
+            self.balances_at = utc.saturating_add(fleet.period.nanos() / 1_000_000);
+        }
+        (fleet, all_due)
+    }
+
+    /// The pace of one team's balance: a cap that is nearly spent is watched closely.
+    fn pace_of(&self, team: usize, fleet: Pace) -> Pace {
+        if fleet == Pace::QUICK {
+            return fleet;
+        }
+        let Some(cap) = self.cap(team) else { return fleet };
+        let open = part(cap, self.settings.near);
+        let (spent, _) = self.spent(team);
+        if pace::is_close(open, spent, self.desks[team].purse) { Pace::QUICK } else { fleet }
+    }
+
     /// One team: blocks drawn and put back, what was spent written down, others asked, the till told what
     /// holds.
-    fn look_after(&mut self, now: Time, utc: u64, team: usize, tills: &mut dyn Tills) {
+    fn look_after(
+        &mut self,
+        now: Time,
+        utc: u64,
+        team: usize,
+        fleet: Pace,
+        all_due: bool,
+        tills: &mut dyn Tills,
+    ) {
         let Some(month) = self.month else { return };
+        let pace = self.pace_of(team, fleet);
         let durable = self.library.durable();
         let mut seen = Seen::default();
         let credits = &mut self.desks[team].credits;
@@ -657,9 +734,11 @@
         // What is drawn: for new ones and running ones out of the open part, else for running ones out of
         // the last.
         let least = free.open / LEAST_BLOCK;
-        let block = Parts { open: uses.block().open.max(least), ..uses.block() };
-        let wants_open =
-            if at_hand.open < block.open / 2 { block.open - at_hand.open } else { 0 } + seen.debt;
+        let block = uses.block(pace.block);
+        let block = Parts { open: block.open.max(least), ..block };
+        // With the balances that are written together, blocks are filled up.
+        let low = if all_due && pace != Pace::QUICK { block.open } else { block.open / 2 };
+        let wants_open = if at_hand.open < low { block.open - at_hand.open } else { 0 } + seen.debt;
         let open = wants_open.min(free.open);
         let owed = seen.debt.saturating_sub(open);
         let ahead = block.last.saturating_sub(at_hand.open + open + at_hand.last);
@@ -677,7 +756,12 @@
         }
         let desk = &mut self.desks[team];
         let spent = desk.before + seen.spent;
-        let due = utc.saturating_sub(desk.purse.at) * 1_000_000 >= WRITE.nanos();
+        let is_quick = pace == Pace::QUICK;
+        let due = if is_quick {
+            utc.saturating_sub(desk.purse.at) * 1_000_000 >= LEAST_PERIOD.nanos()
+        } else {
+            all_due
+        };
         if draws != Parts::default() || back != Parts::default() || (due && spent != desk.purse.spent) {
             desk.purse.drawn = desk.purse.drawn.plus(draws).less(back);
             (desk.purse.spent, desk.purse.beyond, desk.purse.at) = (spent, seen.debt, utc);
@@ -777,55 +861,35 @@
     /// Who may come again, told to the tills where that has changed.
     fn tell_names(&mut self, now: Time, utc: u64, tills: &mut dyn Tills) {
         let me = &self.settings.me;
-        let writers = self.library.writers();
+        let states = self.fleet_states();
         let silent = |writer: &&Name| *writer != me && self.roll.presence(now, writer) != Presence::There;
-        let silent: Vec<Name> = writers.iter().filter(silent).cloned().collect();
-        let stamp = self.library.stamp();
-        if self.named.as_ref().is_some_and(|(at, of)| *at == stamp && *of == silent) {
+        let silent: Vec<Name> = states.iter().map(|(writer, _)| writer).filter(silent).cloned().collect();
+        let (stamp, work_stamp) = (self.library.stamp(), self.work.stamp());
+        if self
+            .named
+            .as_ref()
+            .is_some_and(|(at, work, of)| (*at, *work) == (stamp, work_stamp) && *of == silent)
+        {
             return;
         }
-        let place: BTreeMap<&Name, usize> =
-            self.settings.teams.iter().enumerate().map(|(at, team)| (&team.name, at)).collect();
-        let mut names: Vec<HashMap<u64, Place>> = vec![HashMap::new(); self.desks.len()];
-        let states: Vec<(&Name, &State)> =
-            writers.iter().filter_map(|writer| Some((writer, self.library.state_of(writer)?))).collect();
-        // Who took the place of one that ran, and ended for good: nobody comes in that place any more,
-        // unless it began anew since.
-        let mut done: HashMap<u64, u64> = HashMap::new();
-        for (key, until) in states.iter().flat_map(|(_, state)| &state.done) {
-            let known = done.entry(*key).or_default();
-            *known = (*known).max(*until);
-        }
-        let mut name = |team: &Name, key: u64, ran: bool, until: u64| {
-            if done.get(&key).is_some_and(|done| until <= *done) {
-                return;
-            }
-            if let Some(at) = place.get(team) {
-                let place = names[*at].entry(key).or_insert(Place { in_hand: false, ran });
-                place.ran |= ran;
-            }
+        let known = |(writer, state)| Known {
+            writer,
+            life: self.library.newest(writer).unwrap_or(0),
+            state,
+            copy: self.copy_of(writer),
+            silent: silent.contains(writer),
         };
-        for (writer, state) in &states {
-            let may = |(_, loose): &(&u64, &Loose)| loose.until > utc;
-            state.passes.iter().filter(may).for_each(|(key, l)| name(&l.team, *key, false, l.until));
-            state.loose.iter().filter(may).for_each(|(key, l)| name(&l.team, *key, true, l.until));
-            // What runs elsewhere has its place, unless nobody can say now that it is over.
-            let silent = silent.contains(writer);
-            for (key, work) in state.running.iter().filter(|_| silent) {
-                name(&work.team, *key, true, work.since.saturating_add(COMES_AGAIN));
-            }
-        }
-        for (_, state) in states.iter().filter(|(writer, _)| !silent.contains(writer)) {
-            for key in state.running.keys() {
-                for names in &mut names {
-                    names.remove(key);
-                }
-            }
-        }
-        self.named = Some((stamp, silent));
+        let all: Vec<Known<'_>> = states.iter().map(|(writer, state)| (writer, *state)).map(known).collect();
+        let announced = announce::newest(states.iter().filter(|_| !self.is_older).map(|(_, state)| *state));
+        let names = names::may_come_again(utc, &self.settings.teams, &all, &announced);
+        let is_new = self.named.as_ref().is_none_or(|(at, ..)| *at != stamp);
+        self.named = Some((stamp, work_stamp, silent));
         for (team, mut names) in names.into_iter().enumerate() {
             tills.with(team, &mut |till| names = till.set_names(std::mem::take(&mut names)));
         }
+        if is_new && self.is_split {
+            self.promote_crossed(utc);
+        }
     }
 
     // For whoever watches.
--- /dev/null
+++ b/crates/accounts/src/keeper/copies.rs
@@ -0,0 +1,109 @@
+//! What the keeper does with its copies of others' work logs: it announces what ran at members that are
+//! silent, and lets go of copies that a later life took over.
+
+use super::{Keeper, MOST_WORK, USUAL_REPLICAS};
+use crate::announce;
+use crate::work_log::{self, Running};
+use mulleinhub_interface::Time;
+use mulleinhub_replica::{
+    Announced, ColumnId, Entry, Kind, Name, Presence, State, TAKEN_BACK, Work, replicas,
+};
+use std::collections::BTreeSet;
+
+impl Keeper {
+    /// Announces what ran at members that are silent, and takes back what was announced of those that are
+    /// there in a later life.
+    pub(super) fn announce(&mut self, now: Time, utc: u64) {
+        let writers: BTreeSet<Name> = self.copies().cloned().collect();
+        for writer in &writers {
+            if self.roll.presence(now, writer) == Presence::There {
+                self.announcer.is_back(writer);
+                self.release_succeeded(utc, writer);
+            } else {
+                self.announce_silent(now, utc, writer);
+            }
+        }
+        self.take_back_announcements(now);
+    }
+
+    /// How far our copy of a member's work log goes.
+    pub(super) fn copy_of(&self, writer: &Name) -> Option<(u64, u64, &State)> {
+        let life = self.work.newest(writer)?;
+        let column = self.work.column(&ColumnId { writer: writer.clone(), life })?;
+        Some((life, column.tip().0, column.state()))
+    }
+
+    pub(super) fn announce_silent(&mut self, now: Time, utc: u64, writer: &Name) {
+        let Some((life, number, state)) = self.copy_of(writer) else { return };
+        if self.is_succeeded(writer, life) {
+            return;
+        }
+        let running = state.running.clone();
+        let many = self.settings.replicas.unwrap_or(USUAL_REPLICAS);
+        let me = &self.settings.me;
+        let is_usable = |name: &Name| name == me || self.roll.presence(now, name) != Presence::Gone;
+        let holders = replicas(writer, &self.settings.sites, many, is_usable);
+        let rank = holders.iter().position(|name| name == me).unwrap_or(many);
+        let states = self.fleet_states();
+        let known = announce::newest(states.iter().map(|(_, state)| *state));
+        let known = known.get(writer).map(|known| (known.life, known.number));
+        if (running.is_empty() && known.is_none())
+            || !self.announcer.is_due(now, writer, rank, (life, number), known)
+        {
+            return;
+        }
+        let of = ColumnId { writer: writer.clone(), life };
+        let work: Vec<(u64, Work)> = running.iter().map(|(key, work)| (*key, work.clone())).collect();
+        let chunks = work.chunks(MOST_WORK);
+        let rows = chunks.map(|work| Entry::Announced { of: of.clone(), number, work: work.to_vec() });
+        let mut rows: Vec<Entry> = rows.collect();
+        if rows.is_empty() {
+            rows.push(Entry::Announced { of, number, work });
+        }
+        if self.has_older_members() {
+            rows.extend(work_log::comes_again_rows(utc, &running));
+        }
+        self.write_all(Kind::Fleet, &rows);
+    }
+
+    /// A later life of this member took all that stood in this work log over into its fleet log.
+    pub(super) fn is_succeeded(&self, writer: &Name, life: u64) -> bool {
+        let is_later = self.library.newest(writer).is_some_and(|newest| newest > life);
+        let state = self.library.state_of(writer);
+        is_later && state.is_some_and(|state| state.reads_work_logs() && !state.writes_work_log())
+    }
+
+    /// A copy that nobody needs any more: a later life writes no work log. One of a version that can't read
+    /// them did not take over what stood there, so that it may come again is told to all.
+    pub(super) fn release_succeeded(&mut self, utc: u64, writer: &Name) {
+        let Some((life, _, state)) = self.copy_of(writer) else { return };
+        let Some(newest) = self.library.newest(writer).filter(|newest| *newest > life) else { return };
+        let id = ColumnId { writer: writer.clone(), life: newest };
+        let Some(now) = self.library.column(&id).map(mulleinhub_replica::Column::state) else { return };
+        if now.writes_work_log() {
+            return;
+        }
+        if !now.reads_work_logs() {
+            let lost = state.running.iter().filter(|(key, _)| !now.running.contains_key(key));
+            let lost: Running = lost.map(|(key, work)| (*key, work.clone())).collect();
+            self.write_all(Kind::Fleet, &work_log::comes_again_rows(utc, &lost));
+        }
+        self.work.drop_writer(writer);
+    }
+
+    pub(super) fn take_back_announcements(&mut self, now: Time) {
+        let me = &self.settings.me;
+        let Some(ours) = self.library.state_of(me).map(|state| &state.announced) else { return };
+        let back = |(of, announced): &(&Name, &Announced)| {
+            let is_later = self.library.newest(of).is_some_and(|newest| newest > announced.life);
+            is_later && self.roll.presence(now, of) == Presence::There
+        };
+        let back = ours.iter().filter(back).map(|(of, announced)| Entry::Announced {
+            of: ColumnId { writer: of.clone(), life: announced.life },
+            number: TAKEN_BACK,
+            work: Vec::new(),
+        });
+        let back: Vec<Entry> = back.collect();
+        self.write_all(Kind::Fleet, &back);
+    }
+}
--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -5,15 +5,20 @@
 //! fills the tills, writes rows, asks others for a part of their share and gives of its own ([`Keeper`]).
 //! May not touch: sockets, files, clocks, threads, and any choice of machine. The time of day is an input.
 
+mod announce;
 mod keeper;
 mod money;
 mod month;
+mod names;
+mod pace;
 mod settings;
 mod shares;
 mod till;
+mod work_log;
 
 pub use keeper::{Keeper, Look, Phase, Reply, TICK, Wanted};
 pub use money::{GIB, Prices};
 pub use month::{Month, Months};
+pub use pace::Pace;
 pub use settings::{Settings, Team};
 pub use till::{Away, News, Place, Seen, Terms, Till, Tills};
--- /dev/null
+++ b/crates/accounts/src/pace.rs
@@ -0,0 +1,46 @@
+//! How often balances are written down, and how much is drawn at a time, where their number would
+//! otherwise fill the exchange.
+//!
+//! Each member that uses a team's cap writes its balance for all members. So many balances a second as one
+//! a second for each team at each member are too many for large fleets; what they are for, the look whether
+//! a cap is nearly spent, needs them often only near its end.
+
+use crate::shares::BLOCK;
+use mulleinhub_interface::Span;
+use mulleinhub_replica::Purse;
+
+/// What was spent is written down this often at the most, where nothing else is: a crash leaves so much to
+/// be reckoned.
+pub const LEAST_PERIOD: Span = Span::from_secs(1);
+/// About what one balance costs each member, in bytes.
+const BALANCE: u64 = 64;
+/// What balances of the whole fleet may cost each member in a second, in bytes.
+const BUDGET: u64 = 4_096;
+/// A cap whose open part is spent but for this part of it is watched closely.
+const CLOSE: u64 = 20;
+
+/// Between two writings of a team's balance, and what a block that is drawn lasts for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    pub period: Span,
+    /// In seconds of use.
+    pub block: f64,
+}
+
+impl Pace {
+    /// As it was before there were work logs, and is for caps that are nearly spent.
+    pub const QUICK: Self = Self { period: LEAST_PERIOD, block: BLOCK };
+
+    /// For so many members, each of which uses so many teams' caps as we do.
+    pub fn of_fleet(members: usize, teams: usize) -> Self {
+        let bytes = (members as u64).saturating_mul(teams as u64).saturating_mul(BALANCE);
+        let period = Span::from_secs(1) * (bytes as f64 / BUDGET as f64);
+        let period = period.max(LEAST_PERIOD);
+        Self { period, block: (2.0 * period.over(Span::from_secs(1))).max(BLOCK) }
+    }
+}
+
+/// Whether all together have nearly spent the open part of a cap, or more than it, or we owe.
+pub fn is_close(open: u64, spent: u64, own: Purse) -> bool {
+    own.beyond > 0 || spent >= open - open / CLOSE
+}
--- a/crates/accounts/src/settings.rs
+++ b/crates/accounts/src/settings.rs
@@ -3,7 +3,8 @@
 use crate::money::{self, Prices};
 use crate::month::Months;
 use mulleinhub_interface::Span;
-use mulleinhub_replica::{Name, Parts};
+use mulleinhub_replica::{Name, Parts, Site};
+use std::collections::BTreeMap;
 
 /// A team: whose tenants count against one cap.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,6 +30,11 @@
     pub stretch: Span,
     /// One that returns waits for so long for members that don't answer, once most of them have.
     pub catch_up: Span,
+    /// Ordinary work stands in a work log, which so many other members copy; nothing where all work stands
+    /// in the fleet log.
+    pub replicas: Option<usize>,
+    /// Where each member runs, so that copies lie apart.
+    pub sites: BTreeMap<Name, Site>,
 }
 
 impl Settings {
--- a/crates/accounts/src/shares.rs
+++ b/crates/accounts/src/shares.rs
@@ -63,9 +63,9 @@
         self.of(HORIZON)
     }
 
-    /// What is drawn at a time, and no less than two workers need.
-    pub fn block(self) -> Parts {
-        let block = self.of(BLOCK);
+    /// What is drawn at a time, for so many seconds of use, and no less than two workers need.
+    pub fn block(self, seconds: f64) -> Parts {
+        let block = self.of(seconds);
         Parts { open: block.open.max(if self.new > 0.0 { self.most.saturating_mul(2) } else { 0 }), ..block }
     }
 
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -7,7 +7,8 @@
 use mulleinhub_settings::{Args, Directive, Faults, Place, Range, Scope, Value};
 use mulleinhub_standins::{Planned, UseBook, Worth};
 use mulleinhub_terms::{
-    BooksTerms, Case, Kind, Rules, check, places, range_or, read_books, read_case, read_kind, read_rules,
+    BooksTerms, Case, Kind, Rules, SiteTerms, check, places, range_or, read_books, read_case, read_kind,
+    read_rules,
 };
 use std::sync::Arc;
 
@@ -139,9 +140,22 @@
     }
 }
 
-fn read_books_day(directive: &Directive, faults: &mut Faults) -> BooksDay {
+fn read_books_day(directive: &Directive, planners: usize, faults: &mut Faults) -> BooksDay {
     let mut scope = Scope::of(directive);
-    let terms = read_books(directive, &mut scope, faults);
+    let mut terms = read_books(directive, &mut scope, faults);
+    for line in scope.each("site") {
+        let mut args = Args::of(line);
+        let planner: Option<usize> = args.next(faults);
+        let site = SiteTerms::read(&mut args, faults);
+        args.finish(faults);
+        let Some(planner) = planner else { continue };
+        if !(1..=planners).contains(&planner) {
+            faults.add(&line.place, format!("there are planners 1 to {planners}, and no {planner}"));
+        }
+        if terms.sites.insert(format!("planner-{planner}"), site).is_some() {
+            faults.add(&line.place, format!("the site of planner {planner} stands here for the second time"));
+        }
+    }
     if terms.zone != "UTC" {
         faults.add(&directive.place, "days count their months in UTC");
     }
@@ -303,7 +317,7 @@
     let cross_hall_price = scope.or("cross-hall-price", 0.0, faults);
     let random_troubles = range_or(&mut scope, "random-troubles", 0, 0, faults);
     let most_in_hand = scope.maybe("most-in-hand", faults);
-    let books = scope.once("books", faults).map(|directive| read_books_day(directive, faults));
+    let books = scope.once("books", faults).map(|directive| read_books_day(directive, planners, faults));
     let mut troubles = Vec::new();
     for line in scope.each("at") {
         let Some(trouble) = Trouble::read(line, faults) else { continue };
@@ -424,6 +438,8 @@
                     team.cap.map_or("no cap".to_owned(), |cap| format!("a cap of {cap} micro-units a month"));
                 lines.push(format!("team {}: tenants {}, {cap}", team.name, team.tenants.join(", ")));
             }
+            let replicas = books.terms.replicas;
+            lines.extend(replicas.map(|many| format!("of ordinary work {many} other planners keep a copy")));
             lines.extend(books.month_ends.map(|after| format!("a month ends after {}", span(after))));
         }
         for case in &self.cases {
--- a/crates/peers/src/exchange/connections.rs
+++ b/crates/peers/src/exchange/connections.rs
@@ -87,10 +87,11 @@
     pub(super) fn update_connections(&mut self) {
         let catching_up = self.keeper.phase() == Phase::CatchingUp;
         self.end_dead_and_idle(catching_up);
+        self.update_replicas();
         self.update_neighbors();
         let calls: Vec<Name> = match catching_up {
             true => self.addresses.keys().filter(|name| !self.keeper.has_met(name)).cloned().collect(),
-            false => self.neighbors.iter().cloned().collect(),
+            false => self.neighbors.iter().chain(&self.replicas).cloned().collect(),
         };
         calls.iter().for_each(|name| self.call(name));
     }
@@ -98,7 +99,8 @@
     /// Ends dead connections, and, unless we are catching up, idle ones to members that are no neighbors.
     fn end_dead_and_idle(&mut self, catching_up: bool) {
         let (now, interval) = (self.now, self.heartbeat_interval);
-        let is_neighbor = |peer: &Peer| peer.name.as_ref().is_some_and(|name| self.neighbors.contains(name));
+        let is_kept = |name: &Name| self.neighbors.contains(name) || self.replicas.contains(name);
+        let is_neighbor = |peer: &Peer| peer.name.as_ref().is_some_and(is_kept);
         let is_unneeded = |peer: &Peer| !catching_up && peer.is_idle(now) && !is_neighbor(peer);
         let ending: Vec<(Link, bool)> = self
             .peers
--- a/crates/peers/src/exchange/cursor.rs
+++ b/crates/peers/src/exchange/cursor.rs
@@ -137,20 +137,47 @@
     /// The heads that changed since the last call and that the peer is not known to have, as many as fit
     /// into one message. They count as told.
     pub(super) fn take_new_heads(&mut self, library: &Library) -> NewHeads {
+        self.take_new_heads_of(library, |_| true)
+    }
+
+    /// The same, of those logs alone that concern the peer.
+    pub(super) fn take_new_heads_of(
+        &mut self,
+        library: &Library,
+        concerns: impl Fn(&Tip) -> bool,
+    ) -> NewHeads {
         let mut heads: Vec<Tip> = Vec::new();
         for (stamp, head) in library.tips_after(self.told) {
             if heads.len() >= MAX_ITEMS {
                 return NewHeads { heads, whole: false };
             }
             self.told = stamp;
-            if self.knows.get(&head.id).is_none_or(|known| *known < head.number) {
+            let is_new = self.knows.get(&head.id).is_none_or(|known| *known < head.number);
+            if is_new && concerns(&head) {
                 self.knows.insert(head.id.clone(), head.number);
                 heads.push(head);
             }
         }
+        // Logs that were dropped have changed the library, too.
+        self.told = self.told.max(library.stamp());
         NewHeads { heads, whole: true }
     }
 
+    /// Heads may be pushed though the peer sends no digest: it was told by the greeting that it reads them.
+    pub(super) fn begin(&mut self) {
+        self.first = true;
+    }
+
+    /// Logs that didn't concern the peer may concern it now: all are looked at again.
+    pub(super) fn tell_again(&mut self) {
+        self.told = 0;
+    }
+
+    /// Something of the peer is ahead of ours.
+    pub(super) fn has_newer(&self) -> bool {
+        !self.newer.is_empty()
+    }
+
     // Receiving heads.
 
     /// The peer sent its digest of all heads, and these heads; `whole` where it has no others.
--- a/crates/peers/src/exchange/mod.rs
+++ b/crates/peers/src/exchange/mod.rs
@@ -9,6 +9,7 @@
 //! - `cursor`: the state of replicating one set of logs with one peer
 //! - `receive`: decoding, greeting, dispatch
 //! - `replication`: heads and rows
+//! - `work_logs`: which logs of few copies go to whom
 //! - `orders`, `heartbeat`, `share_transfer`: what else goes over a connection
 //! - `connections`, `neighbors`: which connections there are
 //! - `status`: lines for the operators
@@ -23,13 +24,14 @@
 mod replication;
 mod share_transfer;
 mod status;
+mod work_logs;
 
 use self::peer::Peer;
 use crate::shelf::Shelf;
 use mulleinhub_accounts::{Keeper, Settings};
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_pacing::STANDSTILL;
-use mulleinhub_replica::{Change, Kept, Name, Order};
+use mulleinhub_replica::{Change, Changes, KINDS, KeptLogs, Kind, Name, Order, Reached};
 use mulleinhub_seam::{Door, End, Link, Links, Party};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -87,6 +89,11 @@
     /// Connections on which something came that is not yet decoded.
     arrived: BTreeSet<Link>,
     neighbors: BTreeSet<Name>,
+    /// Who holds our work log: neighbors, for as long as they do.
+    replicas: Vec<Name>,
+    /// The members that could, and whether we write one, when they were chosen; and when to look again.
+    usable: (Vec<Name>, bool),
+    choose_at: Time,
     redraw_at: Time,
     retries: BTreeMap<Name, Retry>,
     banned_until: BTreeMap<Name, Time>,
@@ -116,20 +123,23 @@
         members: Vec<Member>,
         life: u64,
         seed: u64,
-        kept: Vec<Kept>,
+        kept: impl Into<KeptLogs>,
         shelf: Arc<Shelf>,
     ) -> Self {
         let heartbeat_interval = heartbeat::interval(members.len());
         let me = settings.me.clone();
         let others = members.into_iter().filter(|member| member.name != me);
         Self {
-            keeper: Keeper::new(settings, life, seed, kept, heartbeat_interval),
+            keeper: Keeper::new(settings, life, seed, kept.into(), heartbeat_interval),
             shelf,
             links: Links::default(),
             addresses: others.map(|member| (member.name, member.address)).collect(),
             peers: BTreeMap::new(),
             arrived: BTreeSet::new(),
             neighbors: BTreeSet::new(),
+            replicas: Vec::new(),
+            usable: (Vec::new(), false),
+            choose_at: Time::default(),
             redraw_at: Time::default(),
             retries: BTreeMap::new(),
             banned_until: BTreeMap::new(),
@@ -147,6 +157,18 @@
         }
     }
 
+    /// It neither reads nor writes work logs, as versions before them: for trials of fleets of both.
+    #[must_use]
+    pub fn without_work_logs(mut self) -> Self {
+        self.keeper = self.keeper.without_work_logs();
+        self
+    }
+
+    /// Who holds our work log, the first choice first.
+    pub fn replicas(&self) -> &[Name] {
+        &self.replicas
+    }
+
     /// The ledger.
     pub fn keeper(&self) -> &Keeper {
         &self.keeper
@@ -163,23 +185,26 @@
     }
 
     /// What is to be kept; `is_durable` tells when it is.
-    pub fn take_changes(&mut self) -> Vec<Change> {
+    pub fn take_changes(&mut self) -> Changes {
         self.keeper.take_changes()
     }
 
-    /// The last of our own rows among changes.
-    pub fn last_own(&self, changes: &[Change]) -> u64 {
+    /// The last of our own rows among changes, of each of our logs.
+    pub fn last_own(&self, changes: &Changes) -> Reached {
         let own = self.keeper.library().own();
-        let mine = changes.iter().filter_map(|change| match change {
-            Change::Row { id, number, .. } if id == own => Some(*number),
-            _ => None,
-        });
-        mine.max().unwrap_or(0)
+        let last = |changes: &[Change]| {
+            let mine = changes.iter().filter_map(|change| match change {
+                Change::Row { id, number, .. } if id == own => Some(*number),
+                _ => None,
+            });
+            mine.max().unwrap_or(0)
+        };
+        Reached { fleet: last(&changes.fleet), work: last(&changes.work) }
     }
 
-    /// Our own rows up to this one are on disk.
-    pub fn is_durable(&mut self, number: u64) {
-        self.keeper.is_durable(number);
+    /// Our own rows up to these are on disk.
+    pub fn is_durable(&mut self, reached: Reached) {
+        self.keeper.is_durable(reached);
         self.turn_again = true;
     }
 
@@ -224,18 +249,24 @@
         let links: Vec<Link> = greeted.map(|(link, _)| *link).collect();
         for link in links {
             self.push(link);
-            self.request_rows(link);
+            self.push_work_heads(link);
+            KINDS.into_iter().for_each(|kind| self.request_rows(link, kind));
         }
     }
 
     /// The earliest instant at which something can be pushed. A peer that doesn't read is told more once it
     /// has read.
     fn next_push_at(&self) -> Option<Time> {
-        let stamp = self.keeper.library().stamp();
-        let waits = |(link, peer): &(&Link, &Peer)| {
-            peer.greeted && peer.fleet.is_behind(stamp) && self.links.unwritten(**link) <= MAX_UNREAD
+        let next = |kind: Kind| {
+            let stamp = self.keeper.logs(kind).stamp();
+            let waits = |(link, peer): &(&Link, &Peer)| {
+                let is_read = kind == Kind::Fleet || peer.reads_work_logs;
+                let is_behind = peer.greeted && is_read && peer.cursor(kind).is_behind(stamp);
+                is_behind && self.links.unwritten(**link) <= MAX_UNREAD
+            };
+            self.peers.iter().filter(waits).map(|(_, peer)| peer.cursor(kind).next_push_at()).min()
         };
-        self.peers.iter().filter(waits).map(|(_, peer)| peer.fleet.next_push_at()).min()
+        KINDS.into_iter().filter_map(next).min()
     }
 }
 
--- a/crates/peers/src/exchange/neighbors.rs
+++ b/crates/peers/src/exchange/neighbors.rs
@@ -4,10 +4,10 @@
 use mulleinhub_interface::Span;
 use mulleinhub_replica::{Name, Presence};
 
-/// Neighbors that are kept.
+/// Neighbors that are kept, the replicas of our work log among them.
 const NEIGHBORS: usize = 3;
-/// Neighbors at the most, where others are drawn beside doubtful ones.
-const MAX_NEIGHBORS: usize = 2 * NEIGHBORS;
+/// Of those, at least so many are drawn.
+const MIN_DRAWN: usize = 1;
 /// One of them is drawn anew this often, so that two halves of the fleet that have met nobody of each other
 /// meet.
 const REDRAW_INTERVAL: Span = Span::from_secs(20);
@@ -20,13 +20,18 @@
         if self.now >= self.redraw_at {
             self.redraw_at = self.now + REDRAW_INTERVAL * (1.0 - REDRAW_JITTER * self.keeper.part());
             self.drop_neighbor();
-            while self.neighbors.len() > NEIGHBORS {
+            while self.neighbors.len() > self.wanted_neighbors() {
                 self.drop_neighbor();
             }
         }
         self.draw_neighbors();
     }
 
+    /// Neighbors to draw beside the replicas.
+    fn wanted_neighbors(&self) -> usize {
+        NEIGHBORS.saturating_sub(self.replicas.len()).max(MIN_DRAWN)
+    }
+
     /// Nothing came on the connection to a neighbor for longer than usual, or it doesn't come up.
     fn is_doubtful(&self, name: &Name) -> bool {
         let mut connections = self.peers.values().filter(|peer| peer.is(name)).peekable();
@@ -40,8 +45,10 @@
     /// though there were others in its own half.
     fn draw_neighbors(&mut self) {
         let lively = self.neighbors.iter().filter(|name| !self.is_doubtful(name)).count();
-        let room = MAX_NEIGHBORS.saturating_sub(self.neighbors.len());
-        let missing = NEIGHBORS.saturating_sub(lively).min(room);
+        // Where others are drawn beside doubtful ones, there are up to twice as many.
+        let wanted = self.wanted_neighbors();
+        let room = (2 * wanted).saturating_sub(self.neighbors.len());
+        let missing = wanted.saturating_sub(lively).min(room);
         let draws: Vec<f64> = (0..missing).map(|_| self.keeper.part()).collect();
         let mut candidates = self.candidates(missing);
         let mut drawn = Vec::new();
@@ -55,7 +62,9 @@
     /// Members that can become neighbors: those alive; all that are not dead, where fewer than `wanted` are
     /// alive; all others, where there are none of these.
     fn candidates(&self, wanted: usize) -> Vec<&Name> {
-        let is_new = |name: &&Name| !self.neighbors.contains(*name) && !self.waits_to_retry(name);
+        let is_new = |name: &&Name| {
+            !self.neighbors.contains(*name) && !self.replicas.contains(name) && !self.waits_to_retry(name)
+        };
         let others: Vec<&Name> = self.addresses.keys().filter(is_new).collect();
         let present = |is_wanted: fn(Presence) -> bool| -> Vec<&Name> {
             let is_wanted = |name: &&Name| is_wanted(self.keeper.roll.presence(self.now, name));
--- a/crates/peers/src/exchange/peer.rs
+++ b/crates/peers/src/exchange/peer.rs
@@ -5,7 +5,7 @@
 use super::orders::OrderCursor;
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::Frames;
-use mulleinhub_replica::Name;
+use mulleinhub_replica::{Kind, Name};
 
 /// Longest wait for the greeting on a new connection.
 const GREETING_TIMEOUT: Span = Span::from_secs(3);
@@ -37,6 +37,12 @@
     pub(super) used_at: Time,
     /// Replication of the fleet log: the logs that all members copy.
     pub(super) fleet: LogCursor,
+    /// It reads work logs, by its greeting.
+    pub(super) reads_work_logs: bool,
+    /// Replication of work logs: ours, where the peer is a replica of it, and its own.
+    pub(super) work: LogCursor,
+    /// Of our own work log the peer has the rows up to this one, as far as we served them or it told.
+    pub(super) has_of_our_work: u64,
     /// What the peer knows of the members' heartbeats.
     pub(super) heartbeats: HeartbeatCursor,
     /// What the peer knows of the operators' orders.
@@ -56,6 +62,27 @@
         Self { name: Some(name), opened_by_us: true, ..Self::accepted(now) }
     }
 
+    /// Replication of a kind of logs.
+    pub(super) fn cursor(&self, kind: Kind) -> &LogCursor {
+        match kind {
+            Kind::Fleet => &self.fleet,
+            Kind::Work => &self.work,
+        }
+    }
+
+    /// Replication of a kind of logs.
+    pub(super) fn cursor_mut(&mut self, kind: Kind) -> &mut LogCursor {
+        match kind {
+            Kind::Fleet => &mut self.fleet,
+            Kind::Work => &mut self.work,
+        }
+    }
+
+    /// The peer has told all that it has, and nothing of it is ahead of ours, of work logs either.
+    pub(super) fn is_exhausted(&self) -> bool {
+        self.fleet.is_exhausted() && !self.work.has_newer()
+    }
+
     /// The other end is this member, as far as is known.
     pub(super) fn is(&self, name: &Name) -> bool {
         self.name.as_ref() == Some(name)
--- a/crates/peers/src/exchange/receive.rs
+++ b/crates/peers/src/exchange/receive.rs
@@ -3,6 +3,7 @@
 use super::Exchange;
 use super::cursor::{ReceivedRows, RowRequest};
 use super::replication::digest_of;
+use super::work_logs::kind_of;
 use mulleinhub_accounts::Wanted;
 use mulleinhub_interface::Time;
 use mulleinhub_protocol::{self as protocol, Bad, Conversation, Frames, Message, Side, decode};
@@ -78,22 +79,24 @@
             }
             Message::Ping { nonce } => self.write(link, &Message::Pong { nonce: *nonce }),
             Message::Pong { .. } => {}
-            Message::Hello { conversation, version, least_version, name, .. } => {
+            Message::Hello { conversation, version, least_version, features, name, .. } => {
                 if peer.greeted || *conversation != Conversation::PlannerPlanner {
                     return Err(Bad("a hello that has no place here".into()));
                 }
                 if *least_version > protocol::VERSION || *version < protocol::LEAST_VERSION {
                     return Err(Bad(format!("versions {least_version} to {version} are spoken")));
                 }
+                peer.reads_work_logs = *features >= protocol::WORK_LOGS;
                 self.greeted(link, name, true)?;
             }
-            Message::Welcome { name, .. } => {
+            Message::Welcome { features, name, .. } => {
                 if peer.greeted || !peer.opened_by_us {
                     return Err(Bad("a welcome that has no place here".into()));
                 }
                 if peer.name.as_deref() != Some(*name) {
                     return Err(Bad(format!("{name} answers where {:?} was called", peer.name)));
                 }
+                peer.reads_work_logs = *features >= protocol::WORK_LOGS;
                 self.greeted(link, name, false)?;
             }
             _ if !peer.greeted => return Err(Bad("a message before the greeting".into())),
@@ -107,20 +110,21 @@
         let Some(from) = self.peers.get(&link).and_then(|peer| peer.name.clone()) else { return Ok(()) };
         self.keeper.heard(self.now);
         match message {
-            Message::Tips { all, tips, beats, whole } => {
+            Message::Tips { all, tips, beats, whole, log } => {
                 self.receive_heartbeats(link, beats);
-                self.receive_heads(link, digest_of(all), tips, *whole);
+                self.receive_heads(link, kind_of(*log), digest_of(all), tips, *whole)?;
             }
-            Message::Want { writer, life, after, digest, skip } => {
+            Message::Want { writer, life, after, digest, skip, log } => {
                 let id = ColumnId { writer: (*writer).into(), life: *life };
                 let (after, digest, skip) = (*after, digest_of(digest), *skip);
-                self.serve_rows(link, &RowRequest { id, after, digest, skip });
+                self.serve_rows(link, kind_of(*log), &RowRequest { id, after, digest, skip });
             }
-            Message::Rows { writer, life, after, digest, rows, skip, rest } => {
+            Message::Rows { writer, life, after, digest, rows, skip, rest, log } => {
                 let id = ColumnId { writer: (*writer).into(), life: *life };
                 let rows = rows.iter().map(|row| row.0).collect();
                 let (after, digest, skip, rest) = (*after, digest_of(digest), *skip, *rest);
-                self.receive_rows(link, &ReceivedRows { id, after, digest, rows, skip, rest })?;
+                let received = ReceivedRows { id, after, digest, rows, skip, rest };
+                self.receive_rows(link, kind_of(*log), &received)?;
             }
             Message::Orders { orders } => self.receive_orders(link, orders)?,
             Message::ShareAsk { team, month, life, open, last } => {
@@ -156,6 +160,11 @@
         }
         self.end_twin(link, &name);
         if self.peers.contains_key(&link) {
+            if let Some(peer) = self.peers.get_mut(&link) {
+                peer.work.begin();
+            }
+            // Before the digest: where that is all that a peer lacks, it has heard of its work logs, too.
+            self.push_work_heads(link);
             self.write_digest(link);
         }
         Ok(())
@@ -164,14 +173,14 @@
     /// Greets a peer to whom we opened the connection.
     pub(super) fn write_hello(&mut self, link: Link, now: Time) {
         let (me, life) = (self.keeper.settings().me.clone(), self.keeper.life());
-        let (conversation, features) = (Conversation::PlannerPlanner, protocol::BOOKS);
+        let (conversation, features) = (Conversation::PlannerPlanner, self.features());
         self.write(link, &Message::hello(conversation, features, &me, life, now.nanos()));
     }
 
     /// Greets a peer that opened the connection.
     fn write_welcome(&mut self, link: Link) {
         let (me, life) = (self.keeper.settings().me.clone(), self.keeper.life());
-        let (version, features) = (protocol::VERSION, protocol::BOOKS);
+        let (version, features) = (protocol::VERSION, self.features());
         self.write(link, &Message::Welcome { version, features, name: &me, life, silence: None });
     }
 }
--- a/crates/peers/src/exchange/replication.rs
+++ b/crates/peers/src/exchange/replication.rs
@@ -5,10 +5,11 @@
 
 use super::cursor::{Assembled, NewHeads, ReceivedRows, RowRequest};
 use super::heartbeat::{self, MemberHeartbeat};
+use super::work_logs::side_log;
 use super::{Exchange, MAX_ITEMS, MAX_UNREAD};
 use mulleinhub_accounts::Phase;
 use mulleinhub_protocol::{self as protocol, Bad, Message};
-use mulleinhub_replica::{ColumnId, Digest, Tip};
+use mulleinhub_replica::{ColumnId, Digest, Kind, Tip};
 use mulleinhub_seam::Link;
 use std::collections::BTreeSet;
 
@@ -36,7 +37,7 @@
 }
 
 /// A head as it goes over the wire.
-fn head_message(head: &Tip) -> protocol::Tip<'_> {
+pub(super) fn head_message(head: &Tip) -> protocol::Tip<'_> {
     protocol::Tip { writer: &head.id.writer, life: head.id.life, number: head.number, digest: &head.digest.0 }
 }
 
@@ -62,16 +63,30 @@
     pub(super) fn write_digest(&mut self, link: Link) {
         let all = self.keeper.library().all();
         let (tips, beats) = (Vec::new(), Vec::new());
-        self.write(link, &Message::Tips { all: &all.0, tips, beats, whole: false });
+        self.write(link, &Message::Tips { all: &all.0, tips, beats, whole: false, log: None });
     }
 
     /// Takes in the heads that a peer told; `all` is its digest of all.
-    pub(super) fn receive_heads(&mut self, link: Link, all: Digest, told: &[protocol::Tip<'_>], whole: bool) {
+    ///
+    /// # Errors
+    /// Where it tells of a work log that is none of its business.
+    pub(super) fn receive_heads(
+        &mut self,
+        link: Link,
+        kind: Kind,
+        all: Digest,
+        told: &[protocol::Tip<'_>],
+        whole: bool,
+    ) -> Result<(), Bad> {
         let me = &self.keeper.settings().me;
         let is_known = |head: &Tip| self.addresses.contains_key(&head.id.writer) || head.id.writer == *me;
         let heads = told.iter().map(head_of).filter(is_known).collect();
-        let Some(peer) = self.peers.get_mut(&link) else { return };
+        if kind == Kind::Work {
+            return self.receive_work_heads(link, all, heads, whole);
+        }
+        let Some(peer) = self.peers.get_mut(&link) else { return Ok(()) };
         peer.fleet.receive_heads(self.keeper.library(), all, heads, whole);
+        Ok(())
     }
 
     /// Pushes what is new to a peer: orders, heads, heartbeats. A peer that doesn't read gets nothing.
@@ -113,11 +128,12 @@
         let all = self.keeper.library().all();
         for heartbeats in heartbeats.chunks(MAX_ITEMS).skip(1) {
             let beats = heartbeats.iter().map(MemberHeartbeat::message).collect();
-            self.write(link, &Message::Tips { all: &all.0, tips: Vec::new(), beats, whole: false });
+            let (tips, whole) = (Vec::new(), false);
+            self.write(link, &Message::Tips { all: &all.0, tips, beats, whole, log: None });
         }
         let tips = new.heads.iter().map(head_message).collect();
         let beats = heartbeats.iter().take(MAX_ITEMS).map(MemberHeartbeat::message).collect();
-        self.write(link, &Message::Tips { all: &all.0, tips, beats, whole: new.whole });
+        self.write(link, &Message::Tips { all: &all.0, tips, beats, whole: new.whole, log: None });
     }
 
     /// Tells the ledger, while it is catching up, which members have told all and have nothing that we lack.
@@ -125,7 +141,7 @@
         if self.keeper.phase() != Phase::CatchingUp {
             return;
         }
-        for peer in self.peers.values().filter(|peer| peer.fleet.is_exhausted()) {
+        for peer in self.peers.values().filter(|peer| peer.is_exhausted()) {
             if let Some(name) = &peer.name {
                 self.keeper.met(name);
             }
@@ -136,38 +152,48 @@
 
     /// Asks a peer for rows that it has and we lack. One log at a time is asked of each peer, and no log of
     /// two.
-    pub(super) fn request_rows(&mut self, link: Link) {
+    pub(super) fn request_rows(&mut self, link: Link, kind: Kind) {
         let now = self.now;
-        let pending = self.peers.values().filter_map(|peer| peer.fleet.pending_log(now));
+        let pending = self.peers.values().filter_map(|peer| peer.cursor(kind).pending_log(now));
         let pending: BTreeSet<ColumnId> = pending.cloned().collect();
         let Some(peer) = self.peers.get_mut(&link) else { return };
-        if let Some(request) = peer.fleet.next_request(now, self.keeper.library(), &pending) {
-            self.write_request(link, &request);
+        if let Some(request) = peer.cursor_mut(kind).next_request(now, self.keeper.logs(kind), &pending) {
+            self.write_request(link, kind, &request);
         }
     }
 
-    fn write_request(&mut self, link: Link, request: &RowRequest) {
+    fn write_request(&mut self, link: Link, kind: Kind, request: &RowRequest) {
         let RowRequest { id: ColumnId { writer, life }, after, digest, skip } = request;
         let (life, after, skip) = (*life, *after, *skip);
-        self.write(link, &Message::Want { writer, life, after, digest: &digest.0, skip });
+        let log = side_log(kind);
+        self.write(link, &Message::Want { writer, life, after, digest: &digest.0, skip, log });
     }
 
     /// Answers a peer that asks for rows: with none where we have none for it.
-    pub(super) fn serve_rows(&mut self, link: Link, request: &RowRequest) {
+    pub(super) fn serve_rows(&mut self, link: Link, kind: Kind, request: &RowRequest) {
         let RowRequest { id, after, digest, skip } = request;
         let ColumnId { writer, life } = id;
-        let Some(piece) = self.keeper.library().rows_after(id, *after, *digest, PIECE) else {
+        let log = side_log(kind);
+        let Some(piece) = self.keeper.logs(kind).rows_after(id, *after, *digest, PIECE) else {
             let (life, after, digest, rows) = (*life, *after, &digest.0, Vec::new());
-            return self.write(link, &Message::Rows { writer, life, after, digest, rows, skip: 0, rest: 0 });
+            let (skip, rest) = (0, 0);
+            let message = Message::Rows { writer, life, after, digest, rows, skip, rest, log };
+            return self.write(link, &message);
         };
         // Small rows may be more than a message holds, though their bytes are few. The asker asks again.
         let rows = piece.rows.iter().take(protocol::MOST_TIPS);
         let mut rows: Vec<&[u8]> = rows.map(|row| &**row).collect();
         let part = cut_long_row(&mut rows, *skip as usize, piece.after == *after);
+        let own = self.keeper.logs(kind).own().clone();
+        let last = piece.after + rows.len() as u64 - u64::from(part.rest > 0);
         let rows = rows.into_iter().map(protocol::RowBytes).collect();
         let (life, after, digest) = (*life, piece.after, &piece.digest.0);
         let (skip, rest) = (part.skip as u64, part.rest as u64);
-        self.write(link, &Message::Rows { writer, life, after, digest, rows, skip, rest });
+        let message = Message::Rows { writer, life, after, digest, rows, skip, rest, log };
+        self.write(link, &message);
+        if kind == Kind::Work && *id == own {
+            self.note_replica_has(link, last);
+        }
         self.mark_used(link);
     }
 
@@ -175,33 +201,44 @@
     ///
     /// # Errors
     /// Where they don't follow what was sent before, or the library refuses them.
-    pub(super) fn receive_rows(&mut self, link: Link, received: &ReceivedRows<'_>) -> Result<(), Bad> {
+    pub(super) fn receive_rows(
+        &mut self,
+        link: Link,
+        kind: Kind,
+        received: &ReceivedRows<'_>,
+    ) -> Result<(), Bad> {
         let Some(peer) = self.peers.get_mut(&link) else { return Ok(()) };
-        match peer.fleet.assemble(self.now, received)? {
+        match peer.cursor_mut(kind).assemble(self.now, received)? {
             Assembled::Unasked | Assembled::Nothing => Ok(()),
             Assembled::Incomplete => {
-                let request = peer.fleet.request_for(self.keeper.library(), received.id.clone());
-                self.write_request(link, &request);
+                let request = peer.cursor(kind).request_for(self.keeper.logs(kind), received.id.clone());
+                self.write_request(link, kind, &request);
                 Ok(())
             }
             Assembled::Complete(rows) => {
                 let rows: Vec<&[u8]> = rows.iter().map(|row| &**row).collect();
-                self.take_rows(link, received, &rows)
+                self.take_rows(link, kind, received, &rows)
             }
         }
     }
 
     /// Takes whole rows into the library.
-    fn take_rows(&mut self, link: Link, received: &ReceivedRows<'_>, rows: &[&[u8]]) -> Result<(), Bad> {
+    fn take_rows(
+        &mut self,
+        link: Link,
+        kind: Kind,
+        received: &ReceivedRows<'_>,
+        rows: &[&[u8]],
+    ) -> Result<(), Bad> {
         let ReceivedRows { id, after, digest, .. } = received;
-        let taken = self.keeper.library_mut().take(id, *after, *digest, rows).map_err(|bad| Bad(bad.0))?;
+        let taken = self.keeper.logs_mut(kind).take(id, *after, *digest, rows).map_err(|bad| Bad(bad.0))?;
         self.figures.rows_in += taken.new as u64;
         if taken.forked && taken.new > 0 {
             self.figures.forks += 1;
             tracing::error!(writer = %id.writer, life = id.life, "a column has forked: both branches count");
         }
         if let Some(peer) = self.peers.get_mut(&link) {
-            peer.fleet.rows_taken(self.keeper.library(), id, taken.new);
+            peer.cursor_mut(kind).rows_taken(self.keeper.logs(kind), id, taken.new);
         }
         self.mark_used(link);
         Ok(())
--- a/crates/peers/src/exchange/status.rs
+++ b/crates/peers/src/exchange/status.rs
@@ -3,7 +3,7 @@
 use super::Exchange;
 use mulleinhub_accounts::Look;
 use mulleinhub_interface::Span;
-use mulleinhub_replica::Presence;
+use mulleinhub_replica::{Kind, Presence};
 
 /// Time between two updates of the status lines.
 const STATUS_INTERVAL: Span = Span::from_secs(1);
@@ -16,13 +16,27 @@
         }
         self.status_at = self.now + STATUS_INTERVAL;
         let mut lines = vec![self.summary_line()];
+        lines.extend(self.work_log_line());
         lines.extend(self.keeper.looks().iter().map(team_line));
         let logs = self.keeper.library().columns();
         let forked = logs.filter(|(_, log)| log.is_forked());
         lines.extend(forked.map(|(id, _)| format!("column {} life {} HAS FORKED", id.writer, id.life)));
+        let work_logs = self.keeper.logs(Kind::Work).columns();
+        let forked = work_logs.filter(|(_, log)| log.is_forked());
+        lines.extend(forked.map(|(id, _)| format!("work log {} life {} HAS FORKED", id.writer, id.life)));
         self.shelf.set_status(lines);
     }
 
+    /// Who holds our work log, where we write one, and whose we hold.
+    fn work_log_line(&self) -> Option<String> {
+        let wanted = self.keeper.settings().replicas?;
+        if !self.keeper.is_split() {
+            return Some("work log: none, all work stands in the fleet log".to_owned());
+        }
+        let (held, copies) = (self.holding_replicas(), self.keeper.copies().count());
+        Some(format!("work log: replicas {held} of {wanted}, copies held of {copies} members"))
+    }
+
     /// Phase, connections, membership and size of the logs.
     fn summary_line(&self) -> String {
         let (now, keeper, membership) = (self.now, &self.keeper, &self.keeper.roll);
--- /dev/null
+++ b/crates/peers/src/exchange/work_logs.rs
@@ -0,0 +1,156 @@
+//! Replication of work logs: each member's goes to its replicas alone, and back to itself when it restarts.
+//!
+//! The writer tells the head of its own work log to its replicas, which are neighbors for as long as they
+//! are replicas. Whoever holds a copy of somebody's work log tells its head to that member, and to nobody
+//! else: one that restarts learns from it what its earlier lives wrote. Requests and rows are those of the
+//! fleet logs.
+
+use super::cursor::NewHeads;
+use super::replication::head_message;
+use super::{Exchange, MAX_UNREAD};
+use mulleinhub_interface::Span;
+use mulleinhub_protocol::{self as protocol, Bad, Message, SideLog};
+use mulleinhub_replica::{Digest, Kind, Name, Presence, Tip};
+use mulleinhub_seam::Link;
+
+/// Least time between two looks at who can be a replica.
+const CHOICE_INTERVAL: Span = Span::from_nanos(200_000_000);
+/// A member to which no connection comes up is no replica, though others hear of it; it is tried again
+/// after this.
+const UNREACHABLE_FOR: Span = Span::from_secs(20);
+const UNREACHABLE_AFTER: u32 = 2;
+/// A replica that lacks no more rows than this, which may be under way, holds our work log.
+const UNDER_WAY: u64 = 64;
+
+/// The kind of logs that a message is about.
+pub(super) fn kind_of(log: Option<SideLog>) -> Kind {
+    log.map_or(Kind::Fleet, |SideLog::Work| Kind::Work)
+}
+
+/// How a message says so.
+pub(super) fn side_log(kind: Kind) -> Option<SideLog> {
+    match kind {
+        Kind::Fleet => None,
+        Kind::Work => Some(SideLog::Work),
+    }
+}
+
+impl Exchange {
+    // Which members are replicas.
+
+    /// Chooses the replicas anew where other members can be reached than before.
+    pub(super) fn update_replicas(&mut self) {
+        if self.now < self.choose_at {
+            return;
+        }
+        self.choose_at = self.now + CHOICE_INTERVAL;
+        let usable: Vec<Name> = self.addresses.keys().filter(|name| self.is_usable(name)).cloned().collect();
+        let is_split = self.keeper.is_split();
+        if (&usable, is_split) == (&self.usable.0, self.usable.1) {
+            return;
+        }
+        let replicas = self.keeper.replicas(|name| usable.binary_search(name).is_ok());
+        self.usable = (usable, is_split);
+        if replicas == self.replicas {
+            return;
+        }
+        tracing::debug!(?replicas, "others hold the work log now");
+        self.replicas = replicas;
+        // Those that are new get all that the others were told long ago.
+        self.peers.values_mut().for_each(|peer| peer.work.tell_again());
+    }
+
+    fn is_usable(&self, name: &Name) -> bool {
+        let retry = self.retries.get(name);
+        let unreachable = retry.is_some_and(|retry| {
+            retry.failures >= UNREACHABLE_AFTER && self.now < retry.not_before + UNREACHABLE_FOR
+        });
+        !unreachable && self.keeper.roll.presence(self.now, name) != Presence::Gone
+    }
+
+    /// Of the replicas of our work log, how many hold it.
+    pub(super) fn holding_replicas(&self) -> usize {
+        let work = self.keeper.logs(Kind::Work);
+        let tip = work.told_tip(work.own()).map_or(0, |(number, _)| number);
+        let holds = |name: &&Name| {
+            let mut peers = self.peers.values().filter(|peer| peer.greeted && peer.is(name));
+            peers.any(|peer| peer.has_of_our_work > 0 && peer.has_of_our_work + UNDER_WAY >= tip)
+        };
+        self.replicas.iter().filter(holds).count()
+    }
+
+    // Heads.
+
+    /// Whether work logs are replicated with a peer at all.
+    fn shares_work_logs(&self, link: Link) -> bool {
+        self.keeper.reads_work_logs()
+            && self.peers.get(&link).is_some_and(|peer| peer.greeted && peer.reads_work_logs)
+    }
+
+    /// Tells a peer the heads of work logs that concern it and are new to it.
+    pub(super) fn push_work_heads(&mut self, link: Link) {
+        if !self.shares_work_logs(link) || self.links.unwritten(link) > MAX_UNREAD {
+            return;
+        }
+        let now = self.now;
+        let Some(peer) = self.peers.get_mut(&link).filter(|peer| peer.work.may_push(now)) else { return };
+        let Some(name) = peer.name.clone() else { return };
+        let library = self.keeper.logs(Kind::Work);
+        let is_replica = self.replicas.contains(&name);
+        let concerns = |head: &Tip| head.id.writer == name || (is_replica && head.id == *library.own());
+        let NewHeads { heads, whole } = peer.work.take_new_heads_of(library, concerns);
+        if heads.is_empty() {
+            return;
+        }
+        peer.work.pushed(now);
+        self.turn_again |= !whole;
+        let all = library.all();
+        let tips = heads.iter().map(head_message).collect();
+        let log = Some(SideLog::Work);
+        self.write(link, &Message::Tips { all: &all.0, tips, beats: Vec::new(), whole, log });
+    }
+
+    /// Takes in heads of work logs that a peer told.
+    ///
+    /// # Errors
+    /// Where it tells of a work log that is neither its own nor ours: nobody has to ask it for that.
+    pub(super) fn receive_work_heads(
+        &mut self,
+        link: Link,
+        all: Digest,
+        heads: Vec<Tip>,
+        whole: bool,
+    ) -> Result<(), Bad> {
+        if !self.shares_work_logs(link) {
+            return Err(Bad("work logs of one that doesn't read them".into()));
+        }
+        let me = self.keeper.settings().me.clone();
+        let Some(peer) = self.peers.get_mut(&link) else { return Ok(()) };
+        let is_theirs = |head: &Tip| peer.name.as_ref() == Some(&head.id.writer);
+        if let Some(head) = heads.iter().find(|head| head.id.writer != me && !is_theirs(head)) {
+            return Err(Bad(format!("the work log of {} is not for us", head.id.writer)));
+        }
+        let library = self.keeper.logs(Kind::Work);
+        let own = library.own().clone();
+        if let Some(head) = heads.iter().find(|head| head.id == own) {
+            peer.has_of_our_work = peer.has_of_our_work.max(head.number);
+        }
+        // What earlier lives of ours wrote is wanted until this one begins to write.
+        let is_wanted = |head: &Tip| head.id.writer != me || !library.is_open() || head.id == own;
+        let heads = heads.into_iter().filter(is_wanted).collect();
+        peer.work.receive_heads(library, all, heads, whole);
+        Ok(())
+    }
+
+    /// Answers a request for rows of our own work log: the asker has it up to there.
+    pub(super) fn note_replica_has(&mut self, link: Link, number: u64) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.has_of_our_work = peer.has_of_our_work.max(number);
+        }
+    }
+
+    /// The features that we greet with.
+    pub(super) fn features(&self) -> u64 {
+        if self.keeper.reads_work_logs() { protocol::BOOKS } else { protocol::WORK_LOGS - 1 }
+    }
+}
--- a/crates/peers/src/store.rs
+++ b/crates/peers/src/store.rs
@@ -1,14 +1,20 @@
-//! The books on disk: rows by writer, life and number, in an embedded store, committed in groups.
+//! The books on disk: rows by writer, life and number, in an embedded store, committed in groups. Fleet logs
+//! and work logs have a table each; versions that know no work logs leave theirs alone.
 
-use mulleinhub_replica::{Change, ColumnId, Digest, Kept, Name};
-use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, TableDefinition};
+use mulleinhub_replica::{Change, Changes, ColumnId, Digest, Kept, KeptLogs, Name};
+use redb::{
+    Database, DatabaseError, ReadTransaction, ReadableDatabase, ReadableTable, TableDefinition,
+    WriteTransaction,
+};
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 
 /// Writer, life and number of a row; the digest before it, and its bytes.
 type Place = (&'static str, u64, u64);
 type Bytes = (&'static [u8; 16], &'static [u8]);
-const ROWS: TableDefinition<'_, Place, Bytes> = TableDefinition::new("rows");
+type Rows = TableDefinition<'static, Place, Bytes>;
+const ROWS: Rows = TableDefinition::new("rows");
+const WORK_ROWS: Rows = TableDefinition::new("work-rows");
 const ABOUT: TableDefinition<'_, &str, u64> = TableDefinition::new("about");
 /// Of the layout above. A later one is not touched.
 const FORMAT: u64 = 1;
@@ -28,14 +34,14 @@
     ///
     /// # Errors
     /// In words that say what to do: it is locked by another process, of a later version, or damaged.
-    pub fn open(dir: &Path) -> Result<(Self, Vec<Kept>), String> {
+    pub fn open(dir: &Path) -> Result<(Self, KeptLogs), String> {
         let path = dir.join("books");
         // Met: a file that is cut short makes the library panic where it should tell.
         let opened = std::panic::catch_unwind(|| Self::open_file(&path));
         opened.unwrap_or_else(|_| Err(damaged(&path, &"it can't be made sense of")))
     }
 
-    fn open_file(path: &Path) -> Result<(Self, Vec<Kept>), String> {
+    fn open_file(path: &Path) -> Result<(Self, KeptLogs), String> {
         let words =
             |what: &str, error: &dyn std::fmt::Display| format!("{}: {what}: {error}", path.display());
         let mut database = Database::create(path).map_err(|error| match &error {
@@ -60,7 +66,7 @@
         }
     }
 
-    fn read(&self) -> Result<Result<Vec<Kept>, u64>, redb::Error> {
+    fn read(&self) -> Result<Result<KeptLogs, u64>, redb::Error> {
         let writing = self.database.begin_write()?;
         {
             let mut about = writing.open_table(ABOUT)?;
@@ -71,52 +77,62 @@
                 None => drop(about.insert("format", FORMAT)?),
             }
             writing.open_table(ROWS)?;
+            writing.open_table(WORK_ROWS)?;
         }
         writing.commit()?;
         let reading = self.database.begin_read()?;
-        let table = reading.open_table(ROWS)?;
-        let mut kept = Vec::new();
-        for row in table.iter()? {
-            let (key, value) = row?;
-            let (writer, life, number) = key.value();
-            let (before, bytes) = value.value();
-            let id = ColumnId { writer: Name::from(writer), life };
-            kept.push(Kept { id, number, before: Digest(*before), bytes: bytes.to_vec() });
-        }
-        Ok(Ok(kept))
+        Ok(Ok(KeptLogs { fleet: read_rows(&reading, ROWS)?, work: read_rows(&reading, WORK_ROWS)? }))
     }
 
     /// Writes these changes and syncs them: they are there for good when this returns.
     ///
     /// # Errors
     /// What the disk refuses, in words; nothing of the changes is kept then.
-    pub fn keep(&self, changes: &[Change]) -> Result<(), String> {
+    pub fn keep(&self, changes: &Changes) -> Result<(), String> {
         self.write(changes).map_err(|error| format!("{}: {error}", self.path.display()))
     }
 
-    fn write(&self, changes: &[Change]) -> Result<(), redb::Error> {
+    fn write(&self, changes: &Changes) -> Result<(), redb::Error> {
         let writing = self.database.begin_write()?;
-        {
-            let mut table = writing.open_table(ROWS)?;
-            for change in changes {
-                match change {
-                    Change::Row { id, number, before, bytes } => {
-                        table.insert((&*id.writer, id.life, *number), (&before.0, &**bytes))?;
-                    }
-                    Change::Trim { id, below } => {
-                        table.retain_in(
-                            (&*id.writer, id.life, 0)..(&*id.writer, id.life, *below),
-                            |_, _| false,
-                        )?;
-                    }
-                    Change::Drop { id } => {
-                        let all = (&*id.writer, id.life, 0)..=(&*id.writer, id.life, u64::MAX);
-                        table.retain_in(all, |_, _| false)?;
-                    }
-                }
-            }
-        }
+        write_rows(&writing, ROWS, &changes.fleet)?;
+        write_rows(&writing, WORK_ROWS, &changes.work)?;
         writing.commit()?;
         Ok(())
     }
 }
+
+fn read_rows(reading: &ReadTransaction, rows: Rows) -> Result<Vec<Kept>, redb::Error> {
+    let table = reading.open_table(rows)?;
+    let mut kept = Vec::new();
+    for row in table.iter()? {
+        let (key, value) = row?;
+        let (writer, life, number) = key.value();
+        let (before, bytes) = value.value();
+        let id = ColumnId { writer: Name::from(writer), life };
+        kept.push(Kept { id, number, before: Digest(*before), bytes: bytes.to_vec() });
+    }
+    Ok(kept)
+}
+
+fn write_rows(writing: &WriteTransaction, rows: Rows, changes: &[Change]) -> Result<(), redb::Error> {
+    if changes.is_empty() {
+        return Ok(());
+    }
+    let mut table = writing.open_table(rows)?;
+    for change in changes {
+        match change {
+            Change::Row { id, number, before, bytes } => {
+                table.insert((&*id.writer, id.life, *number), (&before.0, &**bytes))?;
+            }
+            Change::Trim { id, below } => {
+                let below = (&*id.writer, id.life, 0)..(&*id.writer, id.life, *below);
+                table.retain_in(below, |_, _| false)?;
+            }
+            Change::Drop { id } => {
+                let all = (&*id.writer, id.life, 0)..=(&*id.writer, id.life, u64::MAX);
+                table.retain_in(all, |_, _| false)?;
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/peers/src/threads.rs
+++ b/crates/peers/src/threads.rs
@@ -8,12 +8,12 @@
 use crate::shelf::Shelf;
 use crate::store::Store;
 use mulleinhub_accounts::Settings;
-use mulleinhub_replica::{Change, Order};
+use mulleinhub_replica::{Changes, Order, Reached};
 use mulleinhub_seam::Door;
 use mulleinhub_shell::{Clock, Shell, Waker};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -91,7 +91,7 @@
     shelf.wakes_by(Box::new(move || wakes.wake()));
     let orders = Arc::new(Mutex::new(Vec::new()));
     let ahead = Arc::new(AtomicI64::new(start.ahead));
-    let durable = Arc::new(AtomicU64::new(0));
+    let durable = Arc::new(Mutex::new(Reached::default()));
     let (to_disk, changes) = channel();
     let (is_kept, wakes) = (durable.clone(), waker.clone());
     spawn("books-store", move || keep(&store, &changes, &is_kept, &wakes))?;
@@ -101,11 +101,11 @@
 }
 
 /// The store's thread: all that came in while the last group was written is the next one.
-fn keep(store: &Store, changes: &Receiver<(Vec<Change>, u64)>, durable: &AtomicU64, waker: &Waker) {
+fn keep(store: &Store, changes: &Receiver<(Changes, Reached)>, durable: &Mutex<Reached>, waker: &Waker) {
     while let Ok((mut group, mut last)) = changes.recv() {
-        while let Ok((more, number)) = changes.try_recv() {
+        while let Ok((more, reached)) = changes.try_recv() {
             group.extend(more);
-            last = last.max(number);
+            last = last.max(reached);
         }
         // Nothing is told before it is kept: with a full disk this planner goes on with what it has drawn.
         while let Err(words) = store.keep(&group) {
@@ -115,7 +115,10 @@
             );
             std::thread::sleep(DISK_RESTS);
         }
-        durable.fetch_max(last, Ordering::AcqRel);
+        {
+            let mut durable = durable.lock().unwrap_or_else(PoisonError::into_inner);
+            *durable = durable.max(last);
+        }
         waker.wake();
     }
 }
@@ -124,17 +127,17 @@
     shell: &mut Shell<Exchange>,
     orders: &Mutex<Vec<Order>>,
     ahead: &AtomicI64,
-    durable: &AtomicU64,
-    to_disk: &Sender<(Vec<Change>, u64)>,
+    durable: &Mutex<Reached>,
+    to_disk: &Sender<(Changes, Reached)>,
 ) {
-    let mut known = 0;
+    let mut known = Reached::default();
     loop {
         let new = std::mem::take(&mut *orders.lock().unwrap_or_else(PoisonError::into_inner));
         if !new.is_empty() {
             shell.party.order(&new);
         }
-        let kept = durable.load(Ordering::Acquire);
-        if kept > known {
+        let kept = *durable.lock().unwrap_or_else(PoisonError::into_inner);
+        if kept != known {
             known = kept;
             shell.party.is_durable(kept);
         }
--- a/crates/peers/tests/books.rs
+++ b/crates/peers/tests/books.rs
@@ -276,7 +276,7 @@
         Entry::Purse { team: "pay".into(), month: 24_321, purse: Purse { spent: 1, ..Purse::default() } };
     let row = row.bytes();
     let first = Digest::first(&ColumnId { writer: "s1".into(), life: 99 });
-    let want = |life| Message::Want { writer: "s1", life, after: 0, digest, skip: 0 };
+    let want = |life| Message::Want { writer: "s1", life, after: 0, digest, skip: 0, log: None };
     let lies: Vec<(&str, Vec<Message<'_>>)> = vec![
         ("nobody", vec![]),
         ("s0", vec![]),
@@ -306,13 +306,18 @@
         rows: vec![protocol::RowBytes(&row)],
         skip: 0,
         rest: 0,
+        log: None,
     };
     net.stranger_says(0, "s1", &[rows(99, 0, &first.0), want(99), want(2)]);
     net.run(ms(100));
     assert_eq!(tips(&mut net, 0), before);
     // It claims more rows of a column than there are, is asked for them, and sends what doesn't chain.
     let tip = protocol::Tip { writer: "s1", life: 2, number: 9_999, digest };
-    net.stranger_says(0, "s1", &[Message::Tips { all: digest, tips: vec![tip], beats: vec![], whole: true }]);
+    net.stranger_says(
+        0,
+        "s1",
+        &[Message::Tips { all: digest, tips: vec![tip], beats: vec![], whole: true, log: None }],
+    );
     net.run(ms(2_500));
     assert!(!net.stranger_is_cut_off());
     net.stranger_says(0, "s1", &[rows(2, 0, digest)]);
@@ -347,3 +352,37 @@
     net.run(Span::from_secs(30));
     assert_eq!(presence(&mut net, 0, 1), Presence::Gone);
 }
+
+/// The same stories where each scheduler has a work log with two replicas.
+mod with_work_logs {
+    use crate::net::with_replicas;
+
+    macro_rules! again {
+        ($($story:ident)*) => {
+            $(
+                #[test]
+                fn $story() {
+                    with_replicas(2, super::$story);
+                }
+            )*
+        };
+    }
+
+    again! {
+        a_busy_one_gets_the_shares_of_idle_ones_and_all_together_stop_at_the_cap
+        two_thousand_asks_at_all_schedulers_with_little_left_make_few_questions_and_no_overshoot
+        a_gift_is_told_only_once_it_is_on_disk_and_one_that_was_not_told_is_found_on_the_way_back
+        who_comes_back_with_its_store_goes_on_and_without_it_uses_nothing_of_its_old_share
+        one_that_comes_back_and_hears_nobody_adds_nothing_however_old_its_store_is
+        a_scheduler_that_is_cut_off_goes_on_with_its_share_and_no_further
+        what_ran_at_a_scheduler_that_died_comes_again_elsewhere_and_a_mere_word_does_not
+        an_account_is_held_everywhere_within_moments_and_what_was_taken_comes_again_anywhere
+        hold_clear_and_hold_within_a_second_and_one_number_twice_come_to_one_answer
+        a_lowered_cap_counts_what_was_drawn_before_for_all
+        a_standstill_across_a_hold_takes_nothing_by_old_news
+        a_month_that_ends_gives_a_new_share_and_charges_each_second_to_one_month
+        peers_that_speak_wrongly_are_cut_off_alone_and_nothing_of_theirs_enters
+        bytes_that_are_no_frames_and_a_flood_of_frames_cost_the_others_nothing
+        signs_of_life_are_heard_through_others_while_the_way_is_cut
+    }
+}
--- a/crates/peers/tests/interleavings.rs
+++ b/crates/peers/tests/interleavings.rs
@@ -10,6 +10,7 @@
 use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
 use mulleinhub_peers::{Shelf, Teller};
 use mulleinhub_replica::Parts;
+use std::collections::BTreeMap;
 
 const NEED: u64 = 100;
 const AWAY: Away = Away { least: Span::ZERO, most: Span::ZERO };
@@ -31,6 +32,8 @@
         near: 1_000_000,
         stretch: Span::from_secs(10),
         catch_up: Span::ZERO,
+        replicas: None,
+        sites: BTreeMap::new(),
     }
 }
 
--- a/crates/peers/tests/net/mod.rs
+++ b/crates/peers/tests/net/mod.rs
@@ -1,11 +1,16 @@
 //! A few schedulers' books joined by wires that take no time, with disks that can be held up.
 
+#![allow(dead_code, reason = "each test file uses its part")]
+
 use mulleinhub_accounts::{Months, Prices, Settings, Team};
 use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
 use mulleinhub_peers::{Exchange, Member, Shelf, Teller};
 use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message};
-use mulleinhub_replica::{Change, ColumnId, Digest, Kept, Name, Order, Subject, Word};
+use mulleinhub_replica::{
+    Change, Changes, ColumnId, Digest, Kept, KeptLogs, Kind, Name, Order, Reached, Site, Subject, Word,
+};
 use mulleinhub_seam::{Ask, Door, End, Link, Party};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -13,13 +18,55 @@
 /// An instant in the middle of a month, in milliseconds of Unix time.
 const MIDDLE: u64 = 1_792_022_400_000;
 
+/// What is on a disk: rows by the kind of their log, column and number.
+pub type Disk = BTreeMap<(Kind, ColumnId, u64), (Digest, Vec<u8>)>;
+
+thread_local! {
+    /// What the settings of the schedulers ask for that are started in this test.
+    static REPLICAS: Cell<Option<usize>> = const { Cell::new(None) };
+}
+
+/// A story in which each scheduler has a work log with so many replicas.
+pub fn with_replicas(many: usize, story: fn()) {
+    REPLICAS.set(Some(many));
+    story();
+    REPLICAS.set(None);
+}
+
+/// Schedulers that start from now on ask for so many replicas of their work logs.
+pub fn ask_for_replicas(many: Option<usize>) {
+    REPLICAS.set(many);
+}
+
+/// How many regions, and zones in all, the schedulers lie in, one after the other.
+#[derive(Clone, Copy, Debug)]
+pub struct Map {
+    pub regions: usize,
+    pub zones: usize,
+}
+
+impl Map {
+    pub fn zone(self, n: usize) -> usize {
+        n % self.zones
+    }
+
+    pub fn region(self, n: usize) -> usize {
+        self.zone(n) % self.regions
+    }
+
+    fn site(self, n: usize) -> Site {
+        let named = |what: &str, n: usize| Some(format!("{what}-{n}").as_str().into());
+        Site { region: named("region", self.region(n)), zone: named("zone", self.zone(n)) }
+    }
+}
+
 pub struct Node {
     pub exchange: Exchange,
     pub teller: Teller,
     /// Nothing is written to its disk while this holds.
     pub disk_waits: bool,
-    pub disk: BTreeMap<(ColumnId, u64), (Digest, Vec<u8>)>,
-    waiting: Vec<(Vec<Change>, u64)>,
+    pub disk: Disk,
+    waiting: Vec<(Changes, Reached)>,
 }
 
 pub struct Net {
@@ -35,6 +82,11 @@
     pub utc_off: u64,
     /// Messages by their kind.
     pub counted: BTreeMap<&'static str, u64>,
+    /// Bytes that each scheduler wrote to others, of rows and all else.
+    pub bytes: Vec<u64>,
+    /// Schedulers that know no work logs, as versions before them.
+    pub older: BTreeSet<usize>,
+    map: Map,
     cap: u64,
 }
 
@@ -46,7 +98,7 @@
     Span::from_nanos(ms * 1_000_000)
 }
 
-pub fn settings(n: usize, many: usize, cap: u64) -> Settings {
+pub fn settings(n: usize, many: usize, cap: u64, map: Map) -> Settings {
     let team = |name: &str, cap| Team {
         name: name.into(),
         account: Some("acme".into()),
@@ -62,12 +114,19 @@
         near: 900_000,
         stretch: Span::from_secs(10),
         catch_up: Span::from_secs(3),
+        replicas: REPLICAS.get(),
+        sites: (0..many).map(|n| (name(n), map.site(n))).collect(),
     }
 }
 
 impl Net {
     /// So many schedulers that share a cap, all started and caught up.
     pub fn new(many: usize, cap: u64) -> Self {
+        Self::over(many, cap, Map { regions: 1, zones: many }, &[])
+    }
+
+    /// The same, in zones and regions, and with some that know no work logs.
+    pub fn over(many: usize, cap: u64, map: Map, older: &[usize]) -> Self {
         let mut net = Self {
             now: Time::from_nanos(1_000_000_000),
             nodes: (0..many).map(|_| None).collect(),
@@ -78,6 +137,9 @@
             lives: 0,
             utc_off: 0,
             counted: BTreeMap::new(),
+            bytes: vec![0; many],
+            older: older.iter().copied().collect(),
+            map,
             cap,
         };
         (0..many).for_each(|n| net.start(n, BTreeMap::new()));
@@ -85,26 +147,34 @@
         net
     }
 
-    pub fn start(&mut self, n: usize, disk: BTreeMap<(ColumnId, u64), (Digest, Vec<u8>)>) {
+    pub fn start(&mut self, n: usize, disk: Disk) {
         self.lives += 1;
         let many = self.nodes.len();
-        let settings = settings(n, many, self.cap);
+        let settings = settings(n, many, self.cap, self.map);
         let shelf: Arc<Shelf> = Shelf::new(&settings);
         let teller = Teller::new(shelf.clone(), &settings);
         let members = (0..many).map(|m| Member { name: name(m), address: m.to_string() }).collect();
-        let kept = |((id, number), (before, bytes)): (&(ColumnId, u64), &(Digest, Vec<u8>))| Kept {
-            id: id.clone(),
-            number: *number,
-            before: *before,
-            bytes: bytes.clone(),
+        let kept = |kind: Kind| -> Vec<Kept> {
+            let rows = disk.iter().filter(|((of, ..), _)| *of == kind);
+            let kept = rows.map(|((_, id, number), (before, bytes))| Kept {
+                id: id.clone(),
+                number: *number,
+                before: *before,
+                bytes: bytes.clone(),
+            });
+            kept.collect()
         };
-        let kept = disk.iter().map(kept).collect();
+        let is_older = self.older.contains(&n);
+        // A version that knows no work logs leaves their rows where they are, unread.
+        let work = if is_older { Vec::new() } else { kept(Kind::Work) };
+        let kept = KeptLogs { fleet: kept(Kind::Fleet), work };
         let exchange = Exchange::new(settings, members, self.lives, 7 + n as u64, kept, shelf);
+        let exchange = if is_older { exchange.without_work_logs() } else { exchange };
         self.nodes[n] = Some(Node { exchange, teller, disk_waits: false, disk, waiting: Vec::new() });
     }
 
     /// It dies at once; what is left of its disk.
-    pub fn kill(&mut self, n: usize) -> BTreeMap<(ColumnId, u64), (Digest, Vec<u8>)> {
+    pub fn kill(&mut self, n: usize) -> Disk {
         let node = self.nodes[n].take().expect("is up");
         let links: Vec<(usize, Link)> = self.wires.keys().filter(|(of, _)| *of == n).copied().collect();
         for end in links {
@@ -146,15 +216,17 @@
         }
         if !node.disk_waits {
             for (changes, last) in std::mem::take(&mut node.waiting) {
-                for change in changes {
+                for (kind, change) in changes.into_each() {
                     match change {
                         Change::Row { id, number, before, bytes } => {
-                            node.disk.insert((id, number), (before, bytes.to_vec()));
+                            node.disk.insert((kind, id, number), (before, bytes.to_vec()));
                         }
-                        Change::Trim { id, below } => {
-                            node.disk.retain(|(of, number), _| *of != id || *number >= below);
+                        Change::Trim { id, below } => node.disk.retain(|(of_kind, of, number), _| {
+                            (of_kind, of) != (&kind, &id) || *number >= below
+                        }),
+                        Change::Drop { id } => {
+                            node.disk.retain(|(of_kind, of, _), _| (of_kind, of) != (&kind, &id));
                         }
-                        Change::Drop { id } => node.disk.retain(|(of, _), _| *of != id),
                     }
                 }
                 node.exchange.is_durable(last);
@@ -221,12 +293,15 @@
             return;
         }
         let Some((other, theirs)) = wire else { return };
+        self.bytes[n] += bytes.len() as u64;
         let mut frames = Frames::default();
         frames.take(&bytes);
         while let Ok(Some(frame)) = frames.next_frame() {
             let kind = match protocol::decode(frame) {
                 Ok(Message::ShareAsk { .. }) => "share-ask",
                 Ok(Message::ShareGiven { .. }) => "share-given",
+                Ok(Message::Rows { log: Some(_), .. }) => "work-rows",
+                Ok(Message::Tips { log: Some(_), .. }) => "work-tips",
                 Ok(Message::Rows { .. }) => "rows",
                 Ok(Message::Tips { .. }) => "tips",
                 _ => "other",
--- a/crates/peers/tests/store.rs
+++ b/crates/peers/tests/store.rs
@@ -3,9 +3,13 @@
 #![cfg(not(feature = "explored"))]
 
 use mulleinhub_peers::Store;
-use mulleinhub_replica::{Change, ColumnId, Digest, Entry, Kept, Library, Purse, State};
+use mulleinhub_replica::{Change, Changes, ColumnId, Digest, Entry, Kept, KeptLogs, Library, Purse, State};
 use std::path::Path;
 
+/// A row as it lies on disk.
+type Place = (&'static str, u64, u64);
+type Bytes = (&'static [u8; 16], &'static [u8]);
+
 fn row(number: u64) -> Change {
     let id = ColumnId { writer: "one".into(), life: 7 };
     Change::Row { id, number, before: Digest([number as u8; 16]), bytes: vec![number as u8; 40].into() }
@@ -26,14 +30,43 @@
     let other = ColumnId { writer: "two".into(), life: 1 };
     let of_other =
         Change::Row { id: other.clone(), number: 1, before: Digest::default(), bytes: [1, 2][..].into() };
-    store.keep(&[row(1), row(2), row(3), of_other.clone()]).expect("there is room");
+    store.keep(&vec![row(1), row(2), row(3), of_other.clone()].into()).expect("there is room");
     let id = ColumnId { writer: "one".into(), life: 7 };
-    store.keep(&[row(4), Change::Trim { id, below: 3 }, Change::Drop { id: other }]).expect("there is room");
+    store
+        .keep(&vec![row(4), Change::Trim { id, below: 3 }, Change::Drop { id: other }].into())
+        .expect("there is room");
     drop(store);
-    let (store, kept) = Store::open(dir.path()).expect("it is whole");
+    let (store, KeptLogs { fleet: kept, work }) = Store::open(dir.path()).expect("it is whole");
+    assert!(work.is_empty());
     assert_eq!(numbers(&kept), [3, 4]);
     assert_eq!((kept[0].before, &kept[0].bytes), (Digest([3; 16]), &vec![3; 40]));
-    store.keep(&[of_other]).expect("there is room");
+    store.keep(&vec![of_other].into()).expect("there is room");
+}
+
+/// Rows of work logs stand apart from those of fleet logs, of the same writer and life, too; a version that
+/// knows no work logs reads and writes the others beside them.
+#[test]
+fn rows_of_both_kinds_of_logs_are_kept_apart() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let store = begun(dir.path());
+    let id = ColumnId { writer: "one".into(), life: 7 };
+    let changes = Changes { fleet: vec![row(1), row(2)], work: vec![row(1), row(2), row(3)] };
+    store.keep(&changes).expect("there is room");
+    let trims = vec![Change::Trim { id: id.clone(), below: 3 }];
+    store.keep(&Changes { fleet: Vec::new(), work: trims }).expect("there is room");
+    drop(store);
+    let database = redb::Database::open(dir.path().join("books")).expect("it is whole");
+    let writing = database.begin_write().expect("it is ours");
+    let rows: redb::TableDefinition<'_, Place, Bytes> = redb::TableDefinition::new("rows");
+    writing.open_table(rows).expect("a table").insert(("one", 7, 3), (&[3; 16], &[3; 40][..])).expect("room");
+    writing.commit().expect("there is room");
+    drop(database);
+    let (store, kept) = Store::open(dir.path()).expect("it is whole");
+    assert_eq!((numbers(&kept.fleet), numbers(&kept.work)), (vec![1, 2, 3], vec![3]));
+    store.keep(&Changes { fleet: Vec::new(), work: vec![Change::Drop { id }] }).expect("there is room");
+    drop(store);
+    let (_, kept) = Store::open(dir.path()).expect("it is whole");
+    assert_eq!((numbers(&kept.fleet), numbers(&kept.work)), (vec![1, 2, 3], vec![]));
 }
 
 #[test]
@@ -81,7 +114,7 @@
     for spent in 1..=30 {
         let purse = Purse { spent, ..Purse::default() };
         library.write(&Entry::Purse { team: "pay".into(), month: 1, purse });
-        store.keep(&library.take_changes()).expect("there is room");
+        store.keep(&library.take_changes().into()).expect("there is room");
     }
     drop(store);
     let path = dir.path().join("books");
@@ -90,7 +123,7 @@
     let mut look = |bytes: &[u8], what: String| {
         let dir = tempfile::tempdir().expect("a directory");
         std::fs::write(dir.path().join("books"), bytes).expect("a file");
-        let looked = std::panic::catch_unwind(|| Store::open(dir.path()).map(|(_, kept)| kept));
+        let looked = std::panic::catch_unwind(|| Store::open(dir.path()).map(|(_, kept)| kept.fleet));
         match looked.unwrap_or_else(|_| panic!("{what}: it must not panic")) {
             Ok(kept) => {
                 let mut again = Library::new(ColumnId { life: 8, ..id.clone() });
--- a/crates/planner/src/books.rs
+++ b/crates/planner/src/books.rs
@@ -2,9 +2,9 @@
 
 use mulleinhub_accounts::{Months, Prices, Settings, Team};
 use mulleinhub_peers::Member;
-use mulleinhub_replica::{Name, Order, Subject, Word};
+use mulleinhub_replica::{Name, Order, Site, Subject, Word};
 use mulleinhub_settings::{Args, Directive, Faults, Name as NameValue, Scope, parse_text};
-use mulleinhub_terms::{BooksTerms, read_books};
+use mulleinhub_terms::{BooksTerms, SiteTerms, read_books};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -28,14 +28,20 @@
     text.parse::<SocketAddr>().ok().filter(|address| address.ip().is_loopback())
 }
 
+fn site_of(terms: &SiteTerms) -> Site {
+    let name = |text: &Option<String>| text.as_deref().map(Name::from);
+    Site { region: name(&terms.region), zone: name(&terms.zone) }
+}
+
 /// Reads a planner's `books` block. `me` is the planner's own name.
 pub fn read(directive: &Directive, me: &str, faults: &mut Faults) -> Option<BooksConf> {
     let mut scope = Scope::of(directive);
-    let terms = read_books(directive, &mut scope, faults);
+    let mut terms = read_books(directive, &mut scope, faults);
     let mut members: Vec<Member> = Vec::new();
     for line in scope.each("member") {
         let mut args = Args::of(line);
         let (name, address) = (args.next::<NameValue>(faults), args.next::<String>(faults));
+        let site = SiteTerms::read(&mut args, faults);
         args.finish(faults);
         let (Some(name), Some(address)) = (name, address) else { continue };
         if members.iter().any(|member| *member.name == *name.0) {
@@ -45,7 +51,9 @@
         if loopback(&address).is_none() && !address.starts_with("door:") {
             faults.add(&line.place, "a member's loopback address and port are wanted, as 127.0.0.1:7300");
         }
-        members.push(Member { name: name.0.as_str().into(), address });
+        let name = Name::from(name.0.as_str());
+        terms.sites.insert(name.to_string(), site);
+        members.push(Member { name, address });
     }
     members.sort_by(|a, b| a.name.cmp(&b.name));
     if members.len() > MOST_MEMBERS {
@@ -84,6 +92,8 @@
         near: terms.near,
         stretch: terms.stretch,
         catch_up: terms.catch_up,
+        replicas: terms.replicas,
+        sites: terms.sites.iter().map(|(name, site)| (Name::from(name.as_str()), site_of(site))).collect(),
     };
     Some(BooksConf { settings, members, listen, orders, ahead, terms })
 }
--- a/crates/planner/src/conf.rs
+++ b/crates/planner/src/conf.rs
@@ -5,7 +5,7 @@
 use mulleinhub_interface::Span;
 use mulleinhub_interface::{ColdRule, Home, Listing, Taking, ZoneId};
 use mulleinhub_settings::{Bytes, Directive, Faults, Name, Place, Scope, parse, parse_text};
-use mulleinhub_terms::{BooksTerms, Case, Kind, Rules, read_case, read_kind, read_rules};
+use mulleinhub_terms::{BooksTerms, Case, Kind, Rules, SiteTerms, read_case, read_kind, read_rules};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -230,7 +230,8 @@
     fn show(&self) -> String {
         let mut text = "books {\n".to_owned();
         for (name, address) in &self.members {
-            text += &format!("    member {name} {address:?}\n");
+            let site = self.terms.sites.get(name).map_or(String::new(), SiteTerms::show);
+            text += &format!("    member {name} {address:?}{site}\n");
         }
         if let Some(orders) = self.orders {
             text += &format!("    orders {:?}\n", orders.display().to_string());
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -11,7 +11,9 @@
 
 /// Planners tell each other in their greetings, as the feature, which rows of the books they can read: the
 /// highest kind. Rows of higher kinds are kept and handed on unread.
-pub const BOOKS: u64 = 9;
+pub const BOOKS: u64 = 10;
+/// From this feature on a planner reads work logs, and what others announce of them.
+pub const WORK_LOGS: u64 = 10;
 /// The most ends of columns, rows, beats or orders in one message, and bytes of rows.
 pub const MOST_TIPS: usize = 1024;
 pub const MOST_ROWS_BYTES: usize = 128 * 1024;
@@ -204,6 +206,15 @@
     pub memory_left: Option<f64>,
 }
 
+/// A log beside the one that all planners copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(index_only)]
+pub enum SideLog {
+    /// A planner's ordinary work, which few others copy.
+    #[n(1)]
+    Work,
+}
+
 /// How far a planner knows a column: the rows that one planner wrote in one of its lives.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Tip<'b> {
@@ -541,7 +552,8 @@
         entries: Vec<Entry<'b>>,
     },
     /// What a planner knows of the books: a figure over the ends of all columns, those that changed since
-    /// it told last, and the newest signs of life. `whole` where with this all was told that it knows.
+    /// it told last, and the newest signs of life. `whole` where with this all was told that it knows. Of
+    /// work logs: only those that concern the other, its own or the teller's; the figure means nothing.
     #[n(70)]
     Tips {
         #[cbor(b(0), with = "minicbor::bytes")]
@@ -552,6 +564,9 @@
         beats: Vec<Beat<'b>>,
         #[n(3)]
         whole: bool,
+        /// Where these are ends of other logs than those that all copy.
+        #[n(4)]
+        log: Option<SideLog>,
     },
     /// Asks for the rows of a column after a number, whose digest is given; of the first of them, those
     /// bytes after `skip`.
@@ -567,6 +582,8 @@
         digest: &'b [u8],
         #[n(4)]
         skip: u64,
+        #[n(5)]
+        log: Option<SideLog>,
     },
     /// Rows of a column after a number. The first begins at byte `skip`; of the last, `rest` bytes are
     /// still to come.
@@ -586,6 +603,8 @@
         skip: u64,
         #[n(6)]
         rest: u64,
+        #[n(7)]
+        log: Option<SideLog>,
     },
     /// Orders that are new to whoever tells them: they go ahead of their rows.
     #[n(73)]
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -42,10 +42,25 @@
     let digest = &[1; 16];
     let tip = Tip { writer: "w", life: 2, number: 3, digest };
     let beat = Beat { name: "w", life: 2, count: 4 };
-    let tips = Message::Tips { all: digest, tips: vec![tip], beats: vec![beat], whole: true };
-    let want = Message::Want { writer: "w", life: 2, after: 3, digest, skip: 0 };
+    let work = Some(SideLog::Work);
+    let work_tips =
+        Message::Tips { all: digest, tips: vec![tip.clone()], beats: vec![], whole: true, log: work };
+    let tips = Message::Tips { all: digest, tips: vec![tip], beats: vec![beat], whole: true, log: None };
+    let want = Message::Want { writer: "w", life: 2, after: 3, digest, skip: 0, log: None };
+    let work_want = Message::Want { writer: "w", life: 2, after: 3, digest, skip: 0, log: work };
     let rows = vec![RowBytes(&[7, 8])];
-    let rows = Message::Rows { writer: "w", life: 2, after: 3, digest, rows, skip: 0, rest: 9 };
+    let work_rows = rows.clone();
+    let work_rows = Message::Rows {
+        writer: "w",
+        life: 2,
+        after: 3,
+        digest,
+        rows: work_rows,
+        skip: 0,
+        rest: 9,
+        log: work,
+    };
+    let rows = Message::Rows { writer: "w", life: 2, after: 3, digest, rows, skip: 0, rest: 9, log: None };
     let (word, figure) = (OrderWord::Held, Some(6));
     let order = OrderTold { account: true, name: "a", number: 5, word, figure, differs: false };
     let orders = Message::Orders { orders: vec![order] };
@@ -82,6 +97,12 @@
         ),
         (want, "0000001986184761770203500101010101010101010101010101010100"),
         (rows, "0000001e881848617702035001010101010101010101010101010101814207080009"),
+        (
+            work_tips,
+            "0000002e8618465001010101010101010101010101010101818461770203500101010101010101010101010101010180f501",
+        ),
+        (work_want, "0000001a8718476177020350010101010101010101010101010101010001"),
+        (work_rows, "0000001f89184861770203500101010101010101010101010101010181420708000901"),
         (orders, "0000000c8218498186f56161050106f4"),
         (share, "0000000986184a617401020304"),
         (given, "0000000986184b617401030405"),
--- a/crates/runner/src/books.rs
+++ b/crates/runner/src/books.rs
@@ -4,41 +4,58 @@
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_peers::{Exchange, Shelf, Teller};
 use mulleinhub_planner::BooksConf;
-use mulleinhub_replica::{Change, ColumnId, Digest, Kept};
+use mulleinhub_replica::{Change, Changes, ColumnId, Digest, Kept, KeptLogs, Kind, Reached};
 use mulleinhub_seam::Party;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+/// Rows of logs of one kind.
+type Rows = BTreeMap<(ColumnId, u64), (Digest, Vec<u8>)>;
+
 /// What is on a planner's disk.
 #[derive(Clone, Debug, Default)]
 pub struct Disk {
-    rows: BTreeMap<(ColumnId, u64), (Digest, Vec<u8>)>,
+    fleet: Rows,
+    work: Rows,
+}
+
+fn apply(rows: &mut Rows, change: Change) {
+    match change {
+        Change::Row { id, number, before, bytes } => {
+            rows.insert((id, number), (before, bytes.to_vec()));
+        }
+        Change::Trim { id, below } => rows.retain(|(of, number), _| *of != id || *number >= below),
+        Change::Drop { id } => rows.retain(|(of, _), _| *of != id),
+    }
+}
+
+fn kept(rows: &Rows) -> Vec<Kept> {
+    let kept = |((id, number), (before, bytes)): (&(ColumnId, u64), &(Digest, Vec<u8>))| Kept {
+        id: id.clone(),
+        number: *number,
+        before: *before,
+        bytes: bytes.clone(),
+    };
+    rows.iter().map(kept).collect()
 }
 
 impl Disk {
-    fn apply(&mut self, change: Change) {
-        match change {
-            Change::Row { id, number, before, bytes } => {
-                self.rows.insert((id, number), (before, bytes.to_vec()));
+    fn apply(&mut self, changes: Changes) {
+        for (kind, change) in changes.into_each() {
+            match kind {
+                Kind::Fleet => apply(&mut self.fleet, change),
+                Kind::Work => apply(&mut self.work, change),
             }
-            Change::Trim { id, below } => self.rows.retain(|(of, number), _| *of != id || *number >= below),
-            Change::Drop { id } => self.rows.retain(|(of, _), _| *of != id),
         }
     }
 
-    fn kept(&self) -> Vec<Kept> {
-        let kept = |((id, number), (before, bytes)): (&(ColumnId, u64), &(Digest, Vec<u8>))| Kept {
-            id: id.clone(),
-            number: *number,
-            before: *before,
-            bytes: bytes.clone(),
-        };
-        self.rows.iter().map(kept).collect()
+    fn kept(&self) -> KeptLogs {
+        KeptLogs { fleet: kept(&self.fleet), work: kept(&self.work) }
     }
 }
 
 /// Changes on their way to the disk: when they are there, and the last of our own rows among them.
-type Sync = (Time, Vec<Change>, u64);
+type Sync = (Time, Changes, Reached);
 
 pub struct Books {
     pub exchange: Exchange,
@@ -85,7 +102,7 @@
         takes: impl FnOnce() -> Span,
     ) -> bool {
         while let Some((_, changes, last)) = self.syncs.pop_front_if(|(at, ..)| *at <= now) {
-            changes.into_iter().for_each(|change| disk.apply(change));
+            disk.apply(changes);
             self.exchange.is_durable(last);
             self.told = true;
         }
@@ -96,7 +113,7 @@
         let utc = (self.begins + now.nanos() / 1_000_000).saturating_add_signed(ahead);
         self.exchange.set_clock(utc);
         self.exchange.turn(now);
-        let changes = if full { Vec::new() } else { self.exchange.take_changes() };
+        let changes = if full { Changes::default() } else { self.exchange.take_changes() };
         if !changes.is_empty() {
             let last = self.exchange.last_own(&changes);
             // One sync follows the other.
--- a/crates/terms/src/books.rs
+++ b/crates/terms/src/books.rs
@@ -3,6 +3,7 @@
 use crate::show_span;
 use mulleinhub_interface::Span;
 use mulleinhub_settings::{Args, Directive, Faults, Name, Scope, Share};
+use std::collections::BTreeMap;
 
 /// A team, its account, its tenants, and its monthly cap in micro-units.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +14,32 @@
     pub cap: Option<u64>,
 }
 
+/// Where a scheduler runs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SiteTerms {
+    pub zone: Option<String>,
+    pub region: Option<String>,
+}
+
+impl SiteTerms {
+    /// Reads what is left of a line: `zone Z`, `region R`, both in this order, or nothing.
+    pub fn read(args: &mut Args<'_>, faults: &mut Faults) -> Self {
+        let mut named = |word: &str| match args.takes(word) {
+            true => args.next::<Name>(faults).map(|name| name.0),
+            false => None,
+        };
+        Self { zone: named("zone"), region: named("region") }
+    }
+
+    /// The same, as it stands at the end of a line.
+    pub fn show(&self) -> String {
+        let named = |word: &str, name: &Option<String>| {
+            name.as_ref().map_or(String::new(), |name| format!(" {word} {name}"))
+        };
+        named("zone", &self.zone) + &named("region", &self.region)
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct BooksTerms {
     pub zone: String,
@@ -23,9 +50,16 @@
     pub near: u32,
     pub stretch: Span,
     pub catch_up: Span,
+    /// So many other members copy a scheduler's ordinary work; nothing where all do.
+    pub replicas: Option<usize>,
+    /// Where schedulers run, of those of which it is said.
+    pub sites: BTreeMap<String, SiteTerms>,
     pub teams: Vec<TeamTerms>,
 }
 
+/// Members that copy a work log.
+const MOST_REPLICAS: usize = 8;
+
 fn read_team(directive: &Directive, faults: &mut Faults) -> Option<TeamTerms> {
     let mut args = Args::of(directive);
     let name = args.next::<Name>(faults);
@@ -67,6 +101,10 @@
     if stretch == Span::ZERO {
         faults.add(&directive.place, "stretch must be more than no time");
     }
+    let replicas = scope.maybe("replicas", faults);
+    if replicas.is_some_and(|many| !(1..=MOST_REPLICAS).contains(&many)) {
+        faults.add(&directive.place, format!("replicas must be 1 to {MOST_REPLICAS}"));
+    }
     teams.sort_by(|a, b| a.name.cmp(&b.name));
     BooksTerms {
         zone: scope.or("zone", "UTC".to_owned(), faults),
@@ -75,6 +113,8 @@
         near: (near.0 * 1e6) as u32,
         stretch,
         catch_up: scope.or("catch-up", Span::from_secs(10), faults),
+        replicas,
+        sites: BTreeMap::new(),
         teams,
     }
 }
@@ -92,6 +132,7 @@
             show_span(self.stretch),
             show_span(self.catch_up),
         );
+        self.replicas.iter().for_each(|many| text += &format!("    replicas {many}\n"));
         for team in &self.teams {
             text += &format!("    team {} {{\n", team.name);
             team.account.iter().for_each(|account| text += &format!("        account {account}\n"));
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -5,7 +5,7 @@
 
 mod books;
 
-pub use books::{BooksTerms, TeamTerms, read_books};
+pub use books::{BooksTerms, SiteTerms, TeamTerms, read_books};
 
 use garde::Validate;
 use mulleinhub_interface::Span;
--- a/crates/verdict/src/books.rs
+++ b/crates/verdict/src/books.rs
@@ -720,7 +720,8 @@
             self.verdict.frame_bytes += len as u64;
         }
         match message {
-            Message::Tips { tips, .. } => {
+            // What few copy is nobody else's to have.
+            Message::Tips { tips, log: None, .. } => {
                 for tip in tips {
                     if *tip.writer == *from && !delivered {
                         let told = self.told.entry((from.to_owned(), tip.life)).or_default();
@@ -732,7 +733,7 @@
                     *has = (*has).max(tip.number);
                 }
             }
-            Message::Rows { writer, life, after, rows, skip, rest, .. } if delivered => {
+            Message::Rows { writer, life, after, rows, skip, rest, log: None, .. } if delivered => {
                 if **writer == *from && !rows.is_empty() {
                     self.told_at.insert(from.to_owned(), at);
                 }
