Parts of the fleet that lost each other for long call each other again

Cause: neighbors are drawn among members that are there, where enough are. Change: every five seconds one member that is dead (or, where a quarter is silent, one that is late) is called.

--- a/crates/peers/src/exchange/mod.rs
+++ b/crates/peers/src/exchange/mod.rs
@@ -29,7 +29,7 @@
 use self::peer::Peer;
 use crate::shelf::Shelf;
 use mulleinhub_accounts::{Keeper, Settings};
-use mulleinhub_interface::{Span, Time};
+use mulleinhub_interface::{Pcg, Span, Time};
 use mulleinhub_pacing::STANDSTILL;
 use mulleinhub_replica::{Change, Changes, KINDS, KeptLogs, Kind, Name, Order, Reached};
 use mulleinhub_seam::{Door, End, Link, Links, Party};
@@ -95,6 +95,9 @@
     usable: (Vec<Name>, bool),
     choose_at: Time,
     redraw_at: Time,
+    call_dead_at: Time,
+    /// For what is drawn beside the ledger's draws.
+    chance: Pcg,
     retries: BTreeMap<Name, Retry>,
     banned_until: BTreeMap<Name, Time>,
     heartbeat_interval: Span,
@@ -141,6 +144,8 @@
             usable: (Vec::new(), false),
             choose_at: Time::default(),
             redraw_at: Time::default(),
+            call_dead_at: Time::default(),
+            chance: Pcg::new(seed),
             retries: BTreeMap::new(),
             banned_until: BTreeMap::new(),
             heartbeat_interval,
--- a/crates/peers/src/exchange/neighbors.rs
+++ b/crates/peers/src/exchange/neighbors.rs
@@ -1,6 +1,7 @@
 //! Neighbors: the few members to whom connections are kept, drawn at random and redrawn now and then.
 
 use super::Exchange;
+use mulleinhub_accounts::Phase;
 use mulleinhub_interface::Span;
 use mulleinhub_replica::{Name, Presence};
 
@@ -11,7 +12,11 @@
 /// One of them is drawn anew this often, so that two halves of the fleet that have met nobody of each other
 /// meet.
 const REDRAW_INTERVAL: Span = Span::from_secs(20);
-/// Part of that interval that is drawn at random.
+/// One of the members that are taken for dead is called this often.
+const CALL_DEAD_INTERVAL: Span = Span::from_secs(5);
+/// Where this part of the members is silent, it is a cut.
+const SILENT_IN_A_CUT: f64 = 0.25;
+/// Part of these intervals that is drawn at random.
 const REDRAW_JITTER: f64 = 0.25;
 
 impl Exchange {
@@ -25,6 +30,7 @@
             }
         }
         self.draw_neighbors();
+        self.call_dead();
     }
 
     /// Neighbors to draw beside the replicas.
@@ -32,6 +38,32 @@
         NEIGHBORS.saturating_sub(self.replicas.len()).max(MIN_DRAWN)
     }
 
+    /// Calls one of the members that are silent, where there are any. The failure defended against: two
+    /// parts of the fleet that lost each other for long took all of each other for dead, and with enough
+    /// members alive in either part nobody was ever called across.
+    fn call_dead(&mut self) {
+        if self.now < self.call_dead_at || self.keeper.phase() == Phase::CatchingUp {
+            return;
+        }
+        self.call_dead_at = self.now + CALL_DEAD_INTERVAL * (1.0 - REDRAW_JITTER * self.chance.part());
+        let presence = |name: &&Name| self.keeper.roll.presence(self.now, name);
+        let silent = self.addresses.keys().filter(|name| presence(name) != Presence::There).count();
+        // One that is late is not called for that, unless many are at once: a cut.
+        let is_cut = silent as f64 >= self.addresses.len() as f64 * SILENT_IN_A_CUT;
+        let is_dead = |name: &&Name| match presence(name) {
+            Presence::There => false,
+            Presence::Slow => is_cut,
+            Presence::Gone => true,
+        };
+        let dead = self.addresses.keys().filter(is_dead).filter(|name| !self.waits_to_retry(name));
+        let dead: Vec<&Name> = dead.collect();
+        if dead.is_empty() {
+            return;
+        }
+        let name = dead[self.chance.below(dead.len())].clone();
+        self.call(&name);
+    }
+
     /// Nothing came on the connection to a neighbor for longer than usual, or it doesn't come up.
     fn is_doubtful(&self, name: &Name) -> bool {
         let mut connections = self.peers.values().filter(|peer| peer.is(name)).peekable();
--- a/crates/peers/tests/books.rs
+++ b/crates/peers/tests/books.rs
@@ -134,6 +134,24 @@
     assert!(net.node(0).exchange.is_alone());
 }
 
+#[test]
+fn halves_that_lost_each_other_for_long_meet_again() {
+    let mut net = Net::new(24, cap_of(300));
+    let across = |(a, b): &(usize, usize)| a % 2 != b % 2;
+    let pairs = (0..24).flat_map(|a| (a + 1..24).map(move |b| (a, b)));
+    net.cut.extend(pairs.filter(across));
+    net.run(Span::from_secs(60));
+    assert_eq!(presence(&mut net, 0, 1), Presence::Gone);
+    assert_eq!(net.fill(0, 0, 5).len(), 5);
+    net.cut.clear();
+    net.run(Span::from_secs(30));
+    for n in 0..24 {
+        assert!((0..24).filter(|of| *of != n).all(|of| presence(&mut net, n, of) != Presence::Gone), "{n}");
+    }
+    let library = net.node(1).exchange.keeper().library();
+    assert!(library.purse(&name(0), &"pay".into(), 24_321).drawn.open > 0);
+}
+
 #[test]
 fn what_ran_at_a_scheduler_that_died_comes_again_elsewhere_and_a_mere_word_does_not() {
     let mut net = Net::new(3, cap_of(30));
@@ -369,6 +387,7 @@
     }
 
     again! {
+        halves_that_lost_each_other_for_long_meet_again
         a_busy_one_gets_the_shares_of_idle_ones_and_all_together_stop_at_the_cap
         two_thousand_asks_at_all_schedulers_with_little_left_make_few_questions_and_no_overshoot
         a_gift_is_told_only_once_it_is_on_disk_and_one_that_was_not_told_is_found_on_the_way_back
