Copies of work logs that are written no more hide nothing

Change: only our own log says what runs here; spare copies are let go after ten minutes. A silence without a broken connection is waited out for a second more before it is announced.

--- a/crates/accounts/src/announce.rs
+++ b/crates/accounts/src/announce.rs
@@ -10,6 +10,8 @@
 
 /// How much longer a holder waits than the one before it.
 const RANK_WAITS: Span = Span::from_secs(2);
+/// A silence alone is waited out for so long more: a sign of life may only be late.
+const SILENCE_WAITS: Span = Span::from_secs(1);
 /// Between two announcements of one member by one holder.
 const BETWEEN: Span = Span::from_secs(10);
 
@@ -29,18 +31,20 @@
         self.silent.remove(member);
     }
 
-    /// Whether to announce the work of a silent member now. `rank` is our place among the holders, `copy`
-    /// how far we know its work log, `known` how far somebody announced it.
+    /// Whether to announce the work of a silent member now. `rank` is our place among the holders, `broke`
+    /// whether a connection to it broke, `copy` how far we know its work log, `known` how far somebody
+    /// announced it.
     pub fn is_due(
         &mut self,
         now: Time,
         member: &Name,
         rank: usize,
+        broke: bool,
         copy: Extent,
         known: Option<Extent>,
     ) -> bool {
         let since = *self.silent.entry(member.clone()).or_insert(now);
-        let waits = RANK_WAITS * rank as f64;
+        let waits = RANK_WAITS * rank as f64 + if broke { Span::ZERO } else { SILENCE_WAITS };
         let rests = self.announced.get(member).is_some_and(|at| now - *at < BETWEEN);
         if known.is_some_and(|known| known >= copy) || now - since < waits || rests {
             return false;
--- a/crates/accounts/src/keeper.rs
+++ b/crates/accounts/src/keeper.rs
@@ -122,6 +122,9 @@
     /// We neither read nor write work logs, as versions before them.
     is_older: bool,
     announcer: Announcer,
+    /// Since when we are no replica of members whose work logs we hold, and when that was looked at last.
+    spare_copies: BTreeMap<Name, Time>,
+    spare_looked_at: Time,
     /// When balances are written together, in Unix time.
     balances_at: u64,
     pub roll: Roll,
@@ -190,6 +193,8 @@
             is_split: false,
             is_older: false,
             announcer: Announcer::default(),
+            spare_copies: BTreeMap::new(),
+            spare_looked_at: Time::default(),
             balances_at: 0,
             phase: Phase::CatchingUp,
             since: None,
@@ -549,6 +554,7 @@
         self.announce(now, utc);
         self.tell_names(now, utc, tills);
         self.work.drop_taken_over();
+        self.forget_copies(now);
     }
 
     fn has_caught_up(&self, now: Time) -> bool {
@@ -878,6 +884,7 @@
             state,
             copy: self.copy_of(writer),
             silent: silent.contains(writer),
+            is_me: writer == me,
         };
         let all: Vec<Known<'_>> = states.iter().map(|(writer, state)| (writer, *state)).map(known).collect();
         let announced = announce::newest(states.iter().filter(|_| !self.is_older).map(|(_, state)| *state));
--- a/crates/accounts/src/keeper/copies.rs
+++ b/crates/accounts/src/keeper/copies.rs
@@ -4,13 +4,41 @@
 use super::{Keeper, MOST_WORK, USUAL_REPLICAS};
 use crate::announce;
 use crate::work_log::{self, Running};
-use mulleinhub_interface::Time;
+use mulleinhub_interface::{Span, Time};
 use mulleinhub_replica::{
     Announced, ColumnId, Entry, Kind, Name, Presence, State, TAKEN_BACK, Work, replicas,
 };
 use std::collections::BTreeSet;
 
+/// Between two looks at which copies are spare, and how long one is kept on.
+const SPARE_LOOK: Span = Span::from_secs(60);
+const SPARE_KEPT: Span = Span::from_secs(600);
+
 impl Keeper {
+    /// Lets go of copies of members that are there, and whose replica we have not been for long. One that
+    /// is wrong about that gets the log again with its next row.
+    pub(super) fn forget_copies(&mut self, now: Time) {
+        let Some(many) = self.settings.replicas.filter(|_| now - self.spare_looked_at >= SPARE_LOOK) else {
+            return;
+        };
+        self.spare_looked_at = now;
+        let me = &self.settings.me;
+        let is_usable = |name: &Name| name == me || self.roll.presence(now, name) != Presence::Gone;
+        let is_spare = |writer: &&Name| {
+            let is_there = self.roll.presence(now, writer) == Presence::There;
+            is_there && !replicas(writer, &self.settings.sites, many, is_usable).contains(me)
+        };
+        let spare: BTreeSet<Name> = self.copies().filter(is_spare).cloned().collect();
+        self.spare_copies.retain(|writer, _| spare.contains(writer));
+        for writer in spare {
+            let since = *self.spare_copies.entry(writer.clone()).or_insert(now);
+            if now - since >= SPARE_KEPT {
+                self.work.drop_writer(&writer);
+                self.spare_copies.remove(&writer);
+            }
+        }
+    }
+
     /// Announces what ran at members that are silent, and takes back what was announced of those that are
     /// there in a later life.
     pub(super) fn announce(&mut self, now: Time, utc: u64) {
@@ -44,11 +72,12 @@
         let is_usable = |name: &Name| name == me || self.roll.presence(now, name) != Presence::Gone;
         let holders = replicas(writer, &self.settings.sites, many, is_usable);
         let rank = holders.iter().position(|name| name == me).unwrap_or(many);
+        let broke = self.roll.is_suspected(writer);
         let states = self.fleet_states();
         let known = announce::newest(states.iter().map(|(_, state)| *state));
         let known = known.get(writer).map(|known| (known.life, known.number));
         if (running.is_empty() && known.is_none())
-            || !self.announcer.is_due(now, writer, rank, (life, number), known)
+            || !self.announcer.is_due(now, writer, rank, broke, (life, number), known)
         {
             return;
         }
--- a/crates/accounts/src/names.rs
+++ b/crates/accounts/src/names.rs
@@ -16,6 +16,8 @@
     pub copy: Option<(u64, u64, &'a State)>,
     /// Nobody can say now that its work is over.
     pub silent: bool,
+    /// It is ourselves: the copy is the log itself. Others' may have been written on without us.
+    pub is_me: bool,
 }
 
 impl Known<'_> {
@@ -74,7 +76,8 @@
         }
     }
     for known in all.iter().filter(|known| !known.silent) {
-        let in_work_log = known.copy.iter().flat_map(|(.., state)| state.running.keys());
+        let own = known.copy.iter().filter(|_| known.is_me);
+        let in_work_log = own.flat_map(|(.., state)| state.running.keys());
         for key in known.state.running.keys().chain(in_work_log) {
             for names in &mut names {
                 names.remove(key);
--- a/crates/peers/tests/work_logs.rs
+++ b/crates/peers/tests/work_logs.rs
@@ -271,6 +271,32 @@
     }
 }
 
+/// One that is a replica no longer keeps its copy for a while; what it says is old.
+#[test]
+fn a_copy_that_is_written_no_more_hides_nothing_that_was_lost() {
+    let mut net = fleet(6, 600);
+    let ran = net.fill(0, 0, 3);
+    net.run(ms(500));
+    let before = replicas_of(&mut net, 0);
+    let disk = net.kill(before[0]);
+    net.run(Span::from_secs(40));
+    let meanwhile = replicas_of(&mut net, 0);
+    net.start(before[0], disk);
+    net.run(Span::from_secs(5));
+    assert_eq!(replicas_of(&mut net, 0), before);
+    let stale = *meanwhile.iter().find(|n| !before.contains(n)).expect("another one stood in");
+    assert_eq!(work_keys(&mut net, stale, 0), [0, 1, 2].into());
+    hold(&mut net, before[0], 1);
+    ends(&mut net, 0, ran[1], true);
+    net.run(ms(300));
+    assert!(net.add(stale, 1).is_ok(), "it was lost");
+    assert!(holders(&net, 0).contains(&stale));
+    net.run(Span::from_secs(720));
+    let mut holders_now = before;
+    holders_now.sort_unstable();
+    assert_eq!(holders(&net, 0), holders_now, "it lets go of it");
+}
+
 // Members that come back.
 
 #[test]
--- a/crates/replica/src/roll.rs
+++ b/crates/replica/src/roll.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// A connection to it broke, and it has not been heard of since: more than a silence.
+    pub fn is_suspected(&self, name: &Name) -> bool {
+        self.members.get(name).is_some_and(|member| member.suspected)
+    }
+
     pub fn beat_of(&self, name: &Name) -> (u64, u64) {
         self.members.get(name).map_or((0, 0), |member| member.beat)
     }
