--- a/crates/versions/src/build.rs
+++ b/crates/versions/src/build.rs
@@ -96,3 +96,27 @@
         .map_err(|error| format!("{program}: {error}"))?;
     Ok(kept)
 }
+
+/// Builds and runs one test of a tree; what it told, whether it passed or failed.
+///
+/// # Errors
+/// Where it doesn't build, or there is no such test.
+pub fn test_output(
+    root: &Path,
+    tree: &Path,
+    package: &str,
+    file: &str,
+    name: &str,
+) -> Result<String, String> {
+    let target = root.join("target/versions/target");
+    let mut cargo = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
+    cargo.current_dir(tree).args(["test", "--quiet", "--locked", "-p", package, "--test", file]);
+    cargo.args(["--", "--exact", name, "--format", "pretty"]).env("CARGO_TARGET_DIR", &target);
+    let out = cargo.output().map_err(|error| format!("testing {}: {error}", tree.display()))?;
+    let told = String::from_utf8_lossy(&out.stdout).into_owned();
+    if told.contains("running 1 test") {
+        return Ok(told);
+    }
+    let words = String::from_utf8_lossy(&out.stderr).into_owned();
+    Err(format!("no test {name} of {package} was run in {}:\n{words}", tree.display()))
+}
--- a/crates/versions/src/mutants.rs
+++ b/crates/versions/src/mutants.rs
@@ -1,21 +1,40 @@
 //! Faults seeded into the books, one at a time: the present tree with a few words changed, built and played.
 
-use crate::build::{program, root, tree};
+use crate::build::{program, root, test_output, tree};
 use mulleinhub_settings::{Args, Faults, Scope, parse_text};
 use std::path::Path;
 use std::process::Command;
 
 const LIST: &str = include_str!("../mutants.list");
 
-/// One fault: what stands in a file, what takes its place, and the rule that the judge has to name.
+/// What has to find a fault.
+enum Finder {
+    /// A day, on which the judge has to name this rule.
+    Judge { day: String, rule: String, seeds: u64 },
+    /// A test that has to fail: its package, its file, its name.
+    Test { package: String, file: String, name: String },
+}
+
+/// One fault: what stands in a file, what takes its place, and what has to find it.
 struct Mutant {
     name: String,
     file: String,
     from: String,
     to: String,
-    day: String,
-    rule: String,
-    seeds: u64,
+    finder: Finder,
+}
+
+/// Either `day`, `rule` and `seeds`, or `test PACKAGE FILE NAME`.
+fn read_finder(scope: &mut Scope<'_>, faults: &mut Faults) -> Option<Finder> {
+    let Some(line) = scope.once("test", faults) else {
+        let (day, rule) = (scope.must("day", faults), scope.must("rule", faults));
+        let seeds = scope.or("seeds", 24, faults);
+        return Some(Finder::Judge { day: day?, rule: rule?, seeds });
+    };
+    let mut args = Args::of(line);
+    let (package, file, name) = (args.next(faults), args.next(faults), args.next(faults));
+    args.finish(faults);
+    Some(Finder::Test { package: package?, file: file?, name: name? })
 }
 
 fn read() -> Result<Vec<Mutant>, String> {
@@ -28,19 +47,16 @@
         let mut scope = Scope::of(directive);
         let mut text = |name| scope.must::<String>(name, &mut faults);
         let (file, from, to) = (text("file"), text("from"), text("to"));
-        let (day, rule) = (text("day"), text("rule"));
-        let seeds = scope.or("seeds", 24, &mut faults);
+        let finder = read_finder(&mut scope, &mut faults);
         scope.finish(&mut faults);
-        if let (Some(name), Some(file), Some(from), Some(to), Some(day), Some(rule)) =
-            (name, file, from, to, day, rule)
-        {
-            mutants.push(Mutant { name, file, from, to, day, rule, seeds });
+        if let (Some(name), Some(file), Some(from), Some(to), Some(finder)) = (name, file, from, to, finder) {
+            mutants.push(Mutant { name, file, from, to, finder });
         }
     }
     if faults.is_empty() { Ok(mutants) } else { Err(faults.render()) }
 }
 
-/// Builds and plays them; true where the judge named the rule of each.
+/// Builds and plays them; true where each was found by the rule or the test that is named.
 ///
 /// # Errors
 /// What git or a build refuses, and a mutant whose words stand nowhere any more.
@@ -50,7 +66,11 @@
     for mutant in read()?.iter().filter(|mutant| mutant.name.contains(only)).take(most) {
         let named = one(&root, mutant)?;
         caught &= named;
-        println!("{}: {} {:?}", mutant.name, if named { "caught by" } else { "NOT CAUGHT by" }, mutant.rule);
+        let by = match &mutant.finder {
+            Finder::Judge { rule, .. } => rule,
+            Finder::Test { name, .. } => name,
+        };
+        println!("{}: {} {by:?}", mutant.name, if named { "caught by" } else { "NOT CAUGHT by" });
     }
     Ok(caught)
 }
@@ -64,15 +84,22 @@
         return Err(format!("{}: {:?} stands in {} not once", mutant.name, mutant.from, mutant.file));
     }
     std::fs::write(&path, text.replace(&mutant.from, &mutant.to)).map_err(words)?;
+    let (day, rule, seeds) = match &mutant.finder {
+        Finder::Judge { day, rule, seeds } => (day, rule, seeds),
+        Finder::Test { package, file, name } => {
+            let told = test_output(root, &at, package, file, name)?;
+            return Ok(told.contains(&format!("test {name} ... FAILED")));
+        }
+    };
     let program = program(root, &at, "mulleinhub-cli", "mulleinhub")?;
     let played = Command::new(program)
         .current_dir(root)
         .args(["day", "run", "--virtual", "--seed", "1", "--seeds"])
-        .arg(mutant.seeds.to_string())
-        .args(mutant.day.split(' '))
+        .arg(seeds.to_string())
+        .args(day.split(' '))
         .output()
         .map_err(|error| format!("{}: {error}", mutant.name))?;
     let told = String::from_utf8_lossy(&played.stdout).into_owned();
-    let broken = format!("books {}: BROKEN", mutant.rule);
+    let broken = format!("books {rule}: BROKEN");
     Ok(told.contains(&broken))
 }
