Balances of large fleets are written together; versions are built apart

Trees of two versions with one target directory took each other's crates for their own. Change: the period counts the telling; between two writings of all balances blocks are drawn only once an eighth is left, and put back only with them. Each tree builds below itself.

--- a/crates/accounts/src/keeper.rs
+++ b/crates/accounts/src/keeper.rs
@@ -42,6 +42,8 @@
 /// So that the first of a burst need not wait for the disk, this part of what is left lies drawn, also
 /// while nobody asks.
 const LEAST_BLOCK: u64 = 64;
+/// Between two writings of all balances, more is drawn once less than this part of a block is left.
+const LOW_BLOCK: u64 = 8;
 /// Workers in one row.
 const MOST_WORK: usize = 1_000;
 /// Holders are ranked for so many replicas where our own settings ask for none.
@@ -742,8 +744,15 @@
         let least = free.open / LEAST_BLOCK;
         let block = uses.block(pace.block);
         let block = Parts { open: block.open.max(least), ..block };
-        // With the balances that are written together, blocks are filled up.
-        let low = if all_due && pace != Pace::QUICK { block.open } else { block.open / 2 };
+        // With the balances that are written together, blocks are filled up, so that between two of them
+        // little is written.
+        let is_quick = pace == Pace::QUICK;
+        let low = match (is_quick, all_due) {
+            (true, _) => block.open / 2,
+            (false, true) => block.open,
+            (false, false) => block.open / LOW_BLOCK,
+        };
+        let puts_back = is_quick || all_due;
         let wants_open = if at_hand.open < low { block.open - at_hand.open } else { 0 } + seen.debt;
         let open = wants_open.min(free.open);
         let owed = seen.debt.saturating_sub(open);
@@ -754,7 +763,10 @@
         if too_much != Parts::default() {
             // A cap was lowered: what lies here of the old one goes back first.
             tills.with(team, &mut |till| back = till.take_back(too_much));
-        } else if draws == Parts::default() && uses.new < 1.0 && seen.has.open > block.open.saturating_mul(2)
+        } else if puts_back
+            && draws == Parts::default()
+            && uses.new < 1.0
+            && seen.has.open > block.open.saturating_mul(2)
         {
             // Nobody asks for it here: it goes back into the share, from where it can be given away.
             let most = Parts { open: seen.has.open - block.open, last: 0 };
@@ -762,7 +774,6 @@
         }
         let desk = &mut self.desks[team];
         let spent = desk.before + seen.spent;
-        let is_quick = pace == Pace::QUICK;
         let due = if is_quick {
             utc.saturating_sub(desk.purse.at) * 1_000_000 >= LEAST_PERIOD.nanos()
         } else {
--- a/crates/accounts/src/pace.rs
+++ b/crates/accounts/src/pace.rs
@@ -12,8 +12,10 @@
 /// What was spent is written down this often at the most, where nothing else is: a crash leaves so much to
 /// be reckoned.
 pub const LEAST_PERIOD: Span = Span::from_secs(1);
-/// About what one balance costs each member, in bytes.
+/// About what one balance costs each member, in bytes, and what all that are written together cost beside:
+/// ends of logs that are told, and the asking for rows.
 const BALANCE: u64 = 64;
+const TELLING: u64 = 400;
 /// What balances of the whole fleet may cost each member in a second, in bytes.
 const BUDGET: u64 = 4_096;
 /// A cap whose open part is spent but for this part of it is watched closely.
@@ -33,7 +35,8 @@
 
     /// For so many members, each of which uses so many teams' caps as we do.
     pub fn of_fleet(members: usize, teams: usize) -> Self {
-        let bytes = (members as u64).saturating_mul(teams as u64).saturating_mul(BALANCE);
+        let each = (teams as u64).saturating_mul(BALANCE).saturating_add(TELLING);
+        let bytes = (members as u64).saturating_mul(each);
         let period = Span::from_secs(1) * (bytes as f64 / BUDGET as f64);
         let period = period.max(LEAST_PERIOD);
         Self { period, block: (2.0 * period.over(Span::from_secs(1))).max(BLOCK) }
--- a/crates/versions/src/build.rs
+++ b/crates/versions/src/build.rs
@@ -80,17 +80,23 @@
     Ok(at)
 }
 
-/// Builds a program of a tree; where it is. Trees share what they have in common.
+/// Where a tree is built. Each has a place of its own: crates of one name in two trees are one to cargo, which
+/// goes by the times of their files, and took what the one had built for the other's.
+fn target(root: &Path, tree: &Path) -> PathBuf {
+    if tree == root { root.join("target/versions/target") } else { tree.join("target") }
+}
+
+/// Builds a program of a tree; where it is.
 ///
 /// # Errors
 /// What the build says last.
 pub fn program(root: &Path, tree: &Path, package: &str, program: &str) -> Result<PathBuf, String> {
-    let target = root.join("target/versions/target");
+    let target = target(root, tree);
     let mut cargo = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
     cargo.current_dir(tree).args(["build", "--quiet", "--release", "--locked", "-p", package]);
     cargo.env("CARGO_TARGET_DIR", &target);
     run(&mut cargo, &format!("building {}", tree.display()))?;
-    // The next tree's build puts its own in the same place.
+    // The next build puts its own in the same place.
     let kept = tree.join(program);
     std::fs::copy(target.join("release").join(program), &kept)
         .map_err(|error| format!("{program}: {error}"))?;
@@ -108,7 +114,7 @@
     file: &str,
     name: &str,
 ) -> Result<String, String> {
-    let target = root.join("target/versions/target");
+    let target = target(root, tree);
     let mut cargo = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
     cargo.current_dir(tree).args(["test", "--quiet", "--locked", "-p", package, "--test", file]);
     cargo.args(["--", "--exact", name, "--format", "pretty"]).env("CARGO_TARGET_DIR", &target);
