Merge: a work log for each scheduler, held by a replica set, behind replicas in the books block

Names of running work and balances went to every member. With replicas set, ordinary work stands in a second log that few members hold, and balances go to all at a bounded pace.

--- a/crates/peers/src/exchange/neighbors.rs
+++ b/crates/peers/src/exchange/neighbors.rs
@@ -1,17 +1,22 @@
 //! Neighbors: the few members to whom connections are kept, drawn at random and redrawn now and then.
 
 use super::Exchange;
+use mulleinhub_accounts::Phase;
 use mulleinhub_interface::Span;
 use mulleinhub_replica::{Name, Presence};
 
-/// Neighbors that are kept.
+/// Neighbors that are kept, the replicas of our work log among them.
 const NEIGHBORS: usize = 3;
-/// Neighbors at the most, where others are drawn beside doubtful ones.
-const MAX_NEIGHBORS: usize = 2 * NEIGHBORS;
+/// Of those, at least so many are drawn.
+const MIN_DRAWN: usize = 1;
 /// One of them is drawn anew this often, so that two halves of the fleet that have met nobody of each other
 /// meet.
 const REDRAW_INTERVAL: Span = Span::from_secs(20);
-/// Part of that interval that is drawn at random.
+/// One of the members that are taken for dead is called this often.
+const CALL_DEAD_INTERVAL: Span = Span::from_secs(5);
+/// Where this part of the members is silent, it is a cut.
+const SILENT_IN_A_CUT: f64 = 0.25;
+/// Part of these intervals that is drawn at random.
 const REDRAW_JITTER: f64 = 0.25;
 
 impl Exchange {
@@ -20,11 +25,43 @@
         if self.now >= self.redraw_at {
             self.redraw_at = self.now + REDRAW_INTERVAL * (1.0 - REDRAW_JITTER * self.keeper.part());
             self.drop_neighbor();
-            while self.neighbors.len() > NEIGHBORS {
+            while self.neighbors.len() > self.wanted_neighbors() {
                 self.drop_neighbor();
             }
         }
         self.draw_neighbors();
+        self.call_dead();
+    }
+
+    /// Neighbors to draw beside the replicas.
+    fn wanted_neighbors(&self) -> usize {
+        NEIGHBORS.saturating_sub(self.replicas.len()).max(MIN_DRAWN)
+    }
+
+    /// Calls one of the members that are silent, where there are any. The failure defended against: two
+    /// parts of the fleet that lost each other for long took all of each other for dead, and with enough
+    /// members alive in either part nobody was ever called across.
+    fn call_dead(&mut self) {
+        if self.now < self.call_dead_at || self.keeper.phase() == Phase::CatchingUp {
+            return;
+        }
+        self.call_dead_at = self.now + CALL_DEAD_INTERVAL * (1.0 - REDRAW_JITTER * self.chance.part());
+        let presence = |name: &&Name| self.keeper.roll.presence(self.now, name);
+        let silent = self.addresses.keys().filter(|name| presence(name) != Presence::There).count();
+        // One that is late is not called for that, unless many are at once: a cut.
+        let is_cut = silent as f64 >= self.addresses.len() as f64 * SILENT_IN_A_CUT;
+        let is_dead = |name: &&Name| match presence(name) {
+            Presence::There => false,
+            Presence::Slow => is_cut,
+            Presence::Gone => true,
+        };
+        let dead = self.addresses.keys().filter(is_dead).filter(|name| !self.waits_to_retry(name));
+        let dead: Vec<&Name> = dead.collect();
+        if dead.is_empty() {
+            return;
+        }
+        let name = dead[self.chance.below(dead.len())].clone();
+        self.call(&name);
     }
 
     /// Nothing came on the connection to a neighbor for longer than usual, or it doesn't come up.
@@ -40,8 +77,10 @@
     /// though there were others in its own half.
     fn draw_neighbors(&mut self) {
         let lively = self.neighbors.iter().filter(|name| !self.is_doubtful(name)).count();
-        let room = MAX_NEIGHBORS.saturating_sub(self.neighbors.len());
-        let missing = NEIGHBORS.saturating_sub(lively).min(room);
+        // Where others are drawn beside doubtful ones, there are up to twice as many.
+        let wanted = self.wanted_neighbors();
+        let room = (2 * wanted).saturating_sub(self.neighbors.len());
+        let missing = wanted.saturating_sub(lively).min(room);
         let draws: Vec<f64> = (0..missing).map(|_| self.keeper.part()).collect();
         let mut candidates = self.candidates(missing);
         let mut drawn = Vec::new();
@@ -55,7 +94,9 @@
     /// Members that can become neighbors: those alive; all that are not dead, where fewer than `wanted` are
     /// alive; all others, where there are none of these.
     fn candidates(&self, wanted: usize) -> Vec<&Name> {
-        let is_new = |name: &&Name| !self.neighbors.contains(*name) && !self.waits_to_retry(name);
+        let is_new = |name: &&Name| {
+            !self.neighbors.contains(*name) && !self.replicas.contains(name) && !self.waits_to_retry(name)
+        };
         let others: Vec<&Name> = self.addresses.keys().filter(is_new).collect();
         let present = |is_wanted: fn(Presence) -> bool| -> Vec<&Name> {
             let is_wanted = |name: &&Name| is_wanted(self.keeper.roll.presence(self.now, name));
