--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -224,7 +224,12 @@
             let Some(owner) = self.owners.by_link.get(&link) else { continue };
             let Some(since) = owner.gives_way else { continue };
             let until = since + self.limits.settings().may_speak;
-            if owner.queued || owner.frames.has_next() || !owner.open.is_empty() || owner.end.is_some() {
+            let speaks =
+                owner.queued || owner.frames.has_next() || !owner.open.is_empty() || owner.end.is_some();
+            // Met: of as many new owners as there were places for, all beyond an eighth of the descriptors
+            // were ended in the middle of their first set-up, which came in pieces.
+            let has_room = self.owners.by_link.len() <= self.limits.allowed();
+            if speaks || (has_room && self.is_within_a_message(link)) {
                 self.stays(link);
             } else if owner.frames.kept() > 0 && until > self.now {
                 // The rest of a message may be on its way. Met: whoever sent a part of one kept its place for
@@ -237,12 +242,21 @@
         }
     }
 
+    /// Whether a part of a message is here that still has time to become whole.
+    pub fn is_within_a_message(&self, link: Link) -> bool {
+        let since = self.owners.by_link.get(&link).and_then(|owner| owner.partial_since);
+        since.is_some_and(|since| self.now - since < self.limits.settings().frame_within)
+    }
+
     /// It spoke, so it makes no room.
-    fn stays(&mut self, link: Link) {
+    pub fn stays(&mut self, link: Link) {
         let Some(owner) = self.owners.by_link.get_mut(&link) else { return };
         owner.gives_way = None;
-        let (proven, open) = (owner.proven, owner.open.len() as u32);
+        let (proven, open, partial_since) = (owner.proven, owner.open.len() as u32, owner.partial_since);
         self.limits.stays(self.now, link.0);
+        if let Some(since) = partial_since {
+            self.limits.read(since, link.0, true);
+        }
         if proven {
             // There is no bound on one name here.
             let _ = self.limits.greeted(link.0, &self.owners_name);
@@ -659,12 +673,17 @@
         true
     }
 
+    /// Whether the end of this send is on its way to the module already.
+    fn is_closing(&self, id: TaskId, send: u32) -> bool {
+        self.closings.iter().any(|(task, number, _)| (*task, *number) == (id, send))
+    }
+
     /// Ends the open send of a task from this side, unless its end is on its way already: it is taken back,
     /// or given up at its machine. The module is told what is proven, or `may_run` where nothing is.
     pub fn give_up(&mut self, id: TaskId, may_run: Ending) {
         let Some(job) = self.tasks.by_id.get(&id) else { return };
         let Some(open) = job.open else { return };
-        if self.closings.iter().any(|(task, send, _)| (*task, *send) == (id, open.number)) {
+        if self.is_closing(id, open.number) {
             return;
         }
         let cut = self.site.use_cases[job.order.use_case.0].effect == Effect::Replayable;
@@ -676,7 +695,7 @@
     pub fn take_back(&mut self, id: TaskId, send: u32) {
         let open = self.tasks.by_id.get(&id).and_then(|job| job.open);
         let Some(open) = open.filter(|open| open.number == send && open.placed_at.is_none()) else { return };
-        if self.closings.iter().any(|(task, send, _)| (*task, *send) == (id, open.number)) {
+        if self.is_closing(id, open.number) {
             return;
         }
         if let Some(link) = open.link {
--- a/crates/platform/src/hear.rs
+++ b/crates/platform/src/hear.rs
@@ -18,7 +18,7 @@
 };
 use mulleinhub_seam::{End, Link, Unwritten};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// So many tries in a row that were refused: the process there has died, and what stood there with it.
 const DEAD: u32 = 2;
@@ -85,8 +85,9 @@
         if kind != ListKind::Changes {
             d.machines.by_id.values_mut().for_each(|machine| machine.entry.mode = Mode::Left);
         }
+        let mut by_address = None;
         for (listed, entry) in targets.iter().zip(&entries) {
-            is_listed(d, &listed.endpoint, *entry);
+            is_listed(d, &mut by_address, &listed.endpoint, *entry);
         }
         entries
     };
@@ -134,16 +135,30 @@
     }
 }
 
+/// Machines by their addresses, also by those that they had at the beginning of the list that is being heard.
+type ByAddress = BTreeMap<String, BTreeSet<MachineId>>;
+
+fn by_address(d: &Desk) -> ByAddress {
+    let mut by_address = ByAddress::new();
+    for (id, machine) in &d.machines.by_id {
+        by_address.entry(machine.address.clone()).or_default().insert(*id);
+    }
+    by_address
+}
+
 /// A machine as the list tells it. A later start ended what had stood there; a machine at the address of
-/// another one ended that.
-fn is_listed(d: &mut Desk, address: &str, entry: Entry) {
+/// another one ended that. Where any address is new, all are looked up by an index that is made once.
+fn is_listed(d: &mut Desk, index: &mut Option<ByAddress>, address: &str, entry: Entry) {
     let (now, id) = (d.now, entry.id);
     let known = d.machines.by_id.get(&id);
     tracing::debug!(address, ?entry, "listed");
     let (moved, before) = (known.is_none_or(|m| m.address != address), known.and_then(|m| m.entry.since));
     if moved && entry.mode != Mode::Left {
-        let others = d.machines.by_id.iter().filter(|(other, m)| **other != id && m.address == address);
-        let others: Vec<MachineId> = others.map(|(other, _)| *other).collect();
+        let at_address = index.get_or_insert_with(|| by_address(d)).get(address);
+        let is_there = |other: &&MachineId| {
+            **other != id && d.machines.by_id.get(*other).is_some_and(|machine| machine.address == address)
+        };
+        let others: Vec<MachineId> = at_address.into_iter().flatten().filter(is_there).copied().collect();
         for other in others {
             d.machines.by_id.get_mut(&other).expect("is there").replaced = true;
             d.is_lost(other, now, "another machine has its address");
@@ -162,6 +177,9 @@
     if moved {
         address.clone_into(&mut machine.address);
     }
+    if let (true, Some(index)) = (moved, index) {
+        index.entry(address.to_owned()).or_default().insert(id);
+    }
     if let Some(since) = entry.since {
         let until = since + d.site.cold.warm_after;
         if until > now {
@@ -194,6 +212,7 @@
     let take = |d: &mut Desk| Some(std::mem::take(&mut d.owners.by_link.get_mut(&link)?.frames));
     let Some(mut frames) = take(&mut desk.borrow_mut()) else { return };
     let mut left = desk.borrow().limits.frames_a_turn();
+    let mut heard_any = false;
     while left > 0 {
         left -= 1;
         let heard = match frames.next_frame() {
@@ -201,6 +220,7 @@
             Ok(Some(frame)) => of_owner(desk, round, link, &frame),
             Err(bad) => Err(bad),
         };
+        heard_any = true;
         if let Err(bad) = heard {
             let d = &mut *desk.borrow_mut();
             d.counts.bad_owners += 1;
@@ -216,6 +236,13 @@
     frames.tidy();
     let (partial, more) = (frames.kept() > 0, frames.has_next());
     owner.frames = frames;
+    if heard_any && partial {
+        // What is here now is a part of another message. Met: pieces of set-ups in a row, none of which ended
+        // with a set-up, were taken for one slow message, and the connection ended.
+        d.limits.read(now, link.0, false);
+    }
+    let since = owner.partial_since.filter(|_| !heard_any).unwrap_or(now);
+    owner.partial_since = partial.then_some(since);
     let (end, turned_away) = (owner.end, owner.turned_away);
     if more {
         // What is whole by now is no slow frame.
@@ -495,6 +522,10 @@
             Act::AskForSign if d.owners.by_link.get(&Link(conn)).is_some_and(|o| !o.open.is_empty()) => {
                 d.limits.heard(now, conn);
             }
+            // A message has its own time. Met: a first set-up that began late was cut off in its middle.
+            Act::End(mulleinhub_limits::Why::NoGreeting) if d.is_within_a_message(Link(conn)) => {
+                d.stays(Link(conn));
+            }
             Act::AskForSign | Act::End(_) => close_owner(d, Link(conn)),
         }
     }
@@ -843,6 +874,10 @@
         Due::TurnedAway => d.end_turned_away(),
         Due::HandOver => {
             while let Some(waiting) = d.handovers.overdue(d.now) {
+                // Whoever ended it is owed nothing.
+                if waiting.given_up {
+                    continue;
+                }
                 // It may be an owner's, or nobody's: the machine may never have been.
                 d.counts.unusable += 1;
                 d.grumble("a set-up can't be used", "a machine that no list names");
