Scale: hollow members keep both kinds of logs

Cause: the hollow ledger was written while a member had one log; with work logs the crate didn't compile. Change: what stands for a member's disk keeps rows by the kind of their log, and both ends of its own logs are told.

--- a/crates/scale/src/ledgers/member.rs
+++ b/crates/scale/src/ledgers/member.rs
@@ -6,7 +6,9 @@
 use mulleinhub_accounts::{Months, Phase, Prices, Settings, Team};
 use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
 use mulleinhub_peers::{Exchange, Figures, Member, Shelf, Teller};
-use mulleinhub_replica::{Change, ColumnId, Digest, Kept, Name, Order, Subject, Word};
+use mulleinhub_replica::{
+    Change, Changes, ColumnId, Digest, Kept, KeptLogs, Kind, Name, Order, Reached, Subject, Word,
+};
 use mulleinhub_seam::{Ask, Door, End, Link, Party};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -59,6 +61,8 @@
             near: NEAR,
             stretch: STRETCH,
             catch_up: CATCH_UP,
+            replicas: None,
+            sites: BTreeMap::new(),
         }
     }
 }
@@ -75,9 +79,9 @@
 /// What a member wants to be kept on disk.
 #[derive(Debug, Default)]
 pub struct Writes {
-    changes: Vec<Change>,
+    changes: Changes,
     /// The last of its own rows among them.
-    last_own: u64,
+    last_own: Reached,
 }
 
 impl Writes {
@@ -95,7 +99,7 @@
 /// What a member has on disk.
 #[derive(Debug)]
 pub struct Disk {
-    rows: BTreeMap<(ColumnId, u64), (Digest, Vec<u8>)>,
+    rows: BTreeMap<(Kind, ColumnId, u64), (Digest, Vec<u8>)>,
     /// Whether anybody ever reads it.
     is_read: bool,
 }
@@ -111,33 +115,38 @@
         if !self.is_read {
             return;
         }
-        for change in writes.changes {
+        for (kind, change) in writes.changes.into_each() {
             match change {
                 Change::Row { id, number, before, bytes } => {
-                    self.rows.insert((id, number), (before, bytes.to_vec()));
+                    self.rows.insert((kind, id, number), (before, bytes.to_vec()));
                 }
-                Change::Trim { id, below } => self.drop_rows(&id, below),
-                Change::Drop { id } => self.drop_rows(&id, u64::MAX),
+                Change::Trim { id, below } => self.drop_rows(kind, &id, below),
+                Change::Drop { id } => self.drop_rows(kind, &id, u64::MAX),
             }
         }
     }
 
-    fn drop_rows(&mut self, id: &ColumnId, below: u64) {
-        let rows = self.rows.range((id.clone(), 0)..(id.clone(), below));
-        let keys: Vec<(ColumnId, u64)> = rows.map(|(key, _)| key.clone()).collect();
+    fn drop_rows(&mut self, kind: Kind, id: &ColumnId, below: u64) {
+        let rows = self.rows.range((kind, id.clone(), 0)..(kind, id.clone(), below));
+        let keys: Vec<(Kind, ColumnId, u64)> = rows.map(|(key, _)| key.clone()).collect();
         for key in &keys {
             self.rows.remove(key);
         }
     }
 
-    fn kept(&self) -> Vec<Kept> {
-        let kept = |((id, number), (before, bytes)): (&(ColumnId, u64), &(Digest, Vec<u8>))| Kept {
+    fn kept(&self) -> KeptLogs {
+        KeptLogs { fleet: self.kept_of(Kind::Fleet), work: self.kept_of(Kind::Work) }
+    }
+
+    fn kept_of(&self, kind: Kind) -> Vec<Kept> {
+        let rows = self.rows.iter().filter(|((of, ..), _)| *of == kind);
+        let kept = rows.map(|((_, id, number), (before, bytes))| Kept {
             id: id.clone(),
             number: *number,
             before: *before,
             bytes: bytes.clone(),
-        };
-        self.rows.iter().map(kept).collect()
+        });
+        kept.collect()
     }
 }
 
@@ -159,7 +168,7 @@
 /// How far a member's own rows are on disk.
 #[derive(Clone, Copy, Debug)]
 pub struct Durable {
-    own: u64,
+    own: Reached,
 }
 
 impl Writes {
@@ -196,7 +205,7 @@
     exchange: Exchange,
     teller: Teller,
     shelf: Arc<Shelf>,
-    durable: u64,
+    durable: Reached,
 }
 
 impl Ledger {
@@ -210,7 +219,7 @@
         let members = (0..fleet.schedulers).map(of).collect();
         let seed = mulleinhub_interface::mix(fleet.seed, mulleinhub_interface::mix(member as u64, life));
         let exchange = Exchange::new(settings, members, life, seed, disk.kept(), shelf.clone());
-        Self { exchange, teller, shelf, durable: 0 }
+        Self { exchange, teller, shelf, durable: Reached::default() }
     }
 
     /// Tells all that has come in, lets the member act, and takes what it wants done.
@@ -240,9 +249,10 @@
             Told::Received(link, bytes) => self.exchange.received(now, link, &bytes),
             Told::Ended(link, end) => self.exchange.ended(now, link, end),
             Told::Durable(Durable { own }) => {
-                if own > self.durable {
-                    self.durable = own;
-                    self.exchange.is_durable(own);
+                let reached = self.durable.max(own);
+                if reached != self.durable {
+                    self.durable = reached;
+                    self.exchange.is_durable(reached);
                 }
             }
             Told::Woken => {}
