Names of running work are removed where they stand

Cause: each look at the names removed each running key from each team's names: running work times teams, many times a second. Change: the names are sorted by key once, and each running key is removed from the teams under which it stands, which may be others than its own.

--- a/crates/accounts/src/names.rs
+++ b/crates/accounts/src/names.rs
@@ -75,16 +75,30 @@
             name(&work.team, *key, true, work.since.saturating_add(COMES_AGAIN));
         }
     }
+    remove_running(all, &mut names);
+    names
+}
+
+/// Takes out the names of work that runs at a scheduler that is there, under whatever team they stand.
+fn remove_running(all: &[Known<'_>], names: &mut [HashMap<u64, Place>]) {
+    let teams_of = |(team, names): (usize, &HashMap<u64, Place>)| -> Vec<(u64, usize)> {
+        names.keys().map(|key| (*key, team)).collect()
+    };
+    let mut named: Vec<(u64, usize)> = names.iter().enumerate().flat_map(teams_of).collect();
+    if named.is_empty() {
+        return;
+    }
+    named.sort_unstable();
     for known in all.iter().filter(|known| !known.silent) {
         let own = known.copy.iter().filter(|_| known.is_me);
         let in_work_log = own.flat_map(|(.., state)| state.running.keys());
         for key in known.state.running.keys().chain(in_work_log) {
-            for names in &mut names {
-                names.remove(key);
+            let first = named.partition_point(|(named, _)| named < key);
+            for (_, team) in named[first..].iter().take_while(|(named, _)| named == key) {
+                names[*team].remove(key);
             }
         }
     }
-    names
 }
 
 /// What the fleet logs say of a key that `me` might begin, or has begun.
@@ -111,3 +125,6 @@
     });
     keys.filter(|key| ours.contains_key(key)).copied().collect()
 }
+
+#[cfg(test)]
+mod tests;
