Logs that are asked for are gathered once per turn

Cause: for each connection in each turn the set of logs that any peer was asked for was built anew: the square of the connections. Change: it is built once per turn and kind, and grows with each request.

--- a/crates/peers/src/exchange/mod.rs
+++ b/crates/peers/src/exchange/mod.rs
@@ -252,10 +252,11 @@
     fn replicate(&mut self) {
         let greeted = self.peers.iter().filter(|(_, peer)| peer.greeted);
         let links: Vec<Link> = greeted.map(|(link, _)| *link).collect();
+        let mut pending = KINDS.map(|kind| (kind, self.pending_logs(kind)));
         for link in links {
             self.push(link);
             self.push_work_heads(link);
-            KINDS.into_iter().for_each(|kind| self.request_rows(link, kind));
+            pending.iter_mut().for_each(|(kind, pending)| self.request_rows(link, *kind, pending));
         }
     }
 
--- a/crates/peers/src/exchange/replication.rs
+++ b/crates/peers/src/exchange/replication.rs
@@ -150,14 +150,19 @@
 
     // Rows.
 
+    /// The logs that some peer was asked for, while the answers can still be expected.
+    pub(super) fn pending_logs(&self, kind: Kind) -> BTreeSet<ColumnId> {
+        let pending = self.peers.values().filter_map(|peer| peer.cursor(kind).pending_log(self.now));
+        pending.cloned().collect()
+    }
+
     /// Asks a peer for rows that it has and we lack. One log at a time is asked of each peer, and no log of
-    /// two.
-    pub(super) fn request_rows(&mut self, link: Link, kind: Kind) {
-        let now = self.now;
-        let pending = self.peers.values().filter_map(|peer| peer.cursor(kind).pending_log(now));
-        let pending: BTreeSet<ColumnId> = pending.cloned().collect();
+    /// two: `pending` are those that some peer was asked for.
+    pub(super) fn request_rows(&mut self, link: Link, kind: Kind, pending: &mut BTreeSet<ColumnId>) {
         let Some(peer) = self.peers.get_mut(&link) else { return };
-        if let Some(request) = peer.cursor_mut(kind).next_request(now, self.keeper.logs(kind), &pending) {
+        let library = self.keeper.logs(kind);
+        if let Some(request) = peer.cursor_mut(kind).next_request(self.now, library, pending) {
+            pending.insert(request.id.clone());
             self.write_request(link, kind, &request);
         }
     }
