A till that nobody asks keeps no room for hundreds of names

Cause: each till reserved room for 256 names that wait, 8 KB for each team at each member, asked or not. Change: only a till that was asked within the last minute does; another keeps room for the first ones that come, and frees the rest. Result: an idle till's first ask finds room as before; a test of the room that is kept.

--- a/crates/accounts/src/till.rs
+++ b/crates/accounts/src/till.rs
@@ -13,8 +13,13 @@
 use mulleinhub_replica::Parts;
 use std::collections::HashMap;
 
-/// Names that a till has room for beside those it holds.
+/// Names that a till has room for beside those it holds, where it was asked lately: more than come between
+/// two looks.
 const SPARE_NAMES: usize = 256;
+/// And where it was not: the first ones that come.
+const SPARE_NAMES_OF_IDLE: usize = 1;
+/// After so long without an ask a till is idle.
+const IDLE_AFTER: Span = Span::from_secs(60);
 
 /// Between how long and how long a refused owner is to stay away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,6 +100,8 @@
     names: HashMap<u64, Place>,
     /// Keys that were taken here and don't run yet, and how often.
     waiting: HashMap<u64, u32>,
+    /// When a place was asked for last.
+    asked_at: Option<Time>,
     // Since the keeper's last look.
     asked: u64,
     refused: u64,
@@ -144,6 +151,7 @@
             carried: 0,
             names: HashMap::new(),
             waiting: HashMap::new(),
+            asked_at: None,
             asked: 0,
             refused: 0,
             most: 0,
@@ -159,6 +167,7 @@
     /// For how long its owner is to stay away.
     pub fn ask(&mut self, now: Time, team: u32, key: TaskKey, rate: u64, drawn: f64) -> Result<Ticket, Span> {
         self.accrue(now);
+        self.asked_at = Some(now);
         let need = cost(rate, self.stretch);
         let none = Ticket { team, key, rate, open: 0, last: 0 };
         let place = self.names.get_mut(&key.0).filter(|place| !place.in_hand && !self.terms.finished);
@@ -327,8 +336,18 @@
     /// What is known here holds until then.
     pub fn refresh(&mut self, fresh_until: Time, away: Away, terms: Terms) {
         (self.fresh_until, self.away, self.terms) = (fresh_until, away, terms);
-        // The look itself finds room for one more name.
-        self.waiting.reserve(self.waiting.len() + SPARE_NAMES);
+        self.make_room();
+    }
+
+    /// The look itself finds room for one more name. A till that is idle keeps little of it.
+    fn make_room(&mut self) {
+        let is_idle = self.asked_at.is_none_or(|at| self.at - at > IDLE_AFTER);
+        if !is_idle {
+            self.waiting.reserve(self.waiting.len() + SPARE_NAMES);
+        } else if self.waiting.is_empty() {
+            self.waiting.shrink_to(SPARE_NAMES_OF_IDLE);
+            self.waiting.reserve(SPARE_NAMES_OF_IDLE);
+        }
     }
 
     /// Keys that were taken and don't run yet.
@@ -413,6 +432,25 @@
         assert_eq!((seen.has.open, seen.reserved, seen.spent, seen.rate), (150, 0, 50, 0));
     }
 
+    #[test]
+    fn a_till_that_is_idle_keeps_little_room_for_names() {
+        let mut till = till(1_000, 0);
+        let first = till.waiting.capacity();
+        assert!((SPARE_NAMES_OF_IDLE..16).contains(&first), "{first}");
+        let ticket = till.ask(at(0), 0, TaskKey(1), 10, 0.0).expect("there is room");
+        let mut look = |till: &mut Till, ms: u64| {
+            till.look(at(ms));
+            till.refresh(at(1_000_000), AWAY, CAPPED);
+            till.waiting.capacity()
+        };
+        assert!(look(&mut till, 100) >= SPARE_NAMES);
+        assert!(look(&mut till, 100_000) >= SPARE_NAMES, "its first one still waits");
+        till.runs(at(100_000), ticket);
+        assert_eq!(look(&mut till, 100_100), first);
+        till.ask(at(100_200), 0, TaskKey(2), 10, 0.0).expect("there is room");
+        assert!(look(&mut till, 100_300) >= SPARE_NAMES);
+    }
+
     #[test]
     fn running_workers_use_the_last_part_and_run_on_when_all_is_gone() {
         let mut till = till(100, 30);
