Connections that carry rows of the present alone end as unused

Cause: each row that was served or taken counted as use of its connection, so while there was work no connection that was ever opened ended: all that catching up had opened stayed, and redrawn neighbors piled up, up to a full mesh. Change: only messages with at least half a piece of rows count, which are part of catching up. One that is unused waits, for five seconds at the most, for rows that it asked for. A neighbor whose connection the other side ends calls it itself, as before.

--- a/crates/peers/src/exchange/peer.rs
+++ b/crates/peers/src/exchange/peer.rs
@@ -5,12 +5,14 @@
 use super::orders::OrderCursor;
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::Frames;
-use mulleinhub_replica::{Kind, Name};
+use mulleinhub_replica::{KINDS, Kind, Name};
 
 /// Longest wait for the greeting on a new connection.
 const GREETING_TIMEOUT: Span = Span::from_secs(3);
 /// A connection of ours to somebody who is no neighbor ends once it was not used for so long.
 const IDLE_TIMEOUT: Span = Span::from_secs(10);
+/// It stays for so long at the most until rows come that were asked for.
+const ANSWER_TIMEOUT: Span = Span::from_secs(5);
 /// A connection on which nothing came for so many heartbeat intervals is taken for dead.
 const DEAD_INTERVALS: f64 = 4.0;
 /// A connection on which something came within so many heartbeat intervals is lively.
@@ -104,9 +106,16 @@
         }
     }
 
-    /// A connection of ours that is up and was not used for long.
+    /// A connection of ours that is up and was not used for long, and on which no rows are to come.
     pub(super) fn is_idle(&self, now: Time) -> bool {
-        self.opened_by_us && self.greeted && now - self.used_at > IDLE_TIMEOUT
+        let unused = now - self.used_at;
+        let is_unused = self.opened_by_us && self.greeted && unused > IDLE_TIMEOUT;
+        is_unused && (!self.awaits_rows(now) || unused > IDLE_TIMEOUT + ANSWER_TIMEOUT)
+    }
+
+    /// The peer was asked for rows, and the answer can still be expected.
+    fn awaits_rows(&self, now: Time) -> bool {
+        KINDS.into_iter().any(|kind| self.cursor(kind).pending_log(now).is_some())
     }
 
     /// This process was paused: what was silent meanwhile may have spoken.
--- a/crates/peers/src/exchange/replication.rs
+++ b/crates/peers/src/exchange/replication.rs
@@ -15,6 +15,9 @@
 
 /// Bytes of rows in one message. A single row may be longer: it goes in several pieces.
 const PIECE: usize = 64 * 1024;
+/// A message with so many bytes of rows is part of catching up, for which a connection is kept. Those that
+/// tell what was written lately are much shorter, and come from whichever peer tells of it first.
+const CATCH_UP_BYTES: usize = PIECE / 2;
 
 /// The part of a long row that goes in one message.
 struct RowPart {
@@ -191,6 +194,7 @@
         let part = cut_long_row(&mut rows, *skip as usize, piece.after == *after);
         let own = self.keeper.logs(kind).own().clone();
         let last = piece.after + rows.len() as u64 - u64::from(part.rest > 0);
+        let bytes = rows.iter().map(|row| row.len()).sum();
         let rows = rows.into_iter().map(protocol::RowBytes).collect();
         let (life, after, digest) = (*life, piece.after, &piece.digest.0);
         let (skip, rest) = (part.skip as u64, part.rest as u64);
@@ -199,7 +203,15 @@
         if kind == Kind::Work && *id == own {
             self.note_replica_has(link, last);
         }
-        self.mark_used(link);
+        self.note_rows(link, bytes);
+    }
+
+    /// Rows went over a connection. The failure defended against: where any rows count as use, no connection
+    /// that was ever opened goes unused while there is work, and each member stays connected to all.
+    fn note_rows(&mut self, link: Link, bytes: usize) {
+        if bytes >= CATCH_UP_BYTES {
+            self.mark_used(link);
+        }
     }
 
     /// Takes in rows that a peer sent.
@@ -212,6 +224,7 @@
         kind: Kind,
         received: &ReceivedRows<'_>,
     ) -> Result<(), Bad> {
+        self.note_rows(link, received.rows.iter().map(|row| row.len()).sum());
         let Some(peer) = self.peers.get_mut(&link) else { return Ok(()) };
         match peer.cursor_mut(kind).assemble(self.now, received)? {
             Assembled::Unasked | Assembled::Nothing => Ok(()),
@@ -245,7 +258,6 @@
         if let Some(peer) = self.peers.get_mut(&link) {
             peer.cursor_mut(kind).rows_taken(self.keeper.logs(kind), id, taken.new);
         }
-        self.mark_used(link);
         Ok(())
     }
 }
--- a/crates/peers/tests/net/mod.rs
+++ b/crates/peers/tests/net/mod.rs
@@ -188,6 +188,11 @@
         node.disk
     }
 
+    /// Connections that a scheduler has, whoever opened them.
+    pub fn connections(&self, n: usize) -> usize {
+        self.wires.keys().filter(|(of, _)| *of == n).count()
+    }
+
     pub fn node(&mut self, n: usize) -> &mut Node {
         self.nodes[n].as_mut().expect("is up")
     }
