What others' logs say of a team is reckoned where they say something new

Cause: each look at each team, ten times a second, went over the logs of all members for what was spent and what our share is: teams times members. Change: the library notes with each row which team's balances it may have changed, and the keeper keeps the figures of a team, without what our own log says of it, until then. Orders, months and lives that differ from those before end them, too; forks, dropped logs and rows of lives that are over end all. A member's place in the list is searched by halves.

--- a/crates/accounts/src/keeper.rs
+++ b/crates/accounts/src/keeper.rs
@@ -6,8 +6,10 @@
 //! disk.
 
 mod copies;
+mod figures;
 mod work;
 
+use self::figures::FigureCache;
 use crate::announce::{self, Announcer};
 use crate::money::{cost, part};
 use crate::month::Month;
@@ -135,6 +137,8 @@
     kept: Option<(u64, u64)>,
     month: Option<Month>,
     desks: Vec<Desk>,
+    /// What others say of each team.
+    figures: FigureCache,
     chance: Pcg,
     due: Option<Time>,
     awake_at: Option<Time>,
@@ -187,6 +191,7 @@
         Self {
             roll: Roll::new(others, beat),
             desks: settings.teams.iter().map(desk).collect(),
+            figures: FigureCache::default(),
             settings,
             library,
             work,
@@ -367,18 +372,12 @@
         }
     }
 
-    /// What a member has of a team's share and has not drawn or given, as its column and the others' tell.
-    /// What is under nought is told as nought.
-    fn free(&self, member: &Name, team: usize, month: u32) -> Parts {
-        let name = &self.settings.teams[team].name;
-        let got = self.library.got(member, self.valid_from(member), name, month);
-        self.left(member, team, month, got)
-    }
-
     fn valid_from(&self, member: &Name) -> u64 {
         self.library.state_of(member).map_or(0, |state| state.valid_from)
     }
 
+    /// What a member has of a team's share and has not drawn or given, as its column and the others' tell.
+    /// What is under nought is told as nought.
     fn left(&self, member: &Name, team: usize, month: u32, got: Parts) -> Parts {
         let of = |has: i128| u64::try_from(has).unwrap_or(0);
         let (open, last) = self.balance(member, team, month, got);
@@ -401,32 +400,6 @@
         (of(|parts| parts.open), of(|parts| parts.last))
     }
 
-    /// Our own, less our part of what others drew under a cap that was lowered since: all together must come under
-    /// the new one. Beside it, what we ourselves drew too much, and whether all together did.
-    fn mine(&self, team: usize, month: u32) -> (Parts, Parts, bool) {
-        let me = &self.settings.me;
-        if self.library.orders().get(&Subject::Team(self.settings.teams[team].name.clone())).is_none() {
-            return (self.free(me, team, month), Parts::default(), false);
-        }
-        let got = self.all_got(team, month);
-        let (mut has, mut owed, mut mine) = ([0i128; 2], [0i128; 2], [0i128; 2]);
-        for member in &self.settings.members {
-            let got = got.get(member).copied().unwrap_or_default();
-            let (open, last) = self.balance(member, team, month, got);
-            for (at, balance) in [open, last].into_iter().enumerate() {
-                has[at] += balance.max(0);
-                owed[at] += (-balance).max(0);
-                mine[at] += if member == me { balance } else { 0 };
-            }
-        }
-        let left = |at: usize| mine[at].max(0) * (has[at] - owed[at]).max(0) / has[at].max(1);
-        let parts = |of: &dyn Fn(usize) -> i128| {
-            let [open, last] = [of(0), of(1)].map(|amount| u64::try_from(amount).unwrap_or(0));
-            Parts { open, last }
-        };
-        (parts(&left), parts(&|at| -mine[at]), owed[0] > has[0])
-    }
-
     /// What each member got of a team's share, in one pass over all gifts.
     fn all_got(&self, team: usize, month: u32) -> BTreeMap<Name, Parts> {
         let mut got: BTreeMap<Name, Parts> = BTreeMap::new();
@@ -530,6 +503,7 @@
     pub fn tick(&mut self, now: Time, utc: u64, tills: &mut dyn Tills) {
         self.due = Some(now + TICK);
         let month = self.settings.months.at(utc);
+        self.refresh_figures();
         if self.phase == Phase::CatchingUp {
             self.since.get_or_insert(now);
             if !self.has_caught_up(now) {
@@ -547,6 +521,7 @@
         }
         self.fall_back_for_older(utc);
         self.tell_news(now, utc, tills);
+        self.refresh_figures();
         let (fleet, all_due) = self.pace(utc);
         for team in 0..self.desks.len() {
             self.look_after(now, utc, team, fleet, all_due, tills);
@@ -818,17 +793,6 @@
         Terms { capped: cap.is_some(), bound, held, finished, near }
     }
 
-    /// What all schedulers say that they spent this month, and what of that nothing was left for.
-    fn spent(&self, team: usize) -> (u64, u64) {
-        let month = self.month.map_or(0, |month| month.number);
-        let name = &self.settings.teams[team].name;
-        let writers = self.library.writers();
-        let purses = writers.iter().map(|writer| self.library.purse(writer, name, month));
-        purses.fold((0, 0), |(spent, beyond), purse| {
-            (spent.saturating_add(purse.spent), beyond.saturating_add(purse.beyond))
-        })
-    }
-
     fn ask_others(&mut self, now: Time, team: usize, month: u32, parts: Parts) {
         let desk = &mut self.desks[team];
         if let Some((name, until)) = &desk.asking {
--- a/crates/accounts/src/settings.rs
+++ b/crates/accounts/src/settings.rs
@@ -40,7 +40,10 @@
 impl Settings {
     /// The share of a cap that a member begins each month with.
     pub fn first_share(&self, member: &Name, cap: u64) -> Parts {
-        let Some(at) = self.members.iter().position(|name| name == member) else { return Parts::default() };
+        // The list is sorted as a rule.
+        let place = self.members.binary_search(member).ok();
+        let place = place.or_else(|| self.members.iter().position(|name| name == member));
+        let Some(at) = place else { return Parts::default() };
         let (many, at) = (self.members.len() as u64, at as u64);
         let open = money::part(cap, self.near);
         // What doesn't divide goes to the first ones, a micro-unit each.
--- a/crates/replica/src/column.rs
+++ b/crates/replica/src/column.rs
@@ -4,6 +4,7 @@
 use crate::Bad;
 use crate::row::{ColumnId, Digest, Entry};
 use crate::state::State;
+use crate::touched::Touch;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -25,6 +26,14 @@
     pub digest: Digest,
 }
 
+/// What became of a column with a row that entered it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pushed {
+    /// What stood before it was let go.
+    pub is_sum: bool,
+    pub touch: Touch,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Column {
     /// The number before the first row that is kept.
@@ -81,24 +90,25 @@
         self.rows.iter().skip((number - self.base) as usize)
     }
 
-    /// Takes the next row in. Where it is a sum, what stands before it is let go; true then.
+    /// Takes the next row in. Where it is a sum, what stands before it is let go.
     ///
     /// # Errors
     /// Where the row can't be read, or takes back what earlier ones said. Nothing of it has entered.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<bool, Bad> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Pushed, Bad> {
         let entry = Entry::read(bytes)?;
         let is_sum = matches!(entry, Entry::Sum(_));
         let (tip, digest) = self.tip();
         if self.rows.is_empty() && !is_sum {
             return Err(Bad(format!("row {} has nothing before it and is no sum", tip + 1)));
         }
+        let touch = Touch::of(&entry, is_sum && self.state == State::default());
         self.state.apply(&entry)?;
         if is_sum {
             self.rows.clear();
             (self.base, self.base_digest) = (tip, digest);
         }
         self.rows.push_back(Row { bytes: bytes.into(), digest: digest.after(tip + 1, bytes) });
-        Ok(is_sum)
+        Ok(Pushed { is_sum, touch })
     }
 
     /// What the column said up to a number: read again from the sum on.
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -15,6 +15,7 @@
 mod roll;
 mod row;
 mod state;
+mod touched;
 
 pub use column::Column;
 pub use library::{Change, Kept, Library, Piece, Taken, Tip};
@@ -28,6 +29,7 @@
     Announced, Before, COMES_AGAIN, Gift, Loose, Parts, Purse, READS_WORK_LOGS, State, TAKEN_BACK,
     WRITES_WORK_LOG, Work,
 };
+pub use touched::{Touch, TouchedTeams};
 
 /// What a peer or a file told that can't be, in words.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/replica/src/library.rs
+++ b/crates/replica/src/library.rs
@@ -1,11 +1,12 @@
 //! All columns that a scheduler knows: its own, which it alone writes, and copies of the others'.
 
 use crate::Bad;
-use crate::column::Column;
+use crate::column::{Column, Pushed};
 use crate::name::Name;
 use crate::orders::{Orders, Standing, Subject};
 use crate::row::{ColumnId, Digest, Entry};
 use crate::state::{Before, Gift, Parts, Purse, State};
+use crate::touched::{Touch, TouchedTeams, took_all_over};
 use std::collections::BTreeMap;
 use std::ops::Range;
 use std::sync::Arc;
@@ -82,6 +83,8 @@
     orders: Orders,
     orders_stamp: u64,
     changes: Vec<Change>,
+    /// Teams of which something new was said.
+    touched: TouchedTeams,
 }
 
 impl Library {
@@ -97,6 +100,7 @@
             orders: Orders::default(),
             orders_stamp: 0,
             changes: Vec::new(),
+            touched: TouchedTeams::default(),
         }
     }
 
@@ -132,6 +136,7 @@
                 damaged = Some(id);
             }
         }
+        self.touched.add_all();
         let ids: Vec<ColumnId> = self.columns.keys().cloned().collect();
         for id in ids {
             self.orders_of(&id);
@@ -145,6 +150,45 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Teams of whose balances anything new was said since the last call: by others, or of gifts by us. What
+    /// we ourselves draw and spend in this life isn't among it.
+    pub fn take_touched(&mut self) -> TouchedTeams {
+        std::mem::take(&mut self.touched)
+    }
+
+    /// The same, without taking it.
+    pub fn touched(&self) -> &TouchedTeams {
+        &self.touched
+    }
+
+    fn touch(&mut self, id: &ColumnId, touch: Touch) {
+        match touch {
+            Touch::Nothing => {}
+            Touch::Balance(_) if *id == self.own => {}
+            Touch::Balance(team) | Touch::Gift(team) => self.touched.add(team),
+            Touch::All => self.touched.add_all(),
+        }
+    }
+
+    /// A life begins: of balances only that is new in which it differs from the one before.
+    fn touch_by_life(&mut self, id: &ColumnId) {
+        let mut lives = self.lives(&id.writer).rev();
+        let (newest, earlier) = (lives.next(), lives.next());
+        let mut touched = TouchedTeams::default();
+        match (newest, earlier) {
+            (Some((newest, column)), Some((earlier, before)))
+                if newest == id
+                    && took_all_over(column.state().before, earlier.life, before.tip().0)
+                    && !before.is_forked() =>
+            {
+                touched.add_difference(before.state(), column.state());
+            }
+            _ => touched.add_all(),
+        }
+        drop(lives);
+        self.touched.merge(touched);
+    }
+
     /// Our own rows up to this one are kept for good.
     pub fn is_durable(&mut self, number: u64) {
         if number > self.durable {
@@ -195,12 +239,18 @@
     fn append(&mut self, id: &ColumnId, bytes: &[u8]) -> Result<u64, Bad> {
         let column = self.columns.get_mut(id).and_then(|shelf| shelf.column.as_mut()).expect("is there");
         let (tip, before) = column.tip();
-        let is_sum = column.push(bytes)?;
+        let Pushed { is_sum, touch } = column.push(bytes)?;
         let number = tip + 1;
         self.changes.push(Change::Row { id: id.clone(), number, before, bytes: bytes.into() });
         if is_sum {
             self.changes.push(Change::Trim { id: id.clone(), below: number });
         }
+        match touch {
+            Touch::All if is_sum => self.touch_by_life(id),
+            // What a life wrote beside what its successor took over is told by its rows, which a sum ends.
+            _ if is_sum && self.newest(&id.writer) != Some(id.life) => self.touch(id, Touch::All),
+            touch => self.touch(id, touch),
+        }
         self.changed(id);
         Ok(number)
     }
@@ -343,6 +393,9 @@
                 return Err(Bad("a column that doesn't begin with its own name".into()));
             }
             shelf.column = Some(Column::from_base(after, digest));
+            if rows.is_empty() {
+                self.touched.add_all();
+            }
         }
         let column = shelf.column.as_mut().expect("is there now");
         let (base, base_digest) = column.base();
@@ -370,6 +423,7 @@
                 }
                 taken.forked = true;
                 taken.new += usize::from(column.fork(number - 1, &rows[n..])?);
+                self.touched.add_all();
                 break;
             }
             if let Err(bad) = self.append(id, bytes) {
@@ -399,6 +453,7 @@
         }
         column.branch = known.branch.take();
         *known = column;
+        self.touched.add_all();
         self.changes.push(Change::Drop { id: id.clone() });
         let (mut number, mut before) = (after, digest);
         for row in rows {
@@ -435,6 +490,7 @@
         let old: Vec<ColumnId> = self.columns.keys().filter(old).cloned().collect();
         for id in old {
             if let Some(shelf) = self.columns.remove(&id) {
+                self.touched.add_all();
                 self.by_stamp.remove(&shelf.stamp);
                 self.all = shelf.told.into_iter().fold(self.all, Digest::xor);
             }
@@ -462,6 +518,7 @@
 
     fn drop_column(&mut self, id: ColumnId) {
         if let Some(shelf) = self.columns.remove(&id) {
+            self.touched.add_all();
             self.by_stamp.remove(&shelf.stamp);
             self.all = shelf.told.into_iter().fold(self.all, Digest::xor);
             self.stamps += 1;
