A log of one life without a branch has no strays to look for

Cause: each reading of what a writer drew, spent or gave gathered all its lives, though hardly any writer has more than one. Change: where there is one life and no branch, nothing is gathered.

--- a/crates/replica/src/library.rs
+++ b/crates/replica/src/library.rs
@@ -573,6 +573,11 @@
 
     /// What a life says of itself beside what its successor took over, and branches: states after and before.
     fn strays(&self, writer: &Name) -> Vec<(&State, State)> {
+        let mut newest_first = self.lives(writer).rev();
+        let newest = newest_first.next();
+        if newest_first.next().is_none() && newest.is_none_or(|(_, column)| !column.is_forked()) {
+            return Vec::new();
+        }
         let all: Vec<(&ColumnId, &Column)> = self.lives(writer).collect();
         let mut strays: Vec<(&State, State)> = Vec::new();
         for (at, (id, column)) in all.iter().enumerate() {
