--- a/crates/accounts/src/till.rs
+++ b/crates/accounts/src/till.rs
@@ -13,8 +13,13 @@
 use mulleinhub_replica::Parts;
 use std::collections::HashMap;
 
-/// Names that a till has room for beside those it holds.
-const SPARE_NAMES: usize = 256;
+/// Names that a till has room for beside those it holds, at the most and at the least.
+const MOST_SPARE_NAMES: usize = 256;
+const LEAST_SPARE_NAMES: usize = 1;
+/// It has room for so many times the names that came between two looks.
+const SPARE_OVER_ASKED: usize = 2;
+/// The most that came between two looks is forgotten after this.
+const ASKS_REMEMBERED: Span = Span::from_secs(60);
 
 /// Between how long and how long a refused owner is to stay away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,6 +100,11 @@
     names: HashMap<u64, Place>,
     /// Keys that were taken here and don't run yet, and how often.
     waiting: HashMap<u64, u32>,
+    /// How often a place was asked for since the room for names was looked at, the most of that lately, and
+    /// when it was so many.
+    asks: usize,
+    most_asks: usize,
+    most_asks_at: Time,
     // Since the keeper's last look.
     asked: u64,
     refused: u64,
@@ -144,6 +154,9 @@
             carried: 0,
             names: HashMap::new(),
             waiting: HashMap::new(),
+            asks: 0,
+            most_asks: 0,
+            most_asks_at: Time::default(),
             asked: 0,
             refused: 0,
             most: 0,
@@ -159,6 +172,7 @@
     /// For how long its owner is to stay away.
     pub fn ask(&mut self, now: Time, team: u32, key: TaskKey, rate: u64, drawn: f64) -> Result<Ticket, Span> {
         self.accrue(now);
+        self.asks += 1;
         let need = cost(rate, self.stretch);
         let none = Ticket { team, key, rate, open: 0, last: 0 };
         let place = self.names.get_mut(&key.0).filter(|place| !place.in_hand && !self.terms.finished);
@@ -327,8 +341,21 @@
     /// What is known here holds until then.
     pub fn refresh(&mut self, fresh_until: Time, away: Away, terms: Terms) {
         (self.fresh_until, self.away, self.terms) = (fresh_until, away, terms);
-        // The look itself finds room for one more name.
-        self.waiting.reserve(self.waiting.len() + SPARE_NAMES);
+        self.make_room();
+    }
+
+    /// The look itself finds room for one more name, by how many came lately.
+    fn make_room(&mut self) {
+        let asks = std::mem::take(&mut self.asks);
+        let is_old = self.at - self.most_asks_at > ASKS_REMEMBERED;
+        if asks >= self.most_asks || is_old {
+            (self.most_asks, self.most_asks_at) = (asks, self.at);
+        }
+        let spare = (self.most_asks * SPARE_OVER_ASKED).clamp(LEAST_SPARE_NAMES, MOST_SPARE_NAMES);
+        if is_old {
+            self.waiting.shrink_to(self.waiting.len() + spare);
+        }
+        self.waiting.reserve(spare);
     }
 
     /// Keys that were taken and don't run yet.
@@ -413,6 +440,27 @@
         assert_eq!((seen.has.open, seen.reserved, seen.spent, seen.rate), (150, 0, 50, 0));
     }
 
+    #[test]
+    fn a_till_has_room_for_more_names_than_came_lately_and_lets_it_go() {
+        let mut till = till(100_000, 0);
+        let look = |till: &mut Till, ms: u64| {
+            till.look(at(ms));
+            till.refresh(at(1_000_000), AWAY, CAPPED);
+            till.waiting.capacity() - till.waiting.len()
+        };
+        let first = look(&mut till, 100);
+        assert!((LEAST_SPARE_NAMES..8).contains(&first), "{first}");
+        let mut taken = Vec::new();
+        for key in 0..100 {
+            taken.push(till.ask(at(200), 0, TaskKey(key), 10, 0.0).expect("there is room"));
+        }
+        assert!(look(&mut till, 200) >= 200);
+        assert!(look(&mut till, 50_000) >= 200, "as many may come again");
+        taken.into_iter().for_each(|ticket| till.runs(at(50_000), ticket));
+        let last = look(&mut till, 100_000);
+        assert!((LEAST_SPARE_NAMES..8).contains(&last), "{last}");
+    }
+
     #[test]
     fn running_workers_use_the_last_part_and_run_on_when_all_is_gone() {
         let mut till = till(100, 30);
