A former life that is summed up after it was taken over counts once

Seen: a property test over drawn rows (of the sums kept by team) had 2 spent where 1 was. Cause: Column::state_at gave an empty state at the number before a column's first row, though the sum there stands for all rows before it; strays() then counted that whole life beside its successor, and gifts of it twice to the receiver, which is the unsafe side. Lines: replicated log's state_at, called by strays and fork. Change: the sum is read at its base.

--- a/crates/replica/src/column.rs
+++ b/crates/replica/src/column.rs
@@ -115,6 +115,9 @@
     pub fn state_at(&self, number: u64) -> Option<State> {
         let many =
             usize::try_from(number.checked_sub(self.base)?).ok().filter(|many| *many <= self.rows.len())?;
+        // A sum says what all rows before it came to. Met: a column that was summed up right after a later
+        // life had taken it over counted whole, once more, beside that life.
+        let many = if self.base > 0 { many.max(1) } else { many };
         let mut state = State::default();
         for row in self.rows.iter().take(many) {
             let entry = Entry::read(&row.bytes).expect("it was read when it came");
--- a/crates/replica/tests/columns.rs
+++ b/crates/replica/tests/columns.rs
@@ -106,6 +106,36 @@
     assert_eq!(again.purse(&"one".into(), &"pay".into(), 1).spent, 65);
 }
 
+#[test]
+fn a_former_life_that_sums_up_after_it_was_taken_over_counts_once() {
+    let mut one = opened("one", 1);
+    let mut two = opened("two", 1);
+    spent(&mut one, 40);
+    gave(&mut one, "two", 7);
+    tell(&one, &mut two);
+    let mut again = Library::new(id("one", 2));
+    tell(&two, &mut again);
+    let number = again.open(again.taken_over());
+    again.is_durable(number);
+    tell(&again, &mut two);
+    let state = one.column(&id("one", 1)).expect("is its own").state().clone();
+    let number = one.write(&Entry::Sum(Box::new(state)));
+    one.is_durable(number);
+    tell(&one, &mut two);
+    let seen = |two: &Library| {
+        let gave = two.gave(&"one".into(), &"pay".into(), 1).open;
+        (
+            two.purse(&"one".into(), &"pay".into(), 1).spent,
+            gave,
+            two.got(&"two".into(), 1, &"pay".into(), 1).open,
+        )
+    };
+    assert_eq!(seen(&two), (40, 7, 7));
+    spent(&mut one, 65);
+    tell(&one, &mut two);
+    assert_eq!(seen(&two), (65, 7, 7), "what it wrote since counts, too");
+}
+
 #[test]
 fn a_fork_counts_in_both_branches_wherever_it_is_heard_of_first() {
     let mut one = opened("one", 1);
