--- a/crates/scale/src/hosts.rs
+++ b/crates/scale/src/hosts.rs
@@ -19,10 +19,6 @@
     },
     /// A run doesn't fit this machine.
     Refused(Refused),
-    /// The profile wants a form of the ledger that this build doesn't have.
-    NoReplicas {
-        profile: String,
-    },
     Planners {
         profile: String,
         cause: String,
@@ -38,9 +34,6 @@
                 bound.as_secs()
             ),
             Self::Refused(refused) => write!(f, "{refused}"),
-            Self::NoReplicas { profile } => {
-                write!(f, "profile {profile}: the ledger of this build has no replica sets")
-            }
             Self::Planners { profile, cause } => write!(f, "profile {profile}: {cause}"),
         }
     }
@@ -67,9 +60,6 @@
     bound: Duration,
     remark: &mut dyn FnMut(&str),
 ) -> Result<Results, HostError> {
-    if profile.replicas.is_some() {
-        return Err(HostError::NoReplicas { profile: profile.name.clone() });
-    }
     let mut runs = Vec::new();
     for plan in profile.runs() {
         runs.push(run_of_ledgers(profile, &plan, bound, remark)?);
--- a/crates/scale/src/ledgers/fleet.rs
+++ b/crates/scale/src/ledgers/fleet.rs
@@ -128,6 +128,8 @@
             teams: size.teams as usize,
             team_running: u64::from(size.running) / u64::from(size.teams.max(1)),
             seed: profile.seed,
+            replicas: profile.replicas.map(|replicas| replicas as usize),
+            places: (0..schedulers).map(|member| layout.place(member)).collect(),
         };
         let disk_is_read = size.failures > 0.0;
         let seat = |_| Seat {
--- a/crates/scale/src/ledgers/member.rs
+++ b/crates/scale/src/ledgers/member.rs
@@ -7,7 +7,7 @@
 use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
 use mulleinhub_peers::{Exchange, Figures, Member, Shelf, Teller};
 use mulleinhub_replica::{
-    Change, Changes, ColumnId, Digest, Kept, KeptLogs, Kind, Name, Order, Reached, Subject, Word,
+    Change, Changes, ColumnId, Digest, Kept, KeptLogs, Kind, Name, Order, Reached, Site, Subject, Word,
 };
 use mulleinhub_seam::{Ask, Door, End, Link, Party};
 use std::collections::BTreeMap;
@@ -35,6 +35,24 @@
     /// Tasks of one team that run at a time.
     pub team_running: u64,
     pub seed: u64,
+    /// How many others hold each member's work log; nothing where all logs go to all.
+    pub replicas: Option<usize>,
+    /// Where the members run, in the order of their numbers.
+    pub places: Vec<Place>,
+}
+
+/// Where a member runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub zone: u32,
+    pub region: u32,
+}
+
+impl Place {
+    fn site(self) -> Site {
+        let named = |kind: &str, number: u32| Some(format!("{kind}-{number}").as_str().into());
+        Site { region: named("region", self.region), zone: named("zone", self.zone) }
+    }
 }
 
 impl FleetSettings {
@@ -61,8 +79,13 @@
             near: NEAR,
             stretch: STRETCH,
             catch_up: CATCH_UP,
-            replicas: None,
-            sites: BTreeMap::new(),
+            replicas: self.replicas,
+            sites: self
+                .places
+                .iter()
+                .enumerate()
+                .map(|(member, place)| (member_name(member), place.site()))
+                .collect(),
         }
     }
 }
--- a/crates/scale/src/ledgers/mod.rs
+++ b/crates/scale/src/ledgers/mod.rs
@@ -85,10 +85,7 @@
         let mut fleet = Fleet::new(profile, plan);
         let load = Load::new(profile, plan, &mut fleet);
         let watch = Watch::new(&mut fleet);
-        let mut remarks = Vec::new();
-        if profile.replicas.is_some() {
-            remarks.push("replicas isn't played: this ledger knows one form alone".to_owned());
-        }
+        let remarks = Vec::new();
         Self {
             plan: *plan,
             fleet,
--- a/crates/scale/src/ledgers/network.rs
+++ b/crates/scale/src/ledgers/network.rs
@@ -4,6 +4,7 @@
 //! cut nothing comes, and what was written waits until the cut is healed or the writer gives up. Neither
 //! the bandwidth of links nor the headers of packets are played.
 
+use super::member::Place;
 use crate::profile::{Cut, Profile, RoundTrips};
 use mulleinhub_interface::{Pcg, Span};
 use mulleinhub_seam::Link;
@@ -32,6 +33,12 @@
         self.zone(member) % self.regions + 1
     }
 
+    /// Where a member runs.
+    #[must_use]
+    pub fn place(&self, member: usize) -> Place {
+        Place { zone: self.zone(member), region: self.region(member) }
+    }
+
     /// One way, from one member to another.
     #[must_use]
     pub fn delay(&self, one: usize, other: usize) -> Span {
--- a/crates/scale/tests/ledgers.rs
+++ b/crates/scale/tests/ledgers.rs
@@ -108,3 +108,17 @@
     assert!(outcome.remarks.iter().any(|remark| remark.starts_with("partial")), "{:?}", outcome.remarks);
     assert!(outcome.run.seconds < 20.0 * 3600.0);
 }
+
+#[test]
+fn with_replica_sets_starts_of_the_fleet_cost_a_member_far_less() {
+    let text = |replicas: &str| {
+        format!(
+            "name work\nhost hollow-ledgers\nlength 10s\nwarm-up 20s\nschedulers 12\nregions 3\nzones 6\n\
+             teams 3\nrunning 240\nstarts 120\n{replicas}"
+        )
+    };
+    let [all, few] = ["", "replicas 2\n"].map(|replicas| play_one(&text(replicas)));
+    let bytes = [&all, &few].map(|outcome| value(outcome, Metric::BytesIn));
+    assert!(bytes[1] * 3.0 < bytes[0], "{bytes:?} bytes a second");
+    assert_eq!(few.counts, play_one(&text("replicas 2\n")).counts, "the same seed gives the same counts");
+}
