--- a/crates/peers/src/exchange/connections.rs
+++ b/crates/ledger/src/exchange/connections.rs
@@ -2,11 +2,11 @@
 
 use super::Exchange;
 use super::peer::Peer;
-use mulleinhub_accounts::Phase;
 use mulleinhub_interface::Span;
 use mulleinhub_pacing::again;
 use mulleinhub_protocol::{self as protocol, Bad, Message, encode};
-use mulleinhub_replica::Name;
+use mulleinhub_quota::Phase;
+use mulleinhub_replicated_log::Name;
 use mulleinhub_seam::Link;
 
 /// Connections that are being opened at a time.
--- a/crates/peers/src/exchange/cursor.rs
+++ b/crates/ledger/src/exchange/cursor.rs
@@ -7,7 +7,7 @@
 use super::MAX_ITEMS;
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::Bad;
-use mulleinhub_replica::{ColumnId, Digest, Library, Tip};
+use mulleinhub_replicated_log::{Digest, LogHead, LogId, LogStore};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct RowRequest {
     /// The log.
-    pub(super) id: ColumnId,
+    pub(super) id: LogId,
     /// Number of the last row that the asker has, or nought.
     pub(super) after: u64,
     /// The asker's digest at `after`.
@@ -38,7 +38,7 @@
 #[derive(Debug)]
 pub(super) struct ReceivedRows<'b> {
     /// The log.
-    pub(super) id: ColumnId,
+    pub(super) id: LogId,
     /// Number of the row before the first.
     pub(super) after: u64,
     /// The sender's digest at `after`.
@@ -68,7 +68,7 @@
 #[derive(Debug)]
 pub(super) struct NewHeads {
     /// The heads, oldest change first.
-    pub(super) heads: Vec<Tip>,
+    pub(super) heads: Vec<LogHead>,
     /// No more are waiting.
     pub(super) whole: bool,
 }
@@ -76,7 +76,7 @@
 /// A request for rows that is under way.
 #[derive(Debug)]
 struct PendingRequest {
-    id: ColumnId,
+    id: LogId,
     since: Time,
     /// The bytes so far of a row that is longer than a piece.
     partial: Vec<u8>,
@@ -90,9 +90,9 @@
     /// When it was last told heads; `Time::default()` for never.
     told_at: Time,
     /// The peer has these logs up to these numbers.
-    knows: BTreeMap<ColumnId, u64>,
+    knows: BTreeMap<LogId, u64>,
     /// Heads of the peer that are ahead of ours.
-    newer: BTreeMap<ColumnId, Tip>,
+    newer: BTreeMap<LogId, LogHead>,
     /// What the peer was asked for last.
     asked: Option<PendingRequest>,
     /// The peer has sent its digest of all heads.
@@ -136,17 +136,17 @@
 
     /// The heads that changed since the last call and that the peer is not known to have, as many as fit
     /// into one message. They count as told.
-    pub(super) fn take_new_heads(&mut self, library: &Library) -> NewHeads {
+    pub(super) fn take_new_heads(&mut self, library: &LogStore) -> NewHeads {
         self.take_new_heads_of(library, |_| true)
     }
 
     /// The same, of those logs alone that concern the peer.
     pub(super) fn take_new_heads_of(
         &mut self,
-        library: &Library,
-        concerns: impl Fn(&Tip) -> bool,
+        library: &LogStore,
+        concerns: impl Fn(&LogHead) -> bool,
     ) -> NewHeads {
-        let mut heads: Vec<Tip> = Vec::new();
+        let mut heads: Vec<LogHead> = Vec::new();
         for (stamp, head) in library.tips_after(self.told) {
             if heads.len() >= MAX_ITEMS {
                 return NewHeads { heads, whole: false };
@@ -181,7 +181,13 @@
     // Receiving heads.
 
     /// The peer sent its digest of all heads, and these heads; `whole` where it has no others.
-    pub(super) fn receive_heads(&mut self, library: &Library, all: Digest, heads: Vec<Tip>, whole: bool) {
+    pub(super) fn receive_heads(
+        &mut self,
+        library: &LogStore,
+        all: Digest,
+        heads: Vec<LogHead>,
+        whole: bool,
+    ) {
         if library.all() == all {
             // The peer has what we have: nothing of that need be pushed.
             self.told = library.stamp();
@@ -205,7 +211,7 @@
     // Requesting rows.
 
     /// The log that the peer was asked for, while the answer can still be expected.
-    pub(super) fn pending_log(&self, now: Time) -> Option<&ColumnId> {
+    pub(super) fn pending_log(&self, now: Time) -> Option<&LogId> {
         let pending = self.asked.as_ref().filter(|asked| now - asked.since < REQUEST_TIMEOUT);
         pending.map(|asked| &asked.id)
     }
@@ -215,8 +221,8 @@
     pub(super) fn next_request(
         &mut self,
         now: Time,
-        library: &Library,
-        pending_elsewhere: &BTreeSet<ColumnId>,
+        library: &LogStore,
+        pending_elsewhere: &BTreeSet<LogId>,
     ) -> Option<RowRequest> {
         if self.pending_log(now).is_some() {
             return None;
@@ -229,7 +235,7 @@
     }
 
     /// The request for the rows of a log that follow what is here.
-    pub(super) fn request_for(&self, library: &Library, id: ColumnId) -> RowRequest {
+    pub(super) fn request_for(&self, library: &LogStore, id: LogId) -> RowRequest {
         let (after, digest) = match self.newer.get(&id) {
             Some(head) => library.asks_after(head),
             None => library.known_of(&id),
@@ -285,8 +291,8 @@
 
     /// Rows of a log were taken into the library, `new` of them unknown before. Where nothing more can be
     /// had from this peer, its head counts as ahead of ours no longer.
-    pub(super) fn rows_taken(&mut self, library: &Library, id: &ColumnId, new: usize) {
-        let is_done = |head: &Tip| new == 0 || !library.wants(head);
+    pub(super) fn rows_taken(&mut self, library: &LogStore, id: &LogId, new: usize) {
+        let is_done = |head: &LogHead| new == 0 || !library.wants(head);
         if self.newer.get(id).is_some_and(is_done) {
             self.newer.remove(id);
         }
--- a/crates/peers/src/exchange/heartbeat.rs
+++ b/crates/ledger/src/exchange/heartbeat.rs
@@ -4,10 +4,10 @@
 //! heads of the logs.
 
 use super::Exchange;
-use mulleinhub_accounts::Keeper;
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol as protocol;
-use mulleinhub_replica::Name;
+use mulleinhub_quota::Ledger;
+use mulleinhub_replicated_log::Name;
 use mulleinhub_seam::Link;
 use std::collections::BTreeMap;
 
@@ -85,7 +85,7 @@
 }
 
 /// The newest heartbeats that are known here: of the other members, then our own.
-pub(super) fn newest(keeper: &Keeper, own_count: u64) -> impl Iterator<Item = MemberHeartbeat> {
+pub(super) fn newest(keeper: &Ledger, own_count: u64) -> impl Iterator<Item = MemberHeartbeat> {
     let others = keeper.roll.members().map(|name| {
         let (life, count) = keeper.roll.beat_of(name);
         MemberHeartbeat { name: name.clone(), heartbeat: Heartbeat { life, count } }
--- a/crates/peers/src/exchange/mod.rs
+++ b/crates/ledger/src/exchange/mod.rs
@@ -27,11 +27,11 @@
 mod work_logs;
 
 use self::peer::Peer;
-use crate::shelf::Shelf;
-use mulleinhub_accounts::{Keeper, Settings};
+use crate::shared_pools::SharedPools;
 use mulleinhub_interface::{Pcg, Span, Time};
 use mulleinhub_pacing::STANDSTILL;
-use mulleinhub_replica::{Change, Changes, KINDS, KeptLogs, Kind, Name, Order, Reached};
+use mulleinhub_quota::{Ledger, Settings};
+use mulleinhub_replicated_log::{Change, Changes, KINDS, KeptLogs, Kind, Name, Order, Reached};
 use mulleinhub_seam::{Door, End, Link, Links, Party};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -80,8 +80,8 @@
 
 /// The exchange of one scheduler with all others: a party without I/O of its own.
 pub struct Exchange {
-    keeper: Keeper,
-    shelf: Arc<Shelf>,
+    keeper: Ledger,
+    shelf: Arc<SharedPools>,
     links: Links,
     /// The other members and where they listen.
     addresses: BTreeMap<Name, String>,
@@ -127,13 +127,13 @@
         life: u64,
         seed: u64,
         kept: impl Into<KeptLogs>,
-        shelf: Arc<Shelf>,
+        shelf: Arc<SharedPools>,
     ) -> Self {
         let heartbeat_interval = heartbeat::interval(members.len());
         let me = settings.me.clone();
         let others = members.into_iter().filter(|member| member.name != me);
         Self {
-            keeper: Keeper::new(settings, life, seed, kept.into(), heartbeat_interval),
+            keeper: Ledger::new(settings, life, seed, kept.into(), heartbeat_interval),
             shelf,
             links: Links::default(),
             addresses: others.map(|member| (member.name, member.address)).collect(),
@@ -175,7 +175,7 @@
     }
 
     /// The ledger.
-    pub fn keeper(&self) -> &Keeper {
+    pub fn keeper(&self) -> &Ledger {
         &self.keeper
     }
 
--- a/crates/peers/src/exchange/neighbors.rs
+++ b/crates/ledger/src/exchange/neighbors.rs
@@ -1,9 +1,9 @@
 //! Neighbors: the few members to whom connections are kept, drawn at random and redrawn now and then.
 
 use super::Exchange;
-use mulleinhub_accounts::Phase;
 use mulleinhub_interface::Span;
-use mulleinhub_replica::{Name, Presence};
+use mulleinhub_quota::Phase;
+use mulleinhub_replicated_log::{MemberState, Name};
 
 /// Neighbors that are kept, the replicas of our work log among them.
 const NEIGHBORS: usize = 3;
@@ -47,13 +47,13 @@
         }
         self.call_dead_at = self.now + CALL_DEAD_INTERVAL * (1.0 - REDRAW_JITTER * self.chance.part());
         let presence = |name: &&Name| self.keeper.roll.presence(self.now, name);
-        let silent = self.addresses.keys().filter(|name| presence(name) != Presence::There).count();
+        let silent = self.addresses.keys().filter(|name| presence(name) != MemberState::Alive).count();
         // One that is late is not called for that, unless many are at once: a cut.
         let is_cut = silent as f64 >= self.addresses.len() as f64 * SILENT_IN_A_CUT;
         let is_dead = |name: &&Name| match presence(name) {
-            Presence::There => false,
-            Presence::Slow => is_cut,
-            Presence::Gone => true,
+            MemberState::Alive => false,
+            MemberState::Suspect => is_cut,
+            MemberState::Dead => true,
         };
         let dead = self.addresses.keys().filter(is_dead).filter(|name| !self.waits_to_retry(name));
         let dead: Vec<&Name> = dead.collect();
@@ -98,13 +98,13 @@
             !self.neighbors.contains(*name) && !self.replicas.contains(name) && !self.waits_to_retry(name)
         };
         let others: Vec<&Name> = self.addresses.keys().filter(is_new).collect();
-        let present = |is_wanted: fn(Presence) -> bool| -> Vec<&Name> {
+        let present = |is_wanted: fn(MemberState) -> bool| -> Vec<&Name> {
             let is_wanted = |name: &&Name| is_wanted(self.keeper.roll.presence(self.now, name));
             others.iter().copied().filter(is_wanted).collect()
         };
-        let mut candidates = present(|presence| presence == Presence::There);
+        let mut candidates = present(|presence| presence == MemberState::Alive);
         if candidates.len() < wanted {
-            candidates = present(|presence| presence != Presence::Gone);
+            candidates = present(|presence| presence != MemberState::Dead);
         }
         if candidates.is_empty() {
             return others;
--- a/crates/peers/src/exchange/orders.rs
+++ b/crates/ledger/src/exchange/orders.rs
@@ -2,7 +2,7 @@
 
 use super::{Exchange, MAX_ITEMS};
 use mulleinhub_protocol::{self as protocol, Bad, Message, OrderWord};
-use mulleinhub_replica::{Order, Orders, Standing, Subject, Word};
+use mulleinhub_replicated_log::{Order, Orders, Standing, Subject, Word};
 use mulleinhub_seam::Link;
 use std::collections::BTreeMap;
 
--- a/crates/peers/src/exchange/peer.rs
+++ b/crates/ledger/src/exchange/peer.rs
@@ -5,7 +5,7 @@
 use super::orders::OrderCursor;
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::Frames;
-use mulleinhub_replica::{KINDS, Kind, Name};
+use mulleinhub_replicated_log::{KINDS, Kind, Name};
 
 /// Longest wait for the greeting on a new connection.
 const GREETING_TIMEOUT: Span = Span::from_secs(3);
--- a/crates/peers/src/exchange/receive.rs
+++ b/crates/ledger/src/exchange/receive.rs
@@ -4,10 +4,10 @@
 use super::cursor::{ReceivedRows, RowRequest};
 use super::replication::digest_of;
 use super::work_logs::kind_of;
-use mulleinhub_accounts::Wanted;
 use mulleinhub_interface::Time;
 use mulleinhub_protocol::{self as protocol, Bad, Conversation, Frames, Message, Side, decode};
-use mulleinhub_replica::{ColumnId, Name, Parts};
+use mulleinhub_quota::Wanted;
+use mulleinhub_replicated_log::{LogId, Name, Parts};
 use mulleinhub_seam::Link;
 
 /// Frames of one peer that are decoded in a turn.
@@ -115,12 +115,12 @@
                 self.receive_heads(link, kind_of(*log), digest_of(all), tips, *whole)?;
             }
             Message::Want { writer, life, after, digest, skip, log } => {
-                let id = ColumnId { writer: (*writer).into(), life: *life };
+                let id = LogId { writer: (*writer).into(), life: *life };
                 let (after, digest, skip) = (*after, digest_of(digest), *skip);
                 self.serve_rows(link, kind_of(*log), &RowRequest { id, after, digest, skip });
             }
             Message::Rows { writer, life, after, digest, rows, skip, rest, log } => {
-                let id = ColumnId { writer: (*writer).into(), life: *life };
+                let id = LogId { writer: (*writer).into(), life: *life };
                 let rows = rows.iter().map(|row| row.0).collect();
                 let (after, digest, skip, rest) = (*after, digest_of(digest), *skip, *rest);
                 let received = ReceivedRows { id, after, digest, rows, skip, rest };
--- a/crates/peers/src/exchange/replication.rs
+++ b/crates/ledger/src/exchange/replication.rs
@@ -7,9 +7,9 @@
 use super::heartbeat::{self, MemberHeartbeat};
 use super::work_logs::side_log;
 use super::{Exchange, MAX_ITEMS, MAX_UNREAD};
-use mulleinhub_accounts::Phase;
 use mulleinhub_protocol::{self as protocol, Bad, Message};
-use mulleinhub_replica::{ColumnId, Digest, Kind, Tip};
+use mulleinhub_quota::Phase;
+use mulleinhub_replicated_log::{Digest, Kind, LogHead, LogId};
 use mulleinhub_seam::Link;
 use std::collections::BTreeSet;
 
@@ -34,13 +34,13 @@
 }
 
 /// The head that came over the wire.
-fn head_of(told: &protocol::Tip<'_>) -> Tip {
-    let id = ColumnId { writer: told.writer.into(), life: told.life };
-    Tip { id, number: told.number, digest: digest_of(told.digest) }
+fn head_of(told: &protocol::Tip<'_>) -> LogHead {
+    let id = LogId { writer: told.writer.into(), life: told.life };
+    LogHead { id, number: told.number, digest: digest_of(told.digest) }
 }
 
 /// A head as it goes over the wire.
-pub(super) fn head_message(head: &Tip) -> protocol::Tip<'_> {
+pub(super) fn head_message(head: &LogHead) -> protocol::Tip<'_> {
     protocol::Tip { writer: &head.id.writer, life: head.id.life, number: head.number, digest: &head.digest.0 }
 }
 
@@ -82,7 +82,7 @@
         whole: bool,
     ) -> Result<(), Bad> {
         let me = &self.keeper.settings().me;
-        let is_known = |head: &Tip| self.addresses.contains_key(&head.id.writer) || head.id.writer == *me;
+        let is_known = |head: &LogHead| self.addresses.contains_key(&head.id.writer) || head.id.writer == *me;
         let heads = told.iter().map(head_of).filter(is_known).collect();
         if kind == Kind::Work {
             return self.receive_work_heads(link, all, heads, whole);
@@ -154,14 +154,14 @@
     // Rows.
 
     /// The logs that some peer was asked for, while the answers can still be expected.
-    pub(super) fn pending_logs(&self, kind: Kind) -> BTreeSet<ColumnId> {
+    pub(super) fn pending_logs(&self, kind: Kind) -> BTreeSet<LogId> {
         let pending = self.peers.values().filter_map(|peer| peer.cursor(kind).pending_log(self.now));
         pending.cloned().collect()
     }
 
     /// Asks a peer for rows that it has and we lack. One log at a time is asked of each peer, and no log of
     /// two: `pending` are those that some peer was asked for.
-    pub(super) fn request_rows(&mut self, link: Link, kind: Kind, pending: &mut BTreeSet<ColumnId>) {
+    pub(super) fn request_rows(&mut self, link: Link, kind: Kind, pending: &mut BTreeSet<LogId>) {
         let Some(peer) = self.peers.get_mut(&link) else { return };
         let library = self.keeper.logs(kind);
         if let Some(request) = peer.cursor_mut(kind).next_request(self.now, library, pending) {
@@ -171,7 +171,7 @@
     }
 
     fn write_request(&mut self, link: Link, kind: Kind, request: &RowRequest) {
-        let RowRequest { id: ColumnId { writer, life }, after, digest, skip } = request;
+        let RowRequest { id: LogId { writer, life }, after, digest, skip } = request;
         let (life, after, skip) = (*life, *after, *skip);
         let log = side_log(kind);
         self.write(link, &Message::Want { writer, life, after, digest: &digest.0, skip, log });
@@ -180,7 +180,7 @@
     /// Answers a peer that asks for rows: with none where we have none for it.
     pub(super) fn serve_rows(&mut self, link: Link, kind: Kind, request: &RowRequest) {
         let RowRequest { id, after, digest, skip } = request;
-        let ColumnId { writer, life } = id;
+        let LogId { writer, life } = id;
         let log = side_log(kind);
         let Some(piece) = self.keeper.logs(kind).rows_after(id, *after, *digest, PIECE) else {
             let (life, after, digest, rows) = (*life, *after, &digest.0, Vec::new());
--- a/crates/peers/src/exchange/share_transfer.rs
+++ b/crates/ledger/src/exchange/share_transfer.rs
@@ -1,9 +1,9 @@
 //! Share transfers: asking other members for parts of their shares of a team's cap, and answering.
 
 use super::Exchange;
-use mulleinhub_accounts::{Reply, Wanted};
 use mulleinhub_protocol::Message;
-use mulleinhub_replica::{Name, Parts};
+use mulleinhub_quota::{Reply, Wanted};
+use mulleinhub_replicated_log::{Name, Parts};
 use mulleinhub_seam::Link;
 
 impl Exchange {
--- a/crates/peers/src/exchange/status.rs
+++ b/crates/ledger/src/exchange/status.rs
@@ -1,9 +1,9 @@
 //! Status lines for the operators.
 
 use super::Exchange;
-use mulleinhub_accounts::Look;
 use mulleinhub_interface::Span;
-use mulleinhub_replica::{Kind, Presence};
+use mulleinhub_quota::Look;
+use mulleinhub_replicated_log::{Kind, MemberState};
 
 /// Time between two updates of the status lines.
 const STATUS_INTERVAL: Span = Span::from_secs(1);
@@ -40,7 +40,7 @@
     /// Phase, connections, membership and size of the logs.
     fn summary_line(&self) -> String {
         let (now, keeper, membership) = (self.now, &self.keeper, &self.keeper.roll);
-        let count = |presence: Presence| {
+        let count = |presence: MemberState| {
             membership.members().filter(|name| membership.presence(now, name) == presence).count()
         };
         let newest = membership.members().filter_map(|name| membership.silent(now, name)).min();
@@ -49,9 +49,9 @@
             "books {:?}, connections {}, members there {} slow {} gone {}, newest news {news}, rows here {}",
             keeper.phase(),
             self.peers.values().filter(|peer| peer.greeted).count(),
-            count(Presence::There),
-            count(Presence::Slow),
-            count(Presence::Gone),
+            count(MemberState::Alive),
+            count(MemberState::Suspect),
+            count(MemberState::Dead),
             keeper.library().columns().map(|(_, log)| log.kept()).sum::<usize>(),
         )
     }
--- a/crates/peers/src/exchange/work_logs.rs
+++ b/crates/ledger/src/exchange/work_logs.rs
@@ -10,7 +10,7 @@
 use super::{Exchange, MAX_UNREAD};
 use mulleinhub_interface::Span;
 use mulleinhub_protocol::{self as protocol, Bad, Message, SideLog};
-use mulleinhub_replica::{Digest, Kind, Name, Presence, Tip};
+use mulleinhub_replicated_log::{Digest, Kind, LogHead, MemberState, Name};
 use mulleinhub_seam::Link;
 
 /// Least time between two looks at who can be a replica.
@@ -65,7 +65,7 @@
         let unreachable = retry.is_some_and(|retry| {
             retry.failures >= UNREACHABLE_AFTER && self.now < retry.not_before + UNREACHABLE_FOR
         });
-        !unreachable && self.keeper.roll.presence(self.now, name) != Presence::Gone
+        !unreachable && self.keeper.roll.presence(self.now, name) != MemberState::Dead
     }
 
     /// Of the replicas of our work log, how many hold it.
@@ -97,7 +97,7 @@
         let Some(name) = peer.name.clone() else { return };
         let library = self.keeper.logs(Kind::Work);
         let is_replica = self.replicas.contains(&name);
-        let concerns = |head: &Tip| head.id.writer == name || (is_replica && head.id == *library.own());
+        let concerns = |head: &LogHead| head.id.writer == name || (is_replica && head.id == *library.own());
         let NewHeads { heads, whole } = peer.work.take_new_heads_of(library, concerns);
         if heads.is_empty() {
             return;
@@ -118,7 +118,7 @@
         &mut self,
         link: Link,
         all: Digest,
-        heads: Vec<Tip>,
+        heads: Vec<LogHead>,
         whole: bool,
     ) -> Result<(), Bad> {
         if !self.shares_work_logs(link) {
@@ -126,7 +126,7 @@
         }
         let me = self.keeper.settings().me.clone();
         let Some(peer) = self.peers.get_mut(&link) else { return Ok(()) };
-        let is_theirs = |head: &Tip| peer.name.as_ref() == Some(&head.id.writer);
+        let is_theirs = |head: &LogHead| peer.name.as_ref() == Some(&head.id.writer);
         if let Some(head) = heads.iter().find(|head| head.id.writer != me && !is_theirs(head)) {
             return Err(Bad(format!("the work log of {} is not for us", head.id.writer)));
         }
@@ -136,7 +136,7 @@
             peer.has_of_our_work = peer.has_of_our_work.max(head.number);
         }
         // What earlier lives of ours wrote is wanted until this one begins to write.
-        let is_wanted = |head: &Tip| head.id.writer != me || !library.is_open() || head.id == own;
+        let is_wanted = |head: &LogHead| head.id.writer != me || !library.is_open() || head.id == own;
         let heads = heads.into_iter().filter(is_wanted).collect();
         peer.work.receive_heads(library, all, heads, whole);
         Ok(())
--- a/crates/peers/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -10,7 +10,7 @@
 
 #[cfg(not(feature = "explored"))]
 mod exchange;
-mod shelf;
+mod shared_pools;
 #[cfg(not(feature = "explored"))]
 mod store;
 #[cfg(not(feature = "explored"))]
@@ -18,7 +18,7 @@
 
 #[cfg(not(feature = "explored"))]
 pub use exchange::{Exchange, Figures, Member};
-pub use shelf::{Shelf, Teller};
+pub use shared_pools::{AdmissionHandle, SharedPools};
 #[cfg(not(feature = "explored"))]
 pub use store::Store;
 #[cfg(not(feature = "explored"))]
--- a/crates/peers/src/shelf.rs
+++ b/crates/ledger/src/shared_pools.rs
@@ -5,8 +5,8 @@
     Arc, Mutex, MutexGuard,
     atomic::{AtomicBool, Ordering},
 };
-use mulleinhub_accounts::{Away, Prices, Settings, Terms, Till, Tills};
 use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
+use mulleinhub_quota::{Away, Prices, ReservationPool, ReservationPools, Settings, Terms};
 use std::collections::BTreeMap;
 use std::sync::OnceLock;
 #[cfg(not(feature = "explored"))]
@@ -23,8 +23,8 @@
 type Wakes = Box<dyn Fn() + Send + Sync>;
 
 /// The tills of all teams.
-pub struct Shelf {
-    shards: Vec<Mutex<Vec<Till>>>,
+pub struct SharedPools {
+    shards: Vec<Mutex<Vec<ReservationPool>>>,
     /// Somebody was refused since the keeper looked last.
     wanted: AtomicBool,
     told: AtomicBool,
@@ -40,7 +40,7 @@
     })
 }
 
-impl Shelf {
+impl SharedPools {
     pub fn new(settings: &Settings) -> Arc<Self> {
         let teams = settings.teams.len();
         let shards = teams.clamp(1, SHARDS);
@@ -49,7 +49,7 @@
             let team = &settings.teams[team];
             let terms =
                 Terms { capped: team.cap.is_some(), bound: team.account.is_some(), ..Terms::default() };
-            Till::new(settings.stretch, FIRST, terms)
+            ReservationPool::new(settings.stretch, FIRST, terms)
         };
         let of = |shard: usize| (shard..teams).step_by(shards).map(till);
         Arc::new(Self {
@@ -66,7 +66,7 @@
         drop(self.wakes.set(wakes));
     }
 
-    fn till<T>(&self, team: usize, act: impl FnOnce(&mut Till) -> T) -> T {
+    fn till<T>(&self, team: usize, act: impl FnOnce(&mut ReservationPool) -> T) -> T {
         let shard = &self.shards[team % self.shards.len()];
         act(&mut locked(shard)[team / self.shards.len()])
     }
@@ -100,21 +100,21 @@
     }
 }
 
-impl Tills for &Shelf {
-    fn with(&mut self, team: usize, act: &mut dyn FnMut(&mut Till)) {
+impl ReservationPools for &SharedPools {
+    fn with(&mut self, team: usize, act: &mut dyn FnMut(&mut ReservationPool)) {
         self.till(team, |till| act(till));
     }
 }
 
 /// The planner's side: which team an owner belongs to, what a worker costs, and one lock for each look.
-pub struct Teller {
-    shelf: Arc<Shelf>,
+pub struct AdmissionHandle {
+    shelf: Arc<SharedPools>,
     teams: BTreeMap<String, u32>,
     prices: Prices,
 }
 
-impl Teller {
-    pub fn new(shelf: Arc<Shelf>, settings: &Settings) -> Self {
+impl AdmissionHandle {
+    pub fn new(shelf: Arc<SharedPools>, settings: &Settings) -> Self {
         let tenants = settings
             .teams
             .iter()
@@ -129,7 +129,7 @@
     }
 }
 
-impl Quota for Teller {
+impl Quota for AdmissionHandle {
     fn ask(
         &mut self,
         now: Time,
--- a/crates/peers/src/store.rs
+++ b/crates/ledger/src/store.rs
@@ -1,7 +1,7 @@
 //! The books on disk: rows by writer, life and number, in an embedded store, committed in groups. Fleet logs
 //! and work logs have a table each; versions that know no work logs leave theirs alone.
 
-use mulleinhub_replica::{Change, Changes, ColumnId, Digest, Kept, KeptLogs, Name};
+use mulleinhub_replicated_log::{Change, Changes, Digest, Kept, KeptLogs, LogId, Name};
 use redb::{
     Database, DatabaseError, ReadTransaction, ReadableDatabase, ReadableTable, TableDefinition,
     WriteTransaction,
@@ -108,7 +108,7 @@
         let (key, value) = row?;
         let (writer, life, number) = key.value();
         let (before, bytes) = value.value();
-        let id = ColumnId { writer: Name::from(writer), life };
+        let id = LogId { writer: Name::from(writer), life };
         kept.push(Kept { id, number, before: Digest(*before), bytes: bytes.to_vec() });
     }
     Ok(kept)
--- a/crates/peers/src/threads.rs
+++ b/crates/ledger/src/threads.rs
@@ -5,10 +5,10 @@
 //! counted on without its books would spend what it doesn't have.
 
 use crate::exchange::{Exchange, Member};
-use crate::shelf::Shelf;
+use crate::shared_pools::SharedPools;
 use crate::store::Store;
-use mulleinhub_accounts::Settings;
-use mulleinhub_replica::{Changes, Order, Reached};
+use mulleinhub_quota::Settings;
+use mulleinhub_replicated_log::{Changes, Order, Reached};
 use mulleinhub_seam::Door;
 use mulleinhub_shell::{Clock, Shell, Waker};
 use std::net::SocketAddr;
@@ -37,7 +37,7 @@
 
 /// The running threads, as the planner's loop sees them.
 pub struct Running {
-    pub shelf: Arc<Shelf>,
+    pub shelf: Arc<SharedPools>,
     orders: Arc<Mutex<Vec<Order>>>,
     ahead: Arc<AtomicI64>,
     waker: Waker,
@@ -80,7 +80,7 @@
 /// What of the store or the address can't be used, in words.
 pub fn start(start: Start<'_>, clock: Clock) -> Result<Running, String> {
     let (store, kept) = Store::open(start.state_dir)?;
-    let shelf = Shelf::new(&start.settings);
+    let shelf = SharedPools::new(&start.settings);
     let exchange = Exchange::new(start.settings, start.members, start.life, start.seed, kept, shelf.clone());
     let mut shell =
         Shell::new(exchange).map_err(|error| format!("books: no poll: {error}"))?.with_clock(clock);
--- a/crates/peers/tests/books.rs
+++ b/crates/ledger/tests/books.rs
@@ -4,10 +4,10 @@
 
 mod net;
 
-use mulleinhub_accounts::Phase;
 use mulleinhub_interface::{Quota, Room, Span, TaskKey};
 use mulleinhub_protocol::{self as protocol, Message};
-use mulleinhub_replica::{ColumnId, Digest, Entry, Presence, Purse, Subject, Word};
+use mulleinhub_quota::Phase;
+use mulleinhub_replicated_log::{Balance, Digest, Entry, LogId, MemberState, Subject, Word};
 use net::*;
 use std::collections::BTreeMap;
 
@@ -18,7 +18,7 @@
     workers * NEED * 10 / 9
 }
 
-fn presence(net: &mut Net, n: usize, of: usize) -> Presence {
+fn presence(net: &mut Net, n: usize, of: usize) -> MemberState {
     let now = net.now;
     net.node(n).exchange.keeper().roll.presence(now, &name(of))
 }
@@ -128,7 +128,7 @@
     let mut net = Net::new(3, cap_of(300));
     net.cut.extend([(0, 1), (0, 2)]);
     net.run(ms(20_000));
-    assert_eq!(presence(&mut net, 0, 1), Presence::Gone);
+    assert_eq!(presence(&mut net, 0, 1), MemberState::Dead);
     let added = net.fill(0, 0, 200).len();
     assert!((80..=100).contains(&added), "a third of 300: {added}");
     assert!(net.node(0).exchange.is_alone());
@@ -141,12 +141,15 @@
     let pairs = (0..24).flat_map(|a| (a + 1..24).map(move |b| (a, b)));
     net.cut.extend(pairs.filter(across));
     net.run(Span::from_secs(60));
-    assert_eq!(presence(&mut net, 0, 1), Presence::Gone);
+    assert_eq!(presence(&mut net, 0, 1), MemberState::Dead);
     assert_eq!(net.fill(0, 0, 5).len(), 5);
     net.cut.clear();
     net.run(Span::from_secs(30));
     for n in 0..24 {
-        assert!((0..24).filter(|of| *of != n).all(|of| presence(&mut net, n, of) != Presence::Gone), "{n}");
+        assert!(
+            (0..24).filter(|of| *of != n).all(|of| presence(&mut net, n, of) != MemberState::Dead),
+            "{n}"
+        );
     }
     let library = net.node(1).exchange.keeper().library();
     assert!(library.purse(&name(0), &"pay".into(), 24_321).drawn.open > 0);
@@ -290,10 +293,13 @@
 #[test]
 fn peers_that_speak_wrongly_are_cut_off_alone_and_nothing_of_theirs_enters() {
     let digest = &[9; 16][..];
-    let row =
-        Entry::Purse { team: "pay".into(), month: 24_321, purse: Purse { spent: 1, ..Purse::default() } };
+    let row = Entry::Balance {
+        team: "pay".into(),
+        month: 24_321,
+        purse: Balance { spent: 1, ..Balance::default() },
+    };
     let row = row.bytes();
-    let first = Digest::first(&ColumnId { writer: "s1".into(), life: 99 });
+    let first = Digest::first(&LogId { writer: "s1".into(), life: 99 });
     let want = |life| Message::Want { writer: "s1", life, after: 0, digest, skip: 0, log: None };
     let lies: Vec<(&str, Vec<Message<'_>>)> = vec![
         ("nobody", vec![]),
@@ -365,10 +371,10 @@
     let mut net = Net::new(4, cap_of(30));
     net.cut.insert((0, 1));
     net.run(Span::from_secs(20));
-    assert_eq!(presence(&mut net, 0, 1), Presence::There);
+    assert_eq!(presence(&mut net, 0, 1), MemberState::Alive);
     net.kill(1);
     net.run(Span::from_secs(30));
-    assert_eq!(presence(&mut net, 0, 1), Presence::Gone);
+    assert_eq!(presence(&mut net, 0, 1), MemberState::Dead);
 }
 
 /// The same stories where each scheduler has a work log with two replicas.
--- a/crates/peers/tests/interleavings.rs
+++ b/crates/ledger/tests/interleavings.rs
@@ -1,15 +1,15 @@
 //! Every interleaving of the planner's loop and the keeper at the shelf, explored:
 //!
-//!     cargo test --release -p mulleinhub-peers --features explored --test interleavings
+//!     cargo test --release -p mulleinhub-ledger --features explored --test interleavings
 
 #![cfg(feature = "explored")]
 
 use loom::sync::Arc;
 use loom::thread;
-use mulleinhub_accounts::{Away, Months, Prices, Seen, Settings, Team, Terms, Tills};
 use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
-use mulleinhub_peers::{Shelf, Teller};
-use mulleinhub_replica::Parts;
+use mulleinhub_ledger::{AdmissionHandle, SharedPools};
+use mulleinhub_quota::{Away, Months, Prices, ReservationPools, Seen, Settings, Team, Terms};
+use mulleinhub_replicated_log::Parts;
 use std::collections::BTreeMap;
 
 const NEED: u64 = 100;
@@ -37,20 +37,20 @@
     }
 }
 
-fn shelf() -> (Arc<Shelf>, Teller) {
-    let shelf = Shelf::new(&settings());
-    let teller = Teller::new(shelf.clone(), &settings());
+fn shelf() -> (Arc<SharedPools>, AdmissionHandle) {
+    let shelf = SharedPools::new(&settings());
+    let teller = AdmissionHandle::new(shelf.clone(), &settings());
     for team in 0..2 {
         (&mut &*shelf).with(team, &mut |till| till.refresh(Time::from_nanos(u64::MAX), AWAY, CAPPED));
     }
     (shelf, teller)
 }
 
-fn ask(teller: &mut Teller, key: u64) -> Option<Ticket> {
+fn ask(teller: &mut AdmissionHandle, key: u64) -> Option<Ticket> {
     teller.ask(Time::default(), "pay", TaskKey(key), Room::new(1.0, 1.0), 0.0).ok().flatten()
 }
 
-fn look(shelf: &Shelf) -> Seen {
+fn look(shelf: &SharedPools) -> Seen {
     let mut seen = Seen::default();
     (&mut &*shelf).with(0, &mut |till| seen = till.look(Time::default()));
     seen
--- a/crates/peers/tests/net/mod.rs
+++ b/crates/ledger/tests/net/mod.rs
@@ -2,12 +2,12 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
-use mulleinhub_accounts::{Months, Prices, Settings, Team};
 use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
-use mulleinhub_peers::{Exchange, Member, Shelf, Teller};
+use mulleinhub_ledger::{AdmissionHandle, Exchange, Member, SharedPools};
 use mulleinhub_protocol::{self as protocol, Conversation, Frames, Message};
-use mulleinhub_replica::{
-    Change, Changes, ColumnId, Digest, Kept, KeptLogs, Kind, Name, Order, Reached, Site, Subject, Word,
+use mulleinhub_quota::{Months, Prices, Settings, Team};
+use mulleinhub_replicated_log::{
+    Change, Changes, Digest, Kept, KeptLogs, Kind, LogId, Name, Order, Reached, Site, Subject, Word,
 };
 use mulleinhub_seam::{Ask, Door, End, Link, Party};
 use std::cell::Cell;
@@ -19,7 +19,7 @@
 const MIDDLE: u64 = 1_792_022_400_000;
 
 /// What is on a disk: rows by the kind of their log, column and number.
-pub type Disk = BTreeMap<(Kind, ColumnId, u64), (Digest, Vec<u8>)>;
+pub type Disk = BTreeMap<(Kind, LogId, u64), (Digest, Vec<u8>)>;
 
 thread_local! {
     /// What the settings of the schedulers ask for that are started in this test.
@@ -62,7 +62,7 @@
 
 pub struct Node {
     pub exchange: Exchange,
-    pub teller: Teller,
+    pub teller: AdmissionHandle,
     /// Nothing is written to its disk while this holds.
     pub disk_waits: bool,
     pub disk: Disk,
@@ -151,8 +151,8 @@
         self.lives += 1;
         let many = self.nodes.len();
         let settings = settings(n, many, self.cap, self.map);
-        let shelf: Arc<Shelf> = Shelf::new(&settings);
-        let teller = Teller::new(shelf.clone(), &settings);
+        let shelf: Arc<SharedPools> = SharedPools::new(&settings);
+        let teller = AdmissionHandle::new(shelf.clone(), &settings);
         let members = (0..many).map(|m| Member { name: name(m), address: m.to_string() }).collect();
         let kept = |kind: Kind| -> Vec<Kept> {
             let rows = disk.iter().filter(|((of, ..), _)| *of == kind);
--- a/crates/peers/tests/store.rs
+++ b/crates/ledger/tests/store.rs
@@ -2,8 +2,10 @@
 
 #![cfg(not(feature = "explored"))]
 
-use mulleinhub_peers::Store;
-use mulleinhub_replica::{Change, Changes, ColumnId, Digest, Entry, Kept, KeptLogs, Library, Purse, State};
+use mulleinhub_ledger::Store;
+use mulleinhub_replicated_log::{
+    Balance, Change, Changes, Digest, Entry, Kept, KeptLogs, LogId, LogStore, State,
+};
 use std::path::Path;
 
 /// A row as it lies on disk.
@@ -11,7 +13,7 @@
 type Bytes = (&'static [u8; 16], &'static [u8]);
 
 fn row(number: u64) -> Change {
-    let id = ColumnId { writer: "one".into(), life: 7 };
+    let id = LogId { writer: "one".into(), life: 7 };
     Change::Row { id, number, before: Digest([number as u8; 16]), bytes: vec![number as u8; 40].into() }
 }
 
@@ -27,11 +29,11 @@
 fn what_is_kept_comes_back_without_what_was_trimmed_and_dropped() {
     let dir = tempfile::tempdir().expect("a directory");
     let store = begun(dir.path());
-    let other = ColumnId { writer: "two".into(), life: 1 };
+    let other = LogId { writer: "two".into(), life: 1 };
     let of_other =
         Change::Row { id: other.clone(), number: 1, before: Digest::default(), bytes: [1, 2][..].into() };
     store.keep(&vec![row(1), row(2), row(3), of_other.clone()].into()).expect("there is room");
-    let id = ColumnId { writer: "one".into(), life: 7 };
+    let id = LogId { writer: "one".into(), life: 7 };
     store
         .keep(&vec![row(4), Change::Trim { id, below: 3 }, Change::Drop { id: other }].into())
         .expect("there is room");
@@ -49,7 +51,7 @@
 fn rows_of_both_kinds_of_logs_are_kept_apart() {
     let dir = tempfile::tempdir().expect("a directory");
     let store = begun(dir.path());
-    let id = ColumnId { writer: "one".into(), life: 7 };
+    let id = LogId { writer: "one".into(), life: 7 };
     let changes = Changes { fleet: vec![row(1), row(2)], work: vec![row(1), row(2), row(3)] };
     store.keep(&changes).expect("there is room");
     let trims = vec![Change::Trim { id: id.clone(), below: 3 }];
@@ -108,12 +110,12 @@
 fn a_damaged_store_opens_with_true_rows_or_is_told() {
     let dir = tempfile::tempdir().expect("a directory");
     let store = begun(dir.path());
-    let id = ColumnId { writer: "one".into(), life: 7 };
-    let mut library = Library::new(id.clone());
+    let id = LogId { writer: "one".into(), life: 7 };
+    let mut library = LogStore::new(id.clone());
     library.open(State::default());
     for spent in 1..=30 {
-        let purse = Purse { spent, ..Purse::default() };
-        library.write(&Entry::Purse { team: "pay".into(), month: 1, purse });
+        let purse = Balance { spent, ..Balance::default() };
+        library.write(&Entry::Balance { team: "pay".into(), month: 1, purse });
         store.keep(&library.take_changes().into()).expect("there is room");
     }
     drop(store);
@@ -126,7 +128,7 @@
         let looked = std::panic::catch_unwind(|| Store::open(dir.path()).map(|(_, kept)| kept.fleet));
         match looked.unwrap_or_else(|_| panic!("{what}: it must not panic")) {
             Ok(kept) => {
-                let mut again = Library::new(ColumnId { life: 8, ..id.clone() });
+                let mut again = LogStore::new(LogId { life: 8, ..id.clone() });
                 again.restore(kept);
                 let (number, digest) = again.known_of(&id);
                 let written = library.column(&id).and_then(|column| column.digest_at(number));
--- a/crates/peers/tests/work_logs.rs
+++ b/crates/ledger/tests/work_logs.rs
@@ -4,10 +4,10 @@
 
 mod net;
 
-use mulleinhub_accounts::Phase;
 use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
 use mulleinhub_protocol::{self as protocol, Message, SideLog};
-use mulleinhub_replica::{ColumnId, Digest, Entry, Kind, Name, Presence, State, Subject, Word};
+use mulleinhub_quota::Phase;
+use mulleinhub_replicated_log::{Digest, Entry, Kind, LogId, MemberState, Name, State, Subject, Word};
 use net::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -72,7 +72,7 @@
     for (_, (_, bytes)) in rows {
         let kind = match Entry::read(bytes).expect("it was written") {
             Entry::Began { .. } | Entry::Over { .. } | Entry::Again { .. } => "work",
-            Entry::Purse { .. } => "balance",
+            Entry::Balance { .. } => "balance",
             _ => "other",
         };
         *counted.entry(kind).or_default() += 1;
@@ -472,10 +472,10 @@
         second(&mut net, &[0, 1, 2, 3, 4, 5]);
     }
     assert_eq!(second(&mut net, &[0]), added, "all is spent");
-    assert!(presence(&mut net, far, 2) != Presence::Gone);
+    assert!(presence(&mut net, far, 2) != MemberState::Dead);
 }
 
-fn presence(net: &mut Net, n: usize, of: usize) -> Presence {
+fn presence(net: &mut Net, n: usize, of: usize) -> MemberState {
     let now = net.now;
     net.node(n).exchange.keeper().roll.presence(now, &name(of))
 }
@@ -622,7 +622,7 @@
 // Peers that speak wrongly.
 
 /// The copy of a work log that somebody holds: its column, its rows, and the digest before each.
-fn copy(net: &mut Net, n: usize, of: usize) -> (ColumnId, Vec<(u64, Digest, Vec<u8>)>) {
+fn copy(net: &mut Net, n: usize, of: usize) -> (LogId, Vec<(u64, Digest, Vec<u8>)>) {
     let disk = &net.node(n).disk;
     let rows = disk.iter().filter(|((kind, id, _), _)| *kind == Kind::Work && id.writer == name(of));
     let rows: Vec<_> = rows.collect();
@@ -631,7 +631,7 @@
     (id.clone(), rows.collect())
 }
 
-fn tip<'a>(id: &'a ColumnId, number: u64, digest: &'a [u8]) -> protocol::Tip<'a> {
+fn tip<'a>(id: &'a LogId, number: u64, digest: &'a [u8]) -> protocol::Tip<'a> {
     protocol::Tip { writer: &id.writer, life: id.life, number, digest }
 }
 
@@ -642,7 +642,7 @@
 #[test]
 fn peers_that_lie_about_work_logs_are_cut_off_alone() {
     let digest = &[9; 16][..];
-    let other = ColumnId { writer: "s2".into(), life: 3 };
+    let other = LogId { writer: "s2".into(), life: 3 };
     let mut net = fleet(4, 300);
     let ours = net.node(0).exchange.keeper().library().own().clone();
     let keys = |net: &mut Net| (0..4).map(|n| work_keys(net, n, n)).collect::<Vec<_>>();
@@ -659,7 +659,7 @@
     net.stranger_says(0, "s3", &[tells(vec![tip(&ours, 999, digest)])]);
     net.run(ms(100));
     let row = Entry::Over { at: 1, work: vec![(0, false)] }.bytes();
-    let rows = |id: &ColumnId, after, digest| Message::Rows {
+    let rows = |id: &LogId, after, digest| Message::Rows {
         writer: Box::leak(id.writer.to_string().into_boxed_str()),
         life: id.life,
         after,
--- a/crates/planner/src/books.rs
+++ b/crates/planner/src/books.rs
@@ -1,8 +1,8 @@
 //! The `books` block of a planner's settings, and the operators' orders file.
 
-use mulleinhub_accounts::{Months, Prices, Settings, Team};
-use mulleinhub_peers::Member;
-use mulleinhub_replica::{Name, Order, Site, Subject, Word};
+use mulleinhub_ledger::Member;
+use mulleinhub_quota::{Months, Prices, Settings, Team};
+use mulleinhub_replicated_log::{Name, Order, Site, Subject, Word};
 use mulleinhub_settings::{Args, Directive, Faults, Name as NameValue, Scope, parse_text};
 use mulleinhub_terms::{BooksTerms, SiteTerms, read_books};
 use std::net::SocketAddr;
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -5,8 +5,8 @@
 use crate::metrics::Metrics;
 use mulleinhub_engine::Engine;
 use mulleinhub_interface::{Time, mix};
-use mulleinhub_peers::{Running, Start, Teller};
-use mulleinhub_replica::Order;
+use mulleinhub_ledger::{AdmissionHandle, Running, Start};
+use mulleinhub_replicated_log::Order;
 use mulleinhub_seam::{Door, End, Link, Links, Party};
 use mulleinhub_shell::{Clock, Shell, Step};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -183,7 +183,7 @@
     let mut books = None;
     if let (Some(of), Some(dir)) = (&conf.books, &conf.state_dir) {
         let running = start_books(of, dir, life, conf.engine.seed, clock)?;
-        engine = engine.with_quota(Box::new(Teller::new(running.shelf.clone(), &of.settings)));
+        engine = engine.with_quota(Box::new(AdmissionHandle::new(running.shelf.clone(), &of.settings)));
         books = Some(running);
     }
     if let Some(most) = mulleinhub_shell::descriptors() {
@@ -214,7 +214,7 @@
         seed: own_seed(seed, life, &of.settings.me),
         ahead: of.ahead,
     };
-    let running = mulleinhub_peers::start(start, clock)?;
+    let running = mulleinhub_ledger::start(start, clock)?;
     running.order(orders.unwrap_or_default());
     Ok(running)
 }
--- a/crates/accounts/src/announce.rs
+++ b/crates/quota/src/announce.rs
@@ -5,7 +5,7 @@
 //! time do no harm: the later row number holds.
 
 use mulleinhub_interface::{Span, Time};
-use mulleinhub_replica::{Announced, Name, State};
+use mulleinhub_replicated_log::{Announced, Name, State};
 use std::collections::BTreeMap;
 
 /// How much longer a holder waits than the one before it.
--- a/crates/accounts/src/keeper.rs
+++ b/crates/quota/src/keeper.rs
@@ -15,13 +15,13 @@
 use crate::month::Month;
 use crate::names::{self, Known};
 use crate::pace::{self, LEAST_PERIOD, Pace};
+use crate::reservation_pool::{Away, News, ReservationPools, Seen, Terms};
 use crate::settings::Settings;
 use crate::shares::{self, Demand, Use};
-use crate::till::{Away, News, Seen, Terms, Tills};
 use mulleinhub_interface::{Pcg, Span, Time};
-use mulleinhub_replica::{
-    Changes, ColumnId, Entry, Gift, KeptLogs, Kind, Library, Name, Parts, Presence, Purse, Reached, Roll,
-    State, Subject, Word, replicas,
+use mulleinhub_replicated_log::{
+    Balance, Changes, Entry, KeptLogs, Kind, LogId, LogStore, MemberState, Membership, Name, Parts, Reached,
+    ShareTransfer, State, Subject, Word, replicas,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -97,9 +97,9 @@
 }
 
 #[derive(Debug)]
-struct Desk {
+struct TeamLedger {
     /// What our column says of this month.
-    purse: Purse,
+    purse: Balance,
     /// What of it lives before this one spent.
     before: u64,
     /// Drawn blocks that are not on disk yet, by their row.
@@ -115,12 +115,12 @@
     terms: Terms,
 }
 
-pub struct Keeper {
+pub struct Ledger {
     settings: Settings,
     /// The fleet logs.
-    library: Library,
+    library: LogStore,
     /// Our own work log, and those of which we hold a copy.
-    work: Library,
+    work: LogStore,
     /// Ordinary work of this life stands in our work log.
     is_split: bool,
     /// We neither read nor write work logs, as versions before them.
@@ -131,14 +131,14 @@
     spare_looked_at: Time,
     /// When balances are written together, in Unix time.
     balances_at: u64,
-    pub roll: Roll,
+    pub roll: Membership,
     phase: Phase,
     since: Option<Time>,
     met: BTreeSet<Name>,
     /// The end of our last life's column, as we had kept it.
     kept: Option<(u64, u64)>,
     month: Option<Month>,
-    desks: Vec<Desk>,
+    desks: Vec<TeamLedger>,
     /// What others say of each team.
     figures: FigureCache,
     chance: Pcg,
@@ -156,17 +156,17 @@
     told: Vec<String>,
 }
 
-impl Keeper {
+impl Ledger {
     /// `life` is greater at each start; `kept` is what earlier lives left on disk.
     pub fn new(settings: Settings, life: u64, seed: u64, kept: KeptLogs, beat: Span) -> Self {
-        let own = ColumnId { writer: settings.me.clone(), life };
-        let mut library = Library::new(own.clone());
+        let own = LogId { writer: settings.me.clone(), life };
+        let mut library = LogStore::new(own.clone());
         let mut told = library.restore(kept.fleet);
-        let mut work = Library::new(own);
+        let mut work = LogStore::new(own);
         told.extend(work.restore(kept.work));
         let ours = library.newest(&settings.me);
         let kept = ours.and_then(|life| {
-            let id = ColumnId { writer: settings.me.clone(), life };
+            let id = LogId { writer: settings.me.clone(), life };
             library.column(&id).map(|column| (life, column.tip().0))
         });
         let newest = ours.max(work.newest(&settings.me)).unwrap_or(0);
@@ -177,8 +177,8 @@
             settings.sites.entry(name.clone()).or_default();
         }
         let others = settings.members.iter().filter(|name| **name != settings.me).cloned();
-        let desk = |_| Desk {
-            purse: Purse::default(),
+        let desk = |_| TeamLedger {
+            purse: Balance::default(),
             before: 0,
             credits: VecDeque::new(),
             demand: Demand::default(),
@@ -191,7 +191,7 @@
             terms: Terms::default(),
         };
         Self {
-            roll: Roll::new(others, beat),
+            roll: Membership::new(others, beat),
             desks: settings.teams.iter().map(desk).collect(),
             figures: FigureCache::default(),
             settings,
@@ -226,11 +226,11 @@
         &self.settings
     }
 
-    pub fn library(&self) -> &Library {
+    pub fn library(&self) -> &LogStore {
         &self.library
     }
 
-    pub fn library_mut(&mut self) -> &mut Library {
+    pub fn library_mut(&mut self) -> &mut LogStore {
         &mut self.library
     }
 
@@ -240,19 +240,19 @@
     pub fn without_work_logs(mut self) -> Self {
         let me = self.settings.me.clone();
         self.is_older = true;
-        self.work = Library::new(ColumnId { writer: me, life: self.life() });
+        self.work = LogStore::new(LogId { writer: me, life: self.life() });
         self
     }
 
     /// The logs of a kind.
-    pub fn logs(&self, kind: Kind) -> &Library {
+    pub fn logs(&self, kind: Kind) -> &LogStore {
         match kind {
             Kind::Fleet => &self.library,
             Kind::Work => &self.work,
         }
     }
 
-    pub fn logs_mut(&mut self, kind: Kind) -> &mut Library {
+    pub fn logs_mut(&mut self, kind: Kind) -> &mut LogStore {
         match kind {
             Kind::Fleet => &mut self.library,
             Kind::Work => &mut self.work,
@@ -272,7 +272,7 @@
     /// The members of whose work logs we hold a copy.
     pub fn copies(&self) -> impl Iterator<Item = &Name> {
         let me = &self.settings.me;
-        let newest = |id: &ColumnId| self.work.newest(&id.writer) == Some(id.life);
+        let newest = |id: &LogId| self.work.newest(&id.writer) == Some(id.life);
         let columns = self.work.columns().map(|(id, _)| id);
         columns.filter(move |id| id.writer != *me && newest(id)).map(|id| &id.writer)
     }
@@ -350,7 +350,7 @@
     }
 
     /// An order of the operators, from their file.
-    pub fn order(&mut self, order: &mulleinhub_replica::Order) {
+    pub fn order(&mut self, order: &mulleinhub_replicated_log::Order) {
         let standing = order.standing();
         let known = self.library.orders().get(&order.subject);
         if known.is_none_or(|known| known.join(standing) != known) {
@@ -425,7 +425,14 @@
 
     /// Another asks for a part of our share. What is given is written down now; the answer follows once
     /// that is kept.
-    pub fn asked(&mut self, now: Time, from: &Name, life: u64, wanted: &Wanted, tills: &mut dyn Tills) {
+    pub fn asked(
+        &mut self,
+        now: Time,
+        from: &Name,
+        life: u64,
+        wanted: &Wanted,
+        tills: &mut dyn ReservationPools,
+    ) {
         let team = self.settings.teams.iter().position(|team| team.name == wanted.team);
         let reply = |parts, number| Reply {
             to: from.clone(),
@@ -460,7 +467,7 @@
         if parts == Parts::default() {
             return self.replies.push(reply(parts, 0));
         }
-        let gift = Gift { team: wanted.team.clone(), month: wanted.month, to: from.clone(), life };
+        let gift = ShareTransfer { team: wanted.team.clone(), month: wanted.month, to: from.clone(), life };
         let before =
             self.library.state_of(&me).and_then(|state| state.gave.get(&gift)).copied().unwrap_or_default();
         let number = self.library.write(&Entry::Gave { gift, parts: before.plus(parts) });
@@ -502,7 +509,7 @@
     }
 
     /// Looks at all tills. `utc` is the time of day, in milliseconds of Unix time.
-    pub fn tick(&mut self, now: Time, utc: u64, tills: &mut dyn Tills) {
+    pub fn tick(&mut self, now: Time, utc: u64, tills: &mut dyn ReservationPools) {
         self.due = Some(now + TICK);
         let month = self.settings.months.at(utc);
         self.refresh_figures();
@@ -543,7 +550,7 @@
     }
 
     /// Begins a life. What earlier ones did not use is ours only if we kept all that they wrote.
-    fn begin_to_write(&mut self, month: Month, utc: u64, tills: &mut dyn Tills) {
+    fn begin_to_write(&mut self, month: Month, utc: u64, tills: &mut dyn ReservationPools) {
         let me = self.settings.me.clone();
         let newest = self.library.newest(&me).max(self.work.newest(&me)).unwrap_or(0);
         let life = self.life().max(newest + 1);
@@ -592,7 +599,7 @@
         }
     }
 
-    fn turn_month(&mut self, now: Time, month: Month, tills: &mut dyn Tills) {
+    fn turn_month(&mut self, now: Time, month: Month, tills: &mut dyn ReservationPools) {
         let old = self.month.replace(month).map_or(0, |month| month.number);
         for team in 0..self.desks.len() {
             let (mut spent, mut owed) = (0, 0);
@@ -602,9 +609,9 @@
             desk.purse.beyond = owed;
             desk.purse.at = month.begins;
             desk.credits.clear();
-            if desk.purse != Purse::default() {
+            if desk.purse != Balance::default() {
                 let name = self.settings.teams[team].name.clone();
-                self.library.write(&Entry::Purse { team: name, month: old, purse: self.desks[team].purse });
+                self.library.write(&Entry::Balance { team: name, month: old, purse: self.desks[team].purse });
             }
         }
         self.library.write(&Entry::Month(month.number));
@@ -619,7 +626,15 @@
     }
 
     /// A worker ran on while nobody counted: what it cost since then is charged by whoever has it now.
-    fn charge_gap(&mut self, now: Time, until: u64, team: usize, key: u64, rate: u64, tills: &mut dyn Tills) {
+    fn charge_gap(
+        &mut self,
+        now: Time,
+        until: u64,
+        team: usize,
+        key: u64,
+        rate: u64,
+        tills: &mut dyn ReservationPools,
+    ) {
         let Some(month) = self.month else { return };
         let name = &self.settings.teams[team].name;
         let states = self.fleet_states();
@@ -643,13 +658,13 @@
             let mut purse = self.library.purse(&me, &name, number);
             purse.spent += before;
             purse.beyond += before;
-            self.library.write(&Entry::Purse { team: name, month: number, purse });
+            self.library.write(&Entry::Balance { team: name, month: number, purse });
         }
     }
 
     fn write_purse(&mut self, team: usize, month: u32) -> u64 {
         let (name, purse) = (self.settings.teams[team].name.clone(), self.desks[team].purse);
-        self.library.write(&Entry::Purse { team: name, month, purse })
+        self.library.write(&Entry::Balance { team: name, month, purse })
     }
 
     /// How often the balances of most teams are written in this life, and whether all are due now.
@@ -690,7 +705,7 @@
         team: usize,
         fleet: Pace,
         all_due: bool,
-        tills: &mut dyn Tills,
+        tills: &mut dyn ReservationPools,
     ) {
         let Some(month) = self.month else { return };
         let pace = self.pace_of(team, fleet);
@@ -830,7 +845,7 @@
         let asked: Vec<(&Name, u64)> = others
             .iter()
             .filter(|(name, _)| !self.desks[team].rests.contains_key(name))
-            .filter(|(name, _)| self.roll.presence(now, name) != Presence::Gone)
+            .filter(|(name, _)| self.roll.presence(now, name) != MemberState::Dead)
             .map(|(name, has)| (name, *has))
             .collect();
         let Some(to) = shares::whom(&mut self.chance, &asked).cloned() else { return };
@@ -840,10 +855,10 @@
     }
 
     /// Who may come again, told to the tills where that has changed.
-    fn tell_names(&mut self, now: Time, utc: u64, tills: &mut dyn Tills) {
+    fn tell_names(&mut self, now: Time, utc: u64, tills: &mut dyn ReservationPools) {
         let me = &self.settings.me;
         let states = self.fleet_states();
-        let silent = |writer: &&Name| *writer != me && self.roll.presence(now, writer) != Presence::There;
+        let silent = |writer: &&Name| *writer != me && self.roll.presence(now, writer) != MemberState::Alive;
         let silent: Vec<Name> = states.iter().map(|(writer, _)| writer).filter(silent).cloned().collect();
         let (stamp, work_stamp) = (self.library.stamp(), self.work.stamp());
         if self
@@ -878,7 +893,7 @@
 
     pub fn looks(&self) -> Vec<Look> {
         let month = self.month.map_or(0, |month| month.number);
-        let look = |(team, desk): (usize, &Desk)| {
+        let look = |(team, desk): (usize, &TeamLedger)| {
             let name = &self.settings.teams[team].name;
             let (spent, beyond) = self.spent(team);
             let orders = self.library.orders();
--- a/crates/accounts/src/keeper/copies.rs
+++ b/crates/quota/src/keeper/copies.rs
@@ -1,12 +1,12 @@
 //! What the keeper does with its copies of others' work logs: it announces what ran at members that are
 //! silent, and lets go of copies that a later life took over.
 
-use super::{Keeper, MOST_WORK, USUAL_REPLICAS};
+use super::{Ledger, MOST_WORK, USUAL_REPLICAS};
 use crate::announce;
 use crate::work_log::{self, Running};
 use mulleinhub_interface::{Span, Time};
-use mulleinhub_replica::{
-    Announced, ColumnId, Entry, Kind, Name, Presence, State, TAKEN_BACK, Work, replicas,
+use mulleinhub_replicated_log::{
+    Announced, Entry, Kind, LogId, MemberState, Name, State, TAKEN_BACK, Work, replicas,
 };
 use std::collections::BTreeSet;
 
@@ -14,7 +14,7 @@
 const SPARE_LOOK: Span = Span::from_secs(60);
 const SPARE_KEPT: Span = Span::from_secs(600);
 
-impl Keeper {
+impl Ledger {
     /// Lets go of copies of members that are there, and whose replica we have not been for long. One that
     /// is wrong about that gets the log again with its next row.
     pub(super) fn forget_copies(&mut self, now: Time) {
@@ -23,9 +23,9 @@
         };
         self.spare_looked_at = now;
         let me = &self.settings.me;
-        let is_usable = |name: &Name| name == me || self.roll.presence(now, name) != Presence::Gone;
+        let is_usable = |name: &Name| name == me || self.roll.presence(now, name) != MemberState::Dead;
         let is_spare = |writer: &&Name| {
-            let is_there = self.roll.presence(now, writer) == Presence::There;
+            let is_there = self.roll.presence(now, writer) == MemberState::Alive;
             is_there && !replicas(writer, &self.settings.sites, many, is_usable).contains(me)
         };
         let spare: BTreeSet<Name> = self.copies().filter(is_spare).cloned().collect();
@@ -44,7 +44,7 @@
     pub(super) fn announce(&mut self, now: Time, utc: u64) {
         let writers: BTreeSet<Name> = self.copies().cloned().collect();
         for writer in &writers {
-            if self.roll.presence(now, writer) == Presence::There {
+            if self.roll.presence(now, writer) == MemberState::Alive {
                 self.announcer.is_back(writer);
                 self.release_succeeded(utc, writer);
             } else {
@@ -57,7 +57,7 @@
     /// How far our copy of a member's work log goes.
     pub(super) fn copy_of(&self, writer: &Name) -> Option<(u64, u64, &State)> {
         let life = self.work.newest(writer)?;
-        let column = self.work.column(&ColumnId { writer: writer.clone(), life })?;
+        let column = self.work.column(&LogId { writer: writer.clone(), life })?;
         Some((life, column.tip().0, column.state()))
     }
 
@@ -69,7 +69,7 @@
         let running = state.running.clone();
         let many = self.settings.replicas.unwrap_or(USUAL_REPLICAS);
         let me = &self.settings.me;
-        let is_usable = |name: &Name| name == me || self.roll.presence(now, name) != Presence::Gone;
+        let is_usable = |name: &Name| name == me || self.roll.presence(now, name) != MemberState::Dead;
         let holders = replicas(writer, &self.settings.sites, many, is_usable);
         let rank = holders.iter().position(|name| name == me).unwrap_or(many);
         let broke = self.roll.is_suspected(writer);
@@ -81,7 +81,7 @@
         {
             return;
         }
-        let of = ColumnId { writer: writer.clone(), life };
+        let of = LogId { writer: writer.clone(), life };
         let work: Vec<(u64, Work)> = running.iter().map(|(key, work)| (*key, work.clone())).collect();
         let chunks = work.chunks(MOST_WORK);
         let rows = chunks.map(|work| Entry::Announced { of: of.clone(), number, work: work.to_vec() });
@@ -107,8 +107,8 @@
     pub(super) fn release_succeeded(&mut self, utc: u64, writer: &Name) {
         let Some((life, _, state)) = self.copy_of(writer) else { return };
         let Some(newest) = self.library.newest(writer).filter(|newest| *newest > life) else { return };
-        let id = ColumnId { writer: writer.clone(), life: newest };
-        let Some(now) = self.library.column(&id).map(mulleinhub_replica::Column::state) else { return };
+        let id = LogId { writer: writer.clone(), life: newest };
+        let Some(now) = self.library.column(&id).map(mulleinhub_replicated_log::Log::state) else { return };
         if now.writes_work_log() {
             return;
         }
@@ -125,10 +125,10 @@
         let Some(ours) = self.library.state_of(me).map(|state| &state.announced) else { return };
         let back = |(of, announced): &(&Name, &Announced)| {
             let is_later = self.library.newest(of).is_some_and(|newest| newest > announced.life);
-            is_later && self.roll.presence(now, of) == Presence::There
+            is_later && self.roll.presence(now, of) == MemberState::Alive
         };
         let back = ours.iter().filter(back).map(|(of, announced)| Entry::Announced {
-            of: ColumnId { writer: of.clone(), life: announced.life },
+            of: LogId { writer: of.clone(), life: announced.life },
             number: TAKEN_BACK,
             work: Vec::new(),
         });
--- a/crates/accounts/src/keeper/figures.rs
+++ b/crates/quota/src/keeper/figures.rs
@@ -3,8 +3,8 @@
 //! The part that others' logs say is kept for each team, and computed anew only where something new was
 //! said of that team. What we ourselves drew, spent and gave is read from our own log at each look.
 
-use super::Keeper;
-use mulleinhub_replica::{Name, Parts, Standing, Subject};
+use super::Ledger;
+use mulleinhub_replicated_log::{Name, Parts, Standing, Subject};
 use std::collections::BTreeMap;
 
 /// Open and last part of what members have, and of what they drew too much.
@@ -54,7 +54,7 @@
     }
 }
 
-impl Keeper {
+impl Ledger {
     /// Computes the figures anew of those teams of which something new was said.
     pub(super) fn refresh_figures(&mut self) {
         let mut cache = std::mem::take(&mut self.figures);
--- a/crates/accounts/src/keeper/figures/tests.rs
+++ b/crates/quota/src/keeper/figures/tests.rs
@@ -1,13 +1,13 @@
 //! What is kept of each team is what a reckoning from all logs gives, whatever came in whatever order.
 
-use super::super::Keeper;
+use super::super::Ledger;
 use super::Figures;
 use crate::money::Prices;
 use crate::month::{Month, Months};
 use crate::settings::{Settings, Team};
 use mulleinhub_interface::Span;
-use mulleinhub_replica::{
-    Before, Column, ColumnId, Entry, Gift, KeptLogs, Name, Parts, Purse, Standing, State, Subject, Word,
+use mulleinhub_replicated_log::{
+    Balance, Before, Entry, KeptLogs, Log, LogId, Name, Parts, ShareTransfer, Standing, State, Subject, Word,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -26,7 +26,7 @@
         team: usize,
         amount: u64,
     },
-    Gift {
+    ShareTransfer {
         log: usize,
         team: usize,
         to: usize,
@@ -82,7 +82,7 @@
         6 => (l.clone(), t.clone(), a.clone())
             .prop_map(|(log, team, amount)| Event::Balance { log, team, amount }),
         4 => (l.clone(), t.clone(), to.clone(), 1..4u64, a.clone())
-            .prop_map(|(log, team, to, life, amount)| Event::Gift { log, team, to, life, amount }),
+            .prop_map(|(log, team, to, life, amount)| Event::ShareTransfer { log, team, to, life, amount }),
         1 => l.clone().prop_map(|log| Event::Month { log }),
         1 => l.clone().prop_map(|log| Event::Sum { log }),
         2 => (l.clone(), 0..40usize, any::<bool>()).prop_map(|(log, rows, void)| Event::Life { log, rows, void }),
@@ -127,31 +127,31 @@
 
 /// Logs as their writers have them, and a keeper that hears of them.
 struct World {
-    keeper: Keeper,
-    logs: Vec<(ColumnId, Column)>,
+    keeper: Ledger,
+    logs: Vec<(LogId, Log)>,
     orders: u64,
 }
 
 impl World {
     fn new() -> Self {
-        let mut keeper = Keeper::new(settings(), 1, 7, KeptLogs::default(), Span::from_secs(1));
+        let mut keeper = Ledger::new(settings(), 1, 7, KeptLogs::default(), Span::from_secs(1));
         keeper.library.open(State { month: MONTH, ..State::default() });
         keeper.month = Some(month(MONTH));
         let mut world = Self { keeper, logs: Vec::new(), orders: 0 };
         for n in 1..MEMBERS {
-            let id = ColumnId { writer: member(n), life: 1 };
+            let id = LogId { writer: member(n), life: 1 };
             world.open(id, State { month: MONTH, ..State::default() });
         }
         world
     }
 
-    fn open(&mut self, id: ColumnId, state: State) {
-        let mut column = Column::new(&id);
+    fn open(&mut self, id: LogId, state: State) {
+        let mut column = Log::new(&id);
         column.push(&Entry::Sum(Box::new(state)).bytes()).expect("a life begins");
         self.logs.push((id, column));
     }
 
-    fn log(&mut self, log: usize) -> &mut (ColumnId, Column) {
+    fn log(&mut self, log: usize) -> &mut (LogId, Log) {
         let many = self.logs.len();
         &mut self.logs[log % many]
     }
@@ -183,11 +183,11 @@
                 let state = self.log(log).1.state();
                 let (team, month) = (team_name(team), state.month);
                 let purse = grown(state.purse(&team, month), amount);
-                self.write(log, &Entry::Purse { team, month, purse });
+                self.write(log, &Entry::Balance { team, month, purse });
             }
-            Event::Gift { log, team, to, life, amount } => {
+            Event::ShareTransfer { log, team, to, life, amount } => {
                 let state = self.log(log).1.state();
-                let gift = Gift { team: team_name(team), month: state.month, to: member(to), life };
+                let gift = ShareTransfer { team: team_name(team), month: state.month, to: member(to), life };
                 let known = state.gave.get(&gift).copied().unwrap_or_default();
                 let parts = known.plus(Parts { open: amount, last: amount / 5 });
                 self.write(log, &Entry::Gave { gift, parts });
@@ -212,7 +212,7 @@
                 if void {
                     (state.valid_from, state.void_through) = (life, state.month);
                 }
-                self.open(ColumnId { writer: id.writer, life }, state);
+                self.open(LogId { writer: id.writer, life }, state);
             }
             Event::Fork { log } => {
                 let (id, column) = self.log(log).clone();
@@ -228,10 +228,10 @@
             Event::OwnBalance { team, amount } => {
                 let team = team_name(team);
                 let purse = grown(self.keeper.library.purse(&member(0), &team, now), amount);
-                self.keeper.library.write(&Entry::Purse { team, month: now, purse });
+                self.keeper.library.write(&Entry::Balance { team, month: now, purse });
             }
             Event::OwnGift { team, to, amount } => {
-                let gift = Gift { team: team_name(team), month: now, to: member(to), life: 1 };
+                let gift = ShareTransfer { team: team_name(team), month: now, to: member(to), life: 1 };
                 let state = self.keeper.library.state_of(&member(0)).expect("it is open");
                 let known = state.gave.get(&gift).copied().unwrap_or_default();
                 let parts = known.plus(Parts { open: amount, last: 0 });
@@ -247,8 +247,8 @@
     }
 }
 
-fn grown(purse: Purse, amount: u64) -> Purse {
-    Purse {
+fn grown(purse: Balance, amount: u64) -> Balance {
+    Balance {
         drawn: purse.drawn.plus(Parts { open: amount, last: amount / 7 }),
         spent: purse.spent + amount / 2,
         beyond: purse.beyond + amount / 11,
@@ -258,7 +258,7 @@
 }
 
 /// Our share as it was reckoned before anything was kept: from all logs, each time.
-fn expected_share(keeper: &Keeper, team: usize, month: u32) -> (Parts, Parts, bool) {
+fn expected_share(keeper: &Ledger, team: usize, month: u32) -> (Parts, Parts, bool) {
     let me = &keeper.settings.me;
     let name = &keeper.settings.teams[team].name;
     if keeper.library.orders().get(&Subject::Team(name.clone())).is_none() {
@@ -282,7 +282,7 @@
     (left, Parts { open: amount(-mine[0]), last: amount(-mine[1]) }, owed[0] > has[0])
 }
 
-fn expected_spent(keeper: &Keeper, team: usize, month: u32) -> (u64, u64) {
+fn expected_spent(keeper: &Ledger, team: usize, month: u32) -> (u64, u64) {
     let name = &keeper.settings.teams[team].name;
     let writers = keeper.library.writers();
     let purses = writers.iter().map(|writer| keeper.library.purse(writer, name, month));
--- a/crates/accounts/src/keeper/work.rs
+++ b/crates/quota/src/keeper/work.rs
@@ -1,15 +1,15 @@
 //! The keeper's own work: in which of the two logs it stands, when a life begins, while it runs, and when a
 //! member comes that reads only one of them.
 
-use super::Keeper;
+use super::Ledger;
 use crate::names;
-use crate::till::{News, Tills};
+use crate::reservation_pool::{News, ReservationPools};
 use crate::work_log::{self, Divided, Running, WorkNews};
 use mulleinhub_interface::Time;
-use mulleinhub_replica::{Entry, Kind, Name, READS_WORK_LOGS, State, WRITES_WORK_LOG, Work};
+use mulleinhub_replicated_log::{Entry, Kind, Name, READS_WORK_LOGS, State, WRITES_WORK_LOG, Work};
 use std::collections::BTreeSet;
 
-impl Keeper {
+impl Ledger {
     /// Opens the logs of this life. The work log goes on from the last one of ours that is known; where this
     /// life has none, its work stands in the fleet log.
     pub(super) fn open_logs(&mut self, mut state: State) {
@@ -80,7 +80,7 @@
     }
 
     /// What became of workers since the last look, as rows.
-    pub(super) fn tell_news(&mut self, now: Time, utc: u64, tills: &mut dyn Tills) {
+    pub(super) fn tell_news(&mut self, now: Time, utc: u64, tills: &mut dyn ReservationPools) {
         let me = self.settings.me.clone();
         let mut told = WorkNews::default();
         for team in 0..self.desks.len() {
--- a/crates/accounts/src/names.rs
+++ b/crates/quota/src/names.rs
@@ -1,9 +1,9 @@
 //! Which work may come again, by all that is known.
 
+use crate::reservation_pool::Place;
 use crate::settings::Team;
-use crate::till::Place;
 use crate::work_log::{Named, Running};
-use mulleinhub_replica::{Announced, COMES_AGAIN, Loose, Name, State};
+use mulleinhub_replicated_log::{Announced, COMES_AGAIN, Displaced, Name, State};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What is known of one scheduler.
@@ -63,7 +63,7 @@
     };
     for known in all {
         let state = known.state;
-        let may = |(_, loose): &(&u64, &Loose)| loose.until > utc;
+        let may = |(_, loose): &(&u64, &Displaced)| loose.until > utc;
         state.passes.iter().filter(may).for_each(|(key, l)| name(&l.team, *key, false, l.until));
         state.loose.iter().filter(may).for_each(|(key, l)| name(&l.team, *key, true, l.until));
         if !known.silent {
--- a/crates/accounts/src/names/tests.rs
+++ b/crates/quota/src/names/tests.rs
@@ -1,9 +1,9 @@
 //! Work that runs has its place: its names go, under whatever team they stand.
 
 use super::{Known, may_come_again};
+use crate::reservation_pool::Place;
 use crate::settings::Team;
-use crate::till::Place;
-use mulleinhub_replica::{COMES_AGAIN, Loose, Name, State, Work};
+use mulleinhub_replicated_log::{COMES_AGAIN, Displaced, Name, State, Work};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 
@@ -28,8 +28,8 @@
     keys.iter().map(|(key, team)| (*key, work(*team))).collect()
 }
 
-fn loose(keys: &[(u64, u64)]) -> BTreeMap<u64, Loose> {
-    let loose = |team| Loose { team: team_name(team), until: UTC + 1 };
+fn loose(keys: &[(u64, u64)]) -> BTreeMap<u64, Displaced> {
+    let loose = |team| Displaced { team: team_name(team), until: UTC + 1 };
     keys.iter().map(|(key, team)| (*key, loose(*team))).collect()
 }
 
@@ -75,7 +75,7 @@
                 running: running(fleet),
                 loose: loose(loose_keys),
                 passes: loose(passes),
-                forms: mulleinhub_replica::READS_WORK_LOGS | mulleinhub_replica::WRITES_WORK_LOG,
+                forms: mulleinhub_replicated_log::READS_WORK_LOGS | mulleinhub_replicated_log::WRITES_WORK_LOG,
                 ..State::default()
             };
             (fleet, State { running: running(work), ..State::default() })
--- a/crates/accounts/src/pace.rs
+++ b/crates/quota/src/pace.rs
@@ -7,7 +7,7 @@
 
 use crate::shares::BLOCK;
 use mulleinhub_interface::Span;
-use mulleinhub_replica::Purse;
+use mulleinhub_replicated_log::Balance;
 
 /// What was spent is written down this often at the most, where nothing else is: a crash leaves so much to
 /// be reckoned.
@@ -44,6 +44,6 @@
 }
 
 /// Whether all together have nearly spent the open part of a cap, or more than it, or we owe.
-pub fn is_close(open: u64, spent: u64, own: Purse) -> bool {
+pub fn is_close(open: u64, spent: u64, own: Balance) -> bool {
     own.beyond > 0 || spent >= open - open / CLOSE
 }
--- a/crates/accounts/src/till.rs
+++ b/crates/quota/src/reservation_pool.rs
@@ -10,7 +10,7 @@
 
 use crate::money::{accrued, cost};
 use mulleinhub_interface::{Span, TaskKey, Ticket, Time};
-use mulleinhub_replica::Parts;
+use mulleinhub_replicated_log::Parts;
 use std::collections::HashMap;
 
 /// Names that a till has room for beside those it holds, at the most and at the least.
@@ -81,7 +81,7 @@
 
 /// One team's.
 #[derive(Debug)]
-pub struct Till {
+pub struct ReservationPool {
     stretch: Span,
     at: Time,
     /// Nothing new is taken by what is known here after this instant.
@@ -128,17 +128,17 @@
 }
 
 /// All tills, each behind whatever lock its host has.
-pub trait Tills {
-    fn with(&mut self, team: usize, act: &mut dyn FnMut(&mut Till));
+pub trait ReservationPools {
+    fn with(&mut self, team: usize, act: &mut dyn FnMut(&mut ReservationPool));
 }
 
-impl Tills for Vec<Till> {
-    fn with(&mut self, team: usize, act: &mut dyn FnMut(&mut Till)) {
+impl ReservationPools for Vec<ReservationPool> {
+    fn with(&mut self, team: usize, act: &mut dyn FnMut(&mut ReservationPool)) {
         act(&mut self[team]);
     }
 }
 
-impl Till {
+impl ReservationPool {
     pub fn new(stretch: Span, away: Away, terms: Terms) -> Self {
         Self {
             stretch,
@@ -419,8 +419,8 @@
         Time::from_nanos(ms * 1_000_000)
     }
 
-    fn till(open: u64, last: u64) -> Till {
-        let mut till = Till::new(Span::from_secs(10), AWAY, CAPPED);
+    fn till(open: u64, last: u64) -> ReservationPool {
+        let mut till = ReservationPool::new(Span::from_secs(10), AWAY, CAPPED);
         till.credit(Parts { open, last });
         till.refresh(at(1_000_000), AWAY, CAPPED);
         till
@@ -443,7 +443,7 @@
     #[test]
     fn a_till_has_room_for_more_names_than_came_lately_and_lets_it_go() {
         let mut till = till(100_000, 0);
-        let look = |till: &mut Till, ms: u64| {
+        let look = |till: &mut ReservationPool, ms: u64| {
             till.look(at(ms));
             till.refresh(at(1_000_000), AWAY, CAPPED);
             till.waiting.capacity() - till.waiting.len()
@@ -544,7 +544,7 @@
 
     #[test]
     fn a_team_without_a_cap_is_held_back_by_a_hold_alone() {
-        let mut till = Till::new(Span::from_secs(10), AWAY, Terms::default());
+        let mut till = ReservationPool::new(Span::from_secs(10), AWAY, Terms::default());
         let ticket = till.ask(at(0), 0, TaskKey(1), 10, 0.0).expect("nothing is known against it");
         till.runs(at(0), ticket);
         assert_eq!((till.look(at(5_000)).spent, till.look(at(5_000)).debt), (50, 0));
--- a/crates/accounts/src/settings.rs
+++ b/crates/quota/src/settings.rs
@@ -3,7 +3,7 @@
 use crate::money::{self, Prices};
 use crate::month::Months;
 use mulleinhub_interface::Span;
-use mulleinhub_replica::{Name, Parts, Site};
+use mulleinhub_replicated_log::{Name, Parts, Site};
 use std::collections::BTreeMap;
 
 /// A team: whose tenants count against one cap.
--- a/crates/accounts/src/shares.rs
+++ b/crates/quota/src/shares.rs
@@ -9,7 +9,7 @@
 //! richest.
 
 use mulleinhub_interface::{Pcg, Span, Time};
-use mulleinhub_replica::{Name, Parts};
+use mulleinhub_replicated_log::{Name, Parts};
 
 /// What is kept of one's own share is the use of so long; what is asked for is that of twice as long.
 /// Longer than an ask takes to be answered even where it has to come again, and short beside a month.
--- a/crates/accounts/src/work_log.rs
+++ b/crates/quota/src/work_log.rs
@@ -4,7 +4,7 @@
 //! scheduler's work log. What took the place of work that ran, and what may come again, concerns everybody:
 //! it stands in the fleet log, in rows as they were before there were two logs.
 
-use mulleinhub_replica::{Entry, Name, Work};
+use mulleinhub_replicated_log::{Entry, Name, Work};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Workers in one row.
--- a/crates/accounts/tests/pace.rs
+++ b/crates/quota/tests/pace.rs
@@ -1,7 +1,7 @@
 //! How often balances are written: as before in small fleets, within a budget in large ones.
 
-use mulleinhub_accounts::Pace;
 use mulleinhub_interface::Span;
+use mulleinhub_quota::Pace;
 
 #[test]
 fn small_fleets_keep_the_pace_of_a_second() {
--- a/crates/replica/src/lib.rs
+++ b/crates/replicated-log/src/lib.rs
@@ -6,28 +6,28 @@
 //! May not touch: sockets, files, threads; what a share is worth or who may have it, which `accounts`
 //! decides.
 
-mod column;
-mod library;
+mod log;
 mod log_kind;
+mod log_store;
+mod membership;
 mod name;
 mod orders;
 mod replica_set;
-mod roll;
 mod row;
 mod state;
 mod touched;
 
-pub use column::Column;
-pub use library::{Change, Kept, Library, Piece, Taken, Tip};
+pub use log::Log;
 pub use log_kind::{Changes, KINDS, KeptLogs, Kind, Reached};
+pub use log_store::{Change, Kept, LogHead, LogStore, Piece, Taken};
+pub use membership::{MemberState, Membership};
 pub use name::Name;
 pub use orders::{Order, Orders, Standing, Subject, Word};
 pub use replica_set::{Site, replicas};
-pub use roll::{Presence, Roll};
-pub use row::{ColumnId, Digest, Entry};
+pub use row::{Digest, Entry, LogId};
 pub use state::{
-    Announced, Before, COMES_AGAIN, Gift, Loose, Parts, Purse, READS_WORK_LOGS, State, TAKEN_BACK,
-    WRITES_WORK_LOG, Work,
+    Announced, Balance, Before, COMES_AGAIN, Displaced, Parts, READS_WORK_LOGS, ShareTransfer, State,
+    TAKEN_BACK, WRITES_WORK_LOG, Work,
 };
 pub use touched::{Touch, TouchedTeams};
 
--- a/crates/replica/src/column.rs
+++ b/crates/replicated-log/src/log.rs
@@ -2,7 +2,7 @@
 //! forked.
 
 use crate::Bad;
-use crate::row::{ColumnId, Digest, Entry};
+use crate::row::{Digest, Entry, LogId};
 use crate::state::State;
 use crate::touched::Touch;
 use std::collections::VecDeque;
@@ -35,7 +35,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct Column {
+pub struct Log {
     /// The number before the first row that is kept.
     base: u64,
     base_digest: Digest,
@@ -44,9 +44,9 @@
     pub(crate) branch: Option<Box<Branch>>,
 }
 
-impl Column {
+impl Log {
     /// The column of a life that begins.
-    pub fn new(id: &ColumnId) -> Self {
+    pub fn new(id: &LogId) -> Self {
         Self::from_base(0, Digest::first(id))
     }
 
--- a/crates/replica/src/log_kind.rs
+++ b/crates/replicated-log/src/log_kind.rs
@@ -1,6 +1,6 @@
 //! The two logs that a scheduler may write in a life, and what of both is to be kept on disk.
 
-use crate::library::{Change, Kept};
+use crate::log_store::{Change, Kept};
 
 /// Which of a writer's two logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/replica/src/library.rs
+++ b/crates/replicated-log/src/log_store.rs
@@ -1,11 +1,11 @@
 //! All columns that a scheduler knows: its own, which it alone writes, and copies of the others'.
 
 use crate::Bad;
-use crate::column::{Column, Pushed};
+use crate::log::{Log, Pushed};
 use crate::name::Name;
 use crate::orders::{Orders, Standing, Subject};
-use crate::row::{ColumnId, Digest, Entry};
-use crate::state::{Before, Gift, Parts, Purse, State};
+use crate::row::{Digest, Entry, LogId};
+use crate::state::{Balance, Before, Parts, ShareTransfer, State};
 use crate::touched::{Touch, TouchedTeams, took_all_over};
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -18,25 +18,25 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
     Row {
-        id: ColumnId,
+        id: LogId,
         number: u64,
         before: Digest,
         bytes: Arc<[u8]>,
     },
     /// Rows below this number are not wanted any more.
     Trim {
-        id: ColumnId,
+        id: LogId,
         below: u64,
     },
     Drop {
-        id: ColumnId,
+        id: LogId,
     },
 }
 
 /// A row as it was kept, with the digest before it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Kept {
-    pub id: ColumnId,
+    pub id: LogId,
     pub number: u64,
     pub before: Digest,
     pub bytes: Vec<u8>,
@@ -44,9 +44,9 @@
 
 /// How far a column is known.
 #[derive(Clone, Debug, PartialEq, Eq, minicbor::Encode, minicbor::Decode)]
-pub struct Tip {
+pub struct LogHead {
     #[n(0)]
-    pub id: ColumnId,
+    pub id: LogId,
     #[n(1)]
     pub number: u64,
     #[n(2)]
@@ -62,8 +62,8 @@
 }
 
 #[derive(Debug, Default)]
-struct Shelf {
-    column: Option<Column>,
+struct StoredLog {
+    column: Option<Log>,
     /// When it changed last, as a count of changes.
     stamp: u64,
     /// What others may be told of it, folded into the figure of all tips.
@@ -72,10 +72,10 @@
 
 /// Columns by writer and life, and what they come to.
 #[derive(Debug)]
-pub struct Library {
-    own: ColumnId,
-    columns: BTreeMap<ColumnId, Shelf>,
-    by_stamp: BTreeMap<u64, ColumnId>,
+pub struct LogStore {
+    own: LogId,
+    columns: BTreeMap<LogId, StoredLog>,
+    by_stamp: BTreeMap<u64, LogId>,
     stamps: u64,
     all: Digest,
     /// Our own rows up to this one are on disk: no other may be told.
@@ -87,9 +87,9 @@
     touched: TouchedTeams,
 }
 
-impl Library {
+impl LogStore {
     /// Of a scheduler in a life that has not begun to write.
-    pub fn new(own: ColumnId) -> Self {
+    pub fn new(own: LogId) -> Self {
         Self {
             own,
             columns: BTreeMap::new(),
@@ -104,7 +104,7 @@
         }
     }
 
-    pub fn own(&self) -> &ColumnId {
+    pub fn own(&self) -> &LogId {
         &self.own
     }
 
@@ -118,13 +118,13 @@
     /// damaged: what follows there is left out, and comes back from the others.
     pub fn restore(&mut self, kept: Vec<Kept>) -> Vec<String> {
         let mut words = Vec::new();
-        let mut damaged: Option<ColumnId> = None;
+        let mut damaged: Option<LogId> = None;
         for Kept { id, number, before, bytes } in kept {
             if damaged.as_ref() == Some(&id) {
                 continue;
             }
             let shelf = self.columns.entry(id.clone()).or_default();
-            let column = shelf.column.get_or_insert_with(|| Column::from_base(number - 1, before));
+            let column = shelf.column.get_or_insert_with(|| Log::from_base(number - 1, before));
             let chains = column.tip() == (number - 1, before);
             let pushed = if chains { column.push(&bytes) } else { Err(Bad("it doesn't chain".into())) };
             if let Err(bad) = pushed {
@@ -137,7 +137,7 @@
             }
         }
         self.touched.add_all();
-        let ids: Vec<ColumnId> = self.columns.keys().cloned().collect();
+        let ids: Vec<LogId> = self.columns.keys().cloned().collect();
         for id in ids {
             self.orders_of(&id);
             self.changed(&id);
@@ -161,17 +161,17 @@
         &self.touched
     }
 
-    fn touch(&mut self, id: &ColumnId, touch: Touch) {
+    fn touch(&mut self, id: &LogId, touch: Touch) {
         match touch {
             Touch::Nothing => {}
             Touch::Balance(_) if *id == self.own => {}
-            Touch::Balance(team) | Touch::Gift(team) => self.touched.add(team),
+            Touch::Balance(team) | Touch::ShareTransfer(team) => self.touched.add(team),
             Touch::All => self.touched.add_all(),
         }
     }
 
     /// A life begins: of balances only that is new in which it differs from the one before.
-    fn touch_by_life(&mut self, id: &ColumnId) {
+    fn touch_by_life(&mut self, id: &LogId) {
         let mut lives = self.lives(&id.writer).rev();
         let (newest, earlier) = (lives.next(), lives.next());
         let mut touched = TouchedTeams::default();
@@ -207,7 +207,7 @@
     /// The first row of our life: all that our earlier lives said. Nothing was written before.
     pub fn open(&mut self, state: State) -> u64 {
         let own = self.own.clone();
-        self.columns.entry(own.clone()).or_default().column = Some(Column::new(&own));
+        self.columns.entry(own.clone()).or_default().column = Some(Log::new(&own));
         self.write(&Entry::Sum(Box::new(state)))
     }
 
@@ -236,7 +236,7 @@
         self.column(&self.own).is_some()
     }
 
-    fn append(&mut self, id: &ColumnId, bytes: &[u8]) -> Result<u64, Bad> {
+    fn append(&mut self, id: &LogId, bytes: &[u8]) -> Result<u64, Bad> {
         let column = self.columns.get_mut(id).and_then(|shelf| shelf.column.as_mut()).expect("is there");
         let (tip, before) = column.tip();
         let Pushed { is_sum, touch } = column.push(bytes)?;
@@ -256,7 +256,7 @@
     }
 
     /// A column changed: what is told of it is counted anew.
-    fn changed(&mut self, id: &ColumnId) {
+    fn changed(&mut self, id: &LogId) {
         let tip = self.told_tip(id);
         let Some(shelf) = self.columns.get_mut(id) else { return };
         let told = tip.map(|(number, digest)| Digest::of_tip(id, number, digest));
@@ -272,12 +272,12 @@
 
     // Telling.
 
-    pub fn column(&self, id: &ColumnId) -> Option<&Column> {
+    pub fn column(&self, id: &LogId) -> Option<&Log> {
         self.columns.get(id)?.column.as_ref()
     }
 
     /// How far others may know a column: our own as far as it is on disk.
-    pub fn told_tip(&self, id: &ColumnId) -> Option<(u64, Digest)> {
+    pub fn told_tip(&self, id: &LogId) -> Option<(u64, Digest)> {
         let column = self.column(id)?;
         if *id != self.own {
             return Some(column.tip());
@@ -298,15 +298,15 @@
     }
 
     /// The ends of columns that changed after a stamp, oldest change first.
-    pub fn tips_after(&self, stamp: u64) -> impl Iterator<Item = (u64, Tip)> {
+    pub fn tips_after(&self, stamp: u64) -> impl Iterator<Item = (u64, LogHead)> {
         self.by_stamp.range(stamp + 1..).filter_map(|(stamp, id)| {
             let (number, digest) = self.told_tip(id)?;
-            Some((*stamp, Tip { id: id.clone(), number, digest }))
+            Some((*stamp, LogHead { id: id.clone(), number, digest }))
         })
     }
 
     /// Whether a peer that knows a column so far knows rows that we want.
-    pub fn wants(&self, tip: &Tip) -> bool {
+    pub fn wants(&self, tip: &LogHead) -> bool {
         if let Some(newest) = self.newest(&tip.id.writer)
             && tip.id.life < newest
         {
@@ -333,13 +333,13 @@
     }
 
     /// How far we know a column, and our digest there.
-    pub fn known_of(&self, id: &ColumnId) -> (u64, Digest) {
-        self.column(id).map_or((0, Digest::first(id)), Column::tip)
+    pub fn known_of(&self, id: &LogId) -> (u64, Digest) {
+        self.column(id).map_or((0, Digest::first(id)), Log::tip)
     }
 
     /// After which of its rows we ask a peer that knows a column so far, and our digest there: where it has
     /// fewer rows than we, and others, it sees by that which ones we lack.
-    pub fn asks_after(&self, tip: &Tip) -> (u64, Digest) {
+    pub fn asks_after(&self, tip: &LogHead) -> (u64, Digest) {
         let (known, digest) = self.known_of(&tip.id);
         let at = self.column(&tip.id).and_then(|column| column.digest_at(tip.number));
         if tip.number < known { (tip.number, at.unwrap_or_default()) } else { (known, digest) }
@@ -348,7 +348,7 @@
     /// Rows for a peer that knows a column so far: the number and digest before the first of them, and the
     /// rows, as many as fit into so many bytes, one at the least. Where the peer's digest isn't ours, all
     /// that is kept.
-    pub fn rows_after(&self, id: &ColumnId, known: u64, digest: Digest, most: usize) -> Option<Piece> {
+    pub fn rows_after(&self, id: &LogId, known: u64, digest: Digest, most: usize) -> Option<Piece> {
         let (last, _) = self.told_tip(id)?;
         let column = self.column(id)?;
         if known > last {
@@ -377,7 +377,7 @@
     /// # Errors
     /// Where they can't be read, don't follow, or are rows of ours that we never wrote in this life:
     /// nothing of the first such row nor of any after it has entered.
-    pub fn take(&mut self, id: &ColumnId, after: u64, digest: Digest, rows: &[&[u8]]) -> Result<Taken, Bad> {
+    pub fn take(&mut self, id: &LogId, after: u64, digest: Digest, rows: &[&[u8]]) -> Result<Taken, Bad> {
         if *id == self.own {
             let known = self.column(id).and_then(|column| column.digest_at(after));
             if known != Some(digest) || after + rows.len() as u64 > self.durable {
@@ -392,7 +392,7 @@
                 self.columns.remove(id);
                 return Err(Bad("a column that doesn't begin with its own name".into()));
             }
-            shelf.column = Some(Column::from_base(after, digest));
+            shelf.column = Some(Log::from_base(after, digest));
             if rows.is_empty() {
                 self.touched.add_all();
             }
@@ -442,8 +442,8 @@
 
     /// Rows that begin with a sum, beyond what we know: whoever has them keeps the ones between no more.
     /// The sum has to say at least what we know.
-    fn rebase(&mut self, id: &ColumnId, after: u64, digest: Digest, rows: &[&[u8]]) -> Result<Taken, Bad> {
-        let mut column = Column::from_base(after, digest);
+    fn rebase(&mut self, id: &LogId, after: u64, digest: Digest, rows: &[&[u8]]) -> Result<Taken, Bad> {
+        let mut column = Log::from_base(after, digest);
         for row in rows {
             column.push(row)?;
         }
@@ -466,7 +466,7 @@
         Ok(Taken { new: rows.len(), forked: false })
     }
 
-    fn orders_of(&mut self, id: &ColumnId) {
+    fn orders_of(&mut self, id: &LogId) {
         let Some(column) = self.columns.get(id).and_then(|shelf| shelf.column.as_ref()) else { return };
         let branch = column.branch.iter().flat_map(|branch| &branch.state.orders);
         let all = column.state().orders.iter().chain(branch);
@@ -482,12 +482,12 @@
 
     /// Columns of lives that a later one has taken over whole, once their months are closed.
     pub fn drop_old(&mut self) {
-        let old = |id: &&ColumnId| {
+        let old = |id: &&LogId| {
             let Some(newest) = self.state_of(&id.writer) else { return false };
             let month = self.column(id).map_or(0, |column| column.state().month);
             Some(id.life) < self.newest(&id.writer) && month.saturating_add(1) < newest.month
         };
-        let old: Vec<ColumnId> = self.columns.keys().filter(old).cloned().collect();
+        let old: Vec<LogId> = self.columns.keys().filter(old).cloned().collect();
         for id in old {
             if let Some(shelf) = self.columns.remove(&id) {
                 self.touched.add_all();
@@ -500,23 +500,23 @@
 
     /// Columns of lives that a later one is known to have taken over whole, whatever their months.
     pub fn drop_taken_over(&mut self) {
-        let taken = |id: &&ColumnId| {
+        let taken = |id: &&LogId| {
             let Some(before) = self.state_of(&id.writer).and_then(|state| state.before) else { return false };
             let tip = self.column(id).map_or(0, |column| column.tip().0);
             Some(id.life) < self.newest(&id.writer)
                 && (before.life > id.life || (before.life == id.life && before.number >= tip))
         };
-        let taken: Vec<ColumnId> = self.columns.keys().filter(taken).cloned().collect();
+        let taken: Vec<LogId> = self.columns.keys().filter(taken).cloned().collect();
         taken.into_iter().for_each(|id| self.drop_column(id));
     }
 
     /// All columns of a writer, of which nothing is wanted any more.
     pub fn drop_writer(&mut self, writer: &Name) {
-        let ids: Vec<ColumnId> = self.lives(writer).map(|(id, _)| id.clone()).collect();
+        let ids: Vec<LogId> = self.lives(writer).map(|(id, _)| id.clone()).collect();
         ids.into_iter().for_each(|id| self.drop_column(id));
     }
 
-    fn drop_column(&mut self, id: ColumnId) {
+    fn drop_column(&mut self, id: LogId) {
         if let Some(shelf) = self.columns.remove(&id) {
             self.touched.add_all();
             self.by_stamp.remove(&shelf.stamp);
@@ -551,13 +551,13 @@
         all
     }
 
-    pub fn columns(&self) -> impl Iterator<Item = (&ColumnId, &Column)> {
+    pub fn columns(&self) -> impl Iterator<Item = (&LogId, &Log)> {
         self.columns.iter().filter_map(|(id, shelf)| Some((id, shelf.column.as_ref()?)))
     }
 
-    fn lives(&self, writer: &Name) -> impl DoubleEndedIterator<Item = (&ColumnId, &Column)> {
-        let first = ColumnId { writer: writer.clone(), life: 0 };
-        let last = ColumnId { writer: writer.clone(), life: u64::MAX };
+    fn lives(&self, writer: &Name) -> impl DoubleEndedIterator<Item = (&LogId, &Log)> {
+        let first = LogId { writer: writer.clone(), life: 0 };
+        let last = LogId { writer: writer.clone(), life: u64::MAX };
         self.columns.range(first..=last).filter_map(|(id, shelf)| Some((id, shelf.column.as_ref()?)))
     }
 
@@ -578,7 +578,7 @@
         if newest_first.next().is_none() && newest.is_none_or(|(_, column)| !column.is_forked()) {
             return Vec::new();
         }
-        let all: Vec<(&ColumnId, &Column)> = self.lives(writer).collect();
+        let all: Vec<(&LogId, &Log)> = self.lives(writer).collect();
         let mut strays: Vec<(&State, State)> = Vec::new();
         for (at, (id, column)) in all.iter().enumerate() {
             strays.extend(column.branch.iter().map(|branch| (&branch.state, branch.before.clone())));
@@ -594,8 +594,8 @@
     }
 
     /// What a writer drew and spent, in all its lives and branches.
-    pub fn purse(&self, writer: &Name, team: &Name, month: u32) -> Purse {
-        let mut purse = self.state_of(writer).map_or_else(Purse::default, |state| state.purse(team, month));
+    pub fn purse(&self, writer: &Name, team: &Name, month: u32) -> Balance {
+        let mut purse = self.state_of(writer).map_or_else(Balance::default, |state| state.purse(team, month));
         for (after, before) in self.strays(writer) {
             let (after, before) = (after.purse(team, month), before.purse(team, month));
             purse.drawn = purse.drawn.plus(after.drawn.less(before.drawn));
@@ -607,28 +607,28 @@
 
     /// All that a writer gave away of its share.
     pub fn gave(&self, writer: &Name, team: &Name, month: u32) -> Parts {
-        let first = Gift { team: team.clone(), month, to: Name::from(""), life: 0 };
-        let next = Gift { month: month + 1, ..first.clone() };
+        let first = ShareTransfer { team: team.clone(), month, to: Name::from(""), life: 0 };
+        let next = ShareTransfer { month: month + 1, ..first.clone() };
         self.gifts(writer, &(first..next))
     }
 
     /// All gifts to a life of a receiver and its later ones.
     pub fn got(&self, to: &Name, from_life: u64, team: &Name, month: u32) -> Parts {
-        let first = Gift { team: team.clone(), month, to: to.clone(), life: from_life };
-        let last = Gift { life: u64::MAX, ..first.clone() };
+        let first = ShareTransfer { team: team.clone(), month, to: to.clone(), life: from_life };
+        let last = ShareTransfer { life: u64::MAX, ..first.clone() };
         let gifts = first..last;
         self.writers().iter().fold(Parts::default(), |sum, writer| sum.plus(self.gifts(writer, &gifts)))
     }
 
     /// All gifts of a team's share in a month, by whoever gave them.
-    pub fn gifts_of(&self, team: &Name, month: u32) -> impl Iterator<Item = (&Gift, &Parts)> {
-        let first = Gift { team: team.clone(), month, to: Name::from(""), life: 0 };
-        let next = Gift { month: month + 1, ..first.clone() };
+    pub fn gifts_of(&self, team: &Name, month: u32) -> impl Iterator<Item = (&ShareTransfer, &Parts)> {
+        let first = ShareTransfer { team: team.clone(), month, to: Name::from(""), life: 0 };
+        let next = ShareTransfer { month: month + 1, ..first.clone() };
         let newest = self.columns().filter(|(id, _)| self.newest(&id.writer) == Some(id.life));
         newest.flat_map(move |(_, column)| column.state().gave.range(first.clone()..next.clone()))
     }
 
-    fn gifts(&self, writer: &Name, which: &Range<Gift>) -> Parts {
+    fn gifts(&self, writer: &Name, which: &Range<ShareTransfer>) -> Parts {
         let sum = |state: &State| {
             let gifts = state.gave.range(which.clone());
             gifts.fold(Parts::default(), |sum, (_, parts)| sum.plus(*parts))
--- a/crates/replica/src/roll.rs
+++ b/crates/replicated-log/src/membership.rs
@@ -19,11 +19,11 @@
 const LEAST_DEVIATION: f64 = 0.5;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Presence {
-    There,
+pub enum MemberState {
+    Alive,
     /// Nothing was heard for longer than usual: what it is asked for may come late.
-    Slow,
-    Gone,
+    Suspect,
+    Dead,
 }
 
 #[derive(Clone, Debug)]
@@ -39,12 +39,12 @@
 
 /// The members of the fleet but oneself.
 #[derive(Clone, Debug)]
-pub struct Roll {
+pub struct Membership {
     every: Span,
     members: BTreeMap<Name, Member>,
 }
 
-impl Roll {
+impl Membership {
     pub fn new(members: impl IntoIterator<Item = Name>, every: Span) -> Self {
         let deviation = every * LEAST_DEVIATION;
         let fresh = Member { beat: (0, 0), heard: None, mean: every, deviation, suspected: false };
@@ -82,14 +82,14 @@
         }
     }
 
-    pub fn presence(&self, now: Time, name: &Name) -> Presence {
-        let Some(member) = self.members.get(name) else { return Presence::Gone };
-        let Some(heard) = member.heard else { return Presence::Gone };
+    pub fn presence(&self, now: Time, name: &Name) -> MemberState {
+        let Some(member) = self.members.get(name) else { return MemberState::Dead };
+        let Some(heard) = member.heard else { return MemberState::Dead };
         let usual = member.mean + member.deviation * DEVIATIONS;
         match now - heard {
-            silent if silent <= usual && !member.suspected => Presence::There,
-            silent if silent <= usual * GONE => Presence::Slow,
-            _ => Presence::Gone,
+            silent if silent <= usual && !member.suspected => MemberState::Alive,
+            silent if silent <= usual * GONE => MemberState::Suspect,
+            _ => MemberState::Dead,
         }
     }
 
@@ -134,9 +134,9 @@
         Time::from_nanos(ms * 1_000_000)
     }
 
-    fn regular(until: u64) -> (Roll, Name) {
+    fn regular(until: u64) -> (Membership, Name) {
         let name = Name::from("two");
-        let mut roll = Roll::new([name.clone()], EVERY);
+        let mut roll = Membership::new([name.clone()], EVERY);
         (0..=until).for_each(|n| assert!(roll.beat(at(n * 1_000), &name, (1, n + 1))));
         (roll, name)
     }
@@ -144,38 +144,42 @@
     #[test]
     fn a_member_is_slow_after_an_unusual_silence_and_gone_after_a_long_one() {
         let (roll, name) = regular(20);
-        assert_eq!(Roll::new([name.clone()], EVERY).presence(at(0), &name), Presence::Gone, "never heard of");
-        assert_eq!(roll.presence(at(21_500), &name), Presence::There);
-        assert_eq!(roll.presence(at(24_000), &name), Presence::Slow);
-        assert_eq!(roll.presence(at(40_000), &name), Presence::Gone);
+        assert_eq!(
+            Membership::new([name.clone()], EVERY).presence(at(0), &name),
+            MemberState::Dead,
+            "never heard of"
+        );
+        assert_eq!(roll.presence(at(21_500), &name), MemberState::Alive);
+        assert_eq!(roll.presence(at(24_000), &name), MemberState::Suspect);
+        assert_eq!(roll.presence(at(40_000), &name), MemberState::Dead);
     }
 
     #[test]
     fn our_own_standstill_is_no_silence_of_the_others() {
         let (mut roll, name) = regular(20);
         roll.stood(Span::from_secs(30));
-        assert_eq!(roll.presence(at(51_000), &name), Presence::There);
+        assert_eq!(roll.presence(at(51_000), &name), MemberState::Alive);
     }
 
     #[test]
     fn one_that_beats_irregularly_is_waited_for_longer() {
         let name = Name::from("two");
-        let mut roll = Roll::new([name.clone()], EVERY);
+        let mut roll = Membership::new([name.clone()], EVERY);
         let mut now = 0;
         for n in 0..40 {
             now += if n % 2 == 0 { 200 } else { 4_000 };
             roll.beat(at(now), &name, (1, n + 1));
         }
-        assert_eq!(roll.presence(at(now + 8_000), &name), Presence::There);
+        assert_eq!(roll.presence(at(now + 8_000), &name), MemberState::Alive);
     }
 
     #[test]
     fn one_whose_connection_broke_is_slow_until_it_is_heard_of() {
         let (mut roll, name) = regular(20);
         roll.suspect(&name);
-        assert_eq!(roll.presence(at(20_100), &name), Presence::Slow);
+        assert_eq!(roll.presence(at(20_100), &name), MemberState::Suspect);
         assert!(roll.beat(at(20_200), &name, (1, 90)));
-        assert_eq!(roll.presence(at(20_200), &name), Presence::There);
+        assert_eq!(roll.presence(at(20_200), &name), MemberState::Alive);
     }
 
     #[test]
@@ -183,6 +187,6 @@
         let (mut roll, name) = regular(3);
         assert!(roll.beat(at(4_000), &name, (2, 1)));
         assert!(!roll.beat(at(9_000), &name, (1, 900)));
-        assert_eq!(roll.presence(at(9_000), &name), Presence::Slow);
+        assert_eq!(roll.presence(at(9_000), &name), MemberState::Suspect);
     }
 }
--- a/crates/replica/src/row.rs
+++ b/crates/replicated-log/src/row.rs
@@ -3,7 +3,7 @@
 use crate::Bad;
 use crate::name::Name;
 use crate::orders::Order;
-use crate::state::{Gift, Parts, Purse, State, Work};
+use crate::state::{Balance, Parts, ShareTransfer, State, Work};
 use minicbor::{Decode, Encode};
 use sha2::{Digest as _, Sha256};
 
@@ -12,7 +12,7 @@
 
 /// A column: whose it is, and in which of its writer's lives it was written.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
-pub struct ColumnId {
+pub struct LogId {
     #[n(0)]
     pub writer: Name,
     #[n(1)]
@@ -41,7 +41,7 @@
     }
 
     /// Before the first row.
-    pub fn first(id: &ColumnId) -> Self {
+    pub fn first(id: &LogId) -> Self {
         Self::of(&[id.writer.as_bytes(), &[0], &id.life.to_be_bytes()])
     }
 
@@ -52,7 +52,7 @@
     }
 
     /// Of a column's end, so that the ends of all columns can be told by one figure.
-    pub fn of_tip(id: &ColumnId, number: u64, digest: Self) -> Self {
+    pub fn of_tip(id: &LogId, number: u64, digest: Self) -> Self {
         Self::of(&[&digest.0, &number.to_be_bytes(), &id.life.to_be_bytes(), id.writer.as_bytes()])
     }
 
@@ -88,14 +88,14 @@
     /// From now on new spending belongs to this month.
     Month(u32),
     /// What of a team's cap was drawn and spent in a month.
-    Purse {
+    Balance {
         team: Name,
         month: u32,
-        purse: Purse,
+        purse: Balance,
     },
     /// What was given away of a share, all gifts to this life of a receiver together.
     Gave {
-        gift: Gift,
+        gift: ShareTransfer,
         parts: Parts,
     },
     /// Workers that run from now on: key, team, and rate in micro-units a second; the instant is Unix time
@@ -125,7 +125,7 @@
     /// of one number go on from each other; another number takes the place of what was announced before.
     /// `TAKEN_BACK` for a number takes it back.
     Announced {
-        of: ColumnId,
+        of: LogId,
         number: u64,
         work: Vec<(u64, Work)>,
     },
@@ -159,7 +159,7 @@
         match self {
             Self::Sum(state) => encoded(SUM, state),
             Self::Month(month) => encoded(MONTH, month),
-            Self::Purse { team, month, purse } => encoded(PURSE, (team, month, purse)),
+            Self::Balance { team, month, purse } => encoded(PURSE, (team, month, purse)),
             Self::Gave { gift, parts } => encoded(GAVE, (gift, parts)),
             Self::Began { at, work } => encoded(BEGAN, (at, work)),
             Self::Over { at, work } => encoded(OVER, (at, work)),
@@ -185,7 +185,7 @@
             MONTH => Self::Month(decoded(body)?),
             PURSE => {
                 let (team, month, purse) = decoded(body)?;
-                Self::Purse { team, month, purse }
+                Self::Balance { team, month, purse }
             }
             GAVE => {
                 let (gift, parts) = decoded(body)?;
--- a/crates/replica/src/state.rs
+++ b/crates/replicated-log/src/state.rs
@@ -41,7 +41,7 @@
 
 /// What a scheduler did with a team's cap in a month.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
-pub struct Purse {
+pub struct Balance {
     /// Taken out of its share, to be spent; what was put back is taken off.
     #[n(0)]
     pub drawn: Parts,
@@ -63,7 +63,7 @@
 /// Gifts are to one life of a receiver: one that comes back and doesn't know what it has used must not use
 /// it again.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
-pub struct Gift {
+pub struct ShareTransfer {
     #[n(0)]
     pub team: Name,
     #[n(1)]
@@ -89,7 +89,7 @@
 
 /// A worker that was lost, moved or evicted, until when it may come again.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct Loose {
+pub struct Displaced {
     #[n(0)]
     pub team: Name,
     #[n(1)]
@@ -140,13 +140,13 @@
     #[n(3)]
     pub month: u32,
     #[n(4)]
-    pub purses: BTreeMap<(Name, u32), Purse>,
+    pub purses: BTreeMap<(Name, u32), Balance>,
     #[n(5)]
-    pub gave: BTreeMap<Gift, Parts>,
+    pub gave: BTreeMap<ShareTransfer, Parts>,
     #[n(6)]
     pub running: BTreeMap<u64, Work>,
     #[n(7)]
-    pub loose: BTreeMap<u64, Loose>,
+    pub loose: BTreeMap<u64, Displaced>,
     #[n(8)]
     pub orders: BTreeMap<Subject, Standing>,
     /// What closed months came to.
@@ -159,7 +159,7 @@
     /// Tasks that were taken before a hold, until when they may come again.
     #[n(11)]
     #[cbor(default)]
-    pub passes: BTreeMap<u64, Loose>,
+    pub passes: BTreeMap<u64, Displaced>,
     /// Workers that run in the place of one that ran before.
     #[n(12)]
     #[cbor(default)]
@@ -180,7 +180,7 @@
 }
 
 impl State {
-    pub fn purse(&self, team: &Name, month: u32) -> Purse {
+    pub fn purse(&self, team: &Name, month: u32) -> Balance {
         self.purses.get(&(team.clone(), month)).copied().unwrap_or_default()
     }
 
@@ -207,7 +207,7 @@
                 self.month = *month;
                 self.fold();
             }
-            Entry::Purse { team, month, purse } => {
+            Entry::Balance { team, month, purse } => {
                 if month.saturating_add(1) < self.month {
                     return back(format!("month {month} is closed, it is {}", self.month));
                 }
@@ -242,8 +242,10 @@
                         self.done.insert(*key, at.saturating_add(COMES_AGAIN));
                     }
                     if *comes_again {
-                        self.loose
-                            .insert(*key, Loose { team: work.team, until: at.saturating_add(COMES_AGAIN) });
+                        self.loose.insert(
+                            *key,
+                            Displaced { team: work.team, until: at.saturating_add(COMES_AGAIN) },
+                        );
                     }
                 }
             }
@@ -255,7 +257,7 @@
             Entry::Passes { at, work } => {
                 for (key, team) in work {
                     let until = at.saturating_add(COMES_AGAIN);
-                    self.passes.insert(*key, Loose { team: team.clone(), until });
+                    self.passes.insert(*key, Displaced { team: team.clone(), until });
                 }
             }
             Entry::Again { keys, .. } => {
--- a/crates/replica/src/touched.rs
+++ b/crates/replicated-log/src/touched.rs
@@ -15,7 +15,7 @@
     /// What its writer drew and spent of a team's cap.
     Balance(Name),
     /// What its writer gave of a team's share.
-    Gift(Name),
+    ShareTransfer(Name),
     /// Whatever the writer says.
     All,
 }
@@ -24,8 +24,8 @@
     /// By a row that entered a log; `is_first` where the log said nothing before.
     pub(crate) fn of(entry: &Entry, is_first: bool) -> Self {
         match entry {
-            Entry::Purse { team, .. } => Self::Balance(team.clone()),
-            Entry::Gave { gift, .. } => Self::Gift(gift.team.clone()),
+            Entry::Balance { team, .. } => Self::Balance(team.clone()),
+            Entry::Gave { gift, .. } => Self::ShareTransfer(gift.team.clone()),
             // A later sum says what the rows before it said.
             Entry::Sum(_) if !is_first => Self::Nothing,
             Entry::Sum(_) | Entry::Month(_) => Self::All,
--- a/crates/replica/tests/columns.rs
+++ b/crates/replicated-log/tests/columns.rs
@@ -1,47 +1,47 @@
 //! Columns between several schedulers: copied, summed up, forked, restored; and what a peer can't put into
 //! one.
 
-use mulleinhub_replica::{
-    Announced, Change, ColumnId, Entry, Gift, Kept, Library, Name, Order, Parts, Purse, READS_WORK_LOGS,
-    State, Subject, TAKEN_BACK, Tip, Word, Work,
+use mulleinhub_replicated_log::{
+    Announced, Balance, Change, Entry, Kept, LogHead, LogId, LogStore, Name, Order, Parts, READS_WORK_LOGS,
+    ShareTransfer, State, Subject, TAKEN_BACK, Word, Work,
 };
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const PIECE: usize = 64 * 1024;
 
-fn id(writer: &str, life: u64) -> ColumnId {
-    ColumnId { writer: writer.into(), life }
+fn id(writer: &str, life: u64) -> LogId {
+    LogId { writer: writer.into(), life }
 }
 
-fn opened(writer: &str, life: u64) -> Library {
-    let mut library = Library::new(id(writer, life));
+fn opened(writer: &str, life: u64) -> LogStore {
+    let mut library = LogStore::new(id(writer, life));
     let state = library.taken_over();
     let number = library.open(state);
     library.is_durable(number);
     library
 }
 
-fn spent(library: &mut Library, spent: u64) -> u64 {
-    let purse = Purse { drawn: Parts { open: spent + 10, last: 0 }, spent, ..Purse::default() };
-    let number = library.write(&Entry::Purse { team: "pay".into(), month: 1, purse });
+fn spent(library: &mut LogStore, spent: u64) -> u64 {
+    let purse = Balance { drawn: Parts { open: spent + 10, last: 0 }, spent, ..Balance::default() };
+    let number = library.write(&Entry::Balance { team: "pay".into(), month: 1, purse });
     library.is_durable(number);
     number
 }
 
-fn gave(library: &mut Library, to: &str, open: u64) -> u64 {
-    let gift = Gift { team: "pay".into(), month: 1, to: to.into(), life: 1 };
+fn gave(library: &mut LogStore, to: &str, open: u64) -> u64 {
+    let gift = ShareTransfer { team: "pay".into(), month: 1, to: to.into(), life: 1 };
     let number = library.write(&Entry::Gave { gift, parts: Parts { open, last: 0 } });
     library.is_durable(number);
     number
 }
 
-fn tips(library: &Library) -> Vec<Tip> {
+fn tips(library: &LogStore) -> Vec<LogHead> {
     library.tips_after(0).map(|(_, tip)| tip).collect()
 }
 
 /// One tells another all that it wants, as the exchange does.
-fn tell(from: &Library, to: &mut Library) {
+fn tell(from: &LogStore, to: &mut LogStore) {
     for tip in tips(from) {
         while to.wants(&tip) {
             let (known, digest) = to.asks_after(&tip);
@@ -56,7 +56,7 @@
 }
 
 /// What is on disk of a library.
-fn kept(library: &mut Library, disk: &mut BTreeMap<(ColumnId, u64), Kept>) -> Vec<Kept> {
+fn kept(library: &mut LogStore, disk: &mut BTreeMap<(LogId, u64), Kept>) -> Vec<Kept> {
     for change in library.take_changes() {
         match change {
             Change::Row { id, number, before, bytes } => {
@@ -74,8 +74,8 @@
 fn what_is_not_on_disk_is_told_to_nobody() {
     let mut one = opened("one", 1);
     let mut two = opened("two", 1);
-    let purse = Purse { spent: 7, ..Purse::default() };
-    let number = one.write(&Entry::Purse { team: "pay".into(), month: 1, purse });
+    let purse = Balance { spent: 7, ..Balance::default() };
+    let number = one.write(&Entry::Balance { team: "pay".into(), month: 1, purse });
     tell(&one, &mut two);
     assert_eq!(two.purse(&"one".into(), &"pay".into(), 1).spent, 0);
     one.is_durable(number);
@@ -90,7 +90,7 @@
     spent(&mut one, 40);
     tell(&one, &mut two);
     // It comes back without its disk, and learns from the other.
-    let mut again = Library::new(id("one", 2));
+    let mut again = LogStore::new(id("one", 2));
     tell(&two, &mut again);
     let state = again.taken_over();
     assert_eq!(state.before.map(|before| (before.life, before.number)), Some((1, 2)));
@@ -113,7 +113,7 @@
     spent(&mut one, 40);
     gave(&mut one, "two", 7);
     tell(&one, &mut two);
-    let mut again = Library::new(id("one", 2));
+    let mut again = LogStore::new(id("one", 2));
     tell(&two, &mut again);
     let number = again.open(again.taken_over());
     again.is_durable(number);
@@ -122,7 +122,7 @@
     let number = one.write(&Entry::Sum(Box::new(state)));
     one.is_durable(number);
     tell(&one, &mut two);
-    let seen = |two: &Library| {
+    let seen = |two: &LogStore| {
         let gave = two.gave(&"one".into(), &"pay".into(), 1).open;
         (
             two.purse(&"one".into(), &"pay".into(), 1).spent,
@@ -143,13 +143,13 @@
     let mut disk = BTreeMap::new();
     let copy = kept(&mut one, &mut disk);
     // The same life goes on twice from one copy.
-    let mut twin = Library::new(id("one", 1));
+    let mut twin = LogStore::new(id("one", 1));
     twin.restore(copy);
     twin.is_durable(2);
     gave(&mut one, "two", 150);
     gave(&mut twin, "three", 70);
     gave(&mut twin, "three", 90);
-    let sum = |library: &Library| library.gave(&"one".into(), &"pay".into(), 1).open;
+    let sum = |library: &LogStore| library.gave(&"one".into(), &"pay".into(), 1).open;
     let [mut four, mut five] = ["four", "five"].map(|name| opened(name, 1));
     for (first, second, library) in [(&one, &twin, &mut four), (&twin, &one, &mut five)] {
         tell(first, library);
@@ -171,21 +171,21 @@
     let of = id("one", 1);
     let (number, digest) = two.known_of(&of);
     let row = |spent| {
-        let purse = Purse { spent, ..Purse::default() };
-        Entry::Purse { team: "pay".into(), month: 1, purse }.bytes()
+        let purse = Balance { spent, ..Balance::default() };
+        Entry::Balance { team: "pay".into(), month: 1, purse }.bytes()
     };
     let (less, more) = (row(39), row(41));
     for (after, digest, rows, why) in [
         (number, digest, vec![&less[..]], "goes back"),
         (number, digest, vec![&[0, 3, 0xff][..]], "can't be read"),
-        (number, mulleinhub_replica::Digest::default(), vec![&more[..]], "don't chain"),
+        (number, mulleinhub_replicated_log::Digest::default(), vec![&more[..]], "don't chain"),
     ] {
         let bad = two.take(&of, after, digest, &rows).expect_err("it is wrong");
         assert!(bad.0.contains(why), "{bad}");
     }
     let unknown = id("nine", 1);
     assert!(two.take(&unknown, 0, digest, &[&more]).is_err(), "a column begins with its own name");
-    let first = mulleinhub_replica::Digest::first(&unknown);
+    let first = mulleinhub_replicated_log::Digest::first(&unknown);
     assert!(two.take(&unknown, 0, first, &[&more]).is_err(), "and with a sum");
     assert!(two.column(&unknown).is_none());
     assert!(two.take(&id("two", 1), 1, digest, &[&more]).is_err(), "rows of our own that we never wrote");
@@ -211,13 +211,13 @@
     Work { team: "pay".into(), rate: 20, since }
 }
 
-fn announces(library: &mut Library, life: u64, number: u64, keys: &[u64]) {
+fn announces(library: &mut LogStore, life: u64, number: u64, keys: &[u64]) {
     let work = keys.iter().map(|key| (*key, work(*key))).collect();
     let number = library.write(&Entry::Announced { of: id("dead", life), number, work });
     library.is_durable(number);
 }
 
-fn announced(library: &Library) -> Option<(u64, u64, Vec<u64>)> {
+fn announced(library: &LogStore) -> Option<(u64, u64, Vec<u64>)> {
     let announced = library.state_of(&"one".into())?.announced.get("dead")?;
     Some((announced.life, announced.number, announced.work.keys().copied().collect()))
 }
@@ -240,7 +240,7 @@
     let mut late = opened("late", 1);
     tell(&one, &mut late);
     assert_eq!(announced(&late), Some((4, 12, vec![3, 5])));
-    let mut next = Library::new(id("one", 2));
+    let mut next = LogStore::new(id("one", 2));
     tell(&late, &mut next);
     assert_eq!(next.taken_over().announced.len(), 1);
     announces(&mut one, 4, TAKEN_BACK, &[]);
@@ -284,7 +284,7 @@
     let mut holder = opened("two", 1);
     tell(&one, &mut holder);
     // It knew all of its last life.
-    let mut next = Library::new(id("one", 2));
+    let mut next = LogStore::new(id("one", 2));
     tell(&one, &mut next);
     let state = next.taken_over();
     let number = next.open(state);
@@ -351,8 +351,8 @@
             let work = vec![(u64::from(month) << 32 | n, Name::from("pay"), 3)];
             one.write(&Entry::Began { at: 0, work: work.clone() });
             one.write(&Entry::Over { at: 0, work: vec![(work[0].0, false)] });
-            let purse = Purse { spent: n, ..Purse::default() };
-            let number = one.write(&Entry::Purse { team: "pay".into(), month, purse });
+            let purse = Balance { spent: n, ..Balance::default() };
+            let number = one.write(&Entry::Balance { team: "pay".into(), month, purse });
             one.is_durable(number);
         }
         tell(&one, &mut two);
@@ -375,14 +375,14 @@
     }
     let mut disk = BTreeMap::new();
     let rows = kept(&mut one, &mut disk);
-    let mut again = Library::new(id("one", 2));
+    let mut again = LogStore::new(id("one", 2));
     assert_eq!(again.restore(rows.clone()), Vec::<String>::new());
     assert_eq!(again.known_of(&id("one", 1)), one.known_of(&id("one", 1)));
     for at in 0..rows.len() {
         for flipped in 0..rows[at].bytes.len() {
             let mut rows = rows.clone();
             rows[at].bytes[flipped] ^= 0x10;
-            let mut damaged = Library::new(id("one", 2));
+            let mut damaged = LogStore::new(id("one", 2));
             let words = damaged.restore(rows);
             let (known, _) = damaged.known_of(&id("one", 1));
             // A change in the last row alone can't be seen here: its digest is with the others.
@@ -391,7 +391,7 @@
         }
         let mut cut = rows.clone();
         cut.remove(at);
-        let mut damaged = Library::new(id("one", 2));
+        let mut damaged = LogStore::new(id("one", 2));
         let words = damaged.restore(cut);
         assert!(words.len() == 1 || at == 19 || at == 0, "without row {}: {words:?}", at + 1);
     }
@@ -407,7 +407,7 @@
     let mut two = opened("two", 1);
     tell(&one, &mut two);
     assert_eq!(two.orders().get(&subject), Some(order.standing()));
-    let mut again = Library::new(id("one", 2));
+    let mut again = LogStore::new(id("one", 2));
     tell(&two, &mut again);
     assert_eq!(again.taken_over().orders.get(&subject), Some(&order.standing()));
 }
--- a/crates/replica/tests/replica_set.rs
+++ b/crates/replicated-log/tests/replica_set.rs
@@ -1,7 +1,7 @@
 //! The choice of replicas: alike everywhere, spread over regions and zones, and steady when members come and
 //! go.
 
-use mulleinhub_replica::{Name, Site, replicas};
+use mulleinhub_replicated_log::{Name, Site, replicas};
 use std::collections::{BTreeMap, BTreeSet};
 
 const MANY: usize = 350;
--- a/crates/runner/src/books.rs
+++ b/crates/runner/src/books.rs
@@ -2,15 +2,15 @@
 
 use mulleinhub_engine::Engine;
 use mulleinhub_interface::{Span, Time};
-use mulleinhub_peers::{Exchange, Shelf, Teller};
+use mulleinhub_ledger::{AdmissionHandle, Exchange, SharedPools};
 use mulleinhub_planner::BooksConf;
-use mulleinhub_replica::{Change, Changes, ColumnId, Digest, Kept, KeptLogs, Kind, Reached};
+use mulleinhub_replicated_log::{Change, Changes, Digest, Kept, KeptLogs, Kind, LogId, Reached};
 use mulleinhub_seam::Party;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 /// Rows of logs of one kind.
-type Rows = BTreeMap<(ColumnId, u64), (Digest, Vec<u8>)>;
+type Rows = BTreeMap<(LogId, u64), (Digest, Vec<u8>)>;
 
 /// What is on a planner's disk.
 #[derive(Clone, Debug, Default)]
@@ -30,7 +30,7 @@
 }
 
 fn kept(rows: &Rows) -> Vec<Kept> {
-    let kept = |((id, number), (before, bytes)): (&(ColumnId, u64), &(Digest, Vec<u8>))| Kept {
+    let kept = |((id, number), (before, bytes)): (&(LogId, u64), &(Digest, Vec<u8>))| Kept {
         id: id.clone(),
         number: *number,
         before: *before,
@@ -59,7 +59,7 @@
 
 pub struct Books {
     pub exchange: Exchange,
-    shelf: Arc<Shelf>,
+    shelf: Arc<SharedPools>,
     syncs: VecDeque<Sync>,
     /// Something was told since its last turn.
     pub told: bool,
@@ -69,9 +69,9 @@
 
 impl Books {
     /// The books of a planner that starts, and the planner's look into them.
-    pub fn start(conf: &BooksConf, begins: u64, life: u64, disk: &Disk) -> (Self, Teller) {
-        let shelf = Shelf::new(&conf.settings);
-        let teller = Teller::new(shelf.clone(), &conf.settings);
+    pub fn start(conf: &BooksConf, begins: u64, life: u64, disk: &Disk) -> (Self, AdmissionHandle) {
+        let shelf = SharedPools::new(&conf.settings);
+        let teller = AdmissionHandle::new(shelf.clone(), &conf.settings);
         let seed =
             life ^ conf.settings.me.bytes().fold(0, |sum, byte| mulleinhub_interface::mix(sum, byte.into()));
         let exchange = Exchange::new(
@@ -125,7 +125,7 @@
 }
 
 /// With the planner's look into its books, where it keeps any.
-pub fn with(engine: Engine, teller: Option<Teller>) -> Engine {
+pub fn with(engine: Engine, teller: Option<AdmissionHandle>) -> Engine {
     match teller {
         Some(teller) => engine.with_quota(Box::new(teller)),
         None => engine,
--- a/crates/scale/src/ledgers/member.rs
+++ b/crates/scale/src/ledgers/member.rs
@@ -3,11 +3,11 @@
 //!
 //! All that knows the types of the ledger stands here.
 
-use mulleinhub_accounts::{Months, Phase, Prices, Settings, Team};
 use mulleinhub_interface::{Quota, Room, Span, TaskKey, Ticket, Time};
-use mulleinhub_peers::{Exchange, Figures, Member, Shelf, Teller};
-use mulleinhub_replica::{
-    Change, Changes, ColumnId, Digest, Kept, KeptLogs, Kind, Name, Order, Reached, Site, Subject, Word,
+use mulleinhub_ledger::{AdmissionHandle, Exchange, Figures, Member, SharedPools};
+use mulleinhub_quota::{Months, Phase, Prices, Settings, Team};
+use mulleinhub_replicated_log::{
+    Change, Changes, Digest, Kept, KeptLogs, Kind, LogId, Name, Order, Reached, Site, Subject, Word,
 };
 use mulleinhub_seam::{Ask, Door, End, Link, Party};
 use std::collections::BTreeMap;
@@ -122,7 +122,7 @@
 /// What a member has on disk.
 #[derive(Debug)]
 pub struct Disk {
-    rows: BTreeMap<(Kind, ColumnId, u64), (Digest, Vec<u8>)>,
+    rows: BTreeMap<(Kind, LogId, u64), (Digest, Vec<u8>)>,
     /// Whether anybody ever reads it.
     is_read: bool,
 }
@@ -149,9 +149,9 @@
         }
     }
 
-    fn drop_rows(&mut self, kind: Kind, id: &ColumnId, below: u64) {
+    fn drop_rows(&mut self, kind: Kind, id: &LogId, below: u64) {
         let rows = self.rows.range((kind, id.clone(), 0)..(kind, id.clone(), below));
-        let keys: Vec<(Kind, ColumnId, u64)> = rows.map(|(key, _)| key.clone()).collect();
+        let keys: Vec<(Kind, LogId, u64)> = rows.map(|(key, _)| key.clone()).collect();
         for key in &keys {
             self.rows.remove(key);
         }
@@ -226,8 +226,8 @@
 /// One scheduler's ledger.
 pub struct Ledger {
     exchange: Exchange,
-    teller: Teller,
-    shelf: Arc<Shelf>,
+    teller: AdmissionHandle,
+    shelf: Arc<SharedPools>,
     durable: Reached,
 }
 
@@ -236,8 +236,8 @@
     #[must_use]
     pub fn start(fleet: &FleetSettings, member: usize, life: u64, disk: &Disk) -> Self {
         let settings = fleet.ledger(member);
-        let shelf = Shelf::new(&settings);
-        let teller = Teller::new(shelf.clone(), &settings);
+        let shelf = SharedPools::new(&settings);
+        let teller = AdmissionHandle::new(shelf.clone(), &settings);
         let of = |member| Member { name: member_name(member), address: member.to_string() };
         let members = (0..fleet.schedulers).map(of).collect();
         let seed = mulleinhub_interface::mix(fleet.seed, mulleinhub_interface::mix(member as u64, life));
@@ -379,7 +379,7 @@
     #[must_use]
     pub fn knows_end(&self, member: usize, (life, number): (u64, u64)) -> bool {
         let library = self.exchange.keeper().library();
-        let id = ColumnId { writer: member_name(member), life };
+        let id = LogId { writer: member_name(member), life };
         let known = library.column(&id).map_or(0, |column| column.tip().0);
         known >= number || library.newest(&id.writer).is_some_and(|newest| newest > life)
     }
