--- a/crates/ledger/tests/interleavings.rs
+++ b/crates/ledger/tests/interleavings.rs
@@ -80,7 +80,8 @@
     });
 }
 
-/// A refusal is seen by the keeper's next look, or its block came before: nobody waits for a wake that is lost.
+/// A refusal is seen by the keeper's next look, or its block came before: nobody waits for a wake that is
+/// lost.
 #[test]
 fn no_refusal_is_overlooked() {
     loom::model(|| {
--- a/crates/ledger/tests/store.rs
+++ b/crates/ledger/tests/store.rs
@@ -105,7 +105,8 @@
     assert!(words.contains("can't be opened"), "{words}");
 }
 
-/// Wherever a store is cut or changed: what it opens with chains to what was written, or it says that it is damaged.
+/// Wherever a store is cut or changed: what it opens with chains to what was written, or it says that it is
+/// damaged.
 #[test]
 fn a_damaged_store_opens_with_true_rows_or_is_told() {
     let dir = tempfile::tempdir().expect("a directory");
--- a/crates/load/src/stage_host.rs
+++ b/crates/load/src/stage_host.rs
@@ -126,7 +126,8 @@
     probe.local_addr().map_err(|e| format!("a free port: {e}"))
 }
 
-/// Which program a planner is started with: by its number from 0, and the instant. Nothing is this program's own.
+/// Which program a planner is started with: by its number from 0, and the instant. Nothing is this program's
+/// own.
 pub type Programs<'a> = &'a dyn Fn(usize, Time) -> Option<PathBuf>;
 
 /// Plays a day to its end; settings, logs and kept lists of the planners go to `folder`.
--- a/crates/platform-protocol/src/bulletin.rs
+++ b/crates/platform-protocol/src/bulletin.rs
@@ -4,8 +4,8 @@
 
 /// Of a head.
 const MOST_HEAD: usize = 16 * 1024;
-/// Of one line of the stream, and of the data of one event: a whole list of 10,000 machines with 800 bytes for
-/// each fits. Met: with 1 MiB a list of some 6,000 machines was taken for an endless line, for ever.
+/// Of one line of the stream, and of the data of one event: a whole list of 10,000 machines with 800 bytes
+/// for each fits. Met: with 1 MiB a list of some 6,000 machines was taken for an endless line, for ever.
 const MOST_LINE: usize = 1 << 23;
 /// Of the line that tells a chunk's length.
 const MOST_CHUNK_LINE: usize = 1024;
--- a/crates/protocol/src/list.rs
+++ b/crates/protocol/src/list.rs
@@ -2,9 +2,9 @@
 //!
 //! A list is told whole in one `list` message where it fits, and in `list-piece` messages otherwise. All
 //! pieces of one list have its version; they are numbered from 0, and the last one is marked. A reader uses
-//! none of them before it has all. A sender whose list changes before it has sent the last piece either goes on with
-//! the old list or begins again with piece 0 of a higher version; the reader then drops the pieces of the old
-//! one, so that it never takes a list that is half old, half new.
+//! none of them before it has all. A sender whose list changes before it has sent the last piece either goes
+//! on with the old list or begins again with piece 0 of a higher version; the reader then drops the pieces of
+//! the old one, so that it never takes a list that is half old, half new.
 
 use crate::frame::{Bad, Frames, decode, encode, try_encode};
 use crate::message::{Entry, Held, ListKind, MOST_ENTRIES, MOST_HELD, Message};
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -1,9 +1,10 @@
 //! Who may add a worker: monthly caps of teams, kept by shares that move between schedulers, and holds of
 //! accounts.
 //!
-//! For: the look before a task is taken ([`ReservationPool`], one for each team), and the keeper of the books that
-//! fills the tills, writes rows, asks others for a part of their share and gives of its own ([`Ledger`]).
-//! May not touch: sockets, files, clocks, threads, and any choice of machine. The time of day is an input.
+//! For: the look before a task is taken ([`ReservationPool`], one for each team), and the keeper of the books
+//! that fills the tills, writes rows, asks others for a part of their share and gives of its own
+//! ([`Ledger`]). May not touch: sockets, files, clocks, threads, and any choice of machine. The time of day
+//! is an input.
 
 mod announce;
 mod keeper;
--- a/crates/replicated-log/tests/replica_set.rs
+++ b/crates/replicated-log/tests/replica_set.rs
@@ -44,7 +44,8 @@
     assert!(replicas(&name(0), &fleet(1), 2, |_| true).is_empty());
 }
 
-/// Reckoned beside with another SHA-256: a version that weighs otherwise would look for copies where there are none.
+/// Reckoned beside with another SHA-256: a version that weighs otherwise would look for copies where there
+/// are none.
 #[test]
 fn the_choice_is_the_same_in_every_version() {
     let sites: BTreeMap<Name, Site> = (0..6).map(|n| (name(n), Site::default())).collect();
--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -16,8 +16,8 @@
 const NEGLIGIBLE: f64 = 1e-12;
 /// Constant, linear and quadratic.
 const TERMS: usize = 3;
-/// Student's t for one degree of freedom, two, and so on: a quadratic term that is less than so many times its
-/// standard error is told from noise with less than 95% confidence.
+/// Student's t for one degree of freedom, two, and so on: a quadratic term that is less than so many times
+/// its standard error is told from noise with less than 95% confidence.
 const STUDENT: [f64; 10] = [12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23];
 /// The same for more of them.
 const STUDENT_MANY: f64 = 2.2;
@@ -114,7 +114,8 @@
     }
 }
 
-/// A quadratic term that its standard error doesn't tell from noise, so that the curve is a line fitted without it.
+/// A quadratic term that its standard error doesn't tell from noise, so that the curve is a line fitted
+/// without it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LeftOut {
     pub term: f64,
--- a/crates/scale/src/planners/measured.rs
+++ b/crates/scale/src/planners/measured.rs
@@ -20,7 +20,8 @@
     pub started: u64,
     /// Processor seconds while it was measured.
     pub processor: Vec<f64>,
-    /// Bytes by the allocator's count, where the program counts them, and resident ones, where it is a process.
+    /// Bytes by the allocator's count, where the program counts them, and resident ones, where it is a
+    /// process.
     pub memory: Option<Vec<u64>>,
     pub resident: Option<Vec<u64>>,
     /// From the start of a scheduler until it is ready, and its processor seconds until then: of those that
--- a/crates/scale/src/planners/mod.rs
+++ b/crates/scale/src/planners/mod.rs
@@ -1,21 +1,23 @@
-//! What schedulers and their workers cost as the fleet grows: real engines, and all that they speak to hollow.
+//! What schedulers and their workers cost as the fleet grows: real engines, and all that they speak to
+//! hollow.
 //!
 //! A run plays real schedulers (the engine and the module) against a list service, hollow workers that speak
-//! the scheduler's real frames, and a client for each scheduler. In virtual time many engines share one thread
-//! and are joined by wires with the profile's round trips; over sockets each scheduler is a process of its own.
-//! The same party stands at the other end of both, and counts at its edge.
+//! the scheduler's real frames, and a client for each scheduler. In virtual time many engines share one
+//! thread and are joined by wires with the profile's round trips; over sockets each scheduler is a process of
+//! its own. The same party stands at the other end of both, and counts at its edge.
 //!
-//! All samples are means over the schedulers, seen from the scheduler: in is what comes to it. `Scheduler` has
-//! the sums of its traffic, its processor time, memory and start; `Discovery`, `Worker` and `Client` have the
-//! traffic of one scheduler with the list service, with all workers together, and with its clients. `StartUp`
-//! lasts until all workers are reached and the client is greeted: the longest of those that came back after a
-//! failure, with its tasks on the workers, or of all that started together, where the profile has no failures. Processor time is that of the engine's own
-//! turns in virtual time; of a process it is all of it, the system's work on its sockets included.
+//! All samples are means over the schedulers, seen from the scheduler: in is what comes to it. `Scheduler`
+//! has the sums of its traffic, its processor time, memory and start; `Discovery`, `Worker` and `Client` have
+//! the traffic of one scheduler with the list service, with all workers together, and with its clients.
+//! `StartUp` lasts until all workers are reached and the client is greeted: the longest of those that came
+//! back after a failure, with its tasks on the workers, or of all that started together, where the profile
+//! has no failures. Processor time is that of the engine's own turns in virtual time; of a process it is all
+//! of it, the system's work on its sockets included.
 //!
 //! A run goes so: the list service sees all workers, all schedulers start at one instant, tasks are asked for
-//! evenly until as many run as the profile says, then they start and end at an even pace. For the first minute
-//! after a common start, signs of life go out in waves some two seconds apart: what is measured over 10 s hangs
-//! by 5% on where the waves fall, over 30 s by 1%.
+//! evenly until as many run as the profile says, then they start and end at an even pace. For the first
+//! minute after a common start, signs of life go out in waves some two seconds apart: what is measured over
+//! 10 s hangs by 5% on where the waves fall, over 30 s by 1%.
 
 mod client;
 mod compare;
--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -83,8 +83,8 @@
 
 impl Share {
     /// What holds for a role: ledger members that copy every log pay for all tasks, and so does who hears of
-    /// every worker's changes from the list; ledger members with replica sets pay for what their writers have,
-    /// and who places for what it places.
+    /// every worker's changes from the list; ledger members with replica sets pay for what their writers
+    /// have, and who places for what it places.
     #[must_use]
     pub fn of(role: Role, form: Form) -> Self {
         match (role, form) {
@@ -93,8 +93,8 @@
         }
     }
 
-    /// A value of a variable in a fleet of `schedulers`, as the value in a profile's fleet of `there` that costs
-    /// one scheduler the same.
+    /// A value of a variable in a fleet of `schedulers`, as the value in a profile's fleet of `there` that
+    /// costs one scheduler the same.
     fn moved(self, variable: Variable, value: f64, schedulers: f64, there: Option<f64>) -> f64 {
         let is_shared = matches!(variable, Variable::Starts | Variable::Running);
         match (self, there) {
@@ -300,8 +300,8 @@
     (slope.fit.largest() / wanted).ln().abs()
 }
 
-/// One slope for each variable, in the order of `Variable::ALL`; of several, that of the profile whose largest
-/// run is nearest to the target, and of equal ones the first by name.
+/// One slope for each variable, in the order of `Variable::ALL`; of several, that of the profile whose
+/// largest run is nearest to the target, and of equal ones the first by name.
 fn slopes<'a>(target: &Target, results: &[&'a Results], role: Role, metric: Metric) -> Vec<Slope<'a>> {
     let mut sorted = results.to_vec();
     sorted.sort_by(|one, other| one.profile.cmp(&other.profile));
--- a/crates/scale/src/tables.rs
+++ b/crates/scale/src/tables.rs
@@ -266,14 +266,16 @@
 }
 
 const HOW_RECKONED: &str = "\
-These figures are reckoned, not measured: no run here had the whole size. Each begins with the prediction of one profile
-(the first of its row, with all other variables as that profile fixes them) and adds, for every variable that another
-profile changes, the difference between the target's value and the fixed one by that profile's slope. It is right as far as
-the variables add up; where one multiplies another, it is too low. Workers and clients cost a scheduler its own part of
-starts and running tasks, spread evenly: their slopes are read there, and the number of schedulers matters to placing by that
-part alone. The list, and logs that are copied to all, cost it the whole fleet's; a scheduler's traffic is the sum of list,
-workers and clients. With replica sets a ledger member is reckoned to pay for its part. A curve that
-bends down is followed along its line beyond the runs. Where a part may be too little, the column `at most` says what it were if every scheduler paid for all.
+These figures are reckoned, not measured: no run here had the whole size. Each begins with the prediction of
+one profile (the first of its row, with all other variables as that profile fixes them) and adds, for every
+variable that another profile changes, the difference between the target's value and the fixed one by that
+profile's slope. It is right as far as the variables add up; where one multiplies another, it is too low.
+Workers and clients cost a scheduler its own part of starts and running tasks, spread evenly: their slopes
+are read there, and the number of schedulers matters to placing by that part alone. The list, and logs that
+are copied to all, cost it the whole fleet's; a scheduler's traffic is the sum of list, workers and clients.
+With replica sets a ledger member is reckoned to pay for its part. A curve that bends down is followed along
+its line beyond the runs. Where a part may be too little, the column `at most` says what it were if every
+scheduler paid for all.
 ";
 
 fn target(evidence: &Evidence) -> String {
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -5,8 +5,8 @@
 //!
 //! What is too long for one message goes in pieces, a few at a time, as far as the planner reads. Where the
 //! list changes meanwhile, the telling begins anew, a few times; then all pieces are written at once. A
-//! planner that reads no pieces gets changes in several messages, and is refused where the whole list doesn't fit in
-//! one.
+//! planner that reads no pieces gets changes in several messages, and is refused where the whole list doesn't
+//! fit in one.
 
 use mulleinhub_interface::{Span, Time};
 use mulleinhub_protocol::{
--- a/crates/versions/src/build.rs
+++ b/crates/versions/src/build.rs
@@ -80,8 +80,8 @@
     Ok(at)
 }
 
-/// Where a tree is built. Each has a place of its own: crates of one name in two trees are one to cargo, which
-/// goes by the times of their files, and took what the one had built for the other's.
+/// Where a tree is built. Each has a place of its own: crates of one name in two trees are one to cargo,
+/// which goes by the times of their files, and took what the one had built for the other's.
 fn target(root: &Path, tree: &Path) -> PathBuf {
     if tree == root { root.join("target/versions/target") } else { tree.join("target") }
 }
--- a/crates/versions/src/main.rs
+++ b/crates/versions/src/main.rs
@@ -1,8 +1,10 @@
-//! `mulleinhub-versions`: plays earlier versions against the present one, and looks whether seeded faults are found.
+//! `mulleinhub-versions`: plays earlier versions against the present one, and looks whether seeded faults are
+//! found.
 //!
-//! For: building named commits of this repository's own history, playing pairs of them on the same drawn days with
-//! planners as processes, fleets of both, rolls from one to the other and back; and mutants of the books.
-//! May not touch: anything outside of this repository and its target directory; processes that it did not start.
+//! For: building named commits of this repository's own history, playing pairs of them on the same drawn days
+//! with planners as processes, fleets of both, rolls from one to the other and back; and mutants of the
+//! books. May not touch: anything outside of this repository and its target directory; processes that it did
+//! not start.
 
 mod build;
 mod mutants;
@@ -33,14 +35,16 @@
         /// Drawn days, from the seed on; each is played once for each fleet
         #[arg(long, default_value_t = 6)]
         days: u64,
-        /// Only so many of the fleets: all old, all new, half and half, rolled up, rolled down, then the others
+        /// Only so many of the fleets: all old, all new, half and half, rolled up, rolled down, then the
+        /// others
         #[arg(long)]
         fleets: Option<usize>,
         /// Played at a time; each takes about a tenth of a core
         #[arg(long, default_value_t = 12)]
         at_a_time: usize,
     },
-    /// Seeds faults into the books, one at a time, and looks whether the judge names the rule that each breaks
+    /// Seeds faults into the books, one at a time, and looks whether the judge names the rule that each
+    /// breaks
     Mutants {
         /// Only those whose name contains this
         #[arg(long, default_value = "")]
