Scale: one clock, one count of memory and one bound on it for both hosts

Read again: the planners' host had its own thread clock, allocator count, reading of the machine's memory and part of it that may be used, beside those of meter.rs and limits.rs. They call these now; no figure or bound changes.

--- a/crates/quota/src/keeper/figures/tests.rs
+++ b/crates/quota/src/keeper/figures/tests.rs
@@ -85,7 +85,8 @@
             .prop_map(|(log, team, to, life, amount)| Event::ShareTransfer { log, team, to, life, amount }),
         1 => l.clone().prop_map(|log| Event::Month { log }),
         1 => l.clone().prop_map(|log| Event::Sum { log }),
-        2 => (l.clone(), 0..40usize, any::<bool>()).prop_map(|(log, rows, void)| Event::Life { log, rows, void }),
+        2 => (l.clone(), 0..40usize, any::<bool>())
+            .prop_map(|(log, rows, void)| Event::Life { log, rows, void }),
         1 => l.clone().prop_map(|log| Event::Fork { log }),
         12 => (log, 1..12usize).prop_map(|(log, rows)| Event::Hear { log, rows }),
         2 => (t.clone(), a.clone()).prop_map(|(team, cap)| Event::Order { team, cap }),
--- a/crates/quota/src/names/tests.rs
+++ b/crates/quota/src/names/tests.rs
@@ -3,7 +3,9 @@
 use super::{Known, may_come_again};
 use crate::reservation_pool::Place;
 use crate::settings::Team;
-use mulleinhub_replicated_log::{COMES_AGAIN, Displaced, Name, State, Work};
+use mulleinhub_replicated_log::{
+    COMES_AGAIN, Displaced, Name, READS_WORK_LOGS, State, WRITES_WORK_LOG, Work,
+};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 
@@ -75,7 +77,7 @@
                 running: running(fleet),
                 loose: loose(loose_keys),
                 passes: loose(passes),
-                forms: mulleinhub_replicated_log::READS_WORK_LOGS | mulleinhub_replicated_log::WRITES_WORK_LOG,
+                forms: READS_WORK_LOGS | WRITES_WORK_LOG,
                 ..State::default()
             };
             (fleet, State { running: running(work), ..State::default() })
--- a/crates/scale/src/limits.rs
+++ b/crates/scale/src/limits.rs
@@ -13,8 +13,8 @@
 /// After so much real time a run ends with what it has, where nothing else is asked for.
 pub const REAL_TIME: Duration = Duration::from_secs(15 * 60);
 /// Of the machine's memory a run may take one part in so many.
-const PART_OF_MEMORY: u64 = 2;
-const MEMORY_FILE: &str = "/proc/meminfo";
+pub(crate) const PART_OF_MEMORY: u64 = 2;
+pub(crate) const MEMORY_FILE: &str = "/proc/meminfo";
 
 // Bytes of a hollow ledger, measured by the allocator's count (profiles under scale/profiles) and rounded up.
 
--- a/crates/scale/src/meter.rs
+++ b/crates/scale/src/meter.rs
@@ -47,11 +47,20 @@
     }
 }
 
-/// Bytes that are allocated in this process; nothing where its binary doesn't count them, which it does with
-/// `stats_alloc::INSTRUMENTED_SYSTEM` as its global allocator.
+/// Bytes that the whole process holds, by the allocator's count; nought where that isn't counted.
+pub(crate) fn held_bytes() -> i64 {
+    let stats = INSTRUMENTED_SYSTEM.stats();
+    stats.bytes_allocated as i64 - stats.bytes_deallocated as i64
+}
+
+/// Whether the binary counts what it allocates, which it does with `stats_alloc::INSTRUMENTED_SYSTEM` as its
+/// global allocator.
+pub(crate) fn counts_bytes() -> bool {
+    INSTRUMENTED_SYSTEM.stats().allocations > 0
+}
+
+/// Bytes that are allocated in this process; nothing where its binary doesn't count them.
 #[must_use]
 pub fn live_bytes() -> Option<u64> {
-    let stats = INSTRUMENTED_SYSTEM.stats();
-    let live = stats.bytes_allocated as i64 - stats.bytes_deallocated as i64;
-    (stats.allocations > 0).then(|| live.max(0) as u64)
+    counts_bytes().then(|| held_bytes().max(0) as u64)
 }
--- a/crates/scale/src/planners/fits.rs
+++ b/crates/scale/src/planners/fits.rs
@@ -1,5 +1,6 @@
 //! Whether a run fits this machine, reckoned before it begins.
 
+use crate::limits::{MEMORY_FILE, PART_OF_MEMORY, machine_memory};
 use crate::results::{Host, Size};
 
 /// Bytes that one scheduler's view of one worker takes, with the hollow worker's side and the wire between.
@@ -9,8 +10,6 @@
 /// Bytes of a scheduler that knows nobody: hollow, and as a process.
 const BYTES_A_SCHEDULER: u64 = 1_000_000;
 const BYTES_A_PROCESS: u64 = 12_000_000;
-/// A run may take half of the machine's memory.
-const PART_OF_MACHINE: u64 = 2;
 
 /// What a run is reckoned to take, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,9 +41,10 @@
 /// # Errors
 /// Where a run takes more than its part of this machine's memory, with the sum.
 pub fn check(host: Host, size: &Size) -> Result<(), String> {
-    let Some(machine) = machine_memory() else { return Ok(()) };
+    let text = std::fs::read_to_string(MEMORY_FILE).unwrap_or_default();
+    let Ok(machine) = machine_memory(&text) else { return Ok(()) };
     let reckoned = reckon(host, size);
-    let most = machine / PART_OF_MACHINE;
+    let most = machine / PART_OF_MEMORY;
     if reckoned.sum() <= most {
         return Ok(());
     }
@@ -61,11 +61,3 @@
         mib(most)
     ))
 }
-
-/// Bytes of memory of this machine, where the system tells.
-fn machine_memory() -> Option<u64> {
-    let text = std::fs::read_to_string("/proc/meminfo").ok()?;
-    let line = text.lines().find_map(|line| line.strip_prefix("MemTotal:"))?;
-    let kib: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
-    Some(kib * 1024)
-}
--- a/crates/scale/src/planners/meter.rs
+++ b/crates/scale/src/planners/meter.rs
@@ -1,7 +1,6 @@
 //! What one scheduler's work costs this thread: processor time, and memory by the allocator's count.
 
-use rustix::time::{ClockId, clock_gettime};
-use stats_alloc::INSTRUMENTED_SYSTEM;
+use crate::meter::{counts_bytes, held_bytes, thread_nanos};
 
 /// Sums over all pieces of work that were measured.
 #[derive(Clone, Copy, Debug, Default)]
@@ -11,23 +10,6 @@
     bytes: i64,
 }
 
-/// Processor time of this thread, in nanoseconds.
-fn thread_nanos() -> u64 {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
-    time.tv_sec as u64 * 1_000_000_000 + time.tv_nsec as u64
-}
-
-/// Bytes that are held by the whole process.
-fn held_bytes() -> i64 {
-    let stats = INSTRUMENTED_SYSTEM.stats();
-    stats.bytes_allocated as i64 - stats.bytes_deallocated as i64
-}
-
-/// Whether the program counts what it allocates, which only its `main` can choose.
-fn is_counted() -> bool {
-    INSTRUMENTED_SYSTEM.stats().allocations > 0
-}
-
 impl Meter {
     /// Does a piece of work.
     pub fn measure<T>(&mut self, work: impl FnOnce() -> T) -> T {
@@ -60,6 +42,6 @@
     /// Bytes that are held; nothing where the program doesn't count them.
     #[must_use]
     pub fn memory(&self) -> Option<u64> {
-        is_counted().then(|| u64::try_from(self.bytes).unwrap_or(0))
+        counts_bytes().then(|| u64::try_from(self.bytes).unwrap_or(0))
     }
 }
