--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../run-case.sh" other-cause "$here"
+exec "$here/../run-case.sh" lost-stop "$here"
--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -11,6 +11,7 @@
 
 /// How long owners wait, by the settings.
 const TIMEOUT_MS: u64 = 1_200;
+const CRANE_TIMEOUT_MS: u64 = 1_500;
 /// An answer up to so long after its time is late and not lost.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// An end is to be told within this, with what time limits are longer on sockets.
@@ -27,12 +28,14 @@
         "taken-back" => taken_back(stage),
         "other-cause" => other_cause(stage),
         "end-after-restart" => end_after_restart(stage),
+        "stall-with-answers" => stall_with_answers(stage),
         "slow-bulletin" => slow_bulletin(stage),
+        // Left out for want of a place, and told of in the report.
+        "silent-clients" => silent_clients(stage),
+        "lost-stop" => lost_stop(stage),
         "replaced" => replaced(stage),
         "hand-over" => hand_over(stage),
-        "silent-clients" => silent_clients(stage),
-        "stall-with-answers" => stall_with_answers(stage),
-        "stall" => stall(stage),
+        "stall-and-restart" => stall_and_restart(stage),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -309,9 +312,9 @@
         Ok(())
     };
     if stage.trouble {
-        open_silent(&mut silent, 20)?;
+        open_silent(&mut silent, 50)?;
     }
-    sleep(ms(600));
+    sleep(ms(400));
     if next.is_closed() || !node.holds(0xa2) {
         return Err("the connection was closed, or the task does not stand".to_owned());
     }
@@ -320,6 +323,9 @@
     let mut told = None;
     while told.is_none() && ended.elapsed() < ms(2_000) {
         told = next.told_over(0xa2, ms(500)).map(|(at, _)| at - ended);
+        if stage.trouble {
+            open_silent(&mut silent, 10)?;
+        }
     }
     if next.is_closed() {
         return Err("the connection was closed".to_owned());
@@ -382,8 +388,8 @@
     })
 }
 
-/// The scheduler stalls for two seconds as a task is accepted, and its node is restarted meanwhile.
-fn stall(stage: &Stage) -> Result<Verdict, String> {
+/// A node is restarted just after it has accepted a task; the scheduler stalls for two seconds meanwhile.
+fn stall_and_restart(stage: &Stage) -> Result<Verdict, String> {
     let one = node(stage, "n1", Manner::Takes)?;
     let bulletin = bulletin_of(stage, &[&one])?;
     let mut scheduler = Scheduler::new("s1", &stage.folder, &stage.record)?;
@@ -393,7 +399,9 @@
     one.answer_late(ms(100));
     owner.send(&[set_up(0xa2, 0xa2, "gate-check", TIMEOUT_MS, None)]);
     sleep(ms(30));
-    scheduler.signal("STOP");
+    if stage.trouble {
+        scheduler.signal("STOP");
+    }
     sleep(ms(300));
     one.die();
     sleep(ms(300));
@@ -402,14 +410,47 @@
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?;
     let restarted = Instant::now();
     sleep(ms(1_400));
-    scheduler.signal("CONT");
+    if stage.trouble {
+        scheduler.signal("CONT");
+    }
     let answer = owner.final_answer(0xa2, ms(2_000));
     bulletin.publish(&[entry(&again, "in_service", unix.as_millis() as u64)]);
-    let told_one = owner.told_over(0xa1, ms(12_000)).map(|(at, _)| at - restarted);
-    let told_two = owner.told_over(0xa2, ms(3_000)).map(|(at, _)| at - restarted);
-    stage.record.note(&format!("answer {answer:?}; the ends were told after {told_one:?} and {told_two:?}"));
-    Ok(match (answer, told_two) {
-        (Some((_, answer)), None) if answer.kind == wire::ANSWER => Verdict::Broken("not told".to_owned()),
-        other => Verdict::Held(format!("{other:?}")),
+    // Where no release could be sent, it is to be told within 8 s of its end.
+    let told = owner.told_over(0xa2, ms(9_000)).map(|(at, _)| at - restarted);
+    Ok(match (answer, told) {
+        (Some((_, answer)), None) if answer.kind == wire::ANSWER => {
+            Verdict::Broken("the owner was told that its task stands, and never that it is over".to_owned())
+        }
+        other => Verdict::Held(format!("answer and end: {other:?}")),
+    })
+}
+
+/// A task that runs at the start is handed over, and its owner ends it while the first connection to its node does not
+/// come up; later the owner asks for it again.
+fn lost_stop(stage: &Stage) -> Result<Verdict, String> {
+    let (one, two) = (node(stage, "n1", Manner::Takes)?, node(stage, "n2", Manner::Takes)?);
+    one.hold(0xa1);
+    let bulletin = bulletin_of(stage, &[&one, &two])?;
+    let mut scheduler = Scheduler::new("s1", &stage.folder, &stage.record)?;
+    scheduler.start(&bulletin)?;
+    let owner = Owner::connect_when_ready("owner", scheduler.address, &stage.record)?;
+    if stage.trouble {
+        one.hold_connections_back(ms(800));
+    }
+    owner.send(&[set_up(0xa1, 0xa1, "crane-order", CRANE_TIMEOUT_MS, Some("n1"))]);
+    sleep(ms(600));
+    owner.send(&[Message::release(0xa1, wire::CANCELLED)]);
+    sleep(ms(2_500));
+    let after = one.holds(0xa1);
+    // The owner asks for the task again.
+    owner.send(&[set_up(0xa2, 0xa1, "crane-order", CRANE_TIMEOUT_MS, None)]);
+    let answer = owner.final_answer(0xa2, ms(CRANE_TIMEOUT_MS) + ANSWER_SLACK);
+    sleep(ms(8_000));
+    let (first, second) = (one.holds(0xa1), one.holds(0xa2) || two.holds(0xa2));
+    stage.record.note(&format!("the first run stood 2.5 s after its owner had ended it: {after}"));
+    Ok(if first && second {
+        Verdict::Broken("a task that must not run twice runs twice: its owner had ended the first run".to_owned())
+    } else {
+        Verdict::Held(format!("first run: {first}, second run: {second}, {answer:?}"))
     })
 }
--- a/review/stand-in/node.rs
+++ b/review/stand-in/node.rs
@@ -5,10 +5,16 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+unsafe extern "C" {
+    /// The C library's: how many connections may wait to be accepted.
+    safe fn listen(descriptor: i32, backlog: i32) -> i32;
+}
+
 /// What a node does with a set-up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Manner {
@@ -37,6 +43,9 @@
     arrivals: Vec<Arrival>,
     /// Tasks that stand, each with the connection of its set-up.
     standing: BTreeMap<u64, usize>,
+    /// The node's listener; connections to it come up late while it is held back.
+    listener: Arc<TcpListener>,
+    held_back: bool,
     links: Vec<(usize, TcpStream)>,
     next_link: usize,
     /// Releases that go out on the next connection that is opened, too.
@@ -55,7 +64,7 @@
 impl Node {
     /// A node at this address; port 0 for a free one.
     pub fn start(uid: &str, address: &str, manner: Manner, record: &Record) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        let listener = Arc::new(TcpListener::bind(address)?);
         listener.set_nonblocking(true)?;
         let node = Self {
             uid: uid.to_owned(),
@@ -66,6 +75,8 @@
                 description: 0,
                 arrivals: Vec::new(),
                 standing: BTreeMap::new(),
+                listener: listener.clone(),
+                held_back: false,
                 links: Vec::new(),
                 next_link: 0,
                 repeats: Vec::new(),
@@ -84,7 +95,8 @@
 
     fn accept(&self, listener: &TcpListener) {
         while !self.stopped.load(Ordering::Relaxed) {
-            let Ok((stream, _)) = listener.accept() else {
+            let accepted = if self.lock().held_back { None } else { listener.accept().ok() };
+            let Some((stream, _)) = accepted else {
                 std::thread::sleep(Duration::from_millis(1));
                 continue;
             };
@@ -192,6 +204,36 @@
         self.lock().answer_delay = delay;
     }
 
+    /// New connections don't come up from now on, for so long.
+    pub fn hold_connections_back(&self, length: Duration) {
+        let listener = {
+            let mut state = self.lock();
+            state.held_back = true;
+            state.listener.clone()
+        };
+        // A queue of waiting connections that is full leaves further ones unanswered.
+        listen(listener.as_raw_fd(), 0);
+        let mut fillers = Vec::new();
+        while let Ok(filler) = TcpStream::connect_timeout(&self.address, Duration::from_millis(20)) {
+            fillers.push(filler);
+        }
+        self.record.note(&format!("connections to node {} don't come up", self.uid));
+        let node = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(length);
+            drop(fillers);
+            listen(listener.as_raw_fd(), 1024);
+            node.lock().held_back = false;
+            node.record.note(&format!("connections to node {} come up again", node.uid));
+        });
+    }
+
+    /// It holds this task since before the schedulers started.
+    pub fn hold(&self, task: u64) {
+        self.record.note(&format!("node {} runs task {task:016x}", self.uid));
+        self.lock().standing.insert(task, 0);
+    }
+
     pub fn set_manner(&self, manner: Manner) {
         self.lock().manner = manner;
     }
