Review: a play of an owner that is cut off, left out of the cases

Change: the stand-in has a proxy that can be cut off, and a play with it, for the report. It is no case: the release is written towards its client in time.

--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -3,6 +3,7 @@
 use crate::bulletin::{Bulletin, entry, entry_with_room};
 use crate::node::{Manner, Node};
 use crate::owner::{Owner, set_up};
+use crate::proxy::Proxy;
 use crate::scheduler::Scheduler;
 use crate::wire::{self, Message};
 use crate::{Stage, Verdict};
@@ -33,6 +34,7 @@
         // Left out for want of a place, and told of in the report.
         "silent-clients" => silent_clients(stage),
         "lost-stop" => lost_stop(stage),
+        "partition" => partition(stage),
         "replaced" => replaced(stage),
         "hand-over" => hand_over(stage),
         "stall-and-restart" => stall_and_restart(stage),
@@ -454,3 +456,40 @@
         Verdict::Held(format!("first run: {first}, second run: {second}, {answer:?}"))
     })
 }
+
+/// An owner is cut off from the scheduler for less than six seconds; meanwhile its task comes to its end, and the owner
+/// closes its connection.
+fn partition(stage: &Stage) -> Result<Verdict, String> {
+    let node = node(stage, "n1", Manner::Takes)?;
+    let bulletin = bulletin_of(stage, &[&node])?;
+    let mut scheduler = Scheduler::new("s1", &stage.folder, &stage.record)?;
+    scheduler.start(&bulletin)?;
+    let proxy = Proxy::start(scheduler.address, &stage.record).map_err(|error| error.to_string())?;
+    let owner = Owner::connect_when_ready("owner, connection 1", proxy.address, &stage.record)?;
+    place(&owner, 0xa1, "gate-check")?;
+    node.end_task(0xa1);
+    owner.told_over(0xa1, END_LIMIT).ok_or("the first end was not told")?;
+    place(&owner, 0xa2, "gate-check")?;
+    sleep(ms(200));
+    if stage.trouble {
+        proxy.set_cut_off(true);
+    }
+    sleep(ms(500));
+    node.end_task(0xa2);
+    let ended = Instant::now();
+    let told = if stage.trouble { None } else { owner.told_over(0xa2, END_LIMIT) };
+    sleep(ms(4_000));
+    owner.close();
+    sleep(ms(500));
+    if stage.trouble {
+        proxy.set_cut_off(false);
+    }
+    sleep(ms(300));
+    let next = Owner::connect("owner, connection 2", proxy.address, &stage.record)?;
+    place(&next, 0xa3, "gate-check")?;
+    let told = told.or_else(|| next.told_over(0xa2, ms(8_000)));
+    Ok(match told {
+        Some((at, _)) => Verdict::Held(format!("told after {:?}", at - ended)),
+        None => Verdict::Broken("the end was never told".to_owned()),
+    })
+}
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -7,6 +7,7 @@
 mod cases;
 mod node;
 mod owner;
+mod proxy;
 mod record;
 mod scheduler;
 mod wire;
