--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -35,6 +35,9 @@
         "silent-clients" => silent_clients(stage),
         "lost-stop" => lost_stop(stage),
         "partition" => partition(stage),
+        "log-reader" => log_reader(stage),
+        "first-end" => first_end(stage),
+        "lost-release" => lost_release(stage),
         "replaced" => replaced(stage),
         "hand-over" => hand_over(stage),
         "stall-and-restart" => stall_and_restart(stage),
@@ -493,3 +496,97 @@
         None => Verdict::Broken("the end was never told".to_owned()),
     })
 }
+
+/// Whoever reads the log stops reading for twenty seconds.
+fn log_reader(stage: &Stage) -> Result<Verdict, String> {
+    let node = node(stage, "n1", Manner::Takes)?;
+    let bulletin = bulletin_of(stage, &[&node])?;
+    let mut scheduler = Scheduler::new("s1", &stage.folder, &stage.record)?;
+    scheduler.log_through_a_pipe();
+    scheduler.start(&bulletin)?;
+    let owner = Owner::connect_when_ready("owner", scheduler.address, &stage.record)?;
+    place(&owner, 0xa1, "gate-check")?;
+    node.end_task(0xa1);
+    if stage.trouble {
+        scheduler.signal_log_reader("STOP");
+    }
+    let stopped = Instant::now();
+    let mut unanswered = None;
+    let mut answered = 0;
+    for task in 0xc00..0xe00 {
+        owner.send(&[set_up(task, task, "gate-check", TIMEOUT_MS, None)]);
+        if owner.final_answer(task, ms(TIMEOUT_MS) + ANSWER_SLACK).is_none() {
+            unanswered = Some(task);
+            break;
+        }
+        answered += 1;
+        node.end_task(task);
+        sleep(ms(20));
+    }
+    sleep(ms(20_000).saturating_sub(stopped.elapsed()));
+    if stage.trouble {
+        scheduler.signal_log_reader("CONT");
+    }
+    let late = unanswered.and_then(|task| owner.final_answer(task, ms(3_000)));
+    Ok(match unanswered {
+        Some(task) => Verdict::Broken(format!(
+            "after {answered} requests the scheduler stood still: {task:x} got no answer while the log was not read; after that: {late:?}"
+        )),
+        None => Verdict::Held(format!("{answered} requests, all answered")),
+    })
+}
+
+/// The first end that an owner is told of goes down with its connection.
+fn first_end(stage: &Stage) -> Result<Verdict, String> {
+    let node = node(stage, "n1", Manner::Takes)?;
+    let bulletin = bulletin_of(stage, &[&node])?;
+    let mut scheduler = Scheduler::new("s1", &stage.folder, &stage.record)?;
+    scheduler.start(&bulletin)?;
+    let proxy = Proxy::start(scheduler.address, &stage.record).map_err(|error| error.to_string())?;
+    let owner = Owner::connect_when_ready("owner, connection 1", proxy.address, &stage.record)?;
+    place(&owner, 0xa2, "gate-check")?;
+    let next = Owner::connect("owner, connection 2", scheduler.address, &stage.record)?;
+    place(&next, 0xa3, "gate-check")?;
+    sleep(ms(200));
+    if stage.trouble {
+        proxy.set_cut_off(true);
+        sleep(ms(20));
+    }
+    node.end_task(0xa2);
+    let ended = Instant::now();
+    sleep(ms(30));
+    if stage.trouble {
+        // The connection is reset, with the end on its way.
+        proxy.set_cut_off(false);
+    }
+    while ended.elapsed() < ms(9_000) {
+        let told = owner.told_over(0xa2, ms(1)).or_else(|| next.told_over(0xa2, ms(1)));
+        if let Some((at, _)) = told {
+            return Ok(Verdict::Held(format!("told after {:?}", at - ended)));
+        }
+        sleep(ms(20));
+    }
+    Ok(Verdict::Broken("the end was not told within 9 s, though the owner's other connection was open".to_owned()))
+}
+
+/// A node's release goes down with its connection, and the next connections come up late.
+fn lost_release(stage: &Stage) -> Result<Verdict, String> {
+    let node = node(stage, "n1", Manner::Takes)?;
+    let bulletin = bulletin_of(stage, &[&node])?;
+    let mut scheduler = Scheduler::new("s1", &stage.folder, &stage.record)?;
+    scheduler.start(&bulletin)?;
+    let owner = Owner::connect_when_ready("owner", scheduler.address, &stage.record)?;
+    place(&owner, 0xa2, "gate-check")?;
+    sleep(ms(200));
+    if stage.trouble {
+        node.hold_connections_back(ms(800));
+        node.reset_connections();
+    }
+    node.end_task(0xa2);
+    let ended = Instant::now();
+    let told = owner.told_over(0xa2, ms(9_000)).map(|(at, _)| at - ended);
+    Ok(match told {
+        Some(after) if after <= END_LIMIT + MEASURING => Verdict::Held(format!("told after {after:?}")),
+        other => Verdict::Broken(format!("told after {other:?}")),
+    })
+}
--- a/review/stand-in/node.rs
+++ b/review/stand-in/node.rs
@@ -44,7 +44,7 @@
     /// Tasks that stand, each with the connection of its set-up.
     standing: BTreeMap<u64, usize>,
     /// The node's listener; connections to it come up late while it is held back.
-    listener: Arc<TcpListener>,
+    listener: Option<Arc<TcpListener>>,
     held_back: bool,
     links: Vec<(usize, TcpStream)>,
     next_link: usize,
@@ -75,7 +75,7 @@
                 description: 0,
                 arrivals: Vec::new(),
                 standing: BTreeMap::new(),
-                listener: listener.clone(),
+                listener: Some(listener.clone()),
                 held_back: false,
                 links: Vec::new(),
                 next_link: 0,
@@ -209,7 +209,8 @@
         let listener = {
             let mut state = self.lock();
             state.held_back = true;
-            state.listener.clone()
+            let Some(listener) = state.listener.clone() else { return };
+            listener
         };
         // A queue of waiting connections that is full leaves further ones unanswered.
         listen(listener.as_raw_fd(), 0);
@@ -221,6 +222,8 @@
         let node = self.clone();
         std::thread::spawn(move || {
             std::thread::sleep(length);
+            // They wait ahead of all others.
+            fillers.iter().for_each(|_| drop(listener.accept()));
             drop(fillers);
             listen(listener.as_raw_fd(), 1024);
             node.lock().held_back = false;
@@ -261,6 +264,14 @@
         state.repeats.push(release);
     }
 
+    /// All its connections end; what was on its way there is lost.
+    pub fn reset_connections(&self) {
+        self.record.note(&format!("the connections of node {} are reset", self.uid));
+        for (_, stream) in self.lock().links.drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
     /// The process of the node dies: its connections are reset, its tasks are cut, its address is free.
     pub fn die(&self) {
         self.stopped.store(true, Ordering::Relaxed);
@@ -270,5 +281,6 @@
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
         state.standing.clear();
+        state.listener = None;
     }
 }
--- a/review/stand-in/scheduler.rs
+++ b/review/stand-in/scheduler.rs
@@ -57,6 +57,10 @@
     record: Record,
     child: Option<usize>,
     starts: u32,
+    /// The process that reads its log through a pipe, where one does.
+    log_reader: Option<usize>,
+    /// What is logged, as RUST_LOG says it.
+    log_level: &'static str,
 }
 
 impl Scheduler {
@@ -78,6 +82,8 @@
             record: record.clone(),
             child: None,
             starts: 0,
+            log_reader: None,
+            log_level: "info",
         })
     }
 
@@ -101,6 +107,14 @@
         std::fs::write(&path, config).map_err(|error| error.to_string())?;
         let log = File::create(format!("{}/{}-{}.log", self.folder, self.name, self.starts));
         let log = log.map_err(|error| error.to_string())?;
+        let (out, err): (Stdio, Stdio) = if self.log_level == "info" {
+            (log.try_clone().map_err(|error| error.to_string())?.into(), log.into())
+        } else {
+            let (read, write) = std::io::pipe().map_err(|error| error.to_string())?;
+            let reader = Command::new("cat").stdin(read).stdout(log).spawn().map_err(|error| error.to_string())?;
+            self.log_reader = Some(self.keep(reader));
+            (write.try_clone().map_err(|error| error.to_string())?.into(), write.into())
+        };
         let child = Command::new("/bin/sh")
             .args(["-c", &self.command])
             .current_dir(&self.root)
@@ -108,20 +122,39 @@
             .env("LB_LISTEN", self.address.to_string())
             .env("LB_CONFIG", &path)
             .env("TMPDIR", &self.folder)
+            .env("RUST_LOG", self.log_level)
             .stdin(Stdio::null())
-            .stdout(log.try_clone().map_err(|error| error.to_string())?)
-            .stderr(log)
+            .stdout(out)
+            .stderr(err)
             .spawn()
             .map_err(|error| error.to_string())?;
         self.record.note(&format!("scheduler {} starts", self.name));
+        self.child = Some(self.keep(child));
+        Ok(())
+    }
+
+    /// Another process reads the log through a pipe; everything is logged.
+    pub fn log_through_a_pipe(&mut self) {
+        self.log_level = "debug";
+    }
+
+    fn keep(&self, child: Child) -> usize {
         // For whoever has to end it, should this program be ended first.
         let mut ids = std::fs::read_to_string(format!("{}/processes", self.folder)).unwrap_or_default();
         ids.push_str(&format!("{}\n", child.id()));
         let _ = std::fs::write(format!("{}/processes", self.folder), ids);
         let mut started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
         started.push(child);
-        self.child = Some(started.len() - 1);
-        Ok(())
+        started.len() - 1
+    }
+
+    /// Sends the process that reads its log a signal, by name.
+    pub fn signal_log_reader(&self, name: &str) {
+        let started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(child) = self.log_reader.and_then(|child| started.get(child)) {
+            let _ = Command::new("kill").args([format!("-{name}"), child.id().to_string()]).status();
+            self.record.note(&format!("the reader of the log of {} gets SIG{name}", self.name));
+        }
     }
 
     /// Its exit status, if it has ended by itself.
