--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -38,6 +38,7 @@
         "log-reader" => log_reader(stage),
         "first-end" => first_end(stage),
         "lost-release" => lost_release(stage),
+        "two-releases" => two_releases(stage),
         "replaced" => replaced(stage),
         "hand-over" => hand_over(stage),
         "stall-and-restart" => stall_and_restart(stage),
@@ -590,3 +591,27 @@
         other => Verdict::Broken(format!("told after {other:?}")),
     })
 }
+
+/// A node releases a set-up twice in one write: as reset, and as an error.
+fn two_releases(stage: &Stage) -> Result<Verdict, String> {
+    let (one, two) = (node(stage, "n1", Manner::Takes)?, node(stage, "n2", Manner::Takes)?);
+    let bulletin = bulletin_of(stage, &[&one, &two])?;
+    let mut scheduler = Scheduler::new("s1", &stage.folder, &stage.record)?;
+    scheduler.start(&bulletin)?;
+    let owner = Owner::connect_when_ready("owner", scheduler.address, &stage.record)?;
+    place(&owner, 0xa1, "gate-check")?;
+    if stage.trouble {
+        one.set_manner(Manner::ReleasesTwice(41, 47));
+        two.set_manner(Manner::ReleasesTwice(41, 47));
+    }
+    owner.send(&[set_up(0xa2, 0xa2, "gate-check", TIMEOUT_MS, None)]);
+    let answer = owner.final_answer(0xa2, ms(TIMEOUT_MS) + ANSWER_SLACK);
+    sleep(ms(300));
+    Ok(match scheduler.exit_status() {
+        Some(status) => {
+            scheduler.faults().iter().for_each(|line| stage.record.note(&format!("log: {line}")));
+            Verdict::Broken(format!("the scheduler has crashed ({status}); {answer:?}"))
+        }
+        None => Verdict::Held(format!("the scheduler runs; {answer:?}")),
+    })
+}
--- a/review/stand-in/node.rs
+++ b/review/stand-in/node.rs
@@ -24,6 +24,8 @@
     Full,
     /// The task starts, and then the set-up is released with this cause instead of an answer.
     StartsAndReleases(u8),
+    /// Two releases in one write, with these causes.
+    ReleasesTwice(u8, u8),
 }
 
 /// A set-up as it arrived.
@@ -171,6 +173,15 @@
                 Message::new(wire::ANSWER, task).with(wire::DESCRIPTION, &description)
             }
             Manner::Full => Message::release(task, wire::FULL),
+            Manner::ReleasesTwice(first, second) => {
+                if let Some((_, stream)) = state.links.iter().find(|(other, _)| *other == link) {
+                    self.record.note(&format!("node {} releases task {task:016x} with causes {first} and {second}", self.uid));
+                    let mut bytes = Message::release(task, first).encode();
+                    bytes.extend(Message::release(task, second).encode());
+                    let _ = (&*stream).write_all(&bytes);
+                }
+                return;
+            }
             Manner::StartsAndReleases(cause) => {
                 self.record.note(&format!("node {} runs task {task:016x}", self.uid));
                 Message::release(task, cause)
