Review case 4: an answer that stops short swallows the end of another task

A connection to a node on which half an answer lies is kept in use after its attempt was given up.

Change: case 4 is now the play "stops-short": one answer of a node stops short, and the end of a task that was placed over that connection is told to nobody. The stand-in's node can stop short, and tells what tasks use.

--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -11,16 +11,16 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// How long owners wait, by the settings.
-const TIMEOUT_MS: u64 = 1_200;
-const CRANE_TIMEOUT_MS: u64 = 1_500;
+pub const TIMEOUT_MS: u64 = 1_200;
+pub const CRANE_TIMEOUT_MS: u64 = 1_500;
 /// An answer up to so long after its time is late and not lost.
-const ANSWER_SLACK: Duration = Duration::from_millis(500);
+pub const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// An end is to be told within this, with what time limits are longer on sockets.
-const END_LIMIT: Duration = Duration::from_millis(1_050);
+pub const END_LIMIT: Duration = Duration::from_millis(1_050);
 /// What the machine that plays the case may add.
-const MEASURING: Duration = Duration::from_millis(200);
+pub const MEASURING: Duration = Duration::from_millis(200);
 
-fn ms(count: u64) -> Duration {
+pub fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
 
@@ -42,16 +42,16 @@
         "replaced" => replaced(stage),
         "hand-over" => hand_over(stage),
         "stall-and-restart" => stall_and_restart(stage),
-        _ => Err(format!("there is no case {case}")),
+        _ => crate::more_cases::play(case, stage),
     }
 }
 
-fn node(stage: &Stage, uid: &str, manner: Manner) -> Result<Node, String> {
+pub fn node(stage: &Stage, uid: &str, manner: Manner) -> Result<Node, String> {
     Node::start(uid, "127.0.0.1:0", manner, &stage.record).map_err(|error| error.to_string())
 }
 
 /// A bulletin that lists these nodes.
-fn bulletin_of(stage: &Stage, nodes: &[&Node]) -> Result<Bulletin, String> {
+pub fn bulletin_of(stage: &Stage, nodes: &[&Node]) -> Result<Bulletin, String> {
     let bulletin = Bulletin::start(&stage.record).map_err(|error| error.to_string())?;
     let entries: Vec<String> = nodes.iter().map(|node| entry(node, "in_service", 0)).collect();
     bulletin.publish(&entries);
@@ -59,7 +59,7 @@
 }
 
 /// Places a task, which has to stand.
-fn place(owner: &Owner, task: u64, class: &str) -> Result<(), String> {
+pub fn place(owner: &Owner, task: u64, class: &str) -> Result<(), String> {
     owner.send(&[set_up(task, task, class, TIMEOUT_MS, None)]);
     match owner.final_answer(task, ms(TIMEOUT_MS)) {
         Some((_, answer)) if answer.kind == wire::ANSWER => Ok(()),
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -5,6 +5,7 @@
 
 mod bulletin;
 mod cases;
+mod more_cases;
 mod node;
 mod owner;
 mod proxy;
--- a/review/stand-in/node.rs
+++ b/review/stand-in/node.rs
@@ -26,6 +26,8 @@
     StartsAndReleases(u8),
     /// Two releases in one write, with these causes.
     ReleasesTwice(u8, u8),
+    /// The task runs, and the first half of the answer is all that is ever written of it.
+    StopsShort,
 }
 
 /// A set-up as it arrived.
@@ -52,6 +54,8 @@
     next_link: usize,
     /// Releases that go out on the next connection that is opened, too.
     repeats: Vec<Message>,
+    /// The connection on which an answer stopped short.
+    spoilt: Option<usize>,
 }
 
 #[derive(Clone)]
@@ -82,6 +86,7 @@
                 links: Vec::new(),
                 next_link: 0,
                 repeats: Vec::new(),
+                spoilt: None,
             })),
             stopped: Arc::new(AtomicBool::new(false)),
             record: record.clone(),
@@ -182,6 +187,23 @@
                 }
                 return;
             }
+            Manner::StopsShort => {
+                state.standing.insert(task, link);
+                state.spoilt = Some(link);
+                self.record.note(&format!("node {} runs task {task:016x}", self.uid));
+                let bytes = Message::new(wire::ANSWER, task).with(wire::DESCRIPTION, &[b'.'; 4_000]).encode();
+                let half = &bytes[..bytes.len() / 2];
+                if let Some((_, stream)) = state.links.iter().find(|(other, _)| *other == link) {
+                    self.record.note(&format!(
+                        "node {} sends an answer {task:016x} that stops short: {} of {} bytes, on link {link}",
+                        self.uid,
+                        half.len(),
+                        bytes.len()
+                    ));
+                    let _ = (&*stream).write_all(half);
+                }
+                return;
+            }
             Manner::StartsAndReleases(cause) => {
                 self.record.note(&format!("node {} runs task {task:016x}", self.uid));
                 Message::release(task, cause)
@@ -248,6 +270,35 @@
         self.lock().standing.insert(task, 0);
     }
 
+    /// From now on it tells every half second how many cores each task uses, on the connection of its set-up.
+    pub fn tell_use(&self) {
+        let node = self.clone();
+        std::thread::spawn(move || {
+            while !node.stopped.load(Ordering::Relaxed) {
+                {
+                    let state = node.lock();
+                    for (task, link) in &state.standing {
+                        let note = Message::new(wire::NOTE, *task)
+                            .with(wire::NOTE_NAME, b"use_cpu")
+                            .with(wire::NOTE_VALUE, b"0.25");
+                        node.write(&state, *link, &note);
+                    }
+                }
+                std::thread::sleep(Duration::from_millis(500));
+            }
+        });
+    }
+
+    /// The connection of a task's set-up.
+    pub fn link_of(&self, task: u64) -> Option<usize> {
+        self.lock().standing.get(&task).copied()
+    }
+
+    /// The connection on which an answer stopped short.
+    pub fn spoilt_link(&self) -> Option<usize> {
+        self.lock().spoilt
+    }
+
     pub fn set_manner(&self, manner: Manner) {
         self.lock().manner = manner;
     }
--- a/review/stand-in/owner.rs
+++ b/review/stand-in/owner.rs
@@ -44,7 +44,7 @@
             received: Arc::new(Mutex::new(Vec::new())),
             closed: Arc::new(Mutex::new(None)),
             record: record.clone(),
-            mute: name == "silent client",
+            mute: name == "silent client" || name == "bad client",
         };
         let reader = owner.clone();
         std::thread::spawn(move || reader.read());
--- a/review/stand-in/wire.rs
+++ b/review/stand-in/wire.rs
@@ -4,6 +4,7 @@
 pub const ANSWER: u8 = 9;
 pub const RELEASE: u8 = 12;
 pub const RELEASE_HEARD: u8 = 16;
+pub const NOTE: u8 = 44;
 pub const TEST: u8 = 52;
 pub const TEST_RESULT: u8 = 53;
 
@@ -12,6 +13,9 @@
 pub const NAME: u8 = 112;
 pub const FIGURES: u8 = 115;
 pub const KEY: u8 = 139;
+/// The name of a note, and its figure.
+pub const NOTE_NAME: u8 = 121;
+pub const NOTE_VALUE: u8 = 136;
 pub const CAUSE: u8 = 142;
 pub const DESCRIPTION: u8 = 145;
 
@@ -100,7 +104,7 @@
             ANSWER => "answer",
             RELEASE => "release",
             RELEASE_HEARD => "release heard",
-            44 => "note",
+            NOTE => "note",
             51 => "move",
             TEST => "test",
             TEST_RESULT => "test result",
