--- a/review/stand-in/more_cases.rs
+++ b/review/stand-in/more_cases.rs
@@ -1,9 +1,10 @@
 //! Cases of the second review.
 
-use crate::cases::{END_LIMIT, MEASURING, TIMEOUT_MS, bulletin_of, ms, node, place};
+use crate::cases::{CRANE_TIMEOUT_MS, END_LIMIT, MEASURING, TIMEOUT_MS, bulletin_of, ms, node, place};
 use crate::node::Manner;
 use crate::owner::{Owner, set_up};
 use crate::scheduler::Scheduler;
+use crate::wire::{self, Message};
 use crate::{Stage, Verdict};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -12,6 +13,9 @@
     match case {
         "stops-short" => stops_short(stage),
         "unknown-ids" => unknown_ids(stage),
+        // Left out for want of a place, and told of in the report.
+        "late-hand-over" => late_hand_over(stage),
+        "asked-again" => asked_again(stage),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -100,3 +104,57 @@
     let elsewhere = bad.told_over(0xa1, Duration::ZERO).is_some();
     Ok(judge_end(told, most, if elsewhere { "the bad client was told instead" } else { "nobody was told" }))
 }
+
+/// A task is handed over to a scheduler that has had nothing to do with its node for a while, and the first connection to
+/// the node comes up late.
+fn late_hand_over(stage: &Stage) -> Result<Verdict, String> {
+    let node = node(stage, "n1", Manner::Takes)?;
+    node.hold(0xa1);
+    let bulletin = bulletin_of(stage, &[&node])?;
+    let mut scheduler = Scheduler::new("s1", &stage.folder, &stage.record)?;
+    scheduler.start(&bulletin)?;
+    let owner = Owner::connect_when_ready("owner", scheduler.address, &stage.record)?;
+    sleep(ms(8_000));
+    let owner = if owner.is_closed() { Owner::connect("owner", scheduler.address, &stage.record)? } else { owner };
+    if stage.trouble {
+        node.hold_connections_back(ms(900));
+    }
+    owner.send(&[set_up(0xa1, 0xa1, "crane-order", CRANE_TIMEOUT_MS, Some("n1"))]);
+    let told = owner.told_over(0xa1, ms(3_000));
+    let stands = node.holds(0xa1);
+    Ok(match told {
+        Some((_, message)) if stands => Verdict::Broken(format!(
+            "the owner was told that its task is over ({}), and it runs",
+            message.describe()
+        )),
+        other => Verdict::Held(format!("told over: {other:?}, stands: {stands}")),
+    })
+}
+
+/// A client takes a request back that waits for a node, and asks again under its number in the same write.
+fn asked_again(stage: &Stage) -> Result<Verdict, String> {
+    let (one, two) = (node(stage, "n1", Manner::Takes)?, node(stage, "n2", Manner::Takes)?);
+    let bulletin = bulletin_of(stage, &[&one, &two])?;
+    let mut scheduler = Scheduler::new("s1", &stage.folder, &stage.record)?;
+    scheduler.start(&bulletin)?;
+    let owner = Owner::connect_when_ready("owner", scheduler.address, &stage.record)?;
+    place(&owner, 0xa1, "gate-check")?;
+    let other = Owner::connect("other client", scheduler.address, &stage.record)?;
+    one.set_manner(Manner::Full);
+    two.set_manner(Manner::Full);
+    let asked = set_up(0xb1, 0xb1, "gate-check", TIMEOUT_MS, None);
+    other.send(std::slice::from_ref(&asked));
+    sleep(ms(200));
+    if stage.trouble {
+        other.send(&[Message::release(0xb1, wire::GIVEN_UP), asked]);
+    }
+    let answer = other.final_answer(0xb1, ms(TIMEOUT_MS + 700));
+    sleep(ms(1_500));
+    Ok(match scheduler.exit_status() {
+        Some(status) => {
+            scheduler.faults().iter().for_each(|line| stage.record.note(&format!("log: {line}")));
+            Verdict::Broken(format!("the scheduler has crashed ({status}); {answer:?}"))
+        }
+        None => Verdict::Held(format!("the scheduler runs; {answer:?}")),
+    })
+}
