--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -5,6 +5,9 @@
 
 mod bulletin;
 mod cases;
+mod ends;
+mod fleet;
+mod floods;
 mod more_cases;
 mod node;
 mod owner;
@@ -58,7 +61,8 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.note(if trouble { "with the disruption" } else { "without the disruption" });
     let stage = Stage { record: record.clone(), folder: folder.clone(), trouble };
-    match cases::play(case, &stage) {
+    let played = ends::play(case, &stage).or_else(|| floods::play(case, &stage));
+    match played.unwrap_or_else(|| cases::play(case, &stage)) {
         Ok(Verdict::Held(text)) => {
             record.note(&format!("HELD: {text}"));
             end(0)
--- a/review/stand-in/owner.rs
+++ b/review/stand-in/owner.rs
@@ -34,6 +34,16 @@
     message.with(wire::FIGURES, figures.as_bytes()).with(wire::DESCRIPTION, b"wanted")
 }
 
+/// A set-up with this description, of a task that asks for little.
+pub fn set_up_described(task: u64, class: &str, timeout_ms: u64, description: &[u8]) -> Message {
+    Message::new(wire::START, task)
+        .with(wire::CLASS, class.as_bytes())
+        .with(wire::TIMEOUT, timeout_ms.to_string().as_bytes())
+        .with(wire::NAME, format!("{task:016x}").as_bytes())
+        .with(wire::FIGURES, format!("cores:0.25;memory:0.5;service:{task:016x}").as_bytes())
+        .with(wire::DESCRIPTION, description)
+}
+
 impl Owner {
     pub fn connect(name: &str, address: SocketAddr, record: &Record) -> Result<Self, String> {
         let stream = TcpStream::connect(address).map_err(|error| format!("connect: {error}"))?;
--- a/review/stand-in/scheduler.rs
+++ b/review/stand-in/scheduler.rs
@@ -61,6 +61,8 @@
     log_reader: Option<usize>,
     /// What is logged, as RUST_LOG says it.
     log_level: &'static str,
+    memory_mb: u64,
+    sockets: u64,
 }
 
 impl Scheduler {
@@ -84,21 +86,57 @@
             starts: 0,
             log_reader: None,
             log_level: "info",
+            memory_mb: 128,
+            sockets: 512,
         })
     }
 
+    /// The limits in its configuration, from its next start on.
+    pub fn set_limits(&mut self, memory_mb: u64, sockets: u64) {
+        (self.memory_mb, self.sockets) = (memory_mb, sockets);
+    }
+
+    fn process_id(&self) -> Option<u32> {
+        let started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
+        self.child.and_then(|child| started.get(child)).map(Child::id)
+    }
+
+    /// What its process has used: memory of its own now, and processor time.
+    pub fn usage(&self) -> String {
+        let Some(id) = self.process_id() else { return "not running".to_owned() };
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+        let ticks: u64 = stat.split(' ').skip(13).take(2).filter_map(|ticks| ticks.parse::<u64>().ok()).sum();
+        format!("{} KB, {}.{:02} s of processor time", own_memory_kb(id).unwrap_or(0), ticks / 100, ticks % 100)
+    }
+
+    /// As the platform does: it is killed once it has more memory of its own than this.
+    pub fn kill_above(&self, memory_mb: u64) {
+        let (Some(id), record) = (self.process_id(), self.record.clone()) else { return };
+        std::thread::spawn(move || {
+            while let Some(memory) = own_memory_kb(id) {
+                if memory > memory_mb * 1024 {
+                    let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+                    return record.note(&format!("the platform kills the scheduler, which has {memory} KB of memory"));
+                }
+                std::thread::sleep(std::time::Duration::from_micros(500));
+            }
+        });
+    }
+
     /// Starts a process, with what the bulletin knows now.
     pub fn start(&mut self, bulletin: &Bulletin) -> Result<(), String> {
         self.starts += 1;
         let config = format!(
             concat!(
                 r#"{{"name":"{}","listen":"{}","seed":"{:016x}","#,
-                r#""limits":{{"cores":1.0,"memory_mb":128,"sockets":512}},"#,
+                r#""limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"#,
                 r#""bulletin":"{}","known":{},"settings":{}}}"#
             ),
             self.name,
             self.address,
             7919 * u64::from(self.starts),
+            self.memory_mb,
+            self.sockets,
             bulletin.address,
             bulletin.known(),
             SETTINGS
@@ -191,3 +229,10 @@
         log.lines().filter(is_fault).take(12).map(str::to_owned).collect()
     }
 }
+
+/// The memory of this process alone, without the pages of its program.
+fn own_memory_kb(id: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
