--- a/review/stand-in/fleet.rs
+++ b/review/stand-in/fleet.rs
@@ -12,6 +12,9 @@
 /// How long a node looks at one set-up: within what the deployments give (5 to 39 ms).
 const LOOKS_AT: Duration = Duration::from_millis(12);
 
+/// The description of the usual owner's set-ups. Nodes answer 'error' to whatever they can't use.
+const GOOD: &[u8] = b"wanted";
+
 struct Node {
     uid: String,
     address: SocketAddr,
@@ -88,6 +91,10 @@
         match message.kind {
             wire::START => {
                 std::thread::sleep(LOOKS_AT);
+                if message.param(wire::DESCRIPTION) != Some(GOOD) {
+                    record.note(&format!("node {} can't use {:016x}: error", self.uid, message.task));
+                    return Some(Message::release(message.task, wire::ERROR));
+                }
                 standing.insert(message.task);
                 placed.fetch_add(1, Ordering::Relaxed);
                 record.note(&format!("node {} runs task {:016x}", self.uid, message.task));
--- a/review/stand-in/floods.rs
+++ b/review/stand-in/floods.rs
@@ -47,7 +47,7 @@
     if stage.trouble {
         let bad = Owner::connect("bad client", scheduler.address, &stage.record)?;
         let requests: Vec<Message> =
-            (0..400).map(|number| 0x9000 + number).map(|task| set_up(task, task, "gate-check", TIMEOUT_MS, None)).collect();
+            (0..400).map(|number| set_up_described(0x9000 + number, "gate-check", TIMEOUT_MS, b"no program")).collect();
         bad.send(&requests);
     }
     let (lost, asked) = ask_as_usual(&owner, 0x2000);
@@ -78,9 +78,9 @@
     scheduler.kill_above(MEMORY_MB);
     if stage.trouble {
         let description = vec![b'w'; 15_900];
-        for client in 0..4_u64 {
+        for client in 0..60 {
             let bad = Owner::connect("bad client", scheduler.address, &stage.record)?;
-            let first = 0x10_0000 * (client + 1);
+            let first: u64 = 0x10_0000 * (client + 1);
             let requests: Vec<Message> =
                 (0..300).map(|number| set_up_described(first + number, "gate-check", TIMEOUT_MS, &description)).collect();
             std::thread::spawn(move || {
--- a/review/stand-in/wire.rs
+++ b/review/stand-in/wire.rs
@@ -23,6 +23,8 @@
 pub const GIVEN_UP: u8 = 16;
 /// From a node after the answer: ended by its owner.
 pub const CANCELLED: u8 = 31;
+/// From a node: error.
+pub const ERROR: u8 = 47;
 /// From a node: full, it never ran.
 pub const FULL: u8 = 34;
 
