Review case 5: the end of a task after a long quiet time is told to nobody

A scheduler closes the connection of an owner that has nothing to ask for 30 s, and tells ends only on connections over which a task was placed or handed over.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Exit status 1: the rule was broken; 0: it held; 2: the case could not run.
-# With TROUBLE=0 the disruption is left out: the drain of one of two nodes.
+# With TROUBLE=0 the disruption is left out: connections to one node that come up late.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 if [ "${TROUBLE:-1}" = 0 ]; then
@@ -8,4 +8,4 @@
 else
     trouble=1
 fi
-exec env TROUBLE="$trouble" "$here/../run-case.sh" end-under-drain "$here"
+exec env TROUBLE="$trouble" "$here/../run-case.sh" lost-stop "$here"
--- a/review/stand-in/ends.rs
+++ b/review/stand-in/ends.rs
@@ -165,12 +165,51 @@
     })
 }
 
+/// An owner asks once and keeps its connection for good; where the scheduler closes it, the owner opens another one at
+/// once. Its task ends after a long quiet time.
+pub fn end_after_long_quiet(stage: &Stage) -> Result<Verdict, String> {
+    let node = node(stage, "n1", Manner::Takes)?;
+    let bulletin = bulletin_of(stage, &[&node])?;
+    let mut scheduler = Scheduler::new("s1", &stage.folder, &stage.record)?;
+    scheduler.start(&bulletin)?;
+    let mut owners = vec![Owner::connect_when_ready("owner, connection 1", scheduler.address, &stage.record)?];
+    place(&owners[0], 0xa1, "gate-check")?;
+    let placed = Instant::now();
+    let quiet = ms(if stage.trouble { 40_000 } else { 8_000 });
+    let mut ended: Option<Instant> = None;
+    let told = loop {
+        if owners.last().is_some_and(Owner::is_closed) {
+            stage.record.note(&format!("the scheduler has closed the owner's connection {}", owners.len()));
+            let name = format!("owner, connection {}", owners.len() + 1);
+            owners.push(Owner::connect(&name, scheduler.address, &stage.record)?);
+            stage.record.note(&format!("{name} is open"));
+        }
+        if ended.is_none() && placed.elapsed() >= quiet {
+            node.end_task(0xa1);
+            ended = Some(Instant::now());
+        }
+        let told = owners.iter().find_map(|owner| owner.told_over(0xa1, ms(1)));
+        if let Some(ended) = ended
+            && (told.is_some() || ended.elapsed() > ms(12_000))
+        {
+            break told.map(|(at, _)| at - ended);
+        }
+        sleep(ms(5));
+    };
+    Ok(match told {
+        Some(after) if after <= END_LIMIT + MEASURING => Verdict::Held(format!("told after {after:?}")),
+        Some(after) => Verdict::Broken(format!("the end was told only after {after:?}")),
+        None => Verdict::Broken("the end was not told within 12 s, and the owner was connected all the time".to_owned()),
+    })
+}
+
 pub fn play(case: &str, stage: &Stage) -> Option<Result<Verdict, String>> {
     Some(match case {
         "end-in-a-quiet-time" => end_in_a_quiet_time(stage),
         "end-under-drain" => end_under_drain(stage),
         "handed-over-after-late-connection" => handed_over_after_late_connection(stage),
         "end-told-to-a-third" => end_told_to_a_third(stage),
+        "end-after-long-quiet" => end_after_long_quiet(stage),
         _ => return None,
     })
 }
