One timer looks after all attempts that a machine holds back

Cause: queue_for_connection set a timer for each attempt, and each of those timers had release_queued queue all attempts of the machine anew, each with a timer. Each look also searched the whole pool for a connection to close. Change: a machine has one time of its next look; a later timer whose place was taken does nothing. A search of the pool that found nothing is not repeated in the same iteration, and the queue of a machine without a connection is asked once.

--- a/crates/platform/src/attempts/mod.rs
+++ b/crates/platform/src/attempts/mod.rs
@@ -184,8 +184,30 @@
         attempts.into_iter().for_each(|attempt| self.withdraw_unsent(attempt));
     }
 
-    /// Writes the start requests that were held back, as far as the slow-start gate lets them. What waited
-    /// too long for a machine that warms up goes back to the policy, whose budget no longer counts it.
+    /// A timer that was set for the queued attempts of this machine has fired.
+    pub fn release_due(&mut self, id: MachineId) {
+        let now = self.now;
+        let Some(machine) = self.machines.by_id.get_mut(&id) else { return };
+        // A later one whose place an earlier one has taken changes nothing.
+        if machine.next_release_at.take_if(|at| *at <= now).is_some() {
+            self.release_queued(id);
+        }
+    }
+
+    /// Has the queued attempts of this machine looked at then, unless that is done sooner: one timer serves
+    /// all of them. Guards against: each attempt set one of its own whenever it was looked at, for all of its
+    /// machine's, and where several waited their number was multiplied by each look.
+    fn schedule_release(&mut self, id: MachineId, at: Timestamp) {
+        let Some(machine) = self.machines.by_id.get_mut(&id) else { return };
+        if machine.next_release_at.is_none_or(|next| next > at) {
+            machine.next_release_at = Some(at);
+            self.timers.schedule(at, TimerEvent::ReleaseQueued(id));
+        }
+    }
+
+    /// Writes the start requests that were held back, as far as the slow-start gate and the connections let
+    /// them. What waited too long for a machine that warms up goes back to the policy, whose budget no longer
+    /// counts it.
     pub fn release_queued(&mut self, id: MachineId) {
         let (now, window) = (self.now, self.settings.slow_start.budget_window);
         let Some(machine) = self.machines.by_id.get_mut(&id) else { return };
@@ -194,34 +216,51 @@
         }
         let gate_opens_at = machine.slow_start.closed_until(now, window);
         let mut still_queued = Vec::new();
+        let mut lacks_connection = false;
         for attempt_id in std::mem::take(&mut machine.queued_attempts) {
-            let attempt = self.tasks.attempt(attempt_id.task);
-            let is_queued = |attempt: &Attempt| {
-                attempt.number == attempt_id.number && attempt.state == AttemptState::Queued
-            };
-            let Some(attempt) = attempt.filter(is_queued) else { continue };
-            let machine = &self.machines.by_id[&id];
-            let is_stale =
-                machine.slow_start.is_stale(now, window, attempt.decided_at) || attempt.write_deadline < now;
-            if is_stale || machine.entry.state != MachineState::Active {
-                self.policy_queue.push_outcome(attempt_id, Outcome::NotSent);
+            let Some(attempt) = self.queued_attempt(attempt_id) else { continue };
+            if let Some(outcome) = self.outcome_in_queue(id, &attempt) {
+                self.policy_queue.push_outcome(attempt_id, outcome);
             } else if gate_opens_at.is_some() || attempt.deadline <= now {
                 still_queued.push(attempt_id);
-            } else if !self.write_start_request(attempt_id.task) {
-                self.queue_for_connection(attempt_id, id);
+            } else if (lacks_connection && self.machines.is_unconnected(id))
+                || !self.write_start_request(attempt_id.task)
+            {
+                lacks_connection = true;
+                still_queued.push(attempt_id);
             }
         }
         if let Some(until) = gate_opens_at.filter(|_| !still_queued.is_empty()) {
-            self.timers.schedule(until, TimerEvent::ReleaseQueued(id));
+            self.schedule_release(id, until);
+        }
+        if lacks_connection {
+            self.schedule_release(id, now + self.connection_retry_interval());
         }
         self.machines.by_id.get_mut(&id).expect("is there").queued_attempts.extend(still_queued);
     }
 
+    /// This attempt, if it is the current one of its task and no connection carries it.
+    fn queued_attempt(&self, attempt_id: AttemptId) -> Option<Attempt> {
+        let attempt = self.tasks.attempt(attempt_id.task)?;
+        (attempt.number == attempt_id.number && attempt.state == AttemptState::Queued).then_some(attempt)
+    }
+
+    /// How an attempt ends that must not leave the queue of its machine for a connection any more.
+    fn outcome_in_queue(&self, id: MachineId, attempt: &Attempt) -> Option<Outcome> {
+        let (now, window) = (self.now, self.settings.slow_start.budget_window);
+        let machine = &self.machines.by_id[&id];
+        let is_stale = machine.slow_start.is_stale(now, window, attempt.decided_at);
+        if is_stale || attempt.write_deadline < now || machine.entry.state != MachineState::Active {
+            return Some(Outcome::NotSent);
+        }
+        machine.replaced.then_some(Outcome::ConnectionFailed)
+    }
+
     /// Holds an attempt back until the slow-start gate of its machine opens.
     pub fn queue_for_slow_start(&mut self, attempt: AttemptId, id: MachineId, until: Timestamp) {
         let machine = self.machines.by_id.get_mut(&id).expect("the policy chooses listed machines");
         machine.queued_attempts.push(attempt);
-        self.timers.schedule(until, TimerEvent::ReleaseQueued(id));
+        self.schedule_release(id, until);
     }
 
     /// Holds an attempt back as no connection may be opened for it: that is a limit of this process, and
@@ -232,8 +271,12 @@
             return self.policy_queue.push_outcome(attempt, Outcome::ConnectionFailed);
         }
         machine.queued_attempts.push(attempt);
-        let retry_interval: Duration = self.machines.timeouts.connect * CONNECTION_RETRY_PART;
-        self.timers.schedule(self.now + retry_interval, TimerEvent::ReleaseQueued(id));
+        self.schedule_release(id, self.now + self.connection_retry_interval());
+    }
+
+    /// Time between two looks for a connection.
+    fn connection_retry_interval(&self) -> Duration {
+        self.machines.timeouts.connect * CONNECTION_RETRY_PART
     }
 
     /// The wait for an answer has ended: the attempt is given up at its machine before another one is made.
--- a/crates/platform/src/machines/connect.rs
+++ b/crates/platform/src/machines/connect.rs
@@ -15,7 +15,8 @@
         if self.machines.pool.has_capacity() {
             return true;
         }
-        if !self.machines.pool.may_begin_closing() {
+        // What was used in this iteration stays, so a second look in it would find no more.
+        if self.machines.exhausted_at == Some(self.now) || !self.machines.pool.may_begin_closing() {
             return false;
         }
         let unused_since = self.now - self.machines.timeouts.connect;
@@ -26,7 +27,10 @@
             })
         };
         let least_used = self.machines.pool.least_recently_used(unused_since, may_close);
-        let Some(least_used) = least_used else { return false };
+        let Some(least_used) = least_used else {
+            self.machines.exhausted_at = Some(self.now);
+            return false;
+        };
         self.close_machine_connection(ConnectionId(least_used), LocalClose::PoolExhausted);
         self.machines.pool.has_capacity()
     }
--- a/crates/platform/src/machines/mod.rs
+++ b/crates/platform/src/machines/mod.rs
@@ -79,6 +79,8 @@
     pub reports_lost_at: Option<Timestamp>,
     /// When it is checked next.
     pub next_check_at: Option<Timestamp>,
+    /// When its queued attempts are looked at next.
+    pub next_release_at: Option<Timestamp>,
 }
 
 impl Machine {
@@ -101,6 +103,7 @@
             pending_stops: Vec::new(),
             reports_lost_at: None,
             next_check_at: None,
+            next_release_at: None,
         }
     }
 
@@ -146,6 +149,8 @@
     pub pool: ConnectionPool,
     /// How many connections to machines may be open.
     pub max_connections: usize,
+    /// The last iteration in which no idle connection could be closed for another one, by its instant.
+    pub exhausted_at: Option<Timestamp>,
     /// Timeouts of machines and connections.
     pub timeouts: Timeouts,
 }
@@ -168,6 +173,7 @@
             connections: BTreeMap::new(),
             pool: ConnectionPool::new(max_connections, machine_closing_allowance(descriptors)),
             max_connections,
+            exhausted_at: None,
             timeouts: Timeouts::new(idle_timeout, connect_timeout),
         }
     }
@@ -207,6 +213,11 @@
         connection_ids.iter().filter_map(|id| Some((*id, self.connections.get(id)?)))
     }
 
+    /// Whether there is no connection to this machine, not even one that is being opened.
+    pub fn is_unconnected(&self, machine: MachineId) -> bool {
+        self.by_id.get(&machine).is_none_or(|machine| machine.connections.is_empty())
+    }
+
     /// The machine sent something on this connection that shows that it was alive at this instant, or later.
     ///
     /// An earlier message of the same read may have led to its close: a rejection releases queued attempts,
--- a/crates/platform/src/tests/connection_limits.rs
+++ b/crates/platform/src/tests/connection_limits.rs
@@ -134,6 +134,33 @@
     assert!(harness.scheduler.accept_budget(ListenerId(0)) > 0);
 }
 
+/// Guards against a scheduler that never left an iteration: each attempt that waited for a connection set timers of its
+/// own, and their number doubled at every look (review case 1).
+#[test]
+fn burst_over_more_machines_than_descriptors_is_answered() {
+    let mut harness = Harness::with_config(200, |config_json| {
+        config_json.replace(r#""memory_mb":32"#, r#""memory_mb":128"#)
+    });
+    let client = harness.connect_client();
+    let requests = 400;
+    let burst: Vec<u8> = (1..=requests).flat_map(|task| start_request(task, "front", "")).collect();
+    harness.deliver(client, &burst);
+    let (mut answered, began_at) = (0, harness.now);
+    while harness.now < began_at + ms(2_500) {
+        harness.advance(ms(12));
+        for (connection, message) in harness.start_requests() {
+            if harness.opened.contains_key(&connection) {
+                harness.deliver(connection, &release(message.task, cause_code::ERROR));
+            }
+        }
+        answered += harness.received_on(client).len() as u64;
+        let timers = harness.scheduler.state.get_mut().timers.len() as u64;
+        // An attempt has its timeout, a connection its own, and a machine its check and its look at the queue.
+        assert!(timers <= 10 * requests, "{timers} timers after {:?}", harness.now - began_at);
+    }
+    assert_eq!(answered, requests);
+}
+
 #[test]
 fn lack_of_descriptors_proves_nothing_about_machine() {
     let mut harness = Harness::new(1);
--- a/crates/platform/src/timers.rs
+++ b/crates/platform/src/timers.rs
@@ -68,7 +68,7 @@
             handle_disconnect(state, connection_id, CloseReason::Broken);
         }
         TimerEvent::CheckMachine(machine) => check_machine(state, machine),
-        TimerEvent::ReleaseQueued(machine) => state.release_queued(machine),
+        TimerEvent::ReleaseQueued(machine) => state.release_due(machine),
         TimerEvent::CloseRejectedClients => state.close_overdue_rejected_clients(),
         TimerEvent::AdoptionDeadline => refuse_overdue_adoptions(state),
         TimerEvent::EndpointSilence(connection_id) => check_endpoint_silence(state, connection_id),
