--- a/crates/engine/src/dispatcher.rs
+++ b/crates/engine/src/dispatcher.rs
@@ -29,7 +29,7 @@
         match (slot.connection, shut_until) {
             (ConnectionState::Ready(_), Some(until)) => {
                 slot.waiting.push(attempt);
-                state.timers.schedule(until, Timer::ReleaseOffers(machine));
+                state.schedule_release(machine, until);
             }
             (ConnectionState::Ready(connection), None) => state.write_offer(task, connection),
             // One that has not refused since it was connected last is tried at once.
--- a/crates/engine/src/handlers/timers.rs
+++ b/crates/engine/src/handlers/timers.rs
@@ -24,7 +24,7 @@
             handle_arrivals(shared, events);
         }
         Timer::ExpireAnswers => shared.borrow_mut().expire_answers(),
-        Timer::ReleaseOffers(machine) => shared.borrow_mut().release_offers(machine),
+        Timer::ReleaseOffers(machine) => shared.borrow_mut().release_due_offers(machine),
         Timer::ClaimTimeout(id) => on_claim_timeout(shared, events, id),
         Timer::Policy(_) | Timer::AttemptTimeout(..) => unreachable!("the event loop handles these itself"),
     }
--- a/crates/engine/src/machine.rs
+++ b/crates/engine/src/machine.rs
@@ -54,6 +54,8 @@
     pub pinged_at: Option<Timestamp>,
     /// Attempts whose offers wait for the connection.
     pub waiting: Vec<AttemptId>,
+    /// When these are looked at next.
+    pub next_release_at: Option<Timestamp>,
     /// The part of its inventory that has arrived.
     pub reported: Vec<AttemptId>,
     /// It has reported its inventory once to this incarnation of the scheduler.
@@ -83,6 +85,7 @@
             last_received_at: now,
             pinged_at: None,
             waiting: Vec::new(),
+            next_release_at: None,
             reported: Vec::new(),
             inventory_known: false,
             gate: SlowStartGate::default(),
--- a/crates/engine/src/state/offers.rs
+++ b/crates/engine/src/state/offers.rs
@@ -5,7 +5,7 @@
 use crate::peer::PeerKind;
 use crate::task::{Attempt, AttemptId, TaskRecord};
 use crate::timer::Timer;
-use mulleinhub_interface::{Idempotency, MachineId, Outcome, TaskId};
+use mulleinhub_interface::{Idempotency, MachineId, Outcome, TaskId, Timestamp};
 use mulleinhub_protocol::{Message, Mode};
 use mulleinhub_resilience::backoff;
 use mulleinhub_sans_io::{ConnectionId, Unsent};
@@ -61,6 +61,26 @@
         self.tasks.get_mut(&id).expect("was open above").client = client;
     }
 
+    /// A timer that was set for the waiting offers of this machine has expired.
+    pub fn release_due_offers(&mut self, machine: MachineId) {
+        let now = self.now;
+        let Some(slot) = self.machines.get_mut(&machine) else { return };
+        // A later one whose place an earlier one has taken changes nothing.
+        if slot.next_release_at.take_if(|at| *at <= now).is_some() {
+            self.release_offers(machine);
+        }
+    }
+
+    /// Has the waiting offers of this machine looked at then, unless that is done sooner: one timer serves all
+    /// of them.
+    pub fn schedule_release(&mut self, machine: MachineId, at: Timestamp) {
+        let Some(slot) = self.machines.get_mut(&machine) else { return };
+        if slot.next_release_at.is_none_or(|next| next > at) {
+            slot.next_release_at = Some(at);
+            self.timers.schedule(at, Timer::ReleaseOffers(machine));
+        }
+    }
+
     /// Writes the offers that wait for this machine's connection, as far as its slow-start gate lets them.
     /// What waited too long for a machine that warms up goes back to the policy, whose budget has dropped it.
     pub fn release_offers(&mut self, machine: MachineId) {
@@ -88,7 +108,7 @@
             }
         }
         if let Some(until) = shut_until.filter(|_| !still_waiting.is_empty()) {
-            self.timers.schedule(until, Timer::ReleaseOffers(machine));
+            self.schedule_release(machine, until);
         }
         self.machines.get_mut(&machine).expect("was there above").waiting = still_waiting;
     }
