A request that comes back under its id in one read is one task of the policy

With one repetition the request got no answer, and with a hand-over in place of it the process ended later ("rejected with an attempt in flight"). Cause: admitted and cancelled tasks were told to the policy at the end of a read, by id. A task that was taken back stayed on its connection's list of admitted ones (cancel_unanswered), and the cancel of the first came behind the arrival of the second, so that the policy had several records under one id, of which it found the last one only. Change: what is taken back before the policy heard of it leaves that list, and a cancel is reported at once.

--- a/crates/platform/src/clients/cancel.rs
+++ b/crates/platform/src/clients/cancel.rs
@@ -31,7 +31,14 @@
     }
     state.mark_answered(id);
     let task = state.tasks.by_id.get_mut(&id).expect("checked to be there");
-    (task.interest, task.client) = (ClientInterest::Cancelled, None);
+    task.interest = ClientInterest::Cancelled;
+    let client = task.client.take();
+    if client.is_some_and(|client| state.clients.forget_admitted(client, id)) {
+        // The policy was not notified of it, and is not to be of a later task with the same id in its place.
+        state.tasks.by_id.remove(&id);
+        return;
+    }
+    let task = &state.tasks.by_id[&id];
     if task.attempt.is_some() {
         state.end_attempt(id, Outcome::Cancelled);
     } else {
--- a/crates/platform/src/clients/messages.rs
+++ b/crates/platform/src/clients/messages.rs
@@ -1,6 +1,6 @@
 //! Handling what clients send, and the deadlines of their connections.
 
-use super::{cancel_task, close_client, remove_disconnected_client, start_requests};
+use super::{cancel_task, close_client, remove_disconnected_client, report_cancelled, start_requests};
 use crate::error::ProtocolError;
 use crate::state::{SchedulerState, SharedState};
 use mulleinhub_interface::{Duration, PolicyEvents, TaskId};
@@ -61,7 +61,11 @@
 ) -> Result<(), ProtocolError> {
     match frame.kind {
         kind::START => start_requests::handle(shared, events, connection_id, frame)?,
-        kind::RELEASE => cancel_task(&mut shared.borrow_mut(), connection_id, TaskId(frame.task)),
+        kind::RELEASE => {
+            cancel_task(&mut shared.borrow_mut(), connection_id, TaskId(frame.task));
+            // Before anything else that this read has of the task: a further request may carry its id.
+            report_cancelled(shared, events);
+        }
         kind::HEALTH_CHECK => answer_health_check(&mut shared.borrow_mut(), connection_id, frame.task),
         kind::RELEASE_ACK => shared.borrow_mut().acknowledge_end(connection_id, TaskId(frame.task)),
         kind::PROGRESS | kind::NOTE => {}
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -194,6 +194,13 @@
         self.limits.set_tasks_in_flight(connection_id.0, client.awaiting.len() as u32);
     }
 
+    /// The policy is not notified of a task that was admitted on this connection. False where it has been.
+    fn forget_admitted(&mut self, connection_id: ConnectionId, task: TaskId) -> bool {
+        let Some(client) = self.by_connection.get_mut(&connection_id) else { return false };
+        let position = client.admitted.iter().position(|admitted| *admitted == task);
+        position.map(|position| client.admitted.remove(position)).is_some()
+    }
+
     /// Tasks that are to be answered on this connection.
     fn awaiting_on(&self, connection_id: ConnectionId) -> Vec<TaskId> {
         let client = self.by_connection.get(&connection_id);
--- a/crates/platform/src/tests/clients.rs
+++ b/crates/platform/src/tests/clients.rs
@@ -32,6 +32,78 @@
     assert_eq!((ends[0].kind, ends[0].cause()), (kind::RELEASE, Some(cause_code::ENDED)));
 }
 
+/// Guards against a crash: each copy of a request that came back under its number within one read became a record of
+/// the policy, and two of them were sent (review case 2).
+#[test]
+fn request_taken_back_and_repeated_in_one_read_is_sent_once() {
+    let cancel = || release(7, cause_code::ENDED);
+    let request = || start_request(7, "front", "");
+    for times_taken_back in 1..4 {
+        let mut harness = Harness::new(3);
+        let usual = harness.connect_client();
+        harness.deliver(usual, &start_request(1, "front", ""));
+        let (usual_connection, _) = harness.start_requests().pop().expect("it is sent");
+        let client = harness.connect_client();
+        let taken_back = (0..times_taken_back).flat_map(|_| [request(), cancel()].concat());
+        harness.deliver(client, &taken_back.chain(request()).collect::<Vec<u8>>());
+        let sent = harness.start_requests();
+        assert_eq!(sent.len(), 1, "taken back {times_taken_back} times: {sent:?}");
+        // A refusal of the one attempt leaves it to a further one, and its answer to that.
+        harness.deliver(sent[0].0, &release(7, cause_code::FULL));
+        let (connection, _) = harness.start_requests().pop().expect("another machine is asked");
+        harness.deliver(connection, &acceptance(7));
+        assert_eq!(harness.received_on(client).len(), 1);
+        harness.deliver(usual_connection, &acceptance(1));
+        assert_eq!(harness.received_on(usual).len(), 1);
+    }
+}
+
+/// Guards against a request without an answer: taken back while it waited for a machine and sent again in the same
+/// read, it was taken for the first one, which the policy then forgot.
+#[test]
+fn waiting_request_taken_back_and_repeated_in_one_read_is_answered() {
+    let mut harness = Harness::new(2);
+    let client = harness.connect_client();
+    let reject_all = |harness: &mut Harness| {
+        for (connection, message) in harness.start_requests() {
+            harness.deliver(connection, &release(message.task, cause_code::FULL));
+        }
+    };
+    harness.deliver(client, &start_request(7, "front", ""));
+    (0..3).for_each(|_| reject_all(&mut harness));
+    harness.deliver(client, &[release(7, cause_code::ENDED), start_request(7, "front", "")].concat());
+    for _ in 0..60 {
+        harness.advance(ms(50));
+        reject_all(&mut harness);
+    }
+    assert_eq!(harness.received_on(client).len(), 1, "the repeated one");
+    assert!(harness.scheduler.state.get_mut().tasks.by_id.is_empty());
+}
+
+/// Guards against a running task that the policy forgot: its request was taken back and the task handed over in one read.
+#[test]
+fn request_taken_back_and_handed_over_in_one_read_is_adopted() {
+    for waits in [false, true] {
+        let drains = [endpoint(1, "terminating", 0)];
+        let mut harness = Harness::with_endpoints(START, &drains, |config_json| config_json);
+        let client = harness.connect_client();
+        let (request, cancel) = (start_request(7, "front", ""), release(7, cause_code::ENDED));
+        let handed_over = start_request(7, "front", &format!(";at:{}", uid(1)));
+        if waits {
+            harness.deliver(client, &request);
+            harness.deliver(client, &[cancel, handed_over].concat());
+        } else {
+            harness.deliver(client, &[request, cancel, handed_over].concat());
+        }
+        // Longer than the request would have waited.
+        harness.advance(ms(2_500));
+        let connection = harness.connections_to(&address(1))[0];
+        harness.deliver(connection, &release(7, cause_code::ENDED));
+        let received = harness.received_on(client);
+        assert_eq!((received.len(), received[0].kind), (1, kind::RELEASE), "{received:?}");
+    }
+}
+
 #[test]
 fn end_of_adopted_task_waits_for_client() {
     let mut harness = Harness::new(2);
