A second release of an attempt in one read changes nothing

Cause: handle_release keeps the first release as the end of the task until outcomes are settled, and settled the second one at once, upon which the policy made a further attempt of a task that was about to be answered. Change: where the end of the task is known, a later release of the same attempt is acknowledged and nothing more.

--- a/crates/platform/src/machines/replies.rs
+++ b/crates/platform/src/machines/replies.rs
@@ -126,6 +126,8 @@
             return;
         }
         settle(shared, events, attempt_id, outcome_of_running(release), release.cause);
+    } else if shared.borrow().policy_queue.final_causes.contains_key(&attempt_id) {
+        // The task is over with an earlier release, of which its client is about to be notified.
     } else if is_its_connection {
         // Of an unanswered attempt only its own connection tells: another one's release is about an earlier
         // attempt.
--- a/crates/platform/src/tests/races.rs
+++ b/crates/platform/src/tests/races.rs
@@ -86,6 +86,34 @@
     assert_eq!(harness.received_on(client).len(), 1);
 }
 
+/// Guards against a crash: of two releases of one attempt in one read the first was kept as the final one, and the
+/// second had the task sent again (review play two-releases).
+#[test]
+fn second_release_of_an_attempt_changes_nothing() {
+    let causes = [cause_code::RESET, cause_code::ERROR, cause_code::FULL, cause_code::NOT_SENT, 31, 16];
+    for first in causes {
+        for second in causes {
+            for class in ["front", "batch"] {
+                let mut harness = Harness::new(3);
+                let client = harness.connect_client();
+                harness.deliver(client, &start_request(1, class, ""));
+                let (connection, _) = harness.start_requests().pop().expect("it is sent");
+                harness.deliver(connection, &[release(1, first), release(1, second)].concat());
+                let (mut answers, mut rounds) = (harness.received_on(client), 0);
+                while answers.is_empty() && rounds < 20 {
+                    for (connection, _) in harness.start_requests() {
+                        harness.deliver(connection, &acceptance(1));
+                    }
+                    harness.advance(ms(200));
+                    answers.extend(harness.received_on(client));
+                    rounds += 1;
+                }
+                assert_eq!(answers.len(), 1, "{class}: {first}, then {second}: {answers:?}");
+            }
+        }
+    }
+}
+
 #[test]
 fn rejection_timeout_and_cancel_end_attempt_once() {
     // 0: the machine's release, 1: the client's cancel; the timeout falls due at the instant.
