An order to stop a task is kept until its machine has followed it

Cause: the order was written on a connection that was being opened, and the list of pending ones was emptied with it (connect.rs). handle_disconnect gave orders again only where an established connection broke; a connection that never came up took the order along. What a machine was owed when it was given up as silent was forgotten, too. Change: machines/stop_orders.rs keeps each order until the machine releases the task, or a connection that carried it was closed by both sides in order; it goes out on established connections only, and again where one ends. Orders that wait have the same hurry as lost reports.

--- a/crates/platform/src/attempts/mod.rs
+++ b/crates/platform/src/attempts/mod.rs
@@ -51,6 +51,8 @@
         let token = self.next_token();
         if let Some(machine) = self.machines.by_id.get_mut(&attempt.machine) {
             machine.slow_start.on_sent(now, id.0, attempt.number);
+            // It would stop this attempt.
+            machine.stop_orders.remove(id);
         }
         self.machines.pool.touch(now, connection_id.0);
         let connection = self.machines.connections.get_mut(&connection_id).expect("was chosen");
--- a/crates/platform/src/discovery/endpoints.rs
+++ b/crates/platform/src/discovery/endpoints.rs
@@ -178,7 +178,9 @@
     let at_address = index.get(address).into_iter().flatten();
     let others: Vec<MachineId> = at_address.filter(is_there).copied().collect();
     for other in others {
-        state.machines.by_id.get_mut(&other).expect("is there").replaced = true;
+        let machine = state.machines.by_id.get_mut(&other).expect("is there");
+        machine.replaced = true;
+        machine.stop_orders.clear();
         state.lose_running_tasks(other, state.now, "another machine has its address");
         // What is not written yet must not reach the machine that is there now.
         state.withdraw_all_unsent(other);
--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -173,6 +173,9 @@
         self.clients.limits.begin_iteration(self.machines.max_connections);
         for connection_id in std::mem::take(&mut self.inbound.established) {
             self.machines.mark_established(connection_id, self.now);
+            if let Some(machine) = self.machines.connections.get(&connection_id).map(|known| known.machine) {
+                self.send_stop_orders(machine);
+            }
             tracing::debug!(connection = connection_id.0, "machine connection established");
         }
         for connection_id in std::mem::take(&mut self.inbound.deferred_clients) {
--- a/crates/platform/src/machines/connect.rs
+++ b/crates/platform/src/machines/connect.rs
@@ -5,7 +5,6 @@
 use crate::timers::TimerEvent;
 use mulleinhub_interface::{MachineId, TaskId};
 use mulleinhub_limits::MAX_CONNECTIONS_PER_MACHINE;
-use mulleinhub_platform_protocol::{self as protocol, cause_code};
 use mulleinhub_sans_io::ConnectionId;
 
 impl SchedulerState {
@@ -44,12 +43,9 @@
         let machine = self.machines.by_id.get_mut(&id)?;
         let connection_id = self.connections.open(&machine.address);
         machine.connections.push(connection_id);
-        let (now, pending_stops) = (self.now, std::mem::take(&mut machine.pending_stops));
+        let now = self.now;
         self.machines.pool.insert(now, connection_id.0);
         self.machines.connections.insert(connection_id, MachineConnection::new(id, now));
-        for task in pending_stops {
-            self.send_stop(connection_id, task);
-        }
         self.timers.schedule(now + self.machines.timeouts.connect, TimerEvent::ConnectTimeout(connection_id));
         let peer = &self.machines.by_id[&id].address;
         tracing::debug!(peer, machine = id.0, connection = connection_id.0, "machine connection opened");
@@ -57,26 +53,6 @@
         Some(connection_id)
     }
 
-    /// Stops a task that runs on a machine: at once where there is a connection, else on the next one.
-    pub fn stop_running_task(&mut self, id: MachineId, task: TaskId, preferred: Option<ConnectionId>) {
-        let preferred =
-            preferred.filter(|id| self.machines.connections.get(id).is_some_and(|known| !known.retired));
-        let open = preferred.or_else(|| self.machines.connections_of(id).map(|(open, _)| open).next());
-        if let Some(connection_id) = open.or_else(|| self.open_machine_connection(id)) {
-            self.send_stop(connection_id, task);
-        } else if let Some(machine) = self.machines.by_id.get_mut(&id) {
-            machine.pending_stops.push(task);
-            self.schedule_check(id);
-        }
-    }
-
-    /// Orders a machine to stop a task.
-    pub fn send_stop(&mut self, connection_id: ConnectionId, task: TaskId) {
-        self.send(connection_id, |out| {
-            protocol::write_with_cause(out, protocol::kind::RELEASE, task.0, cause_code::CANCELLED);
-        });
-    }
-
     /// A connection for a start request: a free one, a new one, or a shared one.
     pub fn connection_for(&mut self, machine: MachineId, task: TaskId) -> Option<ConnectionId> {
         let used_since = self.now - self.machines.timeouts.idle;
@@ -126,7 +102,7 @@
             let until = self.now + self.machines.timeouts.connect;
             self.timers.schedule(until, TimerEvent::RetirementTimeout(connection_id));
         } else {
-            self.machines.remove_connection(connection_id);
+            self.machines.remove_connection(self.now, connection_id);
             self.connections.abort(connection_id);
         }
     }
--- a/crates/platform/src/machines/connection.rs
+++ b/crates/platform/src/machines/connection.rs
@@ -119,6 +119,11 @@
         self.close_reason.is_none() && !was_given_up && !self.refused.contains(&task)
     }
 
+    /// Whether it is established, and neither side has closed it.
+    pub fn is_established(&self) -> bool {
+        self.established && self.close_reason.is_none()
+    }
+
     /// Whether it is established and no answer is awaited on it.
     pub fn is_idle(&self) -> bool {
         self.established && self.awaiting.is_empty()
--- a/crates/platform/src/machines/disconnect.rs
+++ b/crates/platform/src/machines/disconnect.rs
@@ -2,7 +2,7 @@
 
 use super::{Machine, MachineConnection, REFUSALS_OF_DEAD};
 use crate::state::SchedulerState;
-use crate::tasks::{Attempt, AttemptState, TaskRecord};
+use crate::tasks::{Attempt, AttemptState};
 use mulleinhub_interface::{FailureCause, MachineId, Outcome, TaskId};
 use mulleinhub_resilience::backoff;
 use mulleinhub_sans_io::{CloseReason, ConnectionId, Unsent};
@@ -10,13 +10,14 @@
 /// Handles the end of a connection to a machine.
 pub fn handle_disconnect(state: &mut SchedulerState, connection_id: ConnectionId, reason: CloseReason) {
     let unsent = state.connections.abort(connection_id);
-    let Some(connection) = state.machines.remove_connection(connection_id) else { return };
+    record_delivery(state, connection_id, reason);
+    let Some(connection) = state.machines.remove_connection(state.now, connection_id) else { return };
     log_disconnect(state, connection_id, &connection, reason);
     if connection.established && reason == CloseReason::Broken {
         recover_lost_messages(state, connection.machine);
     }
     if connection.retired {
-        return;
+        return reschedule_lost_orders(state, connection.machine);
     }
     update_machine(state, &connection, reason);
     for task in &connection.awaiting {
@@ -28,18 +29,33 @@
         }
     }
     state.schedule_check(connection.machine);
+    reschedule_lost_orders(state, connection.machine);
+}
+
+/// A machine that closes its side of a connection behind this one's has read everything that was sent there.
+fn record_delivery(state: &mut SchedulerState, connection_id: ConnectionId, reason: CloseReason) {
+    let Some(connection) = state.machines.connections.get(&connection_id) else { return };
+    if connection.retired && reason == CloseReason::Closed {
+        let machine = state.machines.by_id.get_mut(&connection.machine);
+        machine.into_iter().for_each(|machine| machine.stop_orders.on_delivered(connection_id));
+    }
+}
+
+/// Orders to stop tasks that may be lost with a connection are given again: on another one, or on the next.
+fn reschedule_lost_orders(state: &mut SchedulerState, id: MachineId) {
+    state.send_stop_orders(id);
+    if state.machines.by_id.get(&id).is_some_and(|machine| machine.stop_orders.has_unsent()) {
+        state.schedule_urgent_check(id);
+    }
 }
 
 /// A connection ended without the end of its stream: what either side had written on it may be lost. Reports
-/// of the machine are repeated on its next connection, and orders to stop a task are given again there.
+/// of the machine are repeated on its next connection.
 fn recover_lost_messages(state: &mut SchedulerState, id: MachineId) {
     let now = state.now;
-    let running = state.tasks.running_on(id);
-    let is_cancelled = |task: &TaskId| state.tasks.by_id.get(task).is_some_and(TaskRecord::is_cancelled);
-    let stops: Vec<TaskId> = running.iter().map(|(task, _)| *task).filter(is_cancelled).collect();
-    let Some(machine) = state.machines.by_id.get_mut(&id).filter(|_| !running.is_empty()) else { return };
+    let has_running_tasks = !state.tasks.running_on(id).is_empty();
+    let Some(machine) = state.machines.by_id.get_mut(&id).filter(|_| has_running_tasks) else { return };
     machine.reports_lost_at = Some(now);
-    machine.pending_stops.extend(stops);
     state.schedule_urgent_check(id);
 }
 
--- a/crates/platform/src/machines/health.rs
+++ b/crates/platform/src/machines/health.rs
@@ -11,9 +11,10 @@
 /// Connects to a machine at a time where one of them must be established soon: shortly before a silent machine is
 /// lost, and after reports were lost.
 const MAX_URGENT_CONNECTS: usize = 3;
-/// Lost reports are asked for again by connects that begin so long one after another, whatever became of those
-/// before, and the first within as long at random: other schedulers may have lost theirs at the same moment.
-const REPORT_RETRY_INTERVAL: Duration = Duration::from_nanos(100_000_000);
+/// Lost reports are asked for again, and orders given, by connects that begin so long one after another, whatever
+/// became of those before, and the first within as long at random: other schedulers may have lost theirs at the
+/// same moment.
+const URGENT_RETRY_INTERVAL: Duration = Duration::from_nanos(100_000_000);
 /// A client must be notified within this of a machine's report. After that lost ones have no hurry.
 const REPORT_DEADLINE: Duration = Duration::from_secs(1);
 
@@ -26,9 +27,9 @@
     /// For how long the machine has been silent.
     silence: Duration,
     has_running_tasks: bool,
-    has_pending_stops: bool,
+    has_unsent_orders: bool,
     reports_lost: bool,
-    /// A report that was lost may still reach its client in time.
+    /// A report that was lost may still reach its client in time, or an order its machine.
     is_urgent: bool,
     /// How many connections to it are being opened.
     connecting: usize,
@@ -52,9 +53,9 @@
             replaced: machine.replaced,
             silence: state.now - machine.last_seen_at,
             has_running_tasks: !state.tasks.running_on(id).is_empty(),
-            has_pending_stops: !machine.pending_stops.is_empty(),
+            has_unsent_orders: machine.stop_orders.has_unsent(),
             reports_lost: machine.reports_lost_at.is_some(),
-            is_urgent: machine.has_urgent_reports(state.now),
+            is_urgent: machine.is_urgent(state.now),
             connecting: connections().filter(|connection| !connection.established).count(),
             established: connections().filter(|connection| connection.established).count(),
             idle: idle.map(|(connection_id, connection)| (connection_id, connection.used_at)).collect(),
@@ -71,7 +72,7 @@
         let is_due = is_due || self.reports_lost;
         let is_nearly_lost = self.silence >= state.machines.timeouts.final_probes_after;
         let max_connecting = if is_nearly_lost || self.is_urgent { MAX_URGENT_CONNECTS } else { 1 };
-        self.connecting < max_connecting && (self.has_pending_stops || (self.has_running_tasks && is_due))
+        self.connecting < max_connecting && (self.has_unsent_orders || (self.has_running_tasks && is_due))
     }
 }
 
@@ -93,7 +94,7 @@
         state.lose_running_tasks(id, state.now, "it is silent, refuses connections, or was replaced");
     }
     let is_connected = !state.machines.by_id[&id].connections.is_empty();
-    if check.has_running_tasks || check.has_pending_stops || is_connected {
+    if check.has_running_tasks || check.has_unsent_orders || is_connected {
         state.schedule_check(id);
     }
 }
@@ -139,10 +140,12 @@
 }
 
 impl Machine {
-    /// Whether a report that was lost may still reach its client in time. Where the machine refuses connections, the
-    /// backoff counts: it may be dead, and is not to be taken for that by two refusals of one moment.
-    fn has_urgent_reports(&self, now: Timestamp) -> bool {
-        self.refusals == 0 && self.reports_lost_at.is_some_and(|lost_at| now - lost_at < REPORT_DEADLINE)
+    /// Whether a report that was lost may still reach its client in time, or an order its machine. Where the machine
+    /// refuses connections, the backoff counts: it may be dead, and is not to be taken for that by two refusals
+    /// of one moment.
+    fn is_urgent(&self, now: Timestamp) -> bool {
+        let awaits_reports = self.reports_lost_at.is_some_and(|lost_at| now - lost_at < REPORT_DEADLINE);
+        self.refusals == 0 && (awaits_reports || self.stop_orders.are_urgent(now))
     }
 }
 
@@ -160,17 +163,17 @@
         let silence = self.now - machine.last_seen_at;
         let probes = silence >= timeouts.final_probes_after && silence < timeouts.lost_after;
         let drawn = if probes { self.now + timeouts.final_probe_interval } else { drawn };
-        let drawn =
-            if machine.has_urgent_reports(self.now) { self.now + REPORT_RETRY_INTERVAL } else { drawn };
+        let drawn = if machine.is_urgent(self.now) { self.now + URGENT_RETRY_INTERVAL } else { drawn };
         // The check that finds it lost comes in time.
         let lost_at = machine.last_seen_at + timeouts.lost_after;
         let at = if lost_at > self.now { drawn.min(lost_at) } else { drawn };
         self.set_check(id, at);
     }
 
-    /// Schedules a check of a machine whose reports were lost: soon, though a later one may be scheduled.
+    /// Schedules a check of a machine whose reports were lost, or for which orders wait: soon, though a later one may be
+    /// scheduled.
     pub fn schedule_urgent_check(&mut self, id: MachineId) {
-        let at = self.now + REPORT_RETRY_INTERVAL * self.random.fraction();
+        let at = self.now + URGENT_RETRY_INTERVAL * self.random.fraction();
         let next = self.machines.by_id.get(&id).and_then(|machine| machine.next_check_at);
         if next.is_none_or(|next| next > at) {
             self.set_check(id, at);
--- a/crates/platform/src/machines/mod.rs
+++ b/crates/platform/src/machines/mod.rs
@@ -10,6 +10,7 @@
 mod health;
 mod messages;
 mod replies;
+mod stop_orders;
 mod timeouts;
 
 pub use connection::{LocalClose, MachineConnection};
@@ -23,6 +24,7 @@
 use mulleinhub_resilience::SlowStartGate;
 use mulleinhub_sans_io::ConnectionId;
 use std::collections::BTreeMap;
+use stop_orders::StopOrders;
 use timeouts::Timeouts;
 
 /// So many refused connects in a row: the process there has died, and what ran there with it.
@@ -72,8 +74,8 @@
     pub slow_start: SlowStartGate,
     /// Attempts that the slow-start gate or the limit on connections holds back.
     pub queued_attempts: Vec<AttemptId>,
-    /// Tasks that run there and are to be stopped, once there is a connection.
-    pub pending_stops: Vec<TaskId>,
+    /// Tasks that run there and are to be stopped.
+    pub stop_orders: StopOrders,
     /// When a connection to it ended that may have taken reports of running tasks with it. The machine repeats them
     /// on the next connection that it accepts.
     pub reports_lost_at: Option<Timestamp>,
@@ -100,7 +102,7 @@
             reconnect_at: now,
             slow_start: SlowStartGate::default(),
             queued_attempts: Vec::new(),
-            pending_stops: Vec::new(),
+            stop_orders: StopOrders::default(),
             reports_lost_at: None,
             next_check_at: None,
             next_release_at: None,
@@ -256,11 +258,16 @@
     }
 
     /// Removes a connection and frees its descriptor.
-    pub fn remove_connection(&mut self, connection_id: ConnectionId) -> Option<MachineConnection> {
+    pub fn remove_connection(
+        &mut self,
+        now: Timestamp,
+        connection_id: ConnectionId,
+    ) -> Option<MachineConnection> {
         self.pool.remove(connection_id.0);
         let connection = self.connections.remove(&connection_id)?;
         if let Some(machine) = self.by_id.get_mut(&connection.machine) {
             machine.connections.retain(|other| *other != connection_id);
+            machine.stop_orders.on_disconnected(now, connection_id);
         }
         Some(connection)
     }
--- a/crates/platform/src/machines/replies.rs
+++ b/crates/platform/src/machines/replies.rs
@@ -153,14 +153,17 @@
     let connection = state.machines.connections.get_mut(&connection_id)?;
     connection.given_up.retain(|given_up| given_up.task != id);
     let machine = connection.machine;
-    if state.tasks.by_id.contains_key(&id) {
-        return state.tasks.attempt(id).filter(|attempt| attempt.machine == machine);
-    }
     // A rejection is the end of an attempt only, and a client that cancelled a task is not notified.
     let is_rejection = matches!(
         release.cause,
         cause_code::FULL | cause_code::BUSY | cause_code::ERROR | cause_code::NOT_SENT
     );
+    if let Some(machine) = state.machines.by_id.get_mut(&machine).filter(|_| !is_rejection) {
+        machine.stop_orders.remove(id);
+    }
+    if state.tasks.by_id.contains_key(&id) {
+        return state.tasks.attempt(id).filter(|attempt| attempt.machine == machine);
+    }
     if !is_rejection && outcome_of_running(release) != Outcome::Cancelled {
         state.adoptions.record_end(state.now, id, machine, release.cause, state.max_tasks);
     }
--- a/crates/platform/src/tests/mod.rs
+++ b/crates/platform/src/tests/mod.rs
@@ -12,3 +12,4 @@
 mod races;
 mod shutdown;
 mod slow_start;
+mod stop_orders;
