A message has at most 64 parameters

Cause: a message of 16 KB could have 5,400 parameters, and a start request's were walked a dozen times, to be refused as invalid each time. Change: more than 64 parameters end the connection as any other malformed message; a start request has eight. A buffer grows by what has arrived or by the message that it belongs to, not to the next power of two. Result: the new test fails before and passes.

--- a/crates/platform-protocol/src/frame.rs
+++ b/crates/platform-protocol/src/frame.rs
@@ -6,8 +6,12 @@
 pub const MIN_LENGTH: usize = 9;
 /// The greatest value of a message's length field.
 pub const MAX_LENGTH: usize = 16 * 1024;
+/// The most parameters of a message: the longest, a start request, has eight.
+pub const MAX_PARAMETERS: usize = 64;
 /// Bytes of the length field.
 const LENGTH_SIZE: usize = 2;
+/// The longest message, with its length field.
+pub const MAX_MESSAGE_SIZE: usize = LENGTH_SIZE + MAX_LENGTH;
 
 /// A complete message whose parameters are well-formed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,15 +27,22 @@
     /// Parses the bytes after the length field.
     ///
     /// # Errors
-    /// If there are too few bytes, or the parameters don't fill them exactly.
+    /// If there are too few bytes, the parameters don't fill them exactly, or there are more than
+    /// [`MAX_PARAMETERS`].
     pub fn parse(bytes: &'a [u8]) -> Result<Self, ProtocolError> {
         let (Some((kind, rest)), true) = (bytes.split_first(), bytes.len() >= MIN_LENGTH) else {
             return Err(ProtocolError::new(format!("message of {} bytes is too short", bytes.len())));
         };
         let (task, params) = rest.split_at(8);
         let task = u64::from_be_bytes(task.try_into().expect("eight bytes"));
-        let mut unchecked = params;
+        let (mut unchecked, mut count) = (params, 0);
         while !unchecked.is_empty() {
+            count += 1;
+            if count > MAX_PARAMETERS {
+                return Err(ProtocolError::new(format!(
+                    "a message with more than {MAX_PARAMETERS} parameters"
+                )));
+            }
             let Some((_, rest)) = split_param(unchecked) else {
                 let message = format!("parameters of a message of type {kind} don't fill it");
                 return Err(ProtocolError(message));
@@ -86,6 +97,10 @@
             self.bytes.drain(..self.processed);
             self.processed = 0;
         }
+        // Not more than what has arrived, or the whole message that it belongs to.
+        let message_end = self.next_length().map_or(0, |length| LENGTH_SIZE + length.min(MAX_LENGTH));
+        let wanted = message_end.max(self.bytes.len() + bytes.len());
+        self.bytes.reserve_exact(wanted - self.bytes.len());
         self.bytes.extend_from_slice(bytes);
     }
 
--- a/crates/platform-protocol/src/frame/tests.rs
+++ b/crates/platform-protocol/src/frame/tests.rs
@@ -24,6 +24,19 @@
     assert_eq!(frames.next_frame().unwrap().and_then(|frame| cause(&frame)), Some(16));
 }
 
+/// Guards against messages of thousands of empty parameters, which took hundreds of clients' worth of time to read
+/// again and again (picture a).
+#[test]
+fn message_with_too_many_parameters_is_rejected() {
+    for (count, is_valid) in [(MAX_PARAMETERS, true), (MAX_PARAMETERS + 1, false)] {
+        let mut bytes = Vec::new();
+        write_message(&mut bytes, kind::START, 1, &vec![(200, &b""[..]); count]);
+        let mut frames = FrameBuffer::default();
+        frames.extend(&bytes);
+        assert_eq!(frames.next_frame().is_ok(), is_valid, "{count} parameters");
+    }
+}
+
 proptest! {
     #[test]
     fn written_messages_are_decoded_in_any_pieces(
--- a/crates/platform-protocol/src/lib.rs
+++ b/crates/platform-protocol/src/lib.rs
@@ -22,7 +22,7 @@
 };
 pub use error::ProtocolError;
 pub use event_stream::{BodyFraming, EventStream, ResponseHead};
-pub use frame::{Frame, FrameBuffer, MAX_LENGTH, MIN_LENGTH};
+pub use frame::{Frame, FrameBuffer, MAX_LENGTH, MAX_MESSAGE_SIZE, MAX_PARAMETERS, MIN_LENGTH};
 pub use message::{Reason, cause, note, reason};
 pub use message::{write_acceptance, write_message, write_rejection, write_start_request, write_with_cause};
 pub use start_request::{InvalidRequest, ResourceRequest, StartRequest};
