What clients make a process hold is bounded by bytes of its memory

Over its limit a process is killed. Cause: unhandled input (64 to 128 KB a client), unread output (256 KB a client) and payloads (32 a megabyte, whatever their length) were bounded by numbers alone. A peer for which more than 256 KB were composed in one iteration was closed before a write was tried. Change: limits/memory_budget.rs divides the memory; beyond its part a client's input is read by one message at a time, and long payloads are refused as busy. clients/backpressure.rs leaves the input of a client that does not read its answers, and closes it after three seconds without any progress. Slow readers are judged once what was composed had its chance to leave.

--- a/crates/event-loop/src/event_loop/read.rs
+++ b/crates/event-loop/src/event_loop/read.rs
@@ -62,7 +62,8 @@
             return false;
         }
         self.system_calls += 1;
-        match connection.tcp.read(&mut self.read_buffer) {
+        let limit = self.state_machine.read_limit(id).clamp(1, self.read_buffer.len());
+        match connection.tcp.read(&mut self.read_buffer[..limit]) {
             Ok(0) => {
                 self.close_connection(id, CloseReason::Closed);
                 true
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`ConnectionLimits`] decides which connections are accepted, probed, evicted or closed, and whose input is
 //! processed first when many clients send at once. [`AdmissionControl`] decides which task requests are
 //! admitted while the number of tasks in flight is bounded. [`ConnectionPool`] counts the connections to
-//! machines, and [`AcceptBudget`] and its neighbours split the descriptors and the memory of a small process.
+//! machines, [`AcceptBudget`] and its neighbours split the descriptors of a small process, and [`InputBudget`] and
+//! [`PayloadBudget`] its memory.
 //!
 //! A connection with a task in flight is never evicted while an idle one exists.
 //!
@@ -22,6 +23,7 @@
 mod fair_queue;
 mod input_queues;
 mod load_limit;
+mod memory_budget;
 mod name_usage;
 mod reason;
 mod settings;
@@ -37,6 +39,7 @@
 };
 pub use fair_queue::FairQueue;
 pub use load_limit::{AcceptRate, AdaptiveLimit};
+pub use memory_budget::{InputBudget, PayloadBudget, PayloadReservation};
 pub use reason::{Action, DisconnectReason};
 pub use settings::Settings;
 pub use timer_wheel::TimerWheel;
--- a/crates/planner/tests/harness/load.rs
+++ b/crates/planner/tests/harness/load.rs
@@ -21,6 +21,15 @@
     pub unanswered: usize,
     /// The longest time without a placed task.
     pub longest_gap: Duration,
+    /// The time within which 99 of 100 answers came.
+    pub p99: Duration,
+}
+
+/// The time within which 99 of 100 of these are over.
+fn p99(mut latencies: Vec<Duration>) -> Duration {
+    latencies.sort_unstable();
+    let rank = (latencies.len() * 99).div_ceil(100);
+    latencies.get(rank.saturating_sub(1)).copied().unwrap_or_default()
 }
 
 /// A client that sends one start request after another, in the background.
@@ -86,6 +95,7 @@
     write: impl Fn(&mut TcpStream, &[u8]) -> std::io::Result<()>,
 ) -> LoadStats {
     let (mut stats, mut open, mut last_served_at) = (LoadStats::default(), None, Instant::now());
+    let mut latencies = Vec::new();
     for n in 1.. {
         let now = Instant::now();
         stats.longest_gap = stats.longest_gap.max(now - last_served_at);
@@ -100,8 +110,10 @@
         configure(&stream);
         stream.set_read_timeout(Some(ANSWER_TIMEOUT)).expect("is set");
         stats.requests += 1;
+        let sent_at = Instant::now();
         let answer =
             write(&mut stream, &start_request(task)).ok().and_then(|()| answer_to(&mut stream, task));
+        latencies.extend(answer.map(|_| sent_at.elapsed()));
         match answer {
             Some(Answer::Placed) => {
                 stats.placed += 1;
@@ -118,7 +130,7 @@
         open = Some(stream);
         std::thread::sleep(REQUEST_INTERVAL);
     }
-    stats
+    LoadStats { p99: p99(latencies), ..stats }
 }
 
 /// A final answer.
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -27,6 +27,9 @@
 /// How long a test waits for anything before it fails.
 pub const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The variable that says what the program logs; everything, where a test does not set it.
+const LOG_LEVEL_VARIABLE: &str = "RUST_LOG";
+
 /// A listener on a free port of a loopback address of its own.
 pub fn listener(host: u8) -> TcpListener {
     TcpListener::bind(("127.0.9.".to_owned() + &host.to_string(), 0)).expect("a free port")
@@ -104,7 +107,9 @@
 
 fn start_by(mut command: Command, config: &std::path::Path, listen: SocketAddr, log: std::fs::File) -> Child {
     command.env("LB_CONFIG", config).env("LB_LISTEN", listen.to_string()).env("LB_NAME", "n0");
-    command.env("RUST_LOG", "debug");
+    if !command.get_envs().any(|(name, _)| name == LOG_LEVEL_VARIABLE) {
+        command.env(LOG_LEVEL_VARIABLE, "debug");
+    }
     command.stdout(Stdio::null()).stderr(log).spawn().expect("starts")
 }
 
@@ -120,6 +125,22 @@
         Self::started_by(command, change)
     }
 
+    /// With a changed configuration, and the log that it has in service.
+    pub fn in_service(change: impl Fn(String) -> String) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mulleinhub-planner"));
+        command.arg("platform").env(LOG_LEVEL_VARIABLE, "info");
+        Self::started_by(command, change)
+    }
+
+    /// The most memory that the process has had, in megabytes.
+    pub fn peak_memory_mb(&self) -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("it runs");
+        let kilobytes: f64 =
+            line.split_whitespace().next().and_then(|number| number.parse().ok()).expect("a number");
+        kilobytes / 1024.0
+    }
+
     /// With this descriptor limit, whatever the configuration says.
     pub fn with_descriptors(descriptors: usize) -> Self {
         Self::with_limits(Some(descriptors), |config| config)
--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -34,9 +34,8 @@
 
     /// Closes a client's connection on which no task is to be answered.
     pub fn drop_client(&mut self, connection_id: ConnectionId) {
-        self.clients.limits.remove(connection_id.0);
         self.clients.rejected.retain(|(_, other)| *other != connection_id);
-        self.clients.by_connection.remove(&connection_id);
+        self.clients.remove(connection_id);
         self.connections.close(connection_id);
     }
 
--- a/crates/platform/src/clients/cancel.rs
+++ b/crates/platform/src/clients/cancel.rs
@@ -67,8 +67,7 @@
     for id in state.clients.awaiting_on(connection_id) {
         cancel_unanswered(state, id);
     }
-    let client = state.clients.by_connection.remove(&connection_id);
-    state.clients.limits.remove(connection_id.0);
+    let client = state.clients.remove(connection_id);
     state.connections.abort(connection_id);
     if let Some(client) = client {
         state.repeat_unacknowledged_ends(client);
--- a/crates/platform/src/clients/messages.rs
+++ b/crates/platform/src/clients/messages.rs
@@ -14,6 +14,9 @@
 /// Handles what was received on a client's connection, as far as one iteration goes, and its close once all
 /// of it has been handled.
 pub fn handle_input(shared: &SharedState, events: &mut dyn PolicyEvents, connection_id: ConnectionId) {
+    if shared.borrow().awaits_reader(connection_id) {
+        return shared.borrow_mut().park_client(connection_id);
+    }
     // The frames are taken out meanwhile, so that messages can borrow them while handlers borrow the state.
     let take_frames = |state: &mut SchedulerState| {
         Some(std::mem::take(&mut state.clients.by_connection.get_mut(&connection_id)?.frames))
@@ -49,6 +52,9 @@
         let Some(frame) = frames.next_frame()? else { break };
         handle_message(shared, events, connection_id, &frame)?;
         handled_any = true;
+        if shared.borrow().awaits_reader(connection_id) {
+            break;
+        }
     }
     Ok(handled_any)
 }
@@ -97,7 +103,8 @@
     let now = state.now;
     let Some(client) = state.clients.by_connection.get_mut(&connection_id) else { return false };
     frames.release_if_empty();
-    let (has_partial, has_more) = (frames.unprocessed() > 0, frames.has_frame());
+    let (unprocessed, has_more) = (frames.unprocessed(), frames.has_frame());
+    let has_partial = unprocessed > 0;
     client.frames = frames;
     if handled_any {
         client.backlog_wait = Duration::ZERO;
@@ -106,6 +113,7 @@
     let partial_since = client.partial_since.filter(|_| !handled_any).unwrap_or(now);
     client.partial_since = has_partial.then_some(partial_since);
     let (is_closed, rejected) = (client.close_reason.is_some(), client.rejected);
+    state.clients.record_unhandled(connection_id, unprocessed);
     if has_more {
         // A message that is complete by now is not slow.
         state.clients.limits.set_partial_frame(now, connection_id.0, false);
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -1,17 +1,20 @@
 //! Client connections: what was received on them, and which tasks are to be answered there.
 
 mod accept;
+mod backpressure;
 mod cancel;
 mod messages;
 mod reports;
 mod start_requests;
 
+pub use backpressure::PARKED_CLIENTS_INTERVAL;
 pub use cancel::{cancel_task, close_client, remove_disconnected_client, report_cancelled};
 pub use messages::{enforce_limits, handle_input, proves_itself};
 
 use crate::inbound::ReadMark;
+use backpressure::ParkedClient;
 use mulleinhub_interface::{Duration, TaskId, Timestamp};
-use mulleinhub_limits::{AcceptBudget, ConnectionLimits, Settings};
+use mulleinhub_limits::{AcceptBudget, ConnectionLimits, InputBudget, Settings};
 use mulleinhub_platform_protocol::{Cause, FrameBuffer};
 use mulleinhub_sans_io::{CloseReason, ConnectionId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -43,6 +46,8 @@
 pub struct Client {
     /// Bytes received and not handled yet.
     pub frames: FrameBuffer,
+    /// How many those are, as the budget counts them.
+    unhandled_bytes: usize,
     /// How it was closed, once it was; what was received before is handled first.
     pub close_reason: Option<CloseReason>,
     /// It stands in a queue of connections to be handled.
@@ -85,6 +90,7 @@
     pub fn new(read_mark: ReadMark) -> Self {
         Self {
             frames: FrameBuffer::default(),
+            unhandled_bytes: 0,
             close_reason: None,
             queued: false,
             partial_since: None,
@@ -138,12 +144,16 @@
     pub unread_wait: Duration,
     /// Ends of tasks that no client was connected to receive, oldest first.
     pub unreported_ends: VecDeque<UnreportedEnd>,
+    /// Input that was received and not handled.
+    pub input_budget: InputBudget,
+    /// Clients whose input waits until they have read their output.
+    parked: BTreeMap<ConnectionId, ParkedClient>,
     name: Arc<str>,
 }
 
 impl Clients {
-    /// No clients yet, in a process with so many descriptors.
-    pub fn new(descriptors: usize) -> Self {
+    /// No clients yet, in a process with so many descriptors and so many megabytes of memory.
+    pub fn new(descriptors: usize, memory_mb: usize) -> Self {
         let accept_gate = AcceptBudget::new(descriptors);
         let mut limits = ConnectionLimits::new(Settings {
             max_connections: descriptors,
@@ -170,10 +180,33 @@
             backlog_wait: Duration::ZERO,
             unread_wait: Duration::ZERO,
             unreported_ends: VecDeque::new(),
+            input_budget: InputBudget::new(memory_mb),
+            parked: BTreeMap::new(),
             name: CLIENT_NAME.into(),
         }
     }
 
+    /// Removes a client, with its input that was not handled.
+    fn remove(&mut self, connection_id: ConnectionId) -> Option<Client> {
+        self.limits.remove(connection_id.0);
+        self.parked.remove(&connection_id);
+        let client = self.by_connection.remove(&connection_id)?;
+        self.input_budget.update(client.unhandled_bytes, 0);
+        Some(client)
+    }
+
+    /// Whether the input of any client waits until it has read its output.
+    pub fn has_parked(&self) -> bool {
+        !self.parked.is_empty()
+    }
+
+    /// The input of a client that waits to be handled has so many bytes now.
+    pub fn record_unhandled(&mut self, connection_id: ConnectionId, bytes: usize) {
+        let Some(client) = self.by_connection.get_mut(&connection_id) else { return };
+        let before = std::mem::replace(&mut client.unhandled_bytes, bytes);
+        self.input_budget.update(before, bytes);
+    }
+
     /// It has sent a message that clients send.
     pub fn greeted(&mut self, connection_id: ConnectionId) {
         // There is no limit on one name here, and a second time changes nothing.
--- a/crates/platform/src/clients/start_requests.rs
+++ b/crates/platform/src/clients/start_requests.rs
@@ -119,6 +119,7 @@
         name: request.name.to_owned(),
         key: request.idempotency_key.map(str::to_owned),
         description: request.description.to_owned(),
+        reservation: state.payload_budget.reserve(request.description.len()),
     };
     let task = TaskRecord { payload: Some(Box::new(payload)), ..TaskRecord::new(spec, connection_id) };
     state.tasks.by_id.insert(id, task);
@@ -151,7 +152,8 @@
     if is_rejected {
         return Err(Refusal { cause: cause_code::BUSY, retry_after: NO_PLACE_RETRY_AFTER });
     }
-    if state.tasks.by_id.len() >= state.max_tasks {
+    let has_place = state.payload_budget.has_place(request.description.len());
+    if state.tasks.by_id.len() >= state.max_tasks || !has_place {
         return Err(Refusal { cause: cause_code::BUSY, retry_after: longest });
     }
     let admission = state.admission.try_admit(state.now, request.resources.service);
--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -100,7 +100,9 @@
             client.read_mark = read_mark;
             client.unread_wait = self.clients.unread_wait;
         }
-        if self.clients.limits.should_pause_reading(client.frames.unprocessed()) {
+        let unprocessed = client.frames.unprocessed();
+        self.clients.record_unhandled(connection_id, unprocessed);
+        if self.has_enough_input(unprocessed) {
             self.connections.set_reading_paused(connection_id, true);
         }
         self.clients.limits.record_activity(now, connection_id.0);
@@ -171,6 +173,7 @@
     /// Takes over what the event loop reported since the last iteration.
     pub fn begin_inbound(&mut self) {
         self.clients.limits.begin_iteration(self.machines.max_connections);
+        self.resume_parked_clients();
         for connection_id in std::mem::take(&mut self.inbound.established) {
             self.machines.mark_established(connection_id, self.now);
             if let Some(machine) = self.machines.connections.get(&connection_id).map(|known| known.machine) {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -187,6 +187,10 @@
         }
     }
 
+    fn read_limit(&self, connection_id: ConnectionId) -> usize {
+        self.state.borrow().read_limit(connection_id)
+    }
+
     fn on_descriptors_exhausted(&mut self, now: Timestamp) {
         let state = self.state.get_mut();
         state.now = state.now.max(now);
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::adoptions::Adoptions;
 use crate::attempts::UnsentRequests;
-use crate::clients::Clients;
+use crate::clients::{Clients, PARKED_CLIENTS_INTERVAL};
 use crate::config::Config;
 use crate::discovery::EndpointWatch;
 use crate::fault_log::FaultLog;
@@ -15,13 +15,13 @@
 use crate::wall_clock::WallClock;
 use mulleinhub::{Pcg, mix};
 use mulleinhub_interface::{Outcome, TaskId, Timestamp};
-use mulleinhub_limits::{AdmissionControl, max_tasks_in_flight, max_tasks_tracked};
+use mulleinhub_limits::{AdmissionControl, PayloadBudget, max_tasks_in_flight, max_tasks_tracked};
 use mulleinhub_platform_protocol::{Cause, ListEvent};
 use mulleinhub_platform_settings::PlatformSettings;
 use mulleinhub_resilience::{MAX_POLL_INTERVAL, PauseDetector};
 use mulleinhub_sans_io::{CloseReason, ConnectionId, Connections, Timers};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Bytes that may wait for one peer that doesn't read.
 const MAX_UNSENT: usize = 256 * 1024;
@@ -88,6 +88,8 @@
     pub unsent_requests: UnsentRequests,
     /// Shares the places for unanswered tasks among services.
     pub admission: AdmissionControl,
+    /// Memory for the payloads of unanswered tasks.
+    pub payload_budget: PayloadBudget,
     /// Tasks that may be held in all.
     pub max_tasks: usize,
     /// Adoptions that wait for their machine.
@@ -108,8 +110,8 @@
     pub output: Vec<u8>,
     last_token: u64,
     fault_log: FaultLog,
-    /// Peers that don't read, to be closed at the end of the iteration.
-    slow_readers: Vec<ConnectionId>,
+    /// Peers for which more waits than may, unless they read it by the end of the next iteration.
+    slow_readers: BTreeSet<ConnectionId>,
 }
 
 impl SchedulerState {
@@ -117,9 +119,10 @@
     pub fn new(config: Config) -> Self {
         let settings = config.settings;
         Self {
-            clients: Clients::new(config.descriptors),
+            clients: Clients::new(config.descriptors, config.memory_mb),
             machines: Machines::new(config.descriptors, settings.idle_timeout, settings.connect_timeout),
             admission: AdmissionControl::new(max_tasks_in_flight(config.memory_mb)),
+            payload_budget: PayloadBudget::new(config.memory_mb, max_tasks_in_flight(config.memory_mb)),
             max_tasks: max_tasks_tracked(config.memory_mb),
             now: Timestamp::default(),
             wall_clock: WallClock::default(),
@@ -139,7 +142,7 @@
             output: Vec::with_capacity(OUTPUT_CAPACITY),
             last_token: 0,
             fault_log: FaultLog::default(),
-            slow_readers: Vec::new(),
+            slow_readers: BTreeSet::new(),
             settings,
         }
     }
@@ -150,18 +153,28 @@
         if self.pauses.begin_iteration(now) {
             self.clients.limits.on_process_resumed(now);
         }
+        self.close_slow_readers();
         self.begin_inbound();
     }
 
-    /// The iteration is over: peers that don't read are closed.
-    pub fn end_iteration(&mut self) {
+    /// An iteration begins, and what the one before composed was written as far as the peers take it: those for
+    /// which too much is left are closed. Seen: a client that was sent twenty long answers at once after a pause of
+    /// this process was closed before it could read any.
+    fn close_slow_readers(&mut self) {
         for connection_id in std::mem::take(&mut self.slow_readers) {
+            if self.connections.pending_bytes(connection_id) <= MAX_UNSENT {
+                continue;
+            }
             let error = format!("connection {}", connection_id.0);
             self.warn("peer does not read; connection closed", &error);
             if let Some(Peer::Client | Peer::Machine) = self.peer(connection_id) {
                 self.on_closed(self.now, connection_id, CloseReason::Broken);
             }
         }
+    }
+
+    /// The iteration is over.
+    pub fn end_iteration(&mut self) {
         self.pauses.end_iteration(self.next_wakeup());
     }
 
@@ -174,11 +187,13 @@
             return Some(self.now);
         }
         let limits = &self.clients.limits;
+        let parked_clients_at = self.clients.has_parked().then_some(self.now + PARKED_CLIENTS_INTERVAL);
         let accept_resumes_at = limits.accept_paused_until().filter(|until| *until > self.now);
         [
             self.timers.next_wakeup(),
             limits.next_wakeup(),
             accept_resumes_at,
+            parked_clients_at,
             Some(self.now + MAX_POLL_INTERVAL),
         ]
         .into_iter()
@@ -202,7 +217,7 @@
     pub fn send_output(&mut self, connection_id: ConnectionId, token: Option<u64>) {
         self.connections.send(connection_id, &self.output, token);
         if self.connections.pending_bytes(connection_id) > MAX_UNSENT {
-            self.slow_readers.push(connection_id);
+            self.slow_readers.insert(connection_id);
         }
     }
 
--- a/crates/platform/src/tasks.rs
+++ b/crates/platform/src/tasks.rs
@@ -1,11 +1,12 @@
 //! The tasks that this scheduler holds, each with its attempt that is in flight or running.
 
 use mulleinhub_interface::{MachineId, TaskId, TaskSpec, Timestamp};
+use mulleinhub_limits::PayloadReservation;
 use mulleinhub_sans_io::ConnectionId;
 use std::collections::BTreeMap;
 
 /// The parts of a start request that go on to a machine unchanged. Dropped once the task runs.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct RequestPayload {
     /// The task's name, in hexadecimal.
     pub name: String,
@@ -13,6 +14,9 @@
     pub key: Option<String>,
     /// The task's description, opaque to the scheduler.
     pub description: Vec<u8>,
+    /// Its place in the memory for payloads.
+    #[expect(dead_code, reason = "frees the place once the payload is dropped")]
+    pub reservation: PayloadReservation,
 }
 
 /// One attempt to start a task on a machine: the task, and the attempt's number within it, from 0.
--- a/crates/platform/src/tests/harness.rs
+++ b/crates/platform/src/tests/harness.rs
@@ -142,13 +142,18 @@
 
     /// One iteration after another until nothing is left to do at this instant.
     pub fn run_until_idle(&mut self) {
-        for _ in 0..50 {
+        self.run_until_idle_within(50);
+    }
+
+    /// The same, for what takes more iterations.
+    pub fn run_until_idle_within(&mut self, iterations: usize) {
+        for _ in 0..iterations {
             self.scheduler.poll(self.now);
             if !self.transfer() && self.scheduler.next_wakeup().is_none_or(|wake| wake > self.now) {
                 return;
             }
         }
-        panic!("no rest within fifty iterations of one instant");
+        panic!("no rest within {iterations} iterations of one instant");
     }
 
     /// One iteration, and what it sends.
--- a/crates/platform/src/tests/mod.rs
+++ b/crates/platform/src/tests/mod.rs
@@ -8,6 +8,7 @@
 mod invariants;
 mod large_lists;
 mod machine_loss;
+mod memory;
 mod message_sequences;
 mod races;
 mod shutdown;
--- a/crates/sans-io/src/lib.rs
+++ b/crates/sans-io/src/lib.rs
@@ -86,6 +86,10 @@
     fn on_backlog_wait(&mut self, _: ListenerId, _waited: Duration) {}
     /// The bytes that are reported next, of this connection, may have lain unread for this long.
     fn on_unread_wait(&mut self, _: ConnectionId, _waited: Duration) {}
+    /// How many bytes are read from this connection at once, at least one.
+    fn read_limit(&self, _: ConnectionId) -> usize {
+        usize::MAX
+    }
     /// No connection can be accepted because the descriptors are exhausted.
     fn on_descriptors_exhausted(&mut self, _now: Timestamp) {}
     /// State for the next incarnation of this state machine, if it has changed since the last call.
