A client has its share of scarce places, and adoptions leave places for requests

Cause: admission shared its places among services alone, each new one below its share; and adoptions could take all places of the table of tasks, which requests need as well. A hand-over at an unlisted machine searched all others that waited.

--- a/crates/limits/src/admission.rs
+++ b/crates/limits/src/admission.rs
@@ -28,7 +28,28 @@
 const RETRIES_PER_PLACE: f64 = 2.0;
 const NANOS_PER_SECOND: f64 = 1e9;
 
-/// Places for tasks in flight, shared among the services that request them.
+/// How much of the capacity the client of a request uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientLoad {
+    /// Its own tasks in flight.
+    pub in_flight: usize,
+    /// Clients that have any.
+    pub clients: usize,
+}
+
+impl ClientLoad {
+    /// The only client, as far as the limits are concerned.
+    pub const SOLE: Self = Self { in_flight: 0, clients: 0 };
+
+    /// The places that one client may have while they are scarce: an equal share among the clients that have
+    /// any, this one and `reserved` more.
+    fn is_below_share(&self, capacity: usize, reserved: usize) -> bool {
+        let shares = self.clients + usize::from(self.in_flight == 0) + reserved;
+        self.in_flight < (capacity / shares.max(1)).max(1)
+    }
+}
+
+/// Places for tasks in flight, shared among the services that request them, and among the clients.
 #[derive(Debug)]
 pub struct AdmissionControl {
     capacity: usize,
@@ -71,20 +92,31 @@
     /// Admits a task of this service, or rejects it.
     ///
     /// # Errors
+    /// As for [`try_admit_of`](Self::try_admit_of).
+    pub fn try_admit(&mut self, now: Timestamp, service: u64) -> Result<(), Duration> {
+        self.try_admit_of(now, service, ClientLoad::SOLE)
+    }
+
+    /// Admits a task of this service and client, or rejects it. Guards against: one client took all places with
+    /// requests of ever new services, each of which was below its share.
+    ///
+    /// # Errors
     /// The time after which to retry. Requests rejected one after the other are called back one after the
     /// other, at the rate at which places become free, so that they don't retry in step.
-    pub fn try_admit(&mut self, now: Timestamp, service: u64) -> Result<(), Duration> {
+    pub fn try_admit_of(&mut self, now: Timestamp, service: u64, client: ClientLoad) -> Result<(), Duration> {
         let of_service = self.services.get(&service).copied().unwrap_or(0);
         let below = |part: f64| (self.in_flight as f64) < self.capacity as f64 * part;
-        let is_admitted = below(FREE_PART)
-            || (below(RESERVED_ABOVE) && of_service < self.fair_share(service, 0))
-            || (below(1.0) && of_service < self.fair_share(service, 1));
+        let has_share = |reserved| {
+            of_service < self.fair_share(service, reserved) && client.is_below_share(self.capacity, reserved)
+        };
+        let is_admitted =
+            below(FREE_PART) || (below(RESERVED_ABOVE) && has_share(0)) || (below(1.0) && has_share(1));
         if is_admitted {
             self.in_flight += 1;
             *self.services.entry(service).or_default() += 1;
             return Ok(());
         }
-        if of_service < self.fair_share(service, 1) {
+        if has_share(1) {
             // All places are taken by other services; the next ones are for services below their share.
             return Err(MIN_RETRY_AFTER);
         }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -30,7 +30,7 @@
 mod timer_wheel;
 mod unidentified;
 
-pub use admission::AdmissionControl;
+pub use admission::{AdmissionControl, ClientLoad};
 pub use connection_pool::ConnectionPool;
 pub use connections::ConnectionLimits;
 pub use descriptor_budget::{
--- a/crates/limits/tests/admission.rs
+++ b/crates/limits/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Tests and properties of admission control.
 
 use mulleinhub_interface::{Duration, Timestamp};
-use mulleinhub_limits::AdmissionControl;
+use mulleinhub_limits::{AdmissionControl, ClientLoad};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -123,3 +123,24 @@
         }
     }
 }
+
+/// Guards against one client that takes all places with requests of ever new services (picture b).
+#[test]
+fn client_with_ever_new_services_leaves_places_to_others() {
+    let now = Timestamp::default();
+    let mut admission = AdmissionControl::new(64);
+    let admitted = (0..1_000_usize).filter(|service| {
+        let load = ClientLoad { in_flight: admission.in_flight(), clients: 1 };
+        admission.try_admit_of(now, *service as u64, load).is_ok()
+    });
+    let admitted = admitted.count();
+    assert!((33..64).contains(&admitted), "{admitted} of 64 places");
+    let other = ClientLoad { in_flight: 0, clients: 1 };
+    assert!(admission.try_admit_of(now, 7_000, other).is_ok());
+    // With places to spare nobody is held to a share.
+    let mut admission = AdmissionControl::new(64);
+    for in_flight in 0..32 {
+        let load = ClientLoad { in_flight, clients: 60 };
+        assert!(admission.try_admit_of(now, in_flight as u64, load).is_ok());
+    }
+}
--- a/crates/planner/tests/hostile_clients.rs
+++ b/crates/planner/tests/hostile_clients.rs
@@ -101,6 +101,7 @@
             assert_eq!(stats.unanswered, 0, "{stats:?}");
             assert!(stats.requests > 0 && stats.p99 < CLIENT_TIMEOUT, "{stats:?}");
         }
+        assert!(self.during.placed > self.during.requests / 2, "{:?}", self.during);
         assert!(self.after.placed > 0 && self.after.rejected + self.after.failed == 0, "{:?}", self.after);
     }
 }
@@ -302,6 +303,20 @@
     }
 }
 
+#[test]
+fn floods_of_adoptions_leave_memory_and_answers() {
+    for (machine, reads) in [("s-1", true), ("unlisted", true), ("unlisted", false)] {
+        flood(
+            &format!("adoptions at {machine} at full speed, answers read: {reads}"),
+            reads,
+            move |task, out| {
+                out.extend(request_of_service(task, 1, &format!(";at:{machine}")));
+            },
+        )
+        .check();
+    }
+}
+
 /// A start request of this service; `more` is appended to the figures.
 fn request_of_service(task: u64, service: u64, more: &str) -> Vec<u8> {
     let figures = format!("cores:1;memory:2;service:{service:016x}{more}");
--- a/crates/platform/src/adoptions.rs
+++ b/crates/platform/src/adoptions.rs
@@ -35,8 +35,9 @@
 /// Adoptions that wait for their machine, and ends of tasks that may yet be adopted. In memory only.
 #[derive(Debug, Default)]
 pub struct Adoptions {
-    /// In the order of their deadlines.
-    pub pending: VecDeque<PendingAdoption>,
+    pending: BTreeMap<TaskId, PendingAdoption>,
+    /// Their deadlines, in order; also those of adoptions that wait no more.
+    deadlines: VecDeque<(Timestamp, TaskId)>,
     /// Ends of tasks that were not held, by task and machine. Guards against: the end of a task whose
     /// scheduler had died was dropped when its machine reported it here, and the task, adopted after that,
     /// counted as running for ever.
@@ -82,33 +83,44 @@
         client: ConnectionId,
     ) -> Timestamp {
         let deadline = now + MAX_LISTING_DELAY;
-        self.pending.push_back(PendingAdoption { spec, machine, client, deadline, cancelled: false });
+        self.deadlines.push_back((deadline, spec.id));
+        self.pending.insert(spec.id, PendingAdoption { spec, machine, client, deadline, cancelled: false });
         deadline
     }
 
     /// Whether the adoption of this task waits for its machine.
     pub fn is_pending(&self, task: TaskId) -> bool {
-        self.pending.iter().any(|pending| pending.spec.id == task)
+        self.pending.contains_key(&task)
+    }
+
+    /// How many wait for their machine.
+    pub fn pending_count(&self) -> usize {
+        self.pending.len()
     }
 
     /// Its client cancels the task. False where it does not wait here.
     pub fn cancel(&mut self, task: TaskId) -> bool {
-        let pending = self.pending.iter_mut().find(|pending| pending.spec.id == task);
+        let pending = self.pending.get_mut(&task);
         pending.map(|pending| pending.cancelled = true).is_some()
     }
 
     /// Takes out those whose machine is listed by now.
     pub fn take_listed(&mut self, is_listed: impl Fn(MachineId) -> bool) -> Vec<PendingAdoption> {
-        let all = std::mem::take(&mut self.pending);
-        let (listed, unlisted): (VecDeque<_>, _) =
-            all.into_iter().partition(|pending| is_listed(pending.machine));
-        self.pending = unlisted;
-        listed.into()
+        self.pending
+            .extract_if(.., |_, pending| is_listed(pending.machine))
+            .map(|(_, pending)| pending)
+            .collect()
     }
 
     /// Takes out the next one whose deadline has passed.
     pub fn take_overdue(&mut self, now: Timestamp) -> Option<PendingAdoption> {
-        self.pending.pop_front_if(|pending| pending.deadline <= now)
+        while let Some((_, task)) = self.deadlines.pop_front_if(|(deadline, _)| *deadline <= now) {
+            let is_overdue = self.pending.get(&task).is_some_and(|pending| pending.deadline <= now);
+            if is_overdue {
+                return self.pending.remove(&task);
+            }
+        }
+        None
     }
 
     /// How many ends are remembered.
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -14,7 +14,7 @@
 use crate::inbound::ReadMark;
 use backpressure::ParkedClient;
 use mulleinhub_interface::{Duration, TaskId, Timestamp};
-use mulleinhub_limits::{AcceptBudget, ConnectionLimits, InputBudget, Settings};
+use mulleinhub_limits::{AcceptBudget, ClientLoad, ConnectionLimits, InputBudget, Settings};
 use mulleinhub_platform_protocol::{Cause, FrameBuffer};
 use mulleinhub_sans_io::{CloseReason, ConnectionId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -144,6 +144,8 @@
     pub unread_wait: Duration,
     /// Ends of tasks that no client was connected to receive, oldest first.
     pub unreported_ends: VecDeque<UnreportedEnd>,
+    /// Clients with tasks that are to be answered.
+    awaiting_clients: usize,
     /// Input that was received and not handled.
     pub input_budget: InputBudget,
     /// Clients whose input waits until they have read their output.
@@ -180,6 +182,7 @@
             backlog_wait: Duration::ZERO,
             unread_wait: Duration::ZERO,
             unreported_ends: VecDeque::new(),
+            awaiting_clients: 0,
             input_budget: InputBudget::new(memory_mb),
             parked: BTreeMap::new(),
             name: CLIENT_NAME.into(),
@@ -191,6 +194,7 @@
         self.limits.remove(connection_id.0);
         self.parked.remove(&connection_id);
         let client = self.by_connection.remove(&connection_id)?;
+        self.awaiting_clients -= usize::from(!client.awaiting.is_empty());
         self.input_budget.update(client.unhandled_bytes, 0);
         Some(client)
     }
@@ -216,6 +220,7 @@
     /// A task is to be answered on this connection.
     pub fn add_awaiting(&mut self, connection_id: ConnectionId, task: TaskId) {
         let Some(client) = self.by_connection.get_mut(&connection_id) else { return };
+        self.awaiting_clients += usize::from(client.awaiting.is_empty());
         client.awaiting.insert(task);
         self.limits.set_tasks_in_flight(connection_id.0, client.awaiting.len() as u32);
     }
@@ -223,7 +228,8 @@
     /// A task is no longer to be answered on this connection.
     pub fn remove_awaiting(&mut self, connection_id: ConnectionId, task: TaskId) {
         let Some(client) = self.by_connection.get_mut(&connection_id) else { return };
-        client.awaiting.remove(&task);
+        let was_last = client.awaiting.remove(&task) && client.awaiting.is_empty();
+        self.awaiting_clients -= usize::from(was_last);
         self.limits.set_tasks_in_flight(connection_id.0, client.awaiting.len() as u32);
     }
 
@@ -234,6 +240,13 @@
         position.map(|position| client.admitted.remove(position)).is_some()
     }
 
+    /// How much of what may wait for an answer is this client's.
+    pub fn load_of(&self, connection_id: ConnectionId) -> ClientLoad {
+        let client = self.by_connection.get(&connection_id);
+        let in_flight = client.map_or(0, |client| client.awaiting.len());
+        ClientLoad { in_flight, clients: self.awaiting_clients }
+    }
+
     /// Tasks that are to be answered on this connection.
     fn awaiting_on(&self, connection_id: ConnectionId) -> Vec<TaskId> {
         let client = self.by_connection.get(&connection_id);
--- a/crates/platform/src/clients/start_requests.rs
+++ b/crates/platform/src/clients/start_requests.rs
@@ -79,7 +79,7 @@
         if state.tasks.by_id.contains_key(&id) || state.adoptions.is_pending(id) {
             return;
         }
-        if state.tasks.by_id.len() + state.adoptions.pending.len() >= state.max_tasks {
+        if state.tasks.by_id.len() + state.adoptions.pending_count() >= state.max_adopted {
             return refuse_invalid(state, connection_id, id, &InvalidRequest::TooManyTasks);
         }
         if !state.machines.by_id.contains_key(&machine) {
@@ -156,7 +156,8 @@
     if state.tasks.by_id.len() >= state.max_tasks || !has_place {
         return Err(Refusal { cause: cause_code::BUSY, retry_after: longest });
     }
-    let admission = state.admission.try_admit(state.now, request.resources.service);
+    let load = state.clients.load_of(connection_id);
+    let admission = state.admission.try_admit_of(state.now, request.resources.service, load);
     admission.map_err(|retry_after| Refusal { cause: cause_code::BUSY, retry_after })?;
     Ok(patience)
 }
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -92,6 +92,9 @@
     pub payload_budget: PayloadBudget,
     /// Tasks that may be held in all.
     pub max_tasks: usize,
+    /// Tasks up to which others are adopted: what is left has place for as many new ones as may wait for their
+    /// answers. Seen: a client handed over thousands that did not exist, and no request was admitted any more.
+    pub max_adopted: usize,
     /// Adoptions that wait for their machine.
     pub adoptions: Adoptions,
     /// Connections with something to be handled.
@@ -124,6 +127,7 @@
             admission: AdmissionControl::new(max_tasks_in_flight(config.memory_mb)),
             payload_budget: PayloadBudget::new(config.memory_mb, max_tasks_in_flight(config.memory_mb)),
             max_tasks: max_tasks_tracked(config.memory_mb),
+            max_adopted: max_tasks_tracked(config.memory_mb) - max_tasks_in_flight(config.memory_mb),
             now: Timestamp::default(),
             wall_clock: WallClock::default(),
             connections: Connections::default(),
