An id that may have run is not run again, and a client that has left is known at once

Cause: the task was forgotten as soon as its attempt was given up, though it may have run; the id was a new task then. Change: recent_runs.rs remembers the ids of tasks that may have run and must not run again, a minute and as many as may be held; a request under one is answered as failed. The event loop reports a peer that has closed its sending side before the rest was read; its unanswered tasks are cancelled then, and its further requests are dropped.

--- a/crates/event-loop/src/event_loop/polling.rs
+++ b/crates/event-loop/src/event_loop/polling.rs
@@ -115,6 +115,10 @@
         if event.writable {
             self.on_writable(id);
         }
+        if event.read_closed && self.connections.get(&id).is_some_and(|connection| connection.established) {
+            let now = self.now();
+            self.state_machine.on_read_closed(now, id);
+        }
         let has_input = event.readable || event.read_closed;
         if has_input
             && self.connections.contains_key(&id)
--- a/crates/platform/src/clients/cancel.rs
+++ b/crates/platform/src/clients/cancel.rs
@@ -42,7 +42,7 @@
     if task.attempt.is_some() {
         state.end_attempt(id, Outcome::Cancelled);
     } else {
-        state.tasks.by_id.remove(&id);
+        state.forget_task(id);
     }
     state.policy_queue.cancelled.push(id);
 }
@@ -62,11 +62,16 @@
     state.drop_client(connection_id);
 }
 
-/// A client's connection was closed by the client or broke: its unanswered tasks are cancelled.
-pub fn remove_disconnected_client(state: &mut SchedulerState, connection_id: ConnectionId) {
+/// A client has left: its unanswered tasks are cancelled.
+pub fn cancel_awaiting(state: &mut SchedulerState, connection_id: ConnectionId) {
     for id in state.clients.awaiting_on(connection_id) {
         cancel_unanswered(state, id);
     }
+}
+
+/// A client's connection was closed by the client or broke: its unanswered tasks are cancelled.
+pub fn remove_disconnected_client(state: &mut SchedulerState, connection_id: ConnectionId) {
+    cancel_awaiting(state, connection_id);
     let client = state.clients.remove(connection_id);
     state.connections.abort(connection_id);
     if let Some(client) = client {
--- a/crates/platform/src/clients/messages.rs
+++ b/crates/platform/src/clients/messages.rs
@@ -1,5 +1,6 @@
 //! Handling what clients send, and the deadlines of their connections.
 
+use super::cancel::cancel_awaiting;
 use super::{cancel_task, close_client, remove_disconnected_client, report_cancelled, start_requests};
 use crate::error::ProtocolError;
 use crate::state::{SchedulerState, SharedState};
@@ -14,7 +15,10 @@
 /// Handles what was received on a client's connection, as far as one iteration goes, and its close once all
 /// of it has been handled.
 pub fn handle_input(shared: &SharedState, events: &mut dyn PolicyEvents, connection_id: ConnectionId) {
-    if shared.borrow().awaits_reader(connection_id) {
+    if shared.borrow().clients.has_left(connection_id) {
+        cancel_awaiting(&mut shared.borrow_mut(), connection_id);
+        report_cancelled(shared, events);
+    } else if shared.borrow().awaits_reader(connection_id) {
         return shared.borrow_mut().park_client(connection_id);
     }
     // The frames are taken out meanwhile, so that messages can borrow them while handlers borrow the state.
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -50,6 +50,8 @@
     unhandled_bytes: usize,
     /// How it was closed, once it was; what was received before is handled first.
     pub close_reason: Option<CloseReason>,
+    /// It has closed its sending side: it wants nothing more that it asked for.
+    pub has_left: bool,
     /// It stands in a queue of connections to be handled.
     pub queued: bool,
     /// Since when a part of a message has been here, if one is.
@@ -92,6 +94,7 @@
             frames: FrameBuffer::default(),
             unhandled_bytes: 0,
             close_reason: None,
+            has_left: false,
             queued: false,
             partial_since: None,
             read_mark,
@@ -110,6 +113,13 @@
     }
 }
 
+impl Client {
+    /// Whether neither side has closed it.
+    pub fn is_open(&self) -> bool {
+        self.close_reason.is_none() && !self.has_left
+    }
+}
+
 /// The end of a task that no client was connected to receive.
 #[derive(Clone, Copy, Debug)]
 pub struct UnreportedEnd {
@@ -268,14 +278,19 @@
         self.last_heard(is_likely)
     }
 
+    /// Whether this client wants nothing more that it asked for.
+    pub fn has_left(&self, connection_id: ConnectionId) -> bool {
+        self.by_connection.get(&connection_id).is_some_and(|client| client.has_left)
+    }
+
     /// Whether this connection is open.
     pub fn is_open(&self, connection_id: ConnectionId) -> bool {
-        self.by_connection.get(&connection_id).is_some_and(|client| client.close_reason.is_none())
+        self.by_connection.get(&connection_id).is_some_and(Client::is_open)
     }
 
     /// The open connection that last sent something, of those for which this holds.
     fn last_heard(&self, which: impl Fn(&Client) -> bool) -> Option<ConnectionId> {
-        let open = self.by_connection.iter().filter(|(_, client)| client.close_reason.is_none());
+        let open = self.by_connection.iter().filter(|(_, client)| client.is_open());
         open.filter(|(_, client)| which(client))
             .max_by_key(|(connection_id, client)| (client.last_received_at, **connection_id))
             .map(|(connection_id, _)| *connection_id)
--- a/crates/platform/src/clients/start_requests.rs
+++ b/crates/platform/src/clients/start_requests.rs
@@ -45,10 +45,17 @@
         return Ok(());
     }
     let state = &mut *shared.borrow_mut();
+    if state.clients.has_left(connection_id) {
+        // No answer is owed, and what it asked for is not wanted any more.
+        return Ok(());
+    }
     if state.tasks.by_id.contains_key(&id) {
         return Err(ProtocolError::DuplicateTask);
     }
     match request {
+        Ok(_) if state.recent_runs.contains(state.now, id) => {
+            refuse_invalid(state, connection_id, id, &InvalidRequest::RepeatedId);
+        }
         Ok((request, use_case)) => handle_start(state, connection_id, &request, use_case),
         Err(error) => refuse_invalid(state, connection_id, id, &error),
     }
--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -19,7 +19,7 @@
     let record = &state.tasks.by_id[&task];
     let client = record.client.filter(|_| record.awaits_answer());
     state.mark_answered(task);
-    state.tasks.by_id.remove(&task);
+    state.forget_task(task);
     if let Some(connection_id) = client {
         let retry_after_ms = retry_after.nanos() / 1_000_000;
         state.send(connection_id, |out| protocol::write_rejection(out, task.0, cause, retry_after_ms));
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -55,6 +55,8 @@
     ExcessivePatience,
     /// As many tasks are held as this process may hold.
     TooManyTasks,
+    /// A task of the same id may have run a short while ago, and must not run again.
+    RepeatedId,
     /// It hands over a task on a machine that no list named in time.
     UnlistedMachine,
 }
@@ -69,6 +71,7 @@
             Self::TooLarge => "resource request exceeds every machine",
             Self::ExcessivePatience => "patience exceeds every timeout",
             Self::TooManyTasks => "too many tasks",
+            Self::RepeatedId => "task id was in use, and its task may have run",
             Self::UnlistedMachine => "machine is not listed",
         })
     }
--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -109,6 +109,16 @@
         self.queue_client(connection_id);
     }
 
+    /// A client has left, though much of what it sent may be unread. Guards against: its tasks were sent on until all
+    /// of that had been handled.
+    pub fn on_read_closed(&mut self, now: Timestamp, connection_id: ConnectionId) {
+        self.now = self.now.max(now);
+        if let Some(client) = self.clients.by_connection.get_mut(&connection_id) {
+            client.has_left = true;
+            self.queue_client(connection_id);
+        }
+    }
+
     /// A connection was closed or broke. What was received on it before is handled first.
     pub fn on_closed(&mut self, now: Timestamp, connection_id: ConnectionId, reason: CloseReason) {
         self.now = self.now.max(now);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,6 +19,7 @@
 mod fault_log;
 mod inbound;
 mod machines;
+mod recent_runs;
 mod shutdown;
 mod state;
 mod status;
@@ -143,6 +144,10 @@
         self.state.get_mut().on_data(now, connection_id, bytes);
     }
 
+    fn on_read_closed(&mut self, now: Timestamp, connection_id: ConnectionId) {
+        self.state.get_mut().on_read_closed(now, connection_id);
+    }
+
     fn on_closed(&mut self, now: Timestamp, connection_id: ConnectionId, reason: CloseReason) {
         self.state.get_mut().on_closed(now, connection_id, reason);
     }
--- a/crates/platform/src/machines/replies.rs
+++ b/crates/platform/src/machines/replies.rs
@@ -86,6 +86,7 @@
     let task = state.tasks.by_id.get_mut(&id).expect("it has an attempt");
     task.attempt = Some(Attempt { state: running, ..attempt });
     task.payload = None;
+    task.may_have_run_since.get_or_insert(attempt.decided_at);
     let client = task.client;
     let machine = attempt.machine.0;
     tracing::debug!(task = hex(id), machine, connection = connection_id.0, "task accepted");
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -8,6 +8,7 @@
 use crate::fault_log::FaultLog;
 use crate::inbound::{InboundQueue, Peer};
 use crate::machines::Machines;
+use crate::recent_runs::RecentRuns;
 use crate::shutdown::Shutdown;
 use crate::status::Counts;
 use crate::tasks::{AttemptId, Tasks};
@@ -84,6 +85,8 @@
     pub initial_endpoints: Vec<ListEvent>,
     /// The tasks that are held.
     pub tasks: Tasks,
+    /// Tasks that are held no longer and must not run again.
+    pub recent_runs: RecentRuns,
     /// Start requests that may not have left yet.
     pub unsent_requests: UnsentRequests,
     /// Shares the places for unanswered tasks among services.
@@ -135,6 +138,7 @@
             endpoint_watch: EndpointWatch::new(config.discovery_address, config.initial_endpoints.sequence),
             initial_endpoints: config.initial_endpoints.events,
             tasks: Tasks::default(),
+            recent_runs: RecentRuns::default(),
             unsent_requests: UnsentRequests::default(),
             adoptions: Adoptions::default(),
             inbound: InboundQueue::default(),
--- a/crates/platform/src/tests/clients.rs
+++ b/crates/platform/src/tests/clients.rs
@@ -304,3 +304,70 @@
         assert_eq!(messages[0].kind, kind::ACCEPT, "request {task}: {messages:?}");
     }
 }
+
+/// Guards against attempts for a client that has left, while much of what it had sent is still unread (picture c).
+#[test]
+fn client_that_left_behind_unread_input_gets_no_attempt() {
+    let mut harness = Harness::new(2);
+    let client = harness.connect_client();
+    harness.deliver(client, &[start_request(1, "batch", ""), start_request(2, "front", "")].concat());
+    let sent = harness.start_requests();
+    assert_eq!(sent.len(), 2);
+    // Its leaving is known, and its requests are read after that; hand-overs and orders count all the same.
+    harness.scheduler.on_read_closed(harness.now, client);
+    let handed_over = start_request(9, "front", &format!(";at:{}", uid(1)));
+    let unread = [start_request(3, "front", ""), handed_over, start_request(4, "batch", "")].concat();
+    harness.scheduler.on_data(harness.now, client, &unread);
+    harness.run_until_idle();
+    for (connection, message) in &sent {
+        let given_up = harness.received_on(*connection);
+        assert!(given_up.iter().any(|other| other.task == message.task && other.kind == kind::RELEASE));
+        harness.deliver(*connection, &release(message.task, cause_code::FULL));
+    }
+    harness.advance(ms(1_000));
+    assert!(harness.start_requests().is_empty(), "nobody waits for an answer");
+    harness.close(client, CloseReason::Closed);
+    let held: Vec<u64> = harness.scheduler.state.get_mut().tasks.by_id.keys().map(|id| id.0).collect();
+    assert_eq!(held, [9]);
+}
+
+/// Guards against a task that runs twice: its client left, and the same id came again (picture c).
+#[test]
+fn id_that_comes_again_is_not_run_again() {
+    for (class, outcome, repeats) in [
+        ("batch", None, false),
+        ("batch", Some(cause_code::FULL), true),
+        ("batch", Some(cause_code::ENDED), false),
+        ("front", None, true),
+    ] {
+        let mut harness = Harness::new(2);
+        let client = harness.connect_client();
+        harness.deliver(client, &start_request(1, class, ""));
+        let (connection, _) = harness.start_requests().pop().expect("it is sent");
+        match outcome {
+            Some(cause_code::ENDED) => {
+                harness.deliver(connection, &[acceptance(1), release(1, cause_code::ENDED)].concat());
+            }
+            Some(cause) => {
+                harness.scheduler.on_data(harness.now, connection, &release(1, cause));
+                harness.scheduler.on_closed(harness.now, client, CloseReason::Closed);
+                harness.run_until_idle();
+                harness.start_requests();
+            }
+            None => harness.close(client, CloseReason::Closed),
+        }
+        harness.advance(ms(100));
+        let again = harness.connect_client();
+        harness.deliver(again, &start_request(1, class, ""));
+        let answers = harness.received_on(again);
+        let is_failed = answers.iter().any(|answer| answer.cause() == Some(cause_code::ERROR));
+        let sent = harness.start_requests().len();
+        assert_eq!((sent == 1, is_failed), (repeats, !repeats), "{class}, {outcome:?}: {answers:?}");
+        // Not for ever.
+        harness.advance(Duration::from_secs(65));
+        harness.start_requests();
+        let much_later = harness.connect_client();
+        harness.deliver(much_later, &start_request(1, class, ""));
+        assert_eq!(harness.start_requests().len(), 1, "{class}, {outcome:?}");
+    }
+}
--- a/crates/sans-io/src/lib.rs
+++ b/crates/sans-io/src/lib.rs
@@ -59,6 +59,9 @@
     fn on_connected(&mut self, now: Timestamp, connection: ConnectionId);
     /// Bytes have arrived.
     fn on_data(&mut self, now: Timestamp, connection: ConnectionId, bytes: &[u8]);
+    /// The peer has closed its sending side, or the connection failed. What it sent before is still reported, and
+    /// `on_closed` after that.
+    fn on_read_closed(&mut self, _now: Timestamp, _: ConnectionId) {}
     /// A connection is closed; neither side uses its id again.
     fn on_closed(&mut self, now: Timestamp, connection: ConnectionId, reason: CloseReason);
     /// All input was reported: acts on it, and on timers that are due.
