A task runs from when its machine may have accepted it, not from when that was read

Cause: a running task was dated by the instant at which its acceptance was read, later than the start that the list tells, so lose_running_tasks took it for one of the new process; and an acceptance that is read after the list told of the start was not looked at. Change: it is dated by the earliest instant at which the acceptance can have been sent: before the pause of this process, and not before its connection was asked for. One that lies before the start of its machine is over at once.

--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -211,6 +211,13 @@
         self.pauses.queued_for(self.now, (mark.at, mark.iterations))
     }
 
+    /// When an acceptance that was read before this iteration was sent at the earliest: not before its connection was
+    /// asked for, and by the process that took that one.
+    pub fn accepted_at_earliest(&self, connection_id: ConnectionId) -> Timestamp {
+        let opened_at = self.machines.connections.get(&connection_id).map(|connection| connection.opened_at);
+        self.earliest_sent_at(connection_id).max(opened_at.unwrap_or_default())
+    }
+
     /// When what was read before this iteration, from this machine, was sent at the earliest. Guards against: what a machine had
     /// sent before it stopped lay here through a pause of this process, and counted from when it was read.
     pub fn earliest_sent_at(&self, connection_id: ConnectionId) -> Timestamp {
--- a/crates/platform/src/machines/replies.rs
+++ b/crates/platform/src/machines/replies.rs
@@ -46,10 +46,22 @@
         state.send(client, |out| protocol::write_acceptance(out, id.0, description));
     }
     state.schedule_check(attempt.machine);
+    lose_if_restarted(state, id);
     drop(borrowed);
     events.on_accepted(id);
 }
 
+/// A task that was accepted before its machine was restarted is gone with the process that accepted it. Seen: the
+/// acceptance was read after a pause of this process, in which the machine was restarted.
+fn lose_if_restarted(state: &mut SchedulerState, id: TaskId) {
+    let Some(attempt) = state.tasks.attempt(id) else { return };
+    let started_at = state.machines.by_id.get(&attempt.machine).and_then(|machine| machine.entry.started_at);
+    if started_at.is_some_and(|started_at| attempt.running_since().is_some_and(|since| since < started_at)) {
+        state.counts.lost += 1;
+        state.policy_queue.push_outcome(attempt.id(id), Outcome::Lost(FailureCause::Unspecified));
+    }
+}
+
 /// An acceptance of an attempt that was given up. The copy is stopped where nobody waits for it and it is of
 /// no use; where a retry would be dropped in its favour, its client finds it and hands it over.
 fn handle_late_acceptance(state: &mut SchedulerState, connection_id: ConnectionId, id: TaskId) {
@@ -82,7 +94,8 @@
     id: TaskId,
     attempt: Attempt,
 ) -> Option<ConnectionId> {
-    let running = AttemptState::Running { connection: Some(connection_id), since: state.now };
+    let since = state.accepted_at_earliest(connection_id);
+    let running = AttemptState::Running { connection: Some(connection_id), since };
     let task = state.tasks.by_id.get_mut(&id).expect("it has an attempt");
     task.attempt = Some(Attempt { state: running, ..attempt });
     task.payload = None;
--- a/crates/platform/src/tasks.rs
+++ b/crates/platform/src/tasks.rs
@@ -45,7 +45,7 @@
     Running {
         /// The connection on which the machine accepted it; none for an adopted task.
         connection: Option<ConnectionId>,
-        /// When this scheduler learnt of it.
+        /// When its machine accepted it at the earliest, or this scheduler adopted it.
         since: Timestamp,
     },
 }
--- a/crates/platform/src/tests/machine_loss.rs
+++ b/crates/platform/src/tests/machine_loss.rs
@@ -4,7 +4,7 @@
 use crate::machines::{Machines, SignOfLife};
 use mulleinhub_interface::{Duration, Timestamp};
 use mulleinhub_platform_protocol::{code, kind};
-use mulleinhub_sans_io::{CloseReason, ConnectionId};
+use mulleinhub_sans_io::{CloseReason, ConnectionId, StateMachine};
 
 #[test]
 fn refusing_machine_drains_unless_connections_reset() {
@@ -152,6 +152,44 @@
     }
 }
 
+/// Guards against a task that counted as running for ever: its machine was restarted during a pause of this process, and
+/// its acceptance was read after that (review play stall-and-restart).
+#[test]
+fn task_accepted_before_a_restart_during_a_pause_is_lost() {
+    for is_told_first in [false, true] {
+        let mut harness = Harness::new(1);
+        let client = harness.connect_client();
+        harness.advance(ms(1_000));
+        harness.deliver(client, &start_request(1, "front", ""));
+        let (connection, _) = harness.start_requests().pop().expect("it is sent");
+        harness.advance(ms(30));
+        let restarted_at = (harness.now + ms(600)).nanos() / 1_000_000;
+        harness.now = harness.now + ms(1_500);
+        let event = event(2, false, &[endpoint(1, "in_service", restarted_at)]);
+        let discovery = harness.connections_to(DISCOVERY)[0];
+        if is_told_first {
+            harness.scheduler.on_data(harness.now, discovery, format!("data: {event}\n\n").as_bytes());
+        }
+        harness.scheduler.on_data(harness.now, connection, &acceptance(1));
+        harness.close(connection, CloseReason::Broken);
+        if !is_told_first {
+            harness.advance(ms(300));
+            harness.deliver(discovery, format!("data: {event}\n\n").as_bytes());
+        }
+        harness.advance(ms(100));
+        let messages = harness.received_on(client);
+        let kinds: Vec<u8> = messages.iter().map(|message| message.kind).collect();
+        assert_eq!(kinds, [kind::ACCEPT, kind::RELEASE], "told first: {is_told_first}");
+        // What the new process accepts runs.
+        harness.advance(ms(3_000));
+        harness.deliver(client, &start_request(2, "front", ""));
+        let (connection, _) = harness.start_requests().pop().expect("it is sent");
+        harness.deliver(connection, &acceptance(2));
+        harness.advance(ms(1_000));
+        assert_eq!(harness.received_on(client).len(), 1, "told first: {is_told_first}");
+    }
+}
+
 #[test]
 fn sign_of_life_on_a_closed_connection_is_ignored() {
     // Found by reading: an earlier message of the same read may lead to the close of its connection.
