Tasks that a new machine accepted at an old one's address are its own

Cause: replace_others took all that had been sent to the old machine for lost with it, whichever process had accepted it. Change: connections that were asked for after the new machine had started lead to it, with the tasks on them; a task whose connection has ended since is the new one's if it was accepted after that start and no connection broke behind it.

--- a/crates/platform/src/discovery/endpoints.rs
+++ b/crates/platform/src/discovery/endpoints.rs
@@ -1,16 +1,16 @@
 //! Applying endpoint lists: which machines there are, where they are, and what that proves about the tasks
 //! that ran there.
 
+use super::replacement::replace;
 use crate::adoptions::adopt;
 use crate::clients::cancel_task;
-use crate::machines::{LocalClose, Machine, machine_id};
+use crate::machines::{Machine, machine_id};
 use crate::state::{SchedulerState, SharedState};
 use mulleinhub_interface::{
     CellId, KindId, ListKind, MachineEntry, MachineId, MachineState, PolicyEvents, Resources, Timestamp,
     ZoneId,
 };
 use mulleinhub_platform_protocol::Endpoint;
-use mulleinhub_sans_io::ConnectionId;
 use std::collections::{BTreeMap, BTreeSet};
 
 const NANOS_PER_MS: u64 = 1_000_000;
@@ -44,6 +44,7 @@
 fn apply_list(shared: &SharedState, events: &mut dyn PolicyEvents, kind: ListKind, endpoints: &[Endpoint]) {
     let entries = update_machines(&mut shared.borrow_mut(), kind, endpoints);
     events.on_endpoint_list(kind, &entries);
+    announce_moved(shared, events);
     let adoptable = {
         let state = &mut *shared.borrow_mut();
         withdraw_from_inactive(state);
@@ -63,6 +64,12 @@
     });
 }
 
+/// Notifies the policy of the tasks that run on other machines than they were sent to.
+pub fn announce_moved(shared: &SharedState, events: &mut dyn PolicyEvents) {
+    let moved = std::mem::take(&mut shared.borrow_mut().policy_queue.moved);
+    moved.into_iter().for_each(|task| task.announce(events));
+}
+
 fn update_machines(state: &mut SchedulerState, kind: ListKind, endpoints: &[Endpoint]) -> Vec<MachineEntry> {
     let entries: Vec<MachineEntry> =
         endpoints.iter().map(|listed| machine_entry(state, kind, listed)).collect();
@@ -148,8 +155,8 @@
     let has_new_address = known.is_none_or(|machine| machine.address != address);
     let started_before = known.and_then(|machine| machine.entry.started_at);
     if has_new_address && entry.state != MachineState::Removed {
-        let index = index.get_or_insert_with(|| address_index(state));
-        replace_others(state, index, address, id);
+        // Made before this one is there.
+        index.get_or_insert_with(|| address_index(state));
     }
     if let Some(since) = entry.started_at.filter(|since| started_before != Some(*since)) {
         state.lose_running_tasks(id, since, "it was restarted");
@@ -159,36 +166,27 @@
     machine.entry = entry;
     if has_new_address {
         address.clone_into(&mut machine.address);
-        if let Some(index) = index {
-            index.entry(address.to_owned()).or_default().insert(id);
+    }
+    if has_new_address && let Some(index) = index {
+        if entry.state != MachineState::Removed {
+            replace_others(state, index, address, entry);
         }
+        index.entry(address.to_owned()).or_default().insert(id);
     }
+    let Some(machine) = state.machines.by_id.get_mut(&id) else { return };
     let warm_at = entry.started_at.map(|since| since + state.settings.slow_start.warm_up_time);
     if let Some(warm_at) = warm_at.filter(|warm_at| *warm_at > now) {
         machine.slow_start.extend_slow_start(warm_at);
     }
 }
 
-/// The other machines at the address of this one are gone, with all that ran there.
-fn replace_others(state: &mut SchedulerState, index: &AddressIndex, address: &str, id: MachineId) {
+/// The other machines at the address of this one are gone.
+fn replace_others(state: &mut SchedulerState, index: &AddressIndex, address: &str, new: MachineEntry) {
     let is_there = |other: &&MachineId| {
         let machine = state.machines.by_id.get(*other);
-        **other != id && machine.is_some_and(|machine| machine.address == address)
+        **other != new.id && machine.is_some_and(|machine| machine.address == address)
     };
     let at_address = index.get(address).into_iter().flatten();
     let others: Vec<MachineId> = at_address.filter(is_there).copied().collect();
-    for other in others {
-        let machine = state.machines.by_id.get_mut(&other).expect("is there");
-        machine.replaced = true;
-        machine.stop_orders.clear();
-        state.lose_running_tasks(other, state.now, "another machine has its address");
-        // What is not written yet must not reach the machine that is there now.
-        state.withdraw_all_unsent(other);
-        let connections = state.machines.connections_of(other);
-        let unused = connections.filter(|(_, connection)| connection.awaiting.is_empty());
-        let unused: Vec<ConnectionId> = unused.map(|(connection_id, _)| connection_id).collect();
-        unused
-            .into_iter()
-            .for_each(|connection_id| state.close_machine_connection(connection_id, LocalClose::Replaced));
-    }
+    others.into_iter().for_each(|other| replace(state, other, new));
 }
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -2,9 +2,11 @@
 //! of the discovery service.
 
 mod endpoints;
+mod replacement;
 mod watch;
 
-pub use endpoints::{apply_events, apply_initial};
+pub use endpoints::{announce_moved, apply_events, apply_initial};
+pub use replacement::{MovedTask, move_task};
 pub use watch::{EndpointWatch, SILENCE_TIMEOUT};
 
 use crate::state::SchedulerState;
--- a/crates/platform/src/machines/disconnect.rs
+++ b/crates/platform/src/machines/disconnect.rs
@@ -67,6 +67,9 @@
     let (now, timeouts) = (state.now, state.machines.timeouts);
     let Some(machine) = state.machines.by_id.get_mut(&id) else { return };
     machine.slow_start.on_disconnected(now);
+    if reason == CloseReason::Refused || (connection.established && reason == CloseReason::Broken) {
+        machine.broken_at = Some(now);
+    }
     machine.retract_liveness(connection, now, timeouts.idle);
     if reason == CloseReason::NotAttempted {
         // A lack of descriptors of this process proves nothing about the machine.
--- a/crates/platform/src/machines/mod.rs
+++ b/crates/platform/src/machines/mod.rs
@@ -66,6 +66,8 @@
     pub failures: u32,
     /// Connects that were refused, one after another.
     pub refusals: u32,
+    /// When an established connection to it last broke, or a connect was refused.
+    pub broken_at: Option<Timestamp>,
     /// When the last connect that failed was begun.
     pub failed_at: Timestamp,
     /// When the next connect may be made.
@@ -98,6 +100,7 @@
             last_sign: SignOfLife::Listed,
             failures: 0,
             refusals: 0,
+            broken_at: None,
             failed_at: Timestamp::default(),
             reconnect_at: now,
             slow_start: SlowStartGate::default(),
--- a/crates/platform/src/machines/replies.rs
+++ b/crates/platform/src/machines/replies.rs
@@ -2,6 +2,7 @@
 
 use crate::attempts::settle;
 use crate::clients::proves_itself;
+use crate::discovery::{announce_moved, move_task};
 use crate::state::{SchedulerState, SharedState};
 use crate::tasks::{Attempt, AttemptId, AttemptState, hex};
 use mulleinhub_interface::{FailureCause, MachineId, Outcome, PolicyEvents, Rejection, TaskId};
@@ -47,8 +48,15 @@
     }
     state.schedule_check(attempt.machine);
     lose_if_restarted(state, id);
+    let machine = state.machines.connections.get(&connection_id).map(|connection| connection.machine);
+    // Its connection leads to another machine, which has the address of the one that it was sent to.
+    let moved_to = machine.filter(|machine| *machine != attempt.machine);
     drop(borrowed);
     events.on_accepted(id);
+    if let Some(machine) = moved_to {
+        move_task(&mut shared.borrow_mut(), id, machine);
+        announce_moved(shared, events);
+    }
 }
 
 /// A task that was accepted before its machine was restarted is gone with the process that accepted it. Seen: the
@@ -176,7 +184,9 @@
         machine.stop_orders.remove(id);
     }
     if state.tasks.by_id.contains_key(&id) {
-        return state.tasks.attempt(id).filter(|attempt| attempt.machine == machine);
+        let is_on =
+            |attempt: &Attempt| attempt.machine == machine || attempt.connection() == Some(connection_id);
+        return state.tasks.attempt(id).filter(is_on);
     }
     if !is_rejection && outcome_of_running(release) != Outcome::Cancelled {
         state.adoptions.record_end(state.now, id, machine, release.cause, state.max_tasks);
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -4,7 +4,7 @@
 use crate::attempts::UnsentRequests;
 use crate::clients::{Clients, PARKED_CLIENTS_INTERVAL};
 use crate::config::Config;
-use crate::discovery::EndpointWatch;
+use crate::discovery::{EndpointWatch, MovedTask};
 use crate::fault_log::FaultLog;
 use crate::inbound::{InboundQueue, Peer};
 use crate::machines::Machines;
@@ -47,6 +47,8 @@
     pub final_causes: BTreeMap<AttemptId, Cause>,
     /// Tasks that nobody wants any more.
     pub cancelled: Vec<TaskId>,
+    /// Tasks that run on other machines than they were sent to.
+    pub moved: Vec<MovedTask>,
 }
 
 impl PolicyQueue {
--- a/crates/platform/src/tests/machine_loss.rs
+++ b/crates/platform/src/tests/machine_loss.rs
@@ -190,6 +190,51 @@
     }
 }
 
+/// Guards against a task that its owner is told is over while it runs: it was placed at the address of a machine that had
+/// been replaced there, before the list told of that (review play replaced).
+#[test]
+fn task_placed_on_a_replacement_before_it_is_listed_runs_on() {
+    for (is_accepted_first, is_closed) in [(true, false), (true, true), (false, false)] {
+        let mut harness = Harness::new(1);
+        let client = harness.connect_client();
+        let connection = place_task(&mut harness, client, 1, "front");
+        harness.advance(ms(500));
+        harness.close(connection, CloseReason::Broken);
+        harness.advance(ms(50));
+        let started_at = harness.now.nanos() / 1_000_000;
+        harness.advance(ms(3_000));
+        harness.received_on(client);
+        // Placed on the new one, which is not known yet.
+        harness.deliver(client, &start_request(2, "front", ""));
+        let (connection, _) = harness.start_requests().pop().expect("it is sent");
+        if is_accepted_first {
+            harness.deliver(connection, &acceptance(2));
+        }
+        if is_closed {
+            harness.close(connection, CloseReason::Closed);
+            harness.advance(ms(100));
+        }
+        let replacement = endpoint(9, "in_service", started_at).replace(&address(9), &address(1));
+        let lines = [endpoint(1, "terminated", 0), replacement];
+        let discovery = harness.connections_to(DISCOVERY)[0];
+        harness.deliver(discovery, format!("data: {}\n\n", event(2, false, &lines)).as_bytes());
+        if !is_accepted_first {
+            harness.deliver(connection, &acceptance(2));
+        }
+        harness.advance(ms(3_000));
+        let messages = harness.received_on(client);
+        let told: Vec<(u8, u64)> = messages.iter().map(|message| (message.kind, message.task)).collect();
+        // The first one went with the process that ran it.
+        assert_eq!(told.iter().filter(|(_, task)| *task == 1).count(), 1, "{told:?}");
+        assert_eq!(told.iter().filter(|(_, task)| *task == 2).count(), 1, "it runs: {told:?}");
+        let connections = harness.connections_to(&address(1));
+        let carrier = if is_closed { connections[connections.len() - 1] } else { connection };
+        harness.deliver(carrier, &release(2, 16));
+        let ends = harness.received_on(client);
+        assert_eq!((ends.len(), ends[0].kind, ends[0].task), (1, kind::RELEASE, 2));
+    }
+}
+
 #[test]
 fn sign_of_life_on_a_closed_connection_is_ignored() {
     // Found by reading: an earlier message of the same read may lead to the close of its connection.
