Ends of tasks are kept until a client has acknowledged them

Cause: acknowledge_ends was unset in a process in which no client had acknowledged an end yet, and without it ends were neither repeated nor offered; written ones counted as read after a second; a quiet connection was closed though a task of it ran. Change: a written end is kept until it is acknowledged and told again where its connection ends; whether clients acknowledge is seen from what they do. Ends are offered to clients that have sent requests before silent ones. A proven connection of a running task stays.

--- a/crates/platform/src/clients/messages.rs
+++ b/crates/platform/src/clients/messages.rs
@@ -4,6 +4,7 @@
 use super::{cancel_task, close_client, remove_disconnected_client, report_cancelled, start_requests};
 use crate::error::ProtocolError;
 use crate::state::{SchedulerState, SharedState};
+use crate::tasks::TaskRecord;
 use mulleinhub_interface::{Duration, PolicyEvents, TaskId};
 use mulleinhub_limits::Action;
 use mulleinhub_platform_protocol::{self as protocol, Frame, FrameBuffer, kind};
@@ -118,6 +119,9 @@
     client.partial_since = has_partial.then_some(partial_since);
     let (is_closed, rejected) = (client.close_reason.is_some(), client.rejected);
     state.clients.record_unhandled(connection_id, unprocessed);
+    if handled_any {
+        state.observe_acknowledgement(connection_id);
+    }
     if has_more {
         // A message that is complete by now is not slow.
         state.clients.limits.set_partial_frame(now, connection_id.0, false);
@@ -168,19 +172,26 @@
     }
 }
 
+/// Whether an answer is to be given on this connection, or the end of a task that came on it.
+fn is_owed_anything(state: &SchedulerState, connection_id: ConnectionId) -> bool {
+    let Some(client) = state.clients.by_connection.get(&connection_id) else { return false };
+    let is_its_task = |task: &TaskRecord| task.client == Some(connection_id) && !task.is_cancelled();
+    !client.awaiting.is_empty() || (client.proven && state.tasks.by_id.values().any(is_its_task))
+}
+
 /// Enforces the deadlines of client connections, a bounded number of them in one iteration, closes those that
 /// are to make room, and reports ends that no client was connected to receive.
 pub fn enforce_limits(state: &mut SchedulerState) {
     let (now, mut budget) = (state.now, MAX_EXPIRED);
     while let Some((conn, act)) = state.clients.limits.next_due(now, &mut budget) {
         let connection_id = ConnectionId(conn);
-        let awaits_answer =
-            state.clients.by_connection.get(&connection_id).is_some_and(|client| !client.awaiting.is_empty());
         match act {
             // There is no sign of life to ask for: an idle connection without a task may be closed. Where a
-            // task waits, the answer is ours to give. Seen: a client that waited for longer than the idle
-            // timeout was closed.
-            Action::Ping if awaits_answer => state.clients.limits.record_activity(now, conn),
+            // task waits, the answer is ours to give, and where one runs, its end. Seen: a client that waited for
+            // longer than the idle timeout was closed, and one whose task ended after that was never notified.
+            Action::Ping if is_owed_anything(state, connection_id) => {
+                state.clients.limits.record_activity(now, conn);
+            }
             Action::Ping | Action::Disconnect(_) => close_client(state, connection_id),
         }
     }
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -70,6 +70,8 @@
     /// a connection that only sent valid requests need be no client's, and ends that were reported there
     /// reached nobody.
     pub proven: bool,
+    /// It sent a valid start request, as clients do.
+    pub has_requested: bool,
     /// It sent a health check, as those do that admit schedulers; clients send none.
     pub checks_health: bool,
     /// Tasks that are to be answered here.
@@ -103,6 +105,7 @@
             accepted_at: read_mark.at,
             last_received_at: read_mark.at,
             proven: false,
+            has_requested: false,
             checks_health: false,
             awaiting: BTreeSet::new(),
             admitted: Vec::new(),
@@ -120,6 +123,17 @@
     }
 }
 
+/// Whether clients acknowledge the ends of tasks, which is free to them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Acknowledgement {
+    /// None did so far, and none passed an end over in silence.
+    Unknown,
+    /// One did.
+    Expected,
+    /// One has sent something long after it was sent an end, and has not acknowledged that.
+    Omitted,
+}
+
 /// The end of a task that no client was connected to receive.
 #[derive(Clone, Copy, Debug)]
 pub struct UnreportedEnd {
@@ -146,8 +160,8 @@
     eviction_candidates: Vec<ConnectionId>,
     /// Those for which there was no place, the first to come first, and until when they may send requests.
     rejected: VecDeque<(Timestamp, ConnectionId)>,
-    /// Clients acknowledge the ends that they read; not known before the first one did.
-    pub acknowledge_ends: bool,
+    /// Whether clients acknowledge the ends that they read.
+    pub acknowledgement: Acknowledgement,
     /// How long connections that are accepted now may have waited for that.
     pub backlog_wait: Duration,
     /// How long the bytes of a client that are reported next may have lain unread in the system.
@@ -188,7 +202,7 @@
             accept_gate,
             eviction_candidates: Vec::new(),
             rejected: VecDeque::new(),
-            acknowledge_ends: false,
+            acknowledgement: Acknowledgement::Unknown,
             backlog_wait: Duration::ZERO,
             unread_wait: Duration::ZERO,
             unreported_ends: VecDeque::new(),
@@ -269,13 +283,15 @@
         came_on.filter(|id| self.is_open(*id)).or_else(|| self.last_heard(|client| client.proven))
     }
 
-    /// Where a client may be that has connected anew and has sent nothing yet that proves it.
-    /// A new connection has some time to do so.
+    /// Where a client may be that has connected anew and of which nothing has proven it yet: one that has sent a
+    /// request, else one that has sent nothing for so long. Seen: silent connections that were opened after a
+    /// client's were taken for clients before it.
     pub fn likely_recipient(&self, now: Timestamp) -> Option<ConnectionId> {
-        let is_likely = |client: &Client| {
+        let may_be = |client: &Client| {
             !client.checks_health && !client.rejected && now - client.accepted_at >= PROOF_TIME
         };
-        self.last_heard(is_likely)
+        let has_requested = |client: &Client| client.has_requested && may_be(client);
+        self.last_heard(has_requested).or_else(|| self.last_heard(may_be))
     }
 
     /// Whether this client wants nothing more that it asked for.
--- a/crates/platform/src/clients/reports.rs
+++ b/crates/platform/src/clients/reports.rs
@@ -1,18 +1,20 @@
 //! Final answers and ends of tasks, on their way to clients.
 
-use super::{Client, UnreportedEnd, proves_itself};
+use super::{Acknowledgement, Client, UnreportedEnd, proves_itself};
 use crate::state::SchedulerState;
 use crate::tasks::{ClientInterest, hex};
 use mulleinhub_interface::{Duration, TaskId};
 use mulleinhub_platform_protocol::{self as protocol, Cause, kind};
-use mulleinhub_sans_io::ConnectionId;
+use mulleinhub_sans_io::{CloseReason, ConnectionId};
 
 /// The end of a task is kept this long where no client is connected to receive it.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(60);
 /// An end waits this long for a client that has proven itself; it is due within a second.
 const OFFER_DELAY: Duration = Duration::from_nanos(500_000_000);
-/// An end that was written to a client longer ago has been read, where its connection has not ended before.
+/// A client that acknowledges ends does so within this of whatever else it sends.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Ends that one client has not acknowledged and that are kept for it.
+const MAX_UNACKNOWLEDGED: usize = 1_024;
 
 impl SchedulerState {
     /// The final answer of a task is given, or nobody waits for it any more.
@@ -42,13 +44,12 @@
             self.write_end(connection_id, end);
         }
         let now = self.now;
-        if let Some(client) = self.clients.by_connection.get_mut(&connection_id) {
-            let ends = &mut client.unacknowledged_ends;
-            while ends.front().is_some_and(|end| now - end.since > ACKNOWLEDGEMENT_TIMEOUT) {
-                ends.pop_front();
-            }
-            ends.push_back(UnreportedEnd { since: now, ..end });
+        let Some(client) = self.clients.by_connection.get_mut(&connection_id) else { return };
+        let ends = &mut client.unacknowledged_ends;
+        if ends.len() >= MAX_UNACKNOWLEDGED {
+            ends.pop_front();
         }
+        ends.push_back(UnreportedEnd { since: now, ..end });
     }
 
     fn write_end(&mut self, connection_id: ConnectionId, end: UnreportedEnd) {
@@ -64,7 +65,7 @@
 
     /// A client has read the end of a task.
     pub fn acknowledge_end(&mut self, connection_id: ConnectionId, task: TaskId) {
-        self.clients.acknowledge_ends = true;
+        self.clients.acknowledgement = Acknowledgement::Expected;
         if let Some(client) = self.clients.by_connection.get_mut(&connection_id) {
             client.unacknowledged_ends.retain(|end| end.task != task);
         }
@@ -75,13 +76,35 @@
         }
     }
 
-    /// The connection of this client is gone. Ends that it has not acknowledged are reported on another one.
-    /// Where clients acknowledge nothing it is not known what they have read.
+    /// A client has sent something: where that follows long after an end that it has not acknowledged, clients
+    /// acknowledge none.
+    pub fn observe_acknowledgement(&mut self, connection_id: ConnectionId) {
+        let Some(client) = self.clients.by_connection.get_mut(&connection_id) else { return };
+        let now = self.now;
+        let oldest = client.unacknowledged_ends.front();
+        if !oldest.is_some_and(|end| now - end.since > ACKNOWLEDGEMENT_TIMEOUT) {
+            return;
+        }
+        match self.clients.acknowledgement {
+            Acknowledgement::Unknown => self.clients.acknowledgement = Acknowledgement::Omitted,
+            Acknowledgement::Expected => return,
+            Acknowledgement::Omitted => {}
+        }
+        client.unacknowledged_ends.retain(|end| now - end.since <= ACKNOWLEDGEMENT_TIMEOUT);
+    }
+
+    /// The connection of this client is gone. Ends that it has not acknowledged are reported on another one, where
+    /// clients do that; where it is not known whether they do, those that an orderly end of the connection does not
+    /// show to have been read.
     pub fn repeat_unacknowledged_ends(&mut self, client: Client) {
-        for end in client.unacknowledged_ends {
-            if self.clients.acknowledge_ends && self.now - end.since <= ACKNOWLEDGEMENT_TIMEOUT {
-                self.report_end(None, end.task, end.cause);
-            }
+        let is_repeated = match self.clients.acknowledgement {
+            Acknowledgement::Expected => true,
+            Acknowledgement::Unknown => client.close_reason == Some(CloseReason::Broken),
+            Acknowledgement::Omitted => false,
+        };
+        let ends = client.unacknowledged_ends.into_iter().filter(|_| is_repeated);
+        for end in ends.filter(|end| self.now - end.since <= REPORT_TIMEOUT).collect::<Vec<_>>() {
+            self.report_end(None, end.task, end.cause);
         }
     }
 
@@ -106,7 +129,7 @@
     /// until it is acknowledged there or one has proven itself. Where clients acknowledge nothing it would be
     /// reported twice, or to nobody.
     fn offer_unreported_ends(&mut self) {
-        if !self.clients.acknowledge_ends {
+        if self.clients.acknowledgement == Acknowledgement::Omitted {
             return;
         }
         let Some(connection_id) = self.clients.likely_recipient(self.now) else { return };
--- a/crates/platform/src/clients/start_requests.rs
+++ b/crates/platform/src/clients/start_requests.rs
@@ -110,6 +110,9 @@
 ) {
     let id = TaskId(request.task);
     state.clients.greeted(connection_id);
+    if let Some(client) = state.clients.by_connection.get_mut(&connection_id) {
+        client.has_requested = true;
+    }
     let patience = match admit(state, connection_id, request, use_case) {
         Ok(patience) => patience,
         Err(refusal) => {
--- /dev/null
+++ b/crates/platform/src/tests/ends.rs
@@ -0,0 +1,114 @@
+//! Ends of tasks, kept until a client has heard of them.
+
+use super::harness::*;
+use mulleinhub_interface::Duration;
+use mulleinhub_platform_protocol::{cause_code, kind};
+use mulleinhub_sans_io::{CloseReason, ConnectionId};
+
+/// Ends of this task that were reported on a connection since the last look.
+fn ends(harness: &mut Harness, client: ConnectionId, task: u64) -> usize {
+    let messages = harness.received_on(client);
+    messages.iter().filter(|message| (message.kind, message.task) == (kind::RELEASE, task)).count()
+}
+
+fn acknowledge(harness: &mut Harness, client: ConnectionId, task: u64) {
+    harness.deliver(client, &encode(kind::RELEASE_ACK, task, &[]));
+}
+
+/// A request that no machine takes, and its answer.
+fn request_and_reject(harness: &mut Harness, client: ConnectionId, task: u64) {
+    harness.deliver(client, &start_request(task, "front", ""));
+    for _ in 0..60 {
+        for (connection, message) in harness.start_requests() {
+            harness.deliver(connection, &release(message.task, cause_code::FULL));
+        }
+        harness.advance(ms(50));
+    }
+}
+
+/// Guards against an end that is told to nobody, as the first one of a process was not repeated when its connection was
+/// reset (review play first-end).
+#[test]
+fn end_on_a_connection_that_breaks_is_reported_on_another_one() {
+    for is_acknowledging in [false, true] {
+        let mut harness = Harness::new(2);
+        let (first, second) = (harness.connect_client(), harness.connect_client());
+        let connection = place_task(&mut harness, first, 1, "front");
+        let other_connection = place_task(&mut harness, second, 2, "front");
+        if is_acknowledging {
+            harness.deliver(other_connection, &release(2, cause_code::ENDED));
+            acknowledge(&mut harness, second, 2);
+            harness.received_on(second);
+        }
+        harness.blocked.insert(first);
+        harness.deliver(connection, &release(1, cause_code::ENDED));
+        // It is cut off for longer than a client takes to acknowledge.
+        let cut_off = if is_acknowledging { ms(4_000) } else { ms(30) };
+        harness.advance(cut_off);
+        harness.close(first, CloseReason::Broken);
+        harness.advance(ms(100));
+        assert_eq!(ends(&mut harness, second, 1), 1, "clients are known to acknowledge: {is_acknowledging}");
+    }
+}
+
+/// Guards against ends that are reported twice to clients that acknowledge nothing.
+#[test]
+fn end_is_not_repeated_where_clients_acknowledge_nothing() {
+    let mut harness = Harness::new(2);
+    let (first, second) = (harness.connect_client(), harness.connect_client());
+    let connection = place_task(&mut harness, first, 1, "front");
+    place_task(&mut harness, second, 2, "front");
+    harness.deliver(connection, &release(1, cause_code::ENDED));
+    harness.advance(ms(1_500));
+    request_and_reject(&mut harness, first, 3);
+    harness.received_on(first);
+    let connection = place_task(&mut harness, first, 4, "batch");
+    harness.deliver(connection, &release(4, cause_code::ENDED));
+    harness.close(first, CloseReason::Broken);
+    harness.advance(ms(2_000));
+    assert_eq!(ends(&mut harness, second, 1) + ends(&mut harness, second, 4), 0);
+}
+
+/// Guards against a client that is never told of an end, as its new connection had brought nothing yet that proved it, and
+/// no client of this process had acknowledged anything (review plays end-under-drain and end-after-restart).
+#[test]
+fn end_is_offered_to_a_client_whose_requests_were_refused() {
+    let mut harness = Harness::new(2);
+    let first = harness.connect_client();
+    let connection = place_task(&mut harness, first, 1, "front");
+    harness.close(first, CloseReason::Closed);
+    let next = harness.connect_client();
+    request_and_reject(&mut harness, next, 2);
+    // Silent ones are opened after it.
+    for _ in 0..10 {
+        harness.connect_client();
+    }
+    harness.advance(ms(400));
+    harness.received_on(next);
+    harness.deliver(connection, &release(1, cause_code::ENDED));
+    harness.advance(ms(1_000));
+    assert_eq!(ends(&mut harness, next, 1), 1, "within a second");
+    acknowledge(&mut harness, next, 1);
+    harness.advance(ms(5_000));
+    assert_eq!(ends(&mut harness, next, 1), 0, "once");
+}
+
+/// Guards against a connection that is closed as idle while a task runs whose end is to be reported there (review case 5).
+#[test]
+fn quiet_client_with_a_running_task_stays_connected() {
+    let mut harness = Harness::new(1);
+    let client = harness.connect_client();
+    let idle = harness.connect_client();
+    let connection = place_task(&mut harness, idle, 2, "front");
+    harness.deliver(connection, &release(2, cause_code::ENDED));
+    place_task(&mut harness, client, 1, "front");
+    for _ in 0..80 {
+        harness.advance(Duration::from_secs(1));
+        let connection = harness.connections_to(&address(1))[0];
+        harness.deliver(connection, &encode(kind::NOTE, 1, &[(121, b"running")]));
+    }
+    assert!(harness.closed.contains(&idle), "nothing is owed there");
+    let connection = harness.connections_to(&address(1))[0];
+    harness.deliver(connection, &release(1, cause_code::ENDED));
+    assert_eq!(ends(&mut harness, client, 1), 1);
+}
--- a/crates/platform/src/tests/mod.rs
+++ b/crates/platform/src/tests/mod.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod connection_limits;
 mod discovery;
+mod ends;
 mod harness;
 mod invariants;
 mod large_lists;
