An adoption asks its machine for reports on a new connection

Cause: a node repeats a release on the next connection that it accepts. adopt took the task for running, and where a connection to its node was open, no further one was opened on which the node could have repeated it. Change: an adoption at a machine to which a connection is established has a new one opened, as after a connection that broke. Where another scheduler connects to the node in between, the repeat is gone with it: open.

--- a/crates/platform/src/adoptions.rs
+++ b/crates/platform/src/adoptions.rs
@@ -160,6 +160,10 @@
         ..TaskRecord::new(spec, client)
     };
     state.tasks.by_id.insert(id, task);
+    // Otherwise the next check opens one.
+    if state.machines.connections_of(machine).any(|(_, connection)| connection.is_established()) {
+        state.ask_for_reports(machine);
+    }
     state.schedule_check(machine);
     drop(borrowed);
     events.on_adopted_task(spec, machine);
--- a/crates/platform/src/clients/reports.rs
+++ b/crates/platform/src/clients/reports.rs
@@ -82,7 +82,7 @@
         let Some(client) = self.clients.by_connection.get_mut(&connection_id) else { return };
         let now = self.now;
         let oldest = client.unacknowledged_ends.front();
-        if !oldest.is_some_and(|end| now - end.since > ACKNOWLEDGEMENT_TIMEOUT) {
+        if oldest.is_none_or(|end| now - end.since <= ACKNOWLEDGEMENT_TIMEOUT) {
             return;
         }
         match self.clients.acknowledgement {
--- a/crates/platform/src/machines/disconnect.rs
+++ b/crates/platform/src/machines/disconnect.rs
@@ -14,7 +14,8 @@
     let Some(connection) = state.machines.remove_connection(state.now, connection_id) else { return };
     log_disconnect(state, connection_id, &connection, reason);
     if connection.established && reason == CloseReason::Broken {
-        recover_lost_messages(state, connection.machine);
+        // It ended without the end of its stream: reports that the machine had written may be lost.
+        state.ask_for_reports(connection.machine);
     }
     if connection.retired {
         return reschedule_lost_orders(state, connection.machine);
@@ -49,16 +50,6 @@
     }
 }
 
-/// A connection ended without the end of its stream: what either side had written on it may be lost. Reports
-/// of the machine are repeated on its next connection.
-fn recover_lost_messages(state: &mut SchedulerState, id: MachineId) {
-    let now = state.now;
-    let has_running_tasks = !state.tasks.running_on(id).is_empty();
-    let Some(machine) = state.machines.by_id.get_mut(&id).filter(|_| has_running_tasks) else { return };
-    machine.reports_lost_at = Some(now);
-    state.schedule_urgent_check(id);
-}
-
 /// The machine's backoff and liveness after a disconnect.
 fn update_machine(state: &mut SchedulerState, connection: &MachineConnection, reason: CloseReason) {
     let id = connection.machine;
--- a/crates/platform/src/machines/health.rs
+++ b/crates/platform/src/machines/health.rs
@@ -180,6 +180,16 @@
         }
     }
 
+    /// Reports of tasks that run on this machine may have been lost: it repeats them on the next connection that it
+    /// accepts. So they may be where a task is adopted: its machine may have reported its end to another scheduler
+    /// before.
+    pub fn ask_for_reports(&mut self, id: MachineId) {
+        let has_running_tasks = !self.tasks.running_on(id).is_empty();
+        let Some(machine) = self.machines.by_id.get_mut(&id).filter(|_| has_running_tasks) else { return };
+        machine.reports_lost_at = Some(self.now);
+        self.schedule_urgent_check(id);
+    }
+
     fn set_check(&mut self, id: MachineId, at: Timestamp) {
         if let Some(machine) = self.machines.by_id.get_mut(&id) {
             machine.next_check_at = Some(at);
--- a/crates/platform/src/tests/ends.rs
+++ b/crates/platform/src/tests/ends.rs
@@ -93,6 +93,22 @@
     assert_eq!(ends(&mut harness, next, 1), 0, "once");
 }
 
+/// Guards against a task that counts as running for ever: it ended before it was handed over, and its machine had told
+/// another scheduler (review case 4).
+#[test]
+fn adoption_asks_the_machine_for_reports_on_a_new_connection() {
+    let mut harness = Harness::new(1);
+    let client = harness.connect_client();
+    let connection = place_task(&mut harness, client, 1, "front");
+    harness.deliver(client, &start_request(2, "front", &format!(";at:{}", uid(1))));
+    harness.advance(ms(200));
+    let next = harness.connections_to(&address(1)).into_iter().find(|other| *other != connection);
+    let next = next.expect("the machine repeats its reports there");
+    harness.deliver(next, &release(2, cause_code::ENDED));
+    assert_eq!(ends(&mut harness, client, 2), 1);
+    assert_eq!(ends(&mut harness, client, 1), 0, "it runs");
+}
+
 /// Guards against a connection that is closed as idle while a task runs whose end is to be reported there (review case 5).
 #[test]
 fn quiet_client_with_a_running_task_stays_connected() {
