A machine's message that stops short ends its connection after half a second

Cause: half a message of a machine had no time limit, and an attempt that timed out left it where it was. Change: a message of which a part has come must be complete within half a second, however slowly bytes of it come; else the connection is broken, and its machine is asked for reports on another one.

--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -16,6 +16,8 @@
     MissingDescription,
     /// A release without its cause.
     MissingCause,
+    /// A message that stops short.
+    IncompleteMessage,
 }
 
 impl fmt::Display for ProtocolError {
@@ -25,6 +27,7 @@
             Self::UnexpectedType(kind) => write!(f, "unexpected message type {kind}"),
             Self::DuplicateTask => f.write_str("task id is already in use"),
             Self::MissingDescription => f.write_str("acceptance without a description"),
+            Self::IncompleteMessage => f.write_str("message stops short"),
             Self::MissingCause => f.write_str("release without a cause"),
         }
     }
--- a/crates/platform/src/machines/connection.rs
+++ b/crates/platform/src/machines/connection.rs
@@ -37,6 +37,8 @@
     pub machine: MachineId,
     /// Bytes received and not handled yet.
     pub frames: FrameBuffer,
+    /// Since when a part of a message has been here, if one is.
+    pub partial_since: Option<Timestamp>,
     /// How long those may have lain unread in the system.
     pub unread_wait: Duration,
     /// How it was closed, once it was; what was received before is handled first.
@@ -70,6 +72,7 @@
         Self {
             machine,
             frames: FrameBuffer::default(),
+            partial_since: None,
             unread_wait: Duration::ZERO,
             close_reason: None,
             queued: false,
--- a/crates/platform/src/machines/messages.rs
+++ b/crates/platform/src/machines/messages.rs
@@ -4,10 +4,14 @@
 use crate::error::ProtocolError;
 use crate::state::{SchedulerState, SharedState};
 use crate::tasks::{TaskRecord, hex};
+use crate::timers::TimerEvent;
 use mulleinhub_interface::{Duration, PolicyEvents, TaskId};
 use mulleinhub_platform_protocol::{self as protocol, Frame, FrameBuffer, kind};
 use mulleinhub_sans_io::{CloseReason, ConnectionId};
 
+/// A message of a machine must be complete within this; the end of a task is to be reported within a second.
+const MESSAGE_TIMEOUT: Duration = Duration::from_nanos(500_000_000);
+
 /// Handles everything that was received on a connection to a machine, and its close after that.
 pub fn handle_input(shared: &SharedState, events: &mut dyn PolicyEvents, connection_id: ConnectionId) {
     let take_frames = |state: &mut SchedulerState| {
@@ -16,31 +20,64 @@
     let Some(mut frames) = take_frames(&mut shared.borrow_mut()) else { return };
     let handled = handle_frames(shared, events, connection_id, &mut frames);
     let state = &mut *shared.borrow_mut();
-    if let Err(error) = handled {
+    if let Err(error) = &handled {
         state.counts.bad_machines += 1;
         state.warn("machine protocol error; connection closed", &error.to_string());
         return handle_disconnect(state, connection_id, CloseReason::Broken);
     }
     let Some(connection) = state.machines.connections.get_mut(&connection_id) else { return };
     frames.release_if_empty();
+    let has_partial = frames.unprocessed() > 0;
     connection.frames = frames;
     connection.unread_wait = Duration::ZERO;
     if let Some(reason) = connection.close_reason {
-        handle_disconnect(state, connection_id, reason);
+        return handle_disconnect(state, connection_id, reason);
+    }
+    watch_partial_message(state, connection_id, has_partial, handled.is_ok_and(|any| any));
+}
+
+/// A part of a message is left, or none any more: the rest must come in time, however slowly bytes of it do.
+fn watch_partial_message(
+    state: &mut SchedulerState,
+    connection_id: ConnectionId,
+    has_partial: bool,
+    handled_any: bool,
+) {
+    let now = state.now;
+    let Some(connection) = state.machines.connections.get_mut(&connection_id) else { return };
+    let since = connection.partial_since.filter(|_| has_partial && !handled_any);
+    connection.partial_since = has_partial.then_some(since.unwrap_or(now));
+    if has_partial && since.is_none() {
+        state.timers.schedule(now + MESSAGE_TIMEOUT, TimerEvent::PartialMessage(connection_id));
     }
 }
 
+/// Ends a connection on which a message of the machine has stopped short: what follows it there can't be told apart
+/// from its rest. Seen: the report of another task was taken for that, and its client was never notified.
+pub fn check_partial_message(state: &mut SchedulerState, connection_id: ConnectionId) {
+    let Some(connection) = state.machines.connections.get(&connection_id) else { return };
+    if connection.partial_since.is_some_and(|since| state.now - since >= MESSAGE_TIMEOUT) {
+        state.counts.bad_machines += 1;
+        let error = ProtocolError::IncompleteMessage.to_string();
+        state.warn("machine protocol error; connection closed", &error);
+        handle_disconnect(state, connection_id, CloseReason::Broken);
+    }
+}
+
+/// Handles the complete messages; returns whether there were any.
 fn handle_frames(
     shared: &SharedState,
     events: &mut dyn PolicyEvents,
     connection_id: ConnectionId,
     frames: &mut FrameBuffer,
-) -> Result<(), ProtocolError> {
+) -> Result<bool, ProtocolError> {
+    let mut handled_any = false;
     while let Some(frame) = frames.next_frame()? {
         record_liveness(&mut shared.borrow_mut(), connection_id, &frame);
         handle_message(shared, events, connection_id, &frame)?;
+        handled_any = true;
     }
-    Ok(())
+    Ok(handled_any)
 }
 
 /// An acceptance, a note, or the end of a task that runs shows that a machine is alive.
--- a/crates/platform/src/machines/mod.rs
+++ b/crates/platform/src/machines/mod.rs
@@ -16,7 +16,7 @@
 pub use connection::{LocalClose, MachineConnection};
 pub use disconnect::handle_disconnect;
 pub use health::check_machine;
-pub use messages::handle_input;
+pub use messages::{check_partial_message, handle_input};
 
 use crate::tasks::AttemptId;
 use mulleinhub_interface::{Duration, MachineEntry, MachineId, MachineState, TaskId, Timestamp};
--- a/crates/platform/src/tests/ends.rs
+++ b/crates/platform/src/tests/ends.rs
@@ -2,7 +2,7 @@
 
 use super::harness::*;
 use mulleinhub_interface::Duration;
-use mulleinhub_platform_protocol::{cause_code, kind};
+use mulleinhub_platform_protocol::{cause_code, code, kind};
 use mulleinhub_sans_io::{CloseReason, ConnectionId};
 
 /// Ends of this task that were reported on a connection since the last look.
@@ -109,6 +109,41 @@
     assert_eq!(ends(&mut harness, client, 1), 0, "it runs");
 }
 
+/// Guards against a report that is taken for the rest of an answer which stopped short on the same connection, so that its
+/// client is never told (review play stops-short).
+#[test]
+fn message_that_stops_short_swallows_no_report() {
+    for notes_follow in [false, true] {
+        let mut harness = Harness::new(1);
+        let client = harness.connect_client();
+        let connection = place_task(&mut harness, client, 1, "front");
+        harness.deliver(client, &start_request(2, "front", ""));
+        harness.start_requests();
+        let answer = encode(kind::ACCEPT, 2, &[(code::DESCRIPTION, &[b'.'; 4_000])]);
+        harness.deliver(connection, &answer[..2_000]);
+        let until = harness.now + ms(600);
+        while harness.now < until {
+            harness.advance(ms(100));
+            if notes_follow && harness.opened.contains_key(&connection) {
+                harness.deliver(connection, &encode(kind::NOTE, 1, &[(121, b"running")]));
+            }
+        }
+        assert!(!harness.opened.contains_key(&connection), "notes follow: {notes_follow}");
+        harness.advance(ms(300));
+        let next =
+            *harness.connections_to(&address(1)).last().expect("the machine repeats its reports there");
+        harness.deliver(next, &release(1, cause_code::ENDED));
+        assert_eq!(ends(&mut harness, client, 1), 1);
+        // One that comes in time, though in pieces, costs nothing.
+        let third = place_task(&mut harness, client, 3, "batch");
+        harness.deliver(third, &release(3, cause_code::ENDED)[..5]);
+        harness.advance(ms(300));
+        harness.deliver(third, &release(3, cause_code::ENDED)[5..]);
+        harness.advance(ms(1_000));
+        assert!(harness.opened.contains_key(&third));
+    }
+}
+
 /// Guards against a connection that is closed as idle while a task runs whose end is to be reported there (review case 5).
 #[test]
 fn quiet_client_with_a_running_task_stays_connected() {
--- a/crates/platform/src/timers.rs
+++ b/crates/platform/src/timers.rs
@@ -2,7 +2,7 @@
 
 use crate::discovery::SILENCE_TIMEOUT;
 use crate::error::InvalidRequest;
-use crate::machines::{check_machine, handle_disconnect};
+use crate::machines::{check_machine, check_partial_message, handle_disconnect};
 use crate::state::{SchedulerState, SharedState};
 use crate::status;
 use crate::tasks::AttemptId;
@@ -22,6 +22,8 @@
     WriteDeadline(AttemptId),
     /// A connection that should be established by then.
     ConnectTimeout(ConnectionId),
+    /// A message of which a part has been received should be complete by then.
+    PartialMessage(ConnectionId),
     /// The machine should have closed its side by then, too, of a connection that this side closes.
     RetirementTimeout(ConnectionId),
     /// A machine is to be checked.
@@ -64,6 +66,7 @@
         TimerEvent::AttemptTimeout(attempt) => state.time_out(attempt),
         TimerEvent::WriteDeadline(attempt) => state.withdraw_unsent(attempt),
         TimerEvent::ConnectTimeout(connection_id) => check_connect_timeout(state, connection_id),
+        TimerEvent::PartialMessage(connection_id) => check_partial_message(state, connection_id),
         TimerEvent::RetirementTimeout(connection_id) => {
             handle_disconnect(state, connection_id, CloseReason::Broken);
         }
