--- a/crates/event-loop/src/event_loop/write.rs
+++ b/crates/event-loop/src/event_loop/write.rs
@@ -7,7 +7,8 @@
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
-/// Time after which what else is to be written waits for the next iteration.
+/// Time after which what else is to be written waits for the next iteration, also on one connection: a process that
+/// gets too little of a processor may take long for each of many short writes.
 pub(super) const MAX_WRITE_TIME: Duration = Duration::from_millis(10);
 /// Writes of one connection in a row that may be interrupted before all else has its turn.
 const MAX_INTERRUPTIONS: usize = 16;
@@ -29,7 +30,7 @@
             && let Some(id) = writable.next()
         {
             self.write_one(id);
-            self.writes_left = began_at.elapsed() >= MAX_WRITE_TIME && !writable.as_slice().is_empty();
+            self.writes_left |= began_at.elapsed() >= MAX_WRITE_TIME && !writable.as_slice().is_empty();
         }
         self.writable.extend(writable);
     }
@@ -40,7 +41,7 @@
         if !connection.established || connection.lingers {
             return;
         }
-        let mut interruptions = 0;
+        let (mut interruptions, began_at) = (0, Instant::now());
         loop {
             let bytes = self.state_machine.connections().outgoing(id);
             if bytes.is_empty() {
@@ -48,7 +49,15 @@
             }
             self.system_calls += 1;
             match connection.tcp.write(bytes) {
-                Ok(length) => self.state_machine.connections().mark_written(id, length),
+                Ok(length) => {
+                    self.state_machine.connections().mark_written(id, length);
+                    let is_left = !self.state_machine.connections().outgoing(id).is_empty();
+                    if is_left && began_at.elapsed() >= MAX_WRITE_TIME {
+                        self.writable.push(id);
+                        self.writes_left = true;
+                        return;
+                    }
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == ErrorKind::Interrupted && interruptions < MAX_INTERRUPTIONS => {
                     interruptions += 1;
--- a/crates/platform/src/tests/attempts.rs
+++ b/crates/platform/src/tests/attempts.rs
@@ -3,7 +3,7 @@
 use super::harness::*;
 use mulleinhub_interface::Timestamp;
 use mulleinhub_platform_protocol::{cause_code, code, kind};
-use mulleinhub_sans_io::CloseReason;
+use mulleinhub_sans_io::{CloseReason, StateMachine};
 
 #[test]
 fn timed_out_attempt_is_given_up_before_retry() {
@@ -109,3 +109,33 @@
     let left = asked_at + ms(1_000) - harness.now;
     assert!(ms(timeout) <= left + ms(150), "{timeout} ms are passed on, {left:?} are left");
 }
+
+/// Guards against a start request of which a part had left when the rest was held up, and which passed on more than its
+/// client had left (soak seed 25).
+#[test]
+fn start_request_that_is_stuck_half_way_is_broken_off() {
+    let mut harness = Harness::new(2);
+    let client = harness.connect_client();
+    let first = place_task(&mut harness, client, 1, "front");
+    let connections = [first, place_task(&mut harness, client, 8, "front")];
+    assert_ne!(harness.address_of(connections[0]), harness.address_of(connections[1]));
+    harness.blocked.extend(connections);
+    harness.deliver(client, &start_request(2, "batch", ""));
+    let asked_at = harness.now;
+    let is_carrier =
+        |harness: &mut Harness, connection| harness.scheduler.connections().pending_bytes(connection) > 0;
+    let connection = connections.into_iter().find(|connection| is_carrier(&mut harness, *connection));
+    let connection = connection.expect("one of them carries it");
+    harness.scheduler.connections().mark_written(connection, 30);
+    connections.into_iter().filter(|other| *other != connection).for_each(|other| harness.unblock(other));
+    harness.advance(ms(140));
+    assert!(harness.closed.contains(&connection), "its machine never has it whole");
+    let (other, request) = harness.start_requests().pop().expect("it never ran, and is sent anew");
+    assert_ne!(other, connection);
+    let timeout = request.param(code::TIMEOUT).expect("has one");
+    let timeout: u64 = std::str::from_utf8(timeout).expect("text").parse().expect("a number");
+    assert!(ms(timeout) <= asked_at + ms(2_000) - harness.now + ms(150), "{timeout} ms");
+    harness.deliver(other, &acceptance(2));
+    let answers = harness.received_on(client);
+    assert_eq!((answers.len(), answers[0].kind), (1, kind::ACCEPT));
+}
--- a/crates/sans-io/src/connections.rs
+++ b/crates/sans-io/src/connections.rs
@@ -136,6 +136,12 @@
         true
     }
 
+    /// Whether any byte of a frame was not handed over yet.
+    pub fn is_unsent(&self, id: ConnectionId, token: u64) -> bool {
+        let output = self.open.get(&id).and_then(|connection| connection.output.as_ref());
+        output.is_some_and(|output| output.frames.iter().any(|frame| frame.token == token))
+    }
+
     /// Outgoing bytes that were not handed over.
     pub fn pending_bytes(&self, id: ConnectionId) -> usize {
         self.outgoing(id).len()
