Reports are asked for again where this side breaks a connection off

Change: break_connection counts reports as lost until a tenth of a second later, so that a connection is opened which the machine accepts after it has noticed.

--- a/crates/platform/src/attempts/unsent.rs
+++ b/crates/platform/src/attempts/unsent.rs
@@ -2,11 +2,11 @@
 //! than what their clients have left. Those of which not a byte has left are composed anew; one of which a part is
 //! stuck here is broken off with its connection.
 
-use crate::machines::handle_disconnect;
+use crate::machines::break_connection;
 use crate::state::SchedulerState;
 use crate::tasks::{AttemptId, AttemptState, hex};
 use mulleinhub_interface::{Duration, Outcome, Timestamp};
-use mulleinhub_sans_io::{CloseReason, ConnectionId};
+use mulleinhub_sans_io::ConnectionId;
 use std::collections::VecDeque;
 
 /// A start request that has not left by then is composed anew.
@@ -70,7 +70,7 @@
         if let Some(connection) = self.machines.connections.get_mut(&connection_id) {
             connection.remove_awaiting(id);
         }
-        handle_disconnect(self, connection_id, CloseReason::Broken);
+        break_connection(self, connection_id);
     }
 
     /// The connection that carries this request, if it is the current one of its attempt.
--- a/crates/platform/src/machines/disconnect.rs
+++ b/crates/platform/src/machines/disconnect.rs
@@ -3,10 +3,13 @@
 use super::{Machine, MachineConnection, REFUSALS_OF_DEAD};
 use crate::state::SchedulerState;
 use crate::tasks::{Attempt, AttemptState};
-use mulleinhub_interface::{FailureCause, MachineId, Outcome, TaskId};
+use mulleinhub_interface::{Duration, FailureCause, MachineId, Outcome, TaskId};
 use mulleinhub_resilience::backoff;
 use mulleinhub_sans_io::{CloseReason, ConnectionId, Unsent};
 
+/// A machine has noticed by then that a connection was broken off.
+const NOTICE_TIME: Duration = Duration::from_nanos(100_000_000);
+
 /// Handles the end of a connection to a machine.
 pub fn handle_disconnect(state: &mut SchedulerState, connection_id: ConnectionId, reason: CloseReason) {
     let unsent = state.connections.abort(connection_id);
@@ -33,6 +36,18 @@
     reschedule_lost_orders(state, connection.machine);
 }
 
+/// This side breaks off an established connection. Its machine may go on to report on it until it has noticed that,
+/// also after it has accepted another one. Seen in a soak: the end of a task was told 7 s late, as the connection on
+/// which it might have been repeated had come up first.
+pub fn break_connection(state: &mut SchedulerState, connection_id: ConnectionId) {
+    let machine = state.machines.connections.get(&connection_id).map(|connection| connection.machine);
+    handle_disconnect(state, connection_id, CloseReason::Broken);
+    let machine = machine.and_then(|machine| state.machines.by_id.get_mut(&machine));
+    if let Some(lost_at) = machine.and_then(|machine| machine.reports_lost_at.as_mut()) {
+        *lost_at = state.now + NOTICE_TIME;
+    }
+}
+
 /// A machine that closes its side of a connection behind this one's has read everything that was sent there.
 fn record_delivery(state: &mut SchedulerState, connection_id: ConnectionId, reason: CloseReason) {
     let Some(connection) = state.machines.connections.get(&connection_id) else { return };
--- a/crates/platform/src/machines/messages.rs
+++ b/crates/platform/src/machines/messages.rs
@@ -1,5 +1,6 @@
 //! Handling what machines send.
 
+use super::disconnect::break_connection;
 use super::{SignOfLife, handle_disconnect, replies};
 use crate::error::ProtocolError;
 use crate::state::{SchedulerState, SharedState};
@@ -7,7 +8,7 @@
 use crate::timers::TimerEvent;
 use mulleinhub_interface::{Duration, PolicyEvents, TaskId};
 use mulleinhub_platform_protocol::{self as protocol, Frame, FrameBuffer, kind};
-use mulleinhub_sans_io::{CloseReason, ConnectionId};
+use mulleinhub_sans_io::ConnectionId;
 
 /// A message of a machine must be complete within this; the end of a task is to be reported within a second.
 const MESSAGE_TIMEOUT: Duration = Duration::from_nanos(500_000_000);
@@ -23,7 +24,7 @@
     if let Err(error) = &handled {
         state.counts.bad_machines += 1;
         state.warn("machine protocol error; connection closed", &error.to_string());
-        return handle_disconnect(state, connection_id, CloseReason::Broken);
+        return break_connection(state, connection_id);
     }
     let Some(connection) = state.machines.connections.get_mut(&connection_id) else { return };
     frames.release_if_empty();
@@ -60,7 +61,7 @@
         state.counts.bad_machines += 1;
         let error = ProtocolError::IncompleteMessage.to_string();
         state.warn("machine protocol error; connection closed", &error);
-        handle_disconnect(state, connection_id, CloseReason::Broken);
+        break_connection(state, connection_id);
     }
 }
 
--- a/crates/platform/src/tests/ends.rs
+++ b/crates/platform/src/tests/ends.rs
@@ -144,6 +144,28 @@
     }
 }
 
+/// Guards against a report that goes on a connection which this side has broken off, after the machine has accepted the next
+/// one: it is repeated on a further one only.
+#[test]
+fn broken_off_connection_has_reports_asked_for_until_it_is_noticed() {
+    let mut harness = Harness::new(1);
+    let client = harness.connect_client();
+    place_task(&mut harness, client, 1, "front");
+    harness.deliver(client, &start_request(2, "front", ""));
+    let (connection, _) = harness.start_requests().pop().expect("it is sent");
+    let broken_at = harness.now;
+    harness.deliver(connection, b"\0\0noise");
+    let mut opened_after = false;
+    while harness.now < broken_at + ms(400) {
+        let before = harness.connections_to(&address(1));
+        harness.advance(ms(5));
+        let after = harness.connections_to(&address(1));
+        let is_new = after.iter().any(|connection| !before.contains(connection));
+        opened_after |= is_new && harness.now >= broken_at + ms(100);
+    }
+    assert!(opened_after, "a connection that is asked for once the machine has noticed");
+}
+
 /// Guards against a connection that is closed as idle while a task runs whose end is to be reported there (review case 5).
 #[test]
 fn quiet_client_with_a_running_task_stays_connected() {
