--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -18,11 +18,25 @@
     let entries: Vec<String> = nodes.iter().map(|node| node.entry("in_service")).collect();
     let known = event(1, true, &entries);
     bulletin.publish(1, known.clone());
-    let scheduler = Scheduler::start(world, bulletin.address, &known, 1);
+    let scheduler = Scheduler::start(world, 0, bulletin.address, &known);
     let scheduler = scheduler.ok_or("the scheduler did not start")?;
     Ok(Deployment { nodes, bulletin, scheduler })
 }
 
+/// A scheduler of this number, with a bulletin of its own, beside those of the deployment.
+fn start_another(
+    world: &Arc<World>,
+    deployment: &Deployment,
+    number: usize,
+) -> Result<(Arc<Bulletin>, Scheduler), String> {
+    let bulletin = Bulletin::start(world);
+    let entries: Vec<String> = deployment.nodes.iter().map(|node| node.entry("in_service")).collect();
+    let known = event(1, true, &entries);
+    bulletin.publish(1, known.clone());
+    let scheduler = Scheduler::start(world, number, bulletin.address, &known);
+    Ok((bulletin, scheduler.ok_or("the scheduler did not start")?))
+}
+
 fn owner(world: &Arc<World>, name: &str, deployment: &Deployment) -> Result<Connection, String> {
     Connection::open(world, name, deployment.scheduler.listen).ok_or(format!("{name} can't connect"))
 }
@@ -79,6 +93,89 @@
     judge_standing(world, &deployment, &client, &[0x61, 0x62], 20_000)
 }
 
+/// One of two schedulers is killed. A task of it ends while it is down, and its node tells the other scheduler. At its
+/// next start the first one gets the task as one that stands.
+pub fn another(world: &Arc<World>) -> Verdict {
+    const TASK: u64 = 0x71;
+    let mut deployment = deploy(world, 2)?;
+    let (_bulletin, other) = start_another(world, &deployment, 1)?;
+    let first = owner(world, "owner of n0", &deployment)?;
+    first.send(&wallet(TASK, SERVICE));
+    stands(&first, TASK, 8_000)?;
+    let node = holder(&deployment, TASK)?;
+    // The other scheduler has tasks of two services on each node, so that it is connected to both.
+    let second = Connection::open(world, "owner of n1", other.listen).ok_or("no connection to n1")?;
+    for task in [0x81, 0x82, 0x83, 0x84] {
+        second.send(&wallet(task, if task < 0x83 { 0xb4d6_5522 } else { 0xb4d6_5523 }));
+        stands(&second, task, 8_000)?;
+    }
+    let told = |owner: &Connection| owner.find(RELEASE, TASK).is_some();
+    if world.trouble {
+        // It is down for 5 s, and gets its standing tasks at its next start.
+        let Deployment { nodes, bulletin, scheduler } = deployment;
+        let listen = scheduler.listen;
+        world.log("run", "scheduler n0 is killed");
+        drop(scheduler);
+        world.pause(300);
+        node.end(TASK);
+        world.pause(4_700);
+        world.log("run", &format!("releases that wait for a next connection: {}", node.releases_to_repeat()));
+        let entries: Vec<String> = nodes.iter().map(|node| node.entry("in_service")).collect();
+        let known = event(1, true, &entries);
+        let scheduler = Scheduler::start_at(world, 0, listen, bulletin.address, &known);
+        deployment = Deployment { nodes, bulletin, scheduler: scheduler.ok_or("n0 did not start again")? };
+        if !deployment.scheduler.passes_test() {
+            return Err("the test was not passed".to_owned());
+        }
+        let again = owner(world, "owner of n0 again", &deployment)?;
+        again.send(&at(wallet(TASK, SERVICE), &node.uid));
+        let handed_over_at = world.ms();
+        let is_told = world.wait(12_000, || told(&again) || told(&second));
+        let after = world.ms() - handed_over_at;
+        let what = if is_told { "told" } else { "not told" };
+        return Ok((
+            after <= 8_050,
+            format!("{what} {after} ms after the hand-over, {} ms after the end", after + 4_700),
+        ));
+    }
+    node.end(TASK);
+    let ended_at = world.ms();
+    let is_told = world.wait(8_050, || told(&first));
+    Ok((is_told, format!("told: {is_told}, {} ms after the end", world.ms() - ended_at)))
+}
+
+/// A node is replaced by a new one at its address. Before the list tells that, a task is placed there, and the
+/// connection on which it was placed is reset.
+pub fn address(world: &Arc<World>) -> Verdict {
+    let mut deployment = deploy(world, 2)?;
+    let client = owner(world, "owner", &deployment)?;
+    client.send(&wallet(0x61, SERVICE));
+    stands(&client, 0x61, 8_000)?;
+    let busy = holder(&deployment, 0x61)?;
+    let idle = deployment.nodes.iter().position(|node| node.uid != busy.uid).ok_or("one node")?;
+    let old = deployment.nodes[idle].clone();
+    world.pause(500);
+    old.die();
+    world.pause(300);
+    let new = old.replace(9);
+    deployment.nodes[idle] = new.clone();
+    world.pause(200);
+    // The service has one task on the other node already: this one goes to the address.
+    client.send(&wallet(0x62, SERVICE));
+    stands(&client, 0x62, 8_000)?;
+    if !new.stands(0x62) {
+        return Err("the second task was not placed on the new node".to_owned());
+    }
+    world.pause(300);
+    if world.trouble {
+        new.reset_connections();
+    }
+    world.pause(1_200);
+    let entries = [old.entry("terminated"), new.entry("in_service")];
+    deployment.bulletin.publish(2, event(2, false, &entries));
+    judge_standing(world, &deployment, &client, &[0x61, 0x62], 10_000)
+}
+
 /// A scheduler that has been up for ten seconds passes its first test, and gets two tasks of a service, which stand
 /// on a node each. The first connection to each node is reset as it is new.
 pub fn handover(world: &Arc<World>) -> Verdict {
@@ -148,78 +245,6 @@
     Ok((true, format!("{what}; but no node came to hold two")))
 }
 
-/// A node begins to run a keyed task whose set-up then breaks, and says so with a cause that the page does not name
-/// for nodes.
-pub fn nack(world: &Arc<World>) -> Verdict {
-    const NAME: u64 = 0x91f0_3b7c_55d2_0a64;
-    const BUSY: u8 = 42;
-    let deployment = deploy(world, 3)?;
-    if world.trouble {
-        deployment.nodes.iter().for_each(|node| node.set_mode(Mode::BreaksWith(BUSY)));
-    }
-    let client = owner(world, "owner", &deployment)?;
-    client.send(&ledger(0x71, NAME, 0xb4d6_5521));
-    let is_answered = || client.find(ANSWER, 0x71).is_some() || client.find(RELEASE, 0x71).is_some();
-    if !world.wait(6_550, is_answered) {
-        return Ok((false, "no answer in time".to_owned()));
-    }
-    let name = format!("{NAME:016x}");
-    let runs =
-        |deployment: &Deployment| deployment.nodes.iter().map(|node| node.runs_of(&name)).sum::<usize>();
-    let cause = client.find(RELEASE, 0x71).and_then(|(_, release)| release.cause());
-    let Some(cause @ (34 | 42 | 102)) = cause else {
-        return Ok((true, format!("no refusal (cause {cause:?}), {} run(s)", runs(&deployment))));
-    };
-    // A refusal says that trying again is harmless: the owner does, here after about a second.
-    deployment.nodes.iter().for_each(|node| node.set_mode(Mode::Accepts));
-    world.pause(1_000);
-    client.send(&ledger(0x72, NAME, 0xb4d6_5521));
-    let _ = client.wait_for(ANSWER, 0x72, 6_550);
-    let runs_in_cells: Vec<String> = deployment
-        .nodes
-        .iter()
-        .filter(|node| node.runs_of(&name) > 0)
-        .map(|node| format!("{} run(s) in cell {}", node.runs_of(&name), node.cell))
-        .collect();
-    Ok((false, format!("refused with cause {cause} though it had run; then {}", runs_in_cells.join(", "))))
-}
-
-/// A bad client hands over tasks with ids that no node knows, while a task ends whose owner has come on another
-/// connection since.
-pub fn stolen(world: &Arc<World>) -> Verdict {
-    const TASK: u64 = 0x81;
-    let deployment = deploy(world, 3)?;
-    let first = owner(world, "owner-1", &deployment)?;
-    first.send(&wallet(TASK, 0xb4d6_5521));
-    stands(&first, TASK, 8_000)?;
-    // An owner closes a connection that carries no task after 4 s.
-    world.pause(4_000);
-    first.close();
-    world.pause(500);
-    let second = owner(world, "owner-2", &deployment)?;
-    second.send(&wallet(0x82, 0xb4d6_5522));
-    stands(&second, 0x82, 8_000)?;
-    world.pause(1_000);
-    let node = holder(&deployment, TASK)?;
-    let bad = if world.trouble { Some(owner(world, "bad client", &deployment)?) } else { None };
-    for number in 0..20 {
-        if let Some(bad) = &bad {
-            bad.send(&at(wallet(0xbad_0000 + number, 0xbad_0000 + number), &deployment.nodes[0].uid));
-        }
-        world.pause(20);
-    }
-    node.end(TASK);
-    let ended_at = world.ms();
-    let told = second.wait_for(RELEASE, TASK, 8_100);
-    let foreign = bad.as_ref().is_some_and(|bad| bad.find(RELEASE, TASK).is_some());
-    Ok(match told {
-        Some((ms, _)) => {
-            (ms - ended_at <= 1_050, format!("told {} ms after the node's release", ms - ended_at))
-        }
-        None => (false, format!("its owner was never told of the task's end; the bad client was: {foreign}")),
-    })
-}
-
 /// Owners that send no 'release heard' are told of the end of a task while the nodes are full.
 pub fn untold(world: &Arc<World>) -> Verdict {
     const TASK: u64 = 0x93;
@@ -258,33 +283,3 @@
         None => (false, format!("not told {} ms after the node's release", world.ms() - ended_at)),
     })
 }
-
-/// A task is handed over that stands at a node which was started while the bulletin is down.
-pub fn outage(world: &Arc<World>) -> Verdict {
-    const TASK: u64 = 0xa1;
-    let deployment = deploy(world, 3)?;
-    world.pause(2_000);
-    let fresh = Node::start(world, 9, 9);
-    if world.trouble {
-        deployment.bulletin.set_up(false);
-    }
-    let down_at = world.ms();
-    deployment.bulletin.publish(2, event(2, false, &[fresh.entry("in_service")]));
-    world.pause(500);
-    fresh.hold(TASK);
-    let client = owner(world, "owner", &deployment)?;
-    client.send(&at(wallet(TASK, 0xb4d6_5521), &fresh.uid));
-    // The bulletin is down for 8 s.
-    client.wait_for(RELEASE, TASK, down_at + 8_000 - world.ms());
-    deployment.bulletin.set_up(true);
-    if let Some((ms, _)) = client.wait_for(RELEASE, TASK, 3_000) {
-        let what = format!("the owner was told at {ms} ms that its task is over: it stands at its node");
-        return Ok((!fresh.stands(TASK), what));
-    }
-    fresh.end(TASK);
-    let ended_at = world.ms();
-    Ok(match client.wait_for(RELEASE, TASK, 8_050) {
-        Some((ms, _)) => (true, format!("told {} ms after the task's end", ms - ended_at)),
-        None => (false, "the end of the task was never told".to_owned()),
-    })
-}
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -26,12 +26,11 @@
     });
     let played = match case.as_str() {
         "idle" => cases::idle(&world),
+        "another" => cases::another(&world),
+        "address" => cases::address(&world),
         "silent" => cases::silent(&world),
         "handover" => cases::handover(&world),
-        "nack" => cases::nack(&world),
-        "stolen" => cases::stolen(&world),
         "untold" => cases::untold(&world),
-        "outage" => cases::outage(&world),
         other => Err(format!("no case {other}")),
     };
     let (status, text) = match played {
--- a/review/stand-in-2/peers.rs
+++ b/review/stand-in-2/peers.rs
@@ -4,9 +4,8 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Idle connections to nodes close after this time, as the settings say.
 const IDLE_MS: u64 = 15_000;
@@ -19,8 +18,6 @@
     Accepts,
     /// Refuses with cause 34 and a reason: the task never ran.
     Full,
-    /// The task begins to run, then the set-up breaks: a release with this cause, and no answer.
-    BreaksWith(u8),
 }
 
 /// A task that stands at a node, with the connection of its set-up.
@@ -40,6 +37,8 @@
     noted_at: u64,
     /// So many of the next connections are reset as they are new.
     resets: usize,
+    /// Its process has died.
+    is_dead: bool,
     /// It is cut off: open connections are quiet, and new ones don't come up.
     is_cut_off: bool,
     /// What it has to say meanwhile, by connection.
@@ -47,8 +46,6 @@
     standing: BTreeMap<u64, Standing>,
     /// Releases that are sent on the next connection opened, too.
     repeated: Vec<(u64, u8)>,
-    /// Names of tasks that began to run here, in order.
-    runs: Vec<String>,
 }
 
 /// A node: one listener, and a thread for each connection.
@@ -56,6 +53,8 @@
     pub uid: String,
     pub address: SocketAddr,
     pub cell: u32,
+    /// When it started, if that was late.
+    boot_ms: u64,
     world: Arc<World>,
     state: Mutex<NodeState>,
 }
@@ -63,10 +62,28 @@
 impl Node {
     pub fn start(world: &Arc<World>, number: u32, cell: u32) -> Arc<Self> {
         let listener = TcpListener::bind((format!("127.40.1.{number}"), 0)).expect("a free port");
+        Self::start_on(world, listener, number, cell, 0)
+    }
+
+    /// A new node at the address of this one, which has died. It starts late.
+    pub fn replace(&self, number: u32) -> Arc<Self> {
+        let listener = TcpListener::bind(self.address).expect("the address is free again");
+        let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+        Self::start_on(&self.world, listener, number, self.cell, since_1970.as_millis() as u64)
+    }
+
+    fn start_on(
+        world: &Arc<World>,
+        listener: TcpListener,
+        number: u32,
+        cell: u32,
+        boot_ms: u64,
+    ) -> Arc<Self> {
         let node = Arc::new(Self {
             uid: format!("s-{number:08x}"),
             address: listener.local_addr().expect("is bound"),
             cell,
+            boot_ms,
             world: world.clone(),
             state: Mutex::new(NodeState {
                 mode: Some(Mode::Accepts),
@@ -96,6 +113,11 @@
         self.state.lock().unwrap().resets = connections;
     }
 
+    /// How many releases wait for the next connection that is opened.
+    pub fn releases_to_repeat(&self) -> usize {
+        self.state.lock().unwrap().repeated.len()
+    }
+
     /// A task that another scheduler placed here stands.
     pub fn hold(&self, task: u64) {
         self.log(&format!("task {task:016x} stands here, placed by another scheduler"));
@@ -106,10 +128,6 @@
         self.state.lock().unwrap().standing.contains_key(&task)
     }
 
-    pub fn runs_of(&self, name: &str) -> usize {
-        self.state.lock().unwrap().runs.iter().filter(|run| *run == name).count()
-    }
-
     fn log(&self, what: &str) {
         self.world.log(&format!("node {}", self.uid), what);
     }
@@ -173,6 +191,24 @@
         }
     }
 
+    /// Its process dies: its connections are reset, its tasks are cut, and nobody listens there any more.
+    pub fn die(&self) {
+        let state = &mut *self.state.lock().unwrap();
+        self.log("dies");
+        state.is_dead = true;
+        state.standing.clear();
+        std::mem::take(&mut state.connections).into_values().for_each(reset_shared);
+    }
+
+    /// Resets the connections that are open.
+    pub fn reset_connections(&self) {
+        let state = &mut *self.state.lock().unwrap();
+        for (id, stream) in std::mem::take(&mut state.connections) {
+            self.log(&format!("connection {id} is reset"));
+            reset_shared(stream);
+        }
+    }
+
     /// Cuts it off from the scheduler, or ends that.
     pub fn cut_off(&self, is_cut_off: bool) {
         let state = &mut *self.state.lock().unwrap();
@@ -192,6 +228,9 @@
         let mut fillers: Option<Vec<TcpStream>> = None;
         loop {
             let is_cut_off = self.state.lock().unwrap().is_cut_off;
+            if self.state.lock().unwrap().is_dead {
+                return;
+            }
             if is_cut_off && fillers.is_none() {
                 set_backlog(&listener, 0);
                 let connect = || TcpStream::connect_timeout(&self.address, Duration::from_millis(20)).ok();
@@ -247,9 +286,10 @@
             self.log(&format!("on {id} receives {}", message.describe()));
             self.handle(id, &message);
         }
-        let _ = reader.shutdown(Shutdown::Both);
         let state = &mut *self.state.lock().unwrap();
-        state.connections.remove(&id);
+        if let Some(stream) = state.connections.remove(&id) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
         state.used_at.remove(&id);
         self.log(&format!("connection {id} is over"));
     }
@@ -261,7 +301,6 @@
         match message.kind {
             START => match state.mode.expect("is set") {
                 Mode::Accepts => {
-                    state.runs.push(message.text(NAME));
                     state.standing.insert(task, Standing { connection: Some(id) });
                     self.log(&format!("task {task:016x} named {} runs here", message.text(NAME)));
                     let answer =
@@ -273,14 +312,6 @@
                     let release = Message::new(RELEASE, task).with(CAUSE, [34]).with(TOPIC, "lack_cpu");
                     self.send(state, id, &release);
                 }
-                Mode::BreaksWith(cause) => {
-                    state.runs.push(message.text(NAME));
-                    self.log(&format!(
-                        "task {task:016x} named {} runs here, then breaks",
-                        message.text(NAME)
-                    ));
-                    self.send(state, id, &Message::new(RELEASE, task).with(CAUSE, [cause]));
-                }
             },
             RELEASE if state.standing.remove(&task).is_some() => {
                 self.log(&format!("task {task:016x} is cut by its scheduler"));
@@ -294,8 +325,8 @@
     /// Its entry in the list.
     pub fn entry(&self, state: &str) -> String {
         format!(
-            r#"{{"uid":"{}","endpoint":"{}","az":"hall-a","model":"node-big","pod_group":{},"state":"{state}","capacity_hint":4,"boot_ms":0,"room":[50.0,60.0]}}"#,
-            self.uid, self.address, self.cell
+            r#"{{"uid":"{}","endpoint":"{}","az":"hall-a","model":"node-big","pod_group":{},"state":"{state}","capacity_hint":4,"boot_ms":{},"room":[50.0,60.0]}}"#,
+            self.uid, self.address, self.cell, self.boot_ms
         )
     }
 }
@@ -305,66 +336,32 @@
     format!(r#"{{"no":{number},"roster":{{"rev":{number},"all":{all},"targets":[{}]}}}}"#, entries.join(","))
 }
 
-struct BulletinState {
-    events: Vec<(u64, String)>,
-    connections: Vec<TcpStream>,
-}
-
 /// The bulletin: it tells events above the number asked for, and a comment each second.
 pub struct Bulletin {
     pub address: SocketAddr,
     world: Arc<World>,
-    is_up: AtomicBool,
-    state: Mutex<BulletinState>,
+    events: Mutex<Vec<(u64, String)>>,
 }
 
 impl Bulletin {
     pub fn start(world: &Arc<World>) -> Arc<Self> {
-        let bulletin = Arc::new(Self {
-            address: free_address("127.40.2.1"),
-            world: world.clone(),
-            is_up: AtomicBool::new(true),
-            state: Mutex::new(BulletinState { events: Vec::new(), connections: Vec::new() }),
-        });
+        let listener = TcpListener::bind(("127.40.2.1", 0)).expect("a free port");
+        let address = listener.local_addr().expect("is bound");
+        let bulletin = Arc::new(Self { address, world: world.clone(), events: Mutex::default() });
         let listening = bulletin.clone();
-        std::thread::spawn(move || listening.listen());
+        std::thread::spawn(move || listening.listen(listener));
         bulletin
     }
 
     pub fn publish(&self, number: u64, event: String) {
         self.world.log("bulletin", &format!("holds event {event}"));
-        self.state.lock().unwrap().events.push((number, event));
+        self.events.lock().unwrap().push((number, event));
     }
 
-    /// While it is down it refuses connections, and has none.
-    pub fn set_up(&self, is_up: bool) {
-        self.world.log("bulletin", if is_up { "is up" } else { "is down" });
-        self.is_up.store(is_up, Ordering::SeqCst);
-        if !is_up {
-            for connection in std::mem::take(&mut self.state.lock().unwrap().connections) {
-                let _ = connection.shutdown(Shutdown::Both);
-            }
-        }
-    }
-
-    fn listen(self: Arc<Self>) {
-        let mut listener: Option<TcpListener> = None;
-        loop {
-            if !self.is_up.load(Ordering::SeqCst) {
-                listener = None;
-            } else if listener.is_none() {
-                listener = TcpListener::bind(self.address).ok();
-                listener.iter().for_each(|listener| listener.set_nonblocking(true).expect("is set"));
-            }
-            if let Some(Ok((stream, _))) = listener.as_ref().map(TcpListener::accept) {
-                let _ = stream.set_nonblocking(false);
-                if let Ok(writer) = stream.try_clone() {
-                    self.state.lock().unwrap().connections.push(writer);
-                }
-                let bulletin = self.clone();
-                std::thread::spawn(move || bulletin.serve(stream));
-            }
-            std::thread::sleep(Duration::from_millis(5));
+    fn listen(self: Arc<Self>, listener: TcpListener) {
+        for stream in listener.incoming().flatten() {
+            let bulletin = self.clone();
+            std::thread::spawn(move || bulletin.serve(stream));
         }
     }
 
@@ -381,7 +378,7 @@
         stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n").ok()?;
         let mut since_comment = 0;
         loop {
-            let events = self.state.lock().unwrap().events.clone();
+            let events = self.events.lock().unwrap().clone();
             for (number, event) in events {
                 if number > told {
                     told = number;
@@ -459,17 +456,6 @@
         .with(DESCRIPTION, "start a wallet front end")
 }
 
-/// A set-up of the class `ledger-worker`, with a key; the same name and key are the same task.
-pub fn ledger(task: u64, name: u64, service: u64) -> Message {
-    Message::new(START, task)
-        .with(CLASS, "ledger-worker")
-        .with(WAIT, "6000")
-        .with(NAME, format!("{name:016x}"))
-        .with(KEY, format!("{name:032x}"))
-        .with(FIGURES, format!("cores:1;memory:2;service:{service:016x}"))
-        .with(DESCRIPTION, "start a ledger worker")
-}
-
 /// The same set-up as a hand-over: the task stands at this node already.
 pub fn at(mut setup: Message, uid: &str) -> Message {
     for (code, value) in &mut setup.params {
--- a/review/stand-in-2/world.rs
+++ b/review/stand-in-2/world.rs
@@ -25,7 +25,6 @@
 pub const FIGURES: u8 = 115;
 pub const TOPIC: u8 = 121;
 pub const FIGURE: u8 = 136;
-pub const KEY: u8 = 139;
 pub const CAUSE: u8 = 142;
 pub const DESCRIPTION: u8 = 145;
 
@@ -162,8 +161,19 @@
     }
 }
 
+/// Ends a connection with a reset, though another thread reads from it.
+pub fn reset_shared(stream: TcpStream) {
+    set_reset(&stream);
+    let _ = stream.shutdown(std::net::Shutdown::Read);
+}
+
 /// Ends a connection with a reset.
 pub fn reset(stream: TcpStream) {
+    set_reset(&stream);
+}
+
+/// The connection is reset once its descriptors are closed.
+fn set_reset(stream: &TcpStream) {
     use std::os::fd::AsRawFd;
     #[repr(C)]
     struct Linger {
@@ -178,7 +188,6 @@
     let linger = Linger { on: 1, seconds: 0 };
     // SAFETY: the descriptor is open, and the value lives through the call.
     unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, 8) };
-    drop(stream);
 }
 
 /// Has this process killed as soon as the one that started it has ended.
@@ -217,9 +226,9 @@
 }
 
 /// The settings of a small main-campus: its classes, kinds and limits.
-pub fn settings(schedulers: usize) -> String {
+pub fn settings(schedulers: usize, number: usize) -> String {
     format!(
-        r#"{{"balancers":{schedulers},"index":0,"myZone":0,"discovery":"push","localities":["hall-a","hall-b"],
+        r#"{{"balancers":{schedulers},"index":{number},"myZone":0,"discovery":"push","localities":["hall-a","hall-b"],
 "shapes":["node-std","node-big"],
 "classes":[
  {{"name":"ledger-worker","effect":"by_key","group":"cell","window":5000000000,"target":600000000,
@@ -247,26 +256,41 @@
 }
 
 impl Scheduler {
-    /// Starts it with what is known of the list, and waits until it passes a test.
-    pub fn start(world: &World, bulletin: SocketAddr, known: &str, last: u64) -> Option<Self> {
-        let listen = free_address("127.40.0.1");
-        let config = world.folder.join("config.json");
+    /// Starts the scheduler of this number with what is known of the list, and waits until it listens.
+    pub fn start(world: &World, number: usize, bulletin: SocketAddr, known: &str) -> Option<Self> {
+        let listen = free_address(&format!("127.40.0.{}", number + 1));
+        Self::start_at(world, number, listen, bulletin, known)
+    }
+
+    /// The same at this address: a scheduler starts again under its name and address.
+    pub fn start_at(
+        world: &World,
+        number: usize,
+        listen: SocketAddr,
+        bulletin: SocketAddr,
+        known: &str,
+    ) -> Option<Self> {
+        let config = world.folder.join(format!("config-{number}.json"));
         let text = format!(
-            r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","bulletin":"{bulletin}",
+            r#"{{"name":"n{number}","listen":"{listen}","seed":"8c1f30d27a5be964","bulletin":"{bulletin}",
 "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},
-"known":{{"no":{last},"items":[{known}]}},"settings":{}}}"#,
-            settings(2)
+"known":{{"no":1,"items":[{known}]}},"settings":{}}}"#,
+            settings(2, number)
         );
         std::fs::write(&config, text).expect("the configuration is written");
-        let temporary = world.folder.join("tmp");
+        let temporary = world.folder.join(format!("tmp-{number}"));
         std::fs::create_dir_all(&temporary).expect("a folder");
-        let log = File::create(world.folder.join("scheduler.log")).expect("a log");
+        let log = File::options()
+            .append(true)
+            .create(true)
+            .open(world.folder.join(format!("scheduler-{number}.log")))
+            .expect("a log");
         let mut command = Command::new("/bin/sh");
         // SAFETY: the call is allowed between fork and exec.
         unsafe { command.pre_exec(end_with_parent) };
         let child = command
             .args(["-c", &deploy_command("run")])
-            .env("LB_NAME", "n0")
+            .env("LB_NAME", format!("n{number}"))
             .env("LB_LISTEN", listen.to_string())
             .env("LB_CONFIG", &config)
             .env("TMPDIR", &temporary)
@@ -277,7 +301,7 @@
             .spawn()
             .ok()?;
         let mut scheduler = Self { child, listen };
-        world.log("run", &format!("scheduler started, listens at {listen}"));
+        world.log("run", &format!("scheduler n{number} started, listens at {listen}"));
         let is_up = world.wait(10_000, || TcpStream::connect(listen).is_ok());
         (is_up && scheduler.is_running()).then_some(scheduler)
     }
@@ -298,6 +322,7 @@
 }
 
 impl Drop for Scheduler {
+    /// Kills it outright.
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
