--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -71,11 +71,12 @@
     judge_standing(world, &deployment, &client, &[0x61, 0x62], 30_000)
 }
 
-/// The same, and one of the two nodes falls silent for six seconds.
+/// Five tasks of a service run quietly, one on each of five nodes, and one node falls silent for six seconds.
 pub fn silent(world: &Arc<World>) -> Verdict {
-    let deployment = deploy(world, 2)?;
+    const TASKS: [u64; 5] = [0x61, 0x62, 0x63, 0x64, 0x65];
+    let deployment = deploy(world, 5)?;
     let client = owner(world, "owner", &deployment)?;
-    for task in [0x61, 0x62] {
+    for task in TASKS {
         client.send(&wallet(task, SERVICE));
         stands(&client, task, 8_000)?;
     }
@@ -90,7 +91,7 @@
             cut_off.cut_off(false);
         });
     }
-    judge_standing(world, &deployment, &client, &[0x61, 0x62], 20_000)
+    judge_standing(world, &deployment, &client, &TASKS, 20_000)
 }
 
 /// One of two schedulers is killed. A task of it ends while it is down, and its node tells the other scheduler. At its
