The end of a task that is not held is passed on to a client

A scheduler is killed; the end of one of its tasks is reported to another scheduler, on both connections that this one has to the node.

Cause: machines/replies.rs, attempt_released. The release of a task that is not held was acknowledged and only remembered in that process. A node reports an end on any open connection and on the next one, whoever opens it, so the scheduler that holds the task or gets it later may never hear of it.

Change: reported_ends.rs passes such an end on to an owner, after 0.3 s in which the task may be handed over. A repeated report changes nothing. The end of a task whose client cancelled it here, or had another final answer than an acceptance, is not passed on (recent_tasks.rs, which was recent_runs.rs): it would be a second answer. Whoever hears of an end tells it, so it no longer matters to which scheduler a node reports.

Result: end_of_a_task_of_another_scheduler_is_passed_on and .._waits_for_a_client fail on the code before (both told to nobody); end_of_a_copy_that_nobody_wants_is_not_passed_on fails without either of its two checks.

--- a/crates/platform/src/adoptions.rs
+++ b/crates/platform/src/adoptions.rs
@@ -1,21 +1,16 @@
-//! Adoption of running tasks that clients hand over from another scheduler, and the races around it: the end
-//! of a task that is received before its adoption, and an adoption that is received before its machine is
+//! Adoption of running tasks that clients hand over from another scheduler, also before their machine is
 //! listed.
 
 use crate::clients::proves_itself;
 use crate::state::SharedState;
 use crate::tasks::{Attempt, AttemptState, ClientInterest, TaskRecord, hex};
 use mulleinhub_interface::{Duration, MachineId, PolicyEvents, TaskId, TaskSpec, Timestamp};
-use mulleinhub_platform_protocol::Cause;
 use mulleinhub_sans_io::ConnectionId;
 use std::collections::{BTreeMap, VecDeque};
 
 /// An adoption waits this long until a list names its machine: lists reach schedulers up to some two seconds
 /// apart, and a client that sends an invalid request is owed an answer within three.
 const MAX_LISTING_DELAY: Duration = Duration::from_nanos(2_500_000_000);
-/// The end of a task that is not held may matter this long: until its scheduler is known to have died, and
-/// its client has waited and retried.
-const END_RETENTION: Duration = Duration::from_secs(60);
 
 /// A task that runs on a machine which no list has named yet.
 #[derive(Clone, Copy, Debug)]
@@ -32,48 +27,15 @@
     pub cancelled: bool,
 }
 
-/// Adoptions that wait for their machine, and ends of tasks that may yet be adopted. In memory only.
+/// Adoptions that wait for their machine. In memory only.
 #[derive(Debug, Default)]
 pub struct Adoptions {
     pending: BTreeMap<TaskId, PendingAdoption>,
     /// Their deadlines, in order; also those of adoptions that wait no more.
     deadlines: VecDeque<(Timestamp, TaskId)>,
-    /// Ends of tasks that were not held, by task and machine. Guards against: the end of a task whose
-    /// scheduler had died was dropped when its machine reported it here, and the task, adopted after that,
-    /// counted as running for ever.
-    ends: BTreeMap<(TaskId, MachineId), Cause>,
-    /// The keys of `ends`, oldest first.
-    ends_by_age: VecDeque<(Timestamp, TaskId, MachineId)>,
 }
 
 impl Adoptions {
-    /// Remembers that a machine reported the end of a task that is not held; keeps `max_ends` of them.
-    pub fn record_end(
-        &mut self,
-        now: Timestamp,
-        task: TaskId,
-        machine: MachineId,
-        cause: Cause,
-        max_ends: usize,
-    ) {
-        while self
-            .ends_by_age
-            .front()
-            .is_some_and(|(at, ..)| self.ends_by_age.len() >= max_ends || now - *at > END_RETENTION)
-        {
-            let (_, task, machine) = self.ends_by_age.pop_front().expect("checked to be there");
-            self.ends.remove(&(task, machine));
-        }
-        if self.ends.insert((task, machine), cause).is_none() {
-            self.ends_by_age.push_back((now, task, machine));
-        }
-    }
-
-    /// How a task that is adopted now has ended, if its end was received before.
-    pub fn recorded_end(&self, task: TaskId, machine: MachineId) -> Option<Cause> {
-        self.ends.get(&(task, machine)).copied()
-    }
-
     /// Lets an adoption wait for its machine to be listed; returns its deadline.
     pub fn defer(
         &mut self,
@@ -122,12 +84,6 @@
         }
         None
     }
-
-    /// How many ends are remembered.
-    #[cfg(test)]
-    pub fn recorded_ends(&self) -> usize {
-        self.ends_by_age.len()
-    }
 }
 
 /// Adopts a task that runs on this machine, unless its end was received before.
@@ -148,7 +104,10 @@
     proves_itself(state, client);
     state.counts.adopted += 1;
     tracing::debug!(task = hex(id), machine = machine.0, ask = ?spec.request, "task adopted");
-    if let Some(cause) = state.adoptions.recorded_end(id, machine) {
+    // Guards against: the end of a task whose scheduler had died was reported here, and the task, adopted after
+    // that, counted as running for ever.
+    if let Some(cause) = state.reported_ends.cause(id, machine) {
+        state.reported_ends.remove_pending(id);
         return state.report_end(Some(client), id, cause);
     }
     let running = AttemptState::Running { connection: None, since: state.now };
--- a/crates/platform/src/attempts/outcomes.rs
+++ b/crates/platform/src/attempts/outcomes.rs
@@ -1,7 +1,7 @@
 //! Outcomes of attempts, on their way to the policy.
 
 use crate::state::{SchedulerState, SharedState};
-use crate::tasks::{Attempt, AttemptId, ClientInterest, hex};
+use crate::tasks::{Attempt, AttemptId, hex};
 use mulleinhub_interface::{LoadReport, Outcome, PolicyEvents, TaskId};
 use mulleinhub_platform_protocol::{self as protocol, Cause, cause_code};
 
@@ -23,9 +23,8 @@
 fn answer_ended_task(state: &mut SchedulerState, id: TaskId, cause: Cause) {
     let Some(task) = state.tasks.by_id.get(&id).filter(|task| task.awaits_answer()) else { return };
     let client = task.client;
-    state.mark_answered(id);
+    state.mark_refused(id);
     state.counts.failed += 1;
-    state.tasks.by_id.get_mut(&id).expect("was there").interest = ClientInterest::Cancelled;
     if let Some(client) = client {
         state.send(client, |out| protocol::write_rejection(out, id.0, cause, 0));
     }
--- a/crates/platform/src/clients/messages.rs
+++ b/crates/platform/src/clients/messages.rs
@@ -196,5 +196,6 @@
         }
     }
     state.evict_idle_clients();
+    state.pass_on_unheld_ends();
     state.send_unreported_ends();
 }
--- a/crates/platform/src/clients/reports.rs
+++ b/crates/platform/src/clients/reports.rs
@@ -29,6 +29,14 @@
         }
     }
 
+    /// The final answer of a task is given, which is no acceptance: its client wants nothing more of it.
+    pub fn mark_refused(&mut self, id: TaskId) {
+        self.mark_answered(id);
+        if let Some(task) = self.tasks.by_id.get_mut(&id) {
+            task.interest = ClientInterest::Cancelled;
+        }
+    }
+
     /// Reports the end of a task that ran, or of one that is not held.
     pub fn report_end(&mut self, came_on: Option<ConnectionId>, task: TaskId, cause: Cause) {
         let end = UnreportedEnd { since: self.now, task, cause, offered_on: None };
--- a/crates/platform/src/clients/start_requests.rs
+++ b/crates/platform/src/clients/start_requests.rs
@@ -53,7 +53,7 @@
         return Err(ProtocolError::DuplicateTask);
     }
     match request {
-        Ok(_) if state.recent_runs.contains(state.now, id) => {
+        Ok(_) if state.ran_tasks.contains(state.now, id) => {
             refuse_invalid(state, connection_id, id, &InvalidRequest::RepeatedId);
         }
         Ok((request, use_case)) => handle_start(state, connection_id, &request, use_case),
--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -18,7 +18,7 @@
 fn refuse(state: &mut SchedulerState, task: TaskId, cause: Cause, retry_after: Duration) {
     let record = &state.tasks.by_id[&task];
     let client = record.client.filter(|_| record.awaits_answer());
-    state.mark_answered(task);
+    state.mark_refused(task);
     state.forget_task(task);
     if let Some(connection_id) = client {
         let retry_after_ms = retry_after.nanos() / 1_000_000;
--- a/crates/platform/src/machines/replies.rs
+++ b/crates/platform/src/machines/replies.rs
@@ -148,6 +148,7 @@
             // A rejection that comes twice is no end of what was sent there after the first.
             return;
         }
+        record_end(&mut shared.borrow_mut(), id, attempt.machine, release);
         settle(shared, events, attempt_id, outcome_of_running(release), release.cause);
     } else if shared.borrow().policy_queue.final_causes.contains_key(&attempt_id) {
         // The task is over with an earlier release, of which its client is about to be notified.
@@ -190,11 +191,19 @@
         return state.tasks.attempt(id).filter(is_on);
     }
     if !is_rejection && outcome_of_running(release) != Outcome::Cancelled {
-        state.adoptions.record_end(state.now, id, machine, release.cause, state.max_tasks);
+        state.record_unheld_end(id, machine, release.cause);
     }
     None
 }
 
+/// Remembers the end of a task that ran: its machine repeats it on the next connection that it accepts, and the
+/// task is not held then.
+fn record_end(state: &mut SchedulerState, id: TaskId, machine: MachineId, release: Release) {
+    if outcome_of_running(release) != Outcome::Cancelled {
+        state.reported_ends.record(state.now, id, machine, release.cause, state.max_tasks);
+    }
+}
+
 fn outcome_of_unanswered(release: Release) -> Outcome {
     match release.cause {
         cause_code::FULL => Outcome::Rejected(match release.detail {
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -8,7 +8,8 @@
 use crate::fault_log::FaultLog;
 use crate::inbound::{InboundQueue, Peer};
 use crate::machines::Machines;
-use crate::recent_runs::RecentRuns;
+use crate::recent_tasks::RecentTasks;
+use crate::reported_ends::ReportedEnds;
 use crate::shutdown::Shutdown;
 use crate::status::Counts;
 use crate::tasks::{AttemptId, Tasks};
@@ -88,7 +89,11 @@
     /// The tasks that are held.
     pub tasks: Tasks,
     /// Tasks that are held no longer and must not run again.
-    pub recent_runs: RecentRuns,
+    pub ran_tasks: RecentTasks,
+    /// Tasks that are held no longer and of which a copy may run that nobody wants.
+    pub unwanted_tasks: RecentTasks,
+    /// Ends of tasks that machines reported lately.
+    pub reported_ends: ReportedEnds,
     /// Start requests that may not have left yet.
     pub unsent_requests: UnsentRequests,
     /// Shares the places for unanswered tasks among services.
@@ -140,7 +145,9 @@
             endpoint_watch: EndpointWatch::new(config.discovery_address, config.initial_endpoints.sequence),
             initial_endpoints: config.initial_endpoints.events,
             tasks: Tasks::default(),
-            recent_runs: RecentRuns::default(),
+            ran_tasks: RecentTasks::that_ran(max_tasks_tracked(config.memory_mb)),
+            unwanted_tasks: RecentTasks::unwanted(max_tasks_in_flight(config.memory_mb)),
+            reported_ends: ReportedEnds::default(),
             unsent_requests: UnsentRequests::default(),
             adoptions: Adoptions::default(),
             inbound: InboundQueue::default(),
--- a/crates/platform/src/status.rs
+++ b/crates/platform/src/status.rs
@@ -32,6 +32,8 @@
     pub adopted: u64,
     /// Running tasks lost with their machines.
     pub lost: u64,
+    /// Ends passed on of tasks that were not held.
+    pub unheld_ends: u64,
 }
 
 /// Logs the status line and sets the timer for the next one.
--- a/crates/platform/src/tests/ends.rs
+++ b/crates/platform/src/tests/ends.rs
@@ -185,3 +185,81 @@
     harness.deliver(connection, &release(1, cause_code::ENDED));
     assert_eq!(ends(&mut harness, client, 1), 1);
 }
+
+/// Guards against the end of a task that nobody tells: its scheduler was killed, and its machine reported the end to this
+/// one, which kept it to itself (review case 7).
+#[test]
+fn end_of_a_task_of_another_scheduler_is_passed_on() {
+    for cause in [cause_code::ENDED, cause_code::RESET] {
+        let mut harness = Harness::new(1);
+        let client = harness.connect_client();
+        let connection = place_task(&mut harness, client, 1, "front");
+        harness.deliver(connection, &release(71, cause));
+        harness.advance(ms(1_000));
+        assert_eq!(ends(&mut harness, client, 71), 1, "within a second");
+        // It is reported on the next connection, too. A rejection or a cancelled task is no end.
+        harness.deliver(connection, &release(71, cause));
+        for no_end in [cause_code::FULL, cause_code::BUSY, cause_code::NOT_SENT, cause_code::CANCELLED] {
+            harness.deliver(connection, &release(72, no_end));
+        }
+        harness.advance(ms(2_000));
+        assert!(harness.received_on(client).is_empty());
+    }
+}
+
+/// Guards against the same where no client is connected as the end is reported.
+#[test]
+fn end_of_a_task_of_another_scheduler_waits_for_a_client() {
+    let mut harness = Harness::new(1);
+    let first = harness.connect_client();
+    let connection = place_task(&mut harness, first, 1, "front");
+    harness.close(first, CloseReason::Closed);
+    harness.deliver(connection, &release(71, cause_code::ENDED));
+    harness.advance(ms(5_000));
+    let next = harness.connect_client();
+    harness.advance(ms(900));
+    assert_eq!(ends(&mut harness, next, 71), 1);
+}
+
+/// Guards against a second answer: a copy of a task that was refused, cancelled or over before ends later, or its end is
+/// reported again.
+#[test]
+fn end_of_a_copy_that_nobody_wants_is_not_passed_on() {
+    let mut harness = Harness::new(1);
+    let client = harness.connect_client();
+    let running = place_task(&mut harness, client, 1, "front");
+    // It is cancelled before its answer, and runs all the same.
+    harness.deliver(client, &start_request(3, "batch", ""));
+    assert_eq!(harness.start_requests().len(), 1);
+    harness.deliver(client, &release(3, cause_code::CANCELLED));
+    // It is broken off on its way, as its machine has it.
+    harness.deliver(client, &start_request(2, "batch", ""));
+    let (connection, _) = harness.start_requests().pop().expect("it is sent");
+    harness.deliver(connection, &release(2, cause_code::RESET));
+    assert_eq!(ends(&mut harness, client, 2), 1, "its final answer");
+    harness.deliver(running, &release(1, cause_code::ENDED));
+    assert_eq!(ends(&mut harness, client, 1), 1);
+    for task in [1, 2, 3] {
+        harness.deliver(running, &release(task, cause_code::ENDED));
+    }
+    harness.advance(ms(2_000));
+    assert_eq!(harness.received_on(client), []);
+}
+
+/// Guards against a task that is told to be over while it runs: its end is reported by a machine on which another copy of
+/// it ran, before it is handed over.
+#[test]
+fn reported_end_waits_for_the_hand_over_of_its_task() {
+    for (machine, is_over) in [(1, true), (2, false)] {
+        let mut harness = Harness::new(2);
+        let client = harness.connect_client();
+        harness.deliver(client, &start_request(1, "front", &format!(";at:{}", uid(1))));
+        harness.advance(ms(500));
+        let connection = harness.connections_to(&address(1))[0];
+        harness.deliver(connection, &release(71, cause_code::ENDED));
+        harness.advance(ms(200));
+        harness.deliver(client, &start_request(71, "front", &format!(";at:{}", uid(machine))));
+        harness.advance(ms(1_000));
+        assert_eq!(ends(&mut harness, client, 71), usize::from(is_over), "at machine {machine}");
+    }
+}
--- a/crates/platform/src/tests/races.rs
+++ b/crates/platform/src/tests/races.rs
@@ -269,7 +269,7 @@
     let client = harness.connect_client();
     let connection = place_task(&mut harness, client, 1, "front");
     (100..1_000).for_each(|task| harness.deliver(connection, &release(task, cause_code::ENDED)));
-    assert_eq!(harness.scheduler.state.get_mut().adoptions.recorded_ends(), 4 * 32);
+    assert_eq!(harness.scheduler.state.get_mut().reported_ends.len(), 4 * 32);
     // Of the newest it is known, and a refusal or a cancel is no end.
     harness.deliver(
         connection,
