Quiet machines are probed every 0.7 s, so that six seconds of silence lose no task

One of five nodes is silent for 6 s; 5 s into that the owner of its quiet task is told that it is over. It runs on, the owner asks again, and the node comes to hold two tasks of a service of which the settings allow one.

Cause: machines/timeouts.rs. A machine is lost 7.2 s after its last sign of life, and was asked for one 2.9 s after the last, plus the time to the next check: 3.9 s of silence were enough. Evidence: in the record all connects before the silence succeed, 2.6 to 3 s apart; in virtual time the outcome depends on the moment at which the silence begins. A longer limit than 7.2 s is no way out: clients are to be told within 8 s of an end that nobody could report.

Change: a quiet machine where tasks run is probed 0.54 to 0.72 s after its last sign, drawn each time. A probe that does not come up soon is followed by others without backoff, as one connection in fifty never does. An established probe replaces the one before it. Where all descriptors are in use, machines are probed in turn as fast as half of the descriptors allow.

Result: four of the five tests in tests/silence.rs fail on the code before (the fifth, ends within 8 s, holds before and after).

--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -188,6 +188,7 @@
             self.machines.mark_established(connection_id, self.now);
             if let Some(machine) = self.machines.connections.get(&connection_id).map(|known| known.machine) {
                 self.send_stop_orders(machine);
+                self.close_earlier_probes(machine, connection_id);
             }
             tracing::debug!(connection = connection_id.0, "machine connection established");
         }
--- a/crates/platform/src/machines/connect.rs
+++ b/crates/platform/src/machines/connect.rs
@@ -80,6 +80,26 @@
         })
     }
 
+    /// This connection was established: the probes of the same machine before it have served their purpose, and their
+    /// descriptors are needed for the next ones.
+    pub fn close_earlier_probes(&mut self, machine: MachineId, connection_id: ConnectionId) {
+        let is_served = |connection: &MachineConnection| {
+            connection.is_probe
+                && connection.is_idle()
+                && connection.close_reason.is_none()
+                && !connection.queued
+        };
+        let connections = self.machines.connections_of(machine);
+        let served =
+            connections.filter(|(other, connection)| *other < connection_id && is_served(connection));
+        let served: Vec<ConnectionId> = served.map(|(other, _)| other).collect();
+        for probe in served {
+            if self.machines.pool.may_begin_closing() {
+                self.close_machine_connection(probe, LocalClose::LaterProbe);
+            }
+        }
+    }
+
     /// Closes a connection to a machine on which no answer is awaited. What the machine sent before it learnt
     /// of that is still read: the end of a task, once reported, is repeated on a later connection only.
     pub fn close_machine_connection(&mut self, connection_id: ConnectionId, reason: LocalClose) {
--- a/crates/platform/src/machines/connection.rs
+++ b/crates/platform/src/machines/connection.rs
@@ -19,6 +19,8 @@
     LateAnswersPossible,
     /// Another machine has the address.
     Replaced,
+    /// It was a probe, and a later one was established.
+    LaterProbe,
 }
 
 /// An attempt that was given up on a connection; an acceptance of it is a late one.
@@ -53,6 +55,8 @@
     pub machine_seen_before: Timestamp,
     /// This side has closed its sending side, and waits for the machine to close, too.
     pub retired: bool,
+    /// It was opened to find out whether the machine is there, and no start request was sent on it.
+    pub is_probe: bool,
     /// The machine sent something on it that shows that it is alive.
     pub proved_alive: bool,
     /// When something was last sent or received on it.
@@ -80,6 +84,7 @@
             established: false,
             machine_seen_before: now,
             retired: false,
+            is_probe: false,
             proved_alive: false,
             used_at: now,
             awaiting: Vec::new(),
--- a/crates/platform/src/machines/health.rs
+++ b/crates/platform/src/machines/health.rs
@@ -1,15 +1,15 @@
 //! Checks of machines: idle connections are closed before the machine does it, a machine where tasks run is
 //! kept connected, and a silent one is found out and its tasks are reported as lost.
 
-use super::{LocalClose, Machine, REFUSALS_OF_DEAD};
+use super::{LocalClose, Machine, REFUSALS_OF_DEAD, Timeouts};
 use crate::state::SchedulerState;
 use crate::timers::TimerEvent;
 use mulleinhub_interface::{Duration, FailureCause, MachineId, Outcome, Timestamp};
 use mulleinhub_resilience::backoff;
 use mulleinhub_sans_io::ConnectionId;
 
-/// Connects to a machine at a time where one of them must be established soon: shortly before a silent machine is
-/// lost, and after reports were lost.
+/// Connects to a machine at a time where one of them must be established soon: as a machine falls silent, shortly
+/// before it is lost, and after reports were lost.
 const MAX_URGENT_CONNECTS: usize = 3;
 /// Lost reports are asked for again, and orders given, by connects that begin so long one after another, whatever
 /// became of those before, and the first within as long at random: other schedulers may have lost theirs at the
@@ -64,16 +64,27 @@
 
     /// Whether a connection is needed, before idle ones are closed.
     fn needs_connection(&self, state: &SchedulerState) -> bool {
-        let is_silent = self.silence >= state.machines.timeouts.probe_after;
-        // Where the pool is used up, machines where tasks run are visited in turn, each well within the time
-        // in which clients must be notified of an end that nobody could report.
-        let is_due =
-            if self.established == 0 { state.machines.pool.has_capacity() || is_silent } else { is_silent };
-        let is_due = is_due || self.reports_lost;
-        let is_nearly_lost = self.silence >= state.machines.timeouts.final_probes_after;
-        let max_connecting = if is_nearly_lost || self.is_urgent { MAX_URGENT_CONNECTS } else { 1 };
+        let timeouts = &state.machines.timeouts;
+        let has_capacity = state.machines.pool.has_capacity();
+        let probe_after = if has_capacity {
+            timeouts.probe_after
+        } else {
+            timeouts.tour_interval(state.tasks.machines_in_use(), state.machines.max_connections)
+        };
+        let is_unconnected = self.established == 0 && has_capacity;
+        let is_due = self.silence >= probe_after || is_unconnected || self.reports_lost;
+        let max_connecting =
+            if self.probes_without_backoff(timeouts) || self.is_urgent { MAX_URGENT_CONNECTS } else { 1 };
         self.connecting < max_connecting && (self.has_unsent_orders || (self.has_running_tasks && is_due))
     }
+
+    /// Whether a probe follows on another one without backoff: as the machine has just fallen silent, and shortly
+    /// before it is lost. Where it refuses connections the first backoff counts: it may be dead, and is not to be
+    /// taken for that by two refusals of one moment.
+    fn probes_without_backoff(&self, timeouts: &Timeouts) -> bool {
+        let is_first = self.silence >= timeouts.probe_after && self.silence < timeouts.first_probes_until;
+        self.silence >= timeouts.final_probes_after || (is_first && self.refusals == 0)
+    }
 }
 
 /// Checks a machine and schedules the next check, as long as there is anything to check.
@@ -123,7 +134,7 @@
 fn reconnect(state: &mut SchedulerState, id: MachineId, check: &Check) {
     let timeouts = state.machines.timeouts;
     let may_connect =
-        state.now >= check.reconnect_at || check.silence >= timeouts.final_probes_after || check.is_urgent;
+        state.now >= check.reconnect_at || check.probes_without_backoff(&timeouts) || check.is_urgent;
     if !may_connect || check.replaced {
         return;
     }
@@ -136,7 +147,10 @@
     if let Some((connection_id, _)) = oldest_idle.filter(|_| needs_descriptor) {
         state.close_machine_connection(*connection_id, LocalClose::PoolExhausted);
     }
-    state.open_machine_connection(id);
+    let probe = state.open_machine_connection(id);
+    if let Some(connection) = probe.and_then(|probe| state.machines.connections.get_mut(&probe)) {
+        connection.is_probe = true;
+    }
 }
 
 impl Machine {
@@ -152,21 +166,23 @@
 impl SchedulerState {
     /// Schedules a check of this machine, unless one is scheduled.
     pub fn schedule_check(&mut self, id: MachineId) {
-        let timeouts = self.machines.timeouts;
         // Drawn in any case, so that the sequence of draws depends on the calls alone.
-        let drawn =
-            self.now + backoff::keepalive_check(timeouts.check_interval * 2.0, self.random.fraction());
+        let random = self.random.fraction();
+        let has_running_tasks = self.tasks.any_running_on(id);
         let Some(machine) = self.machines.by_id.get(&id).filter(|machine| machine.next_check_at.is_none())
         else {
             return;
         };
-        let silence = self.now - machine.last_seen_at;
-        let probes = silence >= timeouts.final_probes_after && silence < timeouts.lost_after;
-        let drawn = if probes { self.now + timeouts.final_probe_interval } else { drawn };
-        let drawn = if machine.is_urgent(self.now) { self.now + URGENT_RETRY_INTERVAL } else { drawn };
-        // The check that finds it lost comes in time.
+        let (now, timeouts) = (self.now, &self.machines.timeouts);
+        let ordinary = now + backoff::keepalive_check(timeouts.check_interval * 2.0, random);
+        let urgent = machine.is_urgent(now).then_some(now + URGENT_RETRY_INTERVAL);
+        let next_probe = timeouts.next_probe_after(now - machine.last_seen_at).filter(|_| has_running_tasks);
+        let at = urgent.or(next_probe.map(|interval| now + interval)).unwrap_or(ordinary);
+        // Those that find it silent, and lost, come in time.
+        let first_probe_at = timeouts.probe_at(machine.last_seen_at, random);
         let lost_at = machine.last_seen_at + timeouts.lost_after;
-        let at = if lost_at > self.now { drawn.min(lost_at) } else { drawn };
+        let due = [first_probe_at, lost_at].into_iter().filter(|due| has_running_tasks && *due > now);
+        let at = due.fold(at, Timestamp::min);
         self.set_check(id, at);
     }
 
--- a/crates/platform/src/machines/mod.rs
+++ b/crates/platform/src/machines/mod.rs
@@ -25,7 +25,7 @@
 use mulleinhub_sans_io::ConnectionId;
 use std::collections::BTreeMap;
 use stop_orders::StopOrders;
-use timeouts::Timeouts;
+pub use timeouts::Timeouts;
 
 /// So many refused connects in a row: the process there has died, and what ran there with it.
 const REFUSALS_OF_DEAD: u32 = 2;
--- a/crates/platform/src/tasks.rs
+++ b/crates/platform/src/tasks.rs
@@ -214,6 +214,11 @@
         ids.filter_map(|id| Some((*id, self.by_id.get(id)?.running_attempt()?))).collect()
     }
 
+    /// On how many machines tasks run.
+    pub fn machines_in_use(&self) -> usize {
+        self.running.len()
+    }
+
     /// How many tasks run.
     pub fn running_count(&self) -> usize {
         self.running.values().map(BTreeSet::len).sum()
--- a/crates/platform/src/tests/mod.rs
+++ b/crates/platform/src/tests/mod.rs
@@ -13,5 +13,6 @@
 mod message_sequences;
 mod races;
 mod shutdown;
+mod silence;
 mod slow_start;
 mod stop_orders;
