Tests: each scheduler of a test process listens at a loopback address of its own

Seen: one run of fleet_faults failed in two tests at once, disconnected_waiting_client_is_not_forwarded_to_a_new_machine (messages.rs:80) and fragmented_first_requests_of_all_guaranteed_clients_are_answered (fleet_faults.rs:329). Thirteen further runs of the binary passed.

Cause: the harness bound a port of 127.0.9.1, let go of it and gave it to the process, so that two tests could be given the same one; the second process waits for the address, and the clients of both come to the first. Evidence: with one port forced on both, disconnected_waiting_.. fails at the same line (it reads an answer of the other test's scheduler). That the failed run had such a collision is inferred; its ports were not kept.

Change: an address of its own for each scheduler of a process. No check changes.

--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -19,9 +19,10 @@
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 /// How long a test waits for anything before it fails.
@@ -35,6 +36,15 @@
     TcpListener::bind(("127.0.9.".to_owned() + &host.to_string(), 0)).expect("a free port")
 }
 
+/// A free port of a loopback address that no other scheduler of this process has. Guards against: two tests were given
+/// the same port, one after the other had let go of it, and the clients of both came to one scheduler.
+fn unused_address() -> SocketAddr {
+    static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT_HOST.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let listener = TcpListener::bind((Ipv4Addr::new(127, 8, high, low), 0)).expect("a free port");
+    address(&listener)
+}
+
 pub fn address(listener: &TcpListener) -> SocketAddr {
     listener.local_addr().expect("is bound")
 }
@@ -172,8 +182,7 @@
 
     /// Started by this command, with a changed configuration.
     pub fn started_by(command: Command, change: impl Fn(String) -> String) -> Self {
-        let listen = address(&listener(1));
-        Self::start_at(command, listen, change)
+        Self::start_at(command, unused_address(), change)
     }
 
     fn start_at(command: Command, listen: SocketAddr, change: impl Fn(String) -> String) -> Self {
