Tests: the machine of lost_release_is_heard_in_time_though_connects_fail is not quiet

The test resets a connection 1.05 s after the start and wants the lost release heard although connects fail from 1.0 to 1.9 s. Since quiet machines are probed (58 lines above in the log: every 0.7 s), a probe from before the reset lay in the machine's backlog, the release was repeated there, and no connect was needed: "nothing was injected". The machine now sends notes up to the reset, so that none is probed, and the release can come only on a connection that is asked for after its loss. As strict as before.

--- a/crates/planner/tests/message_loss.rs
+++ b/crates/planner/tests/message_loss.rs
@@ -129,10 +129,14 @@
         let faulty = FaultyScheduler::start(plan, 3, |config| config);
         let mut client = faulty.scheduler.connect();
         let [(task, carrier), (other_task, mut busy)] = place_two_tasks(&faulty.scheduler, &mut client);
-        std::thread::sleep(Duration::from_millis(1_050).saturating_sub(started_at.elapsed()));
+        let mut use_other = || busy.write_all(&usage_note(other_task)).expect("is sent");
+        // A quiet machine would be probed, and the release repeated on a connection from before its loss.
+        while started_at.elapsed() < Duration::from_millis(1_050) {
+            use_other();
+            std::thread::sleep(Duration::from_millis(50));
+        }
         rustix::net::sockopt::set_socket_linger(&carrier, Some(Duration::ZERO)).expect("is set");
         drop(carrier);
-        let use_other = || busy.write_all(&usage_note(other_task)).expect("is sent");
         let reported = wait_for_end(&faulty.scheduler, &client, task, use_other);
         assert!(faulty.injected("Error") > 0, "nothing was injected");
         assert!(reported.is_some(), "{plan}: the client was not told: {}", faulty.scheduler.log());
