A machine is asked for a sign of life before its handed-over tasks are lost

A machine where nothing runs is not probed, so its silence counted from before the task was known, and one connect that failed, also earlier, made it lost at the next check (machines/health.rs, check_machine).

Ends are told later than before only there, by about a second.

--- a/crates/platform/src/adoptions.rs
+++ b/crates/platform/src/adoptions.rs
@@ -119,7 +119,7 @@
         ..TaskRecord::new(spec, client)
     };
     state.tasks.by_id.insert(id, task);
-    state.tasks.record_running(id, machine);
+    state.record_running(id, machine);
     // Otherwise the next check opens one.
     if state.machines.connections_of(machine).any(|(_, connection)| connection.is_established()) {
         state.ask_for_reports(machine);
--- a/crates/platform/src/discovery/replacement.rs
+++ b/crates/platform/src/discovery/replacement.rs
@@ -94,7 +94,7 @@
     let carrier = attempt.connection();
     let (spec, is_cancelled) = (task.spec, TaskRecord::is_cancelled(task));
     state.tasks.remove_running(id, from);
-    state.tasks.record_running(id, to);
+    state.record_running(id, to);
     tracing::debug!(
         task = crate::tasks::hex(id),
         machine = to.0,
--- a/crates/platform/src/machines/health.rs
+++ b/crates/platform/src/machines/health.rs
@@ -4,7 +4,7 @@
 use super::{LocalClose, Machine, REFUSALS_OF_DEAD, Timeouts};
 use crate::state::SchedulerState;
 use crate::timers::TimerEvent;
-use mulleinhub_interface::{Duration, FailureCause, MachineId, Outcome, Timestamp};
+use mulleinhub_interface::{Duration, FailureCause, MachineId, Outcome, TaskId, Timestamp};
 use mulleinhub_resilience::backoff;
 use mulleinhub_sans_io::ConnectionId;
 
@@ -51,7 +51,7 @@
             failures: machine.failures,
             refusals: machine.refusals,
             replaced: machine.replaced,
-            silence: state.now - machine.last_seen_at,
+            silence: machine.silence(state.now, &state.machines.timeouts),
             has_running_tasks: state.tasks.any_running_on(id),
             has_unsent_orders: machine.stop_orders.has_unsent(),
             reports_lost: machine.reports_lost_at.is_some(),
@@ -176,11 +176,12 @@
         let (now, timeouts) = (self.now, &self.machines.timeouts);
         let ordinary = now + backoff::keepalive_check(timeouts.check_interval * 2.0, random);
         let urgent = machine.is_urgent(now).then_some(now + URGENT_RETRY_INTERVAL);
-        let next_probe = timeouts.next_probe_after(now - machine.last_seen_at).filter(|_| has_running_tasks);
+        let silent_since = machine.silent_since(timeouts);
+        let next_probe = timeouts.next_probe_after(now - silent_since).filter(|_| has_running_tasks);
         let at = urgent.or(next_probe.map(|interval| now + interval)).unwrap_or(ordinary);
         // Those that find it silent, and lost, come in time.
-        let first_probe_at = timeouts.probe_at(machine.last_seen_at, random);
-        let lost_at = machine.last_seen_at + timeouts.lost_after;
+        let first_probe_at = timeouts.probe_at(silent_since, random);
+        let lost_at = silent_since + timeouts.lost_after;
         let due = [first_probe_at, lost_at].into_iter().filter(|due| has_running_tasks && *due > now);
         let at = due.fold(at, Timestamp::min);
         self.set_check(id, at);
@@ -213,6 +214,16 @@
         }
     }
 
+    /// This task is known to run on this machine from now on.
+    pub fn record_running(&mut self, task: TaskId, id: MachineId) {
+        if !self.tasks.any_running_on(id)
+            && let Some(machine) = self.machines.by_id.get_mut(&id)
+        {
+            machine.begin_watch(self.now);
+        }
+        self.tasks.record_running(task, id);
+    }
+
     /// The tasks that have been running on a machine since before this instant are lost with it.
     pub fn lose_running_tasks(&mut self, id: MachineId, before: Timestamp, reason: &str) {
         let mut lost = 0;
--- a/crates/platform/src/machines/mod.rs
+++ b/crates/platform/src/machines/mod.rs
@@ -62,6 +62,8 @@
     pub last_seen_at: Timestamp,
     /// How.
     pub last_sign: SignOfLife,
+    /// When the first of the tasks that run there became known to. Before that nobody asked for a sign of life.
+    pub watched_since: Timestamp,
     /// Connects that failed since then.
     pub failures: u32,
     /// Connects that were refused, one after another.
@@ -98,6 +100,7 @@
             connections: Vec::new(),
             last_seen_at: now,
             last_sign: SignOfLife::Listed,
+            watched_since: now,
             failures: 0,
             refusals: 0,
             broken_at: None,
@@ -131,6 +134,24 @@
         }
     }
 
+    /// A first task is known to run there: connects that failed before prove nothing about it. Seen: tasks that were
+    /// handed over were told to be over at the first connect that failed, as nothing had been heard of their
+    /// machine for a while.
+    fn begin_watch(&mut self, now: Timestamp) {
+        self.watched_since = now;
+        (self.failures, self.refusals) = (0, 0);
+    }
+
+    /// For how long it has been silent. Where it was not asked for a sign of life before, it may be silent for
+    /// `least_watch` yet until it is lost.
+    pub fn silence(&self, now: Timestamp, timeouts: &Timeouts) -> Duration {
+        now - self.silent_since(timeouts)
+    }
+
+    fn silent_since(&self, timeouts: &Timeouts) -> Timestamp {
+        self.last_seen_at.max(self.watched_since - (timeouts.lost_after - timeouts.least_watch))
+    }
+
     /// It showed that it was alive at this instant, or later. What it showed before a connect failed does not
     /// disprove the failure.
     pub fn mark_alive(&mut self, at: Timestamp, sign: SignOfLife) {
--- a/crates/platform/src/machines/replies.rs
+++ b/crates/platform/src/machines/replies.rs
@@ -109,7 +109,7 @@
     task.payload = None;
     task.may_have_run_since.get_or_insert(attempt.decided_at);
     let client = task.client;
-    state.tasks.record_running(id, attempt.machine);
+    state.record_running(id, attempt.machine);
     let machine = attempt.machine.0;
     tracing::debug!(task = hex(id), machine, connection = connection_id.0, "task accepted");
     state.mark_answered(id);
--- a/crates/platform/src/machines/timeouts.rs
+++ b/crates/platform/src/machines/timeouts.rs
@@ -30,6 +30,9 @@
 const FINAL_PROBE_INTERVAL_PART: f64 = 0.015;
 /// Time between the first probes, as a part of the time within which a connection is established.
 const FIRST_PROBE_INTERVAL_PART: f64 = 0.5;
+/// For how long a machine is asked for a sign of life at least before it is lost, as a part of the same: where nothing
+/// ran, nobody asked.
+const LEAST_WATCH_PART: f64 = 0.2;
 /// When an idle connection is closed, as a part of the time after which machines close it.
 const IDLE_PART: f64 = 0.6;
 
@@ -51,6 +54,8 @@
     pub final_probe_interval: Duration,
     /// A machine silent for this long that accepts no connection is lost, with the tasks that ran there.
     pub lost_after: Duration,
+    /// A machine on which a task has become known to run is lost no sooner than this after that.
+    pub least_watch: Duration,
     /// A connection that is not established by then will not be.
     pub connect: Duration,
     /// Idle connections are closed by this side before the machine does.
@@ -72,6 +77,7 @@
             final_probes_after: lost_after * FINAL_PROBES_PART,
             final_probe_interval: lost_after * FINAL_PROBE_INTERVAL_PART,
             lost_after,
+            least_watch: lost_after * LEAST_WATCH_PART,
             connect: connect_timeout,
             idle: idle_timeout * IDLE_PART,
             reconnect: connect_timeout,
--- a/crates/platform/src/tests/silence.rs
+++ b/crates/platform/src/tests/silence.rs
@@ -132,3 +132,62 @@
     }
     assert!(opened as u64 <= 2 * machines * seconds, "{opened} connections in {seconds} s");
 }
+
+/// Guards against a task that is told to be over as it is handed over: nothing was heard of its machine for ten seconds, as
+/// nothing ran there, and the first connect failed (review plays late-hand-over, handover and
+/// handed-over-after-late-connection).
+#[test]
+fn task_handed_over_to_a_machine_not_heard_of_for_long_runs_on() {
+    for (how, fails_for) in [
+        (Reachability::Unreachable, ms(30)),
+        (Reachability::Refuses, ms(30)),
+        (Reachability::Silent, ms(900)),
+    ] {
+        let mut harness = Harness::new(1);
+        harness.advance(ms(12_000));
+        let client = harness.connect_client();
+        harness.reachability.insert(address(1), how);
+        harness.deliver(client, &start_request(1, "front", &format!(";at:{}", uid(1))));
+        harness.advance(fails_for);
+        harness.reachability.remove(&address(1));
+        harness.advance(NOTIFICATION_LIMIT);
+        assert_eq!(told_ends(&mut harness, client), Vec::<u64>::new(), "{how:?}");
+    }
+}
+
+/// Guards against the end of a task that nobody tells, as its machine had vanished before the hand-over.
+#[test]
+fn task_handed_over_to_a_machine_that_has_vanished_is_over_in_time() {
+    let mut harness = Harness::new(1);
+    harness.advance(ms(12_000));
+    let client = harness.connect_client();
+    cut_off(&mut harness, 1..=1);
+    harness.deliver(client, &start_request(1, "front", &format!(";at:{}", uid(1))));
+    harness.advance(ms(1_500));
+    assert_eq!(told_ends(&mut harness, client), [1]);
+}
+
+/// Guards against a task that is told to be over as it is accepted: its machine took long to accept it, and a connect had
+/// failed meanwhile.
+#[test]
+fn task_accepted_late_after_a_failed_connect_runs_on() {
+    let mut harness = Harness::with_config(1, |config| {
+        config
+            .replace("\"deadline\":2500000000", "\"deadline\":30000000000")
+            .replace("\"yesAt\":\"accepted\"", "\"yesAt\":\"running\"")
+    });
+    let client = harness.connect_client();
+    harness.deliver(client, &with_patience(start_request(1, "front", ""), "30000"));
+    let (carrier, _) = harness.start_requests().pop().expect("it is sent");
+    harness.advance(ms(1_000));
+    harness.reachability.insert(address(1), Reachability::Unreachable);
+    harness.deliver(client, &start_request(2, "batch", ""));
+    harness.advance(ms(3_000));
+    harness.reachability.remove(&address(1));
+    harness.advance(ms(3_500));
+    harness.deliver(carrier, &acceptance(1));
+    harness.advance(ms(3_000));
+    let messages = harness.received_on(client).into_iter().filter(|message| message.task == 1);
+    let kinds: Vec<u8> = messages.map(|message| message.kind).collect();
+    assert_eq!(kinds, [kind::ACCEPT], "it runs");
+}
