Ends are offered to likely clients also where clients acknowledge nothing

An owner that sends no "release heard" has connected anew, and all nodes are full; the end of its task is told to nobody as long as that lasts.

Cause: clients/reports.rs, offer_unreported_ends. Without a proven client an end was not offered where a client had left one unacknowledged, as it might be told twice, or to nobody. No rule forbids that an end is told twice; one that is not told is lost.

Change: it is offered there after half a second, as where clients acknowledge, and told again to the first client that proves itself on another connection.

Result: client_that_acknowledges_nothing_is_told_though_its_requests_are_refused fails before (told 0 times) and holds after; end_is_not_repeated_where_clients_acknowledge_nothing holds as before.

--- a/crates/platform/src/clients/reports.rs
+++ b/crates/platform/src/clients/reports.rs
@@ -134,12 +134,9 @@
     }
 
     /// No client is connected that has proven itself: what has waited for one is sent where one may be, and kept
-    /// until it is acknowledged there or one has proven itself. Where clients acknowledge nothing it would be
-    /// reported twice, or to nobody.
+    /// until it is acknowledged there or one has proven itself. Where clients acknowledge nothing it may be reported
+    /// twice. Seen: such a client, whose requests were all refused for the moment, was never notified.
     fn offer_unreported_ends(&mut self) {
-        if self.clients.acknowledgement == Acknowledgement::Omitted {
-            return;
-        }
         let Some(connection_id) = self.clients.likely_recipient(self.now) else { return };
         let mut ends = std::mem::take(&mut self.clients.unreported_ends);
         let now = self.now;
--- a/crates/platform/src/tests/ends.rs
+++ b/crates/platform/src/tests/ends.rs
@@ -263,3 +263,23 @@
         assert_eq!(ends(&mut harness, client, 71), usize::from(is_over), "at machine {machine}");
     }
 }
+
+/// Guards against an end that nobody is told, as its client acknowledges none, has connected anew, and all machines refuse
+/// its requests for the moment (review case 9).
+#[test]
+fn client_that_acknowledges_nothing_is_told_though_its_requests_are_refused() {
+    let mut harness = Harness::new(2);
+    let first = harness.connect_client();
+    let connection = place_task(&mut harness, first, 1, "front");
+    harness.deliver(connection, &release(1, cause_code::ENDED));
+    harness.advance(ms(1_500));
+    harness.received_on(first);
+    let connection = place_task(&mut harness, first, 2, "batch");
+    harness.close(first, CloseReason::Closed);
+    let next = harness.connect_client();
+    request_and_reject(&mut harness, next, 3);
+    harness.received_on(next);
+    harness.deliver(connection, &release(2, cause_code::ENDED));
+    harness.advance(ms(1_000));
+    assert_eq!(ends(&mut harness, next, 2), 1, "within a second");
+}
