A client that made up the task that it hands over is not told of others' ends

A bad client hands over a task that no node knows; the end of an owner's task, whose connection has closed, is told to it instead of to the owner's other connection.

Cause: adoptions.rs, adopt, and clients/mod.rs, recipient. A hand-over proved its sender a client, and the end goes to the proven one that last sent something. What a client claims proves nothing; what a machine says of its task does.

Change: ClientProof has two degrees. A hand-over is the lesser one, until a machine sends a note or a release of the task; ends go to a client of the lesser degree only where there is none of the other.

Open: after a restart, before any machine has told of a task, both are of the lesser degree.

--- a/crates/platform/src/adoptions.rs
+++ b/crates/platform/src/adoptions.rs
@@ -1,7 +1,7 @@
 //! Adoption of running tasks that clients hand over from another scheduler, also before their machine is
 //! listed.
 
-use crate::clients::proves_itself;
+use crate::clients::{ClientProof, proves_itself};
 use crate::state::SharedState;
 use crate::tasks::{Attempt, AttemptState, ClientInterest, TaskRecord, hex};
 use mulleinhub_interface::{Duration, MachineId, PolicyEvents, TaskId, TaskSpec, Timestamp};
@@ -101,15 +101,16 @@
         return;
     }
     state.clients.greeted(client);
-    proves_itself(state, client);
     state.counts.adopted += 1;
     tracing::debug!(task = hex(id), machine = machine.0, ask = ?spec.request, "task adopted");
     // Guards against: the end of a task whose scheduler had died was reported here, and the task, adopted after
     // that, counted as running for ever.
     if let Some(cause) = state.reported_ends.cause(id, machine) {
+        proves_itself(state, client, ClientProof::TaskKnown);
         state.reported_ends.remove_pending(id);
         return state.report_end(Some(client), id, cause);
     }
+    proves_itself(state, client, ClientProof::HandedOver);
     let running = AttemptState::Running { connection: None, since: state.now };
     let attempt = Attempt { state: running, ..Attempt::new(0, machine, state.now, spec.deadline) };
     let task = TaskRecord {
--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -86,7 +86,7 @@
     fn keep_client(&mut self, connection_id: ConnectionId) {
         let Some(client) = self.clients.by_connection.get_mut(&connection_id) else { return };
         client.eviction_requested_at = None;
-        let (proven, partial_since) = (client.proven, client.partial_since);
+        let (proven, partial_since) = (client.is_proven(), client.partial_since);
         let awaiting = client.awaiting.len() as u32;
         self.clients.limits.readmit(self.now, connection_id.0);
         if let Some(since) = partial_since {
--- a/crates/platform/src/clients/messages.rs
+++ b/crates/platform/src/clients/messages.rs
@@ -1,7 +1,9 @@
 //! Handling what clients send, and the deadlines of their connections.
 
 use super::cancel::cancel_awaiting;
-use super::{cancel_task, close_client, remove_disconnected_client, report_cancelled, start_requests};
+use super::{
+    ClientProof, cancel_task, close_client, remove_disconnected_client, report_cancelled, start_requests,
+};
 use crate::error::ProtocolError;
 use crate::state::{SchedulerState, SharedState};
 use crate::tasks::TaskRecord;
@@ -164,19 +166,27 @@
     }
 }
 
-/// What came of a request of it proves that this connection is a client's.
-pub fn proves_itself(state: &mut SchedulerState, connection_id: ConnectionId) {
+/// What came of a request of it shows that this connection is a client's.
+pub fn proves_itself(state: &mut SchedulerState, connection_id: ConnectionId, proof: ClientProof) {
     if let Some(client) = state.clients.by_connection.get_mut(&connection_id) {
-        client.proven = true;
+        client.proof = client.proof.max(proof);
         state.clients.limits.mark_legitimate(connection_id.0);
     }
 }
 
+/// A machine told of this task: whoever handed it over is a client.
+pub fn prove_client_of(state: &mut SchedulerState, id: TaskId) {
+    let task = state.tasks.by_id.get(&id).filter(|task| task.running_attempt().is_some());
+    if let Some(client) = task.and_then(|task| task.client) {
+        proves_itself(state, client, ClientProof::TaskKnown);
+    }
+}
+
 /// Whether an answer is to be given on this connection, or the end of a task that came on it.
 fn is_owed_anything(state: &SchedulerState, connection_id: ConnectionId) -> bool {
     let Some(client) = state.clients.by_connection.get(&connection_id) else { return false };
     let is_its_task = |task: &TaskRecord| task.client == Some(connection_id) && !task.is_cancelled();
-    !client.awaiting.is_empty() || (client.proven && state.tasks.by_id.values().any(is_its_task))
+    !client.awaiting.is_empty() || (client.is_proven() && state.tasks.by_id.values().any(is_its_task))
 }
 
 /// Enforces the deadlines of client connections, a bounded number of them in one iteration, closes those that
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -9,7 +9,7 @@
 
 pub use backpressure::PARKED_CLIENTS_INTERVAL;
 pub use cancel::{cancel_task, close_client, remove_disconnected_client, report_cancelled};
-pub use messages::{enforce_limits, handle_input, proves_itself};
+pub use messages::{enforce_limits, handle_input, prove_client_of, proves_itself};
 
 use crate::inbound::ReadMark;
 use backpressure::ParkedClient;
@@ -66,10 +66,10 @@
     pub accepted_at: Timestamp,
     /// When bytes were last received.
     pub last_received_at: Timestamp,
-    /// A task of it ran, or it handed one over: it may be notified of the end of any task. Guards against:
+    /// What shows that it is a client's: one that is proven may be notified of the end of any task. Guards against:
     /// a connection that only sent valid requests need be no client's, and ends that were reported there
     /// reached nobody.
-    pub proven: bool,
+    pub proof: ClientProof,
     /// It sent a valid start request, as clients do.
     pub has_requested: bool,
     /// It sent a health check, as those do that admit schedulers; clients send none.
@@ -104,7 +104,7 @@
             backlog_wait: Duration::ZERO,
             accepted_at: read_mark.at,
             last_received_at: read_mark.at,
-            proven: false,
+            proof: ClientProof::Unproven,
             has_requested: false,
             checks_health: false,
             awaiting: BTreeSet::new(),
@@ -117,12 +117,28 @@
 }
 
 impl Client {
+    /// Whether anything shows that it is a client's.
+    pub fn is_proven(&self) -> bool {
+        self.proof != ClientProof::Unproven
+    }
+
     /// Whether neither side has closed it.
     pub fn is_open(&self) -> bool {
         self.close_reason.is_none() && !self.has_left
     }
 }
 
+/// What has shown that a connection is a client's, the weakest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ClientProof {
+    /// Nothing.
+    Unproven,
+    /// It handed a task over, of which no machine has told anything yet: it may have made the task up.
+    HandedOver,
+    /// A machine told of a task of it, or it acknowledged the end of one.
+    TaskKnown,
+}
+
 /// Whether clients acknowledge the ends of tasks, which is free to them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Acknowledgement {
@@ -277,10 +293,15 @@
         client.map_or(Vec::new(), |client| client.awaiting.iter().copied().collect())
     }
 
-    /// Where the end of a task is reported: on the connection that it came on, else on the proven one that
-    /// last sent something.
+    /// Where the end of a task is reported: on the connection that it came on, else on the one that last sent
+    /// something of those with the best proof. Seen: a client that had made up the task that it handed over was
+    /// notified in the place of another one.
     pub fn recipient(&self, came_on: Option<ConnectionId>) -> Option<ConnectionId> {
-        came_on.filter(|id| self.is_open(*id)).or_else(|| self.last_heard(|client| client.proven))
+        let last_with = |proof: ClientProof| self.last_heard(|client| client.proof == proof);
+        came_on
+            .filter(|id| self.is_open(*id))
+            .or_else(|| last_with(ClientProof::TaskKnown))
+            .or_else(|| last_with(ClientProof::HandedOver))
     }
 
     /// Where a client may be that has connected anew and of which nothing has proven it yet: one that has sent a
--- a/crates/platform/src/clients/reports.rs
+++ b/crates/platform/src/clients/reports.rs
@@ -1,6 +1,6 @@
 //! Final answers and ends of tasks, on their way to clients.
 
-use super::{Acknowledgement, Client, UnreportedEnd, proves_itself};
+use super::{Acknowledgement, Client, ClientProof, UnreportedEnd, proves_itself};
 use crate::state::SchedulerState;
 use crate::tasks::{ClientInterest, hex};
 use mulleinhub_interface::{Duration, TaskId};
@@ -80,7 +80,7 @@
         let is_it = |end: &UnreportedEnd| end.task == task && end.offered_on == Some(connection_id);
         if let Some(position) = self.clients.unreported_ends.iter().position(is_it) {
             self.clients.unreported_ends.remove(position);
-            proves_itself(self, connection_id);
+            proves_itself(self, connection_id, ClientProof::TaskKnown);
         }
     }
 
--- a/crates/platform/src/machines/messages.rs
+++ b/crates/platform/src/machines/messages.rs
@@ -2,6 +2,7 @@
 
 use super::disconnect::break_connection;
 use super::{SignOfLife, handle_disconnect, replies};
+use crate::clients::prove_client_of;
 use crate::error::ProtocolError;
 use crate::state::{SchedulerState, SharedState};
 use crate::tasks::{TaskRecord, hex};
@@ -152,6 +153,7 @@
     if !runs_there {
         return;
     }
+    prove_client_of(&mut shared.borrow_mut(), id);
     let note = protocol::note(frame);
     tracing::debug!(task = hex(id), ?note, "note");
     match note {
--- a/crates/platform/src/machines/replies.rs
+++ b/crates/platform/src/machines/replies.rs
@@ -1,7 +1,7 @@
 //! What machines answer to start requests: acceptances, rejections, and releases of tasks that ran.
 
 use crate::attempts::settle;
-use crate::clients::proves_itself;
+use crate::clients::{ClientProof, prove_client_of, proves_itself};
 use crate::discovery::{announce_moved, move_task};
 use crate::state::{SchedulerState, SharedState};
 use crate::tasks::{Attempt, AttemptId, AttemptState, hex};
@@ -43,7 +43,7 @@
     let client = mark_running(state, connection_id, id, attempt);
     settle_earlier_writes(state, attempt.machine, attempt.id(id));
     if let Some(client) = client {
-        proves_itself(state, client);
+        proves_itself(state, client, ClientProof::TaskKnown);
         state.send(client, |out| protocol::write_acceptance(out, id.0, description));
     }
     state.schedule_check(attempt.machine);
@@ -148,6 +148,7 @@
             // A rejection that comes twice is no end of what was sent there after the first.
             return;
         }
+        prove_client_of(&mut shared.borrow_mut(), id);
         record_end(&mut shared.borrow_mut(), id, attempt.machine, release);
         settle(shared, events, attempt_id, outcome_of_running(release), release.cause);
     } else if shared.borrow().policy_queue.final_causes.contains_key(&attempt_id) {
--- a/crates/platform/src/tests/ends.rs
+++ b/crates/platform/src/tests/ends.rs
@@ -264,6 +264,33 @@
     }
 }
 
+/// Guards against an end that a bad client is told in the owner's place: it had handed over a task that no machine knows
+/// (review play unknown-ids).
+#[test]
+fn client_that_made_a_task_up_is_not_told_of_others_ends() {
+    let mut harness = Harness::new(2);
+    let (first, second) = (harness.connect_client(), harness.connect_client());
+    let connection = place_task(&mut harness, first, 1, "front");
+    place_task(&mut harness, second, 2, "front");
+    harness.close(first, CloseReason::Closed);
+    harness.advance(ms(300));
+    let bad = harness.connect_client();
+    harness.deliver(bad, &start_request(0xbad0, "front", &format!(";at:{}", uid(1))));
+    harness.advance(ms(300));
+    harness.deliver(connection, &release(1, cause_code::ENDED));
+    harness.advance(ms(500));
+    assert_eq!((ends(&mut harness, second, 1), ends(&mut harness, bad, 1)), (1, 0));
+    // One that handed over what runs is as good as any other.
+    let heir = harness.connect_client();
+    harness.deliver(heir, &start_request(3, "front", &format!(";at:{}", uid(1))));
+    harness.deliver(connection, &encode(kind::NOTE, 3, &[(121, b"running")]));
+    harness.close(second, CloseReason::Closed);
+    harness.deliver(bad, &start_request(0xbad1, "front", &format!(";at:{}", uid(1))));
+    harness.deliver(connection, &release(71, cause_code::ENDED));
+    harness.advance(ms(1_000));
+    assert_eq!((ends(&mut harness, heir, 71), ends(&mut harness, bad, 71)), (1, 0));
+}
+
 /// Guards against an end that nobody is told, as its client acknowledges none, has connected anew, and all machines refuse
 /// its requests for the moment (review case 9).
 #[test]
