A hand-over to a machine that is not listed waits for an outage of discovery to end

Cause: adoptions.rs, MAX_LISTING_DELAY. The wait is for lists that are late by some two seconds, not for none at all: a process that can't know whether a machine is there told the end of its task.

Change: an adoption whose deadline passes while the watch on the endpoint list is not connected waits for another 2.5 s, for 30 s in all at most. One that no list names is refused as before while discovery can be reached, within three seconds. Refusing moves from timers.rs to adoptions.rs.

--- a/crates/platform/src/adoptions.rs
+++ b/crates/platform/src/adoptions.rs
@@ -2,15 +2,20 @@
 //! listed.
 
 use crate::clients::{ClientProof, proves_itself};
-use crate::state::SharedState;
+use crate::error::InvalidRequest;
+use crate::state::{SchedulerState, SharedState};
 use crate::tasks::{Attempt, AttemptState, ClientInterest, TaskRecord, hex};
+use crate::timers::TimerEvent;
 use mulleinhub_interface::{Duration, MachineId, PolicyEvents, TaskId, TaskSpec, Timestamp};
+use mulleinhub_platform_protocol::cause_code;
 use mulleinhub_sans_io::ConnectionId;
 use std::collections::{BTreeMap, VecDeque};
 
 /// An adoption waits this long until a list names its machine: lists reach schedulers up to some two seconds
 /// apart, and a client that sends an invalid request is owed an answer within three.
 const MAX_LISTING_DELAY: Duration = Duration::from_nanos(2_500_000_000);
+/// While no list can come, it waits on, in all for this long at most.
+const MAX_OUTAGE: Duration = Duration::from_secs(30);
 
 /// A task that runs on a machine which no list has named yet.
 #[derive(Clone, Copy, Debug)]
@@ -21,8 +26,10 @@
     pub machine: MachineId,
     /// The client connection that it came on.
     pub client: ConnectionId,
+    /// When it came.
+    since: Timestamp,
     /// How long it waits for a list to name the machine.
-    pub deadline: Timestamp,
+    deadline: Timestamp,
     /// Its client has cancelled the task meanwhile.
     pub cancelled: bool,
 }
@@ -36,18 +43,9 @@
 }
 
 impl Adoptions {
-    /// Lets an adoption wait for its machine to be listed; returns its deadline.
-    pub fn defer(
-        &mut self,
-        now: Timestamp,
-        spec: TaskSpec,
-        machine: MachineId,
-        client: ConnectionId,
-    ) -> Timestamp {
-        let deadline = now + MAX_LISTING_DELAY;
-        self.deadlines.push_back((deadline, spec.id));
-        self.pending.insert(spec.id, PendingAdoption { spec, machine, client, deadline, cancelled: false });
-        deadline
+    fn insert(&mut self, adoption: PendingAdoption) {
+        self.deadlines.push_back((adoption.deadline, adoption.spec.id));
+        self.pending.insert(adoption.spec.id, adoption);
     }
 
     /// Whether the adoption of this task waits for its machine.
@@ -75,7 +73,7 @@
     }
 
     /// Takes out the next one whose deadline has passed.
-    pub fn take_overdue(&mut self, now: Timestamp) -> Option<PendingAdoption> {
+    fn take_overdue(&mut self, now: Timestamp) -> Option<PendingAdoption> {
         while let Some((_, task)) = self.deadlines.pop_front_if(|(deadline, _)| *deadline <= now) {
             let is_overdue = self.pending.get(&task).is_some_and(|pending| pending.deadline <= now);
             if is_overdue {
@@ -86,6 +84,33 @@
     }
 }
 
+impl SchedulerState {
+    /// Lets an adoption wait for its machine to be listed.
+    pub fn defer_adoption(&mut self, spec: TaskSpec, machine: MachineId, client: ConnectionId) {
+        let (since, deadline) = (self.now, self.now + MAX_LISTING_DELAY);
+        self.adoptions.insert(PendingAdoption { spec, machine, client, since, deadline, cancelled: false });
+        self.timers.schedule(deadline, TimerEvent::AdoptionDeadline);
+    }
+
+    /// Refuses the adoptions whose machine no list has named in time. Those wait on that came in an outage of
+    /// discovery. Seen: a machine was started during one, and the client of a task there was told that the task was
+    /// over.
+    pub fn refuse_overdue_adoptions(&mut self) {
+        while let Some(pending) = self.adoptions.take_overdue(self.now) {
+            if !self.endpoint_watch.is_established() && self.now - pending.since < MAX_OUTAGE {
+                let deadline = self.now + MAX_LISTING_DELAY;
+                self.adoptions.insert(PendingAdoption { deadline, ..pending });
+                self.timers.schedule(deadline, TimerEvent::AdoptionDeadline);
+            } else if !pending.cancelled {
+                // The sender may be a client or not: the machine may never have been.
+                self.counts.invalid_requests += 1;
+                self.warn("invalid start request", &InvalidRequest::UnlistedMachine.to_string());
+                self.report_end(Some(pending.client), pending.spec.id, cause_code::ERROR);
+            }
+        }
+    }
+}
+
 /// Adopts a task that runs on this machine, unless its end was received before.
 pub fn adopt(
     shared: &SharedState,
--- a/crates/platform/src/clients/start_requests.rs
+++ b/crates/platform/src/clients/start_requests.rs
@@ -5,7 +5,6 @@
 use crate::machines::machine_id;
 use crate::state::{SchedulerState, SharedState};
 use crate::tasks::{RequestPayload, TaskRecord, hex};
-use crate::timers::TimerEvent;
 use mulleinhub_interface::{
     Duration, Idempotency, PolicyEvents, Resources, ServiceId, TaskId, TaskKey, TaskSpec, Timestamp,
     UseCaseId,
@@ -93,8 +92,7 @@
             // Another scheduler's list may be ahead of ours. Seen: clients were notified that their tasks had
             // ended.
             state.clients.greeted(connection_id);
-            let deadline = state.adoptions.defer(state.now, spec, machine, connection_id);
-            return state.timers.schedule(deadline, TimerEvent::AdoptionDeadline);
+            return state.defer_adoption(spec, machine, connection_id);
         }
     }
     adopt(shared, events, spec, machine, connection_id);
--- a/crates/platform/src/discovery/watch.rs
+++ b/crates/platform/src/discovery/watch.rs
@@ -134,6 +134,11 @@
         Ok(true)
     }
 
+    /// Whether it is connected: what the service tells comes in time.
+    pub fn is_established(&self) -> bool {
+        self.connection.is_some() && self.established
+    }
+
     /// The other side has nothing more to send on this connection.
     pub fn is_over(&self) -> bool {
         self.stream.as_ref().is_some_and(EventStream::is_finished)
--- a/crates/platform/src/tests/ends.rs
+++ b/crates/platform/src/tests/ends.rs
@@ -310,3 +310,36 @@
     harness.advance(ms(1_000));
     assert_eq!(ends(&mut harness, next, 2), 1, "within a second");
 }
+
+/// Guards against a task that is told to be over while it runs: its machine was started while discovery was down, and no list
+/// could name it (review play hand-over).
+#[test]
+fn task_handed_over_in_an_outage_of_discovery_waits_for_the_list() {
+    let mut harness = Harness::new(1);
+    harness.reachability.insert(DISCOVERY.to_owned(), Reachability::Refuses);
+    let discovery = harness.connections_to(DISCOVERY)[0];
+    harness.close(discovery, CloseReason::Broken);
+    let client = harness.connect_client();
+    harness.deliver(client, &start_request(5, "front", &format!(";at:{}", uid(9))));
+    harness.deliver(client, &start_request(6, "front", ";at:s-none"));
+    harness.advance(ms(8_000));
+    assert!(harness.received_on(client).is_empty());
+    harness.reachability.remove(DISCOVERY);
+    while harness.connections_to(DISCOVERY).is_empty() {
+        harness.advance(ms(1));
+    }
+    let discovery = harness.connections_to(DISCOVERY)[0];
+    let event = event(2, false, &[endpoint(9, "in_service", 0)]);
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    harness.deliver(discovery, format!("{head}data: {event}\n\n").as_bytes());
+    for _ in 0..3 {
+        harness.advance(ms(900));
+        harness.deliver(discovery, b": \n\n");
+    }
+    // The one is refused that no list names once one can come.
+    let told: Vec<u64> = harness.received_on(client).iter().map(|message| message.task).collect();
+    assert_eq!(told, [6]);
+    let connection = harness.connections_to(&address(9))[0];
+    harness.deliver(connection, &release(5, cause_code::ENDED));
+    assert_eq!(ends(&mut harness, client, 5), 1);
+}
--- a/crates/platform/src/timers.rs
+++ b/crates/platform/src/timers.rs
@@ -1,13 +1,11 @@
 //! What is due at an instant, and what is done then.
 
 use crate::discovery::SILENCE_TIMEOUT;
-use crate::error::InvalidRequest;
 use crate::machines::{check_machine, check_partial_message, handle_disconnect};
 use crate::state::{SchedulerState, SharedState};
 use crate::status;
 use crate::tasks::AttemptId;
 use mulleinhub_interface::{MachineId, PolicyEvents};
-use mulleinhub_platform_protocol::cause_code;
 use mulleinhub_sans_io::{CloseReason, ConnectionId};
 
 /// What a timer was set for. No timer is cancelled: when it fires, its handler looks whether it still
@@ -73,7 +71,7 @@
         TimerEvent::CheckMachine(machine) => check_machine(state, machine),
         TimerEvent::ReleaseQueued(machine) => state.release_due(machine),
         TimerEvent::CloseRejectedClients => state.close_overdue_rejected_clients(),
-        TimerEvent::AdoptionDeadline => refuse_overdue_adoptions(state),
+        TimerEvent::AdoptionDeadline => state.refuse_overdue_adoptions(),
         TimerEvent::EndpointSilence(connection_id) => check_endpoint_silence(state, connection_id),
         TimerEvent::ReconnectEndpointWatch => state.connect_endpoint_watch(),
         TimerEvent::LogStatus => status::log_and_reschedule(state),
@@ -89,19 +87,6 @@
     }
 }
 
-fn refuse_overdue_adoptions(state: &mut SchedulerState) {
-    while let Some(pending) = state.adoptions.take_overdue(state.now) {
-        // A client that cancelled the task is not notified.
-        if pending.cancelled {
-            continue;
-        }
-        // The sender may be a client or not: the machine may never have been.
-        state.counts.invalid_requests += 1;
-        state.warn("invalid start request", &InvalidRequest::UnlistedMachine.to_string());
-        state.report_end(Some(pending.client), pending.spec.id, cause_code::ERROR);
-    }
-}
-
 fn check_endpoint_silence(state: &mut SchedulerState, connection_id: ConnectionId) {
     if state.endpoint_watch.connection != Some(connection_id) {
         return;
