Probes of a machine that closes no connection follow at the ordinary pace

Seen, in virtual time: a machine that hangs is connected to 3.3 times a second (99 in 30 s), twice the pace of probes, and each such connection waits in its backlog.

Cause: each established probe closes the one before it; as the machine doesn't close its side, that one is broken off after a quarter second, which counts as lost reports, and these were asked for at once by one more connection, which closed the next.

Change: a connection says what it is for. One that is opened for lost reports closes no probe, and a closed probe that is broken off has reports asked for at the next check, which comes within the second in which they are due.

--- a/crates/platform/src/attempts/mod.rs
+++ b/crates/platform/src/attempts/mod.rs
@@ -11,6 +11,7 @@
 pub use outcomes::{settle, settle_pending};
 pub use unsent::UnsentRequests;
 
+use crate::machines::ConnectionPurpose;
 use crate::state::SchedulerState;
 use crate::tasks::{Attempt, AttemptId, AttemptState, hex};
 use crate::timers::TimerEvent;
@@ -57,7 +58,7 @@
         self.machines.pool.touch(now, connection_id.0);
         let connection = self.machines.connections.get_mut(&connection_id).expect("was chosen");
         connection.awaiting.push(id);
-        connection.is_probe = false;
+        connection.purpose = ConnectionPurpose::Requests;
         connection.used_at = now;
         let task = self.tasks.by_id.get_mut(&id).expect("has an attempt");
         let sent = AttemptState::Sent { connection: connection_id, token };
--- a/crates/platform/src/machines/connect.rs
+++ b/crates/platform/src/machines/connect.rs
@@ -1,6 +1,6 @@
 //! Opening, choosing and closing connections to machines, within the limit on descriptors.
 
-use super::{LocalClose, MachineConnection};
+use super::{ConnectionPurpose, LocalClose, MachineConnection};
 use crate::state::SchedulerState;
 use crate::timers::TimerEvent;
 use mulleinhub_interface::{MachineId, TaskId};
@@ -80,11 +80,15 @@
         })
     }
 
-    /// This connection was established: the probes of the same machine before it have served their purpose, and their
-    /// descriptors are needed for the next ones.
+    /// This connection was established. Where it is a probe, those of the same machine before it that carry no start
+    /// requests have served their purpose, and their descriptors are needed for the next ones.
     pub fn close_earlier_probes(&mut self, machine: MachineId, connection_id: ConnectionId) {
+        let is_probe = |connection: &MachineConnection| connection.purpose == ConnectionPurpose::Probe;
+        if !self.machines.connections.get(&connection_id).is_some_and(is_probe) {
+            return;
+        }
         let is_served = |connection: &MachineConnection| {
-            connection.is_probe
+            connection.purpose != ConnectionPurpose::Requests
                 && connection.is_idle()
                 && connection.close_reason.is_none()
                 && !connection.queued
--- a/crates/platform/src/machines/connection.rs
+++ b/crates/platform/src/machines/connection.rs
@@ -23,6 +23,17 @@
     LaterProbe,
 }
 
+/// What a connection to a machine is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionPurpose {
+    /// Start requests: it was opened for one, or one was sent on it.
+    Requests,
+    /// To find out whether a silent machine is there.
+    Probe,
+    /// Reports that the machine is to repeat on it, or orders that wait.
+    Reports,
+}
+
 /// An attempt that was given up on a connection; an acceptance of it is a late one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GivenUpAttempt {
@@ -55,8 +66,8 @@
     pub machine_seen_before: Timestamp,
     /// This side has closed its sending side, and waits for the machine to close, too.
     pub retired: bool,
-    /// It was opened to find out whether the machine is there, and no start request was sent on it.
-    pub is_probe: bool,
+    /// What it is for.
+    pub purpose: ConnectionPurpose,
     /// The machine sent something on it that shows that it is alive.
     pub proved_alive: bool,
     /// When something was last sent or received on it.
@@ -84,7 +95,7 @@
             established: false,
             machine_seen_before: now,
             retired: false,
-            is_probe: false,
+            purpose: ConnectionPurpose::Requests,
             proved_alive: false,
             used_at: now,
             awaiting: Vec::new(),
--- a/crates/platform/src/machines/disconnect.rs
+++ b/crates/platform/src/machines/disconnect.rs
@@ -1,6 +1,6 @@
 //! The end of a connection to a machine, and what it proves about the start requests on it.
 
-use super::{Machine, MachineConnection, REFUSALS_OF_DEAD};
+use super::{ConnectionPurpose, Machine, MachineConnection, REFUSALS_OF_DEAD};
 use crate::state::SchedulerState;
 use crate::tasks::{Attempt, AttemptState};
 use mulleinhub_interface::{Duration, FailureCause, MachineId, Outcome, TaskId};
@@ -18,7 +18,12 @@
     log_disconnect(state, connection_id, &connection, reason);
     if connection.established && reason == CloseReason::Broken {
         // It ended without the end of its stream: reports that the machine had written may be lost.
-        state.ask_for_reports(connection.machine);
+        if connection.retired && connection.purpose != ConnectionPurpose::Requests {
+            // Where it hangs, the next one ends like this, too: each connect would be followed by another at once.
+            state.record_lost_reports(connection.machine);
+        } else {
+            state.ask_for_reports(connection.machine);
+        }
     }
     if connection.retired {
         return reschedule_lost_orders(state, connection.machine);
--- a/crates/platform/src/machines/health.rs
+++ b/crates/platform/src/machines/health.rs
@@ -1,7 +1,7 @@
 //! Checks of machines: idle connections are closed before the machine does it, a machine where tasks run is
 //! kept connected, and a silent one is found out and its tasks are reported as lost.
 
-use super::{LocalClose, Machine, REFUSALS_OF_DEAD, Timeouts};
+use super::{ConnectionPurpose, LocalClose, Machine, REFUSALS_OF_DEAD, Timeouts};
 use crate::state::SchedulerState;
 use crate::timers::TimerEvent;
 use mulleinhub_interface::{Duration, FailureCause, MachineId, Outcome, TaskId, Timestamp};
@@ -78,6 +78,15 @@
         self.connecting < max_connecting && (self.has_unsent_orders || (self.has_running_tasks && is_due))
     }
 
+    /// What a connection is for that is opened now.
+    fn purpose(&self) -> ConnectionPurpose {
+        if self.reports_lost || self.has_unsent_orders {
+            ConnectionPurpose::Reports
+        } else {
+            ConnectionPurpose::Probe
+        }
+    }
+
     /// Whether a probe follows on another one without backoff: as the machine has just fallen silent, and shortly
     /// before it is lost. Where it refuses connections the first backoff counts: it may be dead, and is not to be
     /// taken for that by two refusals of one moment.
@@ -147,9 +156,9 @@
     if let Some((connection_id, _)) = oldest_idle.filter(|_| needs_descriptor) {
         state.close_machine_connection(*connection_id, LocalClose::PoolExhausted);
     }
-    let probe = state.open_machine_connection(id);
-    if let Some(connection) = probe.and_then(|probe| state.machines.connections.get_mut(&probe)) {
-        connection.is_probe = true;
+    let opened = state.open_machine_connection(id);
+    if let Some(connection) = opened.and_then(|opened| state.machines.connections.get_mut(&opened)) {
+        connection.purpose = check.purpose();
     }
 }
 
@@ -201,10 +210,18 @@
     /// accepts. So they may be where a task is adopted: its machine may have reported its end to another scheduler
     /// before.
     pub fn ask_for_reports(&mut self, id: MachineId) {
+        if self.record_lost_reports(id) {
+            self.schedule_urgent_check(id);
+        }
+    }
+
+    /// The same, where the next ordinary check is soon enough to open that connection. False where no task runs there.
+    pub fn record_lost_reports(&mut self, id: MachineId) -> bool {
         let has_running_tasks = self.tasks.any_running_on(id);
-        let Some(machine) = self.machines.by_id.get_mut(&id).filter(|_| has_running_tasks) else { return };
+        let machine = self.machines.by_id.get_mut(&id).filter(|_| has_running_tasks);
+        let Some(machine) = machine else { return false };
         machine.reports_lost_at = Some(self.now);
-        self.schedule_urgent_check(id);
+        true
     }
 
     fn set_check(&mut self, id: MachineId, at: Timestamp) {
--- a/crates/platform/src/machines/mod.rs
+++ b/crates/platform/src/machines/mod.rs
@@ -13,7 +13,7 @@
 mod stop_orders;
 mod timeouts;
 
-pub use connection::{LocalClose, MachineConnection};
+pub use connection::{ConnectionPurpose, LocalClose, MachineConnection};
 pub use disconnect::{break_connection, handle_disconnect};
 pub use health::check_machine;
 pub use messages::{check_partial_message, handle_input};
--- a/crates/platform/src/tests/silence.rs
+++ b/crates/platform/src/tests/silence.rs
@@ -191,3 +191,20 @@
     let kinds: Vec<u8> = messages.map(|message| message.kind).collect();
     assert_eq!(kinds, [kind::ACCEPT], "it runs");
 }
+
+/// Guards against a machine that hangs and whose line of waiting connections is filled: it closes none of those that are
+/// closed from this side.
+#[test]
+fn probes_of_a_machine_that_closes_nothing_are_bounded() {
+    let (mut harness, _client) = hold_quiet_tasks(1);
+    let seconds = 30;
+    let (mut opened, mut newest) = (0, harness.opened.keys().max().copied());
+    for _ in 0..seconds * 100 {
+        harness.advance(ms(10));
+        let connections = harness.connections_to(&address(1));
+        opened += connections.iter().filter(|connection| Some(**connection) > newest).count();
+        newest = harness.opened.keys().max().copied().max(newest);
+        harness.blocked.extend(connections);
+    }
+    assert!(opened as u64 <= 2 * seconds, "{opened} connections in {seconds} s");
+}
