Tests: schedulers listen at addresses that no test binds first

Cause: the harness bound a listener to find a free port and dropped it. A process that another test was starting at that moment had a copy of its descriptor until its exec, so a client could connect there, and was reset.

Change: no listener is bound for that. Each scheduler has a loopback address of its own in its test process, and a port below the system's own, by the process's id. No check changes.

--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -28,6 +28,10 @@
 /// How long a test waits for anything before it fails.
 pub const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Ports that schedulers listen at: below those that systems give by themselves.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u32 = 10_000;
+
 /// The variable that says what the program logs; everything, where a test does not set it.
 const LOG_LEVEL_VARIABLE: &str = "RUST_LOG";
 
@@ -36,13 +40,15 @@
     TcpListener::bind(("127.0.9.".to_owned() + &host.to_string(), 0)).expect("a free port")
 }
 
-/// A free port of a loopback address that no other scheduler of this process has. Guards against: two tests were given
-/// the same port, one after the other had let go of it, and the clients of both came to one scheduler.
+/// A loopback address that no other scheduler of this process has, with a port that no system gives by itself. Guards
+/// against: a port that was bound to find a free one was given to two tests; and a process that was being started by
+/// another test held it open for a moment, so that a client connected there and was reset.
 fn unused_address() -> SocketAddr {
     static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
     let [high, low] = NEXT_HOST.fetch_add(1, Ordering::Relaxed).to_be_bytes();
-    let listener = TcpListener::bind((Ipv4Addr::new(127, 8, high, low), 0)).expect("a free port");
-    address(&listener)
+    // Another port for each test process, as two may run at a time.
+    let port = FIRST_PORT + (std::process::id() % PORTS) as u16;
+    SocketAddr::from((Ipv4Addr::new(127, 8, high, low), port))
 }
 
 pub fn address(listener: &TcpListener) -> SocketAddr {
