One bounded map of recent keys serves recent tasks and reported ends

The loop that drops what is too old or too many stood in recent_tasks.rs and reported_ends.rs, word for word but for the key. It is RecentMap now; both keep their bounds, retentions and, for tasks, the check of age at the look-up. No behaviour changes.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,6 +19,7 @@
 mod fault_log;
 mod inbound;
 mod machines;
+mod recent_map;
 mod recent_tasks;
 mod reported_ends;
 mod shutdown;
--- a/crates/platform/src/recent_tasks.rs
+++ b/crates/platform/src/recent_tasks.rs
@@ -1,10 +1,10 @@
 //! Tasks that are no longer held and may have run here: those that must not run twice, so that a request that
 //! comes again under such an id is refused, and those of which a copy may run that nobody wants.
 
+use crate::recent_map::RecentMap;
 use crate::state::SchedulerState;
 use crate::tasks::TaskRecord;
 use mulleinhub_interface::{Duration, FailureDomain, Idempotency, TaskId, Timestamp};
-use std::collections::{BTreeMap, VecDeque};
 
 /// A request may come again under its id within this: far longer than clients and networks take.
 const RUN_RETENTION: Duration = Duration::from_secs(60);
@@ -17,15 +17,13 @@
     retention: Duration,
     /// How many are kept.
     max: usize,
-    /// Each with when it was last held.
-    ids: BTreeMap<TaskId, Timestamp>,
-    /// The same, oldest first.
-    by_age: VecDeque<(Timestamp, TaskId)>,
+    /// When each was last held.
+    held_at: RecentMap<TaskId, Timestamp>,
 }
 
 impl RecentTasks {
     fn new(retention: Duration, max: usize) -> Self {
-        Self { retention, max, ids: BTreeMap::new(), by_age: VecDeque::new() }
+        Self { retention, max, held_at: RecentMap::new(retention) }
     }
 
     /// For tasks that must not run twice.
@@ -41,19 +39,12 @@
 
     /// This task was held until now.
     fn record(&mut self, now: Timestamp, task: TaskId) {
-        let is_over = |at: Timestamp, count: usize| count >= self.max || now - at > self.retention;
-        while self.by_age.front().is_some_and(|(at, _)| is_over(*at, self.by_age.len())) {
-            let (_, oldest) = self.by_age.pop_front().expect("checked to be there");
-            self.ids.remove(&oldest);
-        }
-        if self.ids.insert(task, now).is_none() {
-            self.by_age.push_back((now, task));
-        }
+        self.held_at.insert(now, task, now, self.max);
     }
 
     /// Whether a task with this id was held lately.
     pub fn contains(&self, now: Timestamp, task: TaskId) -> bool {
-        self.ids.get(&task).is_some_and(|at| now - *at <= self.retention)
+        self.held_at.get(&task).is_some_and(|at| now - *at <= self.retention)
     }
 }
 
--- a/crates/platform/src/reported_ends.rs
+++ b/crates/platform/src/reported_ends.rs
@@ -2,11 +2,12 @@
 //! scheduler started such a task, which may have died, or an earlier process of this one did. A machine need
 //! not report an end to the scheduler that holds the task, so whoever receives it notifies a client.
 
+use crate::recent_map::RecentMap;
 use crate::state::SchedulerState;
 use crate::tasks::hex;
 use mulleinhub_interface::{Duration, MachineId, TaskId, Timestamp};
 use mulleinhub_platform_protocol::Cause;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
 /// A reported end may matter this long: until the scheduler of its task is known to have died, and its client
 /// has waited and retried.
@@ -16,15 +17,19 @@
 const ADOPTION_GRACE: Duration = Duration::from_nanos(300_000_000);
 
 /// Reported ends, by task and machine, and those of them that wait to be passed on. In memory only.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ReportedEnds {
-    causes: BTreeMap<(TaskId, MachineId), Cause>,
-    /// The keys of `causes`, oldest first.
-    by_age: VecDeque<(Timestamp, TaskId, MachineId)>,
+    causes: RecentMap<(TaskId, MachineId), Cause>,
     /// When each one that waits is passed on, the next first.
     pending: VecDeque<(Timestamp, TaskId, Cause)>,
 }
 
+impl Default for ReportedEnds {
+    fn default() -> Self {
+        Self { causes: RecentMap::new(RETENTION), pending: VecDeque::new() }
+    }
+}
+
 impl ReportedEnds {
     /// Remembers that a machine reported the end of a task; keeps `max` of them. False where it is known already.
     pub fn record(
@@ -35,16 +40,7 @@
         cause: Cause,
         max: usize,
     ) -> bool {
-        let is_over = |at: Timestamp, count: usize| count >= max || now - at > RETENTION;
-        while self.by_age.front().is_some_and(|(at, ..)| is_over(*at, self.by_age.len())) {
-            let (_, task, machine) = self.by_age.pop_front().expect("checked to be there");
-            self.causes.remove(&(task, machine));
-        }
-        let is_new = self.causes.insert((task, machine), cause).is_none();
-        if is_new {
-            self.by_age.push_back((now, task, machine));
-        }
-        is_new
+        self.causes.insert(now, (task, machine), cause, max)
     }
 
     /// How a task that ran on this machine has ended, if its end was reported.
@@ -73,7 +69,7 @@
     /// How many ends are remembered.
     #[cfg(test)]
     pub fn len(&self) -> usize {
-        self.by_age.len()
+        self.causes.len()
     }
 }
 
