--- a/crates/platform/src/clients/messages.rs
+++ b/crates/platform/src/clients/messages.rs
@@ -176,9 +176,10 @@
 
 /// A machine told of this task: whoever handed it over is a client.
 pub fn prove_client_of(state: &mut SchedulerState, id: TaskId) {
-    let task = state.tasks.by_id.get(&id).filter(|task| task.running_attempt().is_some());
-    if let Some(client) = task.and_then(|task| task.client) {
-        proves_itself(state, client, ClientProof::TaskKnown);
+    let Some(connection_id) = state.tasks.by_id.get(&id).and_then(|task| task.client) else { return };
+    let client = state.clients.by_connection.get(&connection_id);
+    if client.is_some_and(|client| client.proof != ClientProof::TaskKnown) {
+        proves_itself(state, connection_id, ClientProof::TaskKnown);
     }
 }
 
--- a/crates/platform/src/machines/health.rs
+++ b/crates/platform/src/machines/health.rs
@@ -91,7 +91,7 @@
     /// before it is lost. Where it refuses connections the first backoff counts: it may be dead, and is not to be
     /// taken for that by two refusals of one moment.
     fn probes_without_backoff(&self, timeouts: &Timeouts) -> bool {
-        let is_first = self.silence >= timeouts.probe_after && self.silence < timeouts.first_probes_until;
+        let is_first = timeouts.is_first_probe(self.silence);
         self.silence >= timeouts.final_probes_after || (is_first && self.refusals == 0)
     }
 }
--- a/crates/platform/src/machines/mod.rs
+++ b/crates/platform/src/machines/mod.rs
@@ -25,7 +25,7 @@
 use mulleinhub_sans_io::ConnectionId;
 use std::collections::BTreeMap;
 use stop_orders::StopOrders;
-pub use timeouts::Timeouts;
+use timeouts::Timeouts;
 
 /// So many refused connects in a row: the process there has died, and what ran there with it.
 const REFUSALS_OF_DEAD: u32 = 2;
@@ -63,7 +63,7 @@
     /// How.
     pub last_sign: SignOfLife,
     /// When the first of the tasks that run there became known to. Before that nobody asked for a sign of life.
-    pub watched_since: Timestamp,
+    watched_since: Timestamp,
     /// Connects that failed since then.
     pub failures: u32,
     /// Connects that were refused, one after another.
@@ -144,7 +144,7 @@
 
     /// For how long it has been silent. Where it was not asked for a sign of life before, it may be silent for
     /// `least_watch` yet until it is lost.
-    pub fn silence(&self, now: Timestamp, timeouts: &Timeouts) -> Duration {
+    fn silence(&self, now: Timestamp, timeouts: &Timeouts) -> Duration {
         now - self.silent_since(timeouts)
     }
 
--- a/crates/platform/src/machines/timeouts.rs
+++ b/crates/platform/src/machines/timeouts.rs
@@ -98,10 +98,15 @@
         last_seen_at + latest * (1.0 - PROBE_JITTER * random)
     }
 
+    /// Whether a probe of a machine that has been silent for so long is one of the first.
+    pub fn is_first_probe(&self, silence: Duration) -> bool {
+        silence >= self.probe_after && silence < self.first_probes_until
+    }
+
     /// When the next probe of a machine follows that has been silent for so long and was probed just now; none
     /// where the ordinary checks do.
     pub fn next_probe_after(&self, silence: Duration) -> Option<Duration> {
-        if silence >= self.probe_after && silence < self.first_probes_until {
+        if self.is_first_probe(silence) {
             Some(self.first_probe_interval)
         } else if silence >= self.final_probes_after && silence < self.lost_after {
             Some(self.final_probe_interval)
